Lay out the workspace with names, labels and selectors

Cause: the repository was empty. Conclusion: parts can now be built side by side, each behind one module of the core.

--- /dev/null
+++ b/ragwortdeal_agent/src/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
--- /dev/null
+++ b/ragwortdeal_core/src/admission.rs
@@ -0,0 +1,1 @@
+//! Fair shares, queues bounded by time, and typed refusals for callers' requests.
--- /dev/null
+++ b/ragwortdeal_core/src/digest.rs
@@ -0,0 +1,72 @@
+//! Content hashes of chunks and versions.
+
+use std::{fmt, str};
+
+use snafu::Snafu;
+
+/// Length of a digest in bytes.
+pub const DIGEST_BYTES: usize = 32;
+
+/// A BLAKE3 hash, written as 64 hexadecimal digits.
+#[derive(
+    Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+#[serde(try_from = "String", into = "String")]
+pub struct Digest([u8; DIGEST_BYTES]);
+
+/// The text is not 64 hexadecimal digits.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("a digest is written as 64 hexadecimal digits"))]
+pub struct DigestError;
+
+impl Digest {
+    /// Hashes the given bytes.
+    pub fn of(bytes: &[u8]) -> Self {
+        Self(*blake3::hash(bytes).as_bytes())
+    }
+
+    /// The raw 32 bytes.
+    pub fn as_bytes(&self) -> &[u8; DIGEST_BYTES] {
+        &self.0
+    }
+
+    /// Wraps raw bytes that are known to be a hash.
+    pub fn from_bytes(bytes: [u8; DIGEST_BYTES]) -> Self {
+        Self(bytes)
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&blake3::Hash::from_bytes(self.0).to_hex())
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&blake3::Hash::from_bytes(self.0).to_hex()[..12])
+    }
+}
+
+impl str::FromStr for Digest {
+    type Err = DigestError;
+
+    fn from_str(text: &str) -> Result<Self, DigestError> {
+        let hash = blake3::Hash::from_hex(text).map_err(|_| DigestError)?;
+        Ok(Self(*hash.as_bytes()))
+    }
+}
+
+impl TryFrom<String> for Digest {
+    type Error = DigestError;
+
+    fn try_from(text: String) -> Result<Self, DigestError> {
+        text.parse()
+    }
+}
+
+impl From<Digest> for String {
+    fn from(digest: Digest) -> String {
+        digest.to_string()
+    }
+}
--- /dev/null
+++ b/ragwortdeal_core/src/membership.rs
@@ -0,0 +1,1 @@
+//! Leases of upstreams and entries, and the deltas and summaries that spread them.
--- /dev/null
+++ b/ragwortdeal_core/src/relay.rs
@@ -0,0 +1,1 @@
+//! Which process of an availability zone passes configuration deltas on to which.
--- /dev/null
+++ b/ragwortdeal_core/src/replication.rs
@@ -0,0 +1,1 @@
+//! The voters' replicated log: elections, replication, reads and membership.
--- /dev/null
+++ b/ragwortdeal_core/src/routing.rs
@@ -0,0 +1,1 @@
+//! Choice of an upstream among those that may serve a call.
--- /dev/null
+++ b/ragwortdeal_core/src/spread.rs
@@ -0,0 +1,1 @@
+//! Which instance fetches which chunk of a version from whom, and when.
--- /dev/null
+++ b/ragwortdeal_node/src/lib.rs
@@ -0,0 +1,1 @@
+//! Sockets, files, timers and telemetry round the core of ragwortdeal.
--- /dev/null
+++ b/ragwortdeal_standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the outside systems that ragwortdeal meets.
