Add the relay tree of a zone with a floor against going back

Cause: a process that restarts in a cut-off zone beside a stale source must not undo what the zone applied; no voter may serve every receiver. Conclusion: refusals by starting parents once drove all children to the roots (28 at one); a parent that starts now stays silent.

--- /dev/null
+++ b/ragwortdeal_core/src/relay/node/serving.rs
@@ -0,0 +1,90 @@
+//! The side of a parent: steps, snapshots in pieces, and heartbeats for its children.
+
+use crate::{
+    membership::Stamp,
+    name,
+    relay::{
+        Delta, Message, Position, Revision, State,
+        node::{Relay, Send, answer},
+        payload,
+    },
+};
+
+/// Bytes of a snapshot in one message.
+const PIECE_BYTES: usize = 16 * 1024;
+
+/// Bytes of deltas in one message.
+const DELTAS_MAX_BYTES: usize = 64 * 1024;
+
+impl<S: State> Relay<S> {
+    pub(super) fn serve(
+        &mut self,
+        now_ms: u64,
+        from: &name::InstanceName,
+        stamp: Stamp,
+        position: Position,
+    ) -> Vec<Send> {
+        // No answer while starting: a refusal would send the children of all starting parents to
+        // the roots, which serve first, and there they would stay.
+        if !self.may_serve() {
+            return Vec::new();
+        }
+        if !self.children.hear(now_ms, from, position.revision) {
+            return vec![answer(from, Message::Refused)];
+        }
+        let own = self.state.position();
+        let age_ms = self.age_ms(now_ms);
+        let status = Message::Status { echo: stamp, position: own, age_ms };
+        let mut sends = vec![answer(from, status)];
+        if position.revision < own.revision {
+            sends.extend(self.catch_up(from, position.revision));
+        }
+        sends
+    }
+
+    /// What a child needs: steps if they are still here, else the start of a snapshot.
+    fn catch_up(&mut self, child: &name::InstanceName, has: Revision) -> Option<Send> {
+        let Some(mut deltas) = self.history.since(has) else {
+            return Some(answer(child, self.piece(None, 0)));
+        };
+        let mut room = DELTAS_MAX_BYTES;
+        let fits = |delta: &Delta| {
+            let left = room.checked_sub(delta.payload.len());
+            room = left.unwrap_or(0);
+            left.is_some()
+        };
+        let count = deltas.iter().map(fits).take_while(|fits| *fits).count().max(1);
+        deltas.truncate(count);
+        let last = deltas.last()?.to.revision;
+        self.children.sent(child, last);
+        Some(answer(child, Message::Deltas(deltas)))
+    }
+
+    pub(super) fn pass_on(&mut self) -> Vec<Send> {
+        if !self.may_serve() {
+            return Vec::new();
+        }
+        let behind = self.children.behind(self.state.position().revision);
+        let known = behind.into_iter().filter(|(_, has)| self.history.reaches(*has));
+        let known: Vec<_> = known.collect();
+        known.into_iter().filter_map(|(child, has)| self.catch_up(&child, has)).collect()
+    }
+
+    /// A piece of the kept snapshot, or the first piece of a new one if that is another.
+    pub(super) fn piece(&mut self, wanted: Option<Position>, offset_bytes: u64) -> Message {
+        let useful = |(position, _): &&(Position, payload::Payload)| match wanted {
+            Some(wanted) => *position == wanted,
+            None => self.history.reaches(position.revision),
+        };
+        let kept = self.kept_snapshot.as_ref().filter(useful).cloned();
+        let offset_bytes = if kept.is_some() { offset_bytes } else { 0 };
+        let (position, snapshot) =
+            kept.unwrap_or_else(|| (self.state.position(), self.state.snapshot()));
+        let start = usize::try_from(offset_bytes).unwrap_or(usize::MAX).min(snapshot.len());
+        let end = start.saturating_add(PIECE_BYTES).min(snapshot.len());
+        let piece = payload::Payload::new(&snapshot[start..end]);
+        let total_bytes = snapshot.len() as u64;
+        self.kept_snapshot = Some((position, snapshot));
+        Message::Snapshot { position, offset_bytes: start as u64, total_bytes, piece }
+    }
+}
--- /dev/null
+++ b/ragwortdeal_core/src/relay/node/starting.rs
@@ -0,0 +1,94 @@
+//! What keeps a zone from going back: notes before a revision is applied, questions at a start.
+
+use crate::{
+    membership::Stamp,
+    name,
+    relay::{
+        Message, Revision, State, floor, gate,
+        node::{Relay, Send, answer},
+    },
+};
+
+impl<S: State> Relay<S> {
+    pub(super) fn note(&mut self, target: Revision) -> Vec<Send> {
+        self.highest_noted = self.highest_noted.max(target);
+        let own = self.own.clone();
+        self.gate.noted(&own, target);
+        let mut sends = self.release();
+        sends.extend(self.ask_notes());
+        sends
+    }
+
+    pub(super) fn ask_notes(&self) -> Vec<Send> {
+        let Some(target) = self.gate.target() else { return Vec::new() };
+        let others = self.view.witnesses.iter().filter(|witness| **witness != self.own);
+        others.map(|witness| answer(witness, Message::Note(target))).collect()
+    }
+
+    pub(super) fn release(&mut self) -> Vec<Send> {
+        let released = self.gate.release(&self.view);
+        for waiting in released {
+            match waiting {
+                gate::Waiting::Delta(delta) => self.apply(delta),
+                gate::Waiting::Snapshot(position, snapshot) => self.install(position, &snapshot),
+            }
+        }
+        self.pass_on()
+    }
+
+    pub(super) fn ask_floor(&self, now_ms: u64) -> Vec<Send> {
+        if self.floor.is_none() {
+            return Vec::new();
+        }
+        let stamp = Stamp { life: self.life, at_ms: now_ms };
+        let others = self.view.witnesses.iter().filter(|witness| **witness != self.own);
+        others.map(|witness| answer(witness, Message::AskFloor(stamp))).collect()
+    }
+
+    pub(super) fn own_floor(&self, echo: Stamp) -> Message {
+        let highest = self.highest_noted.max(self.state.position().revision);
+        let witnesses = self.view.witnesses_hash();
+        Message::Floor { echo, highest, learned: self.may_serve(), witnesses }
+    }
+
+    pub(super) fn take_floor(
+        &mut self,
+        now_ms: u64,
+        from: &name::InstanceName,
+        echo: Stamp,
+        answer: floor::Answer,
+    ) {
+        if let (Some(floor), Some(_)) = (&mut self.floor, echo.read_by(self.life, now_ms)) {
+            floor.hear(from, answer);
+        }
+    }
+
+    pub(super) fn take_claim(&mut self, revision: Revision, current_ms: u64) {
+        if revision <= self.state.position().revision {
+            self.confirm_current(current_ms);
+        } else {
+            self.claim.get_or_insert((revision, current_ms));
+        }
+    }
+
+    /// Counts claims that have come true, and starts to serve once that is safe.
+    pub(super) fn settle(&mut self) {
+        let revision = self.state.position().revision;
+        if let Some((_, at_ms)) = self.claim.take_if(|(claimed, _)| *claimed <= revision) {
+            self.confirm_current(at_ms);
+        }
+        let Some(floor) = &self.floor else { return };
+        // Whatever the zone applied before this start was accepted before it; a state that was
+        // the newest of all after the start contains it.
+        let newest = self.current_ms.is_some_and(|current_ms| current_ms >= self.started_ms);
+        let proven = floor.proven(&self.own, &self.view);
+        if newest || proven.is_some_and(|floor| revision >= floor) {
+            self.floor = None;
+            self.below_floor = false;
+        } else if proven.is_some() && !self.below_floor {
+            self.below_floor = true;
+            self.parent = None;
+            self.attempts = 0;
+        }
+    }
+}
--- a/ragwortdeal_core/tests/support/network.rs
+++ b/ragwortdeal_core/tests/support/network.rs
@@ -46,7 +46,10 @@
     pub faults: Faults,
     /// Side of each node; nodes on different sides cannot reach each other.
     pub sides: collections::BTreeMap<usize, u32>,
-    queue: collections::BTreeMap<(u64, u64), Arrival<M>>,
+    /// Pairs of nodes whose link is silent for good, in both directions.
+    pub dead_links: collections::BTreeSet<(usize, usize)>,
+    /// Messages under way, by their time of arrival and number.
+    pub queue: collections::BTreeMap<(u64, u64), Arrival<M>>,
     sent: u64,
 }
 
@@ -55,7 +58,8 @@
     pub fn new(seed: u64, faults: Faults) -> Self {
         let rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
         let sides = collections::BTreeMap::new();
-        Self { rng, faults, sides, queue: collections::BTreeMap::new(), sent: 0 }
+        let dead_links = collections::BTreeSet::new();
+        Self { rng, faults, sides, dead_links, queue: collections::BTreeMap::new(), sent: 0 }
     }
 
     fn side(&self, node: usize) -> u32 {
@@ -65,7 +69,8 @@
     /// Sends a message.
     pub fn send(&mut self, now_ms: u64, from: usize, to: usize, message: M) {
         let lost = self.rng.random_range(0..100) < self.faults.loss_percent;
-        if lost || self.side(from) != self.side(to) {
+        let dead = self.dead_links.contains(&(from, to)) || self.dead_links.contains(&(to, from));
+        if lost || dead || self.side(from) != self.side(to) {
             return;
         }
         let copies = if self.rng.random_range(0..100) < self.faults.double_percent { 2 } else { 1 };
