Add the configuration state machine and the border types

Cause: operators need labels and selectors judged alike on every voter, and processes need one agreed shape for what travels between them.

--- /dev/null
+++ b/ragwortdeal_core/src/config/intent.rs
@@ -0,0 +1,89 @@
+//! What the configuration in force means for one instance and for one call.
+
+use crate::{digest, labels, name};
+
+use super::{Revision, object, replica};
+
+/// What one instance is to serve.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Intent {
+    /// Digest of the version's manifest.
+    pub version: digest::Digest,
+    /// The version's model, adapter and size.
+    pub details: object::Version,
+    /// Revision at which this was in force; orders to the engine carry it as fencing number.
+    pub fence: Revision,
+}
+
+/// All placements by name.
+pub fn placements(
+    objects: &object::Objects,
+) -> impl Iterator<Item = (&name::SelectorName, &object::Placement)> {
+    objects.iter().filter_map(|(key, stored)| match (key, &stored.object) {
+        (object::ObjectKey::Placement(name), object::Object::Placement(placement)) => {
+            Some((name, placement))
+        }
+        _ => None,
+    })
+}
+
+/// What the instance is to serve, or `None` where no placement selects it.
+pub fn of_instance(config: &replica::Replica, instance: &name::InstanceName) -> Option<Intent> {
+    let objects = config.objects();
+    let key = object::ObjectKey::Instance(instance.clone());
+    let labels = object::with_name(object::labels_of(objects, &key), instance);
+    let (_, placement) = placements(objects).find(|(_, held)| held.instances.matches(&labels))?;
+    let stored = objects.get(&object::ObjectKey::Version(placement.version))?;
+    let object::Object::Version(details) = &stored.object else {
+        return None;
+    };
+    let (version, fence) = (placement.version, config.revision());
+    Some(Intent { version, details: details.clone(), fence })
+}
+
+/// The selectors over upstreams that apply to one account and one model or service. A call may go
+/// to any upstream that at least one of them selects; with none the call is refused.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Reach {
+    selectors: Vec<labels::Selector>,
+}
+
+impl Reach {
+    /// Whether no route leads from the account to the target.
+    pub fn is_empty(&self) -> bool {
+        self.selectors.is_empty()
+    }
+
+    /// Whether the account's calls to this target may go to that instance.
+    pub fn allows(&self, objects: &object::Objects, instance: &name::InstanceName) -> bool {
+        let key = object::ObjectKey::Instance(instance.clone());
+        let labels = object::with_name(object::labels_of(objects, &key), instance);
+        self.selectors.iter().any(|selector| selector.matches(&labels))
+    }
+}
+
+/// Finds the routes of an account to a target. The target's key is a model's or a service's.
+pub fn reach(
+    objects: &object::Objects,
+    account: &name::AccountName,
+    target: &object::ObjectKey,
+) -> Reach {
+    let account_key = object::ObjectKey::Account(account.clone());
+    let account_labels = object::with_name(object::labels_of(objects, &account_key), account);
+    let target_name = match target {
+        object::ObjectKey::Model(name) => name.as_str(),
+        object::ObjectKey::Service(name) => name.as_str(),
+        _ => return Reach::default(),
+    };
+    let target_labels = object::with_name(object::labels_of(objects, target), target_name);
+    let routes = objects.values().filter_map(|stored| match &stored.object {
+        object::Object::Route(route) => Some(route),
+        _ => None,
+    });
+    let selectors = routes
+        .filter(|route| route.accounts.matches(&account_labels))
+        .filter(|route| route.targets.matches(&target_labels))
+        .map(|route| route.upstreams.clone())
+        .collect();
+    Reach { selectors }
+}
--- /dev/null
+++ b/ragwortdeal_core/src/config/state.rs
@@ -0,0 +1,232 @@
+//! The voters' side: judges committed changes and keeps recent steps for receivers.
+
+use std::collections;
+
+use crate::{labels, name};
+
+use super::{Revision, change, delta, intent, object};
+
+/// How many recent steps are kept for receivers that are slightly behind. At 22,000 changes a day
+/// this covers more than four hours; who is further behind gets a snapshot.
+pub const RECENT_STEPS: usize = 4_096;
+
+/// Most objects: twice the instances, models, services and accounts of the target size.
+pub const OBJECTS_MAX: usize = 20_000;
+
+/// The configuration with everything needed to judge the next change.
+#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
+pub struct State {
+    revision: Revision,
+    #[serde(with = "pairs")]
+    objects: object::Objects,
+    digest: delta::SetDigest,
+    memory: change::ChangeMemory,
+    recent: collections::VecDeque<delta::Step>,
+}
+
+/// Maps with keys that are no strings travel as lists of pairs.
+mod pairs {
+    use serde::Deserialize as _;
+
+    use super::object;
+
+    pub(super) fn serialize<S: serde::Serializer>(
+        objects: &object::Objects,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        serializer.collect_seq(objects)
+    }
+
+    pub(super) fn deserialize<'de, D: serde::Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<object::Objects, D::Error> {
+        let pairs = Vec::<(object::ObjectKey, object::Stored)>::deserialize(deserializer)?;
+        Ok(pairs.into_iter().collect())
+    }
+}
+
+impl State {
+    /// The revision of the last accepted change.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// All objects.
+    pub fn objects(&self) -> &object::Objects {
+        &self.objects
+    }
+
+    /// Applies one committed change. The answer is the same on every voter and on every resend.
+    pub fn apply(&mut self, change: &change::Change) -> change::Decision {
+        match self.memory.recall(change) {
+            change::Recall::Decided(decision) => return decision,
+            change::Recall::OtherBody => {
+                return change::Decision::Refused(change::Refusal::IdReused);
+            }
+            change::Recall::New => (),
+        }
+        let decision = match self.judge(change) {
+            Ok(()) => change::Decision::Accepted { revision: self.commit(change) },
+            Err(refusal) => change::Decision::Refused(refusal),
+        };
+        self.memory.remember(change, decision.clone());
+        decision
+    }
+
+    /// What a receiver at that revision is sent, or `None` where it is up to date.
+    pub fn update_since(&self, held_revision: Revision) -> Option<delta::Update> {
+        if held_revision >= self.revision {
+            return None;
+        }
+        let missing = (self.revision - held_revision) as usize;
+        if missing > self.recent.len() {
+            return Some(delta::Update::Snapshot(self.snapshot()));
+        }
+        let skipped = self.recent.len() - missing;
+        let steps = self.recent.iter().skip(skipped).cloned().collect();
+        let digest = self.digest.value();
+        Some(delta::Update::Delta(delta::Delta { from_revision: held_revision, steps, digest }))
+    }
+
+    /// The whole state for a receiver.
+    pub fn snapshot(&self) -> delta::Snapshot {
+        let objects = self.objects.iter().map(|(key, stored)| (key.clone(), stored.clone()));
+        delta::Snapshot {
+            revision: self.revision,
+            objects: objects.collect(),
+            digest: self.digest.value(),
+        }
+    }
+
+    fn judge(&self, change: &change::Change) -> Result<(), change::Refusal> {
+        let present = self.objects.get(&change.key);
+        let present_revision = present.map_or(0, |stored| stored.revision);
+        if change.expected_revision.is_some_and(|expected| expected != present_revision) {
+            let present = present.map(|stored| stored.object.clone());
+            return Err(change::Refusal::Conflict { present_revision, present });
+        }
+        match &change.object {
+            Some(object) => self.judge_new(&change.key, object, present),
+            None => self.judge_removal(&change.key),
+        }
+    }
+
+    fn judge_new(
+        &self,
+        key: &object::ObjectKey,
+        object: &object::Object,
+        present: Option<&object::Stored>,
+    ) -> Result<(), change::Refusal> {
+        if !object.fits(key) {
+            return Err(change::Refusal::WrongKind);
+        }
+        if present.is_none() && self.objects.len() >= OBJECTS_MAX {
+            return Err(change::Refusal::TooManyObjects);
+        }
+        match (key, object) {
+            (object::ObjectKey::Version(_), new) => match present {
+                Some(stored) if stored.object != *new => Err(change::Refusal::VersionIsFixed),
+                _ => Ok(()),
+            },
+            (object::ObjectKey::Placement(name), object::Object::Placement(placement)) => {
+                self.judge_placement(name, placement)
+            }
+            (object::ObjectKey::Instance(name), object::Object::Labels(labels)) => {
+                check_label_count(labels)?;
+                self.judge_instance(name, labels)
+            }
+            (_, object::Object::Labels(labels)) => check_label_count(labels),
+            _ => Ok(()),
+        }
+    }
+
+    fn judge_placement(
+        &self,
+        name: &name::SelectorName,
+        placement: &object::Placement,
+    ) -> Result<(), change::Refusal> {
+        let version = placement.version;
+        if !self.objects.contains_key(&object::ObjectKey::Version(version)) {
+            return Err(change::Refusal::UnknownVersion { version });
+        }
+        for (instance, labels) in instances(&self.objects) {
+            let named = object::with_name(Some(labels), instance);
+            if !placement.instances.matches(&named) {
+                continue;
+            }
+            let other = intent::placements(&self.objects)
+                .find(|(other, held)| *other != name && held.instances.matches(&named));
+            if let Some((other, _)) = other {
+                return Err(ambiguous(instance, other));
+            }
+        }
+        Ok(())
+    }
+
+    fn judge_instance(
+        &self,
+        instance: &name::InstanceName,
+        labels: &labels::Labels,
+    ) -> Result<(), change::Refusal> {
+        let named = object::with_name(Some(labels), instance);
+        let mut claiming =
+            intent::placements(&self.objects).filter(|(_, held)| held.instances.matches(&named));
+        claiming.next();
+        match claiming.next() {
+            Some((second, _)) => Err(ambiguous(instance, second)),
+            None => Ok(()),
+        }
+    }
+
+    fn judge_removal(&self, key: &object::ObjectKey) -> Result<(), change::Refusal> {
+        let object::ObjectKey::Version(version) = key else {
+            return Ok(());
+        };
+        match intent::placements(&self.objects).find(|(_, held)| held.version == *version) {
+            Some((name, _)) => Err(change::Refusal::VersionInUse { placement: name.clone() }),
+            None => Ok(()),
+        }
+    }
+
+    fn commit(&mut self, change: &change::Change) -> Revision {
+        self.revision += 1;
+        let revision = self.revision;
+        let old = match &change.object {
+            Some(object) => {
+                let stored = object::Stored { object: object.clone(), revision };
+                self.digest.toggle(&change.key, &stored);
+                self.objects.insert(change.key.clone(), stored)
+            }
+            None => self.objects.remove(&change.key),
+        };
+        if let Some(old) = old {
+            self.digest.toggle(&change.key, &old);
+        }
+        let step = delta::Step { revision, key: change.key.clone(), object: change.object.clone() };
+        self.recent.push_back(step);
+        if self.recent.len() > RECENT_STEPS {
+            self.recent.pop_front();
+        }
+        revision
+    }
+}
+
+fn instances(
+    objects: &object::Objects,
+) -> impl Iterator<Item = (&name::InstanceName, &labels::Labels)> {
+    objects.iter().filter_map(|(key, stored)| match (key, &stored.object) {
+        (object::ObjectKey::Instance(name), object::Object::Labels(labels)) => Some((name, labels)),
+        _ => None,
+    })
+}
+
+fn ambiguous(instance: &name::InstanceName, placement: &name::SelectorName) -> change::Refusal {
+    change::Refusal::Ambiguous { instance: instance.clone(), placement: placement.clone() }
+}
+
+fn check_label_count(labels: &labels::Labels) -> Result<(), change::Refusal> {
+    if labels.len() > labels::LABELS_MAX {
+        return Err(change::Refusal::TooManyLabels);
+    }
+    Ok(())
+}
--- a/ragwortdeal_core/src/digest.rs
+++ b/ragwortdeal_core/src/digest.rs
@@ -25,6 +25,18 @@
         Self(*blake3::hash(bytes).as_bytes())
     }
 
+    /// Hashes the CBOR encoding of a value, which is the same in every program of one version.
+    ///
+    /// # Panics
+    ///
+    /// Never for the project's own types: only a `Serialize` that fails by itself could make
+    /// encoding into a hasher fail.
+    pub fn of_value<T: serde::Serialize>(value: &T) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        ciborium::into_writer(value, &mut hasher).expect("own types encode into a hasher");
+        Self(*hasher.finalize().as_bytes())
+    }
+
     /// The raw 32 bytes.
     pub fn as_bytes(&self) -> &[u8; DIGEST_BYTES] {
         &self.0
