Add links, HTTP with graceful stops, settings and border conversions

Cause: the parts need sockets that notice silence, stops that cut nothing off, and settings that report every mistake at once. Change: WebSocket links with CBOR frames, heartbeats, deadlines and automatic reopening; an accept loop for gotham's router that tracks requests in progress, since gotham's own cannot be stopped; an HTTP client that never resends by itself; TOML settings with file, line and key for each complaint. Conclusion: a broken link reports a request as not sent or unanswered, which is what decides whether it may be sent again.

--- /dev/null
+++ b/ragwortdeal_node/src/http.rs
@@ -0,0 +1,65 @@
+//! HTTP by `gotham` towards callers and operators, and by `hyper-util` towards upstreams.
+
+mod client;
+mod problem;
+mod server;
+
+pub use client::{Client, HttpError, RequestBody};
+pub use problem::{Kind, answer, problem};
+pub use server::{Request, route, serve};
+
+use std::{io, time};
+
+use gotham::hyper;
+use http_body_util::BodyExt as _;
+
+/// Body of answers to callers, and of requests to upstreams.
+pub type Body = gotham::helpers::http::Body;
+
+/// Answer to a caller.
+pub type Response = hyper::Response<Body>;
+
+/// Media type of errors, by RFC 9457.
+pub const PROBLEM_JSON: &str = "application/problem+json";
+
+/// Header with the identifier of a request across all hops.
+pub const REQUEST_ID: &str = "x-request-id";
+
+/// Header with the digest of the version that an answer was made by.
+pub const MODEL_VERSION: &str = "x-model-version";
+
+/// Header with the account on whose behalf an entry calls an agent.
+pub const ACCOUNT: &str = "x-ragwortdeal-account";
+
+/// A whole body from memory.
+pub fn full(bytes: impl Into<bytes::Bytes>) -> Body {
+    http_body_util::Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
+}
+
+/// Reads a body to its end within bounds of size and time.
+pub async fn read<B>(body: B, max_bytes: usize, deadline_ms: u64) -> io::Result<bytes::Bytes>
+where
+    B: http_body::Body<Data = bytes::Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let limited = http_body_util::Limited::new(body, max_bytes);
+    let deadline = time::Duration::from_millis(deadline_ms);
+    let collected = tokio::time::timeout(deadline, limited.collect()).await;
+    let collected = collected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?;
+    Ok(collected.map_err(io::Error::other)?.to_bytes())
+}
+
+/// An answer with a JSON body.
+pub fn json<T: serde::Serialize>(status: u16, value: &T) -> Response {
+    let bytes = serde_json::to_vec(value).expect("own types encode as JSON");
+    respond(status, "application/json", full(bytes))
+}
+
+/// An answer with a body of the given media type.
+pub fn respond(status: u16, content_type: &str, body: Body) -> Response {
+    hyper::Response::builder()
+        .status(status)
+        .header("content-type", content_type)
+        .body(body)
+        .expect("constant headers are valid")
+}
--- /dev/null
+++ b/ragwortdeal_node/src/http/client.rs
@@ -0,0 +1,116 @@
+//! Calls to other processes and upstreams.
+
+use std::{io, sync, time};
+
+use http_body_util::BodyExt as _;
+use hyper_util::{client::legacy, rt};
+use snafu::Snafu;
+
+use super::Body;
+
+/// Body of an answer from an upstream, read piece by piece.
+pub type RequestBody = hyper::body::Incoming;
+
+/// Idle connections kept to one upstream.
+const IDLE_PER_HOST: usize = 64;
+
+/// Idle connections are closed after this time, before what lies between forgets them silently.
+const IDLE: time::Duration = time::Duration::from_secs(20);
+
+/// Why a call got no answer.
+#[derive(Debug, Snafu)]
+pub enum HttpError {
+    /// No connection came about, so nothing of the request left this process.
+    #[snafu(display("{step}: cannot connect to {peer}"))]
+    NotSent {
+        /// What was being done.
+        step: &'static str,
+        /// Address of the other side.
+        peer: sync::Arc<str>,
+    },
+    /// The request may have arrived, but no answer came.
+    #[snafu(display("{step}: no answer from {peer}: {reason}"))]
+    Unanswered {
+        /// What was being done.
+        step: &'static str,
+        /// Address of the other side.
+        peer: sync::Arc<str>,
+        /// What went wrong.
+        reason: String,
+    },
+    /// The answer was cut short, too large or too slow.
+    #[snafu(display("{step}: bad answer from {peer}: {source}"))]
+    BadAnswer {
+        /// What was being done.
+        step: &'static str,
+        /// Address of the other side.
+        peer: sync::Arc<str>,
+        /// What went wrong.
+        source: io::Error,
+    },
+}
+
+/// An HTTP client with a pool of connections.
+#[derive(Clone, Debug)]
+pub struct Client {
+    inner: legacy::Client<legacy::connect::HttpConnector, Body>,
+}
+
+impl Client {
+    /// Makes a client whose connects may take that long.
+    pub fn new(connect_ms: u64) -> Self {
+        let mut connector = legacy::connect::HttpConnector::new();
+        connector.set_connect_timeout(Some(time::Duration::from_millis(connect_ms)));
+        connector.set_nodelay(true);
+        let inner = legacy::Client::builder(rt::TokioExecutor::new())
+            .pool_max_idle_per_host(IDLE_PER_HOST)
+            .pool_idle_timeout(IDLE)
+            .pool_timer(rt::TokioTimer::new())
+            // The pool would resend a request whose connection closed under it. Whether a request
+            // may be sent twice is decided by the entry alone.
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { inner }
+    }
+
+    /// Sends a request and waits for the head of its answer until the deadline.
+    pub async fn send(
+        &self,
+        step: &'static str,
+        peer: &str,
+        request: hyper::Request<Body>,
+        deadline_ms: u64,
+    ) -> Result<hyper::Response<RequestBody>, HttpError> {
+        let peer = || sync::Arc::<str>::from(peer);
+        let deadline = time::Duration::from_millis(deadline_ms);
+        match tokio::time::timeout(deadline, self.inner.request(request)).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(error)) if error.is_connect() => Err(HttpError::NotSent { step, peer: peer() }),
+            Ok(Err(error)) => {
+                let reason = error.to_string();
+                Err(HttpError::Unanswered { step, peer: peer(), reason })
+            }
+            Err(_) => {
+                let reason = format!("nothing within {deadline_ms} ms");
+                Err(HttpError::Unanswered { step, peer: peer(), reason })
+            }
+        }
+    }
+
+    /// Sends a request and reads its whole answer.
+    pub async fn fetch(
+        &self,
+        step: &'static str,
+        peer: &str,
+        request: hyper::Request<Body>,
+        max_bytes: usize,
+        deadline_ms: u64,
+    ) -> Result<(hyper::http::response::Parts, bytes::Bytes), HttpError> {
+        let response = self.send(step, peer, request, deadline_ms).await?;
+        let (head, body) = response.into_parts();
+        let bytes = super::read(body.boxed_unsync(), max_bytes, deadline_ms).await;
+        let peer = sync::Arc::<str>::from(peer);
+        let bytes = bytes.map_err(|source| HttpError::BadAnswer { step, peer, source })?;
+        Ok((head, bytes))
+    }
+}
--- /dev/null
+++ b/ragwortdeal_node/src/http/server.rs
@@ -0,0 +1,136 @@
+//! Serves a gotham router with an accept loop of our own.
+//!
+//! gotham's loop cannot be stopped and does not tell which requests are in progress. This one
+//! tracks each connection, and on a stop lets every request in progress end before it returns.
+
+use std::{net as std_net, panic, pin, sync, time};
+
+use gotham::{handler, hyper, router, state, state::FromState as _};
+use hyper_util::{rt, server as hyper_server};
+use tokio::{net, sync::Semaphore};
+
+use super::{Body, Response};
+use crate::stop;
+
+/// Connections that one listener holds at once; more wait in the kernel's queue.
+const CONNECTIONS_MAX: usize = 16_384;
+
+/// Longest time to send a request's headers, against callers that hold connections for nothing.
+const HEADER_READ: time::Duration = time::Duration::from_secs(10);
+
+/// A request as the handlers of this crate take it.
+pub struct Request {
+    /// Method.
+    pub method: hyper::Method,
+    /// Path and query.
+    pub uri: hyper::Uri,
+    /// Headers.
+    pub headers: hyper::HeaderMap,
+    /// Body, not read yet.
+    pub body: Body,
+    /// Address of the caller.
+    pub client: Option<std_net::SocketAddr>,
+}
+
+impl Request {
+    fn take_from(state: &mut state::State) -> Self {
+        Self {
+            method: hyper::Method::take_from(state),
+            uri: hyper::Uri::take_from(state),
+            headers: hyper::HeaderMap::take_from(state),
+            body: Body::take_from(state),
+            client: state::client_addr(state),
+        }
+    }
+
+    /// A header's value as text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// Makes a gotham handler of an async function over a shared application.
+pub fn route<A, F, R>(app: sync::Arc<A>, endpoint: F) -> impl handler::NewHandler + 'static
+where
+    A: Send + Sync + 'static,
+    F: Fn(sync::Arc<A>, Request) -> R + Copy + Send + Sync + panic::RefUnwindSafe + 'static,
+    R: Future<Output = Response> + Send + 'static,
+{
+    // A handler that panics ends its own request only. The application's locks are held for a few
+    // statements that do not panic, so its state stays whole.
+    let app = panic::AssertUnwindSafe(app);
+    move || {
+        let app: &panic::AssertUnwindSafe<sync::Arc<A>> = &app;
+        let app = sync::Arc::clone(app);
+        Ok(move |state: state::State| handle(app, endpoint, state))
+    }
+}
+
+fn handle<A, F, R>(
+    app: sync::Arc<A>,
+    endpoint: F,
+    mut state: state::State,
+) -> pin::Pin<Box<handler::HandlerFuture>>
+where
+    A: Send + Sync + 'static,
+    F: Fn(sync::Arc<A>, Request) -> R + Send + 'static,
+    R: Future<Output = Response> + Send + 'static,
+{
+    let request = Request::take_from(&mut state);
+    Box::pin(async move {
+        let response = endpoint(app, request).await;
+        Ok((state, response))
+    })
+}
+
+/// Serves until the stop, then waits up to `grace_ms` for the requests in progress.
+///
+/// Returns whether all of them ended by themselves.
+pub async fn serve(
+    listener: net::TcpListener,
+    router: router::Router,
+    stop: stop::Stop,
+    grace_ms: u64,
+) -> bool {
+    let router = sync::Arc::new(router);
+    let graceful = hyper_server::graceful::GracefulShutdown::new();
+    let places = sync::Arc::new(Semaphore::new(CONNECTIONS_MAX));
+    loop {
+        let place = places.clone().acquire_owned().await.expect("the semaphore is never closed");
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.wait() => break,
+        };
+        let Ok((stream, client)) = accepted else {
+            // Out of file descriptors, most likely. Without a pause this would spin.
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let connection = connection(stream, client, router.clone());
+        let watched = graceful.watch(connection);
+        tokio::spawn(async move {
+            if let Err(error) = watched.await {
+                log::debug!("http: connection from {client} ended: {error}");
+            }
+            drop(place);
+        });
+    }
+    drop(listener);
+    tokio::time::timeout(time::Duration::from_millis(grace_ms), graceful.shutdown()).await.is_ok()
+}
+
+fn connection(
+    stream: net::TcpStream,
+    client: std_net::SocketAddr,
+    router: sync::Arc<router::Router>,
+) -> impl hyper_server::graceful::GracefulConnection<Error = hyper::Error> {
+    let service = hyper::service::service_fn(move |request| {
+        let state = state::State::from_request(request, client);
+        gotham::service::call_handler(router.clone(), panic::AssertUnwindSafe(state))
+    });
+    hyper::server::conn::http1::Builder::new()
+        .timer(rt::TokioTimer::new())
+        .header_read_timeout(HEADER_READ)
+        .serve_connection(rt::TokioIo::new(stream), service)
+}
--- a/ragwortdeal_node/src/lib.rs
+++ b/ragwortdeal_node/src/lib.rs
@@ -1,1 +1,15 @@
 //! Sockets, files, timers and telemetry round the core of ragwortdeal.
+//!
+//! Each program is a thin binary over one of [`entry`], [`agent`] and [`voter`]; tests and examples
+//! run the same parts as library tasks. `docs/ARCHITECTURE.md` has a picture.
+
+pub mod agent;
+pub mod border;
+pub mod clock;
+pub mod entry;
+pub mod http;
+pub mod link;
+pub mod logging;
+pub mod settings;
+pub mod stop;
+pub mod voter;
--- /dev/null
+++ b/ragwortdeal_node/src/settings/common.rs
@@ -0,0 +1,131 @@
+//! Sections that several programs share.
+
+use std::net;
+
+use ragwortdeal_core::name;
+use ragwortdeal_wire::link as wire;
+use serde::Deserialize;
+
+use crate::clock;
+
+/// Shortest secret that is accepted, so that guessing is hopeless at any rate the network allows.
+pub const SECRET_MIN_BYTES: usize = 16;
+
+/// Who and where this process is.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct Process {
+    /// Name of the instance.
+    pub name: String,
+    /// Its availability zone.
+    pub availability_zone: String,
+    /// Its region.
+    pub region: String,
+}
+
+/// The checked names of a process.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Name of the instance.
+    pub name: name::InstanceName,
+    /// Its availability zone.
+    pub zone: name::ZoneName,
+    /// Its region.
+    pub region: name::RegionName,
+    /// Number of this start of the process.
+    pub incarnation: u64,
+}
+
+impl Process {
+    /// Checks the names and numbers this start of the process.
+    pub fn identity(&self) -> Result<Identity, name::NameError> {
+        Ok(Identity {
+            name: name::InstanceName::new(&self.name)?,
+            zone: name::ZoneName::new(&self.availability_zone)?,
+            region: name::RegionName::new(&self.region)?,
+            incarnation: clock::incarnation(),
+        })
+    }
+
+    /// Complaints about the names.
+    pub fn check(&self) -> Vec<(String, String)> {
+        let fields = [
+            ("process.name", &self.name),
+            ("process.availability_zone", &self.availability_zone),
+            ("process.region", &self.region),
+        ];
+        fields.into_iter().filter_map(|(key, text)| check_name(key, text)).collect()
+    }
+}
+
+impl Identity {
+    /// How the process introduces itself on a link.
+    pub fn hello(&self, role: &str) -> wire::Hello {
+        wire::Hello {
+            name: self.name.to_string(),
+            zone: self.zone.to_string(),
+            role: role.to_owned(),
+            incarnation: self.incarnation,
+        }
+    }
+}
+
+/// A complaint about a name, if there is one.
+pub fn check_name(key: &str, text: &str) -> Option<(String, String)> {
+    name::check(text).err().map(|error| (key.to_owned(), error.to_string()))
+}
+
+/// A complaint about a secret, if there is one.
+pub fn check_secret(key: &str, secret: &str) -> Option<(String, String)> {
+    let message = format!("a secret has at least {SECRET_MIN_BYTES} bytes");
+    (secret.len() < SECRET_MIN_BYTES).then(|| (key.to_owned(), message))
+}
+
+/// Secrets between the system's own processes.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct Credentials {
+    /// Presented by every process of the system to every other.
+    pub cluster: String,
+}
+
+impl Credentials {
+    /// Complaints about the secrets.
+    pub fn check(&self) -> Vec<(String, String)> {
+        check_secret("credentials.cluster", &self.cluster).into_iter().collect()
+    }
+}
+
+/// What is logged.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default)]
+pub struct Log {
+    /// Level, or a filter by part, as `RUST_LOG` takes it.
+    pub level: String,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self { level: "info".to_owned() }
+    }
+}
+
+/// Where metrics and traces go. Nothing is sent where no address is set.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct Telemetry {
+    /// UDP address of a statsd server.
+    pub statsd: Option<net::SocketAddr>,
+    /// URL of an OpenTelemetry collector that takes OTLP over HTTP.
+    pub otlp_url: Option<String>,
+    /// File to which spans are appended, a JSON object a line.
+    pub spans_file: Option<std::path::PathBuf>,
+}
+
+/// Addresses of processes to open links to.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct Peers {
+    /// Link addresses.
+    pub addresses: Vec<net::SocketAddr>,
+}
--- /dev/null
+++ b/ragwortdeal_node/src/voter.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
