Serve a request end to end through separate programs

Change: entry, agent and voter programs; agents fetch a version in chunks, verify it and order their engine to load it; a streamed completion goes entry, agent, engine and back with its end mark checked; an operation's key is claimed at the voter before its call leaves. Stand-ins for engines, services and the origin, and a deployment on loopback whose programs can be killed or frozen. Conclusion: thin where it says so: one voter decides, every agent draws from the origin, and the choice of an upstream is by calls in flight alone.

--- /dev/null
+++ b/ragwortdeal_agent/src/cli.rs
@@ -0,0 +1,15 @@
+//! Command line of `ragwortdeal-agent`.
+
+use std::path;
+
+/// Runs the agent of ragwortdeal.
+#[derive(clap::Parser, Debug)]
+#[command(name = "ragwortdeal-agent", version)]
+pub struct Options {
+    /// Settings file.
+    #[arg(long, short, value_name = "FILE", default_value = "agent.toml")]
+    pub config: path::PathBuf,
+    /// Checks the settings file and exits.
+    #[arg(long)]
+    pub check: bool,
+}
--- a/ragwortdeal_core/src/lib.rs
+++ b/ragwortdeal_core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod claims;
+pub mod command;
 pub mod config;
 pub mod digest;
 pub mod labels;
--- /dev/null
+++ b/ragwortdeal_entry/src/cli.rs
@@ -0,0 +1,15 @@
+//! Command line of `ragwortdeal-entry`.
+
+use std::path;
+
+/// Runs the entry of ragwortdeal.
+#[derive(clap::Parser, Debug)]
+#[command(name = "ragwortdeal-entry", version)]
+pub struct Options {
+    /// Settings file.
+    #[arg(long, short, value_name = "FILE", default_value = "entry.toml")]
+    pub config: path::PathBuf,
+    /// Checks the settings file and exits.
+    #[arg(long)]
+    pub check: bool,
+}
--- a/ragwortdeal_node/src/agent.rs
+++ b/ragwortdeal_node/src/agent.rs
@@ -1,1 +1,183 @@
-//! Placeholder.
+//! The agent beside one upstream: announces it, stages weights, gives orders to its engine, and is
+//! the last check before a call reaches it.
+
+mod announce;
+mod calls;
+mod engine;
+mod rollout;
+mod store;
+
+use std::{
+    collections,
+    sync::{self, atomic},
+};
+
+use ragwortdeal_core::{config::replica, digest, name};
+use ragwortdeal_wire::link as wire;
+use snafu::Snafu;
+use tokio::{net, sync::watch};
+
+use crate::{http, link, settings, stop};
+
+/// How long a leaving agent still takes calls, because entries may not have heard yet.
+const LINGER_MS: u64 = 3_000;
+
+/// Why an agent cannot run.
+#[derive(Debug, Snafu)]
+pub enum AgentError {
+    /// A name in the settings is malformed.
+    #[snafu(display("read settings: {source}"), context(false))]
+    Name {
+        /// What is wrong.
+        source: name::NameError,
+    },
+}
+
+/// What the agent knows of the weights on its instance.
+#[derive(Clone, Debug, Default)]
+struct Weights {
+    phase: &'static str,
+    behind: Option<String>,
+    serving: Option<digest::Digest>,
+    /// Versions that are loaded; calls that name one of them are passed on.
+    loaded: collections::BTreeSet<digest::Digest>,
+    model: Option<name::ModelName>,
+    origin_bytes: u64,
+    peer_bytes: u64,
+    staged_bytes: u64,
+    size_bytes: u64,
+}
+
+/// The upstream's last load report.
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    running: u64,
+    queued: u64,
+    at: std::time::Instant,
+}
+
+/// An agent and its state.
+#[derive(Debug)]
+pub struct Agent {
+    identity: settings::common::Identity,
+    settings: settings::agent::Settings,
+    credential: link::Credential,
+    http: http::Client,
+    config: watch::Sender<replica::Replica>,
+    store: sync::Mutex<store::Store>,
+    weights: watch::Sender<Weights>,
+    report: sync::Mutex<Report>,
+    running: sync::Mutex<collections::BTreeMap<Option<digest::Digest>, u64>>,
+    sequence: atomic::AtomicU64,
+    leaving: atomic::AtomicBool,
+    engine: engine::Engine,
+}
+
+impl Agent {
+    fn new(settings: settings::agent::Settings) -> Result<Self, AgentError> {
+        let identity = settings.process.identity()?;
+        let report = Report { running: 0, queued: 0, at: std::time::Instant::now() };
+        let http = http::Client::new(1_000);
+        Ok(Self {
+            identity,
+            credential: link::Credential::new(&settings.credentials.cluster),
+            store: sync::Mutex::new(store::Store::new(settings.weights.staged_max_bytes)),
+            engine: engine::Engine::new(settings.upstream.address, http.clone()),
+            settings,
+            http,
+            config: watch::Sender::new(replica::Replica::default()),
+            weights: watch::Sender::new(Weights { phase: "idle", ..Weights::default() }),
+            report: sync::Mutex::new(report),
+            running: sync::Mutex::default(),
+            sequence: atomic::AtomicU64::new(0),
+            leaving: atomic::AtomicBool::new(false),
+        })
+    }
+
+    fn is_engine(&self) -> bool {
+        self.settings.upstream.kind == settings::agent::UpstreamKind::Engine
+    }
+
+    /// Takes a configuration update, upwards only. `false` asks for the whole state.
+    fn apply(&self, update: &wire::ConfigUpdate) -> bool {
+        let Ok(update) = ciborium::from_reader(&update.payload[..]) else {
+            return false;
+        };
+        let mut whole = true;
+        self.config.send_if_modified(|config| match config.apply(&update) {
+            Ok(rose) => rose,
+            Err(error) => {
+                log::warn!("agent: configuration not applied: {error}");
+                whole = false;
+                false
+            }
+        });
+        whole
+    }
+
+    fn announcement(&self) -> wire::Announcement {
+        let weights = self.weights.borrow().clone();
+        let report = *self.report.lock().expect("no panic under lock");
+        let service = self.settings.upstream.service.clone();
+        let model = weights.model.as_ref().map(ToString::to_string);
+        wire::Announcement {
+            instance: self.identity.name.to_string(),
+            zone: self.identity.zone.to_string(),
+            region: self.identity.region.to_string(),
+            incarnation: self.identity.incarnation,
+            sequence: self.sequence.fetch_add(1, atomic::Ordering::Relaxed),
+            target: service.or(model).unwrap_or_default(),
+            kind: match self.is_engine() {
+                true => wire::AnnouncementKind::Engine,
+                false => wire::AnnouncementKind::Service,
+            },
+            call_address: self.settings.listen.calls.to_string(),
+            leaving: self.leaving.load(atomic::Ordering::Relaxed),
+            serving: weights.serving.map(|version| version.to_string()),
+            holds: None,
+            phase: weights.phase.to_owned(),
+            behind: weights.behind,
+            applied_revision: self.config.borrow().revision(),
+            origin_bytes: weights.origin_bytes,
+            peer_bytes: weights.peer_bytes,
+            region_bytes: 0,
+            staged_bytes: weights.staged_bytes,
+            size_bytes: weights.size_bytes,
+            running: report.running,
+            queued: report.queued,
+            report_age_ms: report.at.elapsed().as_millis() as u64,
+        }
+    }
+}
+
+/// Runs an agent until the stop, then lets the calls in progress end.
+pub async fn run(
+    mut settings: settings::agent::Settings,
+    listener: net::TcpListener,
+    stop: stop::Stop,
+) -> Result<(), AgentError> {
+    if let Ok(address) = listener.local_addr() {
+        settings.listen.calls = address;
+    }
+    let grace_ms = settings.listen.grace_ms;
+    let agent = sync::Arc::new(Agent::new(settings)?);
+    let (stopper, lingered) = stop::pair();
+    let serving = tokio::spawn(http::serve(listener, calls::router(&agent), lingered, grace_ms));
+    let mut tasks = tokio::task::JoinSet::new();
+    for address in agent.settings.entries.addresses.clone() {
+        tasks.spawn(announce::to_entry(agent.clone(), address.to_string()));
+    }
+    if agent.is_engine() {
+        tasks.spawn(rollout::run(agent.clone()));
+        tasks.spawn(engine::watch_load(agent.clone()));
+    }
+    stop.wait().await;
+    log::info!("agent: {} is leaving", agent.identity.name);
+    agent.leaving.store(true, atomic::Ordering::Relaxed);
+    agent.weights.send_modify(|_| ());
+    tokio::time::sleep(std::time::Duration::from_millis(LINGER_MS)).await;
+    stopper.stop();
+    let finished = serving.await.unwrap_or(false);
+    log::info!("agent: stopped, all calls finished: {finished}");
+    Ok(())
+}
--- /dev/null
+++ b/ragwortdeal_node/src/entry/callers.rs
@@ -0,0 +1,70 @@
+//! HTTP towards callers and the balancer.
+
+use std::sync::{self, atomic};
+
+use gotham::{
+    hyper, router,
+    router::builder::{DefineSingleRoute as _, DrawRoutes as _},
+};
+use ragwortdeal_core::name;
+use ragwortdeal_wire::operator as wire;
+use subtle::ConstantTimeEq as _;
+
+use super::{Entry, calls, operations};
+use crate::http;
+
+/// Routes towards callers.
+pub(super) fn router(entry: &sync::Arc<Entry>) -> router::Router {
+    let all = [
+        hyper::Method::GET,
+        hyper::Method::HEAD,
+        hyper::Method::POST,
+        hyper::Method::PUT,
+        hyper::Method::PATCH,
+        hyper::Method::DELETE,
+    ];
+    router::builder::build_simple_router(|route| {
+        route.get("/healthz").to_new_handler(http::route(entry.clone(), health));
+        route.get("/readyz").to_new_handler(http::route(entry.clone(), readiness));
+        let complete = http::route(entry.clone(), calls::complete);
+        route.post("/v1/completions").to_new_handler(complete);
+        let complete = http::route(entry.clone(), calls::complete);
+        route.post("/v1/chat/completions").to_new_handler(complete);
+        let service = http::route(entry.clone(), operations::service);
+        route.request(all.to_vec(), "/services/*").to_new_handler(service);
+    })
+}
+
+async fn health(_entry: sync::Arc<Entry>, _request: http::Request) -> http::Response {
+    http::respond(200, "text/plain", http::full("alive\n"))
+}
+
+/// The balancer stops sending new requests here before a planned stop begins.
+async fn readiness(entry: sync::Arc<Entry>, _request: http::Request) -> http::Response {
+    match entry.ready.load(atomic::Ordering::Relaxed) {
+        true => http::respond(200, "text/plain", http::full("ready\n")),
+        false => http::respond(503, "text/plain", http::full("stopping\n")),
+    }
+}
+
+/// Finds the account whose secret the caller presents, comparing all of them in constant time.
+pub(super) fn account(entry: &Entry, request: &http::Request) -> Option<name::AccountName> {
+    let given = request.header("authorization")?.strip_prefix("Bearer ")?;
+    let mut found = None;
+    for (token, account) in &entry.accounts {
+        if bool::from(token.as_bytes().ct_eq(given.as_bytes())) {
+            found = Some(account.clone());
+        }
+    }
+    found
+}
+
+/// An error that says that nothing ran.
+pub(super) fn not_run(kind: http::Kind, detail: &str, request_id: &str) -> http::Response {
+    let mut problem = http::problem(kind, wire::Ran::DidNotRun, detail);
+    problem.request_id = Some(request_id.to_owned());
+    if matches!(kind, http::Kind::Overloaded | http::Kind::Unavailable | http::Kind::CutOff) {
+        problem.retry_after_ms = Some(1_000);
+    }
+    http::answer(&problem)
+}
--- /dev/null
+++ b/ragwortdeal_node/src/entry/relay.rs
@@ -0,0 +1,80 @@
+//! Links that the entry accepts: agents announce their upstreams and follow the configuration.
+
+use std::sync;
+
+use ragwortdeal_core::config;
+use ragwortdeal_wire::link as wire;
+
+use super::Entry;
+use crate::{link, voter};
+
+/// A process that follows the configuration through this entry.
+pub(super) struct Subscriber {
+    session: link::Session,
+    subscribed: bool,
+}
+
+/// The entry as a service to links.
+pub(super) struct Links(pub(super) sync::Arc<Entry>);
+
+impl link::Service for Links {
+    fn opened(&self, session: &link::Session) {
+        let subscriber = Subscriber { session: session.clone(), subscribed: false };
+        let mut sessions = self.0.sessions.lock().expect("no panic under lock");
+        sessions.insert(session.id, subscriber);
+    }
+
+    fn pushed(&self, session: &link::Session, message: wire::Message) {
+        match message {
+            wire::Message::Announce(announcement) => {
+                let now_ms = self.0.clock.now_ms();
+                let mut members = self.0.members.lock().expect("no panic under lock");
+                members.announced(announcement, now_ms);
+            }
+            wire::Message::Subscribe(subscribe) => {
+                self.0.subscribe(session, subscribe.held_revision);
+            }
+            _ => log::debug!("entry: unexpected message from {}", session.hello.name),
+        }
+    }
+
+    async fn requested(&self, _session: &link::Session, _message: wire::Message) -> wire::Message {
+        link::refused("entry", "not a request for an entry")
+    }
+
+    fn closed(&self, session: &link::Session) {
+        self.0.sessions.lock().expect("no panic under lock").remove(&session.id);
+    }
+}
+
+impl Entry {
+    fn subscribe(&self, session: &link::Session, held_revision: u64) {
+        let mut sessions = self.sessions.lock().expect("no panic under lock");
+        if let Some(subscriber) = sessions.get_mut(&session.id) {
+            subscriber.subscribed = true;
+        }
+        // Sent under the lock, so that no update passes between the snapshot and the deltas.
+        let config = self.config.borrow();
+        if config.revision() > held_revision {
+            session.push(voter::config_update(&whole(&config)));
+        }
+    }
+
+    /// Passes an update on to all who follow through this entry.
+    pub(super) fn pass_on(&self, update: &wire::ConfigUpdate) {
+        let sessions = self.sessions.lock().expect("no panic under lock");
+        let following = sessions.values().filter(|subscriber| subscriber.subscribed);
+        for subscriber in following {
+            subscriber.session.push(wire::Message::ConfigUpdate(update.clone()));
+        }
+    }
+}
+
+fn whole(config: &config::replica::Replica) -> config::delta::Update {
+    let objects = config.objects().iter().map(|(key, stored)| (key.clone(), stored.clone()));
+    config::delta::Update::Snapshot(config::delta::Snapshot {
+        revision: config.revision(),
+        objects: objects.collect(),
+        digest: config.digest().value(),
+    })
+}
--- a/ragwortdeal_node/src/lib.rs
+++ b/ragwortdeal_node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod http;
 pub mod link;
 pub mod logging;
+pub mod program;
 pub mod settings;
 pub mod stop;
 pub mod voter;
--- a/ragwortdeal_node/src/link/server.rs
+++ b/ragwortdeal_node/src/link/server.rs
@@ -168,7 +168,6 @@
     wire::Message::Refused(wire::Refused { step, reason, leader: None })
 }
 
-#[allow(clippy::result_large_err)]
 async fn accept(
     stream: net::TcpStream,
     credential: Credential,
--- a/ragwortdeal_node/src/settings/entry.rs
+++ b/ragwortdeal_node/src/settings/entry.rs
@@ -44,6 +44,8 @@
     pub operators: net::SocketAddr,
     /// Address for links of agents and other entries.
     pub links: net::SocketAddr,
+    /// Address for links of other processes to the voter part, where this entry carries it.
+    pub voter: net::SocketAddr,
     /// How long a planned stop waits for the balancer to notice that the entry is not ready.
     pub unready_ms: u64,
     /// How long a planned stop then waits for requests in progress.
@@ -56,6 +58,7 @@
             callers: net::SocketAddr::from(([127, 0, 0, 1], 7100)),
             operators: net::SocketAddr::from(([127, 0, 0, 1], 7101)),
             links: net::SocketAddr::from(([127, 0, 0, 1], 7102)),
+            voter: net::SocketAddr::from(([127, 0, 0, 1], 7200)),
             unready_ms: 3_000,
             grace_ms: 60_000,
         }
--- /dev/null
+++ b/ragwortdeal_standins/src/http.rs
@@ -0,0 +1,75 @@
+//! A minimal HTTP server for the stand-ins.
+
+use std::{convert, io, net as std_net};
+
+use http_body_util::BodyExt as _;
+use hyper_util::rt;
+use tokio::net;
+
+/// Body of the stand-ins' answers.
+pub(crate) type Body = http_body_util::combinators::UnsyncBoxBody<bytes::Bytes, io::Error>;
+
+/// Answer of a stand-in.
+pub(crate) type Response = hyper::Response<Body>;
+
+/// Request to a stand-in.
+pub(crate) type Request = hyper::Request<hyper::body::Incoming>;
+
+/// A running server. Dropping it closes its listener and all its connections, as a crash would.
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub(crate) address: std_net::SocketAddr,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Serves on a loopback port until the server is dropped.
+pub(crate) async fn serve<F, R>(answer: F) -> io::Result<Server>
+where
+    F: Fn(Request) -> R + Clone + Send + 'static,
+    R: Future<Output = Response> + Send + 'static,
+{
+    let listener = net::TcpListener::bind(("127.0.0.1", 0)).await?;
+    let address = listener.local_addr()?;
+    let task = tokio::spawn(async move {
+        let mut connections = tokio::task::JoinSet::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            let _ = stream.set_nodelay(true);
+            let answer = answer.clone();
+            let service = hyper::service::service_fn(move |request| {
+                let answered = answer(request);
+                async move { Ok::<_, convert::Infallible>(answered.await) }
+            });
+            let connection = hyper::server::conn::http1::Builder::new()
+                .serve_connection(rt::TokioIo::new(stream), service);
+            connections.spawn(async move {
+                // A caller that hangs up is no event for a stand-in.
+                let _ = connection.await;
+            });
+            while connections.try_join_next().is_some() {}
+        }
+    });
+    Ok(Server { address, task })
+}
+
+/// An answer with a whole body.
+pub(crate) fn respond(status: u16, content_type: &str, body: impl Into<bytes::Bytes>) -> Response {
+    let body = http_body_util::Full::new(body.into()).map_err(|never| match never {});
+    stream(status, content_type, body.boxed_unsync())
+}
+
+/// An answer with a given body.
+pub(crate) fn stream(status: u16, content_type: &str, body: Body) -> Response {
+    let response = hyper::Response::builder().status(status).header("content-type", content_type);
+    response.body(body).expect("constant headers are valid")
+}
+
+/// Reads a request's body.
+pub(crate) async fn body(request: Request) -> bytes::Bytes {
+    request.into_body().collect().await.map(http_body_util::Collected::to_bytes).unwrap_or_default()
+}
--- a/ragwortdeal_standins/src/lib.rs
+++ b/ragwortdeal_standins/src/lib.rs
@@ -1,1 +1,15 @@
 //! Small stand-ins for the outside systems that ragwortdeal meets.
+//!
+//! They speak the published protocols over loopback, can be told to fail, and count what happened
+//! to them, so that a test compares what the system says with what took place. [`deployment`] runs
+//! the system's own programs beside them, each on a runtime of its own, which can be killed or
+//! frozen as a process can.
+
+pub mod caller;
+pub mod deployment;
+pub mod engine;
+pub mod origin;
+pub mod process;
+pub mod service;
+
+mod http;
--- /dev/null
+++ b/ragwortdeal_voter/src/cli.rs
@@ -0,0 +1,15 @@
+//! Command line of `ragwortdeal-voter`.
+
+use std::path;
+
+/// Runs the voter of ragwortdeal.
+#[derive(clap::Parser, Debug)]
+#[command(name = "ragwortdeal-voter", version)]
+pub struct Options {
+    /// Settings file.
+    #[arg(long, short, value_name = "FILE", default_value = "voter.toml")]
+    pub config: path::PathBuf,
+    /// Checks the settings file and exits.
+    #[arg(long)]
+    pub check: bool,
+}
