Bound an entry's links to a few partners

Cause: pulls from any entry of a zone would need a link to each; heartbeats alone would then pass the limit for control. Change: each entry pulls from and pushes to four partners chosen by hash, and those that chose it. Conclusion: links per entry no longer grow with the zone.

--- a/ragwortdeal_core/src/membership/exchange.rs
+++ b/ragwortdeal_core/src/membership/exchange.rs
@@ -183,6 +183,7 @@
         self.expire(now_ms);
         match message {
             Message::Pull { stamp, roster, state, wants } => {
+                self.peers.asked(now_ms, &from.name);
                 let reply = self.reply(now_ms, stamp, (roster, state), &wants);
                 [Some(from.answer(reply)), self.pull_stranger(now_ms, from)]
                     .into_iter()
@@ -279,7 +280,7 @@
         entries.sort_by_key(|(weight, _)| cmp::Reverse(*weight));
         entries.truncate(self.settings.keepers_per_upstream);
         let best = entries.into_iter().map(|(_, entry)| (entry.name.clone(), entry.address));
-        best.chain(self.peers.sample(pick, OTHERS_PER_ACK)).collect()
+        best.chain(peers::sample(self.peers.targets(), pick, OTHERS_PER_ACK)).collect()
     }
 
     fn stamp(&self, now_ms: u64) -> Stamp {
@@ -311,9 +312,9 @@
 
     fn push(&mut self, deltas: Vec<origin::Delta>) -> Vec<Send> {
         let pick = self.pick();
-        let targets = self.peers.sample(pick, self.settings.push_fanout);
-        let message = |_: &_| Message::Push(deltas.clone());
-        targets.into_iter().map(|peer| send(&peer, message(&peer))).collect()
+        let partners = self.peers.partners(&self.start.own.name);
+        let targets = peers::sample(partners, pick, self.settings.push_fanout);
+        targets.iter().map(|peer| send(peer, Message::Push(deltas.clone()))).collect()
     }
 
     fn take_push(&mut self, deltas: Vec<origin::Delta>) -> Vec<Send> {
@@ -332,7 +333,8 @@
 
     fn pulls(&mut self, now_ms: u64) -> Vec<Send> {
         let pick = self.pick();
-        let mut targets = self.peers.sample(pick, self.settings.pull_fanout);
+        let partners = self.peers.partners(&self.start.own.name);
+        let mut targets = peers::sample(partners, pick, self.settings.pull_fanout);
         if targets.is_empty() || pick.is_multiple_of(SEED_PULL_EVERY) {
             targets.extend(self.pick_seed(pick));
         }
--- a/ragwortdeal_core/src/membership/exchange/peers.rs
+++ b/ragwortdeal_core/src/membership/exchange/peers.rs
@@ -1,6 +1,6 @@
 //! The other entries of the zone: their records, and how long ago each was known to live.
 
-use std::{collections, net};
+use std::{cmp, collections, net};
 
 use crate::{
     membership::{
@@ -17,6 +17,14 @@
 /// Time for which an entry's changes are not asked for again while an answer is under way.
 const FETCH_AGAIN_MS: u64 = 1_000;
 
+/// Entries that one entry chooses to keep links to. With those that choose it, it has about twice as
+/// many. All entries together form a random graph with a few steps from any to any; a link to every
+/// other entry would cost more in heartbeats alone than control may cost.
+const PARTNERS: usize = 4;
+
+/// Time for which an entry that pulled from here counts as a partner.
+const ASKER_MS: u64 = 5_000;
+
 /// Most entries of a zone that are known, five times the target's, as a bound on memory.
 const PEERS_MAX: usize = 800;
 
@@ -52,12 +60,37 @@
     lease_ms: u64,
     peers: collections::BTreeMap<OriginId, Peer>,
     expected: collections::BTreeMap<OriginId, Expected>,
+    /// When each entry last pulled from here.
+    askers: collections::BTreeMap<name::InstanceName, u64>,
 }
 
 impl Peers {
     pub(super) fn new(own: OriginId, lease_ms: u64) -> Self {
         let peers = collections::BTreeMap::new();
-        Self { own, lease_ms, peers, expected: collections::BTreeMap::new() }
+        let (expected, askers) = (collections::BTreeMap::new(), collections::BTreeMap::new());
+        Self { own, lease_ms, peers, expected, askers }
+    }
+
+    /// An entry has pulled from here.
+    pub(super) fn asked(&mut self, now_ms: u64, asker: &name::InstanceName) {
+        if self.askers.len() < PEERS_MAX || self.askers.contains_key(asker) {
+            self.askers.insert(asker.clone(), now_ms);
+        }
+    }
+
+    /// The live entries that this one keeps links to, and those that keep links to it. The latter
+    /// count as well: an entry that nobody else chose would otherwise be heard by nobody.
+    pub(super) fn partners(&self, own: &name::InstanceName) -> Vec<Target> {
+        let mut live: Vec<_> = self
+            .live()
+            .map(|peer| (cmp::Reverse(membership::rendezvous_weight(own, &peer.name)), peer))
+            .collect();
+        live.sort_by_key(|(weight, _)| *weight);
+        let chosen = live
+            .iter()
+            .enumerate()
+            .filter(|(place, (_, peer))| *place < PARTNERS || self.askers.contains_key(&peer.name));
+        chosen.map(|(_, (_, peer))| (peer.name.clone(), peer.address)).collect()
     }
 
     /// Drops entries that were not known to live for a lease; says whether there were any.
@@ -68,6 +101,7 @@
         let before = self.peers.len();
         let lease_ms = self.lease_ms;
         self.peers.retain(|_, peer| now_ms.saturating_sub(peer.heard_ms) < lease_ms);
+        self.askers.retain(|_, asked_ms| now_ms.saturating_sub(*asked_ms) < ASKER_MS);
         self.expected.retain(|_, e| now_ms.saturating_sub(e.sign.heard_ms) < lease_ms);
         self.peers.len() != before
     }
@@ -89,17 +123,9 @@
         self.peers.get(&id).map(|peer| &peer.log)
     }
 
-    /// Different live entries, picked by the given number.
-    pub(super) fn sample(&self, pick: u64, count: usize) -> Vec<Target> {
-        let mut live: Vec<_> = self.live().collect();
-        let mut chosen = Vec::new();
-        let mut number = pick;
-        while chosen.len() < count && !live.is_empty() {
-            number = membership::mix(number);
-            let origin = live.swap_remove(number as usize % live.len());
-            chosen.push((origin.name.clone(), origin.address));
-        }
-        chosen
+    /// Live entries other than this one, as targets.
+    pub(super) fn targets(&self) -> Vec<Target> {
+        self.live().map(|peer| (peer.name.clone(), peer.address)).collect()
     }
 
     fn ids(&self) -> impl Iterator<Item = OriginId> {
@@ -232,3 +258,14 @@
         advanced
     }
 }
+
+/// Different ones of the targets, picked by the given number.
+pub(super) fn sample(mut targets: Vec<Target>, pick: u64, count: usize) -> Vec<Target> {
+    let mut chosen = Vec::new();
+    let mut number = pick;
+    while chosen.len() < count && !targets.is_empty() {
+        number = membership::mix(number);
+        chosen.push(targets.swap_remove(number as usize % targets.len()));
+    }
+    chosen
+}
