--- a/ragwortdeal_core/src/membership/announcer.rs
+++ b/ragwortdeal_core/src/membership/announcer.rs
@@ -39,6 +39,8 @@
     unanswered: u32,
     told_leaving: bool,
     next_ms: u64,
+    /// Life and description that the entry has acknowledged.
+    described: Option<(u64, u32)>,
 }
 
 #[derive(Debug)]
@@ -192,8 +194,13 @@
             }
             entry.next_ms = now_ms + self.settings.announce_every_ms;
             entry.unanswered += 1;
+            let numbers = (self.upstream.incarnation, self.upstream.description);
+            let known = entry.described == Some(numbers);
             let announce = keeper::Announce {
-                upstream: self.upstream.clone(),
+                name: self.upstream.name.clone(),
+                incarnation: self.upstream.incarnation,
+                description: self.upstream.description,
+                upstream: (!known).then(|| self.upstream.clone()),
                 leaving: self.leaving_since_ms.is_some(),
                 sent,
                 echo: entry.stamp,
@@ -217,9 +224,14 @@
             keeper::Outcome::Leased => {
                 let until_ms = sent_ms + self.settings.upstream_lease_ms;
                 entry.leased_until_ms = entry.leased_until_ms.max(until_ms);
+                entry.described = Some(ack.described);
             }
             keeper::Outcome::Leaving => entry.told_leaving = self.leaving_since_ms.is_some(),
             keeper::Outcome::Stale => entry.next_ms = now_ms,
+            keeper::Outcome::Undescribed => {
+                entry.described = None;
+                entry.next_ms = now_ms;
+            }
             keeper::Outcome::Superseded(known) => self.outlive(known),
         }
     }
--- a/ragwortdeal_core/src/membership/exchange.rs
+++ b/ragwortdeal_core/src/membership/exchange.rs
@@ -171,11 +171,13 @@
     /// Takes an upstream's announcement and returns the answer.
     pub fn announce(&mut self, now_ms: u64, announce: &keeper::Announce) -> keeper::Ack {
         self.expire(now_ms);
-        let known = self.view().incarnation(&announce.upstream.name);
+        let known = self.view().incarnation(&announce.name);
         let (outcome, change) = self.keeper.announce(now_ms, announce, known);
         self.record(change);
-        let entries = self.some_entries(&announce.upstream.name);
-        keeper::Ack { echo: announce.sent, stamp: self.stamp(now_ms), outcome, entries }
+        let entries = self.some_entries(&announce.name);
+        let described = (announce.incarnation, announce.description);
+        let stamp = self.stamp(now_ms);
+        keeper::Ack { echo: announce.sent, stamp, outcome, described, entries }
     }
 
     /// Takes a message of another entry and returns what to send.
@@ -301,13 +303,15 @@
         membership::mix(self.start.seed ^ membership::mix(self.rounds))
     }
 
+    /// Pushes own changes of which one is urgent. What can wait for the next pulls costs less: it
+    /// reaches each entry once.
     fn push_own(&mut self) -> Vec<Send> {
         if self.own_log.seq() == self.pushed_seq {
             return Vec::new();
         }
         let delta = self.own_log.since(self.pushed_seq);
         self.pushed_seq = self.own_log.seq();
-        self.push(vec![delta])
+        if delta.is_urgent() { self.push(vec![delta]) } else { Vec::new() }
     }
 
     fn push(&mut self, deltas: Vec<origin::Delta>) -> Vec<Send> {
@@ -318,7 +322,8 @@
     }
 
     fn take_push(&mut self, deltas: Vec<origin::Delta>) -> Vec<Send> {
-        let fresh = self.follow(deltas);
+        let mut fresh = self.follow(deltas);
+        fresh.retain(origin::Delta::is_urgent);
         if fresh.is_empty() { Vec::new() } else { self.push(fresh) }
     }
 
@@ -355,7 +360,9 @@
     /// know each other alone, and the zone's upstreams would be lost with them.
     fn pull_stranger(&mut self, now_ms: u64, from: &Sender) -> Option<Send> {
         let stranger = self.peers.address(&from.name).is_none();
-        stranger.then(|| from.answer(self.pull(now_ms)))
+        // Two strangers would otherwise ask each other without end until their records are there.
+        let due = self.peers.may_ask(now_ms, &from.name, self.settings.pull_every_ms);
+        (stranger && due).then(|| from.answer(self.pull(now_ms)))
     }
 
     fn pick_seed(&self, pick: u64) -> Option<peers::Target> {
--- a/ragwortdeal_core/src/membership/exchange/peers.rs
+++ b/ragwortdeal_core/src/membership/exchange/peers.rs
@@ -62,13 +62,16 @@
     expected: collections::BTreeMap<OriginId, Expected>,
     /// When each entry last pulled from here.
     askers: collections::BTreeMap<name::InstanceName, u64>,
+    /// When each stranger among them was last asked back.
+    asked_back: collections::BTreeMap<name::InstanceName, u64>,
 }
 
 impl Peers {
     pub(super) fn new(own: OriginId, lease_ms: u64) -> Self {
         let peers = collections::BTreeMap::new();
         let (expected, askers) = (collections::BTreeMap::new(), collections::BTreeMap::new());
-        Self { own, lease_ms, peers, expected, askers }
+        let asked_back = collections::BTreeMap::new();
+        Self { own, lease_ms, peers, expected, askers, asked_back }
     }
 
     /// An entry has pulled from here.
@@ -78,6 +81,21 @@
         }
     }
 
+    /// Whether a stranger may be asked back now, which is noted.
+    pub(super) fn may_ask(
+        &mut self,
+        now_ms: u64,
+        stranger: &name::InstanceName,
+        every_ms: u64,
+    ) -> bool {
+        let last_ms = self.asked_back.get(stranger);
+        let due = last_ms.is_none_or(|last_ms| now_ms >= last_ms + every_ms);
+        if due && self.asked_back.len() < PEERS_MAX {
+            self.asked_back.insert(stranger.clone(), now_ms);
+        }
+        due
+    }
+
     /// The live entries that this one keeps links to, and those that keep links to it. The latter
     /// count as well: an entry that nobody else chose would otherwise be heard by nobody.
     pub(super) fn partners(&self, own: &name::InstanceName) -> Vec<Target> {
@@ -102,6 +120,7 @@
         let lease_ms = self.lease_ms;
         self.peers.retain(|_, peer| now_ms.saturating_sub(peer.heard_ms) < lease_ms);
         self.askers.retain(|_, asked_ms| now_ms.saturating_sub(*asked_ms) < ASKER_MS);
+        self.asked_back.retain(|_, asked_ms| now_ms.saturating_sub(*asked_ms) < ASKER_MS);
         self.expected.retain(|_, e| now_ms.saturating_sub(e.sign.heard_ms) < lease_ms);
         self.peers.len() != before
     }
--- a/ragwortdeal_core/src/membership/keeper.rs
+++ b/ragwortdeal_core/src/membership/keeper.rs
@@ -10,8 +10,14 @@
 /// An upstream's announcement to one entry.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Announce {
-    /// The upstream as it describes itself.
-    pub upstream: Upstream,
+    /// The upstream's instance.
+    pub name: name::InstanceName,
+    /// Number of this life of it.
+    pub incarnation: u64,
+    /// Number of its present description.
+    pub description: u32,
+    /// The description, unless the entry has acknowledged this number: it is most of the bytes.
+    pub upstream: Option<Upstream>,
     /// Whether it leaves and wants no new work.
     pub leaving: bool,
     /// The upstream's own clock when it sent this.
@@ -29,6 +35,8 @@
     pub stamp: Stamp,
     /// What became of the announcement.
     pub outcome: Outcome,
+    /// Life and description of the announcement.
+    pub described: (u64, u32),
     /// Some live entries of the zone with their addresses, from which to choose keepers.
     pub entries: Vec<(name::InstanceName, std::net::SocketAddr)>,
 }
@@ -42,6 +50,8 @@
     Leaving,
     /// The announcement echoed no recent stamp; announce again at once with this one.
     Stale,
+    /// The entry has no such description; announce again at once with it.
+    Undescribed,
     /// A life with this higher number is known, so this one must take a higher number still.
     Superseded(u64),
 }
@@ -85,23 +95,39 @@
         announce: &Announce,
         known: Option<u64>,
     ) -> (Outcome, Option<Change>) {
-        let upstream = &announce.upstream;
-        let held = self.leases.get(&upstream.name).map(|l| l.record.upstream.incarnation);
+        let held = self.leases.get(&announce.name).map(|l| l.record.upstream.incarnation);
         let highest = held.max(known).unwrap_or(0);
-        if upstream.incarnation < highest {
+        if announce.incarnation < highest {
             return (Outcome::Superseded(highest), None);
         }
+        let Some(upstream) = self.described(announce) else {
+            return (Outcome::Undescribed, None);
+        };
         if announce.leaving {
-            return (Outcome::Leaving, self.put(now_ms, upstream, Status::Leaving));
+            return (Outcome::Leaving, self.put(now_ms, &upstream, Status::Leaving));
         }
         let Some(until_ms) = self.lease_end(now_ms, announce) else {
             return (Outcome::Stale, None);
         };
-        if self.has_left(upstream) {
+        if self.has_left(&upstream) {
             return (Outcome::Leaving, None);
         }
-        let newest = self.newest(upstream);
-        (Outcome::Leased, self.put(until_ms, &newest, Status::Serving))
+        (Outcome::Leased, self.put(until_ms, &upstream, Status::Serving))
+    }
+
+    /// The latest description of the announced life.
+    ///
+    /// An overtaken announcement would otherwise bring back the version that the upstream served
+    /// before, and calls for it would be refused there.
+    fn described(&self, announce: &Announce) -> Option<Upstream> {
+        let held = self.leases.get(&announce.name).map(|lease| &lease.record.upstream);
+        let held = held.filter(|held| {
+            held.incarnation == announce.incarnation && held.description >= announce.description
+        });
+        let given = announce.upstream.as_ref().filter(|given| {
+            given.name == announce.name && given.incarnation == announce.incarnation
+        });
+        held.or(given).cloned()
     }
 
     /// End of the lease that an announcement is worth, if that is still to come.
@@ -123,18 +149,6 @@
         })
     }
 
-    /// The later of the held and the announced description of one life.
-    ///
-    /// An overtaken announcement would otherwise bring back the version that the upstream served
-    /// before, and calls for it would be refused there.
-    fn newest(&self, upstream: &Upstream) -> Upstream {
-        let held = self.leases.get(&upstream.name).map(|lease| &lease.record.upstream);
-        let later = held.filter(|held| {
-            held.incarnation == upstream.incarnation && held.description > upstream.description
-        });
-        later.unwrap_or(upstream).clone()
-    }
-
     fn put(&mut self, until_ms: u64, upstream: &Upstream, status: Status) -> Option<Change> {
         let record = membership::Record { upstream: upstream.clone(), status };
         let name = upstream.name.clone();
--- a/ragwortdeal_core/src/membership/origin.rs
+++ b/ragwortdeal_core/src/membership/origin.rs
@@ -48,6 +48,14 @@
     pub closed: bool,
 }
 
+impl Delta {
+    /// Whether it must be everywhere within the bound for leaving.
+    pub fn is_urgent(&self) -> bool {
+        let leaving = |record: &membership::Record| record.status == membership::Status::Leaving;
+        self.closed || self.put.iter().any(leaving)
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Slot {
     Held(membership::Record),
--- a/ragwortdeal_core/tests/membership.rs
+++ b/ragwortdeal_core/tests/membership.rs
@@ -347,6 +347,20 @@
     }
 }
 
+/// A whole zone starts at once and everybody is a stranger. Entries that answered each stranger's
+/// question by a question of their own, without a pause, would flood the zone.
+#[googletest::test]
+fn a_cold_start_takes_a_bounded_number_of_messages() {
+    let mut zones = zones::Zones::new(95, 1, (60, 180));
+    zones.run(5_000, |_| {});
+    let most = zones.entries_of(0).map(|n| zones.received[n].messages).max();
+    // 9 announcements, 8 pulls with answers and 2 fetches a second would be 25 on average; the
+    // three entries named in the settings get the pulls of all others.
+    expect_that!(most, some(lt(5 * 500)));
+    let average: u64 = zones.entries_of(0).map(|n| zones.received[n].messages).sum::<u64>() / 60;
+    expect_that!(average, lt(5 * 60));
+}
+
 fn received_per_entry(zones: usize, sizes: (usize, usize)) -> (f64, f64) {
     let mut zones = settled(7, zones, sizes);
     zones.run(10_000, |_| {});
--- a/ragwortdeal_node/src/lib.rs
+++ b/ragwortdeal_node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod link;
 pub mod logging;
 pub mod program;
+pub mod relay;
 pub mod settings;
 pub mod stop;
 pub mod voter;
