--- /dev/null
+++ b/ragwortctl/src/cli.rs
@@ -0,0 +1,247 @@
+//! Command line of `ragwortctl`.
+
+use std::{net, path};
+
+/// Changes labels and selectors of ragwortdeal, and shows what they led to.
+#[derive(clap::Parser, Debug)]
+#[command(name = "ragwortctl", version)]
+pub struct Options {
+    /// Address of an entry's listener for operators. With several, the next is asked when one
+    /// does not answer; a change keeps its identifier, so it is never made twice.
+    #[arg(
+        long,
+        global = true,
+        env = "RAGWORTCTL_ENTRY",
+        value_delimiter = ',',
+        default_value = "127.0.0.1:7101"
+    )]
+    pub entry: Vec<net::SocketAddr>,
+    /// The operator's secret.
+    #[arg(
+        long,
+        global = true,
+        env = "RAGWORTCTL_TOKEN",
+        hide_env_values = true,
+        default_value = ""
+    )]
+    pub token: String,
+    /// How to print.
+    #[arg(long, global = true, value_enum, default_value = "table")]
+    pub output: Output,
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// How to print.
+#[derive(clap::ValueEnum, Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// For people.
+    Table,
+    /// For programs.
+    Json,
+}
+
+/// What to do.
+#[derive(clap::Subcommand, Debug)]
+pub enum Command {
+    /// Labels of instances, models, services and accounts.
+    #[command(subcommand)]
+    Label(Label),
+    /// Selectors: placements and routes.
+    #[command(subcommand)]
+    Selector(Selector),
+    /// Versions of weights.
+    #[command(subcommand)]
+    Version(Version),
+    /// What is intended, what serves, and what is behind and why, by availability zone.
+    Status,
+    /// Progress of the rollout of each version.
+    Spread {
+        /// Redraws until all replicas serve what is intended.
+        #[arg(long)]
+        watch: bool,
+    },
+    /// Operations that may not be repeated.
+    Operations {
+        /// Only those whose outcome nobody knows.
+        #[arg(long)]
+        in_doubt: bool,
+    },
+    /// Settles an operation in doubt after a look at the ledger.
+    Settle {
+        /// The operation's identifier.
+        operation: String,
+        /// Whether the ledger shows that it ran.
+        #[arg(long, value_parser = clap::builder::BoolishValueParser::new(), action = clap::ArgAction::Set)]
+        ran: bool,
+    },
+    /// The voters.
+    Members,
+    /// Checks a settings file.
+    CheckConfig {
+        /// The program that reads it.
+        #[arg(long, value_enum)]
+        program: Program,
+        /// The file.
+        file: path::PathBuf,
+    },
+    /// Writes shell completions and man pages.
+    #[command(hide = true)]
+    Generate {
+        /// Folder to write to.
+        folder: path::PathBuf,
+    },
+}
+
+/// Programs that read settings.
+#[derive(clap::ValueEnum, Clone, Copy, Debug)]
+pub enum Program {
+    /// `ragwortdeal-entry`.
+    Entry,
+    /// `ragwortdeal-agent`.
+    Agent,
+    /// `ragwortdeal-voter`.
+    Voter,
+}
+
+/// What guards a change.
+#[derive(clap::Args, Debug, Clone, Default)]
+pub struct Guard {
+    /// Refuses the change unless the object is at this revision; 0 means that it must not exist.
+    #[arg(long)]
+    pub expected_revision: Option<u64>,
+    /// Identifier of the change, to send one again whose answer was lost.
+    #[arg(long)]
+    pub change_id: Option<String>,
+}
+
+/// Labels.
+#[derive(clap::Subcommand, Debug)]
+pub enum Label {
+    /// Sets labels, and removes those written as KEY-.
+    Set {
+        /// What to label, such as instance/a-1 or model/match.
+        key: String,
+        /// Labels as KEY=VALUE, or KEY- to remove one.
+        #[arg(required = true)]
+        labels: Vec<String>,
+        /// What guards the change.
+        #[command(flatten)]
+        guard: Guard,
+    },
+    /// Shows the labels of one thing.
+    Get {
+        /// What is labelled, such as instance/a-1.
+        key: String,
+    },
+    /// Lists labels.
+    List {
+        /// Only this kind, such as instance.
+        kind: Option<String>,
+    },
+    /// Removes all labels of one thing.
+    Remove {
+        /// What is labelled, such as instance/a-1.
+        key: String,
+        /// What guards the change.
+        #[command(flatten)]
+        guard: Guard,
+    },
+}
+
+/// Selectors.
+#[derive(clap::Subcommand, Debug)]
+pub enum Selector {
+    /// Sets which version the selected instances serve.
+    Place {
+        /// Name of the placement.
+        name: String,
+        /// Label selector over instances, such as 'pool=chat,!canary'.
+        #[arg(long)]
+        instances: String,
+        /// Digest of the version's manifest.
+        #[arg(long)]
+        version: String,
+        /// What guards the change.
+        #[command(flatten)]
+        guard: Guard,
+    },
+    /// Sets which accounts reach which upstreams.
+    Route {
+        /// Name of the route.
+        name: String,
+        /// Label selector over accounts; empty selects all.
+        #[arg(long, default_value = "")]
+        accounts: String,
+        /// Label selector over models and services; empty selects all.
+        #[arg(long, default_value = "")]
+        targets: String,
+        /// Label selector over upstream instances; empty selects all.
+        #[arg(long, default_value = "")]
+        upstreams: String,
+        /// What guards the change.
+        #[command(flatten)]
+        guard: Guard,
+    },
+    /// Shows one selector.
+    Get {
+        /// Kind and name, such as placement/chat.
+        key: String,
+    },
+    /// Lists selectors.
+    List {
+        /// Only this kind: placement or route.
+        kind: Option<String>,
+    },
+    /// Removes a selector.
+    Remove {
+        /// Kind and name, such as placement/chat.
+        key: String,
+        /// What guards the change.
+        #[command(flatten)]
+        guard: Guard,
+    },
+}
+
+/// Versions of weights.
+#[derive(clap::Subcommand, Debug)]
+pub enum Version {
+    /// Registers a version, which never changes its meaning afterwards.
+    Add {
+        /// Digest of the manifest.
+        version: String,
+        /// Model that callers ask for.
+        #[arg(long)]
+        model: String,
+        /// Adapter that is part of the version.
+        #[arg(long)]
+        adapter: Option<String>,
+        /// Size of all chunks together.
+        #[arg(long)]
+        size_bytes: u64,
+        /// What guards the change.
+        #[command(flatten)]
+        guard: Guard,
+    },
+    /// Lists versions.
+    List,
+    /// Removes a version that no placement names.
+    Remove {
+        /// Digest of the manifest.
+        version: String,
+        /// What guards the change.
+        #[command(flatten)]
+        guard: Guard,
+    },
+}
+
+#[cfg(test)]
+mod tests {
+    use clap::CommandFactory as _;
+
+    #[googletest::test]
+    fn the_command_line_is_consistent() {
+        super::Options::command().debug_assert();
+    }
+}
--- /dev/null
+++ b/ragwortctl/src/commands/views.rs
@@ -0,0 +1,172 @@
+//! Shows objects, status, operations and voters.
+
+use std::process;
+
+use ragwortdeal_wire::operator as wire;
+use snafu::OptionExt as _;
+
+use super::{CommandError, NotSetSnafu};
+use crate::{cli, client, output};
+
+pub(super) async fn find(
+    client: &client::Client,
+    key: &str,
+) -> Result<Option<wire::ObjectView>, CommandError> {
+    let list: wire::ObjectList = client.get("/api/objects").await?;
+    Ok(list.objects.into_iter().find(|view| view.key == key))
+}
+
+pub(super) async fn object(
+    client: &client::Client,
+    output: cli::Output,
+    key: &str,
+) -> Result<process::ExitCode, CommandError> {
+    let view = find(client, key).await?.context(NotSetSnafu { key })?;
+    output::print(output, &view, |view| table_of([view].into_iter()))?;
+    Ok(process::ExitCode::SUCCESS)
+}
+
+pub(super) async fn objects(
+    client: &client::Client,
+    output: cli::Output,
+    kind: Option<&str>,
+    kinds: &[&str],
+) -> Result<process::ExitCode, CommandError> {
+    let mut list: wire::ObjectList = client.get("/api/objects").await?;
+    list.objects.retain(|view| {
+        let of = view.key.split('/').next().unwrap_or_default();
+        kinds.contains(&of) && kind.is_none_or(|kind| kind == of)
+    });
+    output::print(output, &list, |list| table_of(list.objects.iter()))?;
+    Ok(process::ExitCode::SUCCESS)
+}
+
+fn table_of<'v>(views: impl Iterator<Item = &'v wire::ObjectView>) -> output::Table {
+    let mut table = output::Table::new(&["KEY", "REVISION", "OBJECT"]);
+    for view in views {
+        table.row(vec![view.key.clone(), view.revision.to_string(), text_of(&view.object)]);
+    }
+    table
+}
+
+fn text_of(object: &wire::Object) -> String {
+    match object {
+        wire::Object::Labels(labels) => {
+            let mut pairs: Vec<String> =
+                labels.iter().map(|(key, value)| format!("{key}={value}")).collect();
+            pairs.sort();
+            pairs.join(",")
+        }
+        wire::Object::Version(version) => {
+            let adapter = version.adapter.as_deref().unwrap_or("-");
+            format!("model={} adapter={adapter} size_bytes={}", version.model, version.size_bytes)
+        }
+        wire::Object::Placement(placement) => {
+            let version = output::short(Some(&placement.version));
+            format!("instances=[{}] version={version}", placement.instances)
+        }
+        wire::Object::Route(route) => {
+            let wire::Route { accounts, targets, upstreams } = route;
+            format!("accounts=[{accounts}] targets=[{targets}] upstreams=[{upstreams}]")
+        }
+    }
+}
+
+pub(super) async fn status(
+    client: &client::Client,
+    output: cli::Output,
+) -> Result<process::ExitCode, CommandError> {
+    let mut status: wire::Status = client.get("/api/status").await?;
+    status.instances.sort_by(|a, b| (&a.zone, &a.instance).cmp(&(&b.zone, &b.instance)));
+    if output == cli::Output::Table {
+        let wire::Status { revision, control, entry, .. } = &status;
+        println!("revision {revision} at {entry}, voters {control}");
+    }
+    output::print(output, &status, status_table)?;
+    Ok(process::ExitCode::SUCCESS)
+}
+
+fn status_table(status: &wire::Status) -> output::Table {
+    let heading =
+        ["ZONE", "INSTANCE", "TARGET", "PHASE", "INTENDED", "SERVING", "REVISION", "CALLS", "NOTE"];
+    let mut table = output::Table::new(&heading);
+    for one in &status.instances {
+        table.row(vec![
+            one.zone.clone(),
+            one.instance.clone(),
+            one.target.clone(),
+            one.phase.clone(),
+            output::short(one.intended.as_deref()),
+            output::short(one.serving.as_deref()),
+            one.applied_revision.to_string(),
+            one.running.to_string(),
+            note(status, one),
+        ]);
+    }
+    table
+}
+
+fn note(status: &wire::Status, one: &wire::InstanceStatus) -> String {
+    let mut notes = Vec::new();
+    if one.leaving {
+        notes.push("leaving".to_owned());
+    }
+    notes.extend(one.behind.clone());
+    if one.applied_revision < status.revision {
+        notes.push(format!("behind by {} changes", status.revision - one.applied_revision));
+    }
+    notes.join("; ")
+}
+
+pub(super) async fn operations(
+    client: &client::Client,
+    output: cli::Output,
+    in_doubt: bool,
+) -> Result<process::ExitCode, CommandError> {
+    let path = if in_doubt { "/api/operations?in_doubt=true" } else { "/api/operations" };
+    let list: wire::OperationList = client.get(path).await?;
+    output::print(output, &list, |list| {
+        let heading = ["OPERATION", "ACCOUNT", "SERVICE", "STATE", "UPSTREAM"];
+        let mut table = output::Table::new(&heading);
+        for one in &list.operations {
+            let upstream = one.upstream.clone().unwrap_or_default();
+            let cells = [&one.operation_id, &one.account, &one.service, &one.state, &upstream];
+            table.row(cells.map(Clone::clone).to_vec());
+        }
+        table
+    })?;
+    Ok(process::ExitCode::SUCCESS)
+}
+
+pub(super) async fn settle(
+    client: &client::Client,
+    output: cli::Output,
+    operation_id: String,
+    ran: bool,
+) -> Result<process::ExitCode, CommandError> {
+    let body = serde_json::to_vec(&wire::Settlement { operation_id, ran }).unwrap_or_default();
+    let settled: wire::OperationView = client.post("/api/operations/settle", body).await?;
+    output::print(output, &settled, |one| {
+        let mut table = output::Table::new(&["OPERATION", "STATE"]);
+        table.row(vec![one.operation_id.clone(), one.state.clone()]);
+        table
+    })?;
+    Ok(process::ExitCode::SUCCESS)
+}
+
+pub(super) async fn members(
+    client: &client::Client,
+    output: cli::Output,
+) -> Result<process::ExitCode, CommandError> {
+    let list: wire::VoterList = client.get("/api/voters").await?;
+    output::print(output, &list, |list| {
+        let mut table = output::Table::new(&["VOTER", "ADDRESS", "ROLE", "LAST INDEX"]);
+        for voter in &list.voters {
+            let last_index = voter.last_index.to_string();
+            let cells = [&voter.name, &voter.address, &voter.role, &last_index];
+            table.row(cells.map(Clone::clone).to_vec());
+        }
+        table
+    })?;
+    Ok(process::ExitCode::SUCCESS)
+}
