--- /dev/null
+++ b/ragwortdeal_core/src/retry/budget.rs
@@ -0,0 +1,98 @@
+//! Retries paid for by first attempts, at this entry and at each upstream.
+
+use std::collections;
+
+use crate::{retry, routing::upstream};
+
+/// Price of one retry in thousandths of a token.
+const RETRY_MILLITOKENS: u64 = 1_000;
+
+/// How many retries first attempts pay for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Retries for each hundred first attempts, in percent.
+    pub ratio_percent: u64,
+    /// Retries that may be saved up at the entry. It also lets a quiet entry retry at all.
+    pub saved_max: u64,
+    /// Retries that may be saved up for one upstream.
+    pub saved_per_upstream_max: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { ratio_percent: 10, saved_max: 20, saved_per_upstream_max: 5 }
+    }
+}
+
+/// A bucket that first attempts fill and retries empty.
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    millitokens: u64,
+}
+
+impl Bucket {
+    fn full(saved_max: u64) -> Self {
+        Self { millitokens: saved_max * RETRY_MILLITOKENS }
+    }
+
+    fn deposit(&mut self, ratio_percent: u64, saved_max: u64) {
+        let deposit = ratio_percent * RETRY_MILLITOKENS / 100;
+        self.millitokens = (self.millitokens + deposit).min(saved_max * RETRY_MILLITOKENS);
+    }
+
+    fn can_pay(&self) -> bool {
+        self.millitokens >= RETRY_MILLITOKENS
+    }
+
+    fn pay(&mut self) {
+        self.millitokens -= RETRY_MILLITOKENS;
+    }
+}
+
+/// The budgets of one entry.
+///
+/// The entry's bucket bounds the load that retries add. The buckets of failing upstreams keep one
+/// bad upstream from using up what the calls to all others might need.
+#[derive(Debug)]
+pub struct Budgets {
+    settings: Settings,
+    entry: Bucket,
+    upstreams: collections::BTreeMap<upstream::UpstreamId, Bucket>,
+}
+
+impl Budgets {
+    /// Full buckets.
+    pub fn new(settings: Settings) -> Self {
+        let entry = Bucket::full(settings.saved_max);
+        Self { settings, entry, upstreams: collections::BTreeMap::new() }
+    }
+
+    /// Counts the first attempt of a call.
+    pub fn first_attempt(&mut self, at: upstream::UpstreamId) {
+        let settings = self.settings;
+        self.entry.deposit(settings.ratio_percent, settings.saved_max);
+        let saved_max = settings.saved_per_upstream_max;
+        self.bucket(at).deposit(settings.ratio_percent, saved_max);
+    }
+
+    /// Asks for one more attempt after a failure, and pays for it if it is granted.
+    pub fn spend(&mut self, failed_at: upstream::UpstreamId) -> Result<(), retry::GiveUp> {
+        let upstream_pays = self.bucket(failed_at).can_pay();
+        if !upstream_pays || !self.entry.can_pay() {
+            return Err(retry::GiveUp::Budget);
+        }
+        self.entry.pay();
+        self.bucket(failed_at).pay();
+        Ok(())
+    }
+
+    /// Forgets an upstream that is gone.
+    pub fn forget(&mut self, upstream: upstream::UpstreamId) {
+        self.upstreams.remove(&upstream);
+    }
+
+    fn bucket(&mut self, upstream: upstream::UpstreamId) -> &mut Bucket {
+        let saved_max = self.settings.saved_per_upstream_max;
+        self.upstreams.entry(upstream).or_insert_with(|| Bucket::full(saved_max))
+    }
+}
--- /dev/null
+++ b/ragwortdeal_core/src/routing/load.rs
@@ -0,0 +1,51 @@
+//! Load of an upstream: calls in flight from here, and reports that lag.
+
+/// What an upstream says of its load. It covers the calls of all entries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Calls running at the upstream.
+    pub running: u32,
+    /// Calls waiting at the upstream.
+    pub waiting: u32,
+    /// When the figures were taken, on this entry's clock in milliseconds.
+    pub taken_at_ms: u64,
+}
+
+/// Load of one upstream as seen from one entry.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Calls that this entry has in flight there.
+    pub in_flight_here: u32,
+    others: u32,
+    taken_at_ms: Option<u64>,
+}
+
+impl Load {
+    pub(super) fn take_in(&mut self, report: Report) {
+        if self.taken_at_ms.is_some_and(|taken_at_ms| taken_at_ms >= report.taken_at_ms) {
+            return;
+        }
+        let total = report.running.saturating_add(report.waiting);
+        self.others = total.saturating_sub(self.in_flight_here);
+        self.taken_at_ms = Some(report.taken_at_ms);
+    }
+
+    /// Calls of other entries, as far as the last report told.
+    pub fn reported_others(&self) -> u32 {
+        self.others
+    }
+
+    /// Calls that the upstream probably has by now.
+    ///
+    /// The older a report, the more it counts as the pool's mean instead. If it faded to nothing,
+    /// an upstream whose reports stopped would look idle and draw every call; if it never faded,
+    /// all entries would run after the one that looked idle seconds ago.
+    pub fn estimate(&self, mean_others: f64, half_life_ms: u64, now_ms: u64) -> f64 {
+        let own = f64::from(self.in_flight_here);
+        let Some(taken_at_ms) = self.taken_at_ms else { return own + mean_others };
+        let age_ms = now_ms.saturating_sub(taken_at_ms) as f64;
+        let half_life_ms = half_life_ms.max(1) as f64;
+        let trust = half_life_ms / (half_life_ms + age_ms);
+        own + trust * f64::from(self.others) + (1.0 - trust) * mean_others
+    }
+}
