--- a/ragwortdeal_core/src/admission.rs
+++ b/ragwortdeal_core/src/admission.rs
@@ -116,6 +116,7 @@
     capacity: f64,
     room_here: f64,
     entries: usize,
+    active_weight: u32,
     accounts: collections::BTreeMap<name::AccountName, account::Account>,
     peers: peers::Peers,
     waiting: collections::BTreeMap<Ticket, Waiting>,
@@ -133,6 +134,7 @@
             capacity: 0.0,
             room_here: 0.0,
             entries: 1,
+            active_weight: 0,
             accounts: collections::BTreeMap::new(),
             peers: peers::Peers::default(),
             waiting: collections::BTreeMap::new(),
@@ -171,10 +173,9 @@
         if self.capacity <= 0.0 {
             return Decision::Refused(self.refusal(refusal::Reason::NoCapacity, 0, request.draw));
         }
-        let entries = self.entries;
-        let fair_floor = self.fair_floor(&request.account);
+        let floor_here = self.floor_here(&request.account);
         let account = self.account(&request.account);
-        account.note_floor(fair_floor / entries as f64);
+        account.note_floor(floor_here);
         let service_ms = account.service_ms();
         let wait_ms = account.wait_ms(account.queued(request.priority));
         let starts_now = account.queue_is_empty() && self.may_start(&request.account);
@@ -262,15 +263,14 @@
         self.accounts.entry(name.clone()).or_insert_with(new)
     }
 
-    /// What an account gets in the whole deployment however much the others want.
-    fn fair_floor(&mut self, name: &name::AccountName) -> f64 {
-        let weight = self.account(name).weight;
-        let others = self.accounts.iter().filter(|(other, account)| {
-            *other != name && (account.wanted() > 0 || self.peers.wanted(other) > 0)
-        });
-        let here: u32 = others.map(|(_, account)| account.weight).sum();
-        let elsewhere = self.peers.weight_of_accounts_not_in(&self.accounts);
-        self.capacity * f64::from(weight) / f64::from(weight + here + elsewhere)
+    /// What an account gets here however much the others want. Only accounts that wanted anything
+    /// at the last tick divide the capacity, and this one.
+    fn floor_here(&mut self, name: &name::AccountName) -> f64 {
+        let account = self.account(name);
+        let weight = account.weight;
+        let uncounted = if account.counted { 0 } else { weight };
+        let weights = (self.active_weight + uncounted).max(1);
+        self.capacity * f64::from(weight) / f64::from(weights) / self.entries as f64
     }
 
     fn may_start(&self, name: &name::AccountName) -> bool {
@@ -286,38 +286,48 @@
     /// anything, and none is missed when it dies.
     fn share_out(&mut self) {
         self.entries = 1 + self.peers.count();
-        let mut claims: collections::BTreeMap<_, shares::Claim> = collections::BTreeMap::new();
-        for (name, account) in &self.accounts {
-            let elsewhere = self.peers.wanted(name);
-            let wanted = f64::from(account.wanted() + elsewhere);
-            claims.insert(name.clone(), shares::Claim { weight: account.weight, wanted });
-        }
-        for demand in self.peers.demands() {
-            let unknown = shares::Claim { weight: demand.weight, wanted: 0.0 };
-            if !self.accounts.contains_key(&demand.account) {
-                let claim = claims.entry(demand.account.clone()).or_insert(unknown);
-                claim.wanted += f64::from(demand.wanted);
-            }
-        }
+        let claims = self.claims();
         let filled = shares::fill(self.capacity, claims.values());
+        self.active_weight = claims.values().map(|claim| claim.weight).sum();
         let mut given = 0.0;
         let mut given_here = 0.0;
+        for account in self.accounts.values_mut() {
+            account.share_here = 0.0;
+            account.counted = false;
+        }
         for ((name, claim), share) in claims.iter().zip(filled) {
             given += share;
             let Some(account) = self.accounts.get_mut(name) else { continue };
-            let part = f64::from(account.wanted()) / claim.wanted.max(1.0);
+            let part = f64::from(account.wanted()) / claim.wanted;
             account.share_here = share * part;
+            account.counted = true;
             given_here += account.share_here;
         }
         self.room_here = given_here + (self.capacity - given).max(0.0) / self.entries as f64;
         self.set_floors();
     }
 
+    /// What every account wants in the whole deployment, those that want nothing left out.
+    fn claims(&self) -> collections::BTreeMap<name::AccountName, shares::Claim> {
+        let mut claims = collections::BTreeMap::new();
+        for demand in self.peers.demands().filter(|demand| demand.wanted > 0) {
+            let wanted = f64::from(demand.wanted);
+            claims.insert(demand.account.clone(), shares::Claim { weight: demand.weight, wanted });
+        }
+        for (name, account) in self.accounts.iter().filter(|(_, account)| account.wanted() > 0) {
+            let unclaimed = shares::Claim { weight: account.weight, wanted: 0.0 };
+            let claim = claims.entry(name.clone()).or_insert(unclaimed);
+            claim.weight = account.weight;
+            claim.wanted += f64::from(account.wanted());
+        }
+        claims
+    }
+
     fn set_floors(&mut self) {
         let names: Vec<_> = self.accounts.keys().cloned().collect();
         for name in names {
-            let floor = self.fair_floor(&name) / self.entries as f64;
-            self.account(&name).note_floor(floor);
+            let floor_here = self.floor_here(&name);
+            self.account(&name).note_floor(floor_here);
         }
     }
 
--- a/ragwortdeal_core/src/admission/account.rs
+++ b/ragwortdeal_core/src/admission/account.rs
@@ -20,6 +20,7 @@
     /// Its calls running through this entry.
     pub in_flight: u32,
     pub(super) share_here: f64,
+    pub(super) counted: bool,
     floor_here: f64,
     saved_slot_ms: f64,
     service_ms: f64,
@@ -32,6 +33,7 @@
             weight: 1,
             in_flight: 0,
             share_here: 0.0,
+            counted: false,
             floor_here: 0.0,
             saved_slot_ms: 0.0,
             service_ms: assumed_service_ms as f64,
--- a/ragwortdeal_core/src/admission/peers.rs
+++ b/ragwortdeal_core/src/admission/peers.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use crate::{admission::account, name};
+use crate::name;
 
 /// Demand of one account at one entry.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -59,24 +59,11 @@
         self.heard.len()
     }
 
-    /// What an account wants at all other entries together.
-    pub(super) fn wanted(&self, account: &name::AccountName) -> u32 {
-        self.wanted.get(account).map_or(0, |demand| demand.wanted)
-    }
-
     /// Demand of each account at all other entries together.
     pub(super) fn demands(&self) -> impl Iterator<Item = &Demand> {
         self.wanted.values()
     }
 
-    pub(super) fn weight_of_accounts_not_in(
-        &self,
-        known: &collections::BTreeMap<name::AccountName, account::Account>,
-    ) -> u32 {
-        let unknown = self.wanted.values().filter(|demand| !known.contains_key(&demand.account));
-        unknown.map(|demand| demand.weight).sum()
-    }
-
     fn sum_up(&mut self) {
         self.wanted.clear();
         for demand in self.heard.values().flat_map(|heard| &heard.summary.demands) {
--- a/ragwortdeal_core/tests/admission.rs
+++ b/ragwortdeal_core/tests/admission.rs
@@ -40,6 +40,7 @@
 
 proptest::proptest! {
     #![proptest_config(proptest::test_runner::Config {
+        failure_persistence: None,
         rng_seed: proptest::test_runner::RngSeed::Fixed(41),
         ..proptest::test_runner::Config::with_cases(200)
     })]
@@ -136,19 +137,19 @@
 
 fn step_of(history: &mut History, rng: &mut rand_chacha::ChaCha8Rng, now_ms: u64) {
     let due = history.admission.next_wake_ms().is_some_and(|wake_ms| wake_ms <= now_ms);
-    if due || now_ms % 100 == 0 {
+    if due || now_ms.is_multiple_of(100) {
         let actions = history.admission.tick(now_ms);
         history.act(actions, now_ms);
     }
-    if rng.next_u64() % 10 == 0 {
+    if rng.next_u64().is_multiple_of(10) {
         let name = ["a", "b", "c"][rng.next_u64() as usize % 3];
         history.offer(name, now_ms + 100 + rng.next_u64() % 2_000, now_ms);
     }
     let running = history.running();
-    if rng.next_u64() % 20 == 0 && !running.is_empty() {
+    if rng.next_u64().is_multiple_of(20) && !running.is_empty() {
         let ticket = running[rng.next_u64() as usize % running.len()];
         history.fates.insert(ticket, Fate::Over);
-        let cancelled = rng.next_u64() % 5 == 0;
+        let cancelled = rng.next_u64().is_multiple_of(5);
         let actions = match cancelled {
             true => history.admission.cancel(ticket, now_ms),
             false => history.admission.finish(ticket, now_ms),
--- a/ragwortdeal_core/tests/policies/model.rs
+++ b/ragwortdeal_core/tests/policies/model.rs
@@ -66,6 +66,7 @@
     pub faults: Vec<(u64, Fault)>,
     pub prefixes: usize,
     pub prefixes_kept: usize,
+    pub hedge_after_ms: Option<u64>,
 }
 
 impl Setup {
@@ -87,6 +88,7 @@
             faults: Vec::new(),
             prefixes: 0,
             prefixes_kept: 0,
+            hedge_after_ms: None,
         }
     }
 
@@ -137,6 +139,7 @@
     Arrive(usize),
     Done { upstream: usize, call: usize },
     AttemptFailed(usize),
+    Hedge(usize),
     TakeReports,
     DeliverReports(usize),
     Tick,
@@ -154,6 +157,7 @@
     at: Option<usize>,
     excluded: Vec<upstream::UpstreamId>,
     attempts: u32,
+    twin: Option<usize>,
     over: bool,
 }
 
@@ -321,6 +325,7 @@
             Event::Arrive(caller) => self.arrive(caller),
             Event::Done { upstream, call } => self.done(upstream, call),
             Event::AttemptFailed(call) => self.attempt_failed(call),
+            Event::Hedge(call) => self.hedge(call),
             Event::TakeReports => self.take_reports(),
             Event::DeliverReports(index) => self.deliver_reports(index),
             Event::Tick => self.tick(),
@@ -353,10 +358,15 @@
             at: None,
             excluded: Vec::new(),
             attempts: 0,
+            twin: None,
             over: false,
         };
         self.calls.push(call);
-        self.offer(self.calls.len() - 1);
+        let call = self.calls.len() - 1;
+        if let Some(after_ms) = self.setup.hedge_after_ms {
+            self.at(self.now_us + after_ms * 1_000, Event::Hedge(call));
+        }
+        self.offer(call);
     }
 
     /// Popularity falls with rank: the square of a uniform value favours the first prefixes.
@@ -450,6 +460,17 @@
         self.serve(at);
     }
 
+    /// Sends a copy of a call that takes long to another upstream; the first answer counts.
+    fn hedge(&mut self, call: usize) {
+        let (Some(at), false) = (self.calls[call].at, self.calls[call].over) else { return };
+        let twin = self.calls.len();
+        let excluded = vec![self.entries[self.calls[call].entry].ids[at]];
+        let copy = Call { twin: Some(call), excluded, at: None, ..self.calls[call].clone() };
+        self.calls[call].twin = Some(twin);
+        self.calls.push(copy);
+        self.send(twin);
+    }
+
     fn serve(&mut self, at: usize) {
         while self.servers[at].running < self.setup.slots {
             let Some(call) = self.servers[at].queue.pop_front() else { return };
@@ -499,6 +520,12 @@
     /// Ends a call that ran (`Some(true)`), ran out of time, or found nobody (`None`).
     fn end(&mut self, call: usize, ran: Option<bool>) {
         self.calls[call].over = true;
+        if let Some(twin) = self.calls[call].twin {
+            if ran != Some(true) && !self.calls[twin].over {
+                return;
+            }
+            self.calls[twin].over = true;
+        }
         let Call { caller, entry, arrived_us, ticket, at, .. } = self.calls[call].clone();
         let now_ms = self.now_ms();
         let second = self.second();
--- a/ragwortdeal_core/tests/policies/retries.rs
+++ b/ragwortdeal_core/tests/policies/retries.rs
@@ -32,3 +32,30 @@
     expect_that!(good, gt(good_without));
     expect_that!(good, ge(good_aside));
 }
+
+fn hedged(offered: f64, hedge_after_ms: Option<u64>) -> (u64, f64) {
+    let setup = model::Setup {
+        hedge_after_ms,
+        offered,
+        ..model::Setup::new(32, model::Choosing::TwoChoices)
+    };
+    let outcome = model::run(&setup);
+    let sent = outcome.attempts as f64 / outcome.offered() as f64;
+    let (p95_ms, p99_ms) = (outcome.response_percentile_ms(95), outcome.response_percentile_ms(99));
+    println!("| {hedge_after_ms:?} | {offered} | {p95_ms} | {p99_ms} | {sent:.3} |");
+    (p99_ms, sent)
+}
+
+/// Hedging sends what takes long once more. It shortens the tail while there is room, and adds its
+/// load just when there is none: callers then wait longer than without it. So calls aren't hedged.
+#[googletest::test]
+fn hedging_costs_load_for_its_tail() {
+    let (without_ms, _) = hedged(0.8, None);
+    let (with_ms, sent) = hedged(0.8, Some(600));
+    expect_that!(with_ms, lt(without_ms));
+    expect_that!(sent, lt(1.1));
+    let (without_ms, _) = hedged(0.95, None);
+    let (with_ms, sent) = hedged(0.95, Some(600));
+    expect_that!(with_ms, gt(without_ms));
+    expect_that!(sent, gt(1.1));
+}
