--- a/ragwortdeal_core/tests/policies/admission.rs
+++ b/ragwortdeal_core/tests/policies/admission.rs
@@ -1,5 +1,7 @@
 //! Goodput and shares of accounts under overload and around the death of an entry.
 
+use std::ops;
+
 use googletest::prelude::*;
 use ragwortdeal_core::admission;
 
@@ -108,9 +110,55 @@
                 small(second)
             );
         }
+        let equal = setup.capacity_per_s() * 10.0 / outcome.callers.len() as f64;
+        let in_10_s = |tally: &model::Tally, from: usize| {
+            let good = tally.good_each_s[from..from + 10].iter().sum::<u64>();
+            let asked = tally.offered_each_s[from..from + 10].iter().sum::<u64>();
+            (good as f64 * 100.0 / equal.min(asked as f64)) as u64
+        };
+        let before: Vec<u64> = outcome.callers.iter().map(|tally| in_10_s(tally, 20)).collect();
+        let after: Vec<u64> = outcome.callers.iter().map(|tally| in_10_s(tally, 30)).collect();
+        println!("| {kind} | percent in 10 s | before {before:?} | after {after:?} |");
         if kind == "shares" {
+            expect_that!(after.into_iter().min(), some(ge(90)));
             expect_that!((33..40).map(all).sum::<f64>() / 7.0, ge(88.0));
             expect_that!((33..40).map(small).sum::<f64>() / 7.0, ge(90.0));
         }
     }
 }
+
+/// An availability zone goes: a third of the upstreams and one entry at once, and three seconds
+/// later the leases end. Callers of the other zones see errors until then, and refusals after.
+#[googletest::test]
+fn a_zone_goes() {
+    let faults = vec![
+        (20_000, model::Fault::UpstreamsFail(4)),
+        (20_000, model::Fault::EntryDies(3)),
+        (23_000, model::Fault::LeasesEnd(4)),
+    ];
+    let zone = |kind: &str, setup: model::Setup| {
+        let outcome = model::run(&model::Setup { faults: faults.clone(), ..setup.clone() });
+        let left = setup.capacity_per_s() * 2.0 / 3.0;
+        let good = |seconds: ops::Range<usize>| {
+            let length = seconds.len() as f64;
+            let good = seconds.map(|second| {
+                outcome.callers.iter().map(|tally| tally.good_each_s[second]).sum::<u64>()
+            });
+            good.sum::<u64>() as f64 * 100.0 / (left * length)
+        };
+        let failed: u64 = outcome.callers.iter().map(|tally| tally.failed).sum();
+        let (first, rest) = (good(20..23), good(23..59));
+        println!("| {kind} | {} | {first:.0} | {rest:.0} | {failed} |", setup.offered);
+        (first, rest, failed)
+    };
+    for offered in [0.8, 1.2] {
+        let retrying = model::Retrying::Unbounded;
+        let (_, naive_rest, naive_failed) =
+            zone("naive", model::Setup { retrying, ..naive(offered) });
+        let retrying = model::Retrying::Budgeted;
+        let (_, rest, failed) = zone("shares", model::Setup { retrying, ..limited(offered) });
+        expect_that!(rest, ge(85.0));
+        expect_that!(rest, gt(naive_rest));
+        expect_that!(failed, lt(naive_failed));
+    }
+}
--- a/ragwortdeal_core/tests/policies/model.rs
+++ b/ragwortdeal_core/tests/policies/model.rs
@@ -39,6 +39,7 @@
 pub enum Fault {
     EntryDies(usize),
     UpstreamsFail(usize),
+    LeasesEnd(usize),
 }
 
 #[derive(Clone, Debug)]
@@ -472,7 +473,7 @@
     }
 
     fn serve(&mut self, at: usize) {
-        while self.servers[at].running < self.setup.slots {
+        while self.servers[at].running < self.setup.slots && !self.servers[at].failing {
             let Some(call) = self.servers[at].queue.pop_front() else { return };
             let waited_ms = (self.now_us - self.calls[call].arrived_us) / 1_000;
             if self.calls[call].over || waited_ms > self.setup.deadline_ms {
@@ -509,6 +510,9 @@
     }
 
     fn done(&mut self, at: usize, call: usize) {
+        if self.servers[at].failing {
+            return;
+        }
         self.servers[at].running -= 1;
         self.servers[at].by_entry[self.calls[call].entry] -= 1;
         if !self.calls[call].over {
@@ -554,6 +558,9 @@
     fn attempt_failed(&mut self, call: usize) {
         let now_ms = self.now_ms();
         let known = self.calls[call].clone();
+        if known.over {
+            return;
+        }
         let entry = &mut self.entries[known.entry];
         let failed_at = entry.ids[known.at.unwrap()];
         entry.router.finish(failed_at, routing::Outcome::Failed, now_ms);
@@ -643,10 +650,26 @@
                     self.outcome.callers[call.caller].failed += 1;
                 }
             }
+            Fault::LeasesEnd(count) => {
+                let left = (self.setup.upstreams - count) as u32 * self.setup.slots;
+                for entry in &mut self.entries {
+                    for index in 0..count {
+                        entry.router.leave(&announcement(index, 1).instance);
+                    }
+                    if let Some(admission) = entry.admission.as_mut() {
+                        admission.set_capacity(left);
+                    }
+                }
+            }
             Fault::UpstreamsFail(count) => {
                 for server in &mut self.servers[..count] {
                     server.failing = true;
                 }
+                let at = |call: &Call| call.at.is_some_and(|at| at < count) && !call.over;
+                let lost = (0..self.calls.len()).filter(|&call| at(&self.calls[call]));
+                for call in lost.collect::<Vec<_>>() {
+                    self.at(self.now_us + FAILED_ATTEMPT_US, Event::AttemptFailed(call));
+                }
             }
         }
     }
