--- a/ragwortdeal_core/src/claims.rs
+++ b/ragwortdeal_core/src/claims.rs
@@ -1,1 +1,12 @@
-//! At-most-once operations: durable claims of keys and their recorded outcomes.
+//! Operations that may not be repeated: claims of their keys, the agent's promises, and the answers.
+//!
+//! `docs/design/at-most-once.md` weighs the ways to get there and gives their figures.
+
+pub mod answer;
+pub mod attempt;
+pub mod clock;
+pub mod guard;
+pub mod key;
+pub mod operation;
+pub mod state;
+pub mod table;
--- /dev/null
+++ b/ragwortdeal_core/src/claims/attempt.rs
@@ -0,0 +1,66 @@
+//! Attempts at an operation and the incarnation of the agent that each is addressed to.
+
+use std::fmt;
+
+use crate::name;
+
+/// One life of an agent process. Agents keep no disk, so what one life knew the next does not.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+pub struct Incarnation(pub u64);
+
+/// The upstream that an attempt is addressed to, with the life of its agent.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+pub struct Upstream {
+    /// Instance of the upstream and its agent.
+    pub instance: name::InstanceName,
+    /// Life of the agent as the entry knew it when it claimed.
+    pub incarnation: Incarnation,
+}
+
+/// Names one attempt for good: an entry never uses a sequence number twice in one incarnation.
+///
+/// The order within an entry is the order in which it began its attempts. The agent relies on it
+/// to forget attempts without ever starting a forgotten one (see [`guard`](super::guard)).
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize)]
+pub struct AttemptId {
+    /// Entry that makes the attempt.
+    pub entry: name::InstanceName,
+    /// Life of the entry; a later life has a greater number.
+    pub entry_incarnation: u64,
+    /// Number of the attempt within that life.
+    pub sequence: u64,
+}
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}/{}", self.entry, self.entry_incarnation, self.sequence)
+    }
+}
+
+impl fmt::Debug for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+/// Hands out attempt ids of one life of an entry.
+#[derive(Debug)]
+pub struct AttemptSource {
+    next: AttemptId,
+}
+
+impl AttemptSource {
+    /// Begins with the first attempt of this life.
+    pub fn new(entry: name::InstanceName, entry_incarnation: u64) -> Self {
+        Self { next: AttemptId { entry, entry_incarnation, sequence: 1 } }
+    }
+
+    /// An id that was never given before.
+    pub fn next_id(&mut self) -> AttemptId {
+        let given = self.next.clone();
+        self.next.sequence += 1;
+        given
+    }
+}
--- /dev/null
+++ b/ragwortdeal_core/tests/claims/sim.rs
@@ -0,0 +1,394 @@
+//! A log, an agent and a ledger stand-in joined by a bag of messages under the test's control.
+
+#![allow(dead_code, missing_docs, reason = "each test uses a part, and none of it is published")]
+
+use std::collections;
+
+use ragwortdeal_core::{
+    claims::{answer, attempt, guard, key, operation, state, table},
+    digest, name,
+};
+
+/// How a request is carried out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// A resend is sent again.
+    Direct,
+    /// The key is claimed; the agent remembers nothing.
+    Claim,
+    /// The key is claimed and the agent remembers and promises.
+    Promise,
+    /// The same, and the ledger runs each key once.
+    PromiseAndKey,
+}
+
+impl Policy {
+    fn claims(self) -> bool {
+        self != Self::Direct
+    }
+
+    fn guards(self) -> bool {
+        matches!(self, Self::Promise | Self::PromiseAndKey)
+    }
+}
+
+/// Mistakes planted to show that the checks notice them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    #[default]
+    None,
+    /// A restarted agent speaks for its former life.
+    SameIncarnation,
+    /// The agent promises and does not remember it.
+    ForgetPromise,
+    /// A doubt is treated as "did not run".
+    DoubtReleases,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    ToLog,
+    FromLog,
+    Call,
+    ToUpstream,
+    FromUpstream,
+    Answered,
+    Ask,
+    Told,
+    Elapsed,
+}
+
+#[derive(Clone, Debug)]
+pub enum Message {
+    ToLog(state::Command),
+    FromLog(Option<state::Outcome>),
+    Call(attempt::AttemptId, attempt::Incarnation),
+    ToUpstream(attempt::AttemptId, attempt::Incarnation),
+    FromUpstream(attempt::AttemptId, attempt::Incarnation, answer::Answer),
+    Answered(Result<answer::Answer, guard::StartRefusal>),
+    Ask(attempt::AttemptId, attempt::Incarnation, bool),
+    Told(guard::Knowledge),
+    Elapsed,
+}
+
+impl Message {
+    pub fn kind(&self) -> Kind {
+        match self {
+            Message::ToLog(_) => Kind::ToLog,
+            Message::FromLog(_) => Kind::FromLog,
+            Message::Call(..) => Kind::Call,
+            Message::ToUpstream(..) => Kind::ToUpstream,
+            Message::FromUpstream(..) => Kind::FromUpstream,
+            Message::Answered(_) => Kind::Answered,
+            Message::Ask(..) => Kind::Ask,
+            Message::Told(_) => Kind::Told,
+            Message::Elapsed => Kind::Elapsed,
+        }
+    }
+}
+
+pub struct Request {
+    pub entry: usize,
+    pub attempt: attempt::AttemptId,
+    pub operation: Option<operation::Operation>,
+    pub alive: bool,
+    pub sent: bool,
+    pub replies: Vec<operation::Reply>,
+}
+
+pub struct Sim {
+    pub policy: Policy,
+    pub fault: Fault,
+    pub table: table::ClaimTable,
+    pub agent: guard::Guard,
+    pub requests: Vec<Request>,
+    pub bag: Vec<(usize, Message)>,
+    /// Attempts that took effect at the ledger, in order.
+    pub effects: Vec<attempt::AttemptId>,
+    sources: collections::BTreeMap<usize, attempt::AttemptSource>,
+    now_ms: u64,
+}
+
+pub fn scoped_key() -> key::ScopedKey {
+    key::ScopedKey {
+        account: name::AccountName::new("irbid-branch").unwrap(),
+        service: name::ServiceName::new("ledger").unwrap(),
+        key: name::OperationKey::new("transfer-1").unwrap(),
+    }
+}
+
+pub fn ledger_answer(attempt: &attempt::AttemptId) -> answer::Answer {
+    answer::Answer::new(201, Some("text/plain"), attempt.to_string().as_bytes())
+}
+
+fn entry_name(entry: usize) -> name::InstanceName {
+    name::InstanceName::new(&format!("entry-{entry}")).unwrap()
+}
+
+impl Sim {
+    pub fn new(policy: Policy, fault: Fault) -> Self {
+        let slots = (0..=u8::MAX).map(key::Slot);
+        Self {
+            policy,
+            fault,
+            table: table::ClaimTable::new(table::TableLimits::default(), slots),
+            agent: guard::Guard::new(attempt::Incarnation(1), guard::GuardLimits::default()),
+            requests: Vec::new(),
+            bag: Vec::new(),
+            effects: Vec::new(),
+            sources: collections::BTreeMap::new(),
+            now_ms: 0,
+        }
+    }
+
+    /// A caller sends the request, first or again, to the given entry.
+    pub fn request(&mut self, entry: usize) -> usize {
+        let fresh = || attempt::AttemptSource::new(entry_name(entry), 1);
+        let attempt = self.sources.entry(entry).or_insert_with(fresh).next_id();
+        let number = self.requests.len();
+        let mut request = Request {
+            entry,
+            attempt: attempt.clone(),
+            operation: None,
+            alive: true,
+            sent: false,
+            replies: Vec::new(),
+        };
+        let mut actions = Vec::new();
+        if self.policy.claims() {
+            let claim = self.claim(attempt);
+            let (operation, first) =
+                operation::Operation::begin(claim, operation::OperationTimes::default());
+            request.operation = Some(operation);
+            actions = first;
+        }
+        self.requests.push(request);
+        if !self.policy.claims() {
+            self.begin_without_claim(number);
+        }
+        self.act(number, actions);
+        number
+    }
+
+    fn claim(&self, attempt: attempt::AttemptId) -> state::Claim {
+        let key_support = match self.policy {
+            Policy::PromiseAndKey => state::KeySupport::Service,
+            _ => state::KeySupport::None,
+        };
+        state::Claim {
+            key: scoped_key(),
+            body: digest::Digest::of(b"three hours to Rania"),
+            attempt,
+            after: None,
+            upstream: attempt::Upstream {
+                instance: name::InstanceName::new("ledger-1").unwrap(),
+                incarnation: self.agent.incarnation(),
+            },
+            key_support,
+        }
+    }
+
+    fn begin_without_claim(&mut self, number: usize) {
+        let attempt = self.requests[number].attempt.clone();
+        self.requests[number].sent = true;
+        self.bag.push((number, Message::Call(attempt, self.agent.incarnation())));
+    }
+
+    fn reply_answer(&mut self, number: usize, answer: answer::Answer) {
+        self.requests[number].replies.push(operation::Reply::Answer { answer, replayed: false });
+    }
+
+    fn act(&mut self, number: usize, actions: Vec<operation::Action>) {
+        for action in actions {
+            match action {
+                operation::Action::Propose(command) => self.propose(number, command),
+                operation::Action::Send { attempt, upstream } => {
+                    self.requests[number].sent = true;
+                    self.bag.push((number, Message::Call(attempt, upstream.incarnation)));
+                }
+                operation::Action::Ask { attempt, upstream, promise } => {
+                    let message = Message::Ask(attempt, upstream.incarnation, promise);
+                    self.bag.push((number, message));
+                }
+                operation::Action::Wait { .. } => self.bag.push((number, Message::Elapsed)),
+                operation::Action::Acknowledge { attempt, .. } => self.agent.acknowledge(&attempt),
+                operation::Action::Reply(reply) => self.requests[number].replies.push(reply),
+            }
+        }
+    }
+
+    fn propose(&mut self, number: usize, mut command: state::Command) {
+        if let (Fault::DoubtReleases, state::Command::Doubt { id, attempt, .. }) =
+            (self.fault, &command)
+        {
+            let incarnation = self.table.get(id).unwrap().upstream.incarnation;
+            let evidence = state::Evidence::Promise { incarnation };
+            command = state::Command::Release { id: *id, attempt: attempt.clone(), evidence };
+        }
+        self.bag.push((number, Message::ToLog(command)));
+    }
+
+    /// Hands an event to the request's entry, if that is still there.
+    pub fn tell(&mut self, number: usize, event: operation::Event) {
+        if !self.requests[number].alive {
+            return;
+        }
+        if let Some(operation) = self.requests[number].operation.as_mut() {
+            let actions = operation.handle(event);
+            self.act(number, actions);
+        }
+    }
+
+    /// Delivers one message.
+    pub fn deliver(&mut self, number: usize, message: Message) {
+        match message {
+            Message::ToLog(command) => {
+                let outcome = self.commit(command);
+                self.bag.push((number, Message::FromLog(Some(outcome))));
+            }
+            Message::FromLog(Some(outcome)) => {
+                self.tell(number, operation::Event::Applied(outcome));
+            }
+            Message::FromLog(None) => self.tell(number, operation::Event::NotApplied),
+            Message::Call(attempt, incarnation) => self.call(number, attempt, incarnation),
+            Message::ToUpstream(attempt, incarnation) => self.run(number, attempt, incarnation),
+            Message::FromUpstream(attempt, incarnation, answer) => {
+                self.upstream_answered(number, &attempt, incarnation, answer);
+            }
+            Message::Answered(result) => self.answered(number, result),
+            Message::Ask(attempt, incarnation, promise) => {
+                let knowledge = self.ask(&attempt, incarnation, promise);
+                self.bag.push((number, Message::Told(knowledge)));
+            }
+            Message::Told(knowledge) => self.tell(number, operation::Event::Told(knowledge)),
+            Message::Elapsed => self.tell(number, operation::Event::Elapsed),
+        }
+    }
+
+    pub fn commit(&mut self, command: state::Command) -> state::Outcome {
+        self.now_ms += 10;
+        self.table.apply(state::Stamped { now_ms: self.now_ms, command })
+    }
+
+    fn call(&mut self, number: usize, id: attempt::AttemptId, to: attempt::Incarnation) {
+        let started = match self.policy.guards() {
+            true => self.agent.start(&id, to, self.now_ms),
+            false => Ok(()),
+        };
+        let message = match started {
+            Ok(()) => Message::ToUpstream(id, self.agent.incarnation()),
+            Err(refusal) => Message::Answered(Err(refusal)),
+        };
+        self.bag.push((number, message));
+    }
+
+    fn run(&mut self, number: usize, id: attempt::AttemptId, incarnation: attempt::Incarnation) {
+        let first = self.effects.first().cloned();
+        let answer = match (self.policy, first) {
+            (Policy::PromiseAndKey, Some(first)) => ledger_answer(&first),
+            _ => {
+                self.effects.push(id.clone());
+                ledger_answer(&id)
+            }
+        };
+        self.bag.push((number, Message::FromUpstream(id, incarnation, answer)));
+    }
+
+    fn upstream_answered(
+        &mut self,
+        number: usize,
+        id: &attempt::AttemptId,
+        incarnation: attempt::Incarnation,
+        answer: answer::Answer,
+    ) {
+        if self.policy.guards() {
+            if incarnation != self.agent.incarnation() {
+                return;
+            }
+            self.agent.finish(id, answer.clone());
+        }
+        if self.requests[number].attempt == *id {
+            self.bag.push((number, Message::Answered(Ok(answer))));
+        }
+    }
+
+    fn answered(&mut self, number: usize, result: Result<answer::Answer, guard::StartRefusal>) {
+        if self.policy.claims() {
+            let event = match result {
+                Ok(answer) => operation::Event::Answered(answer),
+                Err(refusal) => operation::Event::Refused(refusal),
+            };
+            return self.tell(number, event);
+        }
+        let Ok(answer) = result else { return };
+        if self.requests[number].alive {
+            self.reply_answer(number, answer);
+        }
+    }
+
+    fn ask(
+        &mut self,
+        id: &attempt::AttemptId,
+        to: attempt::Incarnation,
+        promise: bool,
+    ) -> guard::Knowledge {
+        if !self.policy.guards() {
+            return guard::Knowledge::Unknown;
+        }
+        if !promise {
+            return self.agent.inspect(id, to);
+        }
+        if self.fault == Fault::ForgetPromise {
+            let known = self.agent.inspect(id, to);
+            return match known {
+                guard::Knowledge::NotArrived => guard::Knowledge::NeverStarts,
+                known => known,
+            };
+        }
+        self.agent.promise(id, to, self.now_ms)
+    }
+
+    /// The entry dies with all its requests.
+    pub fn kill_entry(&mut self, entry: usize) {
+        for request in &mut self.requests {
+            if request.entry == entry {
+                request.alive = false;
+            }
+        }
+    }
+
+    /// The agent dies and comes back without its memory; its links break.
+    pub fn restart_agent(&mut self) {
+        let mut next = attempt::Incarnation(self.agent.incarnation().0 + 1);
+        if self.fault == Fault::SameIncarnation {
+            next = self.agent.incarnation();
+        }
+        self.agent = guard::Guard::new(next, guard::GuardLimits::default());
+        for number in 0..self.requests.len() {
+            if self.requests[number].sent {
+                self.tell(number, operation::Event::LinkLost);
+            }
+        }
+    }
+
+    /// Whether some request that was told "did not run" has an effect.
+    pub fn false_refusals(&self) -> usize {
+        let told_not_run = |request: &&Request| {
+            let not_run =
+                |reply: &operation::Reply| matches!(reply, operation::Reply::DidNotRun { .. });
+            request.replies.iter().any(not_run)
+        };
+        let ran = |request: &&Request| self.effects.contains(&request.attempt);
+        self.requests.iter().filter(told_not_run).filter(ran).count()
+    }
+
+    /// Whether some answer is not the one that the ledger gave to this operation.
+    pub fn foreign_answers(&self) -> usize {
+        let known: Vec<_> = self.effects.iter().map(ledger_answer).collect();
+        let foreign = |reply: &&operation::Reply| match reply {
+            operation::Reply::Answer { answer, .. } => !known.contains(answer),
+            _ => false,
+        };
+        self.requests.iter().flat_map(|request| &request.replies).filter(foreign).count()
+    }
+}
