Give orders to engines through one fence and a life cycle of weights

Cause: a late order of an earlier giver could unload or activate what a newer intent changed. Conclusion: the fence must be raised before the state is read that an activation rests on.

--- a/ragwortdeal_core/src/orders.rs
+++ b/ragwortdeal_core/src/orders.rs
@@ -1,1 +1,9 @@
-//! Life cycle of weights on one instance and the fenced orders to its engine.
+//! Orders to the engine of one instance, and the life of weights on it.
+//!
+//! Only the agent beside an engine gives it orders. `docs/design/weights.md` tells how the switch
+//! of a version fits into a spread.
+
+pub mod giver;
+pub mod lineup;
+pub mod order;
+pub mod weights;
--- /dev/null
+++ b/ragwortdeal_core/src/orders/giver.rs
@@ -0,0 +1,259 @@
+//! Decides which order an engine gets next, such that no late order can undo a newer one.
+
+use std::collections;
+
+use crate::orders::order;
+
+/// What the giver has to know of the engine and the network.
+#[derive(Clone, Copy, Debug)]
+pub struct GiverSettings {
+    /// Whether the engine checks the number of an order.
+    pub fencing: order::Fencing,
+    /// Longest time from giving an order until it can take no more effect, lost or not. It counts
+    /// only for engines that ignore the number.
+    pub order_life_ms: u64,
+}
+
+/// What is ready on the instance.
+#[derive(Clone, Debug, Default)]
+pub struct Holdings {
+    /// Weights staged and verified as a whole.
+    pub verified: collections::BTreeSet<order::WeightsId>,
+    /// Weights on which calls are in progress.
+    pub in_use: collections::BTreeSet<order::WeightsId>,
+}
+
+/// What happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The log wants this; older intents than the present one are ignored.
+    Intent(order::Intent),
+    /// The highest revision that the zone is known to have applied.
+    ///
+    /// A restarted agent in a cut-off zone may read an old intent from a stale voter. It gives no
+    /// order before it knows this, and none for an older intent.
+    Floor(order::Fence),
+    /// The engine reported its state on request.
+    State(order::EngineState),
+    /// The engine carried out the order with this sequence.
+    Done(u64),
+    /// The engine refused the order with this sequence, or failed at it.
+    Refused(u64),
+    /// No reply came to the order with this sequence: it may have, or may yet take, effect.
+    Lost(u64),
+}
+
+/// What to do now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Asks the engine for its state.
+    ReadState,
+    /// Gives an order.
+    Give(order::Order),
+}
+
+#[derive(Clone, Debug)]
+enum Phase {
+    /// An order that this giver cannot take back may still take effect.
+    WaitingOut {
+        until_ms: u64,
+    },
+    MustRead,
+    Reading,
+    Ready(order::EngineState),
+    Ordering {
+        order: order::Order,
+        given_at_ms: u64,
+    },
+}
+
+/// The giver of orders to one engine, for one life of the agent.
+#[derive(Debug)]
+pub struct OrderGiver {
+    settings: GiverSettings,
+    floor: Option<order::Fence>,
+    intent: Option<order::Intent>,
+    /// Highest number of which the engine has carried out an order in this life.
+    carried_out: Option<order::Fence>,
+    phase: Phase,
+    next_sequence: u64,
+}
+
+impl OrderGiver {
+    /// Begins a life of the agent. Orders of its former life may still be on their way, so an
+    /// engine that ignores numbers gets none before they cannot take effect any more.
+    pub fn new(settings: GiverSettings, now_ms: u64) -> Self {
+        let phase = match settings.fencing {
+            order::Fencing::Checked => Phase::MustRead,
+            order::Fencing::Ignored => {
+                Phase::WaitingOut { until_ms: now_ms + settings.order_life_ms }
+            }
+        };
+        Self { settings, floor: None, intent: None, carried_out: None, phase, next_sequence: 1 }
+    }
+
+    /// Takes in an event.
+    pub fn handle(&mut self, event: Event, now_ms: u64) {
+        match event {
+            Event::Intent(intent) => {
+                if self.intent.as_ref().is_none_or(|known| known.fence < intent.fence) {
+                    self.intent = Some(intent);
+                }
+            }
+            Event::Floor(fence) => self.floor = self.floor.max(Some(fence)),
+            Event::State(state) => {
+                if matches!(self.phase, Phase::Reading) {
+                    self.floor = self.floor.max(self.floor.and(state.highest_fence));
+                    self.phase = Phase::Ready(state);
+                }
+            }
+            Event::Done(sequence) => self.done(sequence),
+            Event::Refused(sequence) => {
+                if self.is_outstanding(sequence) {
+                    self.phase = Phase::MustRead;
+                }
+            }
+            Event::Lost(sequence) => self.lost(sequence, now_ms),
+        }
+    }
+
+    /// The next action, if one is due. Each action is followed by an event before the next.
+    pub fn poll(&mut self, now_ms: u64, holdings: &Holdings) -> Option<Action> {
+        match &self.phase {
+            Phase::WaitingOut { until_ms } if now_ms >= *until_ms => self.read(),
+            Phase::MustRead => self.read(),
+            Phase::Ready(state) => {
+                let kind = self.next_kind(state, holdings)?;
+                let fence = self.acting_intent()?.fence;
+                Some(Action::Give(self.give(fence, kind, now_ms)))
+            }
+            _ => None,
+        }
+    }
+
+    /// Reads the engine's state again before the next order, for instance now and then.
+    pub fn refresh(&mut self) {
+        if matches!(self.phase, Phase::Ready(_)) {
+            self.phase = Phase::MustRead;
+        }
+    }
+
+    /// The intent that the engine is known to follow, such that no late order can undo it.
+    pub fn in_force(&self) -> Option<order::Fence> {
+        let Phase::Ready(state) = &self.phase else { return None };
+        let intent = self.acting_intent()?;
+        let follows = intent.active.is_none() || state.active == intent.active;
+        let complete = intent.loaded.is_subset(&state.loaded) && state.role == intent.role;
+        let settled = follows && complete && !self.must_raise(intent);
+        settled.then_some(intent.fence)
+    }
+
+    fn read(&mut self) -> Option<Action> {
+        self.phase = Phase::Reading;
+        Some(Action::ReadState)
+    }
+
+    fn give(&mut self, fence: order::Fence, kind: order::OrderKind, now_ms: u64) -> order::Order {
+        let order = order::Order { fence, sequence: self.next_sequence, kind };
+        self.next_sequence += 1;
+        self.phase = Phase::Ordering { order: order.clone(), given_at_ms: now_ms };
+        order
+    }
+
+    fn done(&mut self, sequence: u64) {
+        if let Phase::Ordering { order, .. } = &self.phase
+            && order.sequence == sequence
+        {
+            self.carried_out = self.carried_out.max(Some(order.fence));
+            self.phase = Phase::MustRead;
+        }
+    }
+
+    fn lost(&mut self, sequence: u64, now_ms: u64) {
+        let Phase::Ordering { order, given_at_ms } = &self.phase else { return };
+        if order.sequence != sequence {
+            return;
+        }
+        let until_ms = match self.settings.fencing {
+            order::Fencing::Checked => now_ms,
+            order::Fencing::Ignored => given_at_ms + self.settings.order_life_ms,
+        };
+        self.phase = Phase::WaitingOut { until_ms };
+    }
+
+    fn is_outstanding(&self, sequence: u64) -> bool {
+        matches!(&self.phase, Phase::Ordering { order, .. } if order.sequence == sequence)
+    }
+
+    /// The intent, unless something newer is known to have been applied.
+    fn acting_intent(&self) -> Option<&order::Intent> {
+        let floor = self.floor?;
+        self.intent.as_ref().filter(|intent| intent.fence >= floor)
+    }
+
+    fn next_kind(
+        &self,
+        state: &order::EngineState,
+        holdings: &Holdings,
+    ) -> Option<order::OrderKind> {
+        let intent = self.acting_intent()?;
+        if state.loading {
+            // A load of a former life goes on. Whatever is ordered now could meet half of it.
+            return None;
+        }
+        self.raise(intent)
+            .or_else(|| load(intent, state, holdings))
+            .or_else(|| change_role(intent, state))
+            .or_else(|| activate(intent, state))
+            .or_else(|| unload(intent, state, holdings))
+    }
+
+    /// The first order of an intent: a harmless one, after which older numbers are refused.
+    ///
+    /// A lost order to unload could otherwise arrive between reading the state and activating the
+    /// very weights that it drops, and the engine would serve what it no longer holds. Once this
+    /// order is done, the state that is read next can be changed by this intent alone.
+    fn raise(&self, intent: &order::Intent) -> Option<order::OrderKind> {
+        self.must_raise(intent).then_some(order::OrderKind::ChangeRole(intent.role))
+    }
+
+    fn must_raise(&self, intent: &order::Intent) -> bool {
+        self.settings.fencing == order::Fencing::Checked && self.carried_out < Some(intent.fence)
+    }
+}
+
+fn load(
+    intent: &order::Intent,
+    state: &order::EngineState,
+    holdings: &Holdings,
+) -> Option<order::OrderKind> {
+    let wanted = intent.active.iter().chain(&intent.loaded);
+    let ready = |weights: &&order::WeightsId| {
+        holdings.verified.contains(*weights) && !state.loaded.contains(*weights)
+    };
+    wanted.into_iter().find(ready).cloned().map(order::OrderKind::Load)
+}
+
+fn change_role(intent: &order::Intent, state: &order::EngineState) -> Option<order::OrderKind> {
+    (state.role != intent.role).then_some(order::OrderKind::ChangeRole(intent.role))
+}
+
+/// Only what the engine itself reports as whole is activated.
+fn activate(intent: &order::Intent, state: &order::EngineState) -> Option<order::OrderKind> {
+    let target = intent.active.as_ref()?;
+    let due = state.active.as_ref() != Some(target) && state.loaded.contains(target);
+    due.then(|| order::OrderKind::Activate(target.clone()))
+}
+
+fn unload(
+    intent: &order::Intent,
+    state: &order::EngineState,
+    holdings: &Holdings,
+) -> Option<order::OrderKind> {
+    let idle = |weights: &&order::WeightsId| {
+        !intent.wants(weights)
+            && state.active.as_ref() != Some(*weights)
+            && !holdings.in_use.contains(*weights)
+    };
+    state.loaded.iter().find(idle).cloned().map(order::OrderKind::Unload)
+}
--- /dev/null
+++ b/ragwortdeal_core/tests/orders_model.rs
@@ -0,0 +1,358 @@
+//! Orders under delays of a minute, losses, restarts and stale readings, against a model engine.
+
+use std::collections;
+
+use googletest::prelude::*;
+use ragwortdeal_core::{
+    digest, name,
+    orders::{giver, order},
+};
+use rand::{RngExt as _, SeedableRng as _};
+
+const SEEDS: u64 = 600;
+const SECONDS: u64 = 1_200;
+const ORDER_LIFE_MS: u64 = 60_000;
+const REPLY_TIMEOUT_MS: u64 = 5_000;
+
+fn weights(number: u64) -> order::WeightsId {
+    order::WeightsId {
+        model: name::ModelName::new("matcher").unwrap(),
+        adapter: None,
+        version: digest::Digest::of(&number.to_le_bytes()),
+    }
+}
+
+/// An engine that does whatever it is told, however wrong.
+#[derive(Clone, Debug)]
+struct ModelEngine {
+    fencing: order::Fencing,
+    state: order::EngineState,
+    loading: Option<(order::WeightsId, u64, u64)>,
+}
+
+impl ModelEngine {
+    fn new(fencing: order::Fencing) -> Self {
+        let state = order::EngineState {
+            loaded: collections::BTreeSet::from([weights(0)]),
+            loading: false,
+            active: Some(weights(0)),
+            role: order::Role::Whole,
+            highest_fence: None,
+        };
+        Self { fencing, state, loading: None }
+    }
+
+    /// Takes an order; a load that takes a while gives no reply yet.
+    fn take(&mut self, order: &order::Order, load_seconds: u64) -> Option<giver::Event> {
+        if self.fencing == order::Fencing::Checked {
+            if self.state.highest_fence > Some(order.fence) {
+                return Some(giver::Event::Refused(order.sequence));
+            }
+            self.state.highest_fence = Some(order.fence);
+        }
+        match &order.kind {
+            order::OrderKind::Load(id) if self.state.loaded.contains(id) => {}
+            order::OrderKind::Load(id) => {
+                self.state.loading = true;
+                self.loading = Some((id.clone(), load_seconds, order.sequence));
+                return None;
+            }
+            order::OrderKind::Unload(id) => {
+                self.state.loaded.remove(id);
+            }
+            order::OrderKind::Activate(id) => self.state.active = Some(id.clone()),
+            order::OrderKind::ChangeRole(role) => self.state.role = *role,
+        }
+        Some(giver::Event::Done(order.sequence))
+    }
+
+    fn second_passes(&mut self) -> Option<giver::Event> {
+        let (id, left, sequence) = self.loading.take()?;
+        if left > 0 {
+            self.loading = Some((id, left - 1, sequence));
+            return None;
+        }
+        self.state.loading = false;
+        self.state.loaded.insert(id);
+        Some(giver::Event::Done(sequence))
+    }
+
+    fn serves_partial(&self) -> bool {
+        self.state.active.as_ref().is_some_and(|active| !self.state.loaded.contains(active))
+    }
+}
+
+#[derive(Debug)]
+enum Flight {
+    Order { order: order::Order },
+    Event { event: giver::Event },
+}
+
+/// Mistakes planted to show that the checks notice them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    None,
+    /// An order is taken for dead as soon as its reply is missing.
+    NoWaitingOut,
+    /// A restarted agent trusts the first intent that it reads.
+    NoFloor,
+    /// The settings say that the engine checks numbers, and it does not.
+    WrongSettings,
+}
+
+struct Model {
+    rng: rand_chacha::ChaCha8Rng,
+    fault: Fault,
+    engine: ModelEngine,
+    giver: giver::OrderGiver,
+    life: u64,
+    now_ms: u64,
+    flights: Vec<(u64, u64, Flight)>,
+    outstanding: Option<(u64, u64)>,
+    intents: Vec<order::Intent>,
+    /// Highest number that this instance has ever read from the log.
+    known: u64,
+    in_force: u64,
+    reports: u64,
+    partial: u64,
+    fell_back: u64,
+}
+
+fn settings(fencing: order::Fencing, fault: Fault) -> giver::GiverSettings {
+    let wrong = fault == Fault::WrongSettings;
+    let fencing = if wrong { order::Fencing::Checked } else { fencing };
+    let order_life_ms = if fault == Fault::NoWaitingOut { 0 } else { ORDER_LIFE_MS };
+    giver::GiverSettings { fencing, order_life_ms }
+}
+
+impl Model {
+    fn new(fencing: order::Fencing, fault: Fault, seed: u64) -> Self {
+        let mut giver = giver::OrderGiver::new(settings(fencing, fault), 0);
+        giver.handle(giver::Event::Floor(order::Fence(0)), 0);
+        Self {
+            rng: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
+            fault,
+            engine: ModelEngine::new(fencing),
+            giver,
+            life: 0,
+            now_ms: 0,
+            flights: Vec::new(),
+            outstanding: None,
+            intents: vec![intent(0, 0)],
+            known: 0,
+            in_force: 0,
+            reports: 0,
+            partial: 0,
+            fell_back: 0,
+        }
+    }
+
+    fn run(mut self) -> Self {
+        for _ in 0..SECONDS {
+            self.now_ms += 1_000;
+            self.chance();
+            self.land();
+            if let Some(event) = self.engine.second_passes() {
+                self.send_event(event);
+            }
+            self.time_out();
+            self.act();
+            self.check();
+        }
+        self
+    }
+
+    fn chance(&mut self) {
+        match self.rng.random_range(0..200) {
+            0..3 => self.commit_intent(),
+            3..5 => self.restart(),
+            5..8 => self.read_intent(),
+            8..20 => self.giver.refresh(),
+            _ => {}
+        }
+    }
+
+    /// An operator changes the version, now and then back to one of the former.
+    fn commit_intent(&mut self) {
+        let fence = self.intents.len() as u64;
+        let back = fence.saturating_sub(self.rng.random_range(0..4));
+        let version = if self.rng.random_bool(0.5) { fence } else { back };
+        self.intents.push(intent(fence, version));
+        self.read_intent();
+    }
+
+    fn read_intent(&mut self) {
+        let newest = self.intents.len() - 1;
+        self.known = newest as u64;
+        let intent = self.intents[newest].clone();
+        self.giver.handle(giver::Event::Intent(intent), self.now_ms);
+    }
+
+    /// The agent restarts and reads an intent from a voter that has been cut off for a while.
+    fn restart(&mut self) {
+        self.life += 1;
+        self.outstanding = None;
+        let settings = settings(self.engine.fencing, self.fault);
+        self.giver = giver::OrderGiver::new(settings, self.now_ms);
+        let stale = self.rng.random_range(0..self.intents.len());
+        let intent = self.intents[stale].clone();
+        let floor = if self.fault == Fault::NoFloor { 0 } else { self.known };
+        self.giver.handle(giver::Event::Intent(intent), self.now_ms);
+        if self.rng.random_bool(0.8) {
+            self.giver.handle(giver::Event::Floor(order::Fence(floor)), self.now_ms);
+        }
+    }
+
+    fn land(&mut self) {
+        let now_ms = self.now_ms;
+        let (due, later) = self.flights.drain(..).partition(|(at_ms, ..)| *at_ms <= now_ms);
+        self.flights = later;
+        for (_, life, flight) in due {
+            match flight {
+                Flight::Order { order } => {
+                    let load_seconds = self.rng.random_range(0..4);
+                    if let Some(event) = self.engine.take(&order, load_seconds) {
+                        self.send_event_of(life, event);
+                    }
+                }
+                Flight::Event { event } if life == self.life => self.deliver(event),
+                Flight::Event { .. } => {}
+            }
+        }
+    }
+
+    fn deliver(&mut self, event: giver::Event) {
+        if let giver::Event::Done(sequence) | giver::Event::Refused(sequence) = &event
+            && self.outstanding.is_some_and(|(outstanding, _)| outstanding == *sequence)
+        {
+            self.outstanding = None;
+        }
+        self.giver.handle(event, self.now_ms);
+    }
+
+    fn send_event(&mut self, event: giver::Event) {
+        self.send_event_of(self.life, event);
+    }
+
+    fn send_event_of(&mut self, life: u64, event: giver::Event) {
+        if self.rng.random_bool(0.95) {
+            let at_ms = self.now_ms + self.delay_ms();
+            self.flights.push((at_ms, life, Flight::Event { event }));
+        }
+    }
+
+    /// Most messages take a moment, some almost as long as an order can live.
+    fn delay_ms(&mut self) -> u64 {
+        match self.rng.random_range(0..10) {
+            0..8 => 0,
+            8 => self.rng.random_range(0..10_000),
+            _ => self.rng.random_range(0..ORDER_LIFE_MS - 5_000),
+        }
+    }
+
+    fn time_out(&mut self) {
+        if let Some((sequence, given_at_ms)) = self.outstanding
+            && self.now_ms >= given_at_ms + REPLY_TIMEOUT_MS
+        {
+            self.outstanding = None;
+            self.giver.handle(giver::Event::Lost(sequence), self.now_ms);
+        }
+    }
+
+    fn act(&mut self) {
+        let holdings = giver::Holdings {
+            verified: self.intents.iter().filter_map(|intent| intent.active.clone()).collect(),
+            in_use: collections::BTreeSet::new(),
+        };
+        match self.giver.poll(self.now_ms, &holdings) {
+            Some(giver::Action::ReadState) => {
+                let state = self.engine.state.clone();
+                self.giver.handle(giver::Event::State(state), self.now_ms);
+            }
+            Some(giver::Action::Give(order)) => {
+                self.outstanding = Some((order.sequence, self.now_ms));
+                let at_ms = self.now_ms + self.delay_ms();
+                self.flights.push((at_ms, self.life, Flight::Order { order }));
+            }
+            None => {}
+        }
+    }
+
+    fn check(&mut self) {
+        self.partial += u64::from(self.engine.serves_partial());
+        if let Some(fence) = self.giver.in_force() {
+            self.reports += u64::from(fence.0 > self.in_force);
+            self.in_force = self.in_force.max(fence.0);
+        }
+        let newer = &self.intents[self.in_force as usize..];
+        let intended = newer.iter().any(|intent| intent.active == self.engine.state.active);
+        self.fell_back += u64::from(!intended);
+    }
+}
+
+fn intent(fence: u64, version: u64) -> order::Intent {
+    order::Intent {
+        fence: order::Fence(fence),
+        active: Some(weights(version)),
+        loaded: collections::BTreeSet::new(),
+        role: order::Role::Whole,
+    }
+}
+
+/// Seeds with partial weights served, seeds that fell back, and changes that came into force.
+#[derive(Debug, Default)]
+struct Totals {
+    partial: u64,
+    fell_back: u64,
+    in_force: u64,
+}
+
+fn totals(fencing: order::Fencing, fault: Fault) -> Totals {
+    let mut totals = Totals::default();
+    for seed in 0..SEEDS {
+        let model = Model::new(fencing, fault, seed).run();
+        totals.partial += u64::from(model.partial > 0);
+        totals.fell_back += u64::from(model.fell_back > 0);
+        totals.in_force += model.reports;
+    }
+    println!("{fencing:?} {fault:?}: {totals:?}");
+    totals
+}
+
+macro_rules! safe {
+    ($($case:ident: $fencing:expr,)*) => {$(
+        /// Orders arrive up to a minute late, replies are lost, the agent restarts and reads old
+        /// intents. Callers would notice answers of a version that was withdrawn, or garbage from
+        /// weights of which a part is gone.
+        #[googletest::test]
+        fn $case() {
+            let totals = totals($fencing, Fault::None);
+            expect_that!(totals.partial, eq(0));
+            expect_that!(totals.fell_back, eq(0));
+            expect_that!(totals.in_force, gt(SEEDS));
+        }
+    )*};
+}
+
+safe! {
+    an_engine_that_checks_numbers_is_safe: order::Fencing::Checked,
+    an_engine_that_ignores_numbers_is_safe: order::Fencing::Ignored,
+}
+
+macro_rules! planted {
+    ($($case:ident: $fault:expr,)*) => {$(
+        /// A mistake is planted in how the giver is used; the same seeds have to show a fall back
+        /// or partial weights.
+        #[googletest::test]
+        fn $case() {
+            let totals = totals(order::Fencing::Ignored, $fault);
+            expect_that!(totals.partial + totals.fell_back, gt(0));
+        }
+    )*};
+}
+
+planted! {
+    not_waiting_for_late_orders_is_noticed: Fault::NoWaitingOut,
+    trusting_a_stale_reading_is_noticed: Fault::NoFloor,
+    settings_that_belie_the_engine_are_noticed: Fault::WrongSettings,
+}
