Take over claims whose entry died

Cause: a claim whose entry died stayed open until the caller resent or staff looked at it. Change: any entry can take over a claim by asking its agent; a case for the doubt that a release after it must not hide. Conclusion: staff see only what nobody else can settle.

--- a/ragwortdeal_core/src/claims/operation.rs
+++ b/ragwortdeal_core/src/claims/operation.rs
@@ -167,6 +167,23 @@
         (operation, vec![first])
     }
 
+    /// Takes over a claim whose entry may be gone, in order that it does not stay open until the
+    /// caller resends or staff look at it. It runs nothing, and its reply is for nobody.
+    pub fn reconcile(standing: state::Standing, times: OperationTimes) -> (Self, Vec<Action>) {
+        let claim = state::Claim {
+            key: standing.key.clone(),
+            body: standing.body,
+            attempt: standing.attempt.clone(),
+            after: None,
+            upstream: standing.upstream.clone(),
+            key_support: standing.key_support,
+        };
+        let (mut operation, _) = Self::begin(claim, times);
+        operation.spent = true;
+        let actions = operation.follow(standing);
+        (operation, actions)
+    }
+
     /// Whether nothing is left to do.
     pub fn is_done(&self) -> bool {
         matches!(self.phase, Phase::Done)
--- a/ragwortdeal_core/tests/claims/sim.rs
+++ b/ragwortdeal_core/tests/claims/sim.rs
@@ -170,6 +170,23 @@
         number
     }
 
+    /// An entry takes over the claim as it stands, whoever made it.
+    pub fn reconcile(&mut self, entry: usize) {
+        let Some(standing) = self.table.get(&scoped_key().id()).cloned() else { return };
+        let attempt = standing.attempt.clone();
+        let times = operation::OperationTimes::default();
+        let (operation, actions) = operation::Operation::reconcile(standing, times);
+        self.requests.push(Request {
+            entry,
+            attempt,
+            operation: Some(operation),
+            alive: true,
+            sent: false,
+            replies: Vec::new(),
+        });
+        self.act(self.requests.len() - 1, actions);
+    }
+
     fn claim(&self, attempt: attempt::AttemptId) -> state::Claim {
         let key_support = match self.policy {
             Policy::PromiseAndKey => state::KeySupport::Service,
--- a/ragwortdeal_core/tests/claims_kill.rs
+++ b/ragwortdeal_core/tests/claims_kill.rs
@@ -293,6 +293,28 @@
     figures_of_a_claim_promise_and_key: PromiseAndKey => (56, 0, 0),
 }
 
+/// The entry dies with a claim open and the caller never comes back. Another entry takes the claim
+/// over, so that staff find only those that nobody else can settle.
+#[googletest::test]
+fn an_abandoned_claim_is_taken_over() {
+    let mut left_open = 0;
+    for step in STEPS {
+        for arrives in VARIANTS {
+            let mut sim = Sim::new(Policy::Promise, Fault::None);
+            let mut pending = Pending::default();
+            sim.request(1);
+            let kill = Kill { victim: Victim::Entry, step, arrives };
+            drain(&mut sim, &mut Some(kill), &mut pending);
+            sim.reconcile(2);
+            drain(&mut sim, &mut None, &mut pending);
+            let open = sim.table.get(&sim::scoped_key().id());
+            left_open += usize::from(open.is_some_and(|standing| !standing.state.is_final()));
+            expect_that!(sim.false_refusals(), eq(0));
+        }
+    }
+    expect_that!(left_open, eq(0));
+}
+
 macro_rules! planted {
     ($($case:ident: $fault:expr,)*) => {$(
         /// A mistake is planted that lets an attempt run after it was given up; the tally has to
--- a/ragwortdeal_core/tests/claims_random.rs
+++ b/ragwortdeal_core/tests/claims_random.rs
@@ -32,6 +32,7 @@
             0..4 if sim.requests.len() < REQUESTS => {
                 sim.request(rng.random_range(0..ENTRIES));
             }
+            15..17 => sim.reconcile(rng.random_range(0..ENTRIES)),
             4..6 => sim.kill_entry(rng.random_range(0..ENTRIES)),
             6..8 => sim.restart_agent(),
             8..11 => lose_link(&mut sim, &mut rng),
--- a/ragwortdeal_core/tests/claims_table.rs
+++ b/ragwortdeal_core/tests/claims_table.rs
@@ -223,6 +223,27 @@
     expect_that!(outcome, eq(&state::Outcome::BodyMismatch));
 }
 
+/// An upstream runs each key once, so an attempt in doubt is replaced; the second attempt turns out
+/// not to have started. The first may have run all the same, and a caller who were told that the
+/// operation did not run would order it again under another key.
+#[googletest::test]
+fn a_release_after_a_replaced_doubt_goes_back_to_doubt() {
+    let mut table = table::ClaimTable::new(limits(), all_slots());
+    let mut apply = |command| short(&table.apply(state::Stamped { now_ms: 0, command }));
+    let honoured = |sequence, after| {
+        let state::Command::Claim(mut claim) = claim("a", sequence, after) else { unreachable!() };
+        claim.key_support = state::KeySupport::Service;
+        state::Command::Claim(claim)
+    };
+    expect_that!(apply(honoured(1, None)), eq("granted"));
+    expect_that!(apply(doubt("a", 1)), eq("done"));
+    expect_that!(apply(honoured(2, Some(1))), eq("granted"));
+    expect_that!(apply(release("a", 2, 1)), eq("in doubt"));
+    expect_that!(apply(honoured(3, Some(2))), eq("granted"));
+    expect_that!(apply(record("a", 1)), eq("done"));
+    expect_that!(apply(honoured(4, None)), eq("recorded"));
+}
+
 /// Many keys arrive and none expires. New ones are refused as not run; none is forgotten.
 #[googletest::test]
 fn a_full_table_refuses_and_forgets_nothing() {
