Read open operations and single standings through the log

Cause: operators and callers need the standing of operations as the quorum knows it. Change: two reading commands of the claims' state machine, and attempt ids as text.

--- a/ragwortdeal_core/src/claims/attempt.rs
+++ b/ragwortdeal_core/src/claims/attempt.rs
@@ -1,6 +1,8 @@
 //! Attempts at an operation and the incarnation of the agent that each is addressed to.
 
-use std::fmt;
+use std::{fmt, str};
+
+use snafu::{OptionExt as _, Snafu};
 
 use crate::name;
 
@@ -39,6 +41,26 @@
     }
 }
 
+/// The text is no attempt id.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("an attempt id is written as entry/incarnation/sequence"))]
+pub struct AttemptIdError;
+
+impl str::FromStr for AttemptId {
+    type Err = AttemptIdError;
+
+    fn from_str(text: &str) -> Result<Self, AttemptIdError> {
+        // Names hold no slash, so the text has exactly three parts.
+        let (rest, sequence) = text.rsplit_once('/').context(AttemptIdSnafu)?;
+        let (entry, incarnation) = rest.rsplit_once('/').context(AttemptIdSnafu)?;
+        Ok(Self {
+            entry: name::InstanceName::new(entry).ok().context(AttemptIdSnafu)?,
+            entry_incarnation: incarnation.parse().ok().context(AttemptIdSnafu)?,
+            sequence: sequence.parse().ok().context(AttemptIdSnafu)?,
+        })
+    }
+}
+
 impl fmt::Debug for AttemptId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         fmt::Display::fmt(self, f)
--- a/ragwortdeal_core/src/claims/state.rs
+++ b/ragwortdeal_core/src/claims/state.rs
@@ -161,6 +161,13 @@
         /// Operator who settles it.
         operator: name::AccountName,
     },
+    /// Reads the standing of one operation; it goes through the log so that the answer is current.
+    Look(key::OperationId),
+    /// Reads the operations that wait for somebody, the longest waiting first.
+    ListOpen {
+        /// Most operations to list.
+        max: usize,
+    },
     /// Moves the time of the log, so that claims expire while nothing else happens.
     Tick,
     /// Stops serving a slot, so that another group can take it.
@@ -208,6 +215,8 @@
     BadEvidence,
     /// The attempt may still be on its way to the upstream.
     TooEarly,
+    /// The operations that wait for somebody.
+    Open(Vec<Standing>),
     /// The slot is closed; these are its claims.
     SlotClosed(Vec<Standing>),
 }
--- a/ragwortdeal_core/src/claims/table.rs
+++ b/ragwortdeal_core/src/claims/table.rs
@@ -102,6 +102,8 @@
                 let settled = state::State::Settled { verdict, operator, late_answer: None };
                 self.settle(&id, &attempt, settled)
             }
+            state::Command::Look(id) => self.look(&id),
+            state::Command::ListOpen { max } => self.list_open(max),
             state::Command::Tick => state::Outcome::Done,
             state::Command::CloseSlot(slot) => self.close_slot(slot),
             state::Command::OpenSlot { slot, claims } => self.open_slot(slot, claims),
@@ -262,6 +264,21 @@
         self.change(*id, standing)
     }
 
+    fn look(&self, id: &key::OperationId) -> state::Outcome {
+        match self.claims.get(id) {
+            Some(standing) => state::Outcome::Standing(Box::new(standing.clone())),
+            None if self.open.contains(&id.slot()) => state::Outcome::NotClaimed,
+            None => state::Outcome::WrongGroup,
+        }
+    }
+
+    fn list_open(&self, max: usize) -> state::Outcome {
+        let mut open: Vec<_> = self.in_doubt().map(|(_, standing)| standing.clone()).collect();
+        open.sort_by_key(|standing| standing.claimed_at_ms);
+        open.truncate(max);
+        state::Outcome::Open(open)
+    }
+
     fn close_slot(&mut self, slot: key::Slot) -> state::Outcome {
         self.open.remove(&slot);
         let in_slot = |id: &key::OperationId| id.slot() == slot;
--- a/ragwortdeal_core/tests/claims_table.rs
+++ b/ragwortdeal_core/tests/claims_table.rs
@@ -100,6 +100,7 @@
         state::Outcome::Conflict(_) => "conflict",
         state::Outcome::BadEvidence => "bad evidence",
         state::Outcome::TooEarly => "too early",
+        state::Outcome::Open(_) => "open",
         state::Outcome::SlotClosed(_) => "slot closed",
     }
 }
@@ -259,6 +260,33 @@
     expect_that!(table.len(), eq(64));
 }
 
+/// Staff see what is in doubt at once, and what is merely under way only when it takes too long.
+#[googletest::test]
+fn open_operations_are_listed_longest_waiting_first() {
+    let mut table = table::ClaimTable::new(limits(), all_slots());
+    let mut apply = |now_ms, command| table.apply(state::Stamped { now_ms, command });
+    apply(0, claim("slow", 1, None));
+    apply(900, claim("doubtful", 2, None));
+    apply(901, doubt("doubtful", 2));
+    apply(950, claim("running", 3, None));
+    apply(960, claim("done", 4, None));
+    apply(961, record("done", 4));
+    let mut listed = |now_ms| match apply(now_ms, state::Command::ListOpen { max: 9 }) {
+        state::Outcome::Open(open) => open.iter().map(|s| s.key.key.to_string()).collect(),
+        _ => Vec::new(),
+    };
+    expect_that!(listed(999), eq(&vec!["doubtful".to_owned()]));
+    expect_that!(listed(1_000), eq(&vec!["slow".to_owned(), "doubtful".to_owned()]));
+}
+
+#[googletest::test]
+fn an_attempt_id_is_read_back_from_its_text() {
+    expect_that!(attempt_id(7).to_string().parse::<attempt::AttemptId>(), ok(eq(&attempt_id(7))));
+    for text in ["", "entry-1/1", "a b/1/1", "entry-1/x/1", "entry-1/1/-1", "a/b/1/1"] {
+        expect_that!(text.parse::<attempt::AttemptId>(), err(anything()), "{text}");
+    }
+}
+
 #[googletest::test]
 fn a_long_answer_is_kept_as_its_hash() {
     let long = answer::Answer::new(200, None, b"123456789").bounded(8);
