Add the replicated log of the voters as a core without I/O

Cause: accepted changes need a quorum's memory before anything can be built on them.

Seeded exploration with checks, and planted faults that the checks must find.

--- /dev/null
+++ b/ragwortdeal_core/src/replication/replica/election.rs
@@ -0,0 +1,209 @@
+//! Elections: pre-vote, votes, and the times between them.
+
+use std::collections;
+
+use super::{Replica, Role, leader};
+use crate::replication::{RoleKind, entry, message};
+
+/// An election that this replica holds.
+#[derive(Debug)]
+pub(super) struct Candidacy {
+    phase: Phase,
+    granted: collections::BTreeSet<entry::ReplicaId>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Asks whether it could win; no term has changed yet.
+    PreVote,
+    /// Asks for votes in the present term.
+    Vote { transfer: bool },
+}
+
+impl Replica {
+    pub(super) fn tick(&mut self) {
+        if self.is_leader() {
+            self.tick_leader();
+        } else if self.now_ms >= self.election_deadline_ms {
+            self.reset_election_deadline();
+            if self.is_voter() {
+                self.start_candidacy(Phase::PreVote);
+            }
+        }
+    }
+
+    fn is_voter(&self) -> bool {
+        self.log.membership().voters.contains(&self.id)
+    }
+
+    pub(super) fn reset_election_deadline(&mut self) {
+        let timeout_ms = self.options.election_timeout_ms;
+        let spread_ms = self.next_random() % timeout_ms.max(1);
+        self.election_deadline_ms = self.now_ms + timeout_ms + spread_ms;
+    }
+
+    /// Whether a leader is at work as far as this replica can tell. While it is, candidates get no
+    /// answer, so a voter behind a one-way fault cannot depose a leader that serves the others.
+    fn leader_is_fresh(&self) -> bool {
+        let timeout_ms = self.options.election_timeout_ms;
+        let silent_ms = self.now_ms.saturating_sub(self.heard_leader_ms);
+        self.is_leader() || (self.leader.is_some() && silent_ms < timeout_ms)
+    }
+
+    pub(super) fn become_follower(&mut self, term: u64, leader: Option<entry::ReplicaId>) {
+        if term > self.hard_state.term {
+            self.hard_state.term = term;
+            self.hard_state.vote = None;
+            self.save_hard_state();
+        }
+        self.refuse_pending_reads();
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.reset_election_deadline();
+        self.announce_role();
+    }
+
+    fn start_candidacy(&mut self, phase: Phase) {
+        let last = self.log.last();
+        self.leader = None;
+        self.incoming = None;
+        let candidacy = Candidacy { phase, granted: collections::BTreeSet::new() };
+        self.role = Role::Candidate(candidacy);
+        let term = self.hard_state.term;
+        let (request, own_reply) = match phase {
+            Phase::PreVote => {
+                let for_term = term + 1;
+                let reply = message::Body::PreVoteReply { for_term, granted: true };
+                (message::Body::PreVote { for_term, last }, reply)
+            }
+            Phase::Vote { transfer } => {
+                self.hard_state.term = term + 1;
+                self.hard_state.vote = Some(self.id.clone());
+                self.save_hard_state();
+                let reply = message::Body::VoteReply { granted: true };
+                (message::Body::Vote { last, transfer }, reply)
+            }
+        };
+        self.announce_role();
+        // Its own vote goes the way of all others and counts only once it is on disk.
+        self.send_when_synced(self.id.clone(), own_reply);
+        let mut others = self.log.membership().voters.clone();
+        others.remove(&self.id);
+        for voter in others {
+            self.send_when_synced(voter, request.clone());
+        }
+    }
+
+    pub(super) fn on_pre_vote(
+        &mut self,
+        from: entry::ReplicaId,
+        for_term: u64,
+        last: entry::Position,
+    ) {
+        if self.leader_is_fresh() {
+            return;
+        }
+        let granted = for_term > self.hard_state.term && last >= self.log.last();
+        self.send_when_synced(from, message::Body::PreVoteReply { for_term, granted });
+    }
+
+    pub(super) fn on_vote(
+        &mut self,
+        from: entry::ReplicaId,
+        term: u64,
+        last: entry::Position,
+        transfer: bool,
+    ) {
+        if !transfer && term > self.hard_state.term && self.leader_is_fresh() {
+            return;
+        }
+        if term > self.hard_state.term {
+            self.become_follower(term, None);
+        }
+        let free = self.hard_state.vote.as_ref().is_none_or(|vote| *vote == from);
+        let granted = term == self.hard_state.term && free && last >= self.log.last();
+        if granted {
+            self.hard_state.vote = Some(from.clone());
+            self.save_hard_state();
+            self.reset_election_deadline();
+        }
+        self.send_when_synced(from, message::Body::VoteReply { granted });
+    }
+
+    pub(super) fn on_pre_vote_reply(
+        &mut self,
+        from: entry::ReplicaId,
+        for_term: u64,
+        granted: bool,
+    ) {
+        let wanted = for_term == self.hard_state.term + 1;
+        if wanted && granted && self.count_vote(from, Phase::PreVote) {
+            self.start_candidacy(Phase::Vote { transfer: false });
+        }
+    }
+
+    pub(super) fn on_vote_reply(&mut self, from: entry::ReplicaId, granted: bool) {
+        let won = |replica: &mut Self, transfer| {
+            replica.count_vote(from.clone(), Phase::Vote { transfer })
+        };
+        if granted && (won(self, false) || won(self, true)) {
+            self.become_leader();
+        }
+    }
+
+    /// Counts a vote of the given phase and tells whether a quorum has voted.
+    fn count_vote(&mut self, from: entry::ReplicaId, phase: Phase) -> bool {
+        let Role::Candidate(candidacy) = &mut self.role else {
+            return false;
+        };
+        if candidacy.phase != phase {
+            return false;
+        }
+        candidacy.granted.insert(from);
+        self.log.membership().is_quorum(&candidacy.granted)
+    }
+
+    fn become_leader(&mut self) {
+        self.leader = Some(self.id.clone());
+        let term_start = self.log.last().index + 1;
+        let mut leadership = leader::Leadership::new(term_start, self.now_ms);
+        leadership.follow(self.log.membership(), &self.id, self.now_ms);
+        self.role = Role::Leader(Box::new(leadership));
+        self.announce_role();
+        self.append(entry::Payload::TermStart);
+        self.broadcast();
+    }
+
+    pub(super) fn on_timeout_now(&mut self, from: &entry::ReplicaId) {
+        if self.leader.as_ref() == Some(from) && self.is_voter() {
+            self.start_candidacy(Phase::Vote { transfer: true });
+        }
+    }
+
+    /// A leader that has not heard a quorum for an election timeout steps down before it does
+    /// anything else. Without this a leader that is cut off, or was stopped and continued, would
+    /// go on taking changes that can never be accepted while its callers wait.
+    pub(super) fn check_quorum(&mut self) {
+        let Role::Leader(leadership) = &self.role else {
+            return;
+        };
+        let heard_ms = |id: &entry::ReplicaId| match leadership.followers.get(id) {
+            Some(progress) => progress.heard_ms,
+            None => self.now_ms,
+        };
+        let quorum_heard_ms = self.log.membership().reached(heard_ms);
+        if self.now_ms.saturating_sub(quorum_heard_ms) > self.options.election_timeout_ms {
+            self.become_follower(self.hard_state.term, None);
+        }
+    }
+
+    /// The role without its state.
+    pub fn role(&self) -> RoleKind {
+        match &self.role {
+            Role::Follower => RoleKind::Follower,
+            Role::Candidate(_) => RoleKind::Candidate,
+            Role::Leader(_) => RoleKind::Leader,
+            Role::Stopped => RoleKind::Stopped,
+        }
+    }
+}
--- /dev/null
+++ b/ragwortdeal_core/src/replication/replica/follower.rs
@@ -0,0 +1,160 @@
+//! What a follower does with entries and snapshots.
+
+use super::Replica;
+use crate::replication::{entry, log, membership, message};
+
+/// A snapshot that is being received.
+#[derive(Debug)]
+pub(super) struct IncomingSnapshot {
+    position: entry::Position,
+    membership: membership::Membership,
+    state: Vec<u8>,
+    total_bytes: u64,
+}
+
+impl Replica {
+    /// Notes that the leader of the present term was heard.
+    fn heard_leader(&mut self, from: &entry::ReplicaId) {
+        if self.leader.as_ref() != Some(from) || self.role() != super::RoleKind::Follower {
+            self.become_follower(self.hard_state.term, Some(from.clone()));
+        }
+        self.heard_leader_ms = self.now_ms;
+        self.reset_election_deadline();
+    }
+
+    pub(super) fn on_append(
+        &mut self,
+        from: entry::ReplicaId,
+        previous: entry::Position,
+        entries: Vec<entry::Entry>,
+        commit: u64,
+        round: u64,
+    ) {
+        self.heard_leader(&from);
+        let outcome = if previous.index < self.hard_state.commit {
+            // Committed entries agree everywhere, and the start of the log may be trimmed.
+            message::AppendOutcome::Matched { index: self.hard_state.commit }
+        } else if self.log.holds(previous) {
+            let matched = previous.index + entries.len() as u64;
+            self.take_in(entries);
+            self.set_commit(commit.min(matched));
+            message::AppendOutcome::Matched { index: matched }
+        } else {
+            self.mismatch(previous)
+        };
+        self.send_when_synced(from, message::Body::AppendReply { outcome, round });
+    }
+
+    /// Appends what is new. An entry that is already there stays, also if later entries follow it:
+    /// a delayed message must not cut off entries that were acknowledged since.
+    fn take_in(&mut self, entries: Vec<entry::Entry>) {
+        for entry in entries {
+            if self.log.holds(entry.position) {
+                continue;
+            }
+            let index = entry.position.index;
+            if index <= self.log.last().index {
+                self.truncate_from(index);
+            }
+            self.log.append(entry.clone());
+            self.disk.pending.entries.push(entry);
+        }
+    }
+
+    fn truncate_from(&mut self, index: u64) {
+        assert!(index > self.hard_state.commit, "replication: a committed entry would be cut off");
+        self.log.truncate_from(index);
+        self.disk.forget_from(index);
+        self.disk.pending.truncate_from = Some(index);
+    }
+
+    /// Skips back over entries of newer terms than the leader's, so that a long tail of a deposed
+    /// leader costs one message for each term and not one for each entry.
+    fn mismatch(&self, previous: entry::Position) -> message::AppendOutcome {
+        let last_index = self.log.last().index;
+        let mut hint = last_index.min(previous.index.saturating_sub(1));
+        while hint > self.hard_state.commit
+            && self.log.term_at(hint).is_some_and(|term| term > previous.term)
+        {
+            hint -= 1;
+        }
+        message::AppendOutcome::Mismatch { probed: previous.index, hint, last_index }
+    }
+
+    pub(super) fn on_snapshot_piece(&mut self, from: entry::ReplicaId, body: message::Body) {
+        let message::Body::SnapshotPiece {
+            position,
+            membership,
+            offset_bytes,
+            total_bytes,
+            piece,
+            round,
+        } = body
+        else {
+            return;
+        };
+        self.heard_leader(&from);
+        if position.index <= self.hard_state.commit || self.log.holds(position) {
+            self.incoming = None;
+            self.set_commit(position.index);
+            let outcome = message::AppendOutcome::Matched { index: self.hard_state.commit };
+            return self.send_when_synced(from, message::Body::AppendReply { outcome, round });
+        }
+        if total_bytes > self.options.max_snapshot_bytes as u64 {
+            return;
+        }
+        let started = self.incoming.take().filter(|incoming| incoming.position == position);
+        let mut incoming = started.unwrap_or_else(|| IncomingSnapshot {
+            position,
+            membership,
+            state: Vec::new(),
+            total_bytes,
+        });
+        incoming.add(offset_bytes, &piece);
+        self.answer_piece(from, incoming, round);
+    }
+
+    fn answer_piece(&mut self, from: entry::ReplicaId, incoming: IncomingSnapshot, round: u64) {
+        let position = incoming.position;
+        if incoming.is_whole() {
+            self.install(incoming.into_snapshot());
+            let outcome = message::AppendOutcome::Matched { index: position.index };
+            self.send_when_synced(from, message::Body::AppendReply { outcome, round });
+        } else {
+            let next_offset_bytes = incoming.state.len() as u64;
+            self.incoming = Some(incoming);
+            let reply = message::Body::SnapshotReply { position, next_offset_bytes, round };
+            self.send_when_synced(from, reply);
+        }
+    }
+
+    fn install(&mut self, snapshot: entry::Snapshot) {
+        self.log = log::Log::after(&snapshot);
+        self.disk.forget_from(0);
+        self.disk.pending.snapshot = Some(snapshot.clone());
+        self.set_commit(snapshot.position.index);
+        self.snapshot = Some(snapshot);
+    }
+}
+
+impl IncomingSnapshot {
+    /// Adds a piece if it is the next one; a piece that came twice or out of turn is left out.
+    fn add(&mut self, offset_bytes: u64, piece: &[u8]) {
+        let missing_bytes = self.total_bytes.saturating_sub(self.state.len() as u64);
+        if offset_bytes == self.state.len() as u64 && piece.len() as u64 <= missing_bytes {
+            self.state.extend_from_slice(piece);
+        }
+    }
+
+    fn is_whole(&self) -> bool {
+        self.state.len() as u64 == self.total_bytes
+    }
+
+    fn into_snapshot(self) -> entry::Snapshot {
+        entry::Snapshot {
+            position: self.position,
+            membership: self.membership,
+            state: self.state.into(),
+        }
+    }
+}
--- /dev/null
+++ b/ragwortdeal_core/tests/replication/node.rs
@@ -0,0 +1,106 @@
+//! One simulated process with its clock, disk and links.
+
+use std::{cmp, collections};
+
+use ragwortdeal_core::{
+    name,
+    replication::{self, Options, entry, membership, replica},
+};
+use rand::RngExt as _;
+
+const ELECTION_TIMEOUT_MS: u64 = 200;
+
+pub struct Node {
+    pub id: entry::ReplicaId,
+    pub replica: Option<replica::Replica>,
+    pub durable: entry::Stored,
+    pub unsynced: collections::VecDeque<entry::Write>,
+    pub older: entry::Stored,
+    pub applied: u64,
+    pub life: u64,
+    pub rate_percent: u64,
+    pub offset_ms: u64,
+    pub paused_until_ms: u64,
+    pub cut_in: bool,
+    pub cut_out: bool,
+}
+
+impl Node {
+    pub fn new(
+        id: entry::ReplicaId,
+        founding: &entry::Stored,
+        random: &mut rand_chacha::ChaCha8Rng,
+    ) -> Self {
+        Self {
+            id,
+            replica: None,
+            durable: founding.clone(),
+            unsynced: collections::VecDeque::new(),
+            older: founding.clone(),
+            applied: 0,
+            life: 0,
+            rate_percent: random.random_range(80..=120),
+            offset_ms: 0,
+            paused_until_ms: 0,
+            cut_in: false,
+            cut_out: false,
+        }
+    }
+
+    pub fn describe(&self) -> String {
+        let status = self.replica.as_ref().map(replica::Replica::status);
+        format!("{}: {status:?}", self.id)
+    }
+
+    pub fn clock_ms(&self, now_ms: u64) -> u64 {
+        self.offset_ms + now_ms * self.rate_percent / 100
+    }
+
+    pub fn term(&self) -> cmp::Reverse<cmp::Reverse<u64>> {
+        let term = self.replica.as_ref().map_or(0, |replica| replica.status().term);
+        cmp::Reverse(cmp::Reverse(term))
+    }
+
+    pub fn last(&self) -> entry::Position {
+        match &self.replica {
+            Some(replica) => replica.status().last,
+            None => replication::log::Log::new(&self.durable).last(),
+        }
+    }
+
+    pub fn membership(&self) -> membership::Membership {
+        match &self.replica {
+            Some(replica) => replica.status().membership,
+            None => replication::log::Log::new(&self.durable).membership().clone(),
+        }
+    }
+}
+
+pub fn replica_id(node: usize, storage: u64) -> entry::ReplicaId {
+    let instance = name::InstanceName::new(&format!("voter-{node}")).expect("a valid name");
+    entry::ReplicaId { instance, storage: entry::StorageId(storage) }
+}
+
+/// A group whose first entry makes all of these voters.
+pub fn founding(ids: &[entry::ReplicaId]) -> entry::Stored {
+    let mut stored = entry::Stored::founding(&ids[0]);
+    let voters = ids.iter().cloned().collect();
+    let membership = membership::Membership { voters, ..membership::Membership::default() };
+    stored.entries[0].payload = entry::Payload::Membership(membership);
+    stored
+}
+
+/// Small bounds, so that short runs reach them.
+pub fn options(seed: u64) -> Options {
+    Options {
+        election_timeout_ms: ELECTION_TIMEOUT_MS,
+        heartbeat_ms: 40,
+        max_append_bytes: 200,
+        max_inflight_appends: 3,
+        snapshot_piece_bytes: 64,
+        max_snapshot_bytes: 10_000,
+        retained_entries: 5,
+        max_uncommitted_entries: 50,
+        seed,
+    }
+}
