Add the durable log of a voter

Cause: an acknowledgement is worth what the disk still holds after a crash. Conclusion: recovery is a replay of the core's own write semantics.

--- a/ragwortdeal_core/src/replication/entry.rs
+++ b/ragwortdeal_core/src/replication/entry.rs
@@ -110,7 +110,7 @@
 }
 
 /// One ordered write; its parts are carried out in the order of the fields.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Write {
     /// Number of the write; later ones are greater.
     pub id: u64,
--- a/ragwortdeal_node/src/lib.rs
+++ b/ragwortdeal_node/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod program;
 pub mod settings;
 pub mod stop;
+pub mod storage;
 pub mod voter;
