--- a/ragwortdeal_standins/src/engine.rs
+++ b/ragwortdeal_standins/src/engine.rs
@@ -75,6 +75,11 @@
 impl Engine {
     /// Starts an engine on a loopback port.
     pub async fn start(behaviour: Behaviour) -> io::Result<Self> {
+        Self::start_at(http::any_port(), behaviour).await
+    }
+
+    /// Starts an engine on an address.
+    pub async fn start_at(address: net::SocketAddr, behaviour: Behaviour) -> io::Result<Self> {
         let slots = sync::Arc::new(Semaphore::new(behaviour.slots));
         let shared = sync::Arc::new(Shared {
             behaviour,
@@ -85,7 +90,7 @@
             finished: atomic::AtomicU64::new(0),
         });
         let answering = shared.clone();
-        let server = http::serve(move |request| {
+        let server = http::serve(address, move |request| {
             let shared = answering.clone();
             async move { shared.answer(request).await }
         });
--- a/ragwortdeal_standins/src/http.rs
+++ b/ragwortdeal_standins/src/http.rs
@@ -28,13 +28,18 @@
     }
 }
 
-/// Serves on a loopback port until the server is dropped.
-pub(crate) async fn serve<F, R>(answer: F) -> io::Result<Server>
+/// Any free loopback port.
+pub(crate) fn any_port() -> std_net::SocketAddr {
+    std_net::SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Serves on an address until the server is dropped.
+pub(crate) async fn serve<F, R>(address: std_net::SocketAddr, answer: F) -> io::Result<Server>
 where
     F: Fn(Request) -> R + Clone + Send + 'static,
     R: Future<Output = Response> + Send + 'static,
 {
-    let listener = net::TcpListener::bind(("127.0.0.1", 0)).await?;
+    let listener = net::TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
     let task = tokio::spawn(async move {
         let mut connections = tokio::task::JoinSet::new();
--- a/ragwortdeal_standins/src/origin.rs
+++ b/ragwortdeal_standins/src/origin.rs
@@ -73,6 +73,11 @@
 impl Origin {
     /// Starts an origin whose link carries that many bytes a second.
     pub async fn start(rate_bytes_per_s: u64) -> io::Result<Self> {
+        Self::start_at(http::any_port(), rate_bytes_per_s).await
+    }
+
+    /// Starts an origin on an address.
+    pub async fn start_at(address: net::SocketAddr, rate_bytes_per_s: u64) -> io::Result<Self> {
         let shared = sync::Arc::new(Shared {
             chunks: sync::Mutex::default(),
             manifests: sync::Mutex::default(),
@@ -82,7 +87,7 @@
             faults: sync::Mutex::default(),
         });
         let answering = shared.clone();
-        let server = http::serve(move |request| {
+        let server = http::serve(address, move |request| {
             let shared = answering.clone();
             async move { shared.answer(request.uri().path()).await }
         });
--- a/ragwortdeal_standins/src/service.rs
+++ b/ragwortdeal_standins/src/service.rs
@@ -70,10 +70,19 @@
 impl Service {
     /// Starts a service instance over a shared record.
     pub async fn start(ledger: sync::Arc<Ledger>, behaviour: Behaviour) -> io::Result<Self> {
+        Self::start_at(http::any_port(), ledger, behaviour).await
+    }
+
+    /// Starts a service instance on an address.
+    pub async fn start_at(
+        address: net::SocketAddr,
+        ledger: sync::Arc<Ledger>,
+        behaviour: Behaviour,
+    ) -> io::Result<Self> {
         let behaviour = sync::Mutex::new(behaviour);
         let shared = sync::Arc::new(Shared { behaviour, effects: ledger });
         let answering = shared.clone();
-        let server = http::serve(move |request| {
+        let server = http::serve(address, move |request| {
             let shared = answering.clone();
             async move { shared.answer(request).await }
         });
