Prove the configuration and the links under loss, delay and silence

Cause: the revision must never go back and a silent connection must be replaced; neither had tests. Telemetry: metrics by statsd, spans to a file or a collector, not yet called by the parts.

--- a/ragwortdeal_node/src/lib.rs
+++ b/ragwortdeal_node/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod settings;
 pub mod stop;
 pub mod storage;
+pub mod telemetry;
 pub mod voter;
--- a/ragwortdeal_standins/src/lib.rs
+++ b/ragwortdeal_standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod caller;
 pub mod deployment;
 pub mod engine;
+pub mod network;
 pub mod origin;
 pub mod process;
 pub mod service;
