Run operations through claims, the agent's guard and late answers

Cause: a lost answer left every operation in doubt, and a late one was thrown away. Change: the entry drives the claims' state machine against the voters and the agent; the agent checks each attempt, goes on when the entry is gone, tells over a new connection what became of it, and offers answers that nobody recorded. Operators list and settle; callers ask by id.

--- a/ragwortdeal_core/src/claims/guard.rs
+++ b/ragwortdeal_core/src/claims/guard.rs
@@ -42,6 +42,8 @@
     Forgotten,
     /// The agent can remember no more attempts.
     Full,
+    /// The call came incomplete, too large or without the right credential.
+    Unacceptable,
 }
 
 /// What the agent says of an attempt.
--- a/ragwortdeal_node/src/agent.rs
+++ b/ragwortdeal_node/src/agent.rs
@@ -4,6 +4,7 @@
 mod announce;
 mod calls;
 mod engine;
+mod guard;
 mod rollout;
 mod store;
 
@@ -71,6 +72,7 @@
     sequence: atomic::AtomicU64,
     leaving: atomic::AtomicBool,
     engine: engine::Engine,
+    attempts: guard::Attempts,
 }
 
 impl Agent {
@@ -79,6 +81,7 @@
         let report = Report { running: 0, queued: 0, at: std::time::Instant::now() };
         let http = http::Client::new(1_000);
         Ok(Self {
+            attempts: guard::Attempts::new(identity.incarnation),
             identity,
             credential: link::Credential::new(&settings.credentials.cluster),
             store: sync::Mutex::new(store::Store::new(settings.weights.staged_max_bytes)),
@@ -178,6 +181,7 @@
     tokio::time::sleep(std::time::Duration::from_millis(LINGER_MS)).await;
     stopper.stop();
     let finished = serving.await.unwrap_or(false);
+    guard::settled(&agent, grace_ms).await;
     log::info!("agent: stopped, all calls finished: {finished}");
     Ok(())
 }
--- a/ragwortdeal_node/src/agent/announce.rs
+++ b/ragwortdeal_node/src/agent/announce.rs
@@ -5,7 +5,7 @@
 use ragwortdeal_wire::link as wire;
 use tokio::sync::mpsc;
 
-use super::Agent;
+use super::{Agent, guard};
 use crate::link;
 
 /// How often an announcement is renewed; entries believe it for several times as long.
@@ -20,6 +20,8 @@
     let hello = agent.identity.hello("agent");
     let limits = link::LinkLimits::default();
     let link = link::open(&address, agent.credential.clone(), hello, limits, sender);
+    let mut offering = tokio::task::JoinSet::new();
+    offering.spawn(guard::offer(agent.clone(), link.clone()));
     let mut renew = tokio::time::interval(RENEW);
     let mut changes = agent.weights.subscribe();
     loop {
--- a/ragwortdeal_node/src/agent/calls.rs
+++ b/ragwortdeal_node/src/agent/calls.rs
@@ -10,8 +10,8 @@
 use ragwortdeal_core::digest;
 use ragwortdeal_wire::operator as wire;
 
-use super::Agent;
-use crate::http;
+use super::{Agent, guard};
+use crate::{attempt, http};
 
 /// Longest time an upstream may take to the head of its answer. The mainframe behind a ledger may
 /// take minutes; entries give up earlier by their own limits.
@@ -34,6 +34,8 @@
     router::builder::build_simple_router(|route| {
         let staged = http::route(agent.clone(), staged);
         route.get("/internal/staged/*").to_new_handler(staged);
+        let ask = http::route(agent.clone(), guard::ask);
+        route.post(attempt::QUESTIONS_PATH).to_new_handler(ask);
         let call = http::route(agent.clone(), call);
         route.request(all.to_vec(), "/call/*").to_new_handler(call);
     })
@@ -60,13 +62,13 @@
 }
 
 /// Counts a call from its start until its answer was passed on or given up.
-struct InProgress {
+pub(super) struct InProgress {
     agent: sync::Arc<Agent>,
     version: Option<digest::Digest>,
 }
 
 impl InProgress {
-    fn start(agent: sync::Arc<Agent>, version: Option<digest::Digest>) -> Self {
+    pub(super) fn start(agent: sync::Arc<Agent>, version: Option<digest::Digest>) -> Self {
         let mut running = agent.running.lock().expect("no panic under lock");
         *running.entry(version).or_default() += 1;
         drop(running);
@@ -111,7 +113,7 @@
     http::answer(&http::problem(http::Kind::NotFound, wire::Ran::DidNotRun, detail))
 }
 
-fn refuse(agent: &Agent, kind: http::Kind, detail: &str) -> http::Response {
+pub(super) fn refuse(agent: &Agent, kind: http::Kind, detail: &str) -> http::Response {
     let mut response = http::answer(&http::problem(kind, wire::Ran::DidNotRun, detail));
     let serving = agent.weights.borrow().serving;
     if let Some(value) = serving.and_then(|version| version.to_string().parse().ok()) {
@@ -120,11 +122,19 @@
     response
 }
 
-async fn call(agent: sync::Arc<Agent>, request: http::Request) -> http::Response {
+/// Whether the request comes from a process of the system.
+pub(super) fn is_own_process(agent: &Agent, request: &http::Request) -> bool {
     let given = request.headers.get("authorization").map(hyper::header::HeaderValue::as_bytes);
-    if !agent.credential.accepts(given) {
+    agent.credential.accepts(given)
+}
+
+async fn call(agent: sync::Arc<Agent>, request: http::Request) -> http::Response {
+    if !is_own_process(&agent, &request) {
         return refuse(&agent, http::Kind::Unauthorized, "wrong credential");
     }
+    if attempt::Addressed::is_named_in(&request.headers) {
+        return guard::call(agent, request).await;
+    }
     let version = request.header(http::MODEL_VERSION).and_then(|version| version.parse().ok());
     if agent.is_engine() && !version.is_some_and(|v| agent.weights.borrow().loaded.contains(&v)) {
         return refuse(&agent, http::Kind::Unavailable, "this version is not loaded here");
@@ -146,7 +156,7 @@
     }
 }
 
-fn forward(peer: &str, request: http::Request) -> hyper::Request<http::Body> {
+pub(super) fn forward(peer: &str, request: http::Request) -> hyper::Request<http::Body> {
     let path = request.uri.path_and_query().map_or("/", |path| path.as_str());
     let path = path.strip_prefix("/call").unwrap_or(path);
     let mut forwarded = hyper::Request::new(request.body);
--- a/ragwortdeal_node/src/entry.rs
+++ b/ragwortdeal_node/src/entry.rs
@@ -14,7 +14,7 @@
     sync::{self, atomic},
 };
 
-use ragwortdeal_core::{config::replica, name};
+use ragwortdeal_core::{claims::attempt, config::replica, name};
 use snafu::Snafu;
 use tokio::{net, sync::watch};
 
@@ -81,6 +81,7 @@
     voters: Vec<link::Link>,
     sessions: sync::Mutex<collections::HashMap<link::SessionId, relay::Subscriber>>,
     next_request: atomic::AtomicU64,
+    attempts: sync::Mutex<attempt::AttemptSource>,
     ready: atomic::AtomicBool,
 }
 
@@ -95,6 +96,7 @@
         for account in &settings.accounts {
             accounts.insert(account.token.clone(), name::AccountName::new(&account.name)?);
         }
+        let attempts = attempt::AttemptSource::new(identity.name.clone(), identity.incarnation);
         let voters = control::open_links(&settings, &identity, &credential, events);
         Ok(Self {
             identity,
@@ -108,6 +110,7 @@
             voters,
             sessions: sync::Mutex::default(),
             next_request: atomic::AtomicU64::new(1),
+            attempts: sync::Mutex::new(attempts),
             ready: atomic::AtomicBool::new(true),
         })
     }
--- a/ragwortdeal_node/src/entry/operations.rs
+++ b/ragwortdeal_node/src/entry/operations.rs
@@ -1,11 +1,25 @@
 //! Calls to plain services, among them operations that may not be repeated.
 
+mod drive;
+mod reply;
+mod staff;
+
 use std::sync;
 
-use ragwortdeal_core::{command, config, digest, name};
+use ragwortdeal_core::{
+    claims::{attempt as core_attempt, key, operation, state},
+    config, digest, name,
+};
+use ragwortdeal_wire::link as wire;
+
+use super::{Entry, callers, stream};
+use crate::{attempt, http, link};
 
-use super::{Entry, callers, calls, control, stream};
-use crate::http;
+pub(super) use staff::{list, settle};
+
+/// Label of a service whose upstreams together run each key once, and its value. Without it a key
+/// that may have run is never sent a second time.
+const KEY_SUPPORT_LABEL: (&str, &str) = ("operation-keys", "honoured");
 
 /// Answers a call to a plain service below `/services/NAME/`.
 pub(super) async fn service(entry: sync::Arc<Entry>, request: http::Request) -> http::Response {
@@ -19,12 +33,15 @@
     let Ok(service) = name::ServiceName::new(service) else {
         return refuse(http::Kind::BadRequest, "the path names no service");
     };
+    let query = request.uri.query().map_or_else(String::new, |query| format!("?{query}"));
+    let content_type = request.header("content-type").map(str::to_owned);
     let call = Call {
         id: id.clone(),
         account,
         service,
         method: request.method.clone(),
-        path: format!("/{rest}"),
+        path: format!("/{rest}{query}"),
+        content_type,
         key: request.header("idempotency-key").map(str::to_owned),
     };
     let limits = &entry.settings.limits;
@@ -33,7 +50,7 @@
     };
     match call.method {
         hyper::Method::GET | hyper::Method::HEAD => repeatable(&entry, &call, body).await,
-        _ => once(&entry, &call, body).await,
+        _ => once(&entry, call, body).await,
     }
 }
 
@@ -43,12 +60,18 @@
     service: name::ServiceName,
     method: hyper::Method,
     path: String,
+    content_type: Option<String>,
     key: Option<String>,
 }
 
+impl Call {
+    fn target(&self) -> config::object::ObjectKey {
+        config::object::ObjectKey::Service(self.service.clone())
+    }
+}
+
 async fn repeatable(entry: &Entry, call: &Call, body: bytes::Bytes) -> http::Response {
-    let target = config::object::ObjectKey::Service(call.service.clone());
-    let chosen = match entry.choose(&call.account, &target, &[]) {
+    let chosen = match entry.choose(&call.account, &call.target(), &[]) {
         Ok(chosen) => chosen,
         Err(kind) => return callers::not_run(kind, "no upstream may serve this call", &call.id),
     };
@@ -65,76 +88,104 @@
 }
 
 /// Runs an operation that may not be repeated.
-async fn once(entry: &Entry, call: &Call, body: bytes::Bytes) -> http::Response {
+async fn once(entry: &sync::Arc<Entry>, call: Call, body: bytes::Bytes) -> http::Response {
     let refuse = |kind, detail: &str| callers::not_run(kind, detail, &call.id);
-    let Some(key) = call.key.as_deref().filter(|key| name::check(key).is_ok()) else {
+    let Some(Ok(key)) = call.key.as_deref().map(name::OperationKey::new) else {
+        // Without a key a resend cannot be told from a second order, so nothing is passed on.
         return refuse(http::Kind::BadRequest, "this call needs an Idempotency-Key");
     };
-    let target = config::object::ObjectKey::Service(call.service.clone());
-    let chosen = match entry.choose(&call.account, &target, &[]) {
+    let chosen = match entry.choose(&call.account, &call.target(), &[]) {
         Ok(chosen) => chosen,
         Err(kind) => return refuse(kind, "no upstream may serve this call"),
     };
-    let operation = digest::Digest::of_value(&(&call.account, &call.service, key));
-    let body_digest = digest::Digest::of_value(&(call.method.as_str(), &call.path, &body[..]));
-    let claim = command::Command::Claim { operation, body: body_digest };
-    match entry.propose(&claim).await {
-        Ok(command::Outcome::Granted) => (),
-        Ok(command::Outcome::Recorded(answer)) => return recorded(&answer),
-        Ok(command::Outcome::BodyMismatch) => {
-            return refuse(http::Kind::KeyReused, "this key was used for another request");
-        }
-        Ok(_) => return in_doubt(call, operation, "the operation was sent before"),
-        Err(control::ProposeError::NotTaken) => {
-            return refuse(http::Kind::CutOff, "no quorum of voters can be reached");
-        }
-        // The claim may stand; the call has not left, but another resend could see the claim.
-        Err(control::ProposeError::Unknown) => {
-            return in_doubt(call, operation, "the answer of the voters was lost");
-        }
-    }
-    let answer = match send(entry, call, key, &chosen, body).await {
-        Ok(answer) => answer,
-        Err(error) => return in_doubt(call, operation, &error.to_string()),
+    let Some(known) = entry.announced(&chosen.instance) else {
+        return refuse(http::Kind::Unavailable, "the upstream left");
     };
-    let record = command::Command::Record { operation, answer: answer.clone() };
-    if let Err(error) = entry.propose(&record).await {
-        log::warn!("entry: {}: the answer was not recorded: {error}", call.id);
-    }
-    recorded(&answer)
+    let claim = state::Claim {
+        key: key::ScopedKey { account: call.account.clone(), service: call.service.clone(), key },
+        body: digest::Digest::of_value(&(call.method.as_str(), &call.path, &body[..])),
+        attempt: entry.attempts.lock().expect("no panic under lock").next_id(),
+        after: None,
+        upstream: core_attempt::Upstream {
+            instance: chosen.instance.clone(),
+            incarnation: core_attempt::Incarnation(known.incarnation),
+        },
+        key_support: entry.key_support(&call.target()),
+    };
+    let id = claim.key.id();
+    let (operation, first) =
+        operation::Operation::begin(claim, operation::OperationTimes::default());
+    let request_id = call.id.clone();
+    let sending = drive::Sending { call, body, chosen };
+    let reply = drive::start(entry, id, Some(sending), operation, first);
+    reply::to_caller(reply::within(entry, id, reply).await, &request_id)
+}
+
+/// Answers a caller who asks by the id of an operation, below `/operations/`.
+pub(super) async fn outcome(entry: sync::Arc<Entry>, request: http::Request) -> http::Response {
+    let request_id = entry.request_id();
+    let refuse = |kind, detail: &str| callers::not_run(kind, detail, &request_id);
+    let Some(account) = callers::account(&entry, &request) else {
+        return refuse(http::Kind::Unauthorized, "no account has this secret");
+    };
+    let path = request.uri.path().trim_start_matches("/operations/");
+    let Ok(id) = key::OperationId::parse(path) else {
+        return refuse(http::Kind::BadRequest, "the path is no id of an operation");
+    };
+    let standing = match entry.propose_operation(state::Command::Look(id)).await {
+        Some(state::Outcome::Standing(standing)) if standing.key.account == account => standing,
+        Some(_) => return refuse(http::Kind::NotFound, "no such operation is remembered"),
+        None => return refuse(http::Kind::CutOff, "no quorum of voters can be reached"),
+    };
+    // Looking is a good time to settle what only waits for somebody to ask the agent.
+    let (operation, first) =
+        operation::Operation::reconcile(*standing, operation::OperationTimes::default());
+    let reply = drive::start(&entry, id, None, operation, first);
+    reply::to_caller(reply::within(&entry, id, reply).await, &request_id)
 }
 
-async fn send(
-    entry: &Entry,
-    call: &Call,
-    key: &str,
-    chosen: &calls::Chosen,
-    body: bytes::Bytes,
-) -> Result<command::Answer, http::HttpError> {
-    let mut request = entry.to_agent(chosen, call.method.as_str(), &call.path, &call.id, body);
-    if let Ok(key) = key.parse() {
-        request.headers_mut().insert("idempotency-key", key);
+/// Records an answer that an agent offers because nobody else did.
+pub(super) async fn late_answer(entry: &Entry, payload: &[u8]) -> wire::Message {
+    let Some(late) = attempt::decode::<attempt::LateAnswer>(payload) else {
+        return link::refused("late answer", "malformed");
+    };
+    let attempt::LateAnswer { operation: id, attempt, answer } = late;
+    let record = state::Command::Record { id, attempt: attempt.clone(), answer };
+    let Some(outcome) = entry.propose_operation(record).await else {
+        return link::refused("late answer", "no quorum of voters can be reached");
+    };
+    if let state::Outcome::Conflict(standing) | state::Outcome::Superseded(standing) = &outcome {
+        report_conflict(id, &attempt, standing);
     }
-    let limits = &entry.settings.limits;
-    let max_bytes = limits.operation_answer_max_bytes;
-    let step = "call agent";
-    let fetched =
-        entry.http.fetch(step, &chosen.address, request, max_bytes, limits.operation_ms).await;
-    let (head, bytes) = fetched?;
-    let content_type = head.headers.get("content-type").and_then(|value| value.to_str().ok());
-    Ok(command::Answer {
-        status: head.status.as_u16(),
-        content_type: content_type.unwrap_or("application/octet-stream").to_owned(),
-        body: bytes.to_vec(),
-    })
+    wire::Message::Proposed(wire::Proposed { payload: attempt::encode(&outcome).into() })
 }
 
-fn recorded(answer: &command::Answer) -> http::Response {
-    http::respond(answer.status, &answer.content_type, http::full(answer.body.clone()))
+/// Somebody has to look at an answer that contradicts what stands: the effect exists, and it may
+/// have been asked for again under another key.
+fn report_conflict(
+    id: key::OperationId,
+    attempt: &core_attempt::AttemptId,
+    standing: &state::Standing,
+) {
+    let state = &standing.state;
+    log::error!("operations: answer contradicts, operation={id} attempt={attempt} state={state:?}");
 }
 
-fn in_doubt(call: &Call, operation: digest::Digest, detail: &str) -> http::Response {
-    let mut problem = calls::unknown(detail, &call.id);
-    problem.operation_id = Some(operation.to_string());
-    http::answer(&problem)
+impl Entry {
+    /// The announcement of an upstream, one that is leaving included.
+    fn announced(&self, instance: &name::InstanceName) -> Option<sync::Arc<wire::Announcement>> {
+        let members = self.members.lock().expect("no panic under lock");
+        let found = members.all().find(|(name, _)| *name == instance);
+        found.map(|(_, member)| member.announcement.clone())
+    }
+
+    fn key_support(&self, service: &config::object::ObjectKey) -> state::KeySupport {
+        let config = self.config.borrow();
+        let labels = config::object::labels_of(config.objects(), service);
+        let (label, honoured) = KEY_SUPPORT_LABEL;
+        match labels.and_then(|labels| labels.get(label)) {
+            Some(value) if value.as_str() == honoured => state::KeySupport::Service,
+            _ => state::KeySupport::None,
+        }
+    }
 }
--- /dev/null
+++ b/ragwortdeal_node/src/entry/operations/staff.rs
@@ -0,0 +1,105 @@
+//! Operations in doubt, as operators list and settle them.
+
+use std::sync;
+
+use ragwortdeal_core::{
+    claims::{key, operation, state},
+    name,
+};
+use ragwortdeal_wire::operator as wire;
+
+use super::drive;
+use crate::{
+    entry::{Entry, callers},
+    http,
+};
+
+/// Most operations listed at once.
+const LISTED_MAX: usize = 1_000;
+
+/// Largest settlement that is read.
+const SETTLEMENT_MAX_BYTES: usize = 4 << 10;
+
+/// Longest time to send a settlement.
+const SETTLEMENT_READ_MS: u64 = 5_000;
+
+/// Lists operations that wait for somebody, and has those settled that an agent can still settle.
+pub(in crate::entry) async fn list(entry: sync::Arc<Entry>) -> http::Response {
+    let request_id = entry.request_id();
+    let command = state::Command::ListOpen { max: LISTED_MAX };
+    let Some(state::Outcome::Open(open)) = entry.propose_operation(command).await else {
+        let detail = "no quorum of voters can be reached";
+        return callers::not_run(http::Kind::CutOff, detail, &request_id);
+    };
+    for standing in &open {
+        take_over(&entry, standing.clone());
+    }
+    http::json(200, &wire::OperationList { operations: open.iter().map(view).collect() })
+}
+
+fn take_over(entry: &sync::Arc<Entry>, standing: state::Standing) {
+    let id = standing.key.id();
+    let times = operation::OperationTimes::default();
+    let (operation, first) = operation::Operation::reconcile(standing, times);
+    // The outcome stands in the log; nobody waits for the reply.
+    drop(drive::start(entry, id, None, operation, first));
+}
+
+/// Settles an operation by what the operator found in the upstream's own records.
+pub(in crate::entry) async fn settle(
+    entry: sync::Arc<Entry>,
+    operator: name::AccountName,
+    body: http::Body,
+) -> http::Response {
+    let request_id = entry.request_id();
+    let refuse = |kind, detail: &str| callers::not_run(kind, detail, &request_id);
+    let Ok(body) = http::read(body, SETTLEMENT_MAX_BYTES, SETTLEMENT_READ_MS).await else {
+        return refuse(http::Kind::BadRequest, "the body is too large or too slow");
+    };
+    let settlement = match serde_json::from_slice::<wire::Settlement>(&body) {
+        Ok(settlement) => settlement,
+        Err(error) => return refuse(http::Kind::BadRequest, &error.to_string()),
+    };
+    let Ok(id) = key::OperationId::parse(&settlement.operation_id) else {
+        return refuse(http::Kind::BadRequest, "operation_id is no id of an operation");
+    };
+    let standing = match entry.propose_operation(state::Command::Look(id)).await {
+        Some(state::Outcome::Standing(standing)) => standing,
+        Some(_) => return refuse(http::Kind::NotFound, "no such operation is remembered"),
+        None => return refuse(http::Kind::CutOff, "no quorum of voters can be reached"),
+    };
+    let verdict = match settlement.ran {
+        true => state::Verdict::Ran,
+        false => state::Verdict::DidNotRun,
+    };
+    let attempt = standing.attempt;
+    let command = state::Command::Settle { id, attempt, verdict, operator: operator.clone() };
+    match entry.propose_operation(command).await {
+        Some(state::Outcome::Done) => {
+            log::info!("operations: operator {operator} settled operation={id} as {verdict:?}");
+            http::json(200, &settlement)
+        }
+        Some(state::Outcome::TooEarly) => {
+            let detail = "the operation may still start; settle it later";
+            refuse(http::Kind::Conflict, detail)
+        }
+        Some(_) => refuse(http::Kind::Conflict, "the operation is not in doubt any more"),
+        None => refuse(http::Kind::CutOff, "no quorum confirmed it; send it again"),
+    }
+}
+
+fn view(standing: &state::Standing) -> wire::OperationView {
+    let state = match &standing.state {
+        state::State::InDoubt(state::Doubt::AgentUnreachable) => "in doubt: agent unreachable",
+        state::State::InDoubt(state::Doubt::AgentReplaced) => "in doubt: agent replaced",
+        state::State::InDoubt(state::Doubt::UpstreamLost) => "in doubt: upstream lost",
+        _ => "under way for too long",
+    };
+    wire::OperationView {
+        account: standing.key.account.to_string(),
+        operation_id: standing.key.id().to_string(),
+        service: standing.key.service.to_string(),
+        state: state.to_owned(),
+        upstream: Some(standing.upstream.instance.to_string()),
+    }
+}
--- a/ragwortdeal_node/src/entry/operator.rs
+++ b/ragwortdeal_node/src/entry/operator.rs
@@ -10,7 +10,7 @@
 use ragwortdeal_wire::{link as announced, operator as wire};
 use subtle::ConstantTimeEq as _;
 
-use super::{Entry, callers, control};
+use super::{Entry, callers, control, operations};
 use crate::{border, http};
 
 /// Largest change that is read.
@@ -24,19 +24,26 @@
     router::builder::build_simple_router(|route| {
         route.get("/api/objects").to_new_handler(http::route(entry.clone(), objects));
         route.post("/api/changes").to_new_handler(http::route(entry.clone(), change));
+        let list = http::route(entry.clone(), operations_in_doubt);
+        route.get("/api/operations").to_new_handler(list);
+        let settle = http::route(entry.clone(), settle);
+        route.post("/api/operations/settle").to_new_handler(settle);
         route.get("/api/status").to_new_handler(http::route(entry.clone(), status));
     })
 }
 
-fn may(entry: &Entry, request: &http::Request) -> Result<(), http::Response> {
+/// Finds the operator whose secret the request presents, comparing all in constant time.
+fn may(entry: &Entry, request: &http::Request) -> Result<name::AccountName, http::Response> {
     let given = request.header("authorization").and_then(|value| value.strip_prefix("Bearer "));
     let given = given.unwrap_or_default().as_bytes();
-    let mut allowed = false;
+    let mut found = None;
     for operator in &entry.settings.operators {
-        allowed |= bool::from(operator.token.as_bytes().ct_eq(given));
+        if bool::from(operator.token.as_bytes().ct_eq(given)) {
+            found = name::AccountName::new(&operator.name).ok();
+        }
     }
-    if allowed {
-        return Ok(());
+    if let Some(operator) = found {
+        return Ok(operator);
     }
     log::warn!("entry: refused an operator with a wrong secret");
     let id = entry.request_id();
@@ -101,6 +108,20 @@
     }
 }
 
+async fn operations_in_doubt(entry: sync::Arc<Entry>, request: http::Request) -> http::Response {
+    match may(&entry, &request) {
+        Ok(_) => operations::list(entry).await,
+        Err(refusal) => refusal,
+    }
+}
+
+async fn settle(entry: sync::Arc<Entry>, request: http::Request) -> http::Response {
+    match may(&entry, &request) {
+        Ok(operator) => operations::settle(entry, operator, request.body).await,
+        Err(refusal) => refusal,
+    }
+}
+
 impl Entry {
     /// How many known instances a placement's selector matches, to warn of one that matches none.
     fn matches(&self, change: &config::change::Change) -> Option<u64> {
--- a/ragwortdeal_node/src/entry/relay.rs
+++ b/ragwortdeal_node/src/entry/relay.rs
@@ -5,7 +5,7 @@
 use ragwortdeal_core::config;
 use ragwortdeal_wire::link as wire;
 
-use super::Entry;
+use super::{Entry, operations};
 use crate::{link, voter};
 
 /// A process that follows the configuration through this entry.
@@ -38,8 +38,13 @@
         }
     }
 
-    async fn requested(&self, _session: &link::Session, _message: wire::Message) -> wire::Message {
-        link::refused("entry", "not a request for an entry")
+    async fn requested(&self, _session: &link::Session, message: wire::Message) -> wire::Message {
+        match message {
+            wire::Message::AttemptState(late) => {
+                operations::late_answer(&self.0, &late.payload).await
+            }
+            _ => link::refused("entry", "not a request for an entry"),
+        }
     }
 
     fn closed(&self, session: &link::Session) {
--- a/ragwortdeal_node/src/lib.rs
+++ b/ragwortdeal_node/src/lib.rs
@@ -4,6 +4,7 @@
 //! run the same parts as library tasks. `docs/ARCHITECTURE.md` has a picture.
 
 pub mod agent;
+mod attempt;
 pub mod border;
 pub mod clock;
 pub mod entry;
--- a/ragwortdeal_node/src/voter.rs
+++ b/ragwortdeal_node/src/voter.rs
@@ -2,12 +2,12 @@
 
 use std::{fs, io, io::Write as _, path, sync};
 
-use ragwortdeal_core::command;
+use ragwortdeal_core::{claims, command};
 use ragwortdeal_wire::link as wire;
 use snafu::{ResultExt as _, Snafu};
 use tokio::net;
 
-use crate::{link, settings, stop};
+use crate::{clock, link, settings, stop};
 
 /// Why a voter cannot run.
 #[derive(Debug, Snafu)]
@@ -28,6 +28,8 @@
     machine: command::Machine,
     log: fs::File,
     sessions: Vec<(link::Session, u64)>,
+    clock: clock::Clock,
+    log_clock: claims::clock::LogClock,
 }
 
 /// A voter and its state.
@@ -50,15 +52,20 @@
         }
         let log = fs::OpenOptions::new().create(true).append(true).open(&path);
         let log = log.context(StorageSnafu { step: "open log", path: &path })?;
-        let held = Held { machine, log, sessions: Vec::new() };
+        let clock = clock::Clock::start();
+        let log_clock = claims::clock::LogClock::new(machine.claims().now_ms(), clock.now_ms());
+        let held = Held { machine, log, sessions: Vec::new(), clock, log_clock };
         Ok(Self { held: sync::Mutex::new(held) })
     }
 
     fn propose(&self, payload: &[u8]) -> io::Result<command::Outcome> {
-        let command: command::Command =
+        let mut command: command::Command =
             ciborium::from_reader(payload).map_err(|_| io::ErrorKind::InvalidData)?;
         let mut held = self.held.lock().expect("no panic under lock");
-        held.log.write_all(payload)?;
+        command.stamp(held.log_clock.stamp_ms(held.clock.now_ms()));
+        let mut entry = Vec::new();
+        ciborium::into_writer(&command, &mut entry).expect("own types encode into memory");
+        held.log.write_all(&entry)?;
         held.log.sync_data()?;
         let outcome = held.machine.apply(&command);
         held.push_updates();
