--- a/ragwortdeal_node/src/entry/operations.rs
+++ b/ragwortdeal_node/src/entry/operations.rs
@@ -12,7 +12,7 @@
 };
 use ragwortdeal_wire::link as wire;
 
-use super::{Entry, callers, stream};
+use super::{Entry, callers, calls, stream};
 use crate::{attempt, http, link};
 
 pub(super) use staff::{list, settle};
@@ -21,6 +21,9 @@
 /// that may have run is never sent a second time.
 const KEY_SUPPORT_LABEL: (&str, &str) = ("operation-keys", "honoured");
 
+/// How many upstreams one request may be sent to, as long as none of them started it.
+const UPSTREAMS_MAX: usize = 3;
+
 /// Answers a call to a plain service below `/services/NAME/`.
 pub(super) async fn service(entry: sync::Arc<Entry>, request: http::Request) -> http::Response {
     let id = request.header(http::REQUEST_ID).map_or_else(|| entry.request_id(), str::to_owned);
@@ -94,31 +97,110 @@
         // Without a key a resend cannot be told from a second order, so nothing is passed on.
         return refuse(http::Kind::BadRequest, "this call needs an Idempotency-Key");
     };
-    let chosen = match entry.choose(&call.account, &call.target(), &[]) {
-        Ok(chosen) => chosen,
-        Err(kind) => return refuse(kind, "no upstream may serve this call"),
-    };
-    let Some(known) = entry.announced(&chosen.instance) else {
-        return refuse(http::Kind::Unavailable, "the upstream left");
-    };
-    let claim = state::Claim {
-        key: key::ScopedKey { account: call.account.clone(), service: call.service.clone(), key },
-        body: digest::Digest::of_value(&(call.method.as_str(), &call.path, &body[..])),
-        attempt: entry.attempts.lock().expect("no panic under lock").next_id(),
-        after: None,
-        upstream: core_attempt::Upstream {
-            instance: chosen.instance.clone(),
-            incarnation: core_attempt::Incarnation(known.incarnation),
-        },
-        key_support: entry.key_support(&call.target()),
-    };
-    let id = claim.key.id();
-    let (operation, first) =
-        operation::Operation::begin(claim, operation::OperationTimes::default());
-    let request_id = call.id.clone();
-    let sending = drive::Sending { call, body, chosen };
-    let reply = drive::start(entry, id, Some(sending), operation, first);
-    reply::to_caller(reply::within(entry, id, reply).await, &request_id)
+    let key = key::ScopedKey { account: call.account.clone(), service: call.service.clone(), key };
+    let body_digest = digest::Digest::of_value(&(call.method.as_str(), &call.path, &body[..]));
+    let order = Order { call: sync::Arc::new(call), key, body, body_digest };
+    let mut tried = Vec::new();
+    loop {
+        let (chosen, claim) = match order.prepare(entry, &tried) {
+            Ok(prepared) => prepared,
+            Err(kind) => return without_upstream(entry, &order, kind).await,
+        };
+        tried.push(chosen.instance.clone());
+        let reply = order.run(entry, chosen, claim).await;
+        if tried.len() >= UPSTREAMS_MAX || !may_run_elsewhere(&reply) {
+            return reply::to_caller(reply, &order.call.id);
+        }
+    }
+}
+
+/// Whether the log says that nothing ran, so that another upstream may be tried at once.
+fn may_run_elsewhere(reply: &operation::Reply) -> bool {
+    let reason = operation::NotRunReason::NotStarted;
+    *reply == operation::Reply::DidNotRun { reason, earlier_unknown: false }
+}
+
+/// A caller's request for an operation.
+struct Order {
+    call: sync::Arc<Call>,
+    key: key::ScopedKey,
+    body: bytes::Bytes,
+    body_digest: digest::Digest,
+}
+
+impl Order {
+    /// Chooses an upstream that was not tried yet, and makes the claim for it.
+    fn prepare(
+        &self,
+        entry: &Entry,
+        tried: &[name::InstanceName],
+    ) -> Result<(calls::Chosen, state::Claim), http::Kind> {
+        let target = self.call.target();
+        let chosen = entry.choose(&self.call.account, &target, tried)?;
+        let known = entry.announced(&chosen.instance).ok_or(http::Kind::Unavailable)?;
+        let claim = state::Claim {
+            key: self.key.clone(),
+            body: self.body_digest,
+            attempt: entry.attempts.lock().expect("no panic under lock").next_id(),
+            after: None,
+            upstream: core_attempt::Upstream {
+                instance: chosen.instance.clone(),
+                incarnation: core_attempt::Incarnation(known.incarnation),
+            },
+            key_support: entry.key_support(&target),
+        };
+        Ok((chosen, claim))
+    }
+
+    async fn run(
+        &self,
+        entry: &sync::Arc<Entry>,
+        chosen: calls::Chosen,
+        claim: state::Claim,
+    ) -> operation::Reply {
+        let id = claim.key.id();
+        let times = operation::OperationTimes::default();
+        let (operation, first) = operation::Operation::begin(claim, times);
+        let (call, body) = (self.call.clone(), self.body.clone());
+        let sending = drive::Sending { call, body, chosen };
+        let reply = drive::start(entry, id, Some(sending), operation, first);
+        reply::within(entry, id, reply).await
+    }
+}
+
+/// Answers an operation that no upstream may take now. An earlier request with the key may have an
+/// answer all the same, and a plain refusal would make its caller order the operation once more.
+async fn without_upstream(
+    entry: &sync::Arc<Entry>,
+    order: &Order,
+    kind: http::Kind,
+) -> http::Response {
+    let (id, call) = (order.key.id(), &order.call);
+    match entry.propose_operation(state::Command::Look(id)).await {
+        Some(state::Outcome::Standing(standing)) if standing.body != order.body_digest => {
+            reply::to_caller(operation::Reply::BodyMismatch, &call.id)
+        }
+        Some(state::Outcome::Standing(standing)) => settled(entry, *standing, &call.id).await,
+        Some(_) => callers::not_run(kind, "no upstream may serve this call", &call.id),
+        None => {
+            let reason = operation::NotRunReason::NoQuorum;
+            let reply = operation::Reply::DidNotRun { reason, earlier_unknown: true };
+            reply::to_caller(reply, &call.id)
+        }
+    }
+}
+
+/// Replies with what stands, after having settled what only waits for somebody to ask the agent.
+async fn settled(
+    entry: &sync::Arc<Entry>,
+    standing: state::Standing,
+    request_id: &str,
+) -> http::Response {
+    let id = standing.key.id();
+    let times = operation::OperationTimes::default();
+    let (operation, first) = operation::Operation::reconcile(standing, times);
+    let reply = drive::start(entry, id, None, operation, first);
+    reply::to_caller(reply::within(entry, id, reply).await, request_id)
 }
 
 /// Answers a caller who asks by the id of an operation, below `/operations/`.
@@ -137,11 +219,7 @@
         Some(_) => return refuse(http::Kind::NotFound, "no such operation is remembered"),
         None => return refuse(http::Kind::CutOff, "no quorum of voters can be reached"),
     };
-    // Looking is a good time to settle what only waits for somebody to ask the agent.
-    let (operation, first) =
-        operation::Operation::reconcile(*standing, operation::OperationTimes::default());
-    let reply = drive::start(&entry, id, None, operation, first);
-    reply::to_caller(reply::within(&entry, id, reply).await, &request_id)
+    settled(&entry, *standing, &request_id).await
 }
 
 /// Records an answer that an agent offers because nobody else did.
--- a/ragwortdeal_node/src/entry/operations/drive.rs
+++ b/ragwortdeal_node/src/entry/operations/drive.rs
@@ -29,7 +29,7 @@
 
 /// What is sent if the claim is granted.
 pub(super) struct Sending {
-    pub(super) call: Call,
+    pub(super) call: sync::Arc<Call>,
     pub(super) body: bytes::Bytes,
     pub(super) chosen: calls::Chosen,
 }
@@ -133,9 +133,9 @@
         let (method, path) = (call.method.as_str(), call.path.as_str());
         let mut request = self.entry.to_agent(&chosen, method, path, &call.id, body);
         let headers = request.headers_mut();
-        let texts = [("idempotency-key", call.key), ("content-type", call.content_type)];
+        let texts = [("idempotency-key", &call.key), ("content-type", &call.content_type)];
         for (name, text) in texts {
-            if let Some(value) = text.and_then(|text| text.parse().ok()) {
+            if let Some(value) = text.as_ref().and_then(|text| text.parse().ok()) {
                 headers.insert(name, value);
             }
         }
