Announce slots and calls by entry, and keep silent connections short

Cause: shares need capacities, loads need to tell own calls from others'. Change: slots and from_here in announcements, a message for demand; connections whose bytes stay unacknowledged for 3 s are closed; rules take several selectors.

--- a/ragwortdeal_core/benches/routing.rs
+++ b/ragwortdeal_core/benches/routing.rs
@@ -16,7 +16,11 @@
 
 fn router_of(count: u32) -> (routing::Router, pool::PoolId) {
     let mut router = routing::Router::new(routing::Settings::default());
-    let rule = pool::Rule { target: target(), version: None, selector: Default::default() };
+    let rule = pool::Rule {
+        target: target(),
+        version: None,
+        selectors: vec![labels::Selector::default()],
+    };
     let pool = router.pool(&rule).unwrap();
     for index in 0..count {
         let instance = name::InstanceName::new(&format!("engine-{index}")).unwrap();
--- a/ragwortdeal_core/src/config/intent.rs
+++ b/ragwortdeal_core/src/config/intent.rs
@@ -54,6 +54,11 @@
         self.selectors.is_empty()
     }
 
+    /// The selectors over upstreams, of which one has to match.
+    pub fn selectors(&self) -> &[labels::Selector] {
+        &self.selectors
+    }
+
     /// Whether the account's calls to this target may go to that instance.
     pub fn allows(&self, objects: &object::Objects, instance: &name::InstanceName) -> bool {
         let key = object::ObjectKey::Instance(instance.clone());
--- a/ragwortdeal_core/src/routing.rs
+++ b/ragwortdeal_core/src/routing.rs
@@ -169,6 +169,19 @@
         }
     }
 
+    /// Drops all pools, because the configuration that they were made by has changed.
+    pub fn forget_pools(&mut self) {
+        self.pools.clear();
+        self.rules.clear();
+    }
+
+    /// Forgets an upstream whose lease ended elsewhere.
+    pub fn forget(&mut self, instance: &name::InstanceName) {
+        if let Some(&id) = self.by_instance.get(instance) {
+            self.remove(id);
+        }
+    }
+
     /// Brings the pools' mean loads up to date; to be called about ten times a second.
     pub fn refresh(&mut self) {
         for pool in self.pools.values_mut() {
--- a/ragwortdeal_core/src/routing/pool.rs
+++ b/ragwortdeal_core/src/routing/pool.rs
@@ -19,8 +19,9 @@
     pub target: upstream::Target,
     /// The version that an answer is pinned to, or any.
     pub version: Option<digest::Digest>,
-    /// Committed selector over the upstreams' labels, for the account that calls.
-    pub selector: labels::Selector,
+    /// Committed selectors over the upstreams' labels for the account that calls. An upstream that
+    /// one of them selects may be called; without any, none may.
+    pub selectors: Vec<labels::Selector>,
 }
 
 impl Rule {
@@ -32,11 +33,16 @@
         };
         upstream.state == upstream::State::Serving
             && upstream.announcement.served.iter().any(serves)
-            && self.selector.matches(&upstream.announcement.labels)
+            && self.selects(&upstream.announcement.labels)
     }
 
-    fn sort_key(&self) -> (&upstream::Target, Option<digest::Digest>, String) {
-        (&self.target, self.version, self.selector.to_string())
+    fn selects(&self, labels: &labels::Labels) -> bool {
+        self.selectors.iter().any(|selector| selector.matches(labels))
+    }
+
+    fn sort_key(&self) -> (&upstream::Target, Option<digest::Digest>, Vec<String>) {
+        let selectors = self.selectors.iter().map(ToString::to_string);
+        (&self.target, self.version, selectors.collect())
     }
 }
 
--- a/ragwortdeal_core/tests/policies/model.rs
+++ b/ragwortdeal_core/tests/policies/model.rs
@@ -226,7 +226,11 @@
 
 fn entry(index: usize, setup: &Setup) -> Entry {
     let mut router = routing::Router::new(routing::Settings::default());
-    let rule = pool::Rule { target: target(), version: None, selector: Default::default() };
+    let rule = pool::Rule {
+        target: target(),
+        version: None,
+        selectors: vec![labels::Selector::default()],
+    };
     let pool = router.pool(&rule).unwrap();
     let announced = (0..setup.upstreams).map(|index| announcement(index, setup.slots));
     let ids = announced.map(|announcement| router.announce(announcement)).collect();
--- a/ragwortdeal_core/tests/routing.rs
+++ b/ragwortdeal_core/tests/routing.rs
@@ -29,7 +29,7 @@
     let rule = |version, selector: &str| pool::Rule {
         target: model(),
         version,
-        selector: selector.parse().unwrap(),
+        selectors: vec![selector.parse().unwrap()],
     };
     vec![
         rule(None, ""),
@@ -70,7 +70,7 @@
             !leaving
                 && said.lease_until_ms > now_ms
                 && serves
-                && rule.selector.matches(&said.labels)
+                && rule.selectors[0].matches(&said.labels)
         });
         eligible.map(|(said, _)| said.instance.clone()).collect()
     }
@@ -196,7 +196,8 @@
             lease_until_ms: u64::MAX,
         });
     }
-    let rule = pool::Rule { target: model(), version: None, selector: Default::default() };
+    let rule =
+        pool::Rule { target: model(), version: None, selectors: vec![labels::Selector::default()] };
     let pool = router.pool(&rule).unwrap();
     (router, pool)
 }
--- a/ragwortdeal_node/src/agent.rs
+++ b/ragwortdeal_node/src/agent.rs
@@ -49,10 +49,12 @@
 }
 
 /// The upstream's last load report.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Report {
     running: u64,
     queued: u64,
+    /// Calls in progress at that time by the entry that they came through.
+    by_entry: collections::BTreeMap<String, u64>,
     at: std::time::Instant,
 }
 
@@ -68,6 +70,7 @@
     weights: watch::Sender<Weights>,
     report: sync::Mutex<Report>,
     running: sync::Mutex<collections::BTreeMap<Option<digest::Digest>, u64>>,
+    by_entry: sync::Mutex<collections::BTreeMap<String, u64>>,
     sequence: atomic::AtomicU64,
     leaving: atomic::AtomicBool,
     engine: engine::Engine,
@@ -76,7 +79,8 @@
 impl Agent {
     fn new(settings: settings::agent::Settings) -> Result<Self, AgentError> {
         let identity = settings.process.identity()?;
-        let report = Report { running: 0, queued: 0, at: std::time::Instant::now() };
+        let by_entry = collections::BTreeMap::new();
+        let report = Report { running: 0, queued: 0, by_entry, at: std::time::Instant::now() };
         let http = http::Client::new(1_000);
         Ok(Self {
             identity,
@@ -89,6 +93,7 @@
             weights: watch::Sender::new(Weights { phase: "idle", ..Weights::default() }),
             report: sync::Mutex::new(report),
             running: sync::Mutex::default(),
+            by_entry: sync::Mutex::default(),
             sequence: atomic::AtomicU64::new(0),
             leaving: atomic::AtomicBool::new(false),
         })
@@ -115,9 +120,10 @@
         whole
     }
 
-    fn announcement(&self) -> wire::Announcement {
+    /// What an entry at this address is told.
+    fn announcement(&self, entry: &str) -> wire::Announcement {
         let weights = self.weights.borrow().clone();
-        let report = *self.report.lock().expect("no panic under lock");
+        let report = self.report.lock().expect("no panic under lock").clone();
         let service = self.settings.upstream.service.clone();
         let model = weights.model.as_ref().map(ToString::to_string);
         wire::Announcement {
@@ -145,6 +151,8 @@
             size_bytes: weights.size_bytes,
             running: report.running,
             queued: report.queued,
+            slots: self.settings.upstream.slots.into(),
+            from_here: report.by_entry.get(entry).copied().unwrap_or(0),
             report_age_ms: report.at.elapsed().as_millis() as u64,
         }
     }
--- a/ragwortdeal_node/src/agent/announce.rs
+++ b/ragwortdeal_node/src/agent/announce.rs
@@ -25,20 +25,20 @@
     loop {
         tokio::select! {
             event = events.recv() => match event {
-                Some(event) => handle(&agent, &link, event),
+                Some(event) => handle(&agent, &link, &address, event),
                 None => return,
             },
-            _ = renew.tick() => announce(&agent, &link),
-            _ = changes.changed() => announce(&agent, &link),
+            _ = renew.tick() => announce(&agent, &link, &address),
+            _ = changes.changed() => announce(&agent, &link, &address),
         }
     }
 }
 
-fn handle(agent: &Agent, link: &link::Link, event: link::LinkEvent) {
+fn handle(agent: &Agent, link: &link::Link, address: &str, event: link::LinkEvent) {
     match event {
         link::LinkEvent::Up => {
             subscribe(link, agent.config.borrow().revision());
-            announce(agent, link);
+            announce(agent, link, address);
         }
         link::LinkEvent::Push(message) => match *message {
             // Where steps are missing, revision 0 asks for the whole state.
@@ -58,8 +58,8 @@
     }
 }
 
-fn announce(agent: &Agent, link: &link::Link) {
-    let message = wire::Message::Announce(agent.announcement());
+fn announce(agent: &Agent, link: &link::Link, address: &str) {
+    let message = wire::Message::Announce(agent.announcement(address));
     // A lost announcement is made good by the next one.
     if let Err(error) = link.push("announce", message) {
         log::debug!("agent: {error}");
--- a/ragwortdeal_node/src/agent/calls.rs
+++ b/ragwortdeal_node/src/agent/calls.rs
@@ -1,6 +1,6 @@
 //! Calls from entries to the upstream, and the staged weights that its engine reads.
 
-use std::sync;
+use std::{collections, sync};
 
 use gotham::{
     hyper, router,
@@ -18,8 +18,8 @@
 const HEAD_MS: u64 = 600_000;
 
 /// Headers that belong to one hop and are not passed on.
-const HOP_HEADERS: [&str; 5] =
-    ["authorization", "connection", "host", "transfer-encoding", http::ACCOUNT];
+const HOP_HEADERS: [&str; 6] =
+    ["authorization", "connection", "host", "transfer-encoding", http::ACCOUNT, http::ENTRY];
 
 /// Routes of an agent.
 pub(super) fn router(agent: &sync::Arc<Agent>) -> router::Router {
@@ -63,25 +63,34 @@
 struct InProgress {
     agent: sync::Arc<Agent>,
     version: Option<digest::Digest>,
+    entry: String,
 }
 
 impl InProgress {
-    fn start(agent: sync::Arc<Agent>, version: Option<digest::Digest>) -> Self {
+    fn start(agent: sync::Arc<Agent>, version: Option<digest::Digest>, entry: &str) -> Self {
+        let mut by_entry = agent.by_entry.lock().expect("no panic under lock");
+        *by_entry.entry(entry.to_owned()).or_default() += 1;
+        drop(by_entry);
         let mut running = agent.running.lock().expect("no panic under lock");
         *running.entry(version).or_default() += 1;
         drop(running);
-        Self { agent, version }
+        Self { agent, version, entry: entry.to_owned() }
     }
 }
 
 impl Drop for InProgress {
     fn drop(&mut self) {
-        let mut running = self.agent.running.lock().expect("no panic under lock");
-        if let Some(count) = running.get_mut(&self.version) {
-            *count -= 1;
-            if *count == 0 {
-                running.remove(&self.version);
-            }
+        count_down(&self.agent.running, &self.version);
+        count_down(&self.agent.by_entry, &self.entry);
+    }
+}
+
+fn count_down<K: Ord>(counts: &sync::Mutex<collections::BTreeMap<K, u64>>, key: &K) {
+    let mut counts = counts.lock().expect("no panic under lock");
+    if let Some(count) = counts.get_mut(key) {
+        *count -= 1;
+        if *count == 0 {
+            counts.remove(key);
         }
     }
 }
@@ -129,7 +138,8 @@
     if agent.is_engine() && !version.is_some_and(|v| agent.weights.borrow().loaded.contains(&v)) {
         return refuse(&agent, http::Kind::Unavailable, "this version is not loaded here");
     }
-    let in_progress = InProgress::start(agent.clone(), version);
+    let entry = request.header(http::ENTRY).unwrap_or_default();
+    let in_progress = InProgress::start(agent.clone(), version, entry);
     let step = "call upstream";
     let peer = agent.settings.upstream.address.to_string();
     let forwarded = forward(&peer, request);
--- a/ragwortdeal_node/src/agent/engine.rs
+++ b/ragwortdeal_node/src/agent/engine.rs
@@ -129,7 +129,8 @@
         match agent.engine.state().await {
             Ok(state) => {
                 let wire::EngineState { running, queued, .. } = state;
-                let report = Report { running, queued, at: time::Instant::now() };
+                let by_entry = agent.by_entry.lock().expect("no panic under lock").clone();
+                let report = Report { running, queued, by_entry, at: time::Instant::now() };
                 *agent.report.lock().expect("no panic under lock") = report;
             }
             Err(error) => log::debug!("agent: {error}"),
--- a/ragwortdeal_node/src/http.rs
+++ b/ragwortdeal_node/src/http.rs
@@ -31,6 +31,16 @@
 /// Header with the account on whose behalf an entry calls an agent.
 pub const ACCOUNT: &str = "x-ragwortdeal-account";
 
+/// Header with the link address of the entry that calls an agent, by which the agent tells each
+/// entry how many of its calls are in progress.
+pub const ENTRY: &str = "x-ragwortdeal-entry";
+
+/// Header with a request's importance among those of its account: `high`, `normal` or `low`.
+pub const PRIORITY: &str = "x-priority";
+
+/// Header with the time in milliseconds for which the caller will wait.
+pub const TIMEOUT_MS: &str = "x-request-timeout-ms";
+
 /// A whole body from memory.
 pub fn full(bytes: impl Into<bytes::Bytes>) -> Body {
     http_body_util::Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
--- a/ragwortdeal_node/src/http/client.rs
+++ b/ragwortdeal_node/src/http/client.rs
@@ -17,6 +17,12 @@
 /// Idle connections are closed after this time, before what lies between forgets them silently.
 const IDLE: time::Duration = time::Duration::from_secs(20);
 
+/// How long a connection may be idle before the kernel probes whether the other side still knows it.
+const KEEPALIVE: time::Duration = time::Duration::from_secs(1);
+
+/// How long sent bytes may stay unacknowledged before the connection is given up.
+const UNACKNOWLEDGED: time::Duration = time::Duration::from_secs(3);
+
 /// Why a call got no answer.
 #[derive(Debug, Snafu)]
 pub enum HttpError {
@@ -62,6 +68,13 @@
         let mut connector = legacy::connect::HttpConnector::new();
         connector.set_connect_timeout(Some(time::Duration::from_millis(connect_ms)));
         connector.set_nodelay(true);
+        // A connection can go silent for good while new ones work, because something in between
+        // lost track of it. Calls on it would hang until their deadline; this closes it before.
+        connector.set_keepalive(Some(KEEPALIVE));
+        connector.set_keepalive_interval(Some(KEEPALIVE));
+        connector.set_keepalive_retries(Some(2));
+        #[cfg(target_os = "linux")]
+        connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
         let inner = legacy::Client::builder(rt::TokioExecutor::new())
             .pool_max_idle_per_host(IDLE_PER_HOST)
             .pool_idle_timeout(IDLE)
--- a/ragwortdeal_node/src/settings/agent.rs
+++ b/ragwortdeal_node/src/settings/agent.rs
@@ -74,6 +74,8 @@
     pub order_life_ms: u64,
     /// How often the upstream's load is read.
     pub report_ms: u64,
+    /// Calls that it works on at once; entries admit as much as all upstreams can take together.
+    pub slots: u32,
 }
 
 impl Default for Upstream {
@@ -86,6 +88,7 @@
             honours_key: false,
             order_life_ms: 60_000,
             report_ms: 500,
+            slots: 64,
         }
     }
 }
--- a/ragwortdeal_wire/src/link.rs
+++ b/ragwortdeal_wire/src/link.rs
@@ -1,7 +1,7 @@
 //! Generated from schema/link.json by ./generate; not edited by hand.
 
 /// SHA-256 of the schema file that this module was generated from.
-pub const SCHEMA_SHA256: &str = "51409cbd65a43a37035a82a5f30292f11a792951ceb0545798039bc0c66a5a6e";
+pub const SCHEMA_SHA256: &str = "9ffc3da319fdcb22b8445cf27eecb32b5011997240c4cfc57f4cb7bbf8e0c7ea";
 
 #[doc = "An upstream's announcement of itself, renewed before its lease ends."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
@@ -13,6 +13,8 @@
     pub behind: ::std::option::Option<::std::string::String>,
     #[doc = "Address of the agent's HTTP listener."]
     pub call_address: ::std::string::String,
+    #[doc = "Calls in progress at that report that came through the receiver of this announcement."]
+    pub from_here: u64,
     #[doc = "Digest of the version it is staging."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub holds: ::std::option::Option<::std::string::String>,
@@ -47,6 +49,8 @@
     pub serving: ::std::option::Option<::std::string::String>,
     #[doc = "Size of the intended version."]
     pub size_bytes: u64,
+    #[doc = "Calls that the upstream works on at once."]
+    pub slots: u64,
     #[doc = "Verified bytes of the intended version."]
     pub staged_bytes: u64,
     #[doc = "Model or service it serves, or empty before the first."]
@@ -125,6 +129,12 @@
     #[doc = "CBOR of the core's update."]
     pub payload: ::serde_bytes::ByteBuf,
 }
+#[doc = "Demand of the accounts at one entry, told to the other entries."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct Demand {
+    #[doc = "CBOR of the demand by model or service."]
+    pub payload: ::serde_bytes::ByteBuf,
+}
 #[doc = "One frame of a link."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct Frame {
@@ -212,6 +222,9 @@
     #[doc = "Answers about an attempt."]
     #[serde(rename = "attempt_state")]
     AttemptState(AttemptState),
+    #[doc = "Demand of accounts."]
+    #[serde(rename = "demand")]
+    Demand(Demand),
 }
 impl ::std::convert::From<Hello> for Message {
     fn from(value: Hello) -> Self {
@@ -268,6 +281,11 @@
         Self::AttemptState(value)
     }
 }
+impl ::std::convert::From<Demand> for Message {
+    fn from(value: Demand) -> Self {
+        Self::Demand(value)
+    }
+}
 #[doc = "Asks the voters for an entry of their log."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct Propose {
