Route, admit, retry and resume calls over real sockets

Cause: the entry chose by a full scan, let everybody in, said "did not run" of calls that may have run, and lost an answer with its connection. Change: router, shares over entries, retry budgets and urgency in the entry's call path; retries up to the first byte of the body; streams resumed on the same engine and version over a new connection, cancelled when their caller goes away; only whole events are passed on, all of one completion; identifiers behind the entry are unique.

--- a/ragwortdeal_node/src/entry.rs
+++ b/ragwortdeal_node/src/entry.rs
@@ -78,6 +78,9 @@
     http: http::Client,
     config: watch::Sender<replica::Replica>,
     members: sync::Mutex<members::Members>,
+    traffic: sync::Mutex<calls::traffic::Traffic>,
+    /// Weights of the accounts that have one.
+    weights: collections::HashMap<name::AccountName, u32>,
     voters: Vec<link::Link>,
     sessions: sync::Mutex<collections::HashMap<link::SessionId, relay::Subscriber>>,
     next_request: atomic::AtomicU64,
@@ -92,10 +95,14 @@
         let identity = settings.process.identity()?;
         let credential = link::Credential::new(&settings.credentials.cluster);
         let mut accounts = collections::HashMap::new();
+        let mut weights = collections::HashMap::new();
         for account in &settings.accounts {
-            accounts.insert(account.token.clone(), name::AccountName::new(&account.name)?);
+            let name = name::AccountName::new(&account.name)?;
+            accounts.insert(account.token.clone(), name.clone());
+            weights.extend(account.weight.map(|weight| (name, weight)));
         }
         let voters = control::open_links(&settings, &identity, &credential, events);
+        let traffic = calls::traffic::Traffic::new(identity.incarnation);
         Ok(Self {
             identity,
             credential,
@@ -104,6 +111,8 @@
             http: http::Client::new(500),
             config: watch::Sender::new(replica::Replica::default()),
             members: sync::Mutex::new(members::Members::new(settings.limits.lease_ms)),
+            traffic: sync::Mutex::new(traffic),
+            weights,
             settings,
             voters,
             sessions: sync::Mutex::default(),
@@ -137,6 +146,10 @@
     let mut tasks = tokio::task::JoinSet::new();
     tasks.spawn(control::follow(entry.clone(), events));
     tasks.spawn(members::expire(entry.clone()));
+    tasks.spawn(calls::demand::keep_time(entry.clone()));
+    for address in &entry.settings.entries.addresses {
+        tasks.spawn(calls::demand::tell(entry.clone(), address.to_string()));
+    }
     let limits = link::LinkLimits::default();
     let credential = entry.credential.clone();
     let (links_stopper, links_stop) = stop::pair();
--- a/ragwortdeal_node/src/entry/calls.rs
+++ b/ragwortdeal_node/src/entry/calls.rs
@@ -1,24 +1,38 @@
 //! Completions: from a caller to an engine and back.
 
+pub(super) mod attempt;
+pub(super) mod demand;
+pub(super) mod permit;
+pub(super) mod traffic;
+
 use std::sync;
 
-use ragwortdeal_core::{config, name};
-use ragwortdeal_wire::{link as announced, operator as wire};
+use ragwortdeal_core::{admission::refusal, config, digest, name, retry};
+use ragwortdeal_wire::operator as wire;
 
-use super::{Entry, callers, members, stream};
+use super::{Entry, callers, stream};
 use crate::http;
 
-/// How many upstreams one call may be sent to, as long as none of them has run it to a first byte.
-const ATTEMPTS_MAX: usize = 3;
+/// Start of a prompt that engines may share, in bytes. Shorter prompts are not worth an affinity.
+const PREFIX_BYTES: usize = 256;
+
+/// Longest identifier that a caller may give its request.
+const REQUEST_ID_MAX_BYTES: usize = 64;
 
 /// A parsed call for a completion.
 pub(super) struct Call {
+    /// Identifier towards the caller.
     pub(super) id: String,
+    /// Identifier on all hops behind the entry. Callers choose theirs freely, and two calls with
+    /// one identifier at an engine could be handed each other's answer on a resume.
+    pub(super) hop_id: String,
     pub(super) account: name::AccountName,
     path: String,
     model: name::ModelName,
     body: bytes::Bytes,
     events: bool,
+    urgency: permit::Urgency,
+    prefix: Option<u64>,
 }
 
 /// An upstream that was chosen for a call.
@@ -27,7 +41,14 @@
     pub(super) address: String,
     pub(super) version: Option<String>,
     /// Counts the call as in flight until it is dropped.
-    pub(super) in_flight: sync::Arc<()>,
+    pub(super) in_flight: traffic::InFlight,
+}
+
+/// The way to an agent.
+struct Hop<'a> {
+    address: &'a str,
+    version: Option<&'a str>,
+    id: &'a str,
 }
 
 /// Answers a call for a completion.
@@ -46,6 +67,7 @@
     };
     let limits = &entry.settings.limits;
     let path = request.uri.path().to_owned();
+    let urgency = permit::Urgency::of(&request);
     let Ok(body) = http::read(request.body, limits.request_max_bytes, limits.gap_ms).await else {
         return refuse(http::Kind::BadRequest, "the body is too large or too slow");
     };
@@ -56,107 +78,203 @@
         return refuse(http::Kind::BadRequest, "the field model is missing or no name");
     };
     let events = fields["stream"].as_bool().unwrap_or(false);
-    Ok(Call { id, account, path, model, body, events })
+    let prefix = prefix(&fields);
+    let hop_id = hop_id(entry, &id);
+    Ok(Call { id, hop_id, account, path, model, body, events, urgency, prefix })
+}
+
+/// An identifier that is unique and still shows the caller's own.
+fn hop_id(entry: &Entry, id: &str) -> String {
+    let own = entry.request_id();
+    let given = id.len() <= REQUEST_ID_MAX_BYTES && name::check(id).is_ok();
+    if given { format!("{id}.{own}") } else { own }
+}
+
+/// Hash of the start of the prompt, if it is long enough to be worth finding again.
+fn prefix(fields: &serde_json::Value) -> Option<u64> {
+    let start = match &fields["prompt"] {
+        serde_json::Value::String(prompt) => prompt.as_bytes().get(..PREFIX_BYTES)?.to_vec(),
+        _ => fields["messages"][0]["content"].as_str()?.as_bytes().get(..PREFIX_BYTES)?.to_vec(),
+    };
+    let hash = digest::Digest::of(&start);
+    Some(hash.as_bytes()[..8].iter().fold(0, |value, &byte| value << 8 | u64::from(byte)))
 }
 
 async fn serve(entry: sync::Arc<Entry>, call: Call) -> http::Response {
     let target = config::object::ObjectKey::Model(call.model.clone());
-    let mut tried = Vec::new();
-    let mut last_error = None;
-    while tried.len() < ATTEMPTS_MAX {
-        let chosen = match entry.choose(&call.account, &target, &tried) {
+    let permit = match entry.admit(&call.account, &target, call.urgency, &call.id).await {
+        Ok(permit) => permit,
+        Err(refusal) => return refusal,
+    };
+    let mut history = History::default();
+    loop {
+        let wanted = traffic::Wanted {
+            account: &call.account,
+            target: &target,
+            excluded: &history.tried,
+            prefix: call.prefix,
+        };
+        let chosen = match entry.choose_for(&wanted) {
             Ok(chosen) => chosen,
-            Err(kind) if last_error.is_none() => {
-                let detail = "no upstream may serve this call now";
-                return callers::not_run(kind, detail, &call.id);
+            Err(kind) => {
+                return history.give_up(kind, "no upstream may serve this call now", &call);
             }
-            Err(_) => break,
         };
-        tried.push(chosen.instance.clone());
-        match attempt(&entry, &call, chosen).await {
-            Ok(response) => return response,
-            Err(error) => last_error = Some(error),
+        history.tried.push(chosen.instance.clone());
+        let failed = match attempt::begin(&entry, &call, chosen).await {
+            Ok(begun) => return answer(entry, &call, begun, permit),
+            Err(failed) => failed,
+        };
+        log::info!("entry: {}: {}", call.id, failed.detail);
+        if let Err(detail) = history.again(&entry, &call, &failed) {
+            return history.give_up(http::Kind::Unavailable, &detail, &call);
         }
     }
-    // Completions change nothing, so even a lost answer may be asked for again.
-    let detail = last_error.unwrap_or_default();
-    callers::not_run(http::Kind::Unavailable, &detail, &call.id)
 }
 
-impl Entry {
-    /// Chooses an upstream for an account's call to a model or a service.
-    pub(super) fn choose(
-        &self,
-        account: &name::AccountName,
-        target: &config::object::ObjectKey,
-        excluded: &[name::InstanceName],
-    ) -> Result<Chosen, http::Kind> {
-        let config = self.config.borrow();
-        let reach = config::intent::reach(config.objects(), account, target);
-        if reach.is_empty() {
-            return Err(http::Kind::NoRoute);
-        }
-        let members = self.members.lock().expect("no panic under lock");
-        let eligible = members
-            .available(self.clock.now_ms())
-            .filter(|(_, member)| serves(&member.announcement, target))
-            .filter(|(name, _)| !excluded.contains(name) && reach.allows(config.objects(), name));
-        let least = eligible.min_by_key(|(_, member)| load(member));
-        let (instance, member) = least.ok_or(http::Kind::Unavailable)?;
-        Ok(Chosen {
-            instance: instance.clone(),
-            address: member.announcement.call_address.clone(),
-            version: member.announcement.serving.clone(),
-            in_flight: member.in_flight.clone(),
-        })
-    }
+/// Attempts at one call so far.
+#[derive(Default)]
+struct History {
+    tried: Vec<name::InstanceName>,
+    /// Whether one of them may have run.
+    may_have_run: bool,
 }
 
-fn serves(announcement: &announced::Announcement, target: &config::object::ObjectKey) -> bool {
-    use announced::AnnouncementKind::{Engine, Service};
-    match (target, announcement.kind) {
-        (config::object::ObjectKey::Model(model), Engine) => {
-            announcement.serving.is_some() && announcement.target == model.as_str()
-        }
-        (config::object::ObjectKey::Service(service), Service) => {
-            announcement.target == service.as_str()
-        }
-        _ => false,
+impl History {
+    /// Decides whether a failed call is tried again. The error says why not.
+    fn again(
+        &mut self,
+        entry: &Entry,
+        call: &Call,
+        failed: &attempt::Failed,
+    ) -> Result<(), String> {
+        self.may_have_run |= failed.failure != retry::Failure::NotRun;
+        let now_ms = entry.clock.now_ms();
+        let attempted = retry::Attempted {
+            // Completions change nothing.
+            idempotent: true,
+            attempts: self.tried.len() as u32,
+            failure: failed.failure,
+            resumable_on: None,
+            deadline_ms: call.urgency.deadline_ms(now_ms),
+            needed_ms: 0,
+        };
+        let given_up = match retry::judge(&attempted, now_ms) {
+            retry::Verdict::GiveUp(reason) => Err(reason),
+            _ => {
+                let mut traffic = entry.traffic.lock().expect("no panic under lock");
+                traffic.may_retry(&failed.instance)
+            }
+        };
+        given_up.map_err(|reason| format!("{}; given up: {reason:?}", failed.detail))
     }
-}
 
-fn load(member: &members::Member) -> usize {
-    sync::Arc::strong_count(&member.in_flight) + member.announcement.queued as usize
+    /// The final answer, which says "did not run" only where that is certain.
+    fn give_up(&self, kind: http::Kind, detail: &str, call: &Call) -> http::Response {
+        if !self.may_have_run {
+            return callers::not_run(kind, detail, &call.id);
+        }
+        let kind = http::Kind::UpstreamFailed;
+        let mut problem = http::problem(kind, wire::Ran::Unknown, detail);
+        problem.request_id = Some(call.id.clone());
+        http::answer(&problem)
+    }
 }
 
-/// Sends the call to one upstream. An error means that no byte of an answer came.
-async fn attempt(
-    entry: &sync::Arc<Entry>,
+fn answer(
+    entry: sync::Arc<Entry>,
     call: &Call,
-    chosen: Chosen,
-) -> Result<http::Response, String> {
-    let request = entry.to_agent(&chosen, "POST", &call.path, &call.id, call.body.clone());
-    let limits = &entry.settings.limits;
-    let sent = entry.http.send("call agent", &chosen.address, request, limits.first_byte_ms).await;
-    let response = sent.map_err(|error| error.to_string())?;
-    if response.status().is_server_error() || response.status() == 409 {
-        return Err(format!("{} answered {}", chosen.instance, response.status()));
-    }
-    let made_by = response.headers().get(http::MODEL_VERSION);
-    let made_by = made_by.and_then(|value| value.to_str().ok()).map(str::to_owned);
-    if response.status().is_success() && made_by != chosen.version {
-        return Err(format!("{} answered by another version", chosen.instance));
-    }
+    begun: attempt::Begun,
+    permit: permit::Permit,
+) -> http::Response {
+    let attempt::Begun { head, first, body, chosen, cancel } = begun;
+    let mut in_flight = chosen.in_flight;
+    in_flight.hold(permit);
     let watch = stream::Watch {
         request_id: call.id.clone(),
         events: call.events,
-        gap_ms: limits.gap_ms,
-        in_flight: chosen.in_flight,
+        gap_ms: entry.settings.limits.gap_ms,
+        in_flight,
     };
-    Ok(stream::relay(response, watch))
+    let version = chosen.version.unwrap_or_default();
+    let (instance, address) = (chosen.instance, chosen.address);
+    let hop_id = call.hop_id.clone();
+    let source = stream::source::Source::new(entry, instance, address, version, hop_id, cancel);
+    stream::relay_begun(head, first, body, watch, source)
 }
 
 impl Entry {
+    /// Lets a caller in, or gives the refusal to answer with.
+    pub(super) async fn admit(
+        self: &sync::Arc<Self>,
+        account: &name::AccountName,
+        target: &config::object::ObjectKey,
+        urgency: permit::Urgency,
+        id: &str,
+    ) -> Result<permit::Permit, http::Response> {
+        if let Err(kind) = self.routable(account, target) {
+            return Err(callers::not_run(kind, "no upstream may serve this call now", id));
+        }
+        let deadline_ms = urgency.deadline_ms(self.clock.now_ms());
+        let acquired = permit::acquire(self, account, target, deadline_ms, urgency).await;
+        acquired.map_err(|refusal| refused(&refusal, id))
+    }
+
+    /// Whether a call may go anywhere. A fresh look at the members is worth its price before a
+    /// refusal.
+    fn routable(
+        &self,
+        account: &name::AccountName,
+        target: &config::object::ObjectKey,
+    ) -> Result<(), http::Kind> {
+        let look = || {
+            let config = self.config.borrow();
+            let mut traffic = self.traffic.lock().expect("no panic under lock");
+            traffic.route(account, target, &config).map(|_| ())
+        };
+        match look() {
+            Err(http::Kind::Unavailable) => {
+                self.sync_traffic();
+                look()
+            }
+            known => known,
+        }
+    }
+
+    /// Chooses an upstream for an account's call to a model or a service.
+    pub(super) fn choose(
+        self: &sync::Arc<Self>,
+        account: &name::AccountName,
+        target: &config::object::ObjectKey,
+        excluded: &[name::InstanceName],
+    ) -> Result<Chosen, http::Kind> {
+        self.choose_for(&traffic::Wanted { account, target, excluded, prefix: None })
+    }
+
+    fn choose_for(
+        self: &sync::Arc<Self>,
+        wanted: &traffic::Wanted<'_>,
+    ) -> Result<Chosen, http::Kind> {
+        let choose = || {
+            let now_ms = self.clock.now_ms();
+            let config = self.config.borrow();
+            self.traffic.lock().expect("no panic under lock").choose(wanted, &config, now_ms)
+        };
+        let place = match choose() {
+            Err(http::Kind::Unavailable) => {
+                self.sync_traffic();
+                choose()?
+            }
+            known => known?,
+        };
+        Ok(Chosen {
+            in_flight: traffic::InFlight::new(self.clone(), place.id),
+            instance: place.instance,
+            address: place.address,
+            version: place.version,
+        })
+    }
+
     /// Builds the request to an agent for a caller's request.
     pub(super) fn to_agent(
         &self,
@@ -166,17 +284,54 @@
         id: &str,
         body: bytes::Bytes,
     ) -> hyper::Request<http::Body> {
+        let hop = Hop { address: &chosen.address, version: chosen.version.as_deref(), id };
+        self.over(&hop, method, path, body)
+    }
+
+    fn over(
+        &self,
+        hop: &Hop<'_>,
+        method: &str,
+        path: &str,
+        body: bytes::Bytes,
+    ) -> hyper::Request<http::Body> {
+        let Hop { address, version, id } = hop;
         let mut request = hyper::Request::builder()
             .method(method)
-            .uri(format!("http://{}/call{path}", chosen.address))
+            .uri(format!("http://{address}/call{path}"))
             .header("authorization", self.credential.header_value())
             .header("content-type", "application/json")
-            .header(http::REQUEST_ID, id);
-        if let Some(version) = &chosen.version {
-            request = request.header(http::MODEL_VERSION, version);
+            .header(http::ENTRY, self.settings.listen.links.to_string())
+            .header(http::REQUEST_ID, *id);
+        if let Some(version) = version {
+            request = request.header(http::MODEL_VERSION, *version);
         }
         request.body(http::full(body)).expect("checked names make valid headers")
     }
+
+    /// Builds a request about a stream that an engine has or had.
+    pub(super) fn about_stream(
+        &self,
+        source: &stream::source::Source,
+        method: &str,
+        path: &str,
+    ) -> hyper::Request<http::Body> {
+        let id = &source.hop_id;
+        let hop = Hop { address: &source.address, version: Some(&source.version), id };
+        self.over(&hop, method, &format!("/streams/{id}{path}"), bytes::Bytes::new())
+    }
+}
+
+/// The answer to a caller that is not let in.
+fn refused(refusal: &refusal::Refusal, id: &str) -> http::Response {
+    let kind = match refusal.reason {
+        refusal::Reason::NoCapacity => http::Kind::Unavailable,
+        _ => http::Kind::Overloaded,
+    };
+    let mut problem = http::problem(kind, wire::Ran::DidNotRun, refusal.reason.code());
+    problem.request_id = Some(id.to_owned());
+    problem.retry_after_ms = Some(refusal.retry_after_ms);
+    http::answer(&problem)
 }
 
 /// An error that says that the request may have run.
--- a/ragwortdeal_node/src/entry/members.rs
+++ b/ragwortdeal_node/src/entry/members.rs
@@ -17,8 +17,6 @@
     pub(super) announcement: sync::Arc<wire::Announcement>,
     /// Until when it is believed.
     lease_ends_ms: u64,
-    /// Calls of this entry in progress there.
-    pub(super) in_flight: sync::Arc<()>,
 }
 
 /// All upstreams that are believed now.
@@ -55,7 +53,7 @@
             None => {
                 log::info!("entry: upstream {name} announced itself");
                 let announcement = sync::Arc::new(announcement);
-                let member = Member { announcement, lease_ends_ms, in_flight: sync::Arc::new(()) };
+                let member = Member { announcement, lease_ends_ms };
                 self.by_instance.insert(name, member);
             }
         }
--- a/ragwortdeal_node/src/entry/operations.rs
+++ b/ragwortdeal_node/src/entry/operations.rs
@@ -28,9 +28,16 @@
         key: request.header("idempotency-key").map(str::to_owned),
     };
     let limits = &entry.settings.limits;
+    let urgency = calls::permit::Urgency::of(&request);
     let Ok(body) = http::read(request.body, limits.request_max_bytes, limits.gap_ms).await else {
         return refuse(http::Kind::BadRequest, "the body is too large or too slow");
     };
+    let target = config::object::ObjectKey::Service(call.service.clone());
+    let mut permit = match entry.admit(&call.account, &target, urgency, &id).await {
+        Ok(permit) => permit,
+        Err(refusal) => return refusal,
+    };
+    permit.answered();
     match call.method {
         hyper::Method::GET | hyper::Method::HEAD => repeatable(&entry, &call, body).await,
         _ => once(&entry, &call, body).await,
@@ -46,7 +53,7 @@
     key: Option<String>,
 }
 
-async fn repeatable(entry: &Entry, call: &Call, body: bytes::Bytes) -> http::Response {
+async fn repeatable(entry: &sync::Arc<Entry>, call: &Call, body: bytes::Bytes) -> http::Response {
     let target = config::object::ObjectKey::Service(call.service.clone());
     let chosen = match entry.choose(&call.account, &target, &[]) {
         Ok(chosen) => chosen,
@@ -65,7 +72,7 @@
 }
 
 /// Runs an operation that may not be repeated.
-async fn once(entry: &Entry, call: &Call, body: bytes::Bytes) -> http::Response {
+async fn once(entry: &sync::Arc<Entry>, call: &Call, body: bytes::Bytes) -> http::Response {
     let refuse = |kind, detail: &str| callers::not_run(kind, detail, &call.id);
     let Some(key) = call.key.as_deref().filter(|key| name::check(key).is_ok()) else {
         return refuse(http::Kind::BadRequest, "this call needs an Idempotency-Key");
--- a/ragwortdeal_node/src/entry/relay.rs
+++ b/ragwortdeal_node/src/entry/relay.rs
@@ -34,6 +34,7 @@
             wire::Message::Subscribe(subscribe) => {
                 self.0.subscribe(session, subscribe.held_revision);
             }
+            wire::Message::Demand(demand) => self.0.learn_demand(&session.hello.name, &demand),
             _ => log::debug!("entry: unexpected message from {}", session.hello.name),
         }
     }
--- a/ragwortdeal_standins/src/deployment.rs
+++ b/ragwortdeal_standins/src/deployment.rs
@@ -39,6 +39,10 @@
     pub origin_bytes_per_s: u64,
     /// 0 weighs time until all serve, 100 weighs bytes from the origin.
     pub origin_weight_percent: u8,
+    /// Limits on calls at the entries.
+    pub limits: settings::entry::Limits,
+    /// Accounts beside the test account.
+    pub accounts: Vec<settings::entry::Account>,
     /// How engines behave.
     pub engine: engine::Behaviour,
     /// How ledgers behave.
@@ -56,6 +60,8 @@
             portals: 1,
             origin_bytes_per_s: 64 << 20,
             origin_weight_percent: 50,
+            limits: settings::entry::Limits::default(),
+            accounts: Vec::new(),
             engine: engine::Behaviour::default(),
             ledger: service::Behaviour::default(),
         }
@@ -197,11 +203,8 @@
                 listen,
                 voters: peers.clone(),
                 entries: settings::common::Peers { addresses: others.collect() },
-                accounts: vec![settings::entry::Account {
-                    name: "branches".to_owned(),
-                    token: caller::ACCOUNT_TOKEN.to_owned(),
-                    weight: None,
-                }],
+                accounts: self.accounts(),
+                limits: self.plan.limits.clone(),
                 operators: vec![settings::entry::Operator {
                     name: "tests".to_owned(),
                     token: caller::OPERATOR_TOKEN.to_owned(),
@@ -216,6 +219,15 @@
         Ok(())
     }
 
+    fn accounts(&self) -> Vec<settings::entry::Account> {
+        let own = settings::entry::Account {
+            name: "branches".to_owned(),
+            token: caller::ACCOUNT_TOKEN.to_owned(),
+            weight: None,
+        };
+        [&[own], &self.plan.accounts[..]].concat()
+    }
+
     fn agent_settings(&self, kind: &str, number: usize) -> settings::agent::Settings {
         let entries = self.entries.iter().map(|entry| entry.settings.listen.links).collect();
         settings::agent::Settings {
@@ -238,6 +250,7 @@
         settings.upstream.address = engine.address();
         settings.upstream.checks_fence = self.plan.engine.checks_fence;
         settings.upstream.report_ms = 100;
+        settings.upstream.slots = self.plan.engine.slots as u32;
         let mut agent = start_agent(settings)?;
         agent.engine = Some(engine);
         self.engines.push(agent);
