--- a/ragwortdeal_node/src/entry/operations.rs
+++ b/ragwortdeal_node/src/entry/operations.rs
@@ -48,12 +48,20 @@
         key: request.header("idempotency-key").map(str::to_owned),
     };
     let limits = &entry.settings.limits;
+    let urgency = calls::permit::Urgency::of(&request);
     let Ok(body) = http::read(request.body, limits.request_max_bytes, limits.gap_ms).await else {
         return refuse(http::Kind::BadRequest, "the body is too large or too slow");
     };
-    match call.method {
-        hyper::Method::GET | hyper::Method::HEAD => repeatable(&entry, &call, body).await,
-        _ => once(&entry, call, body).await,
+    let changes = !matches!(call.method, hyper::Method::GET | hyper::Method::HEAD);
+    let mut permit = match entry.admit(&call.account, &call.target(), urgency, &id).await {
+        Ok(permit) => permit,
+        Err(refusal) if !changes => return refusal,
+        Err(refusal) => return refused(&entry, call, body, refusal).await,
+    };
+    permit.answered();
+    match changes {
+        false => repeatable(&entry, &call, body).await,
+        true => once(&entry, call, body).await,
     }
 }
 
@@ -73,7 +81,7 @@
     }
 }
 
-async fn repeatable(entry: &Entry, call: &Call, body: bytes::Bytes) -> http::Response {
+async fn repeatable(entry: &sync::Arc<Entry>, call: &Call, body: bytes::Bytes) -> http::Response {
     let chosen = match entry.choose(&call.account, &call.target(), &[]) {
         Ok(chosen) => chosen,
         Err(kind) => return callers::not_run(kind, "no upstream may serve this call", &call.id),
@@ -92,19 +100,19 @@
 
 /// Runs an operation that may not be repeated.
 async fn once(entry: &sync::Arc<Entry>, call: Call, body: bytes::Bytes) -> http::Response {
-    let refuse = |kind, detail: &str| callers::not_run(kind, detail, &call.id);
-    let Some(Ok(key)) = call.key.as_deref().map(name::OperationKey::new) else {
-        // Without a key a resend cannot be told from a second order, so nothing is passed on.
-        return refuse(http::Kind::BadRequest, "this call needs an Idempotency-Key");
+    let order = match Order::read(call, body) {
+        Ok(order) => order,
+        Err(refusal) => return refusal,
     };
-    let key = key::ScopedKey { account: call.account.clone(), service: call.service.clone(), key };
-    let body_digest = digest::Digest::of_value(&(call.method.as_str(), &call.path, &body[..]));
-    let order = Order { call: sync::Arc::new(call), key, body, body_digest };
     let mut tried = Vec::new();
     loop {
         let (chosen, claim) = match order.prepare(entry, &tried) {
             Ok(prepared) => prepared,
-            Err(kind) => return without_upstream(entry, &order, kind).await,
+            Err(kind) => {
+                let detail = "no upstream may serve this call";
+                let refusal = callers::not_run(kind, detail, &order.call.id);
+                return unless_known(entry, &order, refusal).await;
+            }
         };
         tried.push(chosen.instance.clone());
         let reply = order.run(entry, chosen, claim).await;
@@ -129,10 +137,23 @@
 }
 
 impl Order {
+    fn read(call: Call, body: bytes::Bytes) -> Result<Self, http::Response> {
+        let Some(Ok(key)) = call.key.as_deref().map(name::OperationKey::new) else {
+            // Without a key a resend cannot be told from a second order, so nothing is passed on.
+            let detail = "this call needs an Idempotency-Key";
+            return Err(callers::not_run(http::Kind::BadRequest, detail, &call.id));
+        };
+        let (account, service) = (call.account.clone(), call.service.clone());
+        let key = key::ScopedKey { account, service, key };
+        let parts = (call.method.as_str(), &call.path, &body[..]);
+        let body_digest = digest::Digest::of_value(&parts);
+        Ok(Self { call: sync::Arc::new(call), key, body, body_digest })
+    }
+
     /// Chooses an upstream that was not tried yet, and makes the claim for it.
     fn prepare(
         &self,
-        entry: &Entry,
+        entry: &sync::Arc<Entry>,
         tried: &[name::InstanceName],
     ) -> Result<(calls::Chosen, state::Claim), http::Kind> {
         let target = self.call.target();
@@ -168,12 +189,25 @@
     }
 }
 
-/// Answers an operation that no upstream may take now. An earlier request with the key may have an
-/// answer all the same, and a plain refusal would make its caller order the operation once more.
-async fn without_upstream(
+/// Answers an operation that was not admitted.
+async fn refused(
+    entry: &sync::Arc<Entry>,
+    call: Call,
+    body: bytes::Bytes,
+    refusal: http::Response,
+) -> http::Response {
+    match Order::read(call, body) {
+        Ok(order) => unless_known(entry, &order, refusal).await,
+        Err(refusal) => refusal,
+    }
+}
+
+/// Refuses an operation that cannot be run now. An earlier request with the key may have an answer
+/// all the same, and a plain refusal would make its caller order the operation once more.
+async fn unless_known(
     entry: &sync::Arc<Entry>,
     order: &Order,
-    kind: http::Kind,
+    refusal: http::Response,
 ) -> http::Response {
     let (id, call) = (order.key.id(), &order.call);
     match entry.propose_operation(state::Command::Look(id)).await {
@@ -181,7 +215,7 @@
             reply::to_caller(operation::Reply::BodyMismatch, &call.id)
         }
         Some(state::Outcome::Standing(standing)) => settled(entry, *standing, &call.id).await,
-        Some(_) => callers::not_run(kind, "no upstream may serve this call", &call.id),
+        Some(_) => refusal,
         None => {
             let reason = operation::NotRunReason::NoQuorum;
             let reply = operation::Reply::DidNotRun { reason, earlier_unknown: true };
