--- a/ragwortdeal_node/src/entry.rs
+++ b/ragwortdeal_node/src/entry.rs
@@ -14,7 +14,7 @@
     sync::{self, atomic},
 };
 
-use ragwortdeal_core::{config::replica, name};
+use ragwortdeal_core::{claims::attempt, config::replica, name};
 use snafu::Snafu;
 use tokio::{net, sync::watch};
 
@@ -78,9 +78,13 @@
     http: http::Client,
     config: watch::Sender<replica::Replica>,
     members: sync::Mutex<members::Members>,
+    traffic: sync::Mutex<calls::traffic::Traffic>,
+    /// Weights of the accounts that have one.
+    weights: collections::HashMap<name::AccountName, u32>,
     voters: Vec<link::Link>,
     sessions: sync::Mutex<collections::HashMap<link::SessionId, relay::Subscriber>>,
     next_request: atomic::AtomicU64,
+    attempts: sync::Mutex<attempt::AttemptSource>,
     ready: atomic::AtomicBool,
 }
 
@@ -92,10 +96,15 @@
         let identity = settings.process.identity()?;
         let credential = link::Credential::new(&settings.credentials.cluster);
         let mut accounts = collections::HashMap::new();
+        let mut weights = collections::HashMap::new();
         for account in &settings.accounts {
-            accounts.insert(account.token.clone(), name::AccountName::new(&account.name)?);
+            let name = name::AccountName::new(&account.name)?;
+            accounts.insert(account.token.clone(), name.clone());
+            weights.extend(account.weight.map(|weight| (name, weight)));
         }
+        let attempts = attempt::AttemptSource::new(identity.name.clone(), identity.incarnation);
         let voters = control::open_links(&settings, &identity, &credential, events);
+        let traffic = calls::traffic::Traffic::new(identity.incarnation);
         Ok(Self {
             identity,
             credential,
@@ -104,10 +113,13 @@
             http: http::Client::new(500),
             config: watch::Sender::new(replica::Replica::default()),
             members: sync::Mutex::new(members::Members::new(settings.limits.lease_ms)),
+            traffic: sync::Mutex::new(traffic),
+            weights,
             settings,
             voters,
             sessions: sync::Mutex::default(),
             next_request: atomic::AtomicU64::new(1),
+            attempts: sync::Mutex::new(attempts),
             ready: atomic::AtomicBool::new(true),
         })
     }
@@ -137,6 +149,10 @@
     let mut tasks = tokio::task::JoinSet::new();
     tasks.spawn(control::follow(entry.clone(), events));
     tasks.spawn(members::expire(entry.clone()));
+    tasks.spawn(calls::demand::keep_time(entry.clone()));
+    for address in &entry.settings.entries.addresses {
+        tasks.spawn(calls::demand::tell(entry.clone(), address.to_string()));
+    }
     let limits = link::LinkLimits::default();
     let credential = entry.credential.clone();
     let (links_stopper, links_stop) = stop::pair();
--- a/ragwortdeal_node/src/lib.rs
+++ b/ragwortdeal_node/src/lib.rs
@@ -4,6 +4,7 @@
 //! run the same parts as library tasks. `docs/ARCHITECTURE.md` has a picture.
 
 pub mod agent;
+mod attempt;
 pub mod border;
 pub mod clock;
 pub mod entry;
@@ -14,4 +15,6 @@
 pub mod relay;
 pub mod settings;
 pub mod stop;
+pub mod storage;
+pub mod telemetry;
 pub mod voter;
