Spread chunks by owners and rarest-first exchange

Cause: N instances that all fetch from the origin need N copies of its link. Change: Manifests, owners by rendezvous hashing with takeover, a rarest-first exchange in the zone, bounded requests and uploads, standing of senders, one setting between time and origin bytes. A small model of links drives the policy in tests, beside a naive planner with full knowledge.

--- /dev/null
+++ b/ragwortdeal_core/benches/spread_shapes.rs
@@ -0,0 +1,87 @@
+//! Prints the figures of docs/design/weights.md: the swarm beside the other shapes, in the model.
+
+#[path = "../tests/spread/model.rs"]
+mod model;
+#[path = "../tests/spread/shapes.rs"]
+mod shapes;
+
+fn setup(instances: usize, chunks: u32, zones: usize, regions: usize, weight: u8) -> model::Setup {
+    let mut setup = model::Setup::new(instances, chunks);
+    (setup.zones, setup.regions) = (zones, regions);
+    setup.limits.origin_weight_percent = weight;
+    setup
+}
+
+fn report(case: &str, setup: &model::Setup, skip: &[usize]) {
+    let outcome = model::run(setup.clone());
+    let chunks = setup.chunks as usize;
+    let ratio = outcome.time_ms(skip).map(|ms| ms as f64 / setup.bound_ms());
+    let ratio = ratio.map_or("stuck".to_owned(), |ratio| format!("{ratio:.2}"));
+    println!(
+        "{case:<34} N={:<4} weight={:<3} time/bound={ratio} origin={:.3} peers={:.3} \
+         region_link_max={:.3} requests/chunk={:.2} refused/chunk={:.2} announced_KB/inst={:.1}",
+        setup.instances,
+        setup.limits.origin_weight_percent,
+        outcome.origin_chunks as f64 / chunks as f64,
+        outcome.peer_chunks as f64 / (chunks * setup.instances) as f64,
+        outcome.region_chunks_max as f64 / chunks as f64,
+        outcome.requests as f64 / (chunks * setup.instances) as f64,
+        outcome.refusals as f64 / (chunks * setup.instances) as f64,
+        outcome.announcement_bytes as f64 / setup.instances as f64 / 1e3,
+    );
+}
+
+fn others(instances: usize, chunks: u32) {
+    let setup = model::Setup::new(instances, chunks);
+    let all = shapes::all_from_origin(&setup);
+    let shapes = [
+        ("all from the origin", all),
+        ("chain", shapes::tree(&setup, 1, None)),
+        ("chain, one machine at a quarter", shapes::tree(&setup, 1, Some(instances / 2))),
+        ("binary tree", shapes::tree(&setup, 2, None)),
+        ("binary tree, one at a quarter", shapes::tree(&setup, 2, Some(1))),
+    ];
+    for (case, shape) in shapes {
+        let ratio = shape.time_ms / setup.bound_ms();
+        println!(
+            "{case:<34} N={instances:<4} time/bound={ratio:.2} origin={:.1}",
+            shape.origin_copies
+        );
+    }
+}
+
+fn main() {
+    for instances in [12, 48, 200] {
+        others(instances, 1_000);
+        for weight in [0, 50, 100] {
+            report("swarm, 1 region of 3 zones", &setup(instances, 1_000, 3, 1, weight), &[]);
+        }
+    }
+    for weight in [0, 100] {
+        report("swarm, 4 regions of 3 zones", &setup(200, 1_000, 12, 4, weight), &[]);
+        let mut slow = setup(200, 1_000, 12, 4, weight);
+        slow.limits.region_copies = 0.1;
+        report("the same, region link a twentieth", &slow, &[]);
+    }
+    for weight in [0, 100] {
+        let mut dying = setup(200, 1_000, 3, 1, weight);
+        let dead: Vec<_> = (0..10).map(|i| i * 20 + 3).collect();
+        dying.faults.deaths = dead.iter().map(|&d| (15_000 + d as u64 * 50, d)).collect();
+        report("swarm, 5% die in the middle", &dying, &dead);
+        let mut corrupt = setup(200, 1_000, 3, 1, weight);
+        corrupt.faults.corrupt_permille = 10;
+        report("swarm, 1% corrupted", &corrupt, &[]);
+        let mut stalled = setup(200, 1_000, 3, 1, weight);
+        stalled.faults.stalled = vec![7];
+        report("swarm, one stalled owner", &stalled, &[7]);
+    }
+    if std::env::args().any(|arg| arg == "--tune") {
+        return;
+    }
+    if std::env::args().any(|arg| arg == "--large") {
+        others(820, 2_000);
+        for weight in [0, 100] {
+            report("swarm, 4 regions of 3 zones", &setup(820, 2_000, 12, 4, weight), &[]);
+        }
+    }
+}
--- /dev/null
+++ b/ragwortdeal_core/src/spread/announcer.rs
@@ -0,0 +1,128 @@
+//! Who is told which chunks this instance holds, and when.
+//!
+//! Neighbours in the zone hear of every chunk. The owners of a chunk in the other zones and regions
+//! hear of that chunk alone, because only they may fetch it over those links.
+
+use std::collections;
+
+use crate::spread::{chunk_set, limits, owners, peers};
+
+/// Announcements that are gathered until the interval is over.
+#[derive(Clone, Debug)]
+pub struct Announcer {
+    fresh: Vec<u32>,
+    neighbours: Vec<owners::PeerIndex>,
+    informed: collections::BTreeSet<owners::PeerIndex>,
+    neighbours_stale: bool,
+    neighbours_max: usize,
+    interval_ms: u64,
+    due_ms: u64,
+}
+
+/// One message: the receivers and the chunks.
+pub type Message = (Vec<owners::PeerIndex>, Vec<u32>);
+
+impl Announcer {
+    /// Nothing to tell yet, but for chunks that were kept over a restart.
+    pub fn new(kept: Vec<u32>, limits: &limits::Limits) -> Self {
+        Self {
+            fresh: kept,
+            neighbours: Vec::new(),
+            informed: collections::BTreeSet::new(),
+            neighbours_stale: true,
+            neighbours_max: limits.neighbours_max,
+            interval_ms: limits.announce_interval_ms,
+            due_ms: 0,
+        }
+    }
+
+    /// A chunk was verified.
+    pub fn gained(&mut self, chunk: u32) {
+        self.fresh.push(chunk);
+    }
+
+    /// A peer joined, restarted or left: it has heard nothing.
+    pub fn membership_changed(&mut self, peer: owners::PeerIndex) {
+        self.informed.remove(&peer);
+        self.neighbours_stale = true;
+    }
+
+    /// The messages that are due.
+    pub fn due(
+        &mut self,
+        now_ms: u64,
+        held: &chunk_set::ChunkSet,
+        peers: &peers::Peers,
+        owners: &owners::Owners,
+    ) -> Vec<Message> {
+        if now_ms < self.due_ms {
+            return Vec::new();
+        }
+        self.due_ms = now_ms + self.interval_ms;
+        let mut messages = self.greet(held, peers);
+        if self.fresh.is_empty() {
+            return messages;
+        }
+        let fresh = std::mem::take(&mut self.fresh);
+        messages.extend(tier_messages(&fresh, peers, owners));
+        let incomplete = |peer: &owners::PeerIndex| !peers.get(*peer).holds.is_full();
+        let to: Vec<_> = self.neighbours.iter().copied().filter(incomplete).collect();
+        if !to.is_empty() {
+            messages.push((to, fresh));
+        }
+        messages
+    }
+
+    /// Tells new neighbours everything that was announced before they came.
+    fn greet(&mut self, held: &chunk_set::ChunkSet, peers: &peers::Peers) -> Vec<Message> {
+        if !std::mem::take(&mut self.neighbours_stale) {
+            return Vec::new();
+        }
+        self.neighbours = nearest(peers, self.neighbours_max);
+        let unaware = |peer: &owners::PeerIndex| !self.informed.contains(peer);
+        let new: Vec<_> = self.neighbours.iter().copied().filter(unaware).collect();
+        self.informed = self.neighbours.iter().copied().collect();
+        if new.is_empty() || held.is_empty() {
+            return Vec::new();
+        }
+        vec![(new, held.iter().collect())]
+    }
+}
+
+/// The peers of the zone with the lowest hash of both names: a graph that is random, so that it
+/// hangs together, and the same at every instance without a message.
+fn nearest(peers: &peers::Peers, count: usize) -> Vec<owners::PeerIndex> {
+    let my_key = peers.get(owners::ME).key;
+    let in_zone = peers.others().filter(|(_, peer)| peer.scope == peers::Scope::Zone);
+    let mut ranked: Vec<_> =
+        in_zone.map(|(index, peer)| (owners::mix(peer.key ^ my_key), index)).collect();
+    ranked.sort_unstable();
+    ranked.truncate(count);
+    ranked.into_iter().map(|(_, index)| index).collect()
+}
+
+/// What the owners in other zones and regions are told.
+fn tier_messages(
+    fresh: &[u32],
+    peers: &peers::Peers,
+    owners: &owners::Owners,
+) -> impl Iterator<Item = Message> + use<> {
+    let me = peers.get(owners::ME);
+    let mut by_peer = collections::BTreeMap::<owners::PeerIndex, Vec<u32>>::new();
+    for &chunk in fresh {
+        if owners.in_region(me.region, chunk) != Some(owners::ME) {
+            continue;
+        }
+        let zones = owners.zones().filter(|&(zone, region)| region == me.region && zone != me.zone);
+        let zone_owners = zones.filter_map(|(zone, _)| owners.in_zone(zone, chunk));
+        let mut regions: Vec<_> = owners.zones().map(|(_, region)| region).collect();
+        regions.sort_unstable();
+        regions.dedup();
+        // Only the best owner tells the other regions, so that one region serves each chunk.
+        let leads = owners.overall(chunk) == Some(owners::ME);
+        let others = regions.into_iter().filter(|&region| leads && region != me.region);
+        let region_owners = others.filter_map(|region| owners.in_region(region, chunk));
+        zone_owners.chain(region_owners).for_each(|p| by_peer.entry(p).or_default().push(chunk));
+    }
+    by_peer.into_iter().map(|(peer, chunks)| (vec![peer], chunks))
+}
--- /dev/null
+++ b/ragwortdeal_core/src/spread/download.rs
@@ -0,0 +1,284 @@
+//! The life of one version's chunks on one instance.
+
+use crate::{
+    digest, name,
+    spread::{announcer, chunk_set, event, limits, manifest, owners, peers, requests, uploads},
+};
+
+mod arrivals;
+mod choice;
+
+/// Longest pause before the origin is asked again, as doublings of the first.
+const ORIGIN_DOUBLINGS_MAX: u32 = 6;
+
+/// The decisions of one instance about one version.
+///
+/// Feed it [`event::Event`]s, and call [`Download::handle`] with [`event::Event::Tick`] a few times
+/// a second, because deadlines and announcements have no timer of their own.
+#[derive(Clone, Debug)]
+pub struct Download {
+    manifest: manifest::Manifest,
+    limits: limits::Limits,
+    held: chunk_set::ChunkSet,
+    owners: owners::Owners,
+    peers: peers::Peers,
+    requests: requests::Requests,
+    uploads: uploads::Uploads,
+    announcer: announcer::Announcer,
+    duties: choice::Duties,
+    tie_breaks: Vec<u32>,
+    probed: Vec<u8>,
+    probe_at_ms: u64,
+    settled_at_ms: Option<u64>,
+    origin_retry_at_ms: u64,
+    origin_failures: u32,
+    complete_reported: bool,
+}
+
+impl Download {
+    /// Starts on a version.
+    ///
+    /// `kept` are the chunks that were verified before a restart, or that the version before has
+    /// in common; they are not fetched again.
+    pub fn new(
+        me: event::Place,
+        manifest: manifest::Manifest,
+        limits: limits::Limits,
+        kept: &[manifest::VerifiedChunk],
+    ) -> Self {
+        let chunks = manifest.chunks().len();
+        let mut held = chunk_set::ChunkSet::new(chunks);
+        let ours = kept.iter().filter(|chunk| chunk.version() == manifest.version());
+        ours.for_each(|chunk| _ = held.insert(chunk.chunk()));
+        let mut owners = owners::Owners::new(manifest.chunks());
+        let peers = peers::Peers::new(me, &mut owners, chunks);
+        let key = peers.get(owners::ME).key;
+        Self {
+            announcer: announcer::Announcer::new(held.iter().collect(), &limits),
+            requests: requests::Requests::new(chunks, &limits),
+            uploads: uploads::Uploads::new(&limits),
+            duties: choice::Duties::stale(),
+            tie_breaks: (0..chunks as u64).map(|c| owners::mix(key ^ c) as u32).collect(),
+            probed: vec![0; chunks],
+            probe_at_ms: 0,
+            settled_at_ms: None,
+            origin_retry_at_ms: 0,
+            origin_failures: 0,
+            complete_reported: false,
+            manifest,
+            limits,
+            held,
+            owners,
+            peers,
+        }
+    }
+
+    /// Takes one event and says what to do.
+    pub fn handle(&mut self, now_ms: u64, event: event::Event) -> Vec<event::Action> {
+        let mut actions = Vec::new();
+        match event {
+            event::Event::Joined(place) => self.joined(place, &mut actions),
+            event::Event::Left(instance) => self.left(&instance, &mut actions),
+            event::Event::Holds { instance, version, chunks } => {
+                self.peer_holds(&instance, version, &chunks);
+            }
+            event::Event::Arrived { source, chunk } => {
+                self.arrived(now_ms, &source, chunk, &mut actions);
+            }
+            event::Event::Bad { source, version, chunk, fault } => {
+                if version == self.version() {
+                    let fault = event::Fault::BadChunk(fault);
+                    self.request_failed(now_ms, &source, chunk, fault, &mut actions);
+                }
+            }
+            event::Event::Failed { source, version, chunk, failure } => {
+                if version == self.version() {
+                    self.refused(now_ms, &source, chunk, failure, &mut actions);
+                }
+            }
+            event::Event::Tick => self.tick(now_ms, &mut actions),
+        }
+        self.fill(now_ms, &mut actions);
+        self.report_complete(&mut actions);
+        actions
+    }
+
+    /// Answers a peer that asks for a chunk.
+    pub fn serve(
+        &mut self,
+        now_ms: u64,
+        to: &name::InstanceName,
+        version: digest::Digest,
+        chunk: u32,
+    ) -> event::Answer {
+        if version != self.version() {
+            return event::Answer::OtherVersion;
+        }
+        if !self.held.contains(chunk) {
+            self.asked_for(chunk);
+            return event::Answer::NotYet { held: self.held.len() as u32 };
+        }
+        let scope = self.peers.find(to).map(|peer| self.peers.get(peer).scope);
+        let same_zone = scope == Some(peers::Scope::Zone);
+        match self.uploads.start(now_ms, to, chunk, same_zone) {
+            true => event::Answer::Send,
+            false => event::Answer::Busy,
+        }
+    }
+
+    /// An upload ended, whole or not.
+    pub fn upload_ended(&mut self, to: &name::InstanceName, chunk: u32) {
+        self.uploads.end(to, chunk);
+    }
+
+    /// Ends the traffic of this version at once.
+    pub fn cancel(mut self) -> Vec<event::Action> {
+        self.stop_traffic()
+    }
+
+    /// Goes over to a newer version: the old one's traffic ends at once, peers and their standing
+    /// stay known. `kept` are the chunks shared by both, verified under the newer manifest.
+    pub fn supersede(
+        mut self,
+        newer: manifest::Manifest,
+        kept: &[manifest::VerifiedChunk],
+    ) -> (Self, Vec<event::Action>) {
+        let mut actions = self.stop_traffic();
+        let me = self.peers.get(owners::ME).place.clone();
+        let mut next = Self::new(me, newer, self.limits.clone(), kept);
+        for (_, peer) in self.peers.others() {
+            let index = next.peers.join(peer.place.clone(), &mut next.owners);
+            let known = next.peers.get_mut(index);
+            known.carry_over(peer);
+            if !known.trusted() {
+                next.owners.remove(index);
+            }
+        }
+        next.report_complete(&mut actions);
+        (next, actions)
+    }
+
+    /// The version.
+    pub fn version(&self) -> digest::Digest {
+        self.manifest.version()
+    }
+
+    /// Its manifest.
+    pub fn manifest(&self) -> &manifest::Manifest {
+        &self.manifest
+    }
+
+    /// The chunks that were verified here.
+    pub fn held(&self) -> &chunk_set::ChunkSet {
+        &self.held
+    }
+
+    /// Whether every chunk was verified here.
+    pub fn is_complete(&self) -> bool {
+        self.held.is_full()
+    }
+
+    /// Standing of a peer from 0 to 100.
+    pub fn standing(&self, instance: &name::InstanceName) -> Option<i32> {
+        Some(self.peers.get(self.peers.find(instance)?).standing())
+    }
+
+    /// Open requests for chunks, probes included.
+    pub fn open_requests(&self) -> usize {
+        self.requests.transfers() + self.requests.probes()
+    }
+
+    /// Uploads under way.
+    pub fn open_uploads(&self) -> usize {
+        self.uploads.len()
+    }
+
+    fn joined(&mut self, place: event::Place, actions: &mut Vec<event::Action>) {
+        if place.instance == self.peers.get(owners::ME).place.instance {
+            return;
+        }
+        self.left(&place.instance.clone(), actions);
+        let index = self.peers.join(place, &mut self.owners);
+        self.announcer.membership_changed(index);
+        self.duties = choice::Duties::stale();
+    }
+
+    fn left(&mut self, instance: &name::InstanceName, actions: &mut Vec<event::Action>) {
+        let Some(index) = self.peers.find(instance).filter(|&index| index != owners::ME) else {
+            return;
+        };
+        for chunk in self.requests.at(requests::Asked::Peer(index)) {
+            self.requests.close_any(chunk);
+            let source = event::Source::Peer(instance.clone());
+            actions.push(event::Action::Cancel { source, chunk });
+        }
+        self.peers.leave(index, &mut self.owners);
+        self.announcer.membership_changed(index);
+        self.duties = choice::Duties::stale();
+    }
+
+    fn tick(&mut self, now_ms: u64, actions: &mut Vec<event::Action>) {
+        for chunk in self.requests.overdue(now_ms) {
+            self.timed_out(now_ms, chunk, actions);
+        }
+        for (to, chunk) in self.uploads.overdue(now_ms) {
+            actions.push(event::Action::AbortUpload { to, chunk });
+        }
+        self.end_suspicions(now_ms);
+        let messages = self.announcer.due(now_ms, &self.held, &self.peers, &self.owners);
+        for (to, chunks) in messages {
+            let name = |peer: owners::PeerIndex| self.peers.get(peer).place.instance.clone();
+            let to = to.into_iter().map(name).collect();
+            actions.push(event::Action::Announce { to, chunks });
+        }
+    }
+
+    /// Gives suspected peers their ownership back after a while. Without this, a short stall of
+    /// the network would leave each instance the owner of everything and the origin with N copies.
+    fn end_suspicions(&mut self, now_ms: u64) {
+        let ended = |until: Option<u64>| until.is_some_and(|until_ms| until_ms <= now_ms);
+        let suspects = self.peers.others().filter(|(_, peer)| ended(peer.suspected_until_ms));
+        let suspects: Vec<_> = suspects.map(|(index, peer)| (index, peer.key, peer.zone)).collect();
+        for (index, key, zone) in suspects {
+            self.peers.get_mut(index).trust_again();
+            self.owners.insert(index, owners::Member { key, zone });
+            self.duties = choice::Duties::stale();
+        }
+    }
+
+    fn stop_traffic(&mut self) -> Vec<event::Action> {
+        let mut actions = Vec::new();
+        let open: Vec<_> = self.requests.iter().map(|(chunk, r)| (chunk, r.asked)).collect();
+        for (chunk, asked) in open {
+            self.requests.close_any(chunk);
+            actions.push(event::Action::Cancel { source: self.source(asked), chunk });
+        }
+        let uploads = self.uploads.drain();
+        actions.extend(
+            uploads.into_iter().map(|(to, chunk)| event::Action::AbortUpload { to, chunk }),
+        );
+        actions
+    }
+
+    fn report_complete(&mut self, actions: &mut Vec<event::Action>) {
+        if self.held.is_full() && !std::mem::replace(&mut self.complete_reported, true) {
+            actions.push(event::Action::Complete);
+        }
+    }
+
+    fn source(&self, asked: requests::Asked) -> event::Source {
+        match asked {
+            requests::Asked::Origin => event::Source::Origin,
+            requests::Asked::Peer(index) => {
+                event::Source::Peer(self.peers.get(index).place.instance.clone())
+            }
+        }
+    }
+
+    fn asked(&self, source: &event::Source) -> Option<requests::Asked> {
+        match source {
+            event::Source::Origin => Some(requests::Asked::Origin),
+            event::Source::Peer(instance) => self.peers.find(instance).map(requests::Asked::Peer),
+        }
+    }
+}
--- /dev/null
+++ b/ragwortdeal_core/src/spread/owners.rs
@@ -0,0 +1,243 @@
+//! Owners of chunks by rendezvous hashing: per availability zone, per region and over all.
+//!
+//! Every instance computes the same owners from the same members without a message. Where views
+//! differ for a while, a chunk is drawn twice or a request is answered "not yet"; neither harms.
+
+use crate::digest;
+
+/// Index of an instance in the peer table; [`ME`] is the own one.
+pub type PeerIndex = u32;
+
+/// The own instance.
+pub const ME: PeerIndex = 0;
+
+const NOBODY: PeerIndex = u32::MAX;
+
+/// Where a member stands, as indices that the peer table gives out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Hash of the instance's name.
+    pub key: u64,
+    /// Index of its availability zone.
+    pub zone: usize,
+}
+
+/// The owner of each chunk in each availability zone.
+#[derive(Clone, Debug)]
+pub struct Owners {
+    chunk_keys: Vec<u64>,
+    members: Vec<Option<Member>>,
+    zones: Vec<Zone>,
+}
+
+#[derive(Clone, Debug)]
+struct Zone {
+    region: usize,
+    members: usize,
+    owners: Vec<PeerIndex>,
+}
+
+impl Owners {
+    /// No members yet. Owners follow from a chunk's content, so a shared chunk keeps its owner
+    /// over versions.
+    pub fn new(chunks: &[digest::Digest]) -> Self {
+        let chunk_keys = chunks.iter().map(|chunk| key_of(chunk.as_bytes())).collect();
+        Self { chunk_keys, members: Vec::new(), zones: Vec::new() }
+    }
+
+    /// Adds an availability zone and returns its index.
+    pub fn add_zone(&mut self, region: usize) -> usize {
+        self.zones.push(Zone { region, members: 0, owners: vec![NOBODY; self.chunk_keys.len()] });
+        self.zones.len() - 1
+    }
+
+    /// Adds a member, which takes over the chunks for which it has the highest score.
+    pub fn insert(&mut self, peer: PeerIndex, member: Member) {
+        let index = peer as usize;
+        if self.members.len() <= index {
+            self.members.resize(index + 1, None);
+        }
+        if self.members[index].replace(member).is_some() {
+            return;
+        }
+        let mut owners = std::mem::take(&mut self.zones[member.zone].owners);
+        for (chunk, owner) in owners.iter_mut().enumerate() {
+            if *owner == NOBODY || self.score(peer, chunk) > self.score(*owner, chunk) {
+                *owner = peer;
+            }
+        }
+        self.zones[member.zone].owners = owners;
+        self.zones[member.zone].members += 1;
+    }
+
+    /// Removes a member: for each of its chunks the next in rank takes over.
+    pub fn remove(&mut self, peer: PeerIndex) {
+        let Some(member) = self.members.get_mut(peer as usize).and_then(Option::take) else {
+            return;
+        };
+        let in_zone = |index: &usize| self.members[*index].is_some_and(|m| m.zone == member.zone);
+        let rest: Vec<_> = (0..self.members.len()).filter(in_zone).collect();
+        let mut owners = std::mem::take(&mut self.zones[member.zone].owners);
+        for (chunk, owner) in owners.iter_mut().enumerate().filter(|(_, owner)| **owner == peer) {
+            let best = rest.iter().copied().max_by_key(|&m| self.score(m as PeerIndex, chunk));
+            *owner = best.map_or(NOBODY, |best| best as PeerIndex);
+        }
+        self.zones[member.zone].owners = owners;
+        self.zones[member.zone].members -= 1;
+    }
+
+    /// Whether the peer is a member.
+    pub fn contains(&self, peer: PeerIndex) -> bool {
+        self.members.get(peer as usize).is_some_and(Option::is_some)
+    }
+
+    /// The owner of a chunk in an availability zone.
+    pub fn in_zone(&self, zone: usize, chunk: u32) -> Option<PeerIndex> {
+        let owner = self.zones[zone].owners[chunk as usize];
+        (owner != NOBODY).then_some(owner)
+    }
+
+    /// The owner of a chunk in a region: the best of its zones' owners.
+    pub fn in_region(&self, region: usize, chunk: u32) -> Option<PeerIndex> {
+        let zones = (0..self.zones.len()).filter(|&zone| self.zones[zone].region == region);
+        let owners = zones.filter_map(|zone| self.in_zone(zone, chunk));
+        owners.max_by_key(|&owner| self.score(owner, chunk as usize))
+    }
+
+    /// The owner of a chunk over all regions.
+    pub fn overall(&self, chunk: u32) -> Option<PeerIndex> {
+        let owners = (0..self.zones.len()).filter_map(|zone| self.in_zone(zone, chunk));
+        owners.max_by_key(|&owner| self.score(owner, chunk as usize))
+    }
+
+    /// The own rank among those that draw a chunk from the origin, if this instance is one.
+    ///
+    /// Of the regions' owners (the zones' owners where there is but one region) the best `draws`
+    /// draw it; a fraction makes that share of the chunks be drawn once more.
+    pub fn draw_rank(&self, chunk: u32, draws: f64) -> Option<usize> {
+        let zone = self.members.first().copied().flatten()?.zone;
+        let mine = self.score(ME, chunk as usize);
+        if self.in_zone(zone, chunk) != Some(ME) {
+            return None;
+        }
+        let region = self.zones[zone].region;
+        let by_region = self.regions() > 1;
+        if by_region && self.in_region(region, chunk) != Some(ME) {
+            return None;
+        }
+        let better = |zone: &usize| {
+            let owner = self.in_zone(*zone, chunk);
+            owner.is_some_and(|owner| self.score(owner, chunk as usize) > mine)
+        };
+        let mut groups: Vec<_> = (0..self.zones.len()).filter(better).collect();
+        if by_region {
+            groups.iter_mut().for_each(|zone| *zone = self.zones[*zone].region);
+            groups.sort_unstable();
+            groups.dedup();
+        }
+        (groups.len() < self.draws_of(chunk, draws)).then_some(groups.len())
+    }
+
+    /// Regions with at least one member.
+    pub fn regions(&self) -> usize {
+        let mut regions: Vec<_> = self.populated().map(|zone| zone.region).collect();
+        regions.sort_unstable();
+        regions.dedup();
+        regions.len()
+    }
+
+    /// Availability zones with at least one member.
+    pub fn populated_zones(&self) -> usize {
+        self.populated().count()
+    }
+
+    /// Every availability zone's index with its region.
+    pub fn zones(&self) -> impl Iterator<Item = (usize, usize)> + '_ {
+        self.zones.iter().enumerate().map(|(index, zone)| (index, zone.region))
+    }
+
+    fn populated(&self) -> impl Iterator<Item = &Zone> {
+        self.zones.iter().filter(|zone| zone.members > 0)
+    }
+
+    fn draws_of(&self, chunk: u32, draws: f64) -> usize {
+        let whole = draws.floor();
+        let spot = (mix(self.chunk_keys[chunk as usize]) >> 32) as f64 / 4_294_967_296.0;
+        whole as usize + usize::from(spot < draws - whole)
+    }
+
+    fn score(&self, peer: PeerIndex, chunk: usize) -> u64 {
+        let key = self.members[peer as usize].map_or(0, |member| member.key);
+        mix(key ^ self.chunk_keys[chunk])
+    }
+}
+
+/// The first eight bytes of a hash as a number.
+pub fn key_of(hash: &[u8; digest::DIGEST_BYTES]) -> u64 {
+    u64::from_le_bytes(std::array::from_fn(|index| hash[index]))
+}
+
+/// The finaliser of SplitMix64: spreads a difference in any bit over all bits.
+pub fn mix(value: u64) -> u64 {
+    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
+
+#[cfg(test)]
+mod tests {
+    use googletest::prelude::*;
+
+    use super::*;
+
+    const CHUNKS: u32 = 300;
+
+    fn owners(members: u32) -> Owners {
+        let digests: Vec<_> = (0..CHUNKS).map(|c| digest::Digest::of(&c.to_le_bytes())).collect();
+        let mut owners = Owners::new(&digests);
+        for region in 0..2 {
+            owners.add_zone(region);
+            owners.add_zone(region);
+        }
+        for peer in 0..members {
+            let key = key_of(digest::Digest::of(format!("i{peer}").as_bytes()).as_bytes());
+            owners.insert(peer, Member { key, zone: peer as usize % 4 });
+        }
+        owners
+    }
+
+    #[googletest::test]
+    fn a_departure_moves_only_the_chunks_of_the_departed() {
+        let before = owners(40);
+        let mut after = before.clone();
+        after.remove(5);
+        for chunk in 0..CHUNKS {
+            let owner = before.in_zone(1, chunk);
+            if owner != Some(5) {
+                expect_that!(after.in_zone(1, chunk), eq(owner));
+            }
+            expect_that!(after.in_zone(1, chunk), not(some(eq(5))));
+        }
+        after.insert(5, before.members[5].unwrap());
+        (0..CHUNKS).for_each(|c| expect_that!(after.in_zone(1, c), eq(before.in_zone(1, c))));
+    }
+
+    #[googletest::test]
+    fn the_best_owner_of_all_is_also_owner_of_its_region_and_zone() {
+        let owners = owners(40);
+        for chunk in 0..CHUNKS {
+            let best = owners.overall(chunk).unwrap();
+            let zone = owners.members[best as usize].unwrap().zone;
+            expect_that!(owners.in_zone(zone, chunk), some(eq(best)));
+            expect_that!(owners.in_region(owners.zones[zone].region, chunk), some(eq(best)));
+        }
+    }
+
+    #[googletest::test]
+    fn ownership_is_spread_evenly() {
+        let owners = owners(12);
+        let owned = |peer| (0..CHUNKS).filter(|&c| owners.overall(c) == Some(peer)).count();
+        (0..12).for_each(|peer| expect_that!(owned(peer), all!(gt(5), lt(60))));
+    }
+}
--- /dev/null
+++ b/ragwortdeal_core/tests/spread/model.rs
@@ -0,0 +1,470 @@
+//! A deterministic model of links, just large enough to drive the policy: queues with a rate for
+//! the origin, each machine's two directions and each pair of regions, and a list of faults.
+
+use std::{cmp, collections};
+
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+
+use ragwortdeal_core::{
+    name,
+    spread::{download, event, manifest},
+};
+
+#[path = "setup.rs"]
+pub mod setup;
+
+pub use setup::{Link, Outcome, Setup};
+
+/// Bytes of a chunk that are hashed. The modelled links count whole chunks by their time.
+const CONTENT_BYTES: u32 = 16;
+const TICK_MS: u64 = 100;
+const LATENCY_MS: u64 = 1;
+const REGION_LATENCY_MS: u64 = 2;
+/// A run that takes longer than this many times a machine's copy counts as stuck.
+const RUN_MAX_COPIES: u64 = 60;
+
+enum Happening {
+    Start,
+    Restart,
+    Die,
+    Lapse(usize),
+    Tick,
+    Asked { from: usize, life: u32, chunk: u32 },
+    AskedOrigin { from: usize, life: u32, chunk: u32 },
+    UploadEnded { to: name::InstanceName, chunk: u32 },
+    Deliver { life: u32, event: event::Event },
+    Cross(usize, Parcel),
+    Enter(Parcel),
+    Bytes(Parcel),
+}
+
+/// A chunk under way to a life of a machine.
+struct Parcel {
+    life: u32,
+    source: event::Source,
+    chunk: u32,
+    bytes: Vec<u8>,
+}
+
+struct Scheduled {
+    at_ms: f64,
+    sequence: u64,
+    instance: usize,
+    what: Happening,
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for Scheduled {}
+
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Self) -> Option<cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Self) -> cmp::Ordering {
+        let times = other.at_ms.total_cmp(&self.at_ms);
+        times.then(other.sequence.cmp(&self.sequence))
+    }
+}
+
+struct Machine {
+    place: event::Place,
+    region: usize,
+    up: Link,
+    down: Link,
+    life: u32,
+    download: Option<download::Download>,
+}
+
+pub struct Model {
+    setup: Setup,
+    content: Vec<u8>,
+    manifest: manifest::Manifest,
+    machines: Vec<Machine>,
+    index: collections::BTreeMap<name::InstanceName, usize>,
+    origin: Link,
+    region_links: collections::BTreeMap<(usize, usize), (Link, usize)>,
+    queue: collections::BinaryHeap<Scheduled>,
+    sequence: u64,
+    now_ms: f64,
+    random: ChaCha8Rng,
+    outcome: Outcome,
+}
+
+pub fn place(index: usize, zones: usize, regions: usize) -> event::Place {
+    let zone = index % zones;
+    event::Place {
+        instance: name::InstanceName::new(&format!("engine-{index}")).unwrap(),
+        zone: name::ZoneName::new(&format!("zone-{zone}")).unwrap(),
+        region: name::RegionName::new(&format!("region-{}", zone % regions)).unwrap(),
+    }
+}
+
+/// Random content and its manifest.
+pub fn version(seed: u64, chunks: u32) -> (Vec<u8>, manifest::Manifest) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let content: Vec<u8> = (0..chunks * CONTENT_BYTES).map(|_| random.random()).collect();
+    let manifest = manifest::Manifest::of_bytes(&content, CONTENT_BYTES).unwrap();
+    (content, manifest)
+}
+
+pub fn run(setup: Setup) -> Outcome {
+    Model::new(setup).run()
+}
+
+impl Model {
+    fn new(setup: Setup) -> Self {
+        let (content, manifest) = version(setup.seed, setup.chunks);
+        let machine = |index| Machine {
+            place: place(index, setup.zones, setup.regions),
+            region: index % setup.zones % setup.regions,
+            up: Link::default(),
+            down: Link::default(),
+            life: 0,
+            download: None,
+        };
+        let machines: Vec<_> = (0..setup.instances).map(machine).collect();
+        let names = machines.iter().enumerate();
+        let outcome = Outcome { done_ms: vec![None; setup.instances], ..Outcome::default() };
+        Self {
+            index: names.map(|(index, m)| (m.place.instance.clone(), index)).collect(),
+            random: ChaCha8Rng::seed_from_u64(setup.seed ^ 0xfa17),
+            origin: Link::default(),
+            region_links: collections::BTreeMap::new(),
+            queue: collections::BinaryHeap::new(),
+            sequence: 0,
+            now_ms: 0.0,
+            machines,
+            content,
+            manifest,
+            outcome,
+            setup,
+        }
+    }
+
+    fn run(mut self) -> Outcome {
+        self.schedule_faults();
+        let end_ms =
+            (RUN_MAX_COPIES * u64::from(self.setup.chunks) * self.setup.chunk_ms).max(300_000);
+        while let Some(next) = self.queue.pop() {
+            if next.at_ms > end_ms as f64 || self.all_done() {
+                break;
+            }
+            self.now_ms = next.at_ms;
+            self.happen(next.instance, next.what);
+        }
+        self.outcome.region_chunks = self.region_links.values().map(|(_, count)| count).sum();
+        let busiest = self.region_links.values().map(|(_, count)| *count).max();
+        self.outcome.region_chunks_max = busiest.unwrap_or(0);
+        self.outcome
+    }
+
+    fn all_done(&self) -> bool {
+        let faults = &self.setup.faults;
+        let waits_for = |index: usize| {
+            let dies = faults.deaths.iter().any(|&(_, dead)| dead == index);
+            !dies && !faults.stalled.contains(&index) && self.outcome.done_ms[index].is_none()
+        };
+        !(0..self.machines.len()).any(waits_for)
+    }
+
+    fn schedule_faults(&mut self) {
+        let faults = self.setup.faults.clone();
+        for index in 0..self.machines.len() {
+            let join = faults.late_joins.iter().find(|(_, late)| *late == index);
+            self.schedule(join.map_or(0.0, |&(at_ms, _)| at_ms as f64), index, Happening::Start);
+        }
+        for (at_ms, index) in faults.deaths {
+            self.schedule(at_ms as f64, index, Happening::Die);
+        }
+        for (at_ms, index) in faults.restarts {
+            self.schedule(at_ms as f64, index, Happening::Restart);
+        }
+    }
+
+    fn schedule(&mut self, at_ms: f64, instance: usize, what: Happening) {
+        self.sequence += 1;
+        self.queue.push(Scheduled { at_ms, sequence: self.sequence, instance, what });
+    }
+
+    fn happen(&mut self, index: usize, what: Happening) {
+        match what {
+            Happening::Start => self.start(index, &[]),
+            Happening::Restart => self.restart(index),
+            Happening::Die => self.die(index),
+            Happening::Lapse(dead) => {
+                let dead = self.machines[dead].place.instance.clone();
+                self.feed(index, event::Event::Left(dead));
+            }
+            Happening::Tick => {
+                self.feed(index, event::Event::Tick);
+                if self.machines[index].download.is_some() {
+                    self.schedule(self.now_ms + TICK_MS as f64, index, Happening::Tick);
+                }
+            }
+            Happening::Asked { from, life, chunk } => self.asked(index, from, life, chunk),
+            Happening::AskedOrigin { from, life, chunk } => self.asked_origin(from, life, chunk),
+            Happening::UploadEnded { to, chunk } => {
+                if let Some(download) = &mut self.machines[index].download {
+                    download.upload_ended(&to, chunk);
+                }
+            }
+            Happening::Deliver { life, event } => {
+                if life == self.machines[index].life {
+                    self.feed(index, event);
+                }
+            }
+            Happening::Cross(sender, parcel) => self.cross(sender, index, parcel),
+            Happening::Enter(parcel) => self.enter(index, parcel),
+            Happening::Bytes(parcel) => {
+                if parcel.life == self.machines[index].life {
+                    self.arrive(index, parcel.source, parcel.chunk, &parcel.bytes);
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, index: usize, kept: &[manifest::VerifiedChunk]) {
+        let me = self.machines[index].place.clone();
+        let limits = self.setup.limits.clone();
+        let download = download::Download::new(me.clone(), self.manifest.clone(), limits, kept);
+        self.machines[index].download = Some(download);
+        let others = 0..self.machines.len();
+        let alive: Vec<_> = others.filter(|&i| self.machines[i].download.is_some()).collect();
+        for other in alive.into_iter().filter(|&other| other != index) {
+            let place = self.machines[other].place.clone();
+            self.feed(index, event::Event::Joined(place));
+            self.feed(other, event::Event::Joined(me.clone()));
+        }
+        if self.setup.faults.liars.contains(&index) {
+            self.announce_everything(index);
+        }
+        let stagger_ms = (index as u64 * 7) % TICK_MS;
+        self.schedule(self.now_ms + stagger_ms as f64, index, Happening::Tick);
+    }
+
+    fn announce_everything(&mut self, index: usize) {
+        let chunks: Vec<_> = (0..self.setup.chunks).collect();
+        let everyone: Vec<_> = self.machines.iter().map(|m| m.place.instance.clone()).collect();
+        self.schedule_announcement(index, &everyone, &chunks, 500.0);
+    }
+
+    fn restart(&mut self, index: usize) {
+        let Some(before) = self.machines[index].download.take() else {
+            return;
+        };
+        self.machines[index].life += 1;
+        let kept: Vec<_> = before.held().iter().map(|c| self.verified(c)).collect();
+        self.start(index, &kept);
+    }
+
+    fn die(&mut self, index: usize) {
+        self.machines[index].download = None;
+        self.machines[index].life += 1;
+        for other in (0..self.machines.len()).filter(|&other| other != index) {
+            self.schedule(self.now_ms + 2_000.0, other, Happening::Lapse(index));
+        }
+    }
+
+    fn verified(&self, chunk: u32) -> manifest::VerifiedChunk {
+        self.manifest.verify_chunk(chunk, self.bytes(chunk)).unwrap()
+    }
+
+    fn bytes(&self, chunk: u32) -> &[u8] {
+        let (start, len) = self.manifest.range_bytes(chunk).unwrap();
+        &self.content[start as usize..(start + len) as usize]
+    }
+
+    fn feed(&mut self, index: usize, event: event::Event) {
+        let now_ms = self.now_ms as u64;
+        let Some(download) = &mut self.machines[index].download else {
+            return;
+        };
+        self.outcome.decisions += 1;
+        let actions = download.handle(now_ms, event);
+        let open = download.open_uploads();
+        self.outcome.open_uploads_max = self.outcome.open_uploads_max.max(open);
+        actions.into_iter().for_each(|action| self.act(index, action));
+    }
+
+    fn act(&mut self, index: usize, action: event::Action) {
+        let life = self.machines[index].life;
+        match action {
+            event::Action::Request { source: event::Source::Origin, chunk, .. } => {
+                self.outcome.requests += 1;
+                let asked = Happening::AskedOrigin { from: index, life, chunk };
+                self.schedule(self.now_ms + LATENCY_MS as f64, index, asked);
+            }
+            event::Action::Request { source: event::Source::Peer(peer), chunk, .. } => {
+                self.outcome.requests += 1;
+                let peer = self.index[&peer];
+                let at_ms = self.now_ms + self.latency_ms(index, peer);
+                self.schedule(at_ms, peer, Happening::Asked { from: index, life, chunk });
+            }
+            event::Action::Announce { to, chunks } => {
+                self.schedule_announcement(index, &to, &chunks, 0.0);
+            }
+            event::Action::Blame { source, fault, .. } => {
+                let blamed = match source {
+                    event::Source::Origin => "origin".to_owned(),
+                    event::Source::Peer(peer) => peer.to_string(),
+                };
+                *self.outcome.faults.entry(format!("{fault:?}")).or_default() += 1;
+                *self.outcome.blamed.entry(blamed).or_default() += 1;
+            }
+            event::Action::Complete => self.completed(index),
+            event::Action::Cancel { .. } | event::Action::AbortUpload { .. } => (),
+        }
+    }
+
+    /// The invariant of every run: a version counts as complete only if the whole verifies.
+    fn completed(&mut self, index: usize) {
+        let download = self.machines[index].download.as_ref().unwrap();
+        let staged = download.held().iter().map(|chunk| self.bytes(chunk));
+        let whole = self.manifest.verify_whole(staged).expect("reported complete too early");
+        assert_eq!(whole.version(), self.manifest.version());
+        self.outcome.done_ms[index].get_or_insert(self.now_ms as u64);
+    }
+
+    fn schedule_announcement(
+        &mut self,
+        from: usize,
+        to: &[name::InstanceName],
+        chunks: &[u32],
+        delay_ms: f64,
+    ) {
+        let peers: Vec<_> = to.iter().map(|peer| self.index[peer]).collect();
+        for peer in peers.into_iter().filter(|&peer| peer != from) {
+            self.outcome.announcement_bytes += 64 + 2 * chunks.len() as u64;
+            let event = event::Event::Holds {
+                instance: self.machines[from].place.instance.clone(),
+                version: self.manifest.version(),
+                chunks: chunks.to_vec(),
+            };
+            let at_ms = self.now_ms + delay_ms + self.latency_ms(from, peer);
+            let life = self.machines[peer].life;
+            self.schedule(at_ms, peer, Happening::Deliver { life, event });
+        }
+    }
+
+    fn latency_ms(&self, a: usize, b: usize) -> f64 {
+        let same = self.machines[a].region == self.machines[b].region;
+        if same { LATENCY_MS as f64 } else { REGION_LATENCY_MS as f64 }
+    }
+
+    fn asked(&mut self, sender: usize, from: usize, life: u32, chunk: u32) {
+        if self.setup.faults.stalled.contains(&sender) {
+            return;
+        }
+        let to = self.machines[from].place.instance.clone();
+        let (now_ms, version) = (self.now_ms as u64, self.manifest.version());
+        let Some(download) = &mut self.machines[sender].download else {
+            return self.fail(sender, from, life, chunk, event::Failure::Error);
+        };
+        match download.serve(now_ms, &to, version, chunk) {
+            event::Answer::Send => self.send(sender, from, life, chunk),
+            event::Answer::Busy => {
+                self.outcome.refusals += 1;
+                self.fail(sender, from, life, chunk, event::Failure::Busy);
+            }
+            event::Answer::NotYet { held } => {
+                self.fail(sender, from, life, chunk, event::Failure::NotYet { held });
+            }
+            event::Answer::OtherVersion => unreachable!("a run spreads one version"),
+        }
+    }
+
+    fn fail(&mut self, sender: usize, from: usize, life: u32, chunk: u32, why: event::Failure) {
+        let source = event::Source::Peer(self.machines[sender].place.instance.clone());
+        let version = self.manifest.version();
+        let event = event::Event::Failed { source, version, chunk, failure: why };
+        let at_ms = self.now_ms + self.latency_ms(sender, from);
+        self.schedule(at_ms, from, Happening::Deliver { life, event });
+    }
+
+    fn send(&mut self, sender: usize, to: usize, life: u32, chunk: u32) {
+        self.outcome.peer_chunks += 1;
+        let takes_ms = self.setup.chunk_ms as f64;
+        let sent_ms = self.machines[sender].up.pass(self.now_ms, takes_ms);
+        let receiver = self.machines[to].place.instance.clone();
+        self.schedule(sent_ms, sender, Happening::UploadEnded { to: receiver, chunk });
+        let mut bytes = self.bytes(chunk).to_vec();
+        if self.hits(self.setup.faults.corrupt_permille)
+            || self.setup.faults.corrupters.contains(&sender)
+        {
+            bytes[3] ^= 0x10;
+        }
+        if self.hits(self.setup.faults.short_permille) {
+            bytes.truncate(5);
+        }
+        let late_ms = if self.hits(self.setup.faults.late_permille) { 60_000.0 } else { 0.0 };
+        let copies = 1 + usize::from(self.hits(self.setup.faults.twice_permille));
+        let source = event::Source::Peer(self.machines[sender].place.instance.clone());
+        let across = self.machines[sender].region != self.machines[to].region;
+        for copy in 0..copies {
+            let at_ms = sent_ms + self.latency_ms(sender, to) + late_ms + copy as f64;
+            let parcel = Parcel { life, source: source.clone(), chunk, bytes: bytes.clone() };
+            let hop =
+                if across { Happening::Cross(sender, parcel) } else { Happening::Enter(parcel) };
+            self.schedule(at_ms, to, hop);
+        }
+    }
+
+    /// Enters the link between two regions when the last byte has left the sender.
+    fn cross(&mut self, sender: usize, to: usize, parcel: Parcel) {
+        let pair = (self.machines[sender].region, self.machines[to].region);
+        let takes_ms = self.setup.link_ms(self.setup.limits.region_copies);
+        let (link, crossed) = self.region_links.entry(pair).or_default();
+        *crossed += 1;
+        let there_ms = link.pass_through(self.now_ms, takes_ms);
+        self.schedule(there_ms, to, Happening::Enter(parcel));
+    }
+
+    /// Enters the receiver's link when the last byte has come that far.
+    fn enter(&mut self, to: usize, parcel: Parcel) {
+        let takes_ms = self.setup.chunk_ms as f64;
+        let there_ms = self.machines[to].down.pass_through(self.now_ms, takes_ms);
+        self.schedule(there_ms, to, Happening::Bytes(parcel));
+    }
+
+    fn asked_origin(&mut self, from: usize, life: u32, chunk: u32) {
+        let takes_ms = self.setup.origin_chunk_ms();
+        let start_ms = self.now_ms.max(self.setup.faults.origin_silent_until_ms as f64);
+        if self.hits(self.setup.faults.origin_error_permille) {
+            let (source, version) = (event::Source::Origin, self.manifest.version());
+            let failure = event::Failure::Error;
+            let event = event::Event::Failed { source, version, chunk, failure };
+            return self.schedule(start_ms + 1.0, from, Happening::Deliver { life, event });
+        }
+        self.outcome.origin_chunks += 1;
+        let sent_ms = self.origin.pass(start_ms, takes_ms);
+        let mut bytes = self.bytes(chunk).to_vec();
+        if self.hits(self.setup.faults.origin_short_permille) {
+            bytes.truncate(7);
+        }
+        let parcel = Parcel { life, source: event::Source::Origin, chunk, bytes };
+        self.schedule(sent_ms, from, Happening::Enter(parcel));
+    }
+
+    fn arrive(&mut self, index: usize, source: event::Source, chunk: u32, bytes: &[u8]) {
+        let event = match self.manifest.verify_chunk(chunk, bytes) {
+            Ok(chunk) => event::Event::Arrived { source, chunk },
+            Err(fault) => {
+                event::Event::Bad { source, version: self.manifest.version(), chunk, fault }
+            }
+        };
+        self.feed(index, event);
+    }
+
+    fn hits(&mut self, permille: u32) -> bool {
+        permille > 0 && self.random.random_range(0..1000) < permille
+    }
+}
