Exchange chunks between agents by the spread policy

Cause: Agents fetched every chunk from the origin, one after the other. Change: Entries tell agents which agents run; agents fetch by the policy over HTTP, serve chunks to peers with bounded slots, announce what they hold, and give way to live calls. Hashing runs off the threads that serve calls. Conclusion: A peer that corrupts or stalls over real sockets is still to be tested.

--- a/ragwortdeal_core/src/spread.rs
+++ b/ragwortdeal_core/src/spread.rs
@@ -13,6 +13,8 @@
 pub mod limits;
 pub mod manifest;
 pub mod owners;
+pub mod pacer;
 pub mod peers;
 pub mod requests;
+pub mod roster;
 pub mod uploads;
--- a/ragwortdeal_core/src/spread/download.rs
+++ b/ragwortdeal_core/src/spread/download.rs
@@ -131,6 +131,13 @@
         self.uploads.end(to, chunk);
     }
 
+    /// Narrows or widens how many chunks may be under way each way, to give way to live calls.
+    /// What is under way already goes on.
+    pub fn set_window(&mut self, chunks: usize) {
+        self.limits.downloads_max = chunks.max(1);
+        self.uploads.set_total_max(chunks.max(1));
+    }
+
     /// Ends the traffic of this version at once.
     pub fn cancel(mut self) -> Vec<event::Action> {
         self.stop_traffic()
@@ -183,6 +190,12 @@
         Some(self.peers.get(self.peers.find(instance)?).standing())
     }
 
+    /// Whether a peer's region is another one.
+    pub fn is_remote(&self, instance: &name::InstanceName) -> bool {
+        let peer = self.peers.find(instance).map(|index| self.peers.get(index));
+        peer.is_some_and(|peer| peer.scope == peers::Scope::Remote)
+    }
+
     /// Open requests for chunks, probes included.
     pub fn open_requests(&self) -> usize {
         self.requests.transfers() + self.requests.probes()
--- a/ragwortdeal_core/src/spread/event.rs
+++ b/ragwortdeal_core/src/spread/event.rs
@@ -3,7 +3,7 @@
 use crate::{digest, name, spread::manifest};
 
 /// An instance and where it stands.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Place {
     /// Name of the instance.
     pub instance: name::InstanceName,
--- /dev/null
+++ b/ragwortdeal_core/src/spread/roster.rs
@@ -0,0 +1,112 @@
+//! Which instances run an agent now, as entries tell their agents.
+
+use std::{collections, net};
+
+use crate::{digest, name, spread::event};
+
+/// One agent.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Seat {
+    /// Its instance and where that stands.
+    pub place: event::Place,
+    /// Address of its HTTP listener.
+    pub address: net::SocketAddr,
+    /// Start of the agent; a higher one has lost what it held in memory.
+    pub incarnation: u64,
+}
+
+/// Agents by instance.
+pub type Roster = collections::BTreeMap<name::InstanceName, Seat>;
+
+/// What changed in an entry's roster.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Update {
+    /// Whether `joined` is the whole roster.
+    pub whole: bool,
+    /// Agents that came, or started again.
+    pub joined: Vec<Seat>,
+    /// Instances whose agent left or whose lease ended.
+    pub left: Vec<name::InstanceName>,
+}
+
+/// A peer's message about the chunks that it holds.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Holdings {
+    /// The peer.
+    pub instance: name::InstanceName,
+    /// The version.
+    pub version: digest::Digest,
+    /// Numbers of chunks that it did not announce before.
+    pub chunks: Vec<u32>,
+}
+
+impl Update {
+    /// The whole roster.
+    pub fn whole(roster: &Roster) -> Self {
+        Self { whole: true, joined: roster.values().cloned().collect(), left: Vec::new() }
+    }
+
+    /// The steps from one roster to another, or `None` where they are equal.
+    pub fn between(before: &Roster, after: &Roster) -> Option<Self> {
+        let new = |(name, seat): &(&name::InstanceName, &Seat)| before.get(*name) != Some(*seat);
+        let joined: Vec<_> = after.iter().filter(new).map(|(_, seat)| seat.clone()).collect();
+        let gone = before.keys().filter(|name| !after.contains_key(*name));
+        let left: Vec<_> = gone.cloned().collect();
+        let changed = !joined.is_empty() || !left.is_empty();
+        changed.then_some(Self { whole: false, joined, left })
+    }
+
+    /// Brings a roster up to date.
+    pub fn apply(self, roster: &mut Roster) {
+        if self.whole {
+            roster.clear();
+        }
+        self.left.iter().for_each(|name| _ = roster.remove(name));
+        let joined = self.joined.into_iter().map(|seat| (seat.place.instance.clone(), seat));
+        roster.extend(joined);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use googletest::prelude::*;
+
+    use super::*;
+
+    fn seat(name: &str, incarnation: u64) -> Seat {
+        let place = event::Place {
+            instance: name::InstanceName::new(name).unwrap(),
+            zone: name::ZoneName::new("zone").unwrap(),
+            region: name::RegionName::new("region").unwrap(),
+        };
+        Seat { place, address: net::SocketAddr::from(([127, 0, 0, 1], 7300)), incarnation }
+    }
+
+    fn roster(seats: &[(&str, u64)]) -> Roster {
+        let seats = seats.iter().map(|(name, incarnation)| seat(name, *incarnation));
+        seats.map(|seat| (seat.place.instance.clone(), seat)).collect()
+    }
+
+    #[googletest::test]
+    fn steps_lead_from_one_roster_to_the_other() {
+        let before = roster(&[("a", 1), ("b", 1), ("c", 1)]);
+        let after = roster(&[("a", 1), ("b", 2), ("d", 1)]);
+        let mut followed = before.clone();
+        let update = Update::between(&before, &after).unwrap();
+        expect_that!(update.joined.len(), eq(2));
+        expect_that!(update.left.len(), eq(1));
+        update.apply(&mut followed);
+        expect_that!(followed, eq(&after));
+        expect_that!(Update::between(&after, &after), none());
+    }
+
+    /// A link to an entry was down while agents left. The first message on the new link has to
+    /// remove them.
+    #[googletest::test]
+    fn a_whole_roster_replaces_the_former() {
+        let mut followed = roster(&[("a", 1), ("b", 1)]);
+        let now = roster(&[("b", 1)]);
+        Update::whole(&now).apply(&mut followed);
+        expect_that!(followed, eq(&now));
+    }
+}
--- a/ragwortdeal_core/src/spread/uploads.rs
+++ b/ragwortdeal_core/src/spread/uploads.rs
@@ -51,6 +51,11 @@
         true
     }
 
+    /// Changes the bound over all receivers.
+    pub fn set_total_max(&mut self, uploads: usize) {
+        self.total_max = uploads;
+    }
+
     /// Frees the slot of an upload that ended in whatever way.
     pub fn end(&mut self, to: &name::InstanceName, chunk: u32) {
         let found = self.open.iter().position(|upload| upload.to == *to && upload.chunk == chunk);
--- a/ragwortdeal_node/src/agent.rs
+++ b/ragwortdeal_node/src/agent.rs
@@ -6,6 +6,7 @@
 mod engine;
 mod rollout;
 mod store;
+mod transfer;
 
 use std::{
     collections,
@@ -44,6 +45,7 @@
     model: Option<name::ModelName>,
     origin_bytes: u64,
     peer_bytes: u64,
+    region_bytes: u64,
     staged_bytes: u64,
     size_bytes: u64,
 }
@@ -71,6 +73,9 @@
     sequence: atomic::AtomicU64,
     leaving: atomic::AtomicBool,
     engine: engine::Engine,
+    transfer: transfer::Transfer,
+    /// When the bound on uploads allows the next piece.
+    upload_free_at: sync::Mutex<std::time::Instant>,
 }
 
 impl Agent {
@@ -83,6 +88,8 @@
             credential: link::Credential::new(&settings.credentials.cluster),
             store: sync::Mutex::new(store::Store::new(settings.weights.staged_max_bytes)),
             engine: engine::Engine::new(settings.upstream.address, http.clone()),
+            transfer: transfer::Transfer::new(&settings.weights),
+            upload_free_at: sync::Mutex::new(std::time::Instant::now()),
             settings,
             http,
             config: watch::Sender::new(replica::Replica::default()),
@@ -140,7 +147,7 @@
             applied_revision: self.config.borrow().revision(),
             origin_bytes: weights.origin_bytes,
             peer_bytes: weights.peer_bytes,
-            region_bytes: 0,
+            region_bytes: weights.region_bytes,
             staged_bytes: weights.staged_bytes,
             size_bytes: weights.size_bytes,
             running: report.running,
@@ -169,6 +176,7 @@
     }
     if agent.is_engine() {
         tasks.spawn(rollout::run(agent.clone()));
+        tasks.spawn(transfer::run(agent.clone()));
         tasks.spawn(engine::watch_load(agent.clone()));
     }
     stop.wait().await;
--- a/ragwortdeal_node/src/agent/announce.rs
+++ b/ragwortdeal_node/src/agent/announce.rs
@@ -25,7 +25,7 @@
     loop {
         tokio::select! {
             event = events.recv() => match event {
-                Some(event) => handle(&agent, &link, event),
+                Some(event) => handle(&agent, &address, &link, event),
                 None => return,
             },
             _ = renew.tick() => announce(&agent, &link),
@@ -34,7 +34,7 @@
     }
 }
 
-fn handle(agent: &Agent, link: &link::Link, event: link::LinkEvent) {
+fn handle(agent: &Agent, address: &str, link: &link::Link, event: link::LinkEvent) {
     match event {
         link::LinkEvent::Up => {
             subscribe(link, agent.config.borrow().revision());
@@ -45,6 +45,11 @@
             wire::Message::ConfigUpdate(update) if !agent.apply(&update) => {
                 subscribe(link, 0);
             }
+            wire::Message::Members(members) => {
+                if let Ok(update) = ciborium::from_reader(&members.payload[..]) {
+                    agent.transfer.roster(address, update);
+                }
+            }
             _ => (),
         },
         link::LinkEvent::Down => (),
--- a/ragwortdeal_node/src/agent/calls.rs
+++ b/ragwortdeal_node/src/agent/calls.rs
@@ -10,7 +10,7 @@
 use ragwortdeal_core::digest;
 use ragwortdeal_wire::operator as wire;
 
-use super::Agent;
+use super::{Agent, transfer};
 use crate::http;
 
 /// Longest time an upstream may take to the head of its answer. The mainframe behind a ledger may
@@ -34,6 +34,10 @@
     router::builder::build_simple_router(|route| {
         let staged = http::route(agent.clone(), staged);
         route.get("/internal/staged/*").to_new_handler(staged);
+        let ask = http::route(agent.clone(), transfer::ask);
+        route.get("/internal/peers/*").to_new_handler(ask);
+        let hear = http::route(agent.clone(), transfer::hear);
+        route.post("/internal/peers/holdings").to_new_handler(hear);
         let call = http::route(agent.clone(), call);
         route.request(all.to_vec(), "/call/*").to_new_handler(call);
     })
@@ -133,8 +137,12 @@
     let step = "call upstream";
     let peer = agent.settings.upstream.address.to_string();
     let forwarded = forward(&peer, request);
+    let sent_at = std::time::Instant::now();
     match agent.http.send(step, &peer, forwarded, HEAD_MS).await {
-        Ok(response) => pass_on(response, version, in_progress),
+        Ok(response) => {
+            agent.transfer.call_answered(sent_at.elapsed());
+            pass_on(response, version, in_progress)
+        }
         Err(error) => {
             let ran = match error {
                 http::HttpError::NotSent { .. } => wire::Ran::DidNotRun,
--- a/ragwortdeal_node/src/agent/rollout.rs
+++ b/ragwortdeal_node/src/agent/rollout.rs
@@ -4,7 +4,7 @@
 
 use ragwortdeal_core::{config::intent, digest, spread::manifest};
 use ragwortdeal_wire::engine as wire;
-use snafu::{OptionExt as _, ResultExt as _, Snafu};
+use snafu::{OptionExt as _, ResultExt as _, Snafu, ensure};
 
 use super::{Agent, engine, store};
 use crate::http;
@@ -12,8 +12,8 @@
 /// Pause after a failure, so that a broken origin or engine is not asked in a tight loop.
 const RETRY: time::Duration = time::Duration::from_millis(500);
 
-/// Longest time one chunk may take.
-const CHUNK_MS: u64 = 60_000;
+/// Longest time the manifest may take.
+const MANIFEST_MS: u64 = 60_000;
 
 /// Largest manifest.
 const MANIFEST_MAX_BYTES: usize = 8 << 20;
@@ -35,8 +35,6 @@
     Manifest { source: serde_json::Error },
     #[snafu(display("the origin's manifest is another version's"))]
     OtherManifest,
-    #[snafu(display("chunk {chunk}: {source}"))]
-    Chunk { chunk: u32, source: manifest::ChunkFault },
     #[snafu(display("{source}"), context(false))]
     TooLarge { source: store::TooLarge },
     #[snafu(display("the staged chunks are not the version"))]
@@ -83,7 +81,7 @@
 }
 
 /// Fetches what is missing of a version and checks all of it.
-async fn stage(agent: &Agent, intended: &intent::Intent) -> Result<(), RolloutError> {
+async fn stage(agent: &sync::Arc<Agent>, intended: &intent::Intent) -> Result<(), RolloutError> {
     let version = intended.version;
     if already_loaded(agent, version).await {
         return Ok(());
@@ -95,16 +93,16 @@
         weights.size_bytes = manifest.size_bytes();
         weights.staged_bytes = 0;
     });
-    for (chunk, digest) in (0u32..).zip(manifest.chunks()) {
-        let held = agent.store.lock().expect("no panic under lock").chunk(digest);
-        let bytes = match held {
-            Some(bytes) => bytes,
-            None => fetch_chunk(agent, &manifest, chunk, *digest).await?,
-        };
-        agent.weights.send_modify(|weights| weights.staged_bytes += bytes.len() as u64);
-    }
-    let verified = agent.store.lock().expect("no panic under lock").verify(&version);
-    verified.context(NotWholeSnafu)?;
+    let kept = verified_chunks(agent, &manifest).await;
+    let kept_bytes: u64 =
+        kept.iter().filter_map(|k| manifest.range_bytes(k.chunk())).map(|(_, len)| len).sum();
+    agent.weights.send_modify(|weights| weights.staged_bytes = kept_bytes);
+    agent.fetch_all(manifest.clone(), kept).await;
+    let staged = agent.store.lock().expect("no panic under lock").staged(&version);
+    let staged = staged.context(NotWholeSnafu)?;
+    let whole = move || manifest.verify_whole(staged.iter().map(|bytes| &bytes[..])).is_ok();
+    let whole = tokio::task::spawn_blocking(whole).await.expect("hashing does not panic");
+    ensure!(whole, NotWholeSnafu);
     agent.weights.send_modify(|weights| weights.phase = "verified");
     Ok(())
 }
@@ -128,19 +126,22 @@
     Ok(manifest)
 }
 
-async fn fetch_chunk(
+/// Chunks that are staged already, for this version or one before it, checked once more.
+async fn verified_chunks(
     agent: &Agent,
     manifest: &manifest::Manifest,
-    chunk: u32,
-    digest: digest::Digest,
-) -> Result<bytes::Bytes, RolloutError> {
-    let path = format!("/chunks/{digest}");
-    let max_bytes = manifest.chunk_bytes() as usize;
-    let bytes = from_origin(agent, "fetch chunk", &path, max_bytes).await?;
-    agent.weights.send_modify(|weights| weights.origin_bytes += bytes.len() as u64);
-    manifest.verify_chunk(chunk, &bytes).context(ChunkSnafu { chunk })?;
-    agent.store.lock().expect("no panic under lock").put(digest, bytes.clone());
-    Ok(bytes)
+) -> Vec<manifest::VerifiedChunk> {
+    let held: Vec<_> = {
+        let store = agent.store.lock().expect("no panic under lock");
+        let numbered = (0u32..).zip(manifest.chunks());
+        numbered.filter_map(|(chunk, digest)| Some((chunk, store.chunk(digest)?))).collect()
+    };
+    let manifest = manifest.clone();
+    let verify = move || {
+        let checked = held.iter().map(|(chunk, bytes)| manifest.verify_chunk(*chunk, bytes));
+        checked.flatten().collect()
+    };
+    tokio::task::spawn_blocking(verify).await.expect("hashing does not panic")
 }
 
 async fn from_origin(
@@ -153,7 +154,7 @@
     let request = hyper::Request::get(format!("http://{origin}{path}"))
         .body(http::full(bytes::Bytes::new()))
         .expect("a digest makes a valid path");
-    let (head, bytes) = agent.http.fetch(step, &origin, request, max_bytes, CHUNK_MS).await?;
+    let (head, bytes) = agent.http.fetch(step, &origin, request, max_bytes, MANIFEST_MS).await?;
     let status = head.status.as_u16();
     if status != 200 {
         return StatusSnafu { step, status }.fail();
--- a/ragwortdeal_node/src/agent/store.rs
+++ b/ragwortdeal_node/src/agent/store.rs
@@ -89,11 +89,9 @@
         self.manifests.get(version)
     }
 
-    /// Checks all staged chunks of a version against its manifest.
-    pub(super) fn verify(&self, version: &digest::Digest) -> Option<manifest::VerifiedVersion> {
+    /// The chunks of a version in order, if all are staged. They are shared, not copied.
+    pub(super) fn staged(&self, version: &digest::Digest) -> Option<Vec<bytes::Bytes>> {
         let manifest = self.manifests.get(version)?;
-        let chunks: Option<Vec<&[u8]>> =
-            manifest.chunks().iter().map(|chunk| self.chunks.get(chunk).map(|b| &b[..])).collect();
-        manifest.verify_whole(chunks?).ok()
+        manifest.chunks().iter().map(|chunk| self.chunks.get(chunk).cloned()).collect()
     }
 }
--- /dev/null
+++ b/ragwortdeal_node/src/agent/transfer/serve.rs
@@ -0,0 +1,188 @@
+//! Answers to peers that ask for chunks or announce theirs.
+
+use std::{
+    sync::{self, atomic},
+    time,
+};
+
+use futures_util::stream;
+use http_body_util::BodyExt as _;
+use ragwortdeal_core::{
+    digest, name,
+    spread::{event, roster},
+};
+use ragwortdeal_wire::operator as wire;
+
+use super::{Agent, HELD, INSTANCE};
+use crate::http;
+
+/// Piece in which a chunk is sent: the unit of pacing, and the most that waits in a socket's queue
+/// beyond what the kernel buffers.
+const PIECE_BYTES: usize = 64 << 10;
+
+/// Largest announcement: every number of the longest manifest.
+const HOLDINGS_MAX_BYTES: usize = 512 << 10;
+
+/// Longest time an announcement may take to arrive.
+const HOLDINGS_MS: u64 = 5_000;
+
+/// A chunk under way to a peer. Its end, in whatever way, frees the upload's slot.
+#[derive(Debug)]
+pub(in crate::agent) struct Upload {
+    agent: sync::Weak<Agent>,
+    to: name::InstanceName,
+    version: digest::Digest,
+    chunk: u32,
+    aborted: atomic::AtomicBool,
+}
+
+impl Drop for Upload {
+    fn drop(&mut self) {
+        let Some(agent) = self.agent.upgrade() else {
+            return;
+        };
+        let mut state = agent.transfer.state();
+        state.uploads.remove(&(self.to.clone(), self.chunk));
+        if let Some(download) = state.download.as_mut().filter(|d| d.version() == self.version) {
+            download.upload_ended(&self.to, self.chunk);
+        }
+    }
+}
+
+/// Ends an upload at its next piece.
+pub(super) fn abort(upload: &sync::Weak<Upload>) {
+    // The upload may be at its end; its state is locked then, so it must not be dropped here.
+    if let Some(upload) = upload.upgrade() {
+        upload.aborted.store(true, atomic::Ordering::Relaxed);
+        tokio::spawn(async move { drop(upload) });
+    }
+}
+
+/// A peer asks for a chunk: `/internal/peers/{version}/{chunk}`.
+pub(in crate::agent) async fn ask(
+    agent: sync::Arc<Agent>,
+    request: http::Request,
+) -> http::Response {
+    if !authorized(&agent, &request) {
+        return refuse(http::Kind::Unauthorized, "wrong credential");
+    }
+    let path = request.uri.path().to_owned();
+    let parts: Vec<&str> = path.trim_matches('/').split('/').skip(2).collect();
+    let from = request.header(INSTANCE).and_then(|name| name::InstanceName::new(name).ok());
+    let (Some(from), [version, chunk]) = (from, &parts[..]) else {
+        return refuse(http::Kind::NotFound, "no such path");
+    };
+    let (Ok(version), Ok(chunk)) = (version.parse(), chunk.parse()) else {
+        return refuse(http::Kind::NotFound, "no such chunk");
+    };
+    answer(&agent, from, version, chunk)
+}
+
+/// A peer announces chunks.
+pub(in crate::agent) async fn hear(
+    agent: sync::Arc<Agent>,
+    request: http::Request,
+) -> http::Response {
+    if !authorized(&agent, &request) {
+        return refuse(http::Kind::Unauthorized, "wrong credential");
+    }
+    let body = http::read(request.body, HOLDINGS_MAX_BYTES, HOLDINGS_MS).await;
+    let holdings = body.ok().and_then(|body| ciborium::from_reader(&body[..]).ok());
+    let Some(roster::Holdings { instance, version, chunks }) = holdings else {
+        return refuse(http::Kind::BadRequest, "no holdings");
+    };
+    agent.feed(event::Event::Holds { instance, version, chunks });
+    empty(204)
+}
+
+fn authorized(agent: &Agent, request: &http::Request) -> bool {
+    let given = request.headers.get("authorization").map(hyper::header::HeaderValue::as_bytes);
+    agent.credential.accepts(given)
+}
+
+fn answer(
+    agent: &sync::Arc<Agent>,
+    from: name::InstanceName,
+    version: digest::Digest,
+    chunk: u32,
+) -> http::Response {
+    let now_ms = agent.transfer.clock.now_ms();
+    let mut state = agent.transfer.state();
+    let Some(download) = &mut state.download else {
+        return not_yet(0);
+    };
+    match download.serve(now_ms, &from, version, chunk) {
+        event::Answer::Busy => empty(429),
+        event::Answer::NotYet { held } => not_yet(held),
+        // The peer follows a newer or an older revision; it is no fault of either side.
+        event::Answer::OtherVersion => not_yet(0),
+        event::Answer::Send => {
+            let digest = download.manifest().chunks()[chunk as usize];
+            let bytes = agent.store.lock().expect("no panic under lock").chunk(&digest);
+            let Some(bytes) = bytes else {
+                download.upload_ended(&from, chunk);
+                return not_yet(0);
+            };
+            let aborted = atomic::AtomicBool::new(false);
+            let to = from.clone();
+            let upload = Upload { agent: sync::Arc::downgrade(agent), to, version, chunk, aborted };
+            let upload = sync::Arc::new(upload);
+            state.uploads.insert((from, chunk), sync::Arc::downgrade(&upload));
+            send(agent, upload, bytes)
+        }
+    }
+}
+
+fn send(agent: &Agent, upload: sync::Arc<Upload>, bytes: bytes::Bytes) -> http::Response {
+    let len_bytes = bytes.len();
+    let rate_bytes_per_s = agent.settings.weights.upload_bytes_per_s;
+    let pieces = stream::unfold((upload, bytes), move |(upload, mut rest)| async move {
+        if rest.is_empty() {
+            return None;
+        }
+        if upload.aborted.load(atomic::Ordering::Relaxed) {
+            let error = std::io::Error::other("the upload was given up");
+            return Some((Err(error), (upload, bytes::Bytes::new())));
+        }
+        let piece = rest.split_to(rest.len().min(PIECE_BYTES));
+        pace(&upload, piece.len(), rate_bytes_per_s).await;
+        Some((Ok(hyper::body::Frame::data(piece)), (upload, rest)))
+    });
+    let body = http_body_util::StreamBody::new(pieces).boxed_unsync();
+    let mut response = http::respond(200, "application/octet-stream", body);
+    let length = hyper::header::HeaderValue::from(len_bytes);
+    response.headers_mut().insert("content-length", length);
+    response
+}
+
+/// Holds a piece back until the bound on this agent's uploads allows it.
+async fn pace(upload: &Upload, len_bytes: usize, rate_bytes_per_s: u64) {
+    if rate_bytes_per_s == 0 {
+        return;
+    }
+    let Some(agent) = upload.agent.upgrade() else {
+        return;
+    };
+    let takes = time::Duration::from_secs_f64(len_bytes as f64 / rate_bytes_per_s as f64);
+    let turn = {
+        let mut free_at = agent.upload_free_at.lock().expect("no panic under lock");
+        let turn = (*free_at).max(time::Instant::now());
+        *free_at = turn + takes;
+        turn
+    };
+    tokio::time::sleep_until(turn.into()).await;
+}
+
+fn not_yet(held: u32) -> http::Response {
+    let mut response = empty(404);
+    response.headers_mut().insert(HELD, hyper::header::HeaderValue::from(held));
+    response
+}
+
+fn empty(status: u16) -> http::Response {
+    http::respond(status, "text/plain", http::full(bytes::Bytes::new()))
+}
+
+fn refuse(kind: http::Kind, detail: &str) -> http::Response {
+    http::answer(&http::problem(kind, wire::Ran::DidNotRun, detail))
+}
--- a/ragwortdeal_node/src/entry.rs
+++ b/ragwortdeal_node/src/entry.rs
@@ -7,6 +7,7 @@
 mod operations;
 mod operator;
 mod relay;
+mod roster;
 mod stream;
 
 use std::{
@@ -80,6 +81,7 @@
     members: sync::Mutex<members::Members>,
     voters: Vec<link::Link>,
     sessions: sync::Mutex<collections::HashMap<link::SessionId, relay::Subscriber>>,
+    roster: roster::Roster,
     next_request: atomic::AtomicU64,
     ready: atomic::AtomicBool,
 }
@@ -107,6 +109,7 @@
             settings,
             voters,
             sessions: sync::Mutex::default(),
+            roster: roster::Roster::default(),
             next_request: atomic::AtomicU64::new(1),
             ready: atomic::AtomicBool::new(true),
         })
@@ -137,6 +140,7 @@
     let mut tasks = tokio::task::JoinSet::new();
     tasks.spawn(control::follow(entry.clone(), events));
     tasks.spawn(members::expire(entry.clone()));
+    tasks.spawn(roster::follow(entry.clone()));
     let limits = link::LinkLimits::default();
     let credential = entry.credential.clone();
     let (links_stopper, links_stop) = stop::pair();
--- a/ragwortdeal_node/src/entry/relay.rs
+++ b/ragwortdeal_node/src/entry/relay.rs
@@ -33,6 +33,7 @@
             }
             wire::Message::Subscribe(subscribe) => {
                 self.0.subscribe(session, subscribe.held_revision);
+                self.0.roster.introduce(session);
             }
             _ => log::debug!("entry: unexpected message from {}", session.hello.name),
         }
@@ -43,6 +44,7 @@
     }
 
     fn closed(&self, session: &link::Session) {
+        self.0.roster.closed(session);
         self.0.sessions.lock().expect("no panic under lock").remove(&session.id);
     }
 }
--- a/ragwortdeal_node/src/settings/agent.rs
+++ b/ragwortdeal_node/src/settings/agent.rs
@@ -98,6 +98,8 @@
     pub origin: Option<net::SocketAddr>,
     /// Most bytes of weights held for the engine and for other agents.
     pub staged_max_bytes: u64,
+    /// Most bytes of chunks that are being received.
+    pub buffers_max_bytes: u64,
     /// 0 weighs the time until all replicas serve, 100 the bytes drawn from the origin.
     pub origin_weight_percent: u8,
     /// Most bytes a second that are served to other agents, 0 for no bound.
@@ -109,6 +111,7 @@
         Self {
             origin: None,
             staged_max_bytes: 64 << 30,
+            buffers_max_bytes: 256 << 20,
             origin_weight_percent: 50,
             upload_bytes_per_s: 0,
         }
--- a/ragwortdeal_standins/src/origin.rs
+++ b/ragwortdeal_standins/src/origin.rs
@@ -38,6 +38,20 @@
         Self { manifest, chunks }
     }
 
+    /// The same weights but for one chunk, as after a small update.
+    ///
+    /// # Panics
+    ///
+    /// Where there is no such chunk.
+    pub fn with_changed_chunk(&self, chunk: usize) -> Self {
+        let mut chunks = self.chunks.clone();
+        let mut changed = chunks[chunk].to_vec();
+        changed[0] ^= 1;
+        chunks[chunk] = changed.into();
+        let manifest = manifest::Manifest::of_bytes(&chunks.concat(), self.manifest.chunk_bytes());
+        Self { manifest: manifest.expect("as long as the manifest before"), chunks }
+    }
+
     /// Digest of the manifest.
     pub fn version(&self) -> digest::Digest {
         self.manifest.version()
