--- a/ragwortdeal_node/src/agent/announce.rs
+++ b/ragwortdeal_node/src/agent/announce.rs
@@ -47,6 +47,11 @@
             wire::Message::ConfigUpdate(update) if !agent.apply(&update) => {
                 subscribe(link, 0);
             }
+            wire::Message::Members(members) => {
+                if let Ok(update) = ciborium::from_reader(&members.payload[..]) {
+                    agent.transfer.roster(address, update);
+                }
+            }
             _ => (),
         },
         link::LinkEvent::Down => (),
