Kill processes at random while transfers go through

Cause: the cells of the table are chosen; kills at random moments find what nobody chose. Change: 45 seeded kills of entries, agents and the voter with 8 transfers each and callers that resend at all entries; effects are counted at the ledger stand-ins.

--- /dev/null
+++ b/ragwortdeal_node/tests/operations_kills.rs
@@ -0,0 +1,140 @@
+//! Kills one process after another while operations go through, and counts what became of them.
+
+use std::{collections, time};
+
+use googletest::prelude::*;
+use ragwortdeal_standins::{caller, deployment, service};
+use ragwortdeal_wire::operator as wire;
+use rand::{RngExt as _, SeedableRng as _};
+
+const SEED: u64 = 6;
+const KILLS: usize = 45;
+const CALLERS: usize = 8;
+
+/// How often a caller sends one operation.
+const RESENDS_MAX: usize = 40;
+
+/// After how many answers "unknown" a caller asks staff.
+const UNKNOWN_MAX: usize = 5;
+
+/// Longest pause between the start of the operations and a kill; the ledger takes about as long.
+const KILL_WITHIN_MS: u64 = 120;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Victim {
+    Entry,
+    Agent,
+    Voter,
+}
+
+/// What a caller finally knows of its operation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Known {
+    Answered,
+    InDoubt,
+    NotRun,
+}
+
+async fn start() -> deployment::Deployment {
+    let plan = deployment::Plan {
+        voters: 1,
+        entries: 3,
+        engines: 0,
+        ledgers: 2,
+        portals: 0,
+        ledger: service::Behaviour { before_ms: 40, after_ms: 40, honours_key: false },
+        ..deployment::Plan::default()
+    };
+    let deployment = deployment::Deployment::start(plan).await.unwrap();
+    let all = String::new;
+    let route = wire::Route { accounts: all(), targets: all(), upstreams: all() };
+    let route = wire::Object::Route(route);
+    deployment::wait_for("the route is accepted", async || {
+        deployment.operator(0).set("open", "route/all", route.clone()).await.is_some()
+    })
+    .await;
+    deployment
+}
+
+/// Sends one operation until it is answered or was called unknown several times.
+async fn persist(callers: Vec<caller::Caller>, key: String) -> (String, Known) {
+    let mut known = Known::NotRun;
+    let mut unknown = 0;
+    for (round, caller) in callers.iter().cycle().take(RESENDS_MAX).enumerate() {
+        let answer = caller.operate(deployment::LEDGER, &key, "{}").await;
+        if answer.status == 200 {
+            return (key, Known::Answered);
+        }
+        match answer.problem().map(|problem| problem.ran) {
+            Some(wire::Ran::DidNotRun) => (),
+            // An answer that was lost leaves the caller as unsure as "unknown" does.
+            _ => {
+                known = Known::InDoubt;
+                unknown += 1;
+            }
+        }
+        if unknown >= UNKNOWN_MAX {
+            break;
+        }
+        let pause_ms = 50 * (round as u64 + 1).min(6);
+        tokio::time::sleep(time::Duration::from_millis(pause_ms)).await;
+    }
+    (key, known)
+}
+
+async fn strike(deployment: &mut deployment::Deployment, victim: Victim, number: usize) {
+    match victim {
+        Victim::Entry => {
+            let number = number % deployment.entries.len();
+            deployment.entries[number].process.take().unwrap().kill();
+            let restart = async || deployment.restart_entry(number).is_ok();
+            deployment::wait_for("the entry is back", restart).await;
+        }
+        Victim::Agent => {
+            let number = number % deployment.services.len();
+            deployment.services[number].process.take().unwrap().kill();
+            let restart = async || deployment.restart_service_agent(number).is_ok();
+            deployment::wait_for("the agent is back", restart).await;
+        }
+        Victim::Voter => {
+            deployment.voters[0].process.take().unwrap().kill();
+            let restart = async || deployment.restart_voter(0).is_ok();
+            deployment::wait_for("the voter is back", restart).await;
+        }
+    }
+}
+
+/// Processes die at random moments while members' hours are transferred, and each caller resends
+/// at all entries until it has an answer. No transfer may be recorded twice, none that is answered
+/// may be missing, and a caller that is told of nothing but "did not run" must find no effect.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn transfers_under_random_kills_take_effect_at_most_once() {
+    let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(SEED);
+    let mut deployment = start().await;
+    let mut counts = collections::BTreeMap::<(Victim, Known), usize>::new();
+    for kill in 0..KILLS {
+        let victim = [Victim::Entry, Victim::Agent, Victim::Voter][kill % 3];
+        let callers: Vec<_> = (0..3).map(|entry| deployment.caller(entry)).collect();
+        let mut calls = tokio::task::JoinSet::new();
+        for number in 0..CALLERS {
+            let mut callers = callers.clone();
+            callers.rotate_left(number % 3);
+            calls.spawn(persist(callers, format!("t-{kill}-{number}")));
+        }
+        let pause_ms = rng.random_range(0..KILL_WITHIN_MS);
+        tokio::time::sleep(time::Duration::from_millis(pause_ms)).await;
+        strike(&mut deployment, victim, rng.random_range(0..6)).await;
+        for (key, known) in calls.join_all().await {
+            *counts.entry((victim, known)).or_default() += 1;
+            let effects = deployment.ledger.effects().get(&key).copied().unwrap_or(0);
+            match known {
+                Known::Answered => expect_that!(effects, eq(1), "{key}"),
+                Known::InDoubt => expect_that!(effects, le(1), "{key}"),
+                Known::NotRun => expect_that!(effects, eq(0), "{key}"),
+            }
+        }
+    }
+    println!("{KILLS} kills, {CALLERS} operations each: {counts:?}");
+    expect_that!(deployment.ledger.duplicates(), eq(0));
+}
