Give engines their orders through the fence

Cause: the rollout gave orders by itself: after a restart, or a lost reply, an engine that ignores numbers could carry out an older order after a newer one, and a change taken back in time was carried out all the same. Change: one task gives all orders as the core's giver decides; the rollout only says what is wanted and staged. A restarted agent announces at once what the engine serves and orders nothing until older orders are dead. A call is counted before its version is checked. Conclusion: engines that ignore numbers wait one order's life after their agent starts.

--- a/ragwortdeal_core/src/orders/giver.rs
+++ b/ragwortdeal_core/src/orders/giver.rs
@@ -35,6 +35,8 @@
     Floor(order::Fence),
     /// The engine reported its state on request.
     State(order::EngineState),
+    /// The engine did not report its state.
+    Unread,
     /// The engine carried out the order with this sequence.
     Done(u64),
     /// The engine refused the order with this sequence, or failed at it.
@@ -107,6 +109,11 @@
                     self.phase = Phase::Ready(state);
                 }
             }
+            Event::Unread => {
+                if matches!(self.phase, Phase::Reading) {
+                    self.phase = Phase::MustRead;
+                }
+            }
             Event::Done(sequence) => self.done(sequence),
             Event::Refused(sequence) => {
                 if self.is_outstanding(sequence) {
@@ -143,7 +150,8 @@
         let Phase::Ready(state) = &self.phase else { return None };
         let intent = self.acting_intent()?;
         let follows = intent.active.is_none() || state.active == intent.active;
-        let complete = intent.loaded.is_subset(&state.loaded) && state.role == intent.role;
+        let plays = intent.role.as_ref().is_none_or(|role| *role == state.role);
+        let complete = intent.loaded.is_subset(&state.loaded) && plays;
         let settled = follows && complete && !self.must_raise(intent);
         settled.then_some(intent.fence)
     }
@@ -201,7 +209,7 @@
             // A load of a former life goes on. Whatever is ordered now could meet half of it.
             return None;
         }
-        self.raise(intent)
+        self.raise(intent, state)
             .or_else(|| load(intent, state, holdings))
             .or_else(|| change_role(intent, state))
             .or_else(|| activate(intent, state))
@@ -213,8 +221,13 @@
     /// A lost order to unload could otherwise arrive between reading the state and activating the
     /// very weights that it drops, and the engine would serve what it no longer holds. Once this
     /// order is done, the state that is read next can be changed by this intent alone.
-    fn raise(&self, intent: &order::Intent) -> Option<order::OrderKind> {
-        self.must_raise(intent).then_some(order::OrderKind::ChangeRole(intent.role))
+    fn raise(
+        &self,
+        intent: &order::Intent,
+        state: &order::EngineState,
+    ) -> Option<order::OrderKind> {
+        let role = intent.role.as_ref().unwrap_or(&state.role);
+        self.must_raise(intent).then(|| order::OrderKind::ChangeRole(role.clone()))
     }
 
     fn must_raise(&self, intent: &order::Intent) -> bool {
@@ -235,7 +248,8 @@
 }
 
 fn change_role(intent: &order::Intent, state: &order::EngineState) -> Option<order::OrderKind> {
-    (state.role != intent.role).then_some(order::OrderKind::ChangeRole(intent.role))
+    let wanted = intent.role.as_ref().filter(|role| **role != state.role)?;
+    Some(order::OrderKind::ChangeRole(wanted.clone()))
 }
 
 /// Only what the engine itself reports as whole is activated.
--- a/ragwortdeal_core/src/orders/order.rs
+++ b/ragwortdeal_core/src/orders/order.rs
@@ -34,18 +34,22 @@
     pub version: digest::Digest,
 }
 
-/// Part that an engine plays among those of its model.
+/// Part that an engine plays among those of its model, in the engine's own words.
 #[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+    Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Default, serde::Serialize, serde::Deserialize,
 )]
-#[serde(rename_all = "kebab-case")]
-pub enum Role {
-    /// Reads prompts and generates.
-    Whole,
-    /// Reads prompts and exports the KV cache.
-    Prefill,
-    /// Imports the KV cache and generates.
-    Decode,
+pub struct Role(String);
+
+impl Role {
+    /// Takes the engine's word for a role.
+    pub fn new(text: &str) -> Self {
+        Self(text.to_owned())
+    }
+
+    /// The engine's word for it.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
 }
 
 /// What the committed log wants of one instance.
@@ -57,8 +61,8 @@
     pub active: Option<WeightsId>,
     /// Weights that shall be loaded besides, such as adapters.
     pub loaded: collections::BTreeSet<WeightsId>,
-    /// Role of the engine.
-    pub role: Role,
+    /// Role of the engine; none leaves the present one.
+    pub role: Option<Role>,
 }
 
 impl Intent {
--- a/ragwortdeal_core/tests/orders_model.rs
+++ b/ragwortdeal_core/tests/orders_model.rs
@@ -36,7 +36,7 @@
             loaded: collections::BTreeSet::from([weights(0)]),
             loading: false,
             active: Some(weights(0)),
-            role: order::Role::Whole,
+            role: order::Role::new("whole"),
             highest_fence: None,
         };
         Self { fencing, state, loading: None }
@@ -61,7 +61,7 @@
                 self.state.loaded.remove(id);
             }
             order::OrderKind::Activate(id) => self.state.active = Some(id.clone()),
-            order::OrderKind::ChangeRole(role) => self.state.role = *role,
+            order::OrderKind::ChangeRole(role) => self.state.role = role.clone(),
         }
         Some(giver::Event::Done(order.sequence))
     }
@@ -295,7 +295,7 @@
         fence: order::Fence(fence),
         active: Some(weights(version)),
         loaded: collections::BTreeSet::new(),
-        role: order::Role::Whole,
+        role: Some(order::Role::new("whole")),
     }
 }
 
--- a/ragwortdeal_node/src/agent.rs
+++ b/ragwortdeal_node/src/agent.rs
@@ -39,6 +39,8 @@
 struct Weights {
     phase: &'static str,
     behind: Option<String>,
+    /// The version that is staged and verified as a whole.
+    verified: Option<digest::Digest>,
     serving: Option<digest::Digest>,
     /// Versions that are loaded; calls that name one of them are passed on.
     loaded: collections::BTreeSet<digest::Digest>,
@@ -73,6 +75,8 @@
     leaving: atomic::AtomicBool,
     engine: engine::Engine,
     attempts: guard::Attempts,
+    /// What the engine shall serve, once it is staged whole.
+    wanted: watch::Sender<Option<engine::Wanted>>,
 }
 
 impl Agent {
@@ -82,6 +86,7 @@
         let http = http::Client::new(1_000);
         Ok(Self {
             attempts: guard::Attempts::new(identity.incarnation),
+            wanted: watch::Sender::new(None),
             identity,
             credential: link::Credential::new(&settings.credentials.cluster),
             store: sync::Mutex::new(store::Store::new(settings.weights.staged_max_bytes)),
@@ -172,6 +177,7 @@
     }
     if agent.is_engine() {
         tasks.spawn(rollout::run(agent.clone()));
+        tasks.spawn(engine::give_orders(agent.clone()));
         tasks.spawn(engine::watch_load(agent.clone()));
     }
     stop.wait().await;
--- a/ragwortdeal_node/src/agent/calls.rs
+++ b/ragwortdeal_node/src/agent/calls.rs
@@ -54,10 +54,10 @@
         digest::Digest::of(&[cluster, b"/staged/", name].concat())
     }
 
-    /// Calls in progress on a version.
-    pub(super) fn running_on(&self, version: Option<digest::Digest>) -> u64 {
+    /// Versions on which calls are in progress.
+    pub(super) fn running_versions(&self) -> Vec<digest::Digest> {
         let running = self.running.lock().expect("no panic under lock");
-        running.get(&version).copied().unwrap_or(0)
+        running.keys().copied().flatten().collect()
     }
 }
 
@@ -136,10 +136,12 @@
         return guard::call(agent, request).await;
     }
     let version = request.header(http::MODEL_VERSION).and_then(|version| version.parse().ok());
+    // Counted before the check: a version is unloaded once it is not offered any more and no call
+    // is counted on it, so a call between the two would otherwise lose its weights.
+    let in_progress = InProgress::start(agent.clone(), version);
     if agent.is_engine() && !version.is_some_and(|v| agent.weights.borrow().loaded.contains(&v)) {
         return refuse(&agent, http::Kind::Unavailable, "this version is not loaded here");
     }
-    let in_progress = InProgress::start(agent.clone(), version);
     let step = "call upstream";
     let peer = agent.settings.upstream.address.to_string();
     let forwarded = forward(&peer, request);
--- a/ragwortdeal_node/src/agent/engine.rs
+++ b/ragwortdeal_node/src/agent/engine.rs
@@ -1,14 +1,18 @@
 //! Orders to the engine beside the agent, and its load reports.
 
+mod giving;
+
 use std::{net, sync, time};
 
-use ragwortdeal_core::{config::intent, digest};
+use ragwortdeal_core::orders::order;
 use ragwortdeal_wire::engine as wire;
 use snafu::{ResultExt as _, Snafu};
 
 use super::{Agent, Report};
 use crate::http;
 
+pub(super) use giving::{Wanted, give_orders};
+
 /// Longest time an order may take; loading is the slowest.
 const ORDER_MS: u64 = 600_000;
 
@@ -45,39 +49,33 @@
     },
 }
 
-/// The engine, to which one order at a time is given.
+impl OrderError {
+    /// Whether the order can take no effect any more. Otherwise it may still, at any time.
+    fn is_settled(&self) -> bool {
+        match self {
+            OrderError::Refused { .. } => true,
+            OrderError::Http { source } => matches!(source, http::HttpError::NotSent { .. }),
+            OrderError::Malformed { .. } => false,
+        }
+    }
+}
+
+/// The engine beside the agent. Orders are given by [`give_orders`] alone, one at a time.
 #[derive(Debug)]
 pub(super) struct Engine {
     address: net::SocketAddr,
     http: http::Client,
-    turn: tokio::sync::Mutex<()>,
 }
 
 impl Engine {
     pub(super) fn new(address: net::SocketAddr, http: http::Client) -> Self {
-        Self { address, http, turn: tokio::sync::Mutex::new(()) }
+        Self { address, http }
     }
 
     /// Gives one order and waits until it was carried out.
-    pub(super) async fn order(
-        &self,
-        action: wire::OrderAction,
-        intent: &intent::Intent,
-        version: digest::Digest,
-        source: Option<String>,
-    ) -> Result<(), OrderError> {
-        let _turn = self.turn.lock().await;
-        let step = step_of(action);
-        let order = wire::Order {
-            fence: intent.fence,
-            action,
-            version: version.to_string(),
-            model: intent.details.model.to_string(),
-            adapter: intent.details.adapter.as_ref().map(ToString::to_string),
-            source,
-            role: None,
-        };
-        let body = serde_json::to_vec(&order).expect("own types encode as JSON");
+    async fn order(&self, order: &wire::Order) -> Result<(), OrderError> {
+        let step = step_of(order.action);
+        let body = serde_json::to_vec(order).expect("own types encode as JSON");
         let request = self.request("POST", "/orders", http::full(body));
         let peer = self.address.to_string();
         let fetched = self.http.fetch(step, &peer, request, ANSWER_MAX_BYTES, ORDER_MS).await;
@@ -119,6 +117,25 @@
     }
 }
 
+/// The order as the engine takes it.
+fn to_wire(order: &order::Order, target: &order::WeightsId, source: Option<String>) -> wire::Order {
+    let (action, weights, role) = match &order.kind {
+        order::OrderKind::Load(weights) => (wire::OrderAction::Load, weights, None),
+        order::OrderKind::Unload(weights) => (wire::OrderAction::Unload, weights, None),
+        order::OrderKind::Activate(weights) => (wire::OrderAction::Activate, weights, None),
+        order::OrderKind::ChangeRole(role) => (wire::OrderAction::ChangeRole, target, Some(role)),
+    };
+    wire::Order {
+        fence: order.fence.0,
+        action,
+        version: weights.version.to_string(),
+        model: weights.model.to_string(),
+        adapter: weights.adapter.as_ref().map(ToString::to_string),
+        source,
+        role: role.map(|role| role.as_str().to_owned()),
+    }
+}
+
 /// Reads the engine's load again and again.
 pub(super) async fn watch_load(agent: sync::Arc<Agent>) {
     let period = time::Duration::from_millis(agent.settings.upstream.report_ms);
--- a/ragwortdeal_node/src/agent/rollout.rs
+++ b/ragwortdeal_node/src/agent/rollout.rs
@@ -3,7 +3,6 @@
 use std::{sync, time};
 
 use ragwortdeal_core::{config::intent, digest, spread::manifest};
-use ragwortdeal_wire::engine as wire;
 use snafu::{OptionExt as _, ResultExt as _, Snafu};
 
 use super::{Agent, engine, store};
@@ -18,10 +17,6 @@
 /// Largest manifest.
 const MANIFEST_MAX_BYTES: usize = 8 << 20;
 
-/// How long a version stays loaded after its successor took over, so that calls which entries sent
-/// before they heard of the switch still find the version they name.
-const LINGER: time::Duration = time::Duration::from_secs(3);
-
 /// Why a version is not served yet.
 #[derive(Debug, Snafu)]
 pub(super) enum RolloutError {
@@ -41,19 +36,21 @@
     TooLarge { source: store::TooLarge },
     #[snafu(display("the staged chunks are not the version"))]
     NotWhole,
-    #[snafu(display("{source}"), context(false))]
-    Order { source: engine::OrderError },
 }
 
 /// Follows the configuration for as long as the process runs.
 pub(super) async fn run(agent: sync::Arc<Agent>) {
     let mut config = agent.config.subscribe();
+    let mut lost = agent.weights.subscribe();
     loop {
         let intended = intent::of_instance(&config.borrow_and_update(), &agent.identity.name);
         let served = agent.weights.borrow().serving;
+        go_back(&agent, intended.as_ref(), served);
         let Some(intended) = intended.filter(|intended| Some(intended.version) != served) else {
-            if config.changed().await.is_err() {
-                return;
+            tokio::select! {
+                changed = config.changed() => if changed.is_err() { return },
+                // The engine may lose what it served, as when it starts anew.
+                _ = lost.wait_for(|weights| weights.serving != served) => (),
             }
             continue;
         };
@@ -64,7 +61,10 @@
             _ = superseded(&agent, &intended) => continue,
         };
         let done = match staged {
-            Ok(()) => switch(&agent, &intended).await,
+            Ok(()) => {
+                switch(&agent, &intended).await;
+                Ok(())
+            }
             Err(error) => Err(error),
         };
         if let Err(error) = done {
@@ -75,6 +75,21 @@
     }
 }
 
+/// Takes back a version that was to be served next, where the one that serves is intended again.
+/// The engine would otherwise still be switched, and back after that.
+fn go_back(agent: &Agent, intended: Option<&intent::Intent>, served: Option<digest::Digest>) {
+    let Some(intended) = intended.filter(|intended| Some(intended.version) == served) else {
+        return;
+    };
+    agent.wanted.send_if_modified(|wanted| {
+        let other = wanted.as_ref().is_some_and(|held| held.intent.version != intended.version);
+        if other {
+            *wanted = Some(engine::Wanted { intent: intended.clone(), is_staged: false });
+        }
+        other
+    });
+}
+
 async fn superseded(agent: &Agent, intended: &intent::Intent) {
     let mut config = agent.config.subscribe();
     let same = |now: Option<intent::Intent>| now.is_some_and(|now| now.version == intended.version);
@@ -92,6 +107,7 @@
     agent.store.lock().expect("no panic under lock").begin(manifest.clone())?;
     agent.weights.send_modify(|weights| {
         weights.phase = "staging";
+        weights.verified = None;
         weights.size_bytes = manifest.size_bytes();
         weights.staged_bytes = 0;
     });
@@ -105,7 +121,10 @@
     }
     let verified = agent.store.lock().expect("no panic under lock").verify(&version);
     verified.context(NotWholeSnafu)?;
-    agent.weights.send_modify(|weights| weights.phase = "verified");
+    agent.weights.send_modify(|weights| {
+        weights.phase = "verified";
+        weights.verified = Some(version);
+    });
     Ok(())
 }
 
@@ -161,45 +180,15 @@
     Ok(bytes)
 }
 
-/// Has the engine load the version beside the one it serves, and switch to it.
-async fn switch(agent: &sync::Arc<Agent>, intended: &intent::Intent) -> Result<(), RolloutError> {
-    let version = intended.version;
-    agent.weights.send_modify(|weights| weights.phase = "loading");
-    if !already_loaded(agent, version).await {
-        let source = Some(agent.staged_url(version));
-        agent.engine.order(wire::OrderAction::Load, intended, version, source).await?;
-    }
-    agent.weights.send_modify(|weights| weights.phase = "loaded");
-    agent.engine.order(wire::OrderAction::Activate, intended, version, None).await?;
-    let former = agent.weights.borrow().serving;
-    agent.weights.send_modify(|weights| {
-        weights.phase = "serving";
-        weights.behind = None;
-        weights.serving = Some(version);
-        weights.model = Some(intended.details.model.clone());
-        weights.loaded.insert(version);
-    });
-    log::info!("agent: {} serves version {version:?}", agent.identity.name);
-    if let Some(former) = former {
-        tokio::spawn(unload(agent.clone(), intended.clone(), former));
-    }
-    Ok(())
-}
-
-/// Unloads a version once no call uses it and none that names it can still be on its way.
-async fn unload(agent: sync::Arc<Agent>, intended: intent::Intent, former: digest::Digest) {
-    tokio::time::sleep(LINGER).await;
-    if agent.weights.borrow().serving == Some(former) {
-        return;
-    }
-    agent.weights.send_modify(|weights| {
-        weights.loaded.remove(&former);
-    });
-    while agent.running_on(Some(former)) > 0 {
-        tokio::time::sleep(RETRY).await;
-    }
-    let unloaded = agent.engine.order(wire::OrderAction::Unload, &intended, former, None).await;
-    if let Err(error) = unloaded {
-        log::warn!("agent: {}: {error}", agent.identity.name);
+/// Has the engine serve a version that is staged whole or loaded already, and waits until it does
+/// or something else is intended.
+async fn switch(agent: &Agent, intended: &intent::Intent) {
+    let is_staged = agent.weights.borrow().verified == Some(intended.version);
+    let wanted = engine::Wanted { intent: intended.clone(), is_staged };
+    agent.wanted.send_replace(Some(wanted));
+    let mut weights = agent.weights.subscribe();
+    tokio::select! {
+        _ = weights.wait_for(|weights| weights.serving == Some(intended.version)) => (),
+        () = superseded(agent, intended) => (),
     }
 }
--- a/ragwortdeal_standins/src/deployment.rs
+++ b/ragwortdeal_standins/src/deployment.rs
@@ -41,6 +41,8 @@
     pub origin_weight_percent: u8,
     /// How engines behave.
     pub engine: engine::Behaviour,
+    /// Longest life of an order to an engine that does not check numbers.
+    pub order_life_ms: u64,
     /// How ledgers behave.
     pub ledger: service::Behaviour,
 }
@@ -57,6 +59,7 @@
             origin_bytes_per_s: 64 << 20,
             origin_weight_percent: 50,
             engine: engine::Behaviour::default(),
+            order_life_ms: 60_000,
             ledger: service::Behaviour::default(),
         }
     }
@@ -237,6 +240,7 @@
         let mut settings = self.agent_settings("engine", number);
         settings.upstream.address = engine.address();
         settings.upstream.checks_fence = self.plan.engine.checks_fence;
+        settings.upstream.order_life_ms = self.plan.order_life_ms;
         settings.upstream.report_ms = 100;
         let mut agent = start_agent(settings)?;
         agent.engine = Some(engine);
