--- a/ragwortdeal_node/src/agent/guard.rs
+++ b/ragwortdeal_node/src/agent/guard.rs
@@ -176,7 +176,8 @@
     addressed: &attempt::Addressed,
     request: http::Request,
 ) -> guard::Knowledge {
-    let _in_progress = calls::InProgress::start(agent.clone(), None);
+    let entry = request.header(http::ENTRY).unwrap_or_default();
+    let _in_progress = calls::InProgress::start(agent.clone(), None, entry);
     let peer = agent.settings.upstream.address.to_string();
     let mut forwarded = calls::forward(&peer, request);
     for name in attempt::HEADERS {
