--- a/ragwortdeal_node/src/agent.rs
+++ b/ragwortdeal_node/src/agent.rs
@@ -40,6 +40,8 @@
 struct Weights {
     phase: &'static str,
     behind: Option<String>,
+    /// The version that is staged and verified as a whole.
+    verified: Option<digest::Digest>,
     serving: Option<digest::Digest>,
     /// Versions that are loaded; calls that name one of them are passed on.
     loaded: collections::BTreeSet<digest::Digest>,
@@ -81,6 +83,8 @@
     transfer: transfer::Transfer,
     /// When the bound on uploads allows the next piece.
     upload_free_at: sync::Mutex<std::time::Instant>,
+    /// What the engine shall serve, once it is staged whole.
+    wanted: watch::Sender<Option<engine::Wanted>>,
 }
 
 impl Agent {
@@ -91,6 +95,7 @@
         let http = http::Client::new(1_000);
         Ok(Self {
             attempts: guard::Attempts::new(identity.incarnation),
+            wanted: watch::Sender::new(None),
             identity,
             credential: link::Credential::new(&settings.credentials.cluster),
             store: sync::Mutex::new(store::Store::new(settings.weights.staged_max_bytes)),
@@ -188,6 +193,7 @@
     if agent.is_engine() {
         tasks.spawn(rollout::run(agent.clone()));
         tasks.spawn(transfer::run(agent.clone()));
+        tasks.spawn(engine::give_orders(agent.clone()));
         tasks.spawn(engine::watch_load(agent.clone()));
     }
     stop.wait().await;
