Measure voters, links, claims and what runs today in 'capacity'

Change: five voters' replicas, idle links over sockets, claims, chunks, announcements and pushes of the programs as they run.

--- a/ragwortdeal_node/examples/capacity/main.rs
+++ b/ragwortdeal_node/examples/capacity/main.rs
@@ -4,10 +4,12 @@
 //! and with encoded messages; the table and the plot are written to `target/capacity/`.
 
 mod fit;
+mod links;
 mod measures;
 mod meter;
 mod series;
 mod trees;
+mod voters;
 mod zones;
 
 use std::{path, process, time};
@@ -54,6 +56,11 @@
     add(vec![measures::memory_per_upstream()]);
     add(vec![measures::memory_per_object()]);
     add(vec![measures::memory_per_change()]);
+    add(vec![measures::memory_per_claim()]);
+    add(vec![measures::memory_per_chunk()]);
+    add(measures::idle_links().expect("loopback sockets").into());
+    add(measures::running_today().into());
+    add(measures::replication());
     add(measures::config_cpu().into());
     add(measures::by_entries().into());
     add(measures::by_upstreams().into());
--- a/ragwortdeal_node/examples/capacity/measures.rs
+++ b/ragwortdeal_node/examples/capacity/measures.rs
@@ -3,15 +3,18 @@
 use std::hint;
 
 use ragwortdeal_core::{
+    claims::{attempt, key, state as claim, table},
     config::{delta, replica, state},
-    membership::view,
-    membership::{self},
+    digest,
+    membership::{self, view},
+    name,
+    spread::manifest,
 };
 
 use crate::{
-    meter,
+    links, meter,
     series::Series,
-    trees,
+    trees, voters,
     zones::{self, Size},
 };
 
@@ -27,6 +30,14 @@
 /// for accounts, models, versions, placements and routes.
 pub const OBJECTS: f64 = 15_000.0;
 
+/// Changes a second at the target's busiest time: ten times the average of 22,000 a day.
+const CHANGES_PER_S: f64 = 22_000.0 / 86_400.0 * 10.0;
+/// Claims that one group of voters remembers at most.
+const CLAIMS: f64 = 200_000.0;
+/// Size of a chunk, and chunks of a version of 140 GB.
+const CHUNK_BYTES: u32 = 4 << 20;
+const CHUNKS_OF_VERSION: f64 = 33_000.0;
+
 fn per_second(value: u64) -> f64 {
     value as f64 * 1_000.0 / MEASURE_MS as f64
 }
@@ -160,8 +171,7 @@
         cpu.push((rate, percent(average.cpu_ns)));
         source.push((rate, per_second(tree.source_cost().sent_bytes)));
     }
-    // 22,000 changes a day, ten times the average at the busiest time.
-    let target = 22_000.0 / 86_400.0 * 10.0;
+    let target = CHANGES_PER_S;
     let varied = "configuration changes/s";
     [
         Series { name: "relay-bytes-by-changes", varied, cost: "bytes/s", points: bytes, target },
@@ -264,6 +274,122 @@
     .scaled(10_000.0)
 }
 
+/// Memory of a voter per claimed operation.
+pub fn memory_per_claim() -> Series {
+    let slots = (0..=u8::MAX).map(key::Slot);
+    let limits = table::TableLimits { max_claims: usize::MAX, ..table::TableLimits::default() };
+    let mut claims = table::ClaimTable::new(limits, slots);
+    let granted = memory("memory-per-claim", "claims held", CLAIMS, 20_000, |number| {
+        let stamped = claim::Stamped { now_ms: 1, command: claim::Command::Claim(a_claim(number)) };
+        assert_eq!(claims.apply(stamped), claim::Outcome::Granted);
+    });
+    std::mem::forget(claims);
+    granted
+}
+
+fn a_claim(number: usize) -> claim::Claim {
+    let instance = |text| name::InstanceName::new(text).expect("valid");
+    let sequence = number as u64;
+    claim::Claim {
+        key: key::ScopedKey {
+            account: name::AccountName::new("account-with-a-name").expect("valid"),
+            service: name::ServiceName::new("ledger").expect("valid"),
+            key: name::OperationKey::new(&format!("transfer-{number:027}")).expect("valid"),
+        },
+        body: digest::Digest::of(&sequence.to_le_bytes()),
+        attempt: attempt::AttemptId {
+            entry: instance("entry-00042"),
+            entry_incarnation: 1_764_000_000_000_000,
+            sequence,
+        },
+        after: None,
+        upstream: attempt::Upstream {
+            instance: instance("ledger-00017"),
+            incarnation: attempt::Incarnation(1_764_000_000_000_000),
+        },
+        key_support: claim::KeySupport::None,
+    }
+}
+
+/// Memory of an agent per chunk of a version's manifest.
+pub fn memory_per_chunk() -> Series {
+    const CHUNKS: usize = 10_000;
+    memory("memory-per-chunk", "chunks of manifests", CHUNKS_OF_VERSION, 8, |number| {
+        let chunk = |chunk: usize| digest::Digest::of(&(number * CHUNKS + chunk).to_le_bytes());
+        let chunks = (0..CHUNKS).map(chunk).collect();
+        let size_bytes = CHUNKS as u64 * u64::from(CHUNK_BYTES);
+        let data = manifest::ManifestData { chunk_bytes: CHUNK_BYTES, size_bytes, chunks };
+        manifest::Manifest::new(data).expect("it is well formed")
+    })
+    .scaled(CHUNKS as f64)
+}
+
+/// Leader's and followers' cost of accepted changes among five voters.
+pub fn replication() -> Vec<Series> {
+    let (mut leader_cpu, mut leader_bytes, mut follower_cpu) = (vec![], vec![], vec![]);
+    for rate in [0_u64, 10, 50, 100, 200] {
+        let mut voters = voters::Voters::new();
+        voters.reset();
+        let seconds = MEASURE_MS / 1_000;
+        for number in 0..rate * seconds {
+            voters.propose(number);
+            if number % rate == rate - 1 {
+                voters.run(1_000);
+            }
+        }
+        if rate == 0 {
+            voters.run(MEASURE_MS);
+        }
+        assert_eq!(voters.accepted(), rate * seconds, "all changes are accepted");
+        let leader = voters.leader().expect("it stays");
+        let cost = voters.costs[&leader];
+        let follower = voters.costs.iter().find(|(id, _)| **id != leader).expect("four").1;
+        leader_cpu.push((rate as f64, percent(cost.cpu_ns)));
+        leader_bytes.push((rate as f64, per_second(cost.sent_bytes)));
+        follower_cpu.push((rate as f64, percent(follower.cpu_ns)));
+    }
+    let (varied, target) = ("changes/s", CHANGES_PER_S);
+    vec![
+        Series { name: "leader-cpu", varied, cost: "% of a core", points: leader_cpu, target },
+        Series { name: "leader-bytes", varied, cost: "bytes/s", points: leader_bytes, target },
+        Series { name: "follower-cpu", varied, cost: "% of a core", points: follower_cpu, target },
+    ]
+}
+
+/// Real links that carry their heartbeats alone.
+pub fn idle_links() -> std::io::Result<[Series; 2]> {
+    let (memory, cpu) = links::idle(&[50, 100, 150, 200])?;
+    let varied = "open links";
+    // Eight partners, nine agents, a parent, its children and the voters.
+    let target = 30.0;
+    Ok([
+        Series { name: "memory-per-link", varied, cost: "KiB", points: memory, target },
+        Series { name: "cpu-per-link", varied, cost: "% of a core", points: cpu, target },
+    ])
+}
+
+/// What the programs' links carry today, before the parts measured above replace it.
+pub fn running_today() -> [Series; 2] {
+    let announced = links::announcements_today(&[16, 64, 128, 256]);
+    let pushed = links::pushes_today(&[4, 16, 64, 256]);
+    [
+        Series {
+            name: "today-announcements",
+            varied: "agents per zone",
+            cost: "bytes/s",
+            points: announced,
+            target: ZONE_UPSTREAMS as f64,
+        },
+        Series {
+            name: "today-config-pushes",
+            varied: "entries",
+            cost: "bytes per change",
+            points: pushed,
+            target: 1_900.0,
+        },
+    ]
+}
+
 impl Series {
     /// Counts in things where each point holds `factor` of them.
     fn scaled(mut self, factor: f64) -> Self {
