--- a/ragwortdeal_node/examples/capacity/links.rs
+++ b/ragwortdeal_node/examples/capacity/links.rs
@@ -1,18 +1,28 @@
 //! Real links over loopback sockets that only carry their heartbeats, and what travels on the links
 //! of the programs as they run today.
 
-use std::{sync, time};
+use std::{
+    sync::{self, atomic},
+    time,
+};
 
 use ragwortdeal_core::config::{delta, state};
 use ragwortdeal_node::{link, stop, voter};
 use ragwortdeal_wire::link as wire;
-use tokio::{net, sync::mpsc};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net,
+    sync::mpsc,
+};
 
 use crate::{fit, meter, trees};
 
 /// Time over which the links' processor time is taken.
 const MEASURE: time::Duration = time::Duration::from_secs(3);
 
+/// IPv4 and TCP with timestamps round each read, which is about one segment.
+const SEGMENT_OVERHEAD_BYTES: u64 = 52;
+
 struct Nothing;
 
 impl link::Service for Nothing {
@@ -63,6 +73,67 @@
     })
 }
 
+/// Bytes that so many idle links send in one direction in a second, with the network's headers.
+pub fn heartbeats(counts: &[usize]) -> std::io::Result<Vec<fit::Point>> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let server = net::TcpListener::bind("127.0.0.1:0").await?;
+        let forwarder = net::TcpListener::bind("127.0.0.1:0").await?;
+        let (near, far) = (forwarder.local_addr()?.to_string(), server.local_addr()?);
+        let credential = link::Credential::new("secret-between-the-processes");
+        let (_stopper, stop) = stop::pair();
+        let limits = link::LinkLimits::default();
+        tokio::spawn(link::serve(
+            server,
+            credential.clone(),
+            limits,
+            sync::Arc::new(Nothing),
+            stop,
+        ));
+        let counted = sync::Arc::new(atomic::AtomicU64::new(0));
+        tokio::spawn(forward(forwarder, far, counted.clone()));
+        let (mut open, mut points) = (Vec::new(), Vec::new());
+        for &count in counts {
+            while open.len() < count {
+                let (sender, receiver) = mpsc::channel(16);
+                let hello = hello(open.len());
+                open.push((link::open(&near, credential.clone(), hello, limits, sender), receiver));
+            }
+            tokio::time::sleep(time::Duration::from_secs(1)).await;
+            let before = counted.load(atomic::Ordering::Relaxed);
+            tokio::time::sleep(MEASURE).await;
+            let bytes = counted.load(atomic::Ordering::Relaxed) - before;
+            points.push((count as f64, bytes as f64 / MEASURE.as_secs_f64()));
+        }
+        Ok(points)
+    })
+}
+
+/// Passes connections on and counts what their openers send.
+async fn forward(
+    listener: net::TcpListener,
+    to: std::net::SocketAddr,
+    counted: sync::Arc<atomic::AtomicU64>,
+) {
+    while let Ok((near, _)) = listener.accept().await {
+        let Ok(far) = net::TcpStream::connect(to).await else { return };
+        let (mut near_read, mut near_write) = near.into_split();
+        let (mut far_read, mut far_write) = far.into_split();
+        let counted = counted.clone();
+        tokio::spawn(async move {
+            let mut bytes = [0; 4096];
+            while let Ok(length @ 1..) = near_read.read(&mut bytes).await {
+                let sent = length as u64 + SEGMENT_OVERHEAD_BYTES;
+                counted.fetch_add(sent, atomic::Ordering::Relaxed);
+                if far_write.write_all(&bytes[..length]).await.is_err() {
+                    return;
+                }
+            }
+        });
+        tokio::spawn(async move { tokio::io::copy(&mut far_read, &mut near_write).await });
+    }
+}
+
 fn hello(number: usize) -> wire::Hello {
     wire::Hello {
         name: format!("agent-{number:05}"),
--- a/ragwortdeal_node/examples/capacity/measures.rs
+++ b/ragwortdeal_node/examples/capacity/measures.rs
@@ -357,14 +357,16 @@
 }
 
 /// Real links that carry their heartbeats alone.
-pub fn idle_links() -> std::io::Result<[Series; 2]> {
+pub fn idle_links() -> std::io::Result<[Series; 3]> {
     let (memory, cpu) = links::idle(&[50, 100, 150, 200])?;
+    let bytes = links::heartbeats(&[4, 8, 16])?;
     let varied = "open links";
     // Eight partners, nine agents, a parent, its children and the voters.
     let target = 30.0;
     Ok([
         Series { name: "memory-per-link", varied, cost: "KiB", points: memory, target },
         Series { name: "cpu-per-link", varied, cost: "% of a core", points: cpu, target },
+        Series { name: "heartbeats-per-link", varied, cost: "bytes/s", points: bytes, target },
     ])
 }
 
