--- a/ragwortdeal_node/src/entry/calls.rs
+++ b/ragwortdeal_node/src/entry/calls.rs
@@ -67,6 +67,7 @@
     };
     let limits = &entry.settings.limits;
     let path = request.uri.path().to_owned();
+    let request_id_given = request.headers.contains_key(http::REQUEST_ID);
     let urgency = permit::Urgency::of(&request);
     let Ok(body) = http::read(request.body, limits.request_max_bytes, limits.gap_ms).await else {
         return refuse(http::Kind::BadRequest, "the body is too large or too slow");
@@ -79,7 +80,10 @@
     };
     let events = fields["stream"].as_bool().unwrap_or(false);
     let prefix = prefix(&fields);
-    let hop_id = hop_id(entry, &id);
+    let hop_id = match request_id_given {
+        true => hop_id(entry, &id),
+        false => id.clone(),
+    };
     Ok(Call { id, hop_id, account, path, model, body, events, urgency, prefix })
 }
 
