--- a/ragwortdeal_node/src/entry.rs
+++ b/ragwortdeal_node/src/entry.rs
@@ -14,7 +14,7 @@
     sync::{self, atomic},
 };
 
-use ragwortdeal_core::{config::replica, name};
+use ragwortdeal_core::{claims::attempt, config::replica, name};
 use snafu::Snafu;
 use tokio::{net, sync::watch};
 
@@ -84,6 +84,7 @@
     voters: Vec<link::Link>,
     sessions: sync::Mutex<collections::HashMap<link::SessionId, relay::Subscriber>>,
     next_request: atomic::AtomicU64,
+    attempts: sync::Mutex<attempt::AttemptSource>,
     ready: atomic::AtomicBool,
 }
 
@@ -101,6 +102,7 @@
             accounts.insert(account.token.clone(), name.clone());
             weights.extend(account.weight.map(|weight| (name, weight)));
         }
+        let attempts = attempt::AttemptSource::new(identity.name.clone(), identity.incarnation);
         let voters = control::open_links(&settings, &identity, &credential, events);
         let traffic = calls::traffic::Traffic::new(identity.incarnation);
         Ok(Self {
@@ -117,6 +119,7 @@
             voters,
             sessions: sync::Mutex::default(),
             next_request: atomic::AtomicU64::new(1),
+            attempts: sync::Mutex::new(attempts),
             ready: atomic::AtomicBool::new(true),
         })
     }
--- a/ragwortdeal_node/tests/calls.rs
+++ b/ragwortdeal_node/tests/calls.rs
@@ -6,6 +6,10 @@
 use ragwortdeal_node::settings;
 use ragwortdeal_standins::{caller, deployment, engine, origin};
 use ragwortdeal_wire::operator as wire;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net,
+};
 
 /// Secret of a second account.
 const SMALL_TOKEN: &str = "token-of-a-small-account";
@@ -190,3 +194,80 @@
     let finished: u64 = deployment.engines.iter().map(finished).sum();
     expect_that!(finished, eq(60 - refused + 3));
 }
+
+/// A caller stops reading in the middle of a long answer. Its pieces must not pile up in the entry,
+/// and other callers must not wait for it.
+#[googletest::test]
+#[tokio::test]
+async fn a_slow_caller_holds_up_no_other_and_bounds_what_waits_for_it() {
+    let fast = engine::Behaviour { token_ms: 0, ..engine::Behaviour::default() };
+    let (deployment, version) = serving(plan(1, fast)).await;
+    let mut slow = net::TcpStream::connect(deployment.entries[0].callers).await.unwrap();
+    let body = format!(
+        "{{\"model\":\"{}\",\"prompt\":\"slow\",\"max_tokens\":200000,\"stream\":true}}",
+        deployment::MODEL
+    );
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {}\r\n\
+         content-length: {}\r\n\r\n",
+        caller::ACCOUNT_TOKEN,
+        body.len()
+    );
+    slow.write_all(format!("{head}{body}").as_bytes()).await.unwrap();
+    let mut first = [0; 1];
+    slow.read_exact(&mut first).await.unwrap();
+    for call in 0..20 {
+        let prompt = format!("p{call}");
+        let answer = deployment.caller(0).complete(deployment::MODEL, &prompt, 5).await;
+        expect_that!(is_whole(&answer, &version, &prompt, 5), eq(true), "{answer:?}");
+    }
+    let engine = deployment.engines[0].engine.as_ref().unwrap();
+    // The engine can only end the long answer if somebody took all of it.
+    expect_that!(engine.finished(), eq(20));
+    drop(slow);
+    deployment::wait_for("the engine was told", async || engine.cancelled() == 1).await;
+}
+
+/// Two entries share what the engines can take. An account that floods one of them must leave room
+/// for a small account at the other, which knows of the flood only from what entries tell.
+#[googletest::test]
+#[tokio::test]
+async fn a_flood_at_one_entry_leaves_room_at_the_other() {
+    let few = engine::Behaviour { slots: 2, token_ms: 20, ..engine::Behaviour::default() };
+    let small = settings::entry::Account {
+        name: "small".to_owned(),
+        token: SMALL_TOKEN.to_owned(),
+        weight: None,
+    };
+    let plan = deployment::Plan { accounts: vec![small], entries: 2, ..plan(2, few) };
+    let (deployment, version) = serving(plan).await;
+    deployment.serving(1, &version, 2).await;
+    let caller = deployment.caller(0);
+    let flood: Vec<_> = (0..8)
+        .map(|_| {
+            let caller = caller.clone();
+            tokio::spawn(async move {
+                let mut whole = 0;
+                for _ in 0..10 {
+                    let answer = caller.complete(deployment::MODEL, "large", 20).await;
+                    whole += u64::from(is_whole_or_refused(&answer));
+                }
+                whole
+            })
+        })
+        .collect();
+    tokio::time::sleep(time::Duration::from_millis(1_200)).await;
+    let small = caller::Caller::with_token(deployment.entries[1].callers, SMALL_TOKEN);
+    for _ in 0..3 {
+        let answer = small.complete(deployment::MODEL, "small", 5).await;
+        expect_that!(is_whole(&answer, &version, "small", 5), eq(true), "{answer:?}");
+    }
+    for call in flood {
+        expect_that!(call.await.unwrap(), eq(10));
+    }
+}
+
+fn is_whole_or_refused(answer: &caller::Answer) -> bool {
+    let refused = |problem: wire::Problem| problem.ran == wire::Ran::DidNotRun;
+    answer.ended() || answer.problem().is_some_and(refused)
+}
