--- a/ragwortdeal_node/tests/calls.rs
+++ b/ragwortdeal_node/tests/calls.rs
@@ -3,9 +3,13 @@
 use std::time;
 
 use googletest::prelude::*;
-use ragwortdeal_node::settings;
+use ragwortdeal_node::{http, settings};
 use ragwortdeal_standins::{caller, deployment, engine, origin};
-use ragwortdeal_wire::operator as wire;
+use ragwortdeal_wire::{engine as engine_wire, operator as wire};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net,
+};
 
 /// Secret of a second account.
 const SMALL_TOKEN: &str = "token-of-a-small-account";
@@ -190,3 +194,84 @@
     let finished: u64 = deployment.engines.iter().map(finished).sum();
     expect_that!(finished, eq(60 - refused + 3));
 }
+
+/// A caller stops reading in the middle of a long answer. Its pieces must not pile up in the entry,
+/// and other callers must not wait for it.
+#[googletest::test]
+#[tokio::test]
+async fn a_slow_caller_holds_up_no_other_and_bounds_what_waits_for_it() {
+    let fast = engine::Behaviour { token_ms: 0, ..engine::Behaviour::default() };
+    let (deployment, version) = serving(plan(1, fast)).await;
+    let mut slow = net::TcpStream::connect(deployment.entries[0].callers).await.unwrap();
+    let body = format!(
+        "{{\"model\":\"{}\",\"prompt\":\"slow\",\"max_tokens\":200000,\"stream\":true}}",
+        deployment::MODEL
+    );
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {}\r\n\
+         content-length: {}\r\n\r\n",
+        caller::ACCOUNT_TOKEN,
+        body.len()
+    );
+    slow.write_all(format!("{head}{body}").as_bytes()).await.unwrap();
+    let mut first = [0; 1];
+    slow.read_exact(&mut first).await.unwrap();
+    for call in 0..20 {
+        let prompt = format!("p{call}");
+        let answer = deployment.caller(0).complete(deployment::MODEL, &prompt, 5).await;
+        expect_that!(is_whole(&answer, &version, &prompt, 5), eq(true), "{answer:?}");
+    }
+    let engine = deployment.engines[0].engine.as_ref().unwrap();
+    // The engine can only end the long answer if somebody took all of it.
+    expect_that!(engine.finished(), eq(20));
+    drop(slow);
+    deployment::wait_for("the engine was told", async || engine.cancelled() == 1).await;
+}
+
+/// Calls that the engines have, running or waiting, by their own word.
+async fn at_engines(deployment: &deployment::Deployment) -> u64 {
+    let client = http::Client::new(1_000);
+    let mut calls = 0;
+    for agent in &deployment.engines {
+        let peer = agent.engine.as_ref().unwrap().address().to_string();
+        let request = hyper::Request::get(format!("http://{peer}/state"));
+        let request = request.body(http::full("")).unwrap();
+        let fetched = client.fetch("read state", &peer, request, 1 << 16, 5_000).await.unwrap();
+        let state: engine_wire::EngineState = serde_json::from_slice(&fetched.1).unwrap();
+        calls += state.running + state.queued;
+    }
+    calls
+}
+
+/// One account floods two entries. If each took the whole capacity for its own, the engines would
+/// get twice what they can do, and everybody's calls would wait there instead of being refused.
+#[googletest::test]
+#[tokio::test]
+async fn a_flood_at_two_entries_gets_one_capacity() {
+    let few = engine::Behaviour { slots: 4, token_ms: 20, ..engine::Behaviour::default() };
+    let plan = deployment::Plan { entries: 2, ..plan(2, few) };
+    let (deployment, version) = serving(plan).await;
+    deployment.serving(1, &version, 2).await;
+    let mut flood = tokio::task::JoinSet::new();
+    for number in 0..40 {
+        let caller = deployment.caller(number % 2);
+        flood.spawn(async move {
+            loop {
+                let answer = caller.complete(deployment::MODEL, "p", 20).await;
+                if !answer.ended() {
+                    tokio::time::sleep(time::Duration::from_millis(100)).await;
+                }
+            }
+        });
+    }
+    tokio::time::sleep(time::Duration::from_millis(2_000)).await;
+    let mut seen = Vec::new();
+    for _ in 0..20 {
+        seen.push(at_engines(&deployment).await);
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+    }
+    seen.sort_unstable();
+    // Eight slots; each of two entries may round its part up and let a burst in.
+    expect_that!(seen[10], all![ge(6), le(12)], "{seen:?}");
+    flood.abort_all();
+}
