Ask for a running operation's answer soon, then less often

Cause: in the quickstart, where each transfer is sent to two entries at once, the resend asked the agent once, then waited 250 ms for an answer that was a few milliseconds away, or 1,000 ms where its original had not arrived yet. Change: pauses grow from 5 ms to the former 250 ms; the agent is asked for its promise only once the former grace has passed. The kill table and the random kills pass unchanged.

--- a/ragwortdeal_core/src/claims/operation.rs
+++ b/ragwortdeal_core/src/claims/operation.rs
@@ -5,13 +5,17 @@
 /// Most times that one request looks at the log again before it answers "unknown".
 const MAX_ROUNDS: u32 = 8;
 
+/// First pause before an agent is asked again. A resend that arrives beside its original mostly
+/// waits for an answer that is a few milliseconds away; the pauses double from here.
+const FIRST_POLL_MS: u64 = 5;
+
 /// Waiting times of an operation.
 #[derive(Clone, Copy, Debug)]
 pub struct OperationTimes {
     /// How long an attempt of another entry may take to reach its agent before this entry has the
     /// agent promise never to start it.
     pub grace_ms: u64,
-    /// Pause between two questions about a running attempt.
+    /// Longest pause between two questions about an attempt.
     pub poll_ms: u64,
 }
 
@@ -154,6 +158,8 @@
     spent: bool,
     replied: bool,
     rounds: u32,
+    next_poll_ms: u64,
+    waited_ms: u64,
 }
 
 impl Operation {
@@ -163,7 +169,17 @@
         let id = claim.key.id();
         let first = Action::Propose(state::Command::Claim(claim.clone()));
         let phase = Phase::Claiming;
-        let operation = Self { claim, id, times, phase, spent: false, replied: false, rounds: 0 };
+        let operation = Self {
+            claim,
+            id,
+            times,
+            phase,
+            spent: false,
+            replied: false,
+            rounds: 0,
+            next_poll_ms: FIRST_POLL_MS,
+            waited_ms: 0,
+        };
         (operation, vec![first])
     }
 
@@ -204,7 +220,10 @@
             (Phase::Asking(subject), Event::AgentUnreachable) => {
                 self.doubt(subject, state::Doubt::AgentUnreachable)
             }
-            (Phase::Waiting(subject), Event::Elapsed) => self.ask(subject, true),
+            (Phase::Waiting(subject), Event::Elapsed) => {
+                let promise = self.waited_ms >= self.times.grace_ms;
+                self.ask(subject, promise)
+            }
             (Phase::Releasing(subject), Event::Applied(outcome)) => {
                 self.release_applied(subject, outcome)
             }
@@ -286,8 +305,7 @@
                 let incarnation = subject.upstream.incarnation;
                 self.release(subject, state::Evidence::Promise { incarnation })
             }
-            guard::Knowledge::NotArrived => self.wait(subject, self.times.grace_ms),
-            guard::Knowledge::Running => self.wait(subject, self.times.poll_ms),
+            guard::Knowledge::NotArrived | guard::Knowledge::Running => self.wait(subject),
             guard::Knowledge::Finished(answer) => self.record(subject, answer),
             guard::Knowledge::Recorded => self.look_again(),
             guard::Knowledge::Lost => self.doubt(subject, state::Doubt::UpstreamLost),
@@ -381,7 +399,10 @@
         vec![Action::Ask { attempt, upstream, promise }]
     }
 
-    fn wait(&mut self, subject: Subject, pause_ms: u64) -> Vec<Action> {
+    fn wait(&mut self, subject: Subject) -> Vec<Action> {
+        let pause_ms = self.next_poll_ms.min(self.times.poll_ms);
+        self.next_poll_ms = pause_ms * 2;
+        self.waited_ms += pause_ms;
         self.phase = Phase::Waiting(subject);
         vec![Action::Wait { pause_ms }]
     }
