--- a/ragwortdeal_core/src/membership/exchange.rs
+++ b/ragwortdeal_core/src/membership/exchange.rs
@@ -22,7 +22,7 @@
 const AGE_UNIT_MS: u64 = 50;
 
 /// Summaries that one pull asks for, so that the cost does not grow with the number of zones.
-const SUMMARIES_PER_PULL: usize = 2;
+const SUMMARIES_PER_PULL: usize = 1;
 
 /// Time between two pulls of another zone's summary.
 const SUMMARY_EVERY_MS: u64 = 2_000;
@@ -33,6 +33,9 @@
 /// Entries named in the answer to an announcement beside those that should keep the upstream.
 const OTHERS_PER_ACK: usize = 2;
 
+/// One answer in this many to announcements without a description names entries.
+const ACKS_PER_NAMING: u64 = 8;
+
 /// One pull in this many goes to an entry from the settings, so that halves that have lost each
 /// other find each other again.
 const SEED_PULL_EVERY: u64 = 8;
@@ -174,7 +177,9 @@
         let known = self.view().incarnation(&announce.name);
         let (outcome, change) = self.keeper.announce(now_ms, announce, known);
         self.record(change);
-        let entries = self.some_entries(&announce.name);
+        // Names of entries are most of an answer; they are needed at the start and now and then.
+        let named = announce.upstream.is_some() || self.pick().is_multiple_of(ACKS_PER_NAMING);
+        let entries = if named { self.some_entries(&announce.name) } else { Vec::new() };
         let described = (announce.incarnation, announce.description);
         let stamp = self.stamp(now_ms);
         keeper::Ack { echo: announce.sent, stamp, outcome, described, entries }
