--- a/ragwortdeal_node/src/entry.rs
+++ b/ragwortdeal_node/src/entry.rs
@@ -7,6 +7,7 @@
 mod operations;
 mod operator;
 mod relay;
+mod roster;
 mod stream;
 
 use std::{
@@ -83,6 +84,7 @@
     weights: collections::HashMap<name::AccountName, u32>,
     voters: Vec<link::Link>,
     sessions: sync::Mutex<collections::HashMap<link::SessionId, relay::Subscriber>>,
+    roster: roster::Roster,
     next_request: atomic::AtomicU64,
     attempts: sync::Mutex<attempt::AttemptSource>,
     ready: atomic::AtomicBool,
@@ -118,6 +120,7 @@
             settings,
             voters,
             sessions: sync::Mutex::default(),
+            roster: roster::Roster::default(),
             next_request: atomic::AtomicU64::new(1),
             attempts: sync::Mutex::new(attempts),
             ready: atomic::AtomicBool::new(true),
@@ -153,6 +156,7 @@
     for address in &entry.settings.entries.addresses {
         tasks.spawn(calls::demand::tell(entry.clone(), address.to_string()));
     }
+    tasks.spawn(roster::follow(entry.clone()));
     let limits = link::LinkLimits::default();
     let credential = entry.credential.clone();
     let (links_stopper, links_stop) = stop::pair();
--- a/ragwortdeal_standins/src/deployment.rs
+++ b/ragwortdeal_standins/src/deployment.rs
@@ -45,6 +45,8 @@
     pub accounts: Vec<settings::entry::Account>,
     /// How engines behave.
     pub engine: engine::Behaviour,
+    /// Longest life of an order to an engine that does not check numbers.
+    pub order_life_ms: u64,
     /// How ledgers behave.
     pub ledger: service::Behaviour,
 }
@@ -63,6 +65,7 @@
             limits: settings::entry::Limits::default(),
             accounts: Vec::new(),
             engine: engine::Behaviour::default(),
+            order_life_ms: 60_000,
             ledger: service::Behaviour::default(),
         }
     }
@@ -249,6 +252,7 @@
         let mut settings = self.agent_settings("engine", number);
         settings.upstream.address = engine.address();
         settings.upstream.checks_fence = self.plan.engine.checks_fence;
+        settings.upstream.order_life_ms = self.plan.order_life_ms;
         settings.upstream.report_ms = 100;
         settings.upstream.slots = self.plan.engine.slots as u32;
         let mut agent = start_agent(settings)?;
