Send heartbeats from one side, and only where nothing else goes

Change: the opener sends a ping where nothing was heard or sent for a heartbeat; the other side only after two.

--- a/ragwortdeal_node/src/link/client.rs
+++ b/ragwortdeal_node/src/link/client.rs
@@ -181,8 +181,13 @@
         self.shared.up.store(true, atomic::Ordering::Relaxed);
         let mut alive = self.events.send(LinkEvent::Up).await.is_ok();
         if alive {
-            let end =
-                connection::run(socket, &self.limits, &mut outgoing, |frame| self.heard(frame));
+            let end = connection::run(
+                socket,
+                connection::Side::Opener,
+                &self.limits,
+                &mut outgoing,
+                |frame| self.heard(frame),
+            );
             let end = end.await;
             log::debug!("link: the link to {} ended: {end:?}", self.shared.peer);
         }
--- a/ragwortdeal_node/src/link/connection.rs
+++ b/ragwortdeal_node/src/link/connection.rs
@@ -22,6 +22,15 @@
     Released,
 }
 
+/// Which side of a link a process is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Side {
+    /// It opened the link and sends the heartbeats.
+    Opener,
+    /// It accepted the link, and sends heartbeats only where the opener's fail to come.
+    Acceptor,
+}
+
 /// Settings of the WebSocket below a link.
 pub(super) fn socket_config(limits: &LinkLimits) -> tungstenite::protocol::WebSocketConfig {
     tungstenite::protocol::WebSocketConfig::default()
@@ -32,6 +41,7 @@
 /// Runs a connection until it ends. `heard` gets each frame.
 pub(super) async fn run<S>(
     socket: tokio_tungstenite::WebSocketStream<S>,
+    side: Side,
     limits: &LinkLimits,
     outgoing: &mut mpsc::Receiver<wire::Frame>,
     mut heard: impl FnMut(wire::Frame) -> bool,
@@ -40,10 +50,9 @@
     S: io::AsyncRead + io::AsyncWrite + Unpin,
 {
     let (mut sink, mut stream) = socket.split();
-    let mut heartbeat = tokio::time::interval(millis(limits.heartbeat_ms));
-    heartbeat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut last_heard = time::Instant::now();
-    let silence = millis(limits.silence_ms);
+    let mut ticks = tokio::time::interval(millis(limits.heartbeat_ms));
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut traffic = Traffic::start(side, limits);
     loop {
         let to_send = tokio::select! {
             queued = outgoing.recv() => match queued {
@@ -52,7 +61,7 @@
             },
             received = stream.next() => match received {
                 Some(Ok(message)) => {
-                    last_heard = time::Instant::now();
+                    traffic.heard(&message);
                     match take(message, &mut heard) {
                         Ok(()) => continue,
                         Err(end) => return end,
@@ -60,17 +69,21 @@
                 }
                 Some(Err(_)) | None => return End::Closed,
             },
-            _ = heartbeat.tick() => {
+            _ = ticks.tick() => {
                 // A connection whose middle has forgotten it neither fails nor delivers. Only the
-                // lack of the other side's heartbeats shows it.
-                if last_heard.elapsed() > silence {
+                // lack of anything from the other side shows it.
+                if traffic.is_silent() {
                     return End::Silent;
                 }
+                if !traffic.needs_heartbeat() {
+                    continue;
+                }
                 tungstenite::Message::Ping(bytes::Bytes::new())
             }
         };
+        traffic.sent();
         // A peer that stops reading would block this forever, so sending has the same deadline.
-        match tokio::time::timeout(silence, sink.send(to_send)).await {
+        match tokio::time::timeout(traffic.silence, sink.send(to_send)).await {
             Ok(Ok(())) => (),
             Ok(Err(_)) => return End::Closed,
             Err(_) => return End::Silent,
@@ -78,6 +91,54 @@
     }
 }
 
+/// When something last went each way, to tell whether a heartbeat is needed.
+struct Traffic {
+    last_heard: time::Instant,
+    last_sent: time::Instant,
+    heartbeat: time::Duration,
+    silence: time::Duration,
+}
+
+impl Traffic {
+    fn start(side: Side, limits: &LinkLimits) -> Self {
+        let now = time::Instant::now();
+        Self {
+            last_heard: now,
+            last_sent: now,
+            // Without the difference both sides would tick together and each send its own.
+            heartbeat: match side {
+                Side::Opener => millis(limits.heartbeat_ms),
+                Side::Acceptor => millis(limits.heartbeat_ms * 2),
+            },
+            silence: millis(limits.silence_ms),
+        }
+    }
+
+    fn heard(&mut self, message: &tungstenite::Message) {
+        self.last_heard = time::Instant::now();
+        // The library answers a ping by itself, so something is sent then.
+        if message.is_ping() {
+            self.last_sent = self.last_heard;
+        }
+    }
+
+    fn sent(&mut self) {
+        self.last_sent = time::Instant::now();
+    }
+
+    fn is_silent(&self) -> bool {
+        self.last_heard.elapsed() > self.silence
+    }
+
+    /// A ping and its answer go both ways, so one side's heartbeat serves both; and where messages
+    /// go both ways anyway, none is needed. At 30 links of an entry, heartbeats of both sides on
+    /// every tick took most of what control may cost.
+    fn needs_heartbeat(&self) -> bool {
+        let stale = |last: time::Instant| last.elapsed() >= self.heartbeat * 9 / 10;
+        stale(self.last_heard) || stale(self.last_sent)
+    }
+}
+
 fn take(
     message: tungstenite::Message,
     heard: &mut impl FnMut(wire::Frame) -> bool,
--- a/ragwortdeal_node/src/link/server.rs
+++ b/ragwortdeal_node/src/link/server.rs
@@ -131,7 +131,8 @@
         }
         Some(open) => dispatch(frame, open, &requests),
     };
-    let end = connection::run(socket, &limits, &mut outgoing, heard).await;
+    let end =
+        connection::run(socket, connection::Side::Acceptor, &limits, &mut outgoing, heard).await;
     log::debug!("link: accepted link {id} ended: {end:?}");
 }
 
--- a/ragwortdeal_node/tests/link.rs
+++ b/ragwortdeal_node/tests/link.rs
@@ -186,3 +186,20 @@
     expect_that!(service.opened.load(atomic::Ordering::Relaxed), ge(2));
     frozen.stop().await;
 }
+
+/// An entry of the target size keeps some 30 links. If both sides sent a heartbeat on each tick,
+/// these alone would take most of the bytes that control may cost, and live calls would pay for it.
+#[googletest::test]
+#[tokio::test]
+async fn an_idle_link_costs_one_ping_and_its_answer_per_heartbeat() {
+    let served = serve().await;
+    let stretch = network::Stretch::start(served.address).await.unwrap();
+    let (link, _events) = open(stretch.address(), SECRET);
+    deployment::wait_for("the link is open", async || answered(&link).await).await;
+    let (before, start) = (stretch.carried_bytes(), time::Instant::now());
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    let heartbeats = start.elapsed().as_millis() as u64 / limits().heartbeat_ms + 1;
+    // A ping from the opener has 6 bytes and its answer 2; from the other side 2 and 6.
+    expect_that!(stretch.carried_bytes() - before, le(8 * heartbeats));
+    expect_that!(stretch.connections(), eq(1));
+}
--- a/ragwortdeal_standins/src/network.rs
+++ b/ragwortdeal_standins/src/network.rs
@@ -20,6 +20,7 @@
     /// Connections with a lower number are forgotten: they stay open and carry nothing.
     forgotten_below: atomic::AtomicU64,
     cut: atomic::AtomicBool,
+    carried_bytes: atomic::AtomicU64,
 }
 
 impl Shared {
@@ -53,6 +54,7 @@
             next_connection: atomic::AtomicU64::new(0),
             forgotten_below: atomic::AtomicU64::new(0),
             cut: atomic::AtomicBool::new(false),
+            carried_bytes: atomic::AtomicU64::new(0),
         });
         let task = tokio::spawn(accept(listener, shared.clone()));
         Ok(Self { shared, address, task })
@@ -68,6 +70,11 @@
         self.shared.next_connection.load(atomic::Ordering::Relaxed)
     }
 
+    /// Bytes that it carried so far, both ways together.
+    pub fn carried_bytes(&self) -> u64 {
+        self.shared.carried_bytes.load(atomic::Ordering::Relaxed)
+    }
+
     /// Forgets all open connections: they go silent for good, new ones work.
     pub fn forget(&self) {
         let next = self.shared.next_connection.load(atomic::Ordering::Relaxed);
@@ -118,6 +125,7 @@
         match read {
             Ok(0) | Err(_) => return,
             Ok(len) => {
+                shared.carried_bytes.fetch_add(len as u64, atomic::Ordering::Relaxed);
                 if to.write_all(&buffer[..len]).await.is_err() {
                     return;
                 }
