--- a/ragwortdeal_standins/src/lib.rs
+++ b/ragwortdeal_standins/src/lib.rs
@@ -6,8 +6,10 @@
 //! frozen as a process can.
 
 pub mod caller;
+pub mod checkers;
 pub mod deployment;
 pub mod engine;
+pub mod history;
 pub mod network;
 pub mod origin;
 pub mod process;
