Bound the recorded answers and let operators' tool settle

Cause: 200,000 claims with bodies of 16 KiB would take 3.2 GB, and a setting for the kept length had no effect any more. Change: recorded bodies have a bound together, beyond which the oldest shrink to their hash; the setting bounds what an entry records; a settlement is answered as the tool reads it; final claims expire after 7 days. Conclusion: memory for answers is bounded at 32 MiB a group, and no key is freed for it.

--- a/ragwortdeal_core/src/claims/guard.rs
+++ b/ragwortdeal_core/src/claims/guard.rs
@@ -22,7 +22,7 @@
 
 impl Default for GuardLimits {
     fn default() -> Self {
-        Self { max_attempts: 4096, max_answer_bytes: 16 * 1024, mark_life_ms: 24 * 60 * 60 * 1000 }
+        Self { max_attempts: 2048, max_answer_bytes: 16 * 1024, mark_life_ms: 24 * 60 * 60 * 1000 }
     }
 }
 
--- a/ragwortdeal_core/src/claims/table.rs
+++ b/ragwortdeal_core/src/claims/table.rs
@@ -14,6 +14,9 @@
     pub max_claims: usize,
     /// Longest body of a recorded answer in bytes.
     pub max_answer_bytes: usize,
+    /// Most bytes of recorded bodies together. Beyond it the oldest are kept as their hash: their
+    /// resends learn that the operation ran, and nothing is refused for want of memory.
+    pub max_bodies_bytes: usize,
     /// Age of a final state after which the key is forgotten. It must be longer than any resend:
     /// a resend after it would run again.
     pub expire_after_ms: u64,
@@ -27,8 +30,9 @@
     fn default() -> Self {
         Self {
             max_claims: 200_000,
-            max_answer_bytes: 16 * 1024,
-            expire_after_ms: 14 * 24 * 60 * 60 * 1000,
+            max_answer_bytes: 64 * 1024,
+            max_bodies_bytes: 32 << 20,
+            expire_after_ms: 7 * 24 * 60 * 60 * 1000,
             settle_after_ms: 15 * 60 * 1000,
             max_expired_per_entry: 64,
         }
@@ -43,6 +47,9 @@
     open: collections::BTreeSet<key::Slot>,
     claims: collections::BTreeMap<key::OperationId, state::Standing>,
     expiring: collections::BTreeSet<(u64, key::OperationId)>,
+    /// Claims with a recorded body, the oldest first.
+    bodies: collections::BTreeSet<(u64, key::OperationId)>,
+    bodies_bytes: usize,
 }
 
 impl ClaimTable {
@@ -54,6 +61,8 @@
             open: slots.into_iter().collect(),
             claims: collections::BTreeMap::new(),
             expiring: collections::BTreeSet::new(),
+            bodies: collections::BTreeSet::new(),
+            bodies_bytes: 0,
         }
     }
 
@@ -72,6 +81,11 @@
         self.claims.is_empty()
     }
 
+    /// Bytes of recorded bodies.
+    pub fn bodies_bytes(&self) -> usize {
+        self.bodies_bytes
+    }
+
     /// The claim of an operation.
     pub fn get(&self, id: &key::OperationId) -> Option<&state::Standing> {
         self.claims.get(id)
@@ -163,7 +177,9 @@
         match &mut standing.state {
             state::State::Claimed | state::State::InDoubt(_) => {
                 standing.state = state::State::Recorded(answer);
-                self.change(*id, standing)
+                self.change(*id, standing);
+                self.drop_bodies();
+                state::Outcome::Done
             }
             state::State::Recorded(_) => state::Outcome::Done,
             state::State::Released(_) => state::Outcome::Conflict(Box::new(standing)),
@@ -333,15 +349,34 @@
         if standing.state.is_final() {
             self.expiring.insert((self.expires_at_ms(&standing), id));
         }
+        if let Some(len_bytes) = body_len_bytes(&standing) {
+            self.bodies.insert((standing.changed_at_ms, id));
+            self.bodies_bytes += len_bytes;
+        }
         self.claims.insert(id, standing);
     }
 
     fn remove(&mut self, id: &key::OperationId) -> Option<state::Standing> {
         let removed = self.claims.remove(id)?;
         self.expiring.remove(&(self.expires_at_ms(&removed), *id));
+        if let Some(len_bytes) = body_len_bytes(&removed) {
+            self.bodies.remove(&(removed.changed_at_ms, *id));
+            self.bodies_bytes -= len_bytes;
+        }
         Some(removed)
     }
 
+    fn drop_bodies(&mut self) {
+        while self.bodies_bytes > self.limits.max_bodies_bytes {
+            let Some(&(_, id)) = self.bodies.first() else { return };
+            let Some(mut standing) = self.remove(&id) else { return };
+            if let state::State::Recorded(answer) = standing.state {
+                standing.state = state::State::Recorded(answer.bounded(0));
+            }
+            self.store(id, standing);
+        }
+    }
+
     fn expires_at_ms(&self, standing: &state::Standing) -> u64 {
         standing.changed_at_ms + self.limits.expire_after_ms
     }
@@ -367,6 +402,16 @@
     }
 }
 
+/// Length of a recorded body, `None` where there is none or it is empty.
+fn body_len_bytes(standing: &state::Standing) -> Option<usize> {
+    match &standing.state {
+        state::State::Recorded(answer::Answer { body: answer::Body::Kept(bytes), .. }) => {
+            Some(bytes.len()).filter(|&len_bytes| len_bytes > 0)
+        }
+        _ => None,
+    }
+}
+
 fn earlier_doubt(standing: &state::Standing) -> Option<state::Doubt> {
     match standing.state {
         state::State::InDoubt(doubt) => Some(doubt),
--- a/ragwortdeal_core/tests/claims_table.rs
+++ b/ragwortdeal_core/tests/claims_table.rs
@@ -16,6 +16,7 @@
     table::TableLimits {
         max_claims: 64,
         max_answer_bytes: 8,
+        max_bodies_bytes: 4 * 16,
         expire_after_ms: EXPIRE_AFTER_MS,
         settle_after_ms: SETTLE_AFTER_MS,
         max_expired_per_entry: 4,
@@ -287,6 +288,33 @@
     }
 }
 
+/// More answers are recorded than there is memory for. The oldest shrink to their hash; each key
+/// stays taken, so no resend runs again.
+#[googletest::test]
+fn recorded_bodies_are_bounded_and_the_keys_stay_taken() {
+    let mut table = table::ClaimTable::new(limits(), all_slots());
+    let mut apply = |now_ms, command| table.apply(state::Stamped { now_ms, command });
+    for sequence in 0..40 {
+        let key = format!("k{sequence}");
+        apply(sequence, claim(&key, sequence, None));
+        apply(sequence, record(&key, sequence));
+    }
+    let body_of = |outcome| match outcome {
+        state::Outcome::Standing(standing) => match standing.state {
+            state::State::Recorded(answer) => Some(answer.body),
+            _ => None,
+        },
+        _ => None,
+    };
+    let digest = digest::Digest::of(b"done");
+    let dropped = answer::Body::Dropped { len_bytes: 4, digest };
+    expect_that!(body_of(apply(50, claim("k0", 90, None))), some(eq(&dropped)));
+    let kept = answer::Body::Kept(b"done".to_vec());
+    expect_that!(body_of(apply(51, claim("k39", 91, None))), some(eq(&kept)));
+    expect_that!(table.bodies_bytes(), eq(64));
+    expect_that!(table.len(), eq(40));
+}
+
 #[googletest::test]
 fn a_long_answer_is_kept_as_its_hash() {
     let long = answer::Answer::new(200, None, b"123456789").bounded(8);
--- a/ragwortdeal_node/src/entry/operations/drive.rs
+++ b/ragwortdeal_node/src/entry/operations/drive.rs
@@ -107,15 +107,17 @@
         }
     }
 
-    async fn propose(&self, command: state::Command) -> operation::Event {
-        let attempt = match &command {
-            state::Command::Record { attempt, .. } => Some(attempt.clone()),
-            _ => None,
-        };
+    async fn propose(&self, mut command: state::Command) -> operation::Event {
+        let mut recorded = None;
+        if let state::Command::Record { attempt, answer, .. } = &mut command {
+            let max_bytes = self.entry.settings.limits.operation_answer_max_bytes;
+            *answer = answer.clone().bounded(max_bytes);
+            recorded = Some(attempt.clone());
+        }
         let Some(outcome) = self.entry.propose_operation(command).await else {
             return operation::Event::NotApplied;
         };
-        if let (Some(attempt), state::Outcome::Conflict(standing)) = (attempt, &outcome) {
+        if let (Some(attempt), state::Outcome::Conflict(standing)) = (recorded, &outcome) {
             report_conflict(self.id, &attempt, standing);
         }
         operation::Event::Applied(outcome)
--- a/ragwortdeal_node/src/entry/operations/staff.rs
+++ b/ragwortdeal_node/src/entry/operations/staff.rs
@@ -24,7 +24,7 @@
 const SETTLEMENT_READ_MS: u64 = 5_000;
 
 /// Lists operations that wait for somebody, and has those settled that an agent can still settle.
-pub(in crate::entry) async fn list(entry: sync::Arc<Entry>) -> http::Response {
+pub(in crate::entry) async fn list(entry: sync::Arc<Entry>, only_in_doubt: bool) -> http::Response {
     let request_id = entry.request_id();
     let command = state::Command::ListOpen { max: LISTED_MAX };
     let Some(state::Outcome::Open(open)) = entry.propose_operation(command).await else {
@@ -34,7 +34,11 @@
     for standing in &open {
         take_over(&entry, standing.clone());
     }
-    http::json(200, &wire::OperationList { operations: open.iter().map(view).collect() })
+    let is_listed = |standing: &&state::Standing| {
+        !only_in_doubt || matches!(standing.state, state::State::InDoubt(_))
+    };
+    let operations = open.iter().filter(is_listed).map(view).collect();
+    http::json(200, &wire::OperationList { operations })
 }
 
 fn take_over(entry: &sync::Arc<Entry>, standing: state::Standing) {
@@ -72,12 +76,14 @@
         true => state::Verdict::Ran,
         false => state::Verdict::DidNotRun,
     };
-    let attempt = standing.attempt;
+    let attempt = standing.attempt.clone();
     let command = state::Command::Settle { id, attempt, verdict, operator: operator.clone() };
     match entry.propose_operation(command).await {
         Some(state::Outcome::Done) => {
             log::info!("operations: operator {operator} settled operation={id} as {verdict:?}");
-            http::json(200, &settlement)
+            let late_answer = None;
+            let state = state::State::Settled { verdict, operator, late_answer };
+            http::json(200, &view(&state::Standing { state, ..*standing }))
         }
         Some(state::Outcome::TooEarly) => {
             let detail = "the operation may still start; settle it later";
@@ -93,6 +99,8 @@
         state::State::InDoubt(state::Doubt::AgentUnreachable) => "in doubt: agent unreachable",
         state::State::InDoubt(state::Doubt::AgentReplaced) => "in doubt: agent replaced",
         state::State::InDoubt(state::Doubt::UpstreamLost) => "in doubt: upstream lost",
+        state::State::Settled { verdict: state::Verdict::Ran, .. } => "settled: ran",
+        state::State::Settled { .. } => "settled: did not run",
         _ => "under way for too long",
     };
     wire::OperationView {
--- a/ragwortdeal_node/src/entry/operator.rs
+++ b/ragwortdeal_node/src/entry/operator.rs
@@ -109,8 +109,9 @@
 }
 
 async fn operations_in_doubt(entry: sync::Arc<Entry>, request: http::Request) -> http::Response {
+    let only_in_doubt = request.uri.query() == Some("in_doubt=true");
     match may(&entry, &request) {
-        Ok(_) => operations::list(entry).await,
+        Ok(_) => operations::list(entry, only_in_doubt).await,
         Err(refusal) => refusal,
     }
 }
--- a/ragwortdeal_node/src/settings/entry.rs
+++ b/ragwortdeal_node/src/settings/entry.rs
@@ -111,7 +111,7 @@
     fn default() -> Self {
         Self {
             request_max_bytes: 4 << 20,
-            operation_answer_max_bytes: 64 << 10,
+            operation_answer_max_bytes: 16 << 10,
             first_byte_ms: 10_000,
             gap_ms: 5_000,
             operation_ms: 20_000,
