Test that a late answer reaches the caller by the operation's id

Cause: a mainframe's answer after the caller gave up had no test over sockets. Change: one test with a ledger slower than the caller waits. Conclusion: the caller's 504 leads to the answer.

--- a/ragwortdeal_node/tests/operations.rs
+++ b/ragwortdeal_node/tests/operations.rs
@@ -119,6 +119,27 @@
     expect_that!(operate(&deployment, 1, "t-1").await.body, eq(&second.body));
 }
 
+/// The mainframe behind the ledger takes longer than a caller waits. The caller is told "unknown"
+/// with an id, and gets the answer by that id, or by a resend, once it is there.
+#[googletest::test]
+#[tokio::test]
+async fn a_late_answer_reaches_the_caller_by_the_id() {
+    let mut plan = plan();
+    plan.limits.operation_ms = 200;
+    let deployment = ready(plan).await;
+    let first = sent(&deployment, 0, "t-1").await.await.unwrap();
+    expect_that!(first.status, eq(504));
+    expect_that!(ran(&first), some(eq(wire::Ran::Unknown)));
+    let id = first.problem().unwrap().operation_id.unwrap();
+    let path = format!("/operations/{id}");
+    deployment::wait_for("the answer is there", async || {
+        deployment.caller(1).send("GET", &path, None, String::new()).await.status == 200
+    })
+    .await;
+    expect_that!(operate(&deployment, 1, "t-1").await.status, eq(200));
+    expect_that!(effects(&deployment, "t-1"), eq(1));
+}
+
 /// Two copies of one transfer arrive at two entries at the same time.
 #[googletest::test]
 #[tokio::test]
