Repeat reads of services, and say "did not run" only where it is certain

Cause: a read whose answer was lost was refused as not run; a caller's deadline moved with each attempt; a read's place was given back at its head.

--- a/ragwortdeal_node/src/entry/calls.rs
+++ b/ragwortdeal_node/src/entry/calls.rs
@@ -1,13 +1,15 @@
 //! Completions: from a caller to an engine and back.
 
-pub(super) mod attempt;
+mod attempt;
 pub(super) mod demand;
+mod history;
 pub(super) mod permit;
+pub(super) mod reads;
 pub(super) mod traffic;
 
 use std::sync;
 
-use ragwortdeal_core::{admission::refusal, config, digest, name, retry};
+use ragwortdeal_core::{admission::refusal, config, digest, name};
 use ragwortdeal_wire::operator as wire;
 
 use super::{Entry, callers, stream};
@@ -32,6 +34,8 @@
     body: bytes::Bytes,
     events: bool,
     urgency: permit::Urgency,
+    /// When the caller stops waiting.
+    deadline_ms: u64,
     prefix: Option<u64>,
 }
 
@@ -69,6 +73,7 @@
     let path = request.uri.path().to_owned();
     let request_id_given = request.headers.contains_key(http::REQUEST_ID);
     let urgency = permit::Urgency::of(&request);
+    let deadline_ms = urgency.deadline_ms(entry.clock.now_ms());
     let Ok(body) = http::read(request.body, limits.request_max_bytes, limits.gap_ms).await else {
         return refuse(http::Kind::BadRequest, "the body is too large or too slow");
     };
@@ -84,7 +89,7 @@
         true => hop_id(entry, &id),
         false => id.clone(),
     };
-    Ok(Call { id, hop_id, account, path, model, body, events, urgency, prefix })
+    Ok(Call { id, hop_id, account, path, model, body, events, urgency, deadline_ms, prefix })
 }
 
 /// An identifier that is unique and still shows the caller's own.
@@ -110,7 +115,7 @@
         Ok(permit) => permit,
         Err(refusal) => return refusal,
     };
-    let mut history = History::default();
+    let mut history = history::History::new(&call.id, call.deadline_ms);
     loop {
         let wanted = traffic::Wanted {
             account: &call.account,
@@ -120,68 +125,17 @@
         };
         let chosen = match entry.choose_for(&wanted) {
             Ok(chosen) => chosen,
-            Err(kind) => {
-                return history.give_up(kind, "no upstream may serve this call now", &call);
-            }
+            Err(kind) => return history.nobody_left(kind),
         };
         history.tried.push(chosen.instance.clone());
-        let failed = match attempt::begin(&entry, &call, chosen).await {
+        let patience_ms = history.patience_ms(&entry);
+        let failed = match attempt::begin(&entry, &call, chosen, patience_ms).await {
             Ok(begun) => return answer(entry, &call, begun, permit),
             Err(failed) => failed,
         };
-        log::info!("entry: {}: {}", call.id, failed.detail);
-        if let Err(detail) = history.again(&entry, &call, &failed) {
-            return history.give_up(http::Kind::Unavailable, &detail, &call);
-        }
-    }
-}
-
-/// Attempts at one call so far.
-#[derive(Default)]
-struct History {
-    tried: Vec<name::InstanceName>,
-    /// Whether one of them may have run.
-    may_have_run: bool,
-}
-
-impl History {
-    /// Decides whether a failed call is tried again. The error says why not.
-    fn again(
-        &mut self,
-        entry: &Entry,
-        call: &Call,
-        failed: &attempt::Failed,
-    ) -> Result<(), String> {
-        self.may_have_run |= failed.failure != retry::Failure::NotRun;
-        let now_ms = entry.clock.now_ms();
-        let attempted = retry::Attempted {
-            // Completions change nothing.
-            idempotent: true,
-            attempts: self.tried.len() as u32,
-            failure: failed.failure,
-            resumable_on: None,
-            deadline_ms: call.urgency.deadline_ms(now_ms),
-            needed_ms: 0,
-        };
-        let given_up = match retry::judge(&attempted, now_ms) {
-            retry::Verdict::GiveUp(reason) => Err(reason),
-            _ => {
-                let mut traffic = entry.traffic.lock().expect("no panic under lock");
-                traffic.may_retry(&failed.instance)
-            }
-        };
-        given_up.map_err(|reason| format!("{}; given up: {reason:?}", failed.detail))
-    }
-
-    /// The final answer, which says "did not run" only where that is certain.
-    fn give_up(&self, kind: http::Kind, detail: &str, call: &Call) -> http::Response {
-        if !self.may_have_run {
-            return callers::not_run(kind, detail, &call.id);
+        if let Err(answer) = history.again(&entry, failed) {
+            return answer;
         }
-        let kind = http::Kind::UpstreamFailed;
-        let mut problem = http::problem(kind, wire::Ran::Unknown, detail);
-        problem.request_id = Some(call.id.clone());
-        http::answer(&problem)
     }
 }
 
--- a/ragwortdeal_node/src/entry/calls/attempt.rs
+++ b/ragwortdeal_node/src/entry/calls/attempt.rs
@@ -37,11 +37,12 @@
     entry: &sync::Arc<Entry>,
     call: &Call,
     mut chosen: Chosen,
+    patience_ms: u64,
 ) -> Result<Begun, Failed> {
     let instance = chosen.instance.clone();
     let failed = |failure, detail| Failed { instance: instance.clone(), failure, detail };
     let mut cancel = source::Cancel::new(entry.clone(), &chosen, &call.hop_id);
-    match first_byte(entry, call, &chosen).await {
+    match first_byte(entry, call, &chosen, patience_ms).await {
         Ok((head, first, body)) => Ok(Begun { head, first, body, chosen, cancel }),
         Err((failure, detail)) => {
             if failure == retry::Failure::NotRun {
@@ -59,17 +60,13 @@
     entry: &Entry,
     call: &Call,
     chosen: &Chosen,
+    patience_ms: u64,
 ) -> Result<FirstByte, (retry::Failure, String)> {
     let lost = |detail: String| (retry::Failure::NoAnswer, detail);
     let mut request = entry.to_agent(chosen, "POST", &call.path, &call.hop_id, call.body.clone());
     let priority = hyper::header::HeaderValue::from_static(call.urgency.priority_text());
     request.headers_mut().insert(http::PRIORITY, priority);
-    let patience_ms = entry.settings.limits.first_byte_ms;
-    let sent = entry.http.send("call agent", &chosen.address, request, patience_ms).await;
-    let response = sent.map_err(|error| match error {
-        http::HttpError::NotSent { .. } => (retry::Failure::NotRun, error.to_string()),
-        _ => lost(error.to_string()),
-    })?;
+    let response = self::head(entry, chosen, request, patience_ms).await?;
     if response.status().is_server_error() || response.status() == 409 {
         return Err(refused(response, patience_ms).await);
     }
@@ -88,13 +85,36 @@
     }
 }
 
+/// Sends a request to an agent and waits for the head of its answer. An answer by which the agent
+/// says that it could not reach its upstream is a failure.
+pub(super) async fn head(
+    entry: &Entry,
+    chosen: &Chosen,
+    request: hyper::Request<http::Body>,
+    patience_ms: u64,
+) -> Result<hyper::Response<http::RequestBody>, (retry::Failure, String)> {
+    let sent = entry.http.send("call agent", &chosen.address, request, patience_ms).await;
+    let response = sent.map_err(|error| match error {
+        http::HttpError::NotSent { .. } => (retry::Failure::NotRun, error.to_string()),
+        _ => (retry::Failure::NoAnswer, error.to_string()),
+    })?;
+    match matches!(response.status().as_u16(), 502 | 503) && is_problem(response.headers()) {
+        true => Err(refused(response, patience_ms).await),
+        false => Ok(response),
+    }
+}
+
+fn is_problem(headers: &hyper::HeaderMap) -> bool {
+    headers.get("content-type").is_some_and(|kind| kind == http::PROBLEM_JSON)
+}
+
 /// Reads why an agent refused. Only its own word makes a call one that did not run.
 async fn refused(
     response: hyper::Response<http::RequestBody>,
     patience_ms: u64,
 ) -> (retry::Failure, String) {
     let (head, body) = response.into_parts();
-    let typed = head.headers.get("content-type").is_some_and(|kind| kind == http::PROBLEM_JSON);
+    let typed = is_problem(&head.headers);
     let bytes = http::read(body, PROBLEM_MAX_BYTES, patience_ms).await.unwrap_or_default();
     let problem = serde_json::from_slice::<wire::Problem>(&bytes).ok().filter(|_| typed);
     let not_run = problem.is_some_and(|problem| problem.ran == wire::Ran::DidNotRun);
--- a/ragwortdeal_node/src/entry/operations.rs
+++ b/ragwortdeal_node/src/entry/operations.rs
@@ -12,7 +12,7 @@
 };
 use ragwortdeal_wire::link as wire;
 
-use super::{Entry, callers, calls, stream};
+use super::{Entry, callers, calls};
 use crate::{attempt, http, link};
 
 pub(super) use staff::{list, settle};
@@ -80,26 +80,16 @@
     urgency: calls::permit::Urgency,
     body: bytes::Bytes,
 ) -> http::Response {
-    let target = call.target();
-    let mut permit = match entry.admit(&call.account, &target, urgency, &call.id).await {
-        Ok(permit) => permit,
-        Err(refusal) => return refusal,
-    };
-    permit.answered();
-    let chosen = match entry.choose(&call.account, &target, &[]) {
-        Ok(chosen) => chosen,
-        Err(kind) => return callers::not_run(kind, "no upstream may serve this call", &call.id),
+    let read = calls::reads::Read {
+        id: &call.id,
+        account: &call.account,
+        target: &call.target(),
+        method: &call.method,
+        path: &call.path,
+        urgency,
+        body,
     };
-    let request = entry.to_agent(&chosen, call.method.as_str(), &call.path, &call.id, body);
-    let limits = &entry.settings.limits;
-    match entry.http.send("call agent", &chosen.address, request, limits.first_byte_ms).await {
-        Ok(response) => {
-            let (request_id, gap_ms) = (call.id.clone(), limits.gap_ms);
-            let in_flight = chosen.in_flight;
-            stream::relay(response, stream::Watch { request_id, events: false, gap_ms, in_flight })
-        }
-        Err(error) => callers::not_run(http::Kind::Unavailable, &error.to_string(), &call.id),
-    }
+    calls::reads::serve(entry, &read).await
 }
 
 /// Runs an operation that may not be repeated.
--- a/ragwortdeal_node/tests/calls.rs
+++ b/ragwortdeal_node/tests/calls.rs
@@ -275,3 +275,47 @@
     expect_that!(seen[10], all![ge(6), le(12)], "{seen:?}");
     flood.abort_all();
 }
+
+/// One of two portal instances dies beside its agent, and the other with its agent. Reads change
+/// nothing, so each goes to an instance that answers, and no caller sees an error.
+#[googletest::test]
+#[tokio::test]
+async fn reads_of_a_service_go_on_when_instances_die() {
+    let plan = deployment::Plan { portals: 3, ..plan(0, engine::Behaviour::default()) };
+    let mut deployment = deployment::Deployment::start(plan).await.unwrap();
+    deployment.open_routes().await;
+    let read = async |deployment: &deployment::Deployment| {
+        let path = format!("/services/{}/hours", deployment::PORTAL);
+        deployment.caller(0).send("GET", &path, None, String::new()).await
+    };
+    deployment::wait_for("the route is in force", async || read(&deployment).await.status == 200)
+        .await;
+    deployment.services[0].process.take().unwrap().kill();
+    deployment.services[1].service.take();
+    for _ in 0..30 {
+        let answer = read(&deployment).await;
+        expect_that!((answer.status, &answer.body[..]), eq((200, &b"open"[..])));
+    }
+}
+
+/// A caller that will wait 50 ms cannot get an answer that takes 200 ms. It is told at once, and no
+/// engine works for it.
+#[googletest::test]
+#[tokio::test]
+async fn a_request_without_enough_time_is_refused_as_not_run() {
+    let (deployment, _) = serving(plan(1, engine::Behaviour::default())).await;
+    let request =
+        hyper::Request::post(format!("http://{}/v1/completions", deployment.entries[0].callers))
+            .header("authorization", format!("Bearer {}", caller::ACCOUNT_TOKEN))
+            .header(http::TIMEOUT_MS, "50")
+            .body(http::full(format!("{{\"model\":\"{}\",\"prompt\":\"p\"}}", deployment::MODEL)));
+    let peer = deployment.entries[0].callers.to_string();
+    let client = http::Client::new(1_000);
+    let fetched = client.fetch("test call", &peer, request.unwrap(), 1 << 16, 5_000).await;
+    let (head, body) = fetched.unwrap();
+    let problem: wire::Problem = serde_json::from_slice(&body).unwrap();
+    expect_that!(head.status.as_u16(), eq(429));
+    expect_that!(problem.ran, eq(wire::Ran::DidNotRun));
+    expect_that!(problem.detail.as_deref(), some(eq("deadline_too_close")));
+    expect_that!(deployment.engines[0].engine.as_ref().unwrap().finished(), eq(0));
+}
