--- a/ragwortdeal_core/tests/config.rs
+++ b/ragwortdeal_core/tests/config.rs
@@ -131,7 +131,7 @@
 /// Evaluates a selector by its text alone.
 fn naive_match(selector: &labels::Selector, labels: &labels::Labels) -> bool {
     let text = selector.to_string();
-    let get = |key: &str| labels.get(key).map(|value| value.as_str());
+    let get = |key: &str| labels.get(key).map(name::LabelValue::as_str);
     let mut rest = text.as_str();
     while !rest.is_empty() {
         let end = match (rest.find('('), rest.find(',')) {
--- a/ragwortdeal_node/src/agent.rs
+++ b/ragwortdeal_node/src/agent.rs
@@ -7,6 +7,7 @@
 mod guard;
 mod rollout;
 mod store;
+mod transfer;
 
 use std::{
     collections,
@@ -39,12 +40,15 @@
 struct Weights {
     phase: &'static str,
     behind: Option<String>,
+    /// The version that is staged and verified as a whole.
+    verified: Option<digest::Digest>,
     serving: Option<digest::Digest>,
     /// Versions that are loaded; calls that name one of them are passed on.
     loaded: collections::BTreeSet<digest::Digest>,
     model: Option<name::ModelName>,
     origin_bytes: u64,
     peer_bytes: u64,
+    region_bytes: u64,
     staged_bytes: u64,
     size_bytes: u64,
 }
@@ -76,6 +80,11 @@
     leaving: atomic::AtomicBool,
     engine: engine::Engine,
     attempts: guard::Attempts,
+    transfer: transfer::Transfer,
+    /// When the bound on uploads allows the next piece.
+    upload_free_at: sync::Mutex<std::time::Instant>,
+    /// What the engine shall serve, once it is staged whole.
+    wanted: watch::Sender<Option<engine::Wanted>>,
 }
 
 impl Agent {
@@ -86,10 +95,13 @@
         let http = http::Client::new(1_000);
         Ok(Self {
             attempts: guard::Attempts::new(identity.incarnation),
+            wanted: watch::Sender::new(None),
             identity,
             credential: link::Credential::new(&settings.credentials.cluster),
             store: sync::Mutex::new(store::Store::new(settings.weights.staged_max_bytes)),
             engine: engine::Engine::new(settings.upstream.address, http.clone()),
+            transfer: transfer::Transfer::new(&settings.weights),
+            upload_free_at: sync::Mutex::new(std::time::Instant::now()),
             settings,
             http,
             config: watch::Sender::new(replica::Replica::default()),
@@ -149,7 +161,7 @@
             applied_revision: self.config.borrow().revision(),
             origin_bytes: weights.origin_bytes,
             peer_bytes: weights.peer_bytes,
-            region_bytes: 0,
+            region_bytes: weights.region_bytes,
             staged_bytes: weights.staged_bytes,
             size_bytes: weights.size_bytes,
             running: report.running,
@@ -180,6 +192,8 @@
     }
     if agent.is_engine() {
         tasks.spawn(rollout::run(agent.clone()));
+        tasks.spawn(transfer::run(agent.clone()));
+        tasks.spawn(engine::give_orders(agent.clone()));
         tasks.spawn(engine::watch_load(agent.clone()));
     }
     stop.wait().await;
--- a/ragwortdeal_node/src/entry/operations.rs
+++ b/ragwortdeal_node/src/entry/operations.rs
@@ -52,10 +52,15 @@
     let Ok(body) = http::read(request.body, limits.request_max_bytes, limits.gap_ms).await else {
         return refuse(http::Kind::BadRequest, "the body is too large or too slow");
     };
-    match call.method {
-        hyper::Method::GET | hyper::Method::HEAD => repeatable(&entry, &call, urgency, body).await,
-        _ => once(&entry, call, urgency, body).await,
+    if matches!(call.method, hyper::Method::GET | hyper::Method::HEAD) {
+        return repeatable(&entry, &call, urgency, body).await;
     }
+    let mut permit = match entry.admit(&call.account, &call.target(), urgency, &id).await {
+        Ok(permit) => permit,
+        Err(refusal) => return refused(&entry, call, body, refusal).await,
+    };
+    permit.answered();
+    once(&entry, call, body).await
 }
 
 struct Call {
@@ -93,33 +98,19 @@
 }
 
 /// Runs an operation that may not be repeated.
-async fn once(
-    entry: &sync::Arc<Entry>,
-    call: Call,
-    urgency: calls::permit::Urgency,
-    body: bytes::Bytes,
-) -> http::Response {
-    let refuse = |kind, detail: &str| callers::not_run(kind, detail, &call.id);
-    let Some(Ok(key)) = call.key.as_deref().map(name::OperationKey::new) else {
-        // Without a key a resend cannot be told from a second order, so nothing is passed on.
-        return refuse(http::Kind::BadRequest, "this call needs an Idempotency-Key");
-    };
-    let key = key::ScopedKey { account: call.account.clone(), service: call.service.clone(), key };
-    let body_digest = digest::Digest::of_value(&(call.method.as_str(), &call.path, &body[..]));
-    let order = Order { call: sync::Arc::new(call), key, body, body_digest };
-    let (account, target) = (&order.call.account, order.call.target());
-    let mut permit = match entry.admit(account, &target, urgency, &order.call.id).await {
-        Ok(permit) => permit,
-        Err(refusal) => return not_taken(entry, &order, refusal).await,
+async fn once(entry: &sync::Arc<Entry>, call: Call, body: bytes::Bytes) -> http::Response {
+    let order = match Order::read(call, body) {
+        Ok(order) => order,
+        Err(refusal) => return refusal,
     };
-    permit.answered();
     let mut tried = Vec::new();
     loop {
         let (chosen, claim) = match order.prepare(entry, &tried) {
             Ok(prepared) => prepared,
             Err(kind) => {
-                let refusal = refuse_order(&order, kind);
-                return not_taken(entry, &order, refusal).await;
+                let detail = "no upstream may serve this call";
+                let refusal = callers::not_run(kind, detail, &order.call.id);
+                return unless_known(entry, &order, refusal).await;
             }
         };
         tried.push(chosen.instance.clone());
@@ -145,6 +136,19 @@
 }
 
 impl Order {
+    fn read(call: Call, body: bytes::Bytes) -> Result<Self, http::Response> {
+        let Some(Ok(key)) = call.key.as_deref().map(name::OperationKey::new) else {
+            // Without a key a resend cannot be told from a second order, so nothing is passed on.
+            let detail = "this call needs an Idempotency-Key";
+            return Err(callers::not_run(http::Kind::BadRequest, detail, &call.id));
+        };
+        let (account, service) = (call.account.clone(), call.service.clone());
+        let key = key::ScopedKey { account, service, key };
+        let parts = (call.method.as_str(), &call.path, &body[..]);
+        let body_digest = digest::Digest::of_value(&parts);
+        Ok(Self { call: sync::Arc::new(call), key, body, body_digest })
+    }
+
     /// Chooses an upstream that was not tried yet, and makes the claim for it.
     fn prepare(
         &self,
@@ -184,13 +188,22 @@
     }
 }
 
-fn refuse_order(order: &Order, kind: http::Kind) -> http::Response {
-    callers::not_run(kind, "no upstream may serve this call", &order.call.id)
+/// Answers an operation that was not admitted.
+async fn refused(
+    entry: &sync::Arc<Entry>,
+    call: Call,
+    body: bytes::Bytes,
+    refusal: http::Response,
+) -> http::Response {
+    match Order::read(call, body) {
+        Ok(order) => unless_known(entry, &order, refusal).await,
+        Err(refusal) => refusal,
+    }
 }
 
-/// Answers an operation that is not let in, or that no upstream may take now. An earlier request with the key may have an
-/// answer all the same, and a plain refusal would make its caller order the operation once more.
-async fn not_taken(
+/// Refuses an operation that cannot be run now. An earlier request with the key may have an answer
+/// all the same, and a plain refusal would make its caller order the operation once more.
+async fn unless_known(
     entry: &sync::Arc<Entry>,
     order: &Order,
     refusal: http::Response,
--- a/ragwortdeal_node/src/entry/relay.rs
+++ b/ragwortdeal_node/src/entry/relay.rs
@@ -33,6 +33,7 @@
             }
             wire::Message::Subscribe(subscribe) => {
                 self.0.subscribe(session, subscribe.held_revision);
+                self.0.roster.introduce(session);
             }
             wire::Message::Demand(demand) => self.0.learn_demand(&session.hello.name, &demand),
             _ => log::debug!("entry: unexpected message from {}", session.hello.name),
@@ -49,6 +50,7 @@
     }
 
     fn closed(&self, session: &link::Session) {
+        self.0.roster.closed(session);
         self.0.sessions.lock().expect("no panic under lock").remove(&session.id);
     }
 }
--- a/ragwortdeal_node/src/lib.rs
+++ b/ragwortdeal_node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod link;
 pub mod logging;
 pub mod program;
+pub mod relay;
 pub mod settings;
 pub mod stop;
 pub mod storage;
