--- a/ragwortdeal_core/src/retry/budget.rs
+++ b/ragwortdeal_core/src/retry/budget.rs
@@ -96,3 +96,52 @@
         self.upstreams.entry(upstream).or_insert_with(|| Bucket::full(saved_max))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use googletest::prelude::*;
+
+    use super::*;
+    use crate::{labels, name, routing};
+
+    fn ids(count: u32) -> Vec<upstream::UpstreamId> {
+        let mut router = routing::Router::new(routing::Settings::default());
+        let announced = (0..count).map(|index| upstream::Announcement {
+            instance: name::InstanceName::new(&format!("engine-{index}")).unwrap(),
+            incarnation: 1,
+            zone: name::ZoneName::new("amman").unwrap(),
+            labels: labels::Labels::new(),
+            served: Vec::new(),
+            slots: 1,
+            lease_until_ms: 1,
+        });
+        announced.map(|announcement| router.announce(announcement)).collect()
+    }
+
+    /// All upstreams fail at once. Retries must not go on multiplying the load.
+    #[googletest::test]
+    fn retries_stay_within_a_tenth_of_the_calls_and_what_was_saved() {
+        let settings = Settings::default();
+        let mut budgets = Budgets::new(settings);
+        let ids = ids(50);
+        let mut retries = 0;
+        for call in 0..10_000 {
+            let at = ids[call % ids.len()];
+            budgets.first_attempt(at);
+            retries += u64::from(budgets.spend(at).is_ok());
+        }
+        expect_that!(retries, le(1_000 + settings.saved_max));
+        expect_that!(retries, ge(1_000 - settings.saved_max));
+    }
+
+    /// One upstream fails all the time. It must leave something for the calls to the others.
+    #[googletest::test]
+    fn one_failing_upstream_does_not_use_up_the_budget() {
+        let settings = Settings::default();
+        let mut budgets = Budgets::new(settings);
+        let ids = ids(2);
+        let granted = (0..100).filter(|_| budgets.spend(ids[0]).is_ok()).count() as u64;
+        expect_that!(granted, eq(settings.saved_per_upstream_max));
+        expect_that!(budgets.spend(ids[1]), ok(eq(())));
+    }
+}
--- a/ragwortdeal_core/tests/policies/admission.rs
+++ b/ragwortdeal_core/tests/policies/admission.rs
@@ -5,47 +5,47 @@
 use googletest::prelude::*;
 use ragwortdeal_core::admission;
 
-use crate::model;
+use crate::{model, model::setup};
 
 /// Two large accounts want most of the capacity, eight small ones a little each.
-fn callers() -> Vec<model::Caller> {
+fn callers() -> Vec<setup::Caller> {
     let names = ["s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8"];
-    let small = names.into_iter().map(|name| model::Caller { name, part: 0.02 });
-    let large = ["l1", "l2"].into_iter().map(|name| model::Caller { name, part: 0.42 });
+    let small = names.into_iter().map(|name| setup::Caller { name, part: 0.02 });
+    let large = ["l1", "l2"].into_iter().map(|name| setup::Caller { name, part: 0.42 });
     large.chain(small).collect()
 }
 
-fn limited(offered: f64) -> model::Setup {
-    model::Setup {
+fn limited(offered: f64) -> setup::Setup {
+    setup::Setup {
         offered,
         callers: callers(),
         admission: Some(admission::Settings::default()),
         lag_ms: 1_000,
         deadline_ms: 1_500,
-        ..model::Setup::new(21, model::Choosing::TwoChoices)
+        ..setup::Setup::new(21, setup::Choosing::TwoChoices)
     }
 }
 
-fn naive(offered: f64) -> model::Setup {
-    let choosing = model::Choosing::RoundRobin;
-    model::Setup { admission: None, choosing, ..limited(offered) }
+fn naive(offered: f64) -> setup::Setup {
+    let choosing = setup::Choosing::RoundRobin;
+    setup::Setup { admission: None, choosing, ..limited(offered) }
 }
 
 /// Answers within the deadline in percent of what the capacity could have answered.
-fn goodput_percent(setup: &model::Setup, outcome: &model::Outcome) -> f64 {
+fn goodput_percent(setup: &setup::Setup, outcome: &setup::Outcome) -> f64 {
     let capacity = setup.capacity_per_s() * setup.duration_ms as f64 / 1_000.0;
     outcome.good() as f64 * 100.0 / capacity
 }
 
 /// Answers that the worst account got, in percent of what it asked or of an equal part.
-fn worst_share_percent(setup: &model::Setup, outcome: &model::Outcome) -> f64 {
+fn worst_share_percent(setup: &setup::Setup, outcome: &setup::Outcome) -> f64 {
     let capacity = setup.capacity_per_s() * setup.duration_ms as f64 / 1_000.0;
     let equal = capacity / outcome.callers.len() as f64;
-    let share = |tally: &model::Tally| tally.good as f64 * 100.0 / equal.min(tally.offered as f64);
+    let share = |tally: &setup::Tally| tally.good as f64 * 100.0 / equal.min(tally.offered as f64);
     outcome.callers.iter().map(share).fold(f64::INFINITY, f64::min)
 }
 
-fn measured(kind: &str, setup: &model::Setup) -> (f64, f64) {
+fn measured(kind: &str, setup: &setup::Setup) -> (f64, f64) {
     let outcome = model::run(setup);
     let goodput = goodput_percent(setup, &outcome);
     let worst = worst_share_percent(setup, &outcome);
@@ -85,9 +85,9 @@
 #[googletest::test]
 fn shares_settle_after_an_entry_dies() {
     for (kind, setup) in [("naive", naive(1.2)), ("shares", limited(1.2))] {
-        let setup = model::Setup { faults: vec![(30_000, model::Fault::EntryDies(3))], ..setup };
+        let setup = setup::Setup { faults: vec![(30_000, setup::Fault::EntryDies(3))], ..setup };
         let outcome = model::run(&setup);
-        let in_second = |tally: &model::Tally, second: usize| {
+        let in_second = |tally: &setup::Tally, second: usize| {
             let equal = setup.capacity_per_s() / outcome.callers.len() as f64;
             tally.good_each_s[second] as f64 * 100.0
                 / equal.min(tally.offered_each_s[second] as f64).max(1.0)
@@ -111,7 +111,7 @@
             );
         }
         let equal = setup.capacity_per_s() * 10.0 / outcome.callers.len() as f64;
-        let in_10_s = |tally: &model::Tally, from: usize| {
+        let in_10_s = |tally: &setup::Tally, from: usize| {
             let good = tally.good_each_s[from..from + 10].iter().sum::<u64>();
             let asked = tally.offered_each_s[from..from + 10].iter().sum::<u64>();
             (good as f64 * 100.0 / equal.min(asked as f64)) as u64
@@ -132,12 +132,12 @@
 #[googletest::test]
 fn a_zone_goes() {
     let faults = vec![
-        (20_000, model::Fault::UpstreamsFail(4)),
-        (20_000, model::Fault::EntryDies(3)),
-        (23_000, model::Fault::LeasesEnd(4)),
+        (20_000, setup::Fault::UpstreamsFail(4)),
+        (20_000, setup::Fault::EntryDies(3)),
+        (23_000, setup::Fault::LeasesEnd(4)),
     ];
-    let zone = |kind: &str, setup: model::Setup| {
-        let outcome = model::run(&model::Setup { faults: faults.clone(), ..setup.clone() });
+    let zone = |kind: &str, setup: setup::Setup| {
+        let outcome = model::run(&setup::Setup { faults: faults.clone(), ..setup.clone() });
         let left = setup.capacity_per_s() * 2.0 / 3.0;
         let good = |seconds: ops::Range<usize>| {
             let length = seconds.len() as f64;
@@ -152,11 +152,11 @@
         (first, rest, failed)
     };
     for offered in [0.8, 1.2] {
-        let retrying = model::Retrying::Unbounded;
+        let retrying = setup::Retrying::Unbounded;
         let (_, naive_rest, naive_failed) =
-            zone("naive", model::Setup { retrying, ..naive(offered) });
-        let retrying = model::Retrying::Budgeted;
-        let (_, rest, failed) = zone("shares", model::Setup { retrying, ..limited(offered) });
+            zone("naive", setup::Setup { retrying, ..naive(offered) });
+        let retrying = setup::Retrying::Budgeted;
+        let (_, rest, failed) = zone("shares", setup::Setup { retrying, ..limited(offered) });
         expect_that!(rest, ge(85.0));
         expect_that!(rest, gt(naive_rest));
         expect_that!(failed, lt(naive_failed));
--- a/ragwortdeal_core/tests/policies/retries.rs
+++ b/ragwortdeal_core/tests/policies/retries.rs
@@ -2,14 +2,14 @@
 
 use googletest::prelude::*;
 
-use crate::model;
+use crate::{model, model::setup};
 
-fn run(retrying: model::Retrying, choosing: model::Choosing) -> (f64, f64) {
-    let setup = model::Setup {
+fn run(retrying: setup::Retrying, choosing: setup::Choosing) -> (f64, f64) {
+    let setup = setup::Setup {
         retrying,
         offered: 0.6,
-        faults: vec![(20_000, model::Fault::UpstreamsFail(4))],
-        ..model::Setup::new(31, choosing)
+        faults: vec![(20_000, setup::Fault::UpstreamsFail(4))],
+        ..setup::Setup::new(31, choosing)
     };
     let outcome = model::run(&setup);
     let amplification = outcome.attempts as f64 / outcome.offered() as f64;
@@ -22,10 +22,10 @@
 /// and callers whose upstream was healthy wait behind the repeated calls of the others.
 #[googletest::test]
 fn a_third_of_the_upstreams_fails() {
-    let (_, good_without) = run(model::Retrying::Never, model::Choosing::RoundRobin);
-    let (naive, _) = run(model::Retrying::Unbounded, model::Choosing::RoundRobin);
-    let (_, good_aside) = run(model::Retrying::Never, model::Choosing::TwoChoices);
-    let (budgeted, good) = run(model::Retrying::Budgeted, model::Choosing::TwoChoices);
+    let (_, good_without) = run(setup::Retrying::Never, setup::Choosing::RoundRobin);
+    let (naive, _) = run(setup::Retrying::Unbounded, setup::Choosing::RoundRobin);
+    let (_, good_aside) = run(setup::Retrying::Never, setup::Choosing::TwoChoices);
+    let (budgeted, good) = run(setup::Retrying::Budgeted, setup::Choosing::TwoChoices);
     expect_that!(naive, gt(1.2));
     expect_that!(budgeted, le(1.1));
     expect_that!(good, gt(99.0));
@@ -34,10 +34,10 @@
 }
 
 fn hedged(offered: f64, hedge_after_ms: Option<u64>) -> (u64, f64) {
-    let setup = model::Setup {
+    let setup = setup::Setup {
         hedge_after_ms,
         offered,
-        ..model::Setup::new(32, model::Choosing::TwoChoices)
+        ..setup::Setup::new(32, setup::Choosing::TwoChoices)
     };
     let outcome = model::run(&setup);
     let sent = outcome.attempts as f64 / outcome.offered() as f64;
--- a/ragwortdeal_core/tests/policies/routing.rs
+++ b/ragwortdeal_core/tests/policies/routing.rs
@@ -2,15 +2,15 @@
 
 use googletest::prelude::*;
 
-use crate::model;
+use crate::{model, model::setup};
 
-fn run(choosing: model::Choosing, lag_ms: u64) -> model::Outcome {
-    let setup = model::Setup {
+fn run(choosing: setup::Choosing, lag_ms: u64) -> setup::Outcome {
+    let setup = setup::Setup {
         lag_ms,
         offered: 0.9,
         prefixes: 200,
         prefixes_kept: 20,
-        ..model::Setup::new(11, choosing)
+        ..setup::Setup::new(11, choosing)
     };
     let outcome = model::run(&setup);
     println!(
@@ -30,13 +30,13 @@
         /// report was taken. Users see answers that stall while other upstreams stand idle.
         #[googletest::test]
         fn $case() {
-            let random = run(model::Choosing::Random, $lag_ms);
-            let round_robin = run(model::Choosing::RoundRobin, $lag_ms);
-            let least = run(model::Choosing::LeastReported, $lag_ms);
-            let two = run(model::Choosing::TwoChoices, $lag_ms);
-            let affinity = run(model::Choosing::Affinity, $lag_ms);
+            let random = run(setup::Choosing::Random, $lag_ms);
+            let round_robin = run(setup::Choosing::RoundRobin, $lag_ms);
+            let least = run(setup::Choosing::LeastReported, $lag_ms);
+            let two = run(setup::Choosing::TwoChoices, $lag_ms);
+            let affinity = run(setup::Choosing::Affinity, $lag_ms);
 
-            let p95_ms = |outcome: &model::Outcome| outcome.response_percentile_ms(95);
+            let p95_ms = |outcome: &setup::Outcome| outcome.response_percentile_ms(95);
             expect_that!(p95_ms(&two), lt(p95_ms(&random)));
             expect_that!(p95_ms(&two), lt(p95_ms(&round_robin)));
             expect_that!(p95_ms(&two), lt(p95_ms(&least)));
