--- a/ragwortdeal_node/src/entry/operations.rs
+++ b/ragwortdeal_node/src/entry/operations.rs
@@ -12,7 +12,7 @@
 };
 use ragwortdeal_wire::link as wire;
 
-use super::{Entry, callers, calls, stream};
+use super::{Entry, callers, calls};
 use crate::{attempt, http, link};
 
 pub(super) use staff::{list, settle};
@@ -52,10 +52,15 @@
     let Ok(body) = http::read(request.body, limits.request_max_bytes, limits.gap_ms).await else {
         return refuse(http::Kind::BadRequest, "the body is too large or too slow");
     };
-    match call.method {
-        hyper::Method::GET | hyper::Method::HEAD => repeatable(&entry, &call, urgency, body).await,
-        _ => once(&entry, call, urgency, body).await,
+    if matches!(call.method, hyper::Method::GET | hyper::Method::HEAD) {
+        return repeatable(&entry, &call, urgency, body).await;
     }
+    let mut permit = match entry.admit(&call.account, &call.target(), urgency, &id).await {
+        Ok(permit) => permit,
+        Err(refusal) => return refused(&entry, call, body, refusal).await,
+    };
+    permit.answered();
+    once(&entry, call, body).await
 }
 
 struct Call {
@@ -80,52 +85,32 @@
     urgency: calls::permit::Urgency,
     body: bytes::Bytes,
 ) -> http::Response {
-    let target = call.target();
-    let mut permit = match entry.admit(&call.account, &target, urgency, &call.id).await {
-        Ok(permit) => permit,
-        Err(refusal) => return refusal,
-    };
-    permit.answered();
-    let chosen = match entry.choose(&call.account, &target, &[]) {
-        Ok(chosen) => chosen,
-        Err(kind) => return callers::not_run(kind, "no upstream may serve this call", &call.id),
+    let read = calls::reads::Read {
+        id: &call.id,
+        account: &call.account,
+        target: &call.target(),
+        method: &call.method,
+        path: &call.path,
+        urgency,
+        body,
     };
-    let request = entry.to_agent(&chosen, call.method.as_str(), &call.path, &call.id, body);
-    let limits = &entry.settings.limits;
-    match entry.http.send("call agent", &chosen.address, request, limits.first_byte_ms).await {
-        Ok(response) => {
-            let (request_id, gap_ms) = (call.id.clone(), limits.gap_ms);
-            let in_flight = chosen.in_flight;
-            stream::relay(response, stream::Watch { request_id, events: false, gap_ms, in_flight })
-        }
-        Err(error) => callers::not_run(http::Kind::Unavailable, &error.to_string(), &call.id),
-    }
+    calls::reads::serve(entry, &read).await
 }
 
 /// Runs an operation that may not be repeated.
-async fn once(
-    entry: &sync::Arc<Entry>,
-    call: Call,
-    urgency: calls::permit::Urgency,
-    body: bytes::Bytes,
-) -> http::Response {
+async fn once(entry: &sync::Arc<Entry>, call: Call, body: bytes::Bytes) -> http::Response {
     let order = match Order::read(call, body) {
         Ok(order) => order,
         Err(refusal) => return refusal,
     };
-    let (account, target) = (&order.call.account, order.call.target());
-    let mut permit = match entry.admit(account, &target, urgency, &order.call.id).await {
-        Ok(permit) => permit,
-        Err(refusal) => return not_taken(entry, &order, refusal).await,
-    };
-    permit.answered();
     let mut tried = Vec::new();
     loop {
         let (chosen, claim) = match order.prepare(entry, &tried) {
             Ok(prepared) => prepared,
             Err(kind) => {
-                let refusal = refuse_order(&order, kind);
-                return not_taken(entry, &order, refusal).await;
+                let detail = "no upstream may serve this call";
+                let refusal = callers::not_run(kind, detail, &order.call.id);
+                return unless_known(entry, &order, refusal).await;
             }
         };
         tried.push(chosen.instance.clone());
@@ -203,13 +188,22 @@
     }
 }
 
-fn refuse_order(order: &Order, kind: http::Kind) -> http::Response {
-    callers::not_run(kind, "no upstream may serve this call", &order.call.id)
+/// Answers an operation that was not admitted.
+async fn refused(
+    entry: &sync::Arc<Entry>,
+    call: Call,
+    body: bytes::Bytes,
+    refusal: http::Response,
+) -> http::Response {
+    match Order::read(call, body) {
+        Ok(order) => unless_known(entry, &order, refusal).await,
+        Err(refusal) => refusal,
+    }
 }
 
-/// Answers an operation that is not let in, or that no upstream may take now. An earlier request with the key may have an
-/// answer all the same, and a plain refusal would make its caller order the operation once more.
-async fn not_taken(
+/// Refuses an operation that cannot be run now. An earlier request with the key may have an answer
+/// all the same, and a plain refusal would make its caller order the operation once more.
+async fn unless_known(
     entry: &sync::Arc<Entry>,
     order: &Order,
     refusal: http::Response,
