--- a/ragwortdeal_node/src/agent/calls.rs
+++ b/ragwortdeal_node/src/agent/calls.rs
@@ -1,6 +1,6 @@
 //! Calls from entries to the upstream, and the staged weights that its engine reads.
 
-use std::sync;
+use std::{collections, sync};
 
 use gotham::{
     hyper, router,
@@ -10,16 +10,16 @@
 use ragwortdeal_core::digest;
 use ragwortdeal_wire::operator as wire;
 
-use super::{Agent, transfer};
-use crate::http;
+use super::{Agent, guard, transfer};
+use crate::{attempt, http};
 
 /// Longest time an upstream may take to the head of its answer. The mainframe behind a ledger may
 /// take minutes; entries give up earlier by their own limits.
 const HEAD_MS: u64 = 600_000;
 
 /// Headers that belong to one hop and are not passed on.
-const HOP_HEADERS: [&str; 5] =
-    ["authorization", "connection", "host", "transfer-encoding", http::ACCOUNT];
+const HOP_HEADERS: [&str; 6] =
+    ["authorization", "connection", "host", "transfer-encoding", http::ACCOUNT, http::ENTRY];
 
 /// Routes of an agent.
 pub(super) fn router(agent: &sync::Arc<Agent>) -> router::Router {
@@ -38,6 +38,8 @@
         route.get("/internal/peers/*").to_new_handler(ask);
         let hear = http::route(agent.clone(), transfer::hear);
         route.post("/internal/peers/holdings").to_new_handler(hear);
+        let question = http::route(agent.clone(), guard::ask);
+        route.post(attempt::QUESTIONS_PATH).to_new_handler(question);
         let call = http::route(agent.clone(), call);
         route.request(all.to_vec(), "/call/*").to_new_handler(call);
     })
@@ -64,28 +66,41 @@
 }
 
 /// Counts a call from its start until its answer was passed on or given up.
-struct InProgress {
+pub(super) struct InProgress {
     agent: sync::Arc<Agent>,
     version: Option<digest::Digest>,
+    entry: String,
 }
 
 impl InProgress {
-    fn start(agent: sync::Arc<Agent>, version: Option<digest::Digest>) -> Self {
+    pub(super) fn start(
+        agent: sync::Arc<Agent>,
+        version: Option<digest::Digest>,
+        entry: &str,
+    ) -> Self {
+        let mut by_entry = agent.by_entry.lock().expect("no panic under lock");
+        *by_entry.entry(entry.to_owned()).or_default() += 1;
+        drop(by_entry);
         let mut running = agent.running.lock().expect("no panic under lock");
         *running.entry(version).or_default() += 1;
         drop(running);
-        Self { agent, version }
+        Self { agent, version, entry: entry.to_owned() }
     }
 }
 
 impl Drop for InProgress {
     fn drop(&mut self) {
-        let mut running = self.agent.running.lock().expect("no panic under lock");
-        if let Some(count) = running.get_mut(&self.version) {
-            *count -= 1;
-            if *count == 0 {
-                running.remove(&self.version);
-            }
+        count_down(&self.agent.running, &self.version);
+        count_down(&self.agent.by_entry, &self.entry);
+    }
+}
+
+fn count_down<K: Ord>(counts: &sync::Mutex<collections::BTreeMap<K, u64>>, key: &K) {
+    let mut counts = counts.lock().expect("no panic under lock");
+    if let Some(count) = counts.get_mut(key) {
+        *count -= 1;
+        if *count == 0 {
+            counts.remove(key);
         }
     }
 }
@@ -115,7 +130,7 @@
     http::answer(&http::problem(http::Kind::NotFound, wire::Ran::DidNotRun, detail))
 }
 
-fn refuse(agent: &Agent, kind: http::Kind, detail: &str) -> http::Response {
+pub(super) fn refuse(agent: &Agent, kind: http::Kind, detail: &str) -> http::Response {
     let mut response = http::answer(&http::problem(kind, wire::Ran::DidNotRun, detail));
     let serving = agent.weights.borrow().serving;
     if let Some(value) = serving.and_then(|version| version.to_string().parse().ok()) {
@@ -124,16 +139,25 @@
     response
 }
 
-async fn call(agent: sync::Arc<Agent>, request: http::Request) -> http::Response {
+/// Whether the request comes from a process of the system.
+pub(super) fn is_own_process(agent: &Agent, request: &http::Request) -> bool {
     let given = request.headers.get("authorization").map(hyper::header::HeaderValue::as_bytes);
-    if !agent.credential.accepts(given) {
+    agent.credential.accepts(given)
+}
+
+async fn call(agent: sync::Arc<Agent>, request: http::Request) -> http::Response {
+    if !is_own_process(&agent, &request) {
         return refuse(&agent, http::Kind::Unauthorized, "wrong credential");
     }
+    if attempt::Addressed::is_named_in(&request.headers) {
+        return guard::call(agent, request).await;
+    }
     let version = request.header(http::MODEL_VERSION).and_then(|version| version.parse().ok());
     if agent.is_engine() && !version.is_some_and(|v| agent.weights.borrow().loaded.contains(&v)) {
         return refuse(&agent, http::Kind::Unavailable, "this version is not loaded here");
     }
-    let in_progress = InProgress::start(agent.clone(), version);
+    let entry = request.header(http::ENTRY).unwrap_or_default();
+    let in_progress = InProgress::start(agent.clone(), version, entry);
     let step = "call upstream";
     let peer = agent.settings.upstream.address.to_string();
     let forwarded = forward(&peer, request);
@@ -154,7 +178,7 @@
     }
 }
 
-fn forward(peer: &str, request: http::Request) -> hyper::Request<http::Body> {
+pub(super) fn forward(peer: &str, request: http::Request) -> hyper::Request<http::Body> {
     let path = request.uri.path_and_query().map_or("/", |path| path.as_str());
     let path = path.strip_prefix("/call").unwrap_or(path);
     let mut forwarded = hyper::Request::new(request.body);
