Test spreads over sockets with peers that misbehave and agents that die

Cause: Bad peers and deaths were only tested in the model of links. Change: A stand-in for a peer that corrupts, truncates, denies or stalls; agents killed in the middle of a rollout. Conclusion: The bad chunks are found on arrival, and the origin stays within 1.4 copies there.

--- a/ragwortdeal_node/tests/spread_whole.rs
+++ b/ragwortdeal_node/tests/spread_whole.rs
@@ -1,7 +1,7 @@
 //! Spreads over real sockets: a rate-limited origin, agents that exchange chunks, their engines.
 
 use googletest::prelude::*;
-use ragwortdeal_standins::{deployment, origin};
+use ragwortdeal_standins::{deployment, origin, peer};
 
 const MIB: usize = 1 << 20;
 
@@ -74,3 +74,62 @@
     expect_that!(copies(&deployment, &weights), le(1.4));
     expect_no_partial_loads(&deployment);
 }
+
+macro_rules! bad_peers {
+    ($($(#[$doc:meta])* $case:ident: $answers:expr, asked at most $asked:expr;)*) => {$(
+        $(#[$doc])*
+        #[googletest::test]
+        #[tokio::test(flavor = "multi_thread")]
+        async fn $case() {
+            let deployment = deployment::Deployment::start(twelve(100)).await.unwrap();
+            let weights = origin::Weights::of_seed(11, 4 * MIB, 128 << 10);
+            let (zone, entry) = ("amman", deployment.links(0));
+            let bad = peer::Peer::start("bad", zone, entry, &weights, $answers).await.unwrap();
+            deployment::wait_for("the peer is announced", async || {
+                let status = deployment.operator(0).status().await;
+                status.is_some_and(|status| status.instances.len() > 12)
+            })
+            .await;
+            deployment.roll_out(&weights).await;
+            deployment.serving(0, &weights.version().to_string(), 12).await;
+            expect_no_partial_loads(&deployment);
+            // The peer takes part as an owner too, so the test is void if nobody asked it.
+            expect_that!(bad.asked(), all!(ge(1), le($asked)));
+            expect_that!(copies(&deployment, &weights), le(1.4));
+        }
+    )*};
+}
+
+bad_peers! {
+    /// An instance with a broken memory module sends chunks with a flipped bit. Each agent notices
+    /// at the first, and asks it no more after the second.
+    a_peer_that_corrupts_is_blamed_and_every_engine_gets_whole_weights:
+        peer::Answers::Corrupt, asked at most 12 * 6;
+    /// An instance sends half of each chunk.
+    a_peer_that_sends_too_little_is_blamed_and_every_engine_gets_whole_weights:
+        peer::Answers::Short, asked at most 12 * 6;
+    /// An instance announces what it does not hold.
+    a_peer_that_lies_about_its_chunks_is_found_out:
+        peer::Answers::Deny, asked at most 12 * 8;
+    /// An instance hangs: it accepts connections and never answers.
+    a_peer_that_hangs_is_replaced:
+        peer::Answers::Stall, asked at most 12 * 6;
+}
+
+/// Instances are lost in the middle of a rollout, with the chunks that only they had drawn.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_get_the_version_though_two_agents_die_in_the_middle() {
+    let mut deployment = deployment::Deployment::start(twelve(100)).await.unwrap();
+    let weights = origin::Weights::of_seed(13, 8 * MIB, 128 << 10);
+    deployment.roll_out(&weights).await;
+    let origin = &deployment.origin;
+    let started = async || origin.served_bytes() > 2 * MIB as u64;
+    deployment::wait_for("the transfer is under way", started).await;
+    for number in [3, 7] {
+        deployment.engines[number].process.take().unwrap().kill();
+    }
+    deployment.serving(0, &weights.version().to_string(), 10).await;
+    expect_that!(copies(&deployment, &weights), le(1.4));
+    expect_no_partial_loads(&deployment);
+}
--- a/ragwortdeal_standins/src/deployment.rs
+++ b/ragwortdeal_standins/src/deployment.rs
@@ -9,7 +9,7 @@
 use crate::{caller, engine, origin, process, service};
 
 /// Secret between the system's processes in tests.
-const CLUSTER_SECRET: &str = "secret-between-the-processes";
+pub(crate) const CLUSTER_SECRET: &str = "secret-between-the-processes";
 
 /// Model that tests roll out.
 pub const MODEL: &str = "match";
@@ -301,6 +301,11 @@
         restart_agent(&mut self.services[number])
     }
 
+    /// Address at which an entry takes links.
+    pub fn links(&self, entry: usize) -> net::SocketAddr {
+        self.entries[entry].settings.listen.links
+    }
+
     /// A caller of one entry.
     pub fn caller(&self, entry: usize) -> caller::Caller {
         caller::Caller::new(self.entries[entry].callers)
--- a/ragwortdeal_standins/src/lib.rs
+++ b/ragwortdeal_standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod engine;
 pub mod network;
 pub mod origin;
+pub mod peer;
 pub mod process;
 pub mod service;
 
