--- a/ragwortdeal_standins/src/deployment.rs
+++ b/ragwortdeal_standins/src/deployment.rs
@@ -37,6 +37,8 @@
     pub portals: usize,
     /// Rate of the origin's link.
     pub origin_bytes_per_s: u64,
+    /// Rate of each agent's link towards other agents, 0 for no bound.
+    pub upload_bytes_per_s: u64,
     /// 0 weighs time until all serve, 100 weighs bytes from the origin.
     pub origin_weight_percent: u8,
     /// Limits on calls at the entries.
@@ -59,6 +61,7 @@
             ledgers: 1,
             portals: 1,
             origin_bytes_per_s: 64 << 20,
+            upload_bytes_per_s: 0,
             origin_weight_percent: 50,
             limits: settings::entry::Limits::default(),
             accounts: Vec::new(),
@@ -236,6 +239,7 @@
             weights: settings::agent::Weights {
                 origin: Some(self.origin.address()),
                 origin_weight_percent: self.plan.origin_weight_percent,
+                upload_bytes_per_s: self.plan.upload_bytes_per_s,
                 ..settings::agent::Weights::default()
             },
             credentials: credentials(),
