--- a/ragwortdeal_standins/src/deployment.rs
+++ b/ragwortdeal_standins/src/deployment.rs
@@ -9,7 +9,7 @@
 use crate::{caller, engine, origin, process, service};
 
 /// Secret between the system's processes in tests.
-const CLUSTER_SECRET: &str = "secret-between-the-processes";
+pub(crate) const CLUSTER_SECRET: &str = "secret-between-the-processes";
 
 /// Model that tests roll out.
 pub const MODEL: &str = "match";
@@ -37,6 +37,8 @@
     pub portals: usize,
     /// Rate of the origin's link.
     pub origin_bytes_per_s: u64,
+    /// Rate of each agent's link towards other agents, 0 for no bound.
+    pub upload_bytes_per_s: u64,
     /// 0 weighs time until all serve, 100 weighs bytes from the origin.
     pub origin_weight_percent: u8,
     /// Limits on calls at the entries.
@@ -61,6 +63,7 @@
             ledgers: 1,
             portals: 1,
             origin_bytes_per_s: 64 << 20,
+            upload_bytes_per_s: 0,
             origin_weight_percent: 50,
             limits: settings::entry::Limits::default(),
             accounts: Vec::new(),
@@ -239,6 +242,7 @@
             weights: settings::agent::Weights {
                 origin: Some(self.origin.address()),
                 origin_weight_percent: self.plan.origin_weight_percent,
+                upload_bytes_per_s: self.plan.upload_bytes_per_s,
                 ..settings::agent::Weights::default()
             },
             credentials: credentials(),
@@ -305,6 +309,11 @@
         restart_agent(&mut self.services[number])
     }
 
+    /// Address at which an entry takes links.
+    pub fn links(&self, entry: usize) -> net::SocketAddr {
+        self.entries[entry].settings.listen.links
+    }
+
     /// A caller of one entry.
     pub fn caller(&self, entry: usize) -> caller::Caller {
         caller::Caller::new(self.entries[entry].callers)
--- a/ragwortdeal_standins/src/lib.rs
+++ b/ragwortdeal_standins/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod history;
 pub mod network;
 pub mod origin;
+pub mod peer;
 pub mod process;
 pub mod service;
 
