--- a/ragwortdeal_core/src/replication.rs
+++ b/ragwortdeal_core/src/replication.rs
@@ -96,6 +96,14 @@
         /// Returned with a refusal.
         token: u64,
     },
+    /// Founds a group with these voters. Does nothing unless this replica's memory is empty.
+    ///
+    /// The surroundings give this to one replica only, and only when all these voters have said
+    /// that they are empty: two foundings would be two groups that each accept changes.
+    Found {
+        /// The first membership.
+        membership: membership::Membership,
+    },
     /// The state machine's state at an applied index; the log up to it may be dropped.
     Compact {
         /// Index of the last entry in the state.
--- a/ragwortdeal_core/src/replication/replica.rs
+++ b/ragwortdeal_core/src/replication/replica.rs
@@ -164,6 +164,7 @@
             Input::Read { token } => self.read(token),
             Input::Change { token, change } => self.change_membership(token, &change),
             Input::Transfer { token } => self.transfer(token),
+            Input::Found { membership } => self.found(membership),
             Input::Compact { index, state } => self.compact(index, state),
         }
     }
@@ -205,6 +206,11 @@
         matches!(self.role, Role::Leader(_))
     }
 
+    /// Whether this replica has never been part of a group.
+    pub fn is_empty(&self) -> bool {
+        self.hard_state.term == 0 && self.log.last().index == 0
+    }
+
     /// Index of the last entry given out to be applied.
     pub fn applied(&self) -> u64 {
         self.applied
@@ -377,6 +383,16 @@
         self.answer_reads();
     }
 
+    fn found(&mut self, membership: membership::Membership) {
+        if !self.is_empty() {
+            return;
+        }
+        self.hard_state.term = 1;
+        self.save_hard_state();
+        self.append(entry::Payload::Membership(membership));
+        self.election_deadline_ms = self.now_ms;
+    }
+
     /// Takes over the state machine's state as snapshot and frees the entries that it covers.
     fn compact(&mut self, index: u64, state: payload::Bytes) {
         let newest = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.position.index);
--- a/ragwortdeal_core/src/replication/replica/election.rs
+++ b/ragwortdeal_core/src/replication/replica/election.rs
@@ -24,7 +24,7 @@
     pub(super) fn tick(&mut self) {
         if self.is_leader() {
             self.tick_leader();
-        } else if self.now_ms >= self.election_deadline_ms {
+        } else if self.now_ms >= self.election_deadline_ms || self.is_sole_voter() {
             self.reset_election_deadline();
             if self.is_voter() {
                 self.start_candidacy(Phase::PreVote);
@@ -36,6 +36,12 @@
         self.log.membership().voters.contains(&self.id)
     }
 
+    /// Whether there is nobody whose election a wait could leave room for.
+    fn is_sole_voter(&self) -> bool {
+        let voters = &self.log.membership().voters;
+        voters.len() == 1 && self.is_voter() && self.role() == RoleKind::Follower
+    }
+
     pub(super) fn reset_election_deadline(&mut self) {
         let timeout_ms = self.options.election_timeout_ms;
         let spread_ms = self.next_random() % timeout_ms.max(1);
--- a/ragwortdeal_node/src/voter.rs
+++ b/ragwortdeal_node/src/voter.rs
@@ -1,102 +1,118 @@
 //! The voter part: keeps the log of accepted changes and claims, and answers entries.
+//!
+//! `docs/design/control-state.md` tells how the voters agree, `docs/operators/repair.md` what to
+//! do when one is lost.
 
-use std::{fs, io, io::Write as _, path, sync};
+mod disk;
+mod driver;
+mod letter;
+mod peers;
 
-use ragwortdeal_core::command;
+use std::{path, sync, time};
+
+use ragwortdeal_core::{
+    command, name,
+    replication::{self, entry, replica},
+};
 use ragwortdeal_wire::link as wire;
-use snafu::{ResultExt as _, Snafu};
-use tokio::net;
+use rand::RngExt as _;
+use snafu::Snafu;
+use tokio::{
+    net,
+    sync::{mpsc, oneshot},
+};
+
+use crate::{clock, link, settings, stop, storage};
 
-use crate::{link, settings, stop};
+/// Events that may wait for the voter. Letters beyond it are lost, as on a network.
+const EVENTS: usize = 4_096;
+/// How often the replica is told the time; several times within a heartbeat.
+const TICK_MS: u64 = 20;
+/// How long a planned stop waits for another voter to take over.
+const HANDOVER_MS: u64 = 2_000;
+/// How long a request without an answer is held. Every requester has given up by then, and a
+/// refusal earlier would claim that the proposal did not run, which nobody knows.
+const UNANSWERED_MS: u64 = 60_000;
+/// How often and how many times a folder is tried that a process just ended still holds.
+const FOLDER_RETRY_MS: u64 = 100;
+const FOLDER_RETRIES: u32 = 50;
 
 /// Why a voter cannot run.
 #[derive(Debug, Snafu)]
 pub enum VoterError {
-    /// The data folder or the log in it cannot be used.
-    #[snafu(display("{step}: {}: {source}", path.display()))]
+    /// The data folder cannot be used, or a write to it failed.
+    #[snafu(display("{source}"), context(false))]
     Storage {
-        /// What was being done.
-        step: &'static str,
-        /// The file or folder.
-        path: path::PathBuf,
-        /// What went wrong.
-        source: io::Error,
+        /// What went wrong, where, at which step.
+        source: storage::StorageError,
+    },
+    /// The settings hold a name that is none.
+    #[snafu(display("settings: {source}"), context(false))]
+    Name {
+        /// What is wrong with it.
+        source: name::NameError,
+    },
+    /// The replica stopped for good.
+    #[snafu(display("stopped for good: {reason:?}; see docs/operators/repair.md"))]
+    Stopped {
+        /// Why.
+        reason: replication::StopReason,
+    },
+    /// The state in a snapshot is not one that this program knows.
+    #[snafu(display("the snapshot cannot be decoded: {what}"))]
+    Snapshot {
+        /// What is wrong with it.
+        what: String,
     },
 }
 
-struct Held {
-    machine: command::Machine,
-    log: fs::File,
-    sessions: Vec<(link::Session, u64)>,
+/// What became of a proposal.
+#[derive(Debug)]
+enum Answer {
+    /// It was committed and led to this.
+    Decided(command::Outcome),
+    /// It did not run and will not.
+    Refused { reason: String, leader: Option<String> },
 }
 
-/// A voter and its state.
-pub struct Voter {
-    held: sync::Mutex<Held>,
+/// What the driver is told.
+enum Event {
+    Opened(link::Session),
+    Closed(link::SessionId),
+    Letter(letter::Letter),
+    Subscribe { session: link::Session, held_revision: u64 },
+    Propose { payload: Vec<u8>, answer: oneshot::Sender<Answer> },
+    Synced { write_id: u64, segment_bytes: u64 },
+    DiskFailed(storage::StorageError),
 }
 
-impl Voter {
-    /// Opens the data folder and applies the log in it.
-    pub fn open(data_dir: &path::Path) -> Result<Self, VoterError> {
-        fs::create_dir_all(data_dir)
-            .context(StorageSnafu { step: "create data folder", path: data_dir })?;
-        let path = data_dir.join("log");
-        let mut machine = command::Machine::default();
-        if let Ok(bytes) = fs::read(&path) {
-            let mut rest = io::Cursor::new(bytes);
-            while let Ok(command) = ciborium::from_reader::<command::Command, _>(&mut rest) {
-                machine.apply(&command);
-            }
-        }
-        let log = fs::OpenOptions::new().create(true).append(true).open(&path);
-        let log = log.context(StorageSnafu { step: "open log", path: &path })?;
-        let held = Held { machine, log, sessions: Vec::new() };
-        Ok(Self { held: sync::Mutex::new(held) })
-    }
-
-    fn propose(&self, payload: &[u8]) -> io::Result<command::Outcome> {
-        let command: command::Command =
-            ciborium::from_reader(payload).map_err(|_| io::ErrorKind::InvalidData)?;
-        let mut held = self.held.lock().expect("no panic under lock");
-        held.log.write_all(payload)?;
-        held.log.sync_data()?;
-        let outcome = held.machine.apply(&command);
-        held.push_updates();
-        Ok(outcome)
-    }
+/// The voter's side of accepted links.
+struct Links {
+    events: mpsc::Sender<Event>,
 }
 
-impl Held {
-    fn push_updates(&mut self) {
-        let config = self.machine.config();
-        self.sessions.retain_mut(|(session, sent_revision)| {
-            let Some(update) = config.update_since(*sent_revision) else {
-                return true;
-            };
-            *sent_revision = config.revision();
-            session.push(config_update(&update))
-        });
+impl Links {
+    fn tell(&self, event: Event) {
+        if self.events.try_send(event).is_err() {
+            log::debug!("voter: too busy, an event was dropped");
+        }
     }
 }
 
-/// Wraps a configuration update for a link.
-pub fn config_update(update: &ragwortdeal_core::config::delta::Update) -> wire::Message {
-    let mut payload = Vec::new();
-    ciborium::into_writer(update, &mut payload).expect("own types encode into memory");
-    wire::Message::ConfigUpdate(wire::ConfigUpdate { payload: payload.into() })
-}
-
-impl link::Service for Voter {
+impl link::Service for Links {
     fn opened(&self, session: &link::Session) {
-        log::info!("voter: link from {}", session.hello.name);
+        log::debug!("voter: link from {}", session.hello.name);
+        self.tell(Event::Opened(session.clone()));
     }
 
     fn pushed(&self, session: &link::Session, message: wire::Message) {
         if let wire::Message::Subscribe(subscribe) = message {
-            let mut held = self.held.lock().expect("no panic under lock");
-            held.sessions.retain(|(other, _)| other.id != session.id);
-            held.sessions.push((session.clone(), subscribe.held_revision));
-            held.push_updates();
+            let held_revision = subscribe.held_revision;
+            self.tell(Event::Subscribe { session: session.clone(), held_revision });
+        } else if let Some(letter) = letter::Letter::open(&message)
+            && peers::is_from(&session.hello, letter.sender())
+        {
+            self.tell(Event::Letter(letter));
         }
     }
 
@@ -104,35 +120,129 @@
         let wire::Message::Propose(proposal) = message else {
             return link::refused("voter", "not a request for a voter");
         };
-        match self.propose(&proposal.payload) {
-            Ok(outcome) => {
-                let mut payload = Vec::new();
-                ciborium::into_writer(&outcome, &mut payload)
-                    .expect("own types encode into memory");
-                wire::Message::Proposed(wire::Proposed { payload: payload.into() })
+        let (answer, answered) = oneshot::channel();
+        let payload = proposal.payload.into_vec();
+        if self.events.send(Event::Propose { payload, answer }).await.is_err() {
+            return link::refused("propose", "the voter is stopping");
+        }
+        match answered.await {
+            Ok(Answer::Decided(outcome)) => driver::proposed(&outcome),
+            Ok(Answer::Refused { reason, leader }) => {
+                wire::Message::Refused(wire::Refused { step: "propose".to_owned(), reason, leader })
             }
-            Err(error) => {
-                log::error!("voter: cannot write the log: {error}");
-                link::refused("write log", &error.to_string())
+            Err(_) => {
+                tokio::time::sleep(time::Duration::from_millis(UNANSWERED_MS)).await;
+                link::refused("propose", "the outcome is not known here")
             }
         }
     }
 
     fn closed(&self, session: &link::Session) {
-        let mut held = self.held.lock().expect("no panic under lock");
-        held.sessions.retain(|(other, _)| other.id != session.id);
+        self.tell(Event::Closed(session.id));
     }
 }
 
-/// Runs a voter until the stop.
+/// Wraps a configuration update for a link.
+pub fn config_update(update: &ragwortdeal_core::config::delta::Update) -> wire::Message {
+    let mut payload = Vec::new();
+    ciborium::into_writer(update, &mut payload).expect("own types encode into memory");
+    wire::Message::ConfigUpdate(wire::ConfigUpdate { payload: payload.into() })
+}
+
+/// Runs a voter until the stop. Before a planned stop it hands leadership over.
 pub async fn run(
     settings: settings::voter::Settings,
     listener: net::TcpListener,
     stop: stop::Stop,
 ) -> Result<(), VoterError> {
-    let data_dir = settings.voter.data_dir.unwrap_or_default();
-    let voter = sync::Arc::new(Voter::open(&data_dir)?);
+    let identity = settings.process.identity()?;
+    let data_dir = settings.voter.data_dir.clone().unwrap_or_default();
+    let storage = open_folder(&data_dir).await?;
+    let clock = clock::Clock::start();
+    let id = entry::ReplicaId { instance: identity.name.clone(), storage: storage.storage_id() };
+    log::info!("voter: opened {id}, entries={}", storage.stored().entries.len());
+    let options = replication::Options { seed: rand::rng().random(), ..Default::default() };
+    let stored = storage.stored().clone();
+    let replica = replica::Replica::new(id.clone(), options, stored, clock.now_ms());
+    let (events, received) = mpsc::channel(EVENTS);
+    let mut peers = peers::Peers::new(id, &settings.voter.initial);
     let credential = link::Credential::new(&settings.credentials.cluster);
-    link::serve(listener, credential, link::LinkLimits::default(), voter, stop).await;
-    Ok(())
+    for (name, address) in peers.others() {
+        let link = open_link(&address, &name, &credential, &identity, &events);
+        peers.add_link(name, link);
+    }
+    let disk = disk::start(storage, events.clone());
+    let (serve_stopper, serve_stop) = stop::pair();
+    let service = sync::Arc::new(Links { events });
+    let limits = link::LinkLimits::default();
+    let serving = tokio::spawn(link::serve(listener, credential, limits, service, serve_stop));
+    let ended = drive(driver::Driver::new(replica, clock, peers, disk), received, stop).await;
+    serve_stopper.stop();
+    let _ = serving.await;
+    ended
+}
+
+/// Opens the data folder; a process that was just ended may hold it for a moment.
+async fn open_folder(data_dir: &path::Path) -> Result<storage::Storage, VoterError> {
+    let mut tries = 0;
+    loop {
+        match storage::Storage::open(data_dir) {
+            Err(storage::StorageError::InUse { .. }) if tries < FOLDER_RETRIES => tries += 1,
+            opened => return Ok(opened?),
+        }
+        tokio::time::sleep(time::Duration::from_millis(FOLDER_RETRY_MS)).await;
+    }
+}
+
+fn open_link(
+    address: &str,
+    name: &name::InstanceName,
+    credential: &link::Credential,
+    identity: &settings::common::Identity,
+    events: &mpsc::Sender<Event>,
+) -> link::Link {
+    let (sender, mut received) = mpsc::channel(EVENTS);
+    let (events, name) = (events.clone(), name.clone());
+    tokio::spawn(async move {
+        while let Some(event) = received.recv().await {
+            if let link::LinkEvent::Push(message) = event
+                && let Some(letter) = letter::Letter::open(&message)
+                && letter.sender().instance == name
+                && events.send(Event::Letter(letter)).await.is_err()
+            {
+                return;
+            }
+        }
+    });
+    let (hello, limits) = (identity.hello("voter"), link::LinkLimits::default());
+    link::open(address, credential.clone(), hello, limits, sender)
+}
+
+async fn drive(
+    mut driver: driver::Driver,
+    mut events: mpsc::Receiver<Event>,
+    stop: stop::Stop,
+) -> Result<(), VoterError> {
+    let mut ticks = tokio::time::interval(time::Duration::from_millis(TICK_MS));
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut gives_up: Option<time::Instant> = None;
+    loop {
+        tokio::select! {
+            event = events.recv() => match event {
+                Some(event) => driver.handle(event),
+                None => return Ok(()),
+            },
+            _ = ticks.tick() => driver.tick(),
+            () = stop.wait(), if gives_up.is_none() => {
+                gives_up = Some(time::Instant::now() + time::Duration::from_millis(HANDOVER_MS));
+                driver.hand_over();
+            }
+        }
+        if let Some(failure) = driver.take_failure() {
+            return Err(failure);
+        }
+        if gives_up.is_some_and(|at| time::Instant::now() >= at || !driver.leads()) {
+            return Ok(());
+        }
+    }
 }
