Run one, three or five voters on the replicated log

Cause: the voter part kept a log of its own that one lost disk would have ended. Proposals wait for an election and followers pass them on. Conclusion: an entry needs any one living voter.

--- a/ragwortdeal_node/src/voter.rs
+++ b/ragwortdeal_node/src/voter.rs
@@ -6,7 +6,9 @@
 mod disk;
 mod driver;
 mod letter;
+pub mod operate;
 mod peers;
+mod proposals;
 
 use std::{path, sync, time};
 
@@ -67,7 +69,7 @@
 }
 
 /// What became of a proposal.
-#[derive(Debug)]
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
 enum Answer {
     /// It was committed and led to this.
     Decided(command::Outcome),
@@ -82,6 +84,7 @@
     Letter(letter::Letter),
     Subscribe { session: link::Session, held_revision: u64 },
     Propose { payload: Vec<u8>, answer: oneshot::Sender<Answer> },
+    Operate { request: operate::Request, reply: oneshot::Sender<operate::Reply> },
     Synced { write_id: u64, segment_bytes: u64 },
     DiskFailed(storage::StorageError),
 }
@@ -97,6 +100,15 @@
             log::debug!("voter: too busy, an event was dropped");
         }
     }
+
+    async fn operate(&self, request: operate::Request) -> wire::Message {
+        let (reply, replied) = oneshot::channel();
+        let told = self.events.send(Event::Operate { request, reply }).await;
+        match (told, replied.await) {
+            (Ok(()), Ok(reply)) => operate::seal(&reply),
+            _ => link::refused("operate voter", "the voter is stopping"),
+        }
+    }
 }
 
 impl link::Service for Links {
@@ -109,7 +121,7 @@
         if let wire::Message::Subscribe(subscribe) = message {
             let held_revision = subscribe.held_revision;
             self.tell(Event::Subscribe { session: session.clone(), held_revision });
-        } else if let Some(letter) = letter::Letter::open(&message)
+        } else if let Some(letter) = operate::open::<letter::Letter>(&message)
             && peers::is_from(&session.hello, letter.sender())
         {
             self.tell(Event::Letter(letter));
@@ -117,6 +129,9 @@
     }
 
     async fn requested(&self, _session: &link::Session, message: wire::Message) -> wire::Message {
+        if let Some(request) = operate::open::<operate::Request>(&message) {
+            return self.operate(request).await;
+        }
         let wire::Message::Propose(proposal) = message else {
             return link::refused("voter", "not a request for a voter");
         };
@@ -206,7 +221,7 @@
     tokio::spawn(async move {
         while let Some(event) = received.recv().await {
             if let link::LinkEvent::Push(message) = event
-                && let Some(letter) = letter::Letter::open(&message)
+                && let Some(letter) = operate::open::<letter::Letter>(&message)
                 && letter.sender().instance == name
                 && events.send(Event::Letter(letter)).await.is_err()
             {
--- a/ragwortdeal_node/src/voter/driver.rs
+++ b/ragwortdeal_node/src/voter/driver.rs
@@ -1,15 +1,14 @@
 //! The loop of a voter: gives the replica its inputs and carries out what it asks for.
 
-use std::{collections, mem, sync::mpsc as blocking};
+use std::{collections, sync::mpsc as blocking};
 
 use ragwortdeal_core::{
     command,
     replication::{Input, Output, Rejection, RoleKind, entry, payload, replica},
 };
 use ragwortdeal_wire::link as wire;
-use tokio::sync::oneshot;
 
-use super::{Answer, Event, VoterError, config_update, letter::Letter, peers};
+use super::{Answer, Event, VoterError, config_update, letter::Letter, operate, peers, proposals};
 use crate::{clock, link, storage};
 
 /// Bytes of log after which the state is written as a snapshot. It bounds the time of a restart.
@@ -17,25 +16,6 @@
 /// How often a voter announces itself and a leader looks for something to repair.
 const HOUSEKEEPING_MS: u64 = 200;
 
-/// How long a proposal waits for an election to end before it is refused as not run. Shorter than
-/// the time for which an entry waits, so that the entry can still ask the new leader.
-const WAIT_FOR_LEADER_MS: u64 = 2_000;
-/// Most proposals that wait for an election.
-const WAITING_MAX: usize = 1_024;
-
-/// A proposal that has no place in the log yet.
-struct Proposal {
-    payload: payload::Bytes,
-    answer: oneshot::Sender<Answer>,
-    refuse_at_ms: u64,
-}
-
-/// A proposal in the log whose fate is open.
-struct Pending {
-    term: u64,
-    answer: oneshot::Sender<Answer>,
-}
-
 /// An entry or another receiver of configuration updates.
 struct Subscriber {
     session: link::Session,
@@ -48,11 +28,9 @@
     clock: clock::Clock,
     peers: peers::Peers,
     disk: blocking::Sender<entry::Write>,
-    pending: collections::BTreeMap<u64, Pending>,
+    proposals: proposals::Proposals,
     /// The proposal that is being given to the replica, until it has a place in the log.
-    proposing: Option<Proposal>,
-    /// Proposals that came while no leader was known.
-    waiting: collections::VecDeque<Proposal>,
+    proposing: Option<proposals::Proposal>,
     subscribers: collections::BTreeMap<link::SessionId, Subscriber>,
     segment_bytes: u64,
     snapshot_index: u64,
@@ -73,9 +51,8 @@
             clock,
             peers,
             disk,
-            pending: collections::BTreeMap::new(),
+            proposals: proposals::Proposals::default(),
             proposing: None,
-            waiting: collections::VecDeque::new(),
             subscribers: collections::BTreeMap::new(),
             segment_bytes: 0,
             snapshot_index: 0,
@@ -101,9 +78,8 @@
     pub(super) fn tick(&mut self) {
         self.step(Input::Tick);
         let now_ms = self.clock.now_ms();
-        let late = self.waiting.iter().take_while(|it| it.refuse_at_ms <= now_ms).count();
         // Given to the replica once more, which refuses them for good where no leader is known.
-        for proposal in self.waiting.drain(..late).collect::<Vec<_>>() {
+        for proposal in self.proposals.take_late(now_ms) {
             self.propose(proposal);
         }
         if now_ms >= self.housekeeping_due_ms {
@@ -142,8 +118,11 @@
                 self.push_updates();
             }
             Event::Propose { payload, answer } => {
-                let refuse_at_ms = self.clock.now_ms() + WAIT_FOR_LEADER_MS;
-                self.propose(Proposal { payload: payload.into(), answer, refuse_at_ms });
+                self.propose_for(payload.into(), proposals::Asker::Here(answer));
+            }
+            Event::Operate { request, reply } => {
+                // The operator's tool may have gone; it asks again.
+                let _ = reply.send(self.operate(request));
             }
             Event::Synced { write_id, segment_bytes } => {
                 self.segment_bytes = segment_bytes;
@@ -154,34 +133,73 @@
         }
     }
 
-    fn propose(&mut self, proposal: Proposal) {
+    fn operate(&mut self, request: operate::Request) -> operate::Reply {
+        let status = self.replica.status();
+        match request {
+            operate::Request::Status => operate::Reply::Status(Box::new(status)),
+            operate::Request::Replace { lost, new } if status.is_leader => {
+                log::info!("voter: asked to replace {lost:?} by {new:?}");
+                self.peers.replace((lost, new));
+                operate::Reply::Started
+            }
+            operate::Request::Replace { .. } => {
+                let leader = status.leader.and_then(|leader| self.peers.address(&leader));
+                operate::Reply::NotLeader { leader }
+            }
+        }
+    }
+
+    fn propose_for(&mut self, payload: payload::Bytes, asker: proposals::Asker) {
+        let now_ms = self.clock.now_ms();
+        self.propose(proposals::Proposal::new(payload, asker, now_ms));
+    }
+
+    fn propose(&mut self, proposal: proposals::Proposal) {
         let data = proposal.payload.clone();
         self.proposing = Some(proposal);
         self.step(Input::Propose { token: 0, data });
     }
 
-    /// Without a leader a proposal waits for the election: to refuse it at once would show every
-    /// change of leader to operators and callers.
+    /// Passes a proposal on to the leader. Without one it waits for the election: to refuse it at
+    /// once would show every change of leader to operators and callers.
     fn rejected(
         &mut self,
-        proposal: Proposal,
+        proposal: proposals::Proposal,
         reason: Rejection,
         leader: Option<&entry::ReplicaId>,
     ) {
-        let in_time = self.clock.now_ms() < proposal.refuse_at_ms;
-        let electing = reason == Rejection::NotLeader && leader.is_none();
-        if in_time && electing && self.waiting.len() < WAITING_MAX {
-            self.waiting.push_back(proposal);
-            return;
+        let now_ms = self.clock.now_ms();
+        let may_wait = proposal.may_wait(now_ms);
+        let kept = match (reason, leader) {
+            (Rejection::NotLeader, Some(leader)) if may_wait => {
+                let own = self.replica.id();
+                self.proposals.pass_on(proposal, own, leader, &self.peers, now_ms)
+            }
+            (Rejection::NotLeader | Rejection::Transferring, None) if may_wait => {
+                self.proposals.wait(proposal)
+            }
+            _ => Err(proposal),
+        };
+        if let Err(proposal) = kept {
+            let leader = leader.and_then(|leader| self.peers.address(leader));
+            let reason = format!("{reason:?}");
+            self.tell(proposal.asker, Answer::Refused { reason, leader });
+        }
+    }
+
+    /// Answers an asker. It may have given up; it asks again with the same identifier.
+    fn tell(&self, asker: proposals::Asker, answer: Answer) {
+        match asker {
+            proposals::Asker::Here(sender) => drop(sender.send(answer)),
+            proposals::Asker::Peer { name, number } => {
+                let from = self.replica.id().clone();
+                self.peers.send(&name, &Letter::Forwarded { from, number, answer });
+            }
         }
-        let leader = leader.and_then(|leader| self.peers.address(leader));
-        let reason = format!("{reason:?}");
-        // The proposer may have given up; nothing ran either way.
-        let _ = proposal.answer.send(Answer::Refused { reason, leader });
     }
 
     fn leader_known(&mut self) {
-        for proposal in mem::take(&mut self.waiting) {
+        for proposal in self.proposals.take_waiting() {
             self.propose(proposal);
         }
     }
@@ -199,6 +217,15 @@
                     self.step(Input::Receive { from, message });
                 }
             }
+            Letter::Forward { from, number, payload } => {
+                let asker = proposals::Asker::Peer { name: from.instance, number };
+                self.propose_for(payload, asker);
+            }
+            Letter::Forwarded { number, answer, .. } => {
+                if let Some(asker) = self.proposals.returned(number) {
+                    self.tell(asker, answer);
+                }
+            }
         }
     }
 
@@ -233,8 +260,8 @@
             Output::Restore(snapshot) => self.restore(&snapshot),
             Output::Apply(entries) => self.apply(&entries),
             Output::Appended { position, .. } => {
-                if let Some(Proposal { answer, .. }) = self.proposing.take() {
-                    self.pending.insert(position.index, Pending { term: position.term, answer });
+                if let Some(proposal) = self.proposing.take() {
+                    self.proposals.logged(position, proposal.asker);
                 }
             }
             Output::Rejected { reason, leader, .. } => {
@@ -246,7 +273,7 @@
             Output::RoleChanged { role, term, leader } => log_role(role, term, leader.as_ref()),
             Output::Stopped { reason } => {
                 log::error!("voter: stopped for good, reason={reason:?}");
-                self.pending.clear();
+                self.proposals.clear();
                 self.failure.get_or_insert(VoterError::Stopped { reason });
             }
         }
@@ -274,20 +301,17 @@
         }
     }
 
-    /// Tells the proposer what became of its proposal. Another entry in its place proves that it
-    /// was never applied and never will be.
     fn answer(&mut self, position: entry::Position, outcome: Option<command::Outcome>) {
-        let Some(pending) = self.pending.remove(&position.index) else {
+        let Some((asker, is_this)) = self.proposals.applied(position) else {
             return;
         };
         let refused = |reason: &str| Answer::Refused { reason: reason.to_owned(), leader: None };
         let answer = match outcome {
-            _ if pending.term != position.term => refused("another leader took its place"),
+            _ if !is_this => refused("another leader took its place"),
             Some(outcome) => Answer::Decided(outcome),
             None => refused("not an entry of the log"),
         };
-        // The proposer may have given up; it asks again with the same identifier.
-        let _ = pending.answer.send(answer);
+        self.tell(asker, answer);
     }
 
     fn restore(&mut self, snapshot: &entry::Snapshot) {
@@ -299,9 +323,7 @@
                 self.failure = Some(VoterError::Snapshot { what: error.to_string() });
             }
         }
-        // What became of the proposals that it covers is not known here; without an answer their
-        // proposers ask again.
-        self.pending = self.pending.split_off(&(self.snapshot_index + 1));
+        self.proposals.covered(self.snapshot_index);
         self.push_updates();
     }
 
--- a/ragwortdeal_node/src/voter/letter.rs
+++ b/ragwortdeal_node/src/voter/letter.rs
@@ -1,7 +1,8 @@
 //! What voters send each other inside a link's replication message.
 
-use ragwortdeal_core::replication::{entry, message};
-use ragwortdeal_wire::link as wire;
+use ragwortdeal_core::replication::{entry, message, payload};
+
+use super::Answer;
 
 /// One message between two voters.
 #[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
@@ -22,6 +23,25 @@
         /// What it says.
         message: message::Message,
     },
+    /// A proposal that a follower was asked for, passed on to the leader. An entry need not know
+    /// the leader's address: it may be a voter that came after the entry's settings were written.
+    Forward {
+        /// The follower.
+        from: entry::ReplicaId,
+        /// The follower's number for it.
+        number: u64,
+        /// The proposal.
+        payload: payload::Bytes,
+    },
+    /// What became of a forwarded proposal.
+    Forwarded {
+        /// The voter that was taken for the leader.
+        from: entry::ReplicaId,
+        /// The follower's number for it.
+        number: u64,
+        /// The answer.
+        answer: Answer,
+    },
 }
 
 impl Letter {
@@ -29,22 +49,9 @@
     pub(super) fn sender(&self) -> &entry::ReplicaId {
         match self {
             Self::Announce { id, .. } => id,
-            Self::Replication { from, .. } => from,
+            Self::Replication { from, .. }
+            | Self::Forward { from, .. }
+            | Self::Forwarded { from, .. } => from,
         }
     }
-
-    /// Wraps the letter for a link.
-    pub(super) fn seal(&self) -> wire::Message {
-        let mut payload = Vec::new();
-        ciborium::into_writer(self, &mut payload).expect("own types encode into memory");
-        wire::Message::Replicate(wire::Replicate { payload: payload.into() })
-    }
-
-    /// Reads a letter, or nothing where it is none.
-    pub(super) fn open(message: &wire::Message) -> Option<Self> {
-        let wire::Message::Replicate(replicate) = message else {
-            return None;
-        };
-        ciborium::from_reader(&replicate.payload[..]).ok()
-    }
 }
--- a/ragwortdeal_node/src/voter/peers.rs
+++ b/ragwortdeal_node/src/voter/peers.rs
@@ -8,7 +8,7 @@
 };
 use ragwortdeal_wire::link as wire;
 
-use super::letter::Letter;
+use super::{letter::Letter, operate};
 use crate::{link, settings};
 
 /// For how long an announcement counts. Voters announce themselves several times within it.
@@ -23,8 +23,12 @@
     /// Links that other voters opened; the way back to one that the settings do not name.
     sessions: collections::BTreeMap<link::SessionId, link::Session>,
     announced: collections::BTreeMap<name::InstanceName, Announced>,
+    /// Replacements that an operator asked for, by the lost and the new instance.
+    replacements: collections::BTreeSet<Replacement>,
 }
 
+type Replacement = (Option<name::InstanceName>, Option<name::InstanceName>);
+
 struct Announced {
     id: entry::ReplicaId,
     empty: bool,
@@ -42,6 +46,7 @@
             links: collections::BTreeMap::new(),
             sessions: collections::BTreeMap::new(),
             announced: collections::BTreeMap::new(),
+            replacements: collections::BTreeSet::new(),
         }
     }
 
@@ -72,7 +77,7 @@
 
     /// Sends a letter; it may be lost, and replication sends what matters again.
     pub(super) fn send(&self, to: &name::InstanceName, letter: &Letter) {
-        let message = letter.seal();
+        let message = operate::seal(letter);
         if let Some(link) = self.links.get(to).filter(|link| link.is_up()) {
             if let Err(error) = link.push("replicate", message) {
                 log::debug!("voter: {error}");
@@ -126,21 +131,43 @@
         Some(membership::Membership { voters, ..membership::Membership::default() })
     }
 
+    /// Notes a replacement that an operator asked for.
+    pub(super) fn replace(&mut self, replacement: Replacement) {
+        self.replacements.insert(replacement);
+    }
+
     /// The next step to take in a voter that came back with an empty disk, or one that the
-    /// settings name and the group lacks.
+    /// settings name and the group lacks, or to carry on a replacement.
     pub(super) fn repair(
         &self,
         present: &membership::Membership,
         now_ms: u64,
     ) -> Option<membership::Change> {
+        let taken_out = |id: &entry::ReplicaId| {
+            self.replacements.iter().any(|(lost, _)| lost.as_ref() == Some(&id.instance))
+        };
         let expected = |id: &entry::ReplicaId| {
             let on_instance = present.members().any(|member| member.instance == id.instance);
-            on_instance || self.initial.contains_key(&id.instance)
+            let asked_for =
+                self.replacements.iter().any(|(_, new)| new.as_ref() == Some(&id.instance));
+            on_instance || asked_for || self.initial.contains_key(&id.instance)
         };
-        let ids = self.fresh(now_ms).map(|it| &it.id).filter(|id| expected(id));
+        let ids = self.fresh(now_ms).map(|it| &it.id);
+        let ids = ids.filter(|id| expected(id) && !taken_out(id));
         let mut steps =
             ids.filter_map(|id| repair::next_change(present, id, repair::replaced_by(present, id)));
-        steps.next()
+        steps.next().or_else(|| self.take_out(present))
+    }
+
+    /// Takes a lost voter out, once the one that stands in for it votes.
+    fn take_out(&self, present: &membership::Membership) -> Option<membership::Change> {
+        let on =
+            |name: &name::InstanceName| present.members().find(|member| member.instance == *name);
+        let votes =
+            |name: &name::InstanceName| present.voters.iter().any(|voter| voter.instance == *name);
+        let ready = self.replacements.iter().filter(|(_, new)| new.as_ref().is_none_or(votes));
+        let lost = ready.filter_map(|(lost, _)| on(lost.as_ref()?)).next();
+        lost.map(|id| membership::Change::Remove(id.clone()))
     }
 }
 
--- a/ragwortdeal_standins/src/deployment.rs
+++ b/ragwortdeal_standins/src/deployment.rs
@@ -2,9 +2,9 @@
 
 use std::{io, net, path, sync, time};
 
-use ragwortdeal_node::{agent, entry, settings, voter};
-use ragwortdeal_wire::operator as wire;
-use tokio::net as async_net;
+use ragwortdeal_node::{agent, entry, link, settings, voter};
+use ragwortdeal_wire::{link as link_wire, operator as wire};
+use tokio::{net as async_net, sync::mpsc};
 
 use crate::{caller, engine, origin, process, service};
 
@@ -142,6 +142,7 @@
             deployment.start_service(PORTAL, number, service::Behaviour::default()).await?;
         }
         deployment.settle().await;
+        deployment.reach_voters().await;
         Ok(deployment)
     }
 
@@ -178,6 +179,39 @@
         Ok(())
     }
 
+    /// Starts a voter that the settings of the others do not name, and returns its number.
+    pub fn start_new_voter(&mut self) -> io::Result<usize> {
+        let number = self.voters.len();
+        let (listener, address) = process::bind()?;
+        let mut settings = self.voters[0].settings.clone();
+        let process = self.process_settings("voter", number);
+        settings
+            .voter
+            .initial
+            .push(settings::voter::Member { name: process.name.clone(), address });
+        settings.voter.data_dir = Some(self.data_dir(number));
+        settings.process = process;
+        settings.listen.links = address;
+        let process = Some(start_voter(settings.clone(), listener)?);
+        self.voters.push(VoterProcess { process, settings });
+        Ok(number)
+    }
+
+    /// A link to a voter, as an operator's tool opens it. It is up a moment later.
+    pub fn voter_link(&self, number: usize) -> link::Link {
+        let address = self.voters[number].settings.listen.links.to_string();
+        let hello = link_wire::Hello {
+            name: "tests".to_owned(),
+            role: "operator".to_owned(),
+            zone: "home".to_owned(),
+            incarnation: 1,
+        };
+        let (events, mut received) = mpsc::channel(16);
+        tokio::spawn(async move { while received.recv().await.is_some() {} });
+        let credential = link::Credential::new(CLUSTER_SECRET);
+        link::open(&address, credential, hello, link::LinkLimits::default(), events)
+    }
+
     /// Folder of a voter's disk.
     pub fn data_dir(&self, number: usize) -> path::PathBuf {
         self.folder.path().join(format!("voter-{number}"))
@@ -312,6 +346,18 @@
         }
     }
 
+    /// Waits until all entries have a link to a voter; a change before that is refused as not run.
+    async fn reach_voters(&self) {
+        for number in 0..self.entries.len() {
+            let operator = self.operator(number);
+            wait_for("a voter can be reached", async || {
+                let status = operator.status().await;
+                status.is_some_and(|status| status.control == wire::StatusControl::Reachable)
+            })
+            .await;
+        }
+    }
+
     /// Sets a route from every account to every model, service and upstream.
     pub async fn open_routes(&self) {
         let all = String::new;
