--- a/ragwortdeal_node/src/agent.rs
+++ b/ragwortdeal_node/src/agent.rs
@@ -4,8 +4,10 @@
 mod announce;
 mod calls;
 mod engine;
+mod guard;
 mod rollout;
 mod store;
+mod transfer;
 
 use std::{
     collections,
@@ -38,21 +40,26 @@
 struct Weights {
     phase: &'static str,
     behind: Option<String>,
+    /// The version that is staged and verified as a whole.
+    verified: Option<digest::Digest>,
     serving: Option<digest::Digest>,
     /// Versions that are loaded; calls that name one of them are passed on.
     loaded: collections::BTreeSet<digest::Digest>,
     model: Option<name::ModelName>,
     origin_bytes: u64,
     peer_bytes: u64,
+    region_bytes: u64,
     staged_bytes: u64,
     size_bytes: u64,
 }
 
 /// The upstream's last load report.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Report {
     running: u64,
     queued: u64,
+    /// Calls in progress at that time by the entry that they came through.
+    by_entry: collections::BTreeMap<String, u64>,
     at: std::time::Instant,
 }
 
@@ -68,27 +75,40 @@
     weights: watch::Sender<Weights>,
     report: sync::Mutex<Report>,
     running: sync::Mutex<collections::BTreeMap<Option<digest::Digest>, u64>>,
+    by_entry: sync::Mutex<collections::BTreeMap<String, u64>>,
     sequence: atomic::AtomicU64,
     leaving: atomic::AtomicBool,
     engine: engine::Engine,
+    attempts: guard::Attempts,
+    transfer: transfer::Transfer,
+    /// When the bound on uploads allows the next piece.
+    upload_free_at: sync::Mutex<std::time::Instant>,
+    /// What the engine shall serve, once it is staged whole.
+    wanted: watch::Sender<Option<engine::Wanted>>,
 }
 
 impl Agent {
     fn new(settings: settings::agent::Settings) -> Result<Self, AgentError> {
         let identity = settings.process.identity()?;
-        let report = Report { running: 0, queued: 0, at: std::time::Instant::now() };
+        let by_entry = collections::BTreeMap::new();
+        let report = Report { running: 0, queued: 0, by_entry, at: std::time::Instant::now() };
         let http = http::Client::new(1_000);
         Ok(Self {
+            attempts: guard::Attempts::new(identity.incarnation),
+            wanted: watch::Sender::new(None),
             identity,
             credential: link::Credential::new(&settings.credentials.cluster),
             store: sync::Mutex::new(store::Store::new(settings.weights.staged_max_bytes)),
             engine: engine::Engine::new(settings.upstream.address, http.clone()),
+            transfer: transfer::Transfer::new(&settings.weights),
+            upload_free_at: sync::Mutex::new(std::time::Instant::now()),
             settings,
             http,
             config: watch::Sender::new(replica::Replica::default()),
             weights: watch::Sender::new(Weights { phase: "idle", ..Weights::default() }),
             report: sync::Mutex::new(report),
             running: sync::Mutex::default(),
+            by_entry: sync::Mutex::default(),
             sequence: atomic::AtomicU64::new(0),
             leaving: atomic::AtomicBool::new(false),
         })
@@ -115,9 +135,10 @@
         whole
     }
 
-    fn announcement(&self) -> wire::Announcement {
+    /// What an entry at this address is told.
+    fn announcement(&self, entry: &str) -> wire::Announcement {
         let weights = self.weights.borrow().clone();
-        let report = *self.report.lock().expect("no panic under lock");
+        let report = self.report.lock().expect("no panic under lock").clone();
         let service = self.settings.upstream.service.clone();
         let model = weights.model.as_ref().map(ToString::to_string);
         wire::Announcement {
@@ -140,11 +161,13 @@
             applied_revision: self.config.borrow().revision(),
             origin_bytes: weights.origin_bytes,
             peer_bytes: weights.peer_bytes,
-            region_bytes: 0,
+            region_bytes: weights.region_bytes,
             staged_bytes: weights.staged_bytes,
             size_bytes: weights.size_bytes,
             running: report.running,
             queued: report.queued,
+            slots: self.settings.upstream.slots.into(),
+            from_here: report.by_entry.get(entry).copied().unwrap_or(0),
             report_age_ms: report.at.elapsed().as_millis() as u64,
         }
     }
@@ -169,6 +192,8 @@
     }
     if agent.is_engine() {
         tasks.spawn(rollout::run(agent.clone()));
+        tasks.spawn(transfer::run(agent.clone()));
+        tasks.spawn(engine::give_orders(agent.clone()));
         tasks.spawn(engine::watch_load(agent.clone()));
     }
     stop.wait().await;
@@ -178,6 +203,7 @@
     tokio::time::sleep(std::time::Duration::from_millis(LINGER_MS)).await;
     stopper.stop();
     let finished = serving.await.unwrap_or(false);
+    guard::settled(&agent, grace_ms).await;
     log::info!("agent: stopped, all calls finished: {finished}");
     Ok(())
 }
--- a/ragwortdeal_node/src/agent/calls.rs
+++ b/ragwortdeal_node/src/agent/calls.rs
@@ -1,6 +1,6 @@
 //! Calls from entries to the upstream, and the staged weights that its engine reads.
 
-use std::sync;
+use std::{collections, sync};
 
 use gotham::{
     hyper, router,
@@ -10,16 +10,16 @@
 use ragwortdeal_core::digest;
 use ragwortdeal_wire::operator as wire;
 
-use super::Agent;
-use crate::http;
+use super::{Agent, guard, transfer};
+use crate::{attempt, http};
 
 /// Longest time an upstream may take to the head of its answer. The mainframe behind a ledger may
 /// take minutes; entries give up earlier by their own limits.
 const HEAD_MS: u64 = 600_000;
 
 /// Headers that belong to one hop and are not passed on.
-const HOP_HEADERS: [&str; 5] =
-    ["authorization", "connection", "host", "transfer-encoding", http::ACCOUNT];
+const HOP_HEADERS: [&str; 6] =
+    ["authorization", "connection", "host", "transfer-encoding", http::ACCOUNT, http::ENTRY];
 
 /// Routes of an agent.
 pub(super) fn router(agent: &sync::Arc<Agent>) -> router::Router {
@@ -34,6 +34,12 @@
     router::builder::build_simple_router(|route| {
         let staged = http::route(agent.clone(), staged);
         route.get("/internal/staged/*").to_new_handler(staged);
+        let ask = http::route(agent.clone(), guard::ask);
+        route.post(attempt::QUESTIONS_PATH).to_new_handler(ask);
+        let chunks = http::route(agent.clone(), transfer::ask);
+        route.get("/internal/peers/*").to_new_handler(chunks);
+        let hear = http::route(agent.clone(), transfer::hear);
+        route.post("/internal/peers/holdings").to_new_handler(hear);
         let call = http::route(agent.clone(), call);
         route.request(all.to_vec(), "/call/*").to_new_handler(call);
     })
@@ -52,36 +58,49 @@
         digest::Digest::of(&[cluster, b"/staged/", name].concat())
     }
 
-    /// Calls in progress on a version.
-    pub(super) fn running_on(&self, version: Option<digest::Digest>) -> u64 {
+    /// Versions on which calls are in progress.
+    pub(super) fn running_versions(&self) -> Vec<digest::Digest> {
         let running = self.running.lock().expect("no panic under lock");
-        running.get(&version).copied().unwrap_or(0)
+        running.keys().copied().flatten().collect()
     }
 }
 
 /// Counts a call from its start until its answer was passed on or given up.
-struct InProgress {
+pub(super) struct InProgress {
     agent: sync::Arc<Agent>,
     version: Option<digest::Digest>,
+    entry: String,
 }
 
 impl InProgress {
-    fn start(agent: sync::Arc<Agent>, version: Option<digest::Digest>) -> Self {
+    pub(super) fn start(
+        agent: sync::Arc<Agent>,
+        version: Option<digest::Digest>,
+        entry: &str,
+    ) -> Self {
+        let mut by_entry = agent.by_entry.lock().expect("no panic under lock");
+        *by_entry.entry(entry.to_owned()).or_default() += 1;
+        drop(by_entry);
         let mut running = agent.running.lock().expect("no panic under lock");
         *running.entry(version).or_default() += 1;
         drop(running);
-        Self { agent, version }
+        Self { agent, version, entry: entry.to_owned() }
     }
 }
 
 impl Drop for InProgress {
     fn drop(&mut self) {
-        let mut running = self.agent.running.lock().expect("no panic under lock");
-        if let Some(count) = running.get_mut(&self.version) {
-            *count -= 1;
-            if *count == 0 {
-                running.remove(&self.version);
-            }
+        count_down(&self.agent.running, &self.version);
+        count_down(&self.agent.by_entry, &self.entry);
+    }
+}
+
+fn count_down<K: Ord>(counts: &sync::Mutex<collections::BTreeMap<K, u64>>, key: &K) {
+    let mut counts = counts.lock().expect("no panic under lock");
+    if let Some(count) = counts.get_mut(key) {
+        *count -= 1;
+        if *count == 0 {
+            counts.remove(key);
         }
     }
 }
@@ -111,7 +130,7 @@
     http::answer(&http::problem(http::Kind::NotFound, wire::Ran::DidNotRun, detail))
 }
 
-fn refuse(agent: &Agent, kind: http::Kind, detail: &str) -> http::Response {
+pub(super) fn refuse(agent: &Agent, kind: http::Kind, detail: &str) -> http::Response {
     let mut response = http::answer(&http::problem(kind, wire::Ran::DidNotRun, detail));
     let serving = agent.weights.borrow().serving;
     if let Some(value) = serving.and_then(|version| version.to_string().parse().ok()) {
@@ -120,21 +139,36 @@
     response
 }
 
-async fn call(agent: sync::Arc<Agent>, request: http::Request) -> http::Response {
+/// Whether the request comes from a process of the system.
+pub(super) fn is_own_process(agent: &Agent, request: &http::Request) -> bool {
     let given = request.headers.get("authorization").map(hyper::header::HeaderValue::as_bytes);
-    if !agent.credential.accepts(given) {
+    agent.credential.accepts(given)
+}
+
+async fn call(agent: sync::Arc<Agent>, request: http::Request) -> http::Response {
+    if !is_own_process(&agent, &request) {
         return refuse(&agent, http::Kind::Unauthorized, "wrong credential");
     }
+    if attempt::Addressed::is_named_in(&request.headers) {
+        return guard::call(agent, request).await;
+    }
     let version = request.header(http::MODEL_VERSION).and_then(|version| version.parse().ok());
+    // Counted before the check: a version is unloaded once it is not offered any more and no call
+    // is counted on it, so a call between the two would otherwise lose its weights.
+    let entry = request.header(http::ENTRY).unwrap_or_default();
+    let in_progress = InProgress::start(agent.clone(), version, entry);
     if agent.is_engine() && !version.is_some_and(|v| agent.weights.borrow().loaded.contains(&v)) {
         return refuse(&agent, http::Kind::Unavailable, "this version is not loaded here");
     }
-    let in_progress = InProgress::start(agent.clone(), version);
     let step = "call upstream";
     let peer = agent.settings.upstream.address.to_string();
     let forwarded = forward(&peer, request);
+    let sent_at = std::time::Instant::now();
     match agent.http.send(step, &peer, forwarded, HEAD_MS).await {
-        Ok(response) => pass_on(response, version, in_progress),
+        Ok(response) => {
+            agent.transfer.call_answered(sent_at.elapsed());
+            pass_on(response, version, in_progress)
+        }
         Err(error) => {
             let ran = match error {
                 http::HttpError::NotSent { .. } => wire::Ran::DidNotRun,
@@ -146,7 +180,7 @@
     }
 }
 
-fn forward(peer: &str, request: http::Request) -> hyper::Request<http::Body> {
+pub(super) fn forward(peer: &str, request: http::Request) -> hyper::Request<http::Body> {
     let path = request.uri.path_and_query().map_or("/", |path| path.as_str());
     let path = path.strip_prefix("/call").unwrap_or(path);
     let mut forwarded = hyper::Request::new(request.body);
--- a/ragwortdeal_node/src/entry/relay.rs
+++ b/ragwortdeal_node/src/entry/relay.rs
@@ -5,7 +5,7 @@
 use ragwortdeal_core::config;
 use ragwortdeal_wire::link as wire;
 
-use super::Entry;
+use super::{Entry, operations};
 use crate::{link, voter};
 
 /// A process that follows the configuration through this entry.
@@ -33,16 +33,24 @@
             }
             wire::Message::Subscribe(subscribe) => {
                 self.0.subscribe(session, subscribe.held_revision);
+                self.0.roster.introduce(session);
             }
+            wire::Message::Demand(demand) => self.0.learn_demand(&session.hello.name, &demand),
             _ => log::debug!("entry: unexpected message from {}", session.hello.name),
         }
     }
 
-    async fn requested(&self, _session: &link::Session, _message: wire::Message) -> wire::Message {
-        link::refused("entry", "not a request for an entry")
+    async fn requested(&self, _session: &link::Session, message: wire::Message) -> wire::Message {
+        match message {
+            wire::Message::AttemptState(late) => {
+                operations::late_answer(&self.0, &late.payload).await
+            }
+            _ => link::refused("entry", "not a request for an entry"),
+        }
     }
 
     fn closed(&self, session: &link::Session) {
+        self.0.roster.closed(session);
         self.0.sessions.lock().expect("no panic under lock").remove(&session.id);
     }
 }
--- a/ragwortdeal_node/src/settings/agent.rs
+++ b/ragwortdeal_node/src/settings/agent.rs
@@ -74,6 +74,8 @@
     pub order_life_ms: u64,
     /// How often the upstream's load is read.
     pub report_ms: u64,
+    /// Calls that it works on at once; entries admit as much as all upstreams can take together.
+    pub slots: u32,
 }
 
 impl Default for Upstream {
@@ -86,6 +88,7 @@
             honours_key: false,
             order_life_ms: 60_000,
             report_ms: 500,
+            slots: 64,
         }
     }
 }
@@ -98,6 +101,8 @@
     pub origin: Option<net::SocketAddr>,
     /// Most bytes of weights held for the engine and for other agents.
     pub staged_max_bytes: u64,
+    /// Most bytes of chunks that are being received.
+    pub buffers_max_bytes: u64,
     /// 0 weighs the time until all replicas serve, 100 the bytes drawn from the origin.
     pub origin_weight_percent: u8,
     /// Most bytes a second that are served to other agents, 0 for no bound.
@@ -109,6 +114,7 @@
         Self {
             origin: None,
             staged_max_bytes: 64 << 30,
+            buffers_max_bytes: 256 << 20,
             origin_weight_percent: 50,
             upload_bytes_per_s: 0,
         }
--- a/ragwortdeal_node/src/voter/driver.rs
+++ b/ragwortdeal_node/src/voter/driver.rs
@@ -3,7 +3,7 @@
 use std::{collections, sync::mpsc as blocking};
 
 use ragwortdeal_core::{
-    command,
+    claims, command,
     replication::{Input, Output, Rejection, RoleKind, entry, payload, replica},
 };
 use ragwortdeal_wire::link as wire;
@@ -25,6 +25,8 @@
 pub(super) struct Driver {
     replica: replica::Replica,
     machine: command::Machine,
+    /// Stamps proposals while this voter leads.
+    log_clock: claims::clock::LogClock,
     clock: clock::Clock,
     peers: peers::Peers,
     disk: blocking::Sender<entry::Write>,
@@ -48,6 +50,7 @@
         Self {
             replica,
             machine: command::Machine::default(),
+            log_clock: claims::clock::LogClock::new(0, clock.now_ms()),
             clock,
             peers,
             disk,
@@ -155,11 +158,26 @@
     }
 
     fn propose(&mut self, proposal: proposals::Proposal) {
-        let data = proposal.payload.clone();
+        let Some(data) = self.stamped(&proposal.payload) else {
+            let reason = "not an entry of the log".to_owned();
+            return self.tell(proposal.asker, Answer::Refused { reason, leader: None });
+        };
         self.proposing = Some(proposal);
         self.step(Input::Propose { token: 0, data });
     }
 
+    /// The leader writes the time of the log into an entry; a follower passes it on as it is.
+    fn stamped(&self, data: &payload::Bytes) -> Option<payload::Bytes> {
+        if !self.replica.is_leader() {
+            return Some(data.clone());
+        }
+        let mut command: command::Command = ciborium::from_reader(&data[..]).ok()?;
+        command.stamp(self.log_clock.stamp_ms(self.clock.now_ms()));
+        let mut bytes = Vec::with_capacity(data.len() + 8);
+        ciborium::into_writer(&command, &mut bytes).expect("own types encode into memory");
+        Some(bytes.into())
+    }
+
     /// Passes a proposal on to the leader. Without one it waits for the election: to refuse it at
     /// once would show every change of leader to operators and callers.
     fn rejected(
@@ -270,7 +288,14 @@
                 }
             }
             Output::ReadReady { .. } => {}
-            Output::RoleChanged { role, term, leader } => log_role(role, term, leader.as_ref()),
+            Output::RoleChanged { role, term, leader } => {
+                log_role(role, term, leader.as_ref());
+                if role == RoleKind::Leader {
+                    let (applied_ms, now_ms) =
+                        (self.machine.claims().now_ms(), self.clock.now_ms());
+                    self.log_clock = claims::clock::LogClock::new(applied_ms, now_ms);
+                }
+            }
             Output::Stopped { reason } => {
                 log::error!("voter: stopped for good, reason={reason:?}");
                 self.proposals.clear();
--- a/ragwortdeal_standins/src/origin.rs
+++ b/ragwortdeal_standins/src/origin.rs
@@ -38,6 +38,20 @@
         Self { manifest, chunks }
     }
 
+    /// The same weights but for one chunk, as after a small update.
+    ///
+    /// # Panics
+    ///
+    /// Where there is no such chunk.
+    pub fn with_changed_chunk(&self, chunk: usize) -> Self {
+        let mut chunks = self.chunks.clone();
+        let mut changed = chunks[chunk].to_vec();
+        changed[0] ^= 1;
+        chunks[chunk] = changed.into();
+        let manifest = manifest::Manifest::of_bytes(&chunks.concat(), self.manifest.chunk_bytes());
+        Self { manifest: manifest.expect("as long as the manifest before"), chunks }
+    }
+
     /// Digest of the manifest.
     pub fn version(&self) -> digest::Digest {
         self.manifest.version()
@@ -73,6 +87,11 @@
 impl Origin {
     /// Starts an origin whose link carries that many bytes a second.
     pub async fn start(rate_bytes_per_s: u64) -> io::Result<Self> {
+        Self::start_at(http::any_port(), rate_bytes_per_s).await
+    }
+
+    /// Starts an origin on an address.
+    pub async fn start_at(address: net::SocketAddr, rate_bytes_per_s: u64) -> io::Result<Self> {
         let shared = sync::Arc::new(Shared {
             chunks: sync::Mutex::default(),
             manifests: sync::Mutex::default(),
@@ -82,7 +101,7 @@
             faults: sync::Mutex::default(),
         });
         let answering = shared.clone();
-        let server = http::serve(move |request| {
+        let server = http::serve(address, move |request| {
             let shared = answering.clone();
             async move { shared.answer(request.uri().path()).await }
         });
