--- a/ragwortdeal_node/src/entry/operations.rs
+++ b/ragwortdeal_node/src/entry/operations.rs
@@ -12,7 +12,7 @@
 };
 use ragwortdeal_wire::link as wire;
 
-use super::{Entry, callers, calls, stream};
+use super::{Entry, callers, calls};
 use crate::{attempt, http, link};
 
 pub(super) use staff::{list, settle};
@@ -52,17 +52,15 @@
     let Ok(body) = http::read(request.body, limits.request_max_bytes, limits.gap_ms).await else {
         return refuse(http::Kind::BadRequest, "the body is too large or too slow");
     };
-    let changes = !matches!(call.method, hyper::Method::GET | hyper::Method::HEAD);
+    if matches!(call.method, hyper::Method::GET | hyper::Method::HEAD) {
+        return repeatable(&entry, &call, urgency, body).await;
+    }
     let mut permit = match entry.admit(&call.account, &call.target(), urgency, &id).await {
         Ok(permit) => permit,
-        Err(refusal) if !changes => return refusal,
         Err(refusal) => return refused(&entry, call, body, refusal).await,
     };
     permit.answered();
-    match changes {
-        false => repeatable(&entry, &call, body).await,
-        true => once(&entry, call, body).await,
-    }
+    once(&entry, call, body).await
 }
 
 struct Call {
@@ -81,21 +79,22 @@
     }
 }
 
-async fn repeatable(entry: &sync::Arc<Entry>, call: &Call, body: bytes::Bytes) -> http::Response {
-    let chosen = match entry.choose(&call.account, &call.target(), &[]) {
-        Ok(chosen) => chosen,
-        Err(kind) => return callers::not_run(kind, "no upstream may serve this call", &call.id),
+async fn repeatable(
+    entry: &sync::Arc<Entry>,
+    call: &Call,
+    urgency: calls::permit::Urgency,
+    body: bytes::Bytes,
+) -> http::Response {
+    let read = calls::reads::Read {
+        id: &call.id,
+        account: &call.account,
+        target: &call.target(),
+        method: &call.method,
+        path: &call.path,
+        urgency,
+        body,
     };
-    let request = entry.to_agent(&chosen, call.method.as_str(), &call.path, &call.id, body);
-    let limits = &entry.settings.limits;
-    match entry.http.send("call agent", &chosen.address, request, limits.first_byte_ms).await {
-        Ok(response) => {
-            let (request_id, gap_ms) = (call.id.clone(), limits.gap_ms);
-            let in_flight = chosen.in_flight;
-            stream::relay(response, stream::Watch { request_id, events: false, gap_ms, in_flight })
-        }
-        Err(error) => callers::not_run(http::Kind::Unavailable, &error.to_string(), &call.id),
-    }
+    calls::reads::serve(entry, &read).await
 }
 
 /// Runs an operation that may not be repeated.
--- a/ragwortdeal_node/tests/calls.rs
+++ b/ragwortdeal_node/tests/calls.rs
@@ -3,9 +3,13 @@
 use std::time;
 
 use googletest::prelude::*;
-use ragwortdeal_node::settings;
+use ragwortdeal_node::{http, settings};
 use ragwortdeal_standins::{caller, deployment, engine, origin};
-use ragwortdeal_wire::operator as wire;
+use ragwortdeal_wire::{engine as engine_wire, operator as wire};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net,
+};
 
 /// Secret of a second account.
 const SMALL_TOKEN: &str = "token-of-a-small-account";
@@ -190,3 +194,128 @@
     let finished: u64 = deployment.engines.iter().map(finished).sum();
     expect_that!(finished, eq(60 - refused + 3));
 }
+
+/// A caller stops reading in the middle of a long answer. Its pieces must not pile up in the entry,
+/// and other callers must not wait for it.
+#[googletest::test]
+#[tokio::test]
+async fn a_slow_caller_holds_up_no_other_and_bounds_what_waits_for_it() {
+    let fast = engine::Behaviour { token_ms: 0, ..engine::Behaviour::default() };
+    let (deployment, version) = serving(plan(1, fast)).await;
+    let mut slow = net::TcpStream::connect(deployment.entries[0].callers).await.unwrap();
+    let body = format!(
+        "{{\"model\":\"{}\",\"prompt\":\"slow\",\"max_tokens\":200000,\"stream\":true}}",
+        deployment::MODEL
+    );
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {}\r\n\
+         content-length: {}\r\n\r\n",
+        caller::ACCOUNT_TOKEN,
+        body.len()
+    );
+    slow.write_all(format!("{head}{body}").as_bytes()).await.unwrap();
+    let mut first = [0; 1];
+    slow.read_exact(&mut first).await.unwrap();
+    for call in 0..20 {
+        let prompt = format!("p{call}");
+        let answer = deployment.caller(0).complete(deployment::MODEL, &prompt, 5).await;
+        expect_that!(is_whole(&answer, &version, &prompt, 5), eq(true), "{answer:?}");
+    }
+    let engine = deployment.engines[0].engine.as_ref().unwrap();
+    // The engine can only end the long answer if somebody took all of it.
+    expect_that!(engine.finished(), eq(20));
+    drop(slow);
+    deployment::wait_for("the engine was told", async || engine.cancelled() == 1).await;
+}
+
+/// Calls that the engines have, running or waiting, by their own word.
+async fn at_engines(deployment: &deployment::Deployment) -> u64 {
+    let client = http::Client::new(1_000);
+    let mut calls = 0;
+    for agent in &deployment.engines {
+        let peer = agent.engine.as_ref().unwrap().address().to_string();
+        let request = hyper::Request::get(format!("http://{peer}/state"));
+        let request = request.body(http::full("")).unwrap();
+        let fetched = client.fetch("read state", &peer, request, 1 << 16, 5_000).await.unwrap();
+        let state: engine_wire::EngineState = serde_json::from_slice(&fetched.1).unwrap();
+        calls += state.running + state.queued;
+    }
+    calls
+}
+
+/// One account floods two entries. If each took the whole capacity for its own, the engines would
+/// get twice what they can do, and everybody's calls would wait there instead of being refused.
+#[googletest::test]
+#[tokio::test]
+async fn a_flood_at_two_entries_gets_one_capacity() {
+    let few = engine::Behaviour { slots: 4, token_ms: 20, ..engine::Behaviour::default() };
+    let plan = deployment::Plan { entries: 2, ..plan(2, few) };
+    let (deployment, version) = serving(plan).await;
+    deployment.serving(1, &version, 2).await;
+    let mut flood = tokio::task::JoinSet::new();
+    for number in 0..40 {
+        let caller = deployment.caller(number % 2);
+        flood.spawn(async move {
+            loop {
+                let answer = caller.complete(deployment::MODEL, "p", 20).await;
+                if !answer.ended() {
+                    tokio::time::sleep(time::Duration::from_millis(100)).await;
+                }
+            }
+        });
+    }
+    tokio::time::sleep(time::Duration::from_millis(2_000)).await;
+    let mut seen = Vec::new();
+    for _ in 0..20 {
+        seen.push(at_engines(&deployment).await);
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+    }
+    seen.sort_unstable();
+    // Eight slots; each of two entries may round its part up and let a burst in.
+    expect_that!(seen[10], all![ge(6), le(12)], "{seen:?}");
+    flood.abort_all();
+}
+
+/// One of two portal instances dies beside its agent, and the other with its agent. Reads change
+/// nothing, so each goes to an instance that answers, and no caller sees an error.
+#[googletest::test]
+#[tokio::test]
+async fn reads_of_a_service_go_on_when_instances_die() {
+    let plan = deployment::Plan { portals: 3, ..plan(0, engine::Behaviour::default()) };
+    let mut deployment = deployment::Deployment::start(plan).await.unwrap();
+    deployment.open_routes().await;
+    let read = async |deployment: &deployment::Deployment| {
+        let path = format!("/services/{}/hours", deployment::PORTAL);
+        deployment.caller(0).send("GET", &path, None, String::new()).await
+    };
+    deployment::wait_for("the route is in force", async || read(&deployment).await.status == 200)
+        .await;
+    deployment.services[0].process.take().unwrap().kill();
+    deployment.services[1].service.take();
+    for _ in 0..30 {
+        let answer = read(&deployment).await;
+        expect_that!((answer.status, &answer.body[..]), eq((200, &b"open"[..])));
+    }
+}
+
+/// A caller that will wait 50 ms cannot get an answer that takes 200 ms. It is told at once, and no
+/// engine works for it.
+#[googletest::test]
+#[tokio::test]
+async fn a_request_without_enough_time_is_refused_as_not_run() {
+    let (deployment, _) = serving(plan(1, engine::Behaviour::default())).await;
+    let request =
+        hyper::Request::post(format!("http://{}/v1/completions", deployment.entries[0].callers))
+            .header("authorization", format!("Bearer {}", caller::ACCOUNT_TOKEN))
+            .header(http::TIMEOUT_MS, "50")
+            .body(http::full(format!("{{\"model\":\"{}\",\"prompt\":\"p\"}}", deployment::MODEL)));
+    let peer = deployment.entries[0].callers.to_string();
+    let client = http::Client::new(1_000);
+    let fetched = client.fetch("test call", &peer, request.unwrap(), 1 << 16, 5_000).await;
+    let (head, body) = fetched.unwrap();
+    let problem: wire::Problem = serde_json::from_slice(&body).unwrap();
+    expect_that!(head.status.as_u16(), eq(429));
+    expect_that!(problem.ran, eq(wire::Ran::DidNotRun));
+    expect_that!(problem.detail.as_deref(), some(eq("deadline_too_close")));
+    expect_that!(deployment.engines[0].engine.as_ref().unwrap().finished(), eq(0));
+}
