--- a/ragwortdeal_node/src/storage.rs
+++ b/ragwortdeal_node/src/storage.rs
@@ -60,6 +60,16 @@
         /// The lock file.
         path: path::PathBuf,
     },
+    /// A write to this folder failed in an earlier start of the voter.
+    #[snafu(display(
+        "{}: a write to this folder failed before, so what can be read now may not be on the disk. \
+         Move the folder aside and start the voter with an empty one; see docs/operators/repair.md",
+        path.display()
+    ))]
+    Failed {
+        /// The file that says so.
+        path: path::PathBuf,
+    },
     /// An earlier write failed; nothing more is written.
     #[snafu(display("the data folder was given up after a failed write"))]
     GivenUp,
@@ -113,6 +123,7 @@
     pub fn open_with(folder: &path::Path, open_segment: OpenSegment) -> Result<Self, StorageError> {
         files::make_folder(folder)?;
         let lock = files::lock(folder)?;
+        files::check_not_failed(folder)?;
         let storage_id = identity::open(folder)?;
         files::remove_unfinished(folder)?;
         let recovered = match files::newest_number(folder, files::SEGMENT)? {
@@ -162,7 +173,10 @@
             return Err(StorageError::GivenUp);
         }
         let written = self.write_all(writes);
-        self.given_up = written.is_err();
+        if written.is_err() {
+            self.given_up = true;
+            files::mark_failed(&self.folder);
+        }
         written
     }
 
--- a/ragwortdeal_node/src/storage/files.rs
+++ b/ragwortdeal_node/src/storage/files.rs
@@ -9,7 +9,7 @@
 
 use snafu::ResultExt as _;
 
-use super::{InUseSnafu, IoSnafu, StorageError};
+use super::{FailedSnafu, InUseSnafu, IoSnafu, StorageError};
 
 /// Prefix of segment files.
 pub(super) const SEGMENT: &str = "segment-";
@@ -144,6 +144,27 @@
     cut.context(IoSnafu { step: "cut", path })
 }
 
+/// Notes that a write failed. After a failed sync the system may show pages as written that never
+/// reached the disk; a restart would read them back and acknowledge them. If the note cannot be made
+/// either, the operator has the error in the log.
+pub(super) fn mark_failed(folder: &path::Path) {
+    let noted = fs::File::create(failed_path(folder)).and_then(|file| file.sync_all());
+    if let Err(error) = noted.and_then(|()| fs::File::open(folder)?.sync_all()) {
+        log::error!("storage: cannot note the failure of {}: {error}", folder.display());
+    }
+}
+
+/// Refuses a folder to which a write failed.
+pub(super) fn check_not_failed(folder: &path::Path) -> Result<(), StorageError> {
+    let path = failed_path(folder);
+    let failed = fs::exists(&path).context(IoSnafu { step: "look for", path: &path })?;
+    if failed { FailedSnafu { path }.fail() } else { Ok(()) }
+}
+
+fn failed_path(folder: &path::Path) -> path::PathBuf {
+    folder.join("failed")
+}
+
 /// Path of the mark.
 pub(super) fn mark_path(folder: &path::Path) -> path::PathBuf {
     folder.join("synced")
--- a/ragwortdeal_standins/src/deployment.rs
+++ b/ragwortdeal_standins/src/deployment.rs
@@ -2,6 +2,7 @@
 
 use std::{io, net, path, sync, time};
 
+use ragwortdeal_core::replication::replica;
 use ragwortdeal_node::{agent, entry, link, settings, voter};
 use ragwortdeal_wire::{link as link_wire, operator as wire};
 use tokio::{net as async_net, sync::mpsc};
@@ -221,6 +222,26 @@
         link::open(&address, credential, hello, link::LinkLimits::default(), events)
     }
 
+    /// A voter's view of its group, `None` where it does not answer.
+    pub async fn voter_status(&self, number: usize) -> Option<replica::Status> {
+        match self.ask_voter(number, &voter::operate::Request::Status).await {
+            Some(voter::operate::Reply::Status(status)) => Some(*status),
+            _ => None,
+        }
+    }
+
+    /// Asks a voter as an operator's tool does.
+    pub async fn ask_voter(
+        &self,
+        number: usize,
+        request: &voter::operate::Request,
+    ) -> Option<voter::operate::Reply> {
+        self.voters[number].process.as_ref()?;
+        let link = self.voter_link(number);
+        wait_for("the link to a running voter is up", async || link.is_up()).await;
+        voter::operate::ask(&link, request, 1_000).await.ok()
+    }
+
     /// Folder of a voter's disk.
     pub fn data_dir(&self, number: usize) -> path::PathBuf {
         self.folder.path().join(format!("voter-{number}"))
