--- /dev/null
+++ b/ragwortdeal_node/src/voter/letter.rs
@@ -0,0 +1,57 @@
+//! What voters send each other inside a link's replication message.
+
+use ragwortdeal_core::replication::{entry, message, payload};
+
+use super::Answer;
+
+/// One message between two voters.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub(super) enum Letter {
+    /// Which replica this voter is, and whether it has never been part of a group.
+    Announce {
+        /// The sender.
+        id: entry::ReplicaId,
+        /// Whether its data folder is new.
+        empty: bool,
+    },
+    /// A message of the replicated log.
+    Replication {
+        /// The sender.
+        from: entry::ReplicaId,
+        /// The addressed replica. Another replica on the same instance drops it.
+        to: entry::ReplicaId,
+        /// What it says.
+        message: message::Message,
+    },
+    /// A proposal that a follower was asked for, passed on to the leader. An entry need not know
+    /// the leader's address: it may be a voter that came after the entry's settings were written.
+    Forward {
+        /// The follower.
+        from: entry::ReplicaId,
+        /// The follower's number for it.
+        number: u64,
+        /// The proposal.
+        payload: payload::Bytes,
+    },
+    /// What became of a forwarded proposal.
+    Forwarded {
+        /// The voter that was taken for the leader.
+        from: entry::ReplicaId,
+        /// The follower's number for it.
+        number: u64,
+        /// The answer.
+        answer: Answer,
+    },
+}
+
+impl Letter {
+    /// Who claims to have sent it.
+    pub(super) fn sender(&self) -> &entry::ReplicaId {
+        match self {
+            Self::Announce { id, .. } => id,
+            Self::Replication { from, .. }
+            | Self::Forward { from, .. }
+            | Self::Forwarded { from, .. } => from,
+        }
+    }
+}
