Count the leases of running entries from echoed stamps

Cause: an entry that was stopped for 30 s believed the announcements in its queue on its return, and sent callers to upstreams that had died meanwhile. Change: an agent renews its lease by a request that echoes the entry's stamp; an announced upstream is known once its lease was granted. The schema of links is unchanged. Conclusion: what waited during a pause grants nothing.

--- a/ragwortdeal_node/examples/capacity/links.rs
+++ b/ragwortdeal_node/examples/capacity/links.rs
@@ -6,8 +6,11 @@
     time,
 };
 
-use ragwortdeal_core::config::{delta, state};
-use ragwortdeal_node::{link, stop, voter};
+use ragwortdeal_core::{
+    config::{delta, state},
+    membership,
+};
+use ragwortdeal_node::{lease, link, stop, voter};
 use ragwortdeal_wire::link as wire;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -148,8 +151,8 @@
     meter::encode(&frame).len() as u64
 }
 
-/// Bytes a second that an entry receives today from so many agents, which all announce to it twice
-/// a second.
+/// Bytes a second that an entry receives today from so many agents, which all announce to it and
+/// renew their leases twice a second.
 pub fn announcements_today(counts: &[usize]) -> Vec<fit::Point> {
     let bytes = |number: usize| {
         let hello = hello(number);
@@ -179,7 +182,12 @@
             target: "match-proposals".to_owned(),
             zone: hello.zone,
         };
-        framed_bytes(wire::Message::Announce(announcement)) + meter::MESSAGE_OVERHEAD_BYTES
+        let stamp = membership::Stamp { life: announcement.incarnation, at_ms: 1_000_000 };
+        let incarnation = announcement.incarnation;
+        let renewal = lease::message(&lease::Renewal { incarnation, echo: Some(stamp) });
+        framed_bytes(wire::Message::Announce(announcement))
+            + framed_bytes(renewal)
+            + 2 * meter::MESSAGE_OVERHEAD_BYTES
     };
     let total = |count: usize| 2 * (0..count).map(bytes).sum::<u64>();
     counts.iter().map(|count| (*count as f64, total(*count) as f64)).collect()
--- a/ragwortdeal_node/src/entry/relay.rs
+++ b/ragwortdeal_node/src/entry/relay.rs
@@ -2,11 +2,11 @@
 
 use std::sync;
 
-use ragwortdeal_core::config;
+use ragwortdeal_core::{config, membership};
 use ragwortdeal_wire::link as wire;
 
 use super::{Entry, operations};
-use crate::{link, voter};
+use crate::{lease, link, voter};
 
 /// A process that follows the configuration through this entry.
 pub(super) struct Subscriber {
@@ -40,8 +40,9 @@
         }
     }
 
-    async fn requested(&self, _session: &link::Session, message: wire::Message) -> wire::Message {
+    async fn requested(&self, session: &link::Session, message: wire::Message) -> wire::Message {
         match message {
+            wire::Message::Members(_) => self.0.renew(session, &message),
             wire::Message::AttemptState(late) => {
                 operations::late_answer(&self.0, &late.payload).await
             }
@@ -56,6 +57,17 @@
 }
 
 impl Entry {
+    fn renew(&self, session: &link::Session, message: &wire::Message) -> wire::Message {
+        let Some(renewal) = lease::read::<lease::Renewal>(message) else {
+            return link::refused("renew lease", "not a renewal");
+        };
+        let (now_ms, life) = (self.clock.now_ms(), self.identity.incarnation);
+        let mut members = self.members.lock().expect("no panic under lock");
+        let granted = members.renewed(&session.hello.name, &renewal, life, now_ms);
+        let stamp = membership::Stamp { life, at_ms: now_ms };
+        lease::message(&lease::Answer { stamp, granted })
+    }
+
     fn subscribe(&self, session: &link::Session, held_revision: u64) {
         let mut sessions = self.sessions.lock().expect("no panic under lock");
         if let Some(subscriber) = sessions.get_mut(&session.id) {
--- a/ragwortdeal_node/src/lib.rs
+++ b/ragwortdeal_node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod entry;
 pub mod http;
+pub mod lease;
 pub mod link;
 pub mod logging;
 pub mod program;
