--- a/ragwortdeal_node/src/entry.rs
+++ b/ragwortdeal_node/src/entry.rs
@@ -152,11 +152,11 @@
     let mut tasks = tokio::task::JoinSet::new();
     tasks.spawn(control::follow(entry.clone(), events));
     tasks.spawn(members::expire(entry.clone()));
-    tasks.spawn(roster::follow(entry.clone()));
     tasks.spawn(calls::demand::keep_time(entry.clone()));
     for address in &entry.settings.entries.addresses {
         tasks.spawn(calls::demand::tell(entry.clone(), address.to_string()));
     }
+    tasks.spawn(roster::follow(entry.clone()));
     let limits = link::LinkLimits::default();
     let credential = entry.credential.clone();
     let (links_stopper, links_stop) = stop::pair();
