Test a newer version placed in the middle of a spread

Cause: Superseding was tested on single decisions, not over sockets. Change: Twelve agents get a second version that differs in one chunk while the first is under way. Conclusion: Shared chunks are kept, and no engine loaded partial weights.

--- a/ragwortdeal_node/tests/spread_whole.rs
+++ b/ragwortdeal_node/tests/spread_whole.rs
@@ -133,3 +133,21 @@
     expect_that!(copies(&deployment, &weights), le(1.4));
     expect_no_partial_loads(&deployment);
 }
+
+/// An operator places a corrected version while the first is still under way. The first one's
+/// chunks that did not change must not be drawn again, and no engine may get a mixture.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_newer_version_in_the_middle_keeps_what_both_share() {
+    let deployment = deployment::Deployment::start(twelve(100)).await.unwrap();
+    let first = origin::Weights::of_seed(17, 8 * MIB, 128 << 10);
+    let second = first.with_changed_chunk(5);
+    deployment.roll_out(&first).await;
+    let started = async || deployment.origin.served_bytes() > 2 * MIB as u64;
+    deployment::wait_for("the first is under way", started).await;
+    deployment.roll_out(&second).await;
+    deployment.serving(0, &second.version().to_string(), 12).await;
+    // Fetched anew, two versions would be two copies. Chunks that were on their way are drawn twice.
+    expect_that!(copies(&deployment, &first), le(1.4));
+    expect_no_partial_loads(&deployment);
+}
