--- a/ragwortdeal_node/src/entry/operations.rs
+++ b/ragwortdeal_node/src/entry/operations.rs
@@ -52,15 +52,10 @@
     let Ok(body) = http::read(request.body, limits.request_max_bytes, limits.gap_ms).await else {
         return refuse(http::Kind::BadRequest, "the body is too large or too slow");
     };
-    if matches!(call.method, hyper::Method::GET | hyper::Method::HEAD) {
-        return repeatable(&entry, &call, urgency, body).await;
+    match call.method {
+        hyper::Method::GET | hyper::Method::HEAD => repeatable(&entry, &call, urgency, body).await,
+        _ => once(&entry, call, urgency, body).await,
     }
-    let mut permit = match entry.admit(&call.account, &call.target(), urgency, &id).await {
-        Ok(permit) => permit,
-        Err(refusal) => return refused(&entry, call, body, refusal).await,
-    };
-    permit.answered();
-    once(&entry, call, body).await
 }
 
 struct Call {
@@ -98,19 +93,29 @@
 }
 
 /// Runs an operation that may not be repeated.
-async fn once(entry: &sync::Arc<Entry>, call: Call, body: bytes::Bytes) -> http::Response {
+async fn once(
+    entry: &sync::Arc<Entry>,
+    call: Call,
+    urgency: calls::permit::Urgency,
+    body: bytes::Bytes,
+) -> http::Response {
     let order = match Order::read(call, body) {
         Ok(order) => order,
         Err(refusal) => return refusal,
     };
+    let (account, target) = (&order.call.account, order.call.target());
+    let mut permit = match entry.admit(account, &target, urgency, &order.call.id).await {
+        Ok(permit) => permit,
+        Err(refusal) => return not_taken(entry, &order, refusal).await,
+    };
+    permit.answered();
     let mut tried = Vec::new();
     loop {
         let (chosen, claim) = match order.prepare(entry, &tried) {
             Ok(prepared) => prepared,
             Err(kind) => {
-                let detail = "no upstream may serve this call";
-                let refusal = callers::not_run(kind, detail, &order.call.id);
-                return unless_known(entry, &order, refusal).await;
+                let refusal = refuse_order(&order, kind);
+                return not_taken(entry, &order, refusal).await;
             }
         };
         tried.push(chosen.instance.clone());
@@ -188,22 +193,13 @@
     }
 }
 
-/// Answers an operation that was not admitted.
-async fn refused(
-    entry: &sync::Arc<Entry>,
-    call: Call,
-    body: bytes::Bytes,
-    refusal: http::Response,
-) -> http::Response {
-    match Order::read(call, body) {
-        Ok(order) => unless_known(entry, &order, refusal).await,
-        Err(refusal) => refusal,
-    }
+fn refuse_order(order: &Order, kind: http::Kind) -> http::Response {
+    callers::not_run(kind, "no upstream may serve this call", &order.call.id)
 }
 
-/// Refuses an operation that cannot be run now. An earlier request with the key may have an answer
-/// all the same, and a plain refusal would make its caller order the operation once more.
-async fn unless_known(
+/// Answers an operation that is not let in, or that no upstream may take now. An earlier request with the key may have an
+/// answer all the same, and a plain refusal would make its caller order the operation once more.
+async fn not_taken(
     entry: &sync::Arc<Entry>,
     order: &Order,
     refusal: http::Response,
