Let routing know of an announcement at once

Cause: a new engine was routed to up to 200 ms late; a test in which one of two engines dies then found all calls at that one and the retry budget spent (1 run of 14 beside builds). Change: each announcement goes to the router; the tests of calls wait until the voters take changes before they begin.

--- a/ragwortdeal_node/src/entry/calls/demand.rs
+++ b/ragwortdeal_node/src/entry/calls/demand.rs
@@ -79,6 +79,17 @@
         traffic.sync(&members, &config, now_ms);
     }
 
+    /// Lets routing know at once what one upstream announced.
+    pub(in super::super) fn noticed(&self, instance: &str) {
+        let now_ms = self.clock.now_ms();
+        let config = self.config.borrow();
+        let members = self.members.lock().expect("no panic under lock");
+        let Ok(instance) = name::InstanceName::new(instance) else { return };
+        let Some(member) = members.get(&instance) else { return };
+        let mut traffic = self.traffic.lock().expect("no panic under lock");
+        traffic.noticed(&instance, &member.announcement, &config, now_ms);
+    }
+
     fn demand(&self) -> wire::Demand {
         let traffic = self.traffic.lock().expect("no panic under lock");
         let by_target = traffic.admissions.iter();
--- a/ragwortdeal_node/src/entry/calls/traffic.rs
+++ b/ragwortdeal_node/src/entry/calls/traffic.rs
@@ -111,6 +111,21 @@
         self.update_capacities(now_ms);
     }
 
+    /// Takes in what one upstream announced, so that a new or a leaving one does not wait for the
+    /// next look at all of them.
+    pub(super) fn noticed(
+        &mut self,
+        instance: &name::InstanceName,
+        said: &announced::Announcement,
+        config: &config::replica::Replica,
+        now_ms: u64,
+    ) {
+        // After a change of configuration all of them are looked at anyway.
+        if self.revision == config.revision() {
+            self.take_in(instance, said, !said.leaving, config, now_ms);
+        }
+    }
+
     fn take_in(
         &mut self,
         instance: &name::InstanceName,
--- a/ragwortdeal_node/src/entry/members.rs
+++ b/ragwortdeal_node/src/entry/members.rs
@@ -80,6 +80,11 @@
         })
     }
 
+    /// One upstream, if it is believed.
+    pub(super) fn get(&self, instance: &name::InstanceName) -> Option<&Member> {
+        self.by_instance.get(instance)
+    }
+
     /// All upstreams that are believed, those that are leaving included.
     pub(super) fn all(&self) -> impl Iterator<Item = (&name::InstanceName, &Member)> {
         self.by_instance.iter()
--- a/ragwortdeal_node/src/entry/relay.rs
+++ b/ragwortdeal_node/src/entry/relay.rs
@@ -28,8 +28,11 @@
         match message {
             wire::Message::Announce(announcement) => {
                 let now_ms = self.0.clock.now_ms();
+                let instance = announcement.instance.clone();
                 let mut members = self.0.members.lock().expect("no panic under lock");
                 members.announced(announcement, now_ms);
+                drop(members);
+                self.0.noticed(&instance);
             }
             wire::Message::Subscribe(subscribe) => {
                 self.0.subscribe(session, subscribe.held_revision);
--- a/ragwortdeal_node/tests/calls.rs
+++ b/ragwortdeal_node/tests/calls.rs
@@ -32,9 +32,21 @@
     }
 }
 
+/// Starts a deployment whose voters take changes. On a busy machine their first leader may come
+/// after the upstreams have announced themselves.
+async fn start(plan: deployment::Plan) -> deployment::Deployment {
+    let deployment = deployment::Deployment::start(plan).await.unwrap();
+    deployment::wait_for("the voters take changes", async || {
+        let probe = caller::labels(&[]);
+        deployment.operator(0).set("probe", "account/probe", probe).await.is_some()
+    })
+    .await;
+    deployment
+}
+
 async fn serving(plan: deployment::Plan) -> (deployment::Deployment, String) {
     let engines = plan.engines;
-    let deployment = deployment::Deployment::start(plan).await.unwrap();
+    let deployment = start(plan).await;
     deployment.open_routes().await;
     let weights = origin::Weights::of_seed(1, 100_000, 32 << 10);
     deployment.roll_out(&weights).await;
@@ -282,7 +294,7 @@
 #[tokio::test]
 async fn reads_of_a_service_go_on_when_instances_die() {
     let plan = deployment::Plan { portals: 3, ..plan(0, engine::Behaviour::default()) };
-    let mut deployment = deployment::Deployment::start(plan).await.unwrap();
+    let mut deployment = start(plan).await;
     deployment.open_routes().await;
     let read = async |deployment: &deployment::Deployment| {
         let path = format!("/services/{}/hours", deployment::PORTAL);
