Forget an upstream whose lease ends as the configuration changes

On a change of configuration the offers were cleared before those that had gone were worked out from them, so an upstream whose lease had just ended stayed in the router for good and was chosen. Change: those that have gone are worked out first; a choice without an offer is no upstream; an upstream whose lease was never granted is not noticed early.

--- a/ragwortdeal_node/benches/control.rs
+++ b/ragwortdeal_node/benches/control.rs
@@ -98,8 +98,7 @@
             accepted = accept(&deployment, kill).await;
         }
         record(&mut times, start);
-        deployment::wait_for("the port is free", async || deployment.restart_voter(leader).is_ok())
-            .await;
+        deployment.restart_voter(leader).await.unwrap();
         tokio::time::sleep(time::Duration::from_secs(2)).await;
     }
     report("accepted again after the leader was killed", &times);
--- a/ragwortdeal_node/examples/quickstart/main.rs
+++ b/ragwortdeal_node/examples/quickstart/main.rs
@@ -55,7 +55,6 @@
     };
     deployment::Plan {
         zones,
-        voters: 1,
         entries: 4,
         engines: 12,
         ledgers: 3,
--- a/ragwortdeal_node/src/agent/announce.rs
+++ b/ragwortdeal_node/src/agent/announce.rs
@@ -14,12 +14,6 @@
 /// Pushes of an entry that may wait to be taken.
 const EVENTS: usize = 256;
 
-/// Pause before a lease is asked for again that was not granted, as the first one never is.
-const AGAIN: time::Duration = time::Duration::from_millis(100);
-
-/// How long an entry may take to answer a renewal.
-const RENEW_MS: u64 = 1_000;
-
 /// Keeps a link to one entry of the availability zone.
 pub(super) async fn to_entry(agent: sync::Arc<Agent>, address: String) {
     let (sender, mut events) = mpsc::channel(EVENTS);
@@ -28,7 +22,7 @@
     let link = link::open(&address, agent.credential.clone(), hello, limits, sender);
     let mut offering = tokio::task::JoinSet::new();
     offering.spawn(guard::offer(agent.clone(), link.clone()));
-    offering.spawn(renew_lease(agent.clone(), link.clone()));
+    offering.spawn(lease::keep(link.clone(), agent.identity.incarnation));
     let mut renew = tokio::time::interval(RENEW);
     let mut changes = agent.weights.subscribe();
     loop {
@@ -65,19 +59,6 @@
     }
 }
 
-/// Keeps the lease at one entry, for as long as the link is kept.
-async fn renew_lease(agent: sync::Arc<Agent>, link: link::Link) {
-    let mut echo = None;
-    loop {
-        let renewal = lease::Renewal { incarnation: agent.identity.incarnation, echo };
-        let answer = link.request("renew lease", lease::message(&renewal), RENEW_MS).await;
-        let answer = answer.ok().and_then(|message| lease::read::<lease::Answer>(&message));
-        echo = answer.map(|answer| answer.stamp);
-        let granted = answer.is_some_and(|answer| answer.granted);
-        tokio::time::sleep(if granted { RENEW } else { AGAIN }).await;
-    }
-}
-
 fn subscribe(link: &link::Link, held_revision: u64) {
     let message = wire::Message::Subscribe(wire::Subscribe { held_revision });
     if let Err(error) = link.push("subscribe", message) {
--- a/ragwortdeal_node/src/entry/calls/traffic.rs
+++ b/ragwortdeal_node/src/entry/calls/traffic.rs
@@ -86,6 +86,9 @@
         config: &config::replica::Replica,
         now_ms: u64,
     ) {
+        // Kept from before the offers are cleared: an upstream whose lease ends just as the
+        // configuration changes would otherwise stay in the router for good, and be chosen.
+        let mut gone: collections::BTreeSet<_> = self.offers.keys().cloned().collect();
         if self.revision != config.revision() {
             self.revision = config.revision();
             self.routes.clear();
@@ -94,7 +97,6 @@
         }
         let available: collections::BTreeSet<_> =
             members.available(now_ms).map(|(instance, _)| instance).collect();
-        let mut gone: collections::BTreeSet<_> = self.offers.keys().cloned().collect();
         for (instance, member) in members.all() {
             gone.remove(instance);
             let said = &*member.announcement;
@@ -171,18 +173,19 @@
         let draw = self.draw();
         let call = choice::Call { prefix: wanted.prefix, excluded: &excluded, draw, now_ms };
         let choice = self.router.choose(pool, &call).ok_or(http::Kind::Unavailable)?;
+        let place = self.place(choice.id).ok_or(http::Kind::Unavailable)?;
         self.router.begin(choice.id, wanted.prefix, now_ms);
         if wanted.excluded.is_empty() {
             self.budgets.first_attempt(choice.id);
         }
-        Ok(self.place(choice.id))
+        Ok(place)
     }
 
-    fn place(&self, id: upstream::UpstreamId) -> Place {
-        let upstream = self.router.upstream(id).expect("a chosen upstream is known");
-        let instance = upstream.announcement.instance.clone();
-        let offer = &self.offers[&instance];
-        Place { id, address: offer.address.clone(), version: offer.serving.clone(), instance }
+    fn place(&self, id: upstream::UpstreamId) -> Option<Place> {
+        let instance = self.router.upstream(id)?.announcement.instance.clone();
+        let offer = self.offers.get(&instance)?;
+        let (address, version) = (offer.address.clone(), offer.serving.clone());
+        Some(Place { id, address, version, instance })
     }
 
     /// Asks the budgets for another attempt after a failure.
@@ -351,3 +354,59 @@
 
 /// Told to a queued request: it runs, or it is refused.
 pub(super) type Verdict = oneshot::Sender<Result<(), admission::refusal::Refusal>>;
+
+#[cfg(test)]
+mod tests {
+    use googletest::prelude::*;
+    use ragwortdeal_core::config::{change, state};
+
+    use super::*;
+    use crate::entry::members::tests as member;
+
+    fn set(state: &mut state::State, number: u64, key: &str, object: config::object::Object) {
+        let decision = state.apply(&change::Change {
+            id: name::ChangeId::new(&format!("c-{number}")).unwrap(),
+            key: crate::border::key_from_wire(key).unwrap(),
+            expected_revision: None,
+            object: Some(object),
+        });
+        assert!(matches!(decision, change::Decision::Accepted { .. }), "{decision:?}");
+    }
+
+    fn follow(replica: &mut config::replica::Replica, state: &state::State) {
+        replica.apply(&state.update_since(replica.revision()).unwrap()).unwrap();
+    }
+
+    /// An upstream's lease ends at the moment at which the configuration changes, as when a zone is
+    /// cut off while an operator is at work. The upstream must not stay among those that are
+    /// chosen: a caller would be sent to it again and again, for as long as the entry runs.
+    #[googletest::test]
+    fn an_upstream_whose_lease_ends_with_a_change_is_forgotten() {
+        let all = labels::Selector::default;
+        let route = config::object::Route { accounts: all(), targets: all(), upstreams: all() };
+        let (mut state, mut replica) =
+            (state::State::default(), config::replica::Replica::default());
+        set(&mut state, 1, "route/all", config::object::Object::Route(route));
+        follow(&mut replica, &state);
+
+        let mut members = members::Members::new(member::LEASE_MS);
+        let mut announcement = member::announcement(1, 1);
+        announcement.kind = announced::AnnouncementKind::Service;
+        members.announced(announcement, 0);
+        assert!(members.renewed("engine-a", &member::renewal(1, member::LIFE, 0), member::LIFE, 1));
+        let mut traffic = Traffic::new(1);
+        traffic.sync(&members, &replica, 1);
+        let account = name::AccountName::new("branches").unwrap();
+        let target = crate::border::key_from_wire("service/match").unwrap();
+        let wanted = Wanted { account: &account, target: &target, excluded: &[], prefix: None };
+        expect_true!(traffic.choose(&wanted, &replica, 1).is_ok());
+
+        set(&mut state, 2, "model/other", config::object::Object::Labels(labels::Labels::new()));
+        follow(&mut replica, &state);
+        let members = members::Members::new(member::LEASE_MS);
+        traffic.sync(&members, &replica, 2);
+        expect_true!(traffic.choose(&wanted, &replica, 2).is_err());
+        let instance = name::InstanceName::new("engine-a").unwrap();
+        expect_true!(traffic.router.find(&instance).is_none());
+    }
+}
--- a/ragwortdeal_node/src/entry/members.rs
+++ b/ragwortdeal_node/src/entry/members.rs
@@ -108,7 +108,7 @@
 
     /// One upstream, if it is believed.
     pub(super) fn get(&self, instance: &name::InstanceName) -> Option<&Member> {
-        self.by_instance.get(instance)
+        self.by_instance.get(instance).filter(|member| member.granted)
     }
 
     /// All upstreams that are believed, those that are leaving included.
@@ -128,16 +128,16 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub(super) mod tests {
     use googletest::prelude::*;
     use ragwortdeal_core::membership;
 
     use super::*;
 
-    const LIFE: u64 = 7;
-    const LEASE_MS: u64 = 2_500;
+    pub(in crate::entry) const LIFE: u64 = 7;
+    pub(in crate::entry) const LEASE_MS: u64 = 2_500;
 
-    fn announcement(incarnation: u64, sequence: u64) -> wire::Announcement {
+    pub(in crate::entry) fn announcement(incarnation: u64, sequence: u64) -> wire::Announcement {
         wire::Announcement {
             applied_revision: 0,
             behind: None,
@@ -166,7 +166,7 @@
         }
     }
 
-    fn renewal(incarnation: u64, life: u64, at_ms: u64) -> lease::Renewal {
+    pub(in crate::entry) fn renewal(incarnation: u64, life: u64, at_ms: u64) -> lease::Renewal {
         lease::Renewal { incarnation, echo: Some(membership::Stamp { life, at_ms }) }
     }
 
--- a/ragwortdeal_node/src/lease.rs
+++ b/ragwortdeal_node/src/lease.rs
@@ -3,9 +3,22 @@
 //! A lease counts from the entry's own clock reading that the renewal echoes, never from arrival;
 //! `docs/design/membership.md` tells why.
 
+use std::time;
+
 use ragwortdeal_core::membership;
 use ragwortdeal_wire::link as wire;
 
+use crate::link;
+
+/// How often a lease is renewed; entries grant it for several times as long.
+const RENEW: time::Duration = time::Duration::from_millis(500);
+
+/// Pause before a lease is asked for again that was not granted, as the first one never is.
+const AGAIN: time::Duration = time::Duration::from_millis(100);
+
+/// How long an entry may take to answer a renewal.
+const RENEW_MS: u64 = 1_000;
+
 /// What an agent asks of an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Renewal {
@@ -49,3 +62,16 @@
     let echoed_ms = renewal.echo?.read_by(entry_incarnation, now_ms)?;
     Some(echoed_ms + lease_ms).filter(|end_ms| *end_ms > now_ms)
 }
+
+/// Keeps the lease at one entry, for as long as this runs.
+pub async fn keep(link: link::Link, incarnation: u64) {
+    let mut echo = None;
+    loop {
+        let renewal = message(&Renewal { incarnation, echo });
+        let answer = link.request("renew lease", renewal, RENEW_MS).await;
+        let answer = answer.ok().and_then(|message| read::<Answer>(&message));
+        echo = answer.map(|answer| answer.stamp);
+        let granted = answer.is_some_and(|answer| answer.granted);
+        tokio::time::sleep(if granted { RENEW } else { AGAIN }).await;
+    }
+}
--- a/ragwortdeal_node/tests/operations.rs
+++ b/ragwortdeal_node/tests/operations.rs
@@ -75,14 +75,12 @@
 
 /// Starts the killed agent again, once its former life has let go of the address.
 async fn restart_agent(deployment: &mut deployment::Deployment) {
-    let restart = async || deployment.restart_service_agent(0).is_ok();
-    deployment::wait_for("the agent is back", restart).await;
+    deployment.restart_service_agent(0).await.unwrap();
 }
 
 /// Starts the killed voter again, with its disk as it is.
 async fn restart_voter(deployment: &mut deployment::Deployment) {
-    let restart = async || deployment.restart_voter(0).is_ok();
-    deployment::wait_for("the voter is back", restart).await;
+    deployment.restart_voter(0).await.unwrap();
 }
 
 fn effects(deployment: &deployment::Deployment, key: &str) -> u64 {
--- a/ragwortdeal_node/tests/operations_kills.rs
+++ b/ragwortdeal_node/tests/operations_kills.rs
@@ -87,19 +87,16 @@
         Victim::Entry => {
             let number = number % deployment.entries.len();
             deployment.entries[number].process.take().unwrap().kill();
-            let restart = async || deployment.restart_entry(number).is_ok();
-            deployment::wait_for("the entry is back", restart).await;
+            deployment.restart_entry(number).await.unwrap();
         }
         Victim::Agent => {
             let number = number % deployment.services.len();
             deployment.services[number].process.take().unwrap().kill();
-            let restart = async || deployment.restart_service_agent(number).is_ok();
-            deployment::wait_for("the agent is back", restart).await;
+            deployment.restart_service_agent(number).await.unwrap();
         }
         Victim::Voter => {
             deployment.voters[0].process.take().unwrap().kill();
-            let restart = async || deployment.restart_voter(0).is_ok();
-            deployment::wait_for("the voter is back", restart).await;
+            deployment.restart_voter(0).await.unwrap();
         }
     }
 }
--- a/ragwortdeal_node/tests/orders.rs
+++ b/ragwortdeal_node/tests/orders.rs
@@ -96,8 +96,7 @@
     let mut deployment = serving(plan(false), &first).await;
     let before = orders(&deployment).len();
     deployment.engines[0].process.take().unwrap().kill();
-    let restart = async || deployment.restart_engine_agent(0).is_ok();
-    deployment::wait_for("the agent is back", restart).await;
+    deployment.restart_engine_agent(0).await.unwrap();
     deployment.open_routes().await;
     deployment::wait_for("a caller is served", async || {
         deployment.caller(0).complete(deployment::MODEL, "hello", 4).await.status == 200
--- a/ragwortdeal_node/tests/voters.rs
+++ b/ragwortdeal_node/tests/voters.rs
@@ -42,15 +42,7 @@
 
 /// Starts a killed voter again, once the killed one has let go of its port.
 async fn restart(deployment: &mut deployment::Deployment, number: usize) {
-    let mut started = false;
-    for _ in 0..600 {
-        started = started || deployment.restart_voter(number).is_ok();
-        if started {
-            return;
-        }
-        tokio::time::sleep(time::Duration::from_millis(20)).await;
-    }
-    panic!("the voter's port stays in use");
+    deployment.restart_voter(number).await.unwrap();
 }
 
 async fn revision(deployment: &deployment::Deployment) -> u64 {
--- a/ragwortdeal_standins/src/deployment.rs
+++ b/ragwortdeal_standins/src/deployment.rs
@@ -1,13 +1,23 @@
 //! A whole deployment on loopback: the system's programs and the stand-ins round them.
 
-use std::{io, net, path, sync, time};
+mod programs;
+
+use std::{
+    io, net, path,
+    sync::{self, atomic},
+    time,
+};
 
 use ragwortdeal_core::replication::replica;
-use ragwortdeal_node::{agent, entry, link, settings, voter};
+use ragwortdeal_node::{link, settings, voter};
 use ragwortdeal_wire::{link as link_wire, operator as wire};
-use tokio::{net as async_net, sync::mpsc};
+use tokio::sync::mpsc;
+
+use crate::{caller, engine, network, origin, process, service};
 
-use crate::{caller, engine, origin, process, service};
+use programs::{
+    BoundEntry, bind_entry, rebind, restart_agent, start_agent, start_entry, start_voter,
+};
 
 /// Secret between the system's processes in tests.
 pub(crate) const CLUSTER_SECRET: &str = "secret-between-the-processes";
@@ -52,6 +62,8 @@
     pub order_life_ms: u64,
     /// How ledgers behave.
     pub ledger: service::Behaviour,
+    /// Whether links between availability zones go through stretches of network that can be cut.
+    pub network: bool,
 }
 
 impl Default for Plan {
@@ -71,6 +83,7 @@
             engine: engine::Behaviour::default(),
             order_life_ms: 60_000,
             ledger: service::Behaviour::default(),
+            network: false,
         }
     }
 }
@@ -126,6 +139,16 @@
     pub services: Vec<AgentProcess>,
     plan: Plan,
     folder: tempfile::TempDir,
+    stretches: Vec<BetweenZones>,
+    changes: atomic::AtomicU64,
+}
+
+/// A stretch of network between a process and the process that it opens a link to.
+#[derive(Debug)]
+struct BetweenZones {
+    from: String,
+    to: String,
+    stretch: network::Stretch,
 }
 
 impl Deployment {
@@ -140,10 +163,12 @@
             engines: Vec::new(),
             services: Vec::new(),
             folder: tempfile::tempdir()?,
+            stretches: Vec::new(),
+            changes: atomic::AtomicU64::new(0),
             plan,
         };
-        deployment.start_voters()?;
-        deployment.start_entries()?;
+        deployment.start_voters().await?;
+        deployment.start_entries().await?;
         for number in 0..deployment.plan.engines {
             deployment.start_engine(number).await?;
         }
@@ -168,21 +193,50 @@
         }
     }
 
-    fn start_voters(&mut self) -> io::Result<()> {
+    /// The address by which a process of one zone reaches another process.
+    async fn through(
+        &mut self,
+        from: &str,
+        to: &settings::common::Process,
+        address: net::SocketAddr,
+    ) -> io::Result<net::SocketAddr> {
+        if !self.plan.network {
+            return Ok(address);
+        }
+        let stretch = network::Stretch::start(address).await?;
+        let through = stretch.address();
+        let (from, to) = (from.to_owned(), to.availability_zone.clone());
+        self.stretches.push(BetweenZones { from, to, stretch });
+        Ok(through)
+    }
+
+    /// Cuts a zone's links to all others, or heals them.
+    pub fn set_cut(&self, zone: &str, cut: bool) {
+        let crossing = |between: &&BetweenZones| (between.from == zone) != (between.to == zone);
+        self.stretches.iter().filter(crossing).for_each(|between| between.stretch.set_cut(cut));
+    }
+
+    /// Makes all open links through the network go silent for good; new ones work.
+    pub fn forget_links(&self) {
+        self.stretches.iter().for_each(|between| between.stretch.forget());
+    }
+
+    async fn start_voters(&mut self) -> io::Result<()> {
         let bound: Vec<_> =
             (0..self.plan.voters).map(|_| process::bind()).collect::<io::Result<_>>()?;
-        let member = |(number, (_, address)): (usize, &(net::TcpListener, net::SocketAddr))| {
-            settings::voter::Member { name: format!("voter-{number}"), address: *address }
-        };
-        let initial: Vec<_> = bound.iter().enumerate().map(member).collect();
+        let addresses: Vec<_> = bound.iter().map(|(_, address)| *address).collect();
         for (number, (listener, address)) in bound.into_iter().enumerate() {
+            let process = self.process_settings("voter", number);
+            let mut initial = Vec::new();
+            for (other, &address) in addresses.iter().enumerate() {
+                let to = self.process_settings("voter", other);
+                let address = self.through(&process.availability_zone, &to, address).await?;
+                initial.push(settings::voter::Member { name: to.name, address });
+            }
             let settings = settings::voter::Settings {
-                process: self.process_settings("voter", number),
+                process,
                 listen: settings::voter::Listen { links: address },
-                voter: settings::voter::Voter {
-                    data_dir: Some(self.data_dir(number)),
-                    initial: initial.clone(),
-                },
+                voter: settings::voter::Voter { data_dir: Some(self.data_dir(number)), initial },
                 credentials: credentials(),
                 ..settings::voter::Settings::default()
             };
@@ -250,20 +304,30 @@
         self.folder.path().join(format!("voter-{number}"))
     }
 
-    fn start_entries(&mut self) -> io::Result<()> {
-        let voters = self.voters.iter().map(|voter| voter.settings.listen.links).collect();
-        let peers = settings::common::Peers { addresses: voters };
+    async fn start_entries(&mut self) -> io::Result<()> {
+        let voters: Vec<_> = self.voters.iter().map(|voter| voter.settings.clone()).collect();
         let bound: Vec<_> =
             (0..self.plan.entries).map(|_| bind_entry()).collect::<io::Result<_>>()?;
         let links: Vec<_> = bound.iter().map(|bound| bound.settings.links).collect();
         for (number, BoundEntry { listeners, settings: listen }) in bound.into_iter().enumerate() {
-            let own = listen.links;
-            let others = links.iter().copied().filter(|address| *address != own);
+            let process = self.process_settings("entry", number);
+            let zone = process.availability_zone.clone();
+            let mut to_voters = settings::common::Peers::default();
+            for voter in &voters {
+                let address = self.through(&zone, &voter.process, voter.listen.links).await?;
+                to_voters.addresses.push(address);
+            }
+            let mut to_entries = settings::common::Peers::default();
+            for (other, &address) in links.iter().enumerate().filter(|(other, _)| *other != number)
+            {
+                let other = self.process_settings("entry", other);
+                to_entries.addresses.push(self.through(&zone, &other, address).await?);
+            }
             let settings = settings::entry::Settings {
-                process: self.process_settings("entry", number),
+                process,
                 listen,
-                voters: peers.clone(),
-                entries: settings::common::Peers { addresses: others.collect() },
+                voters: to_voters,
+                entries: to_entries,
                 accounts: self.accounts(),
                 limits: self.plan.limits.clone(),
                 operators: vec![settings::entry::Operator {
@@ -289,11 +353,22 @@
         [&[own], &self.plan.accounts[..]].concat()
     }
 
-    fn agent_settings(&self, kind: &str, number: usize) -> settings::agent::Settings {
-        let entries = self.entries.iter().map(|entry| entry.settings.listen.links).collect();
-        settings::agent::Settings {
-            process: self.process_settings(kind, number),
-            entries: settings::common::Peers { addresses: entries },
+    async fn agent_settings(
+        &mut self,
+        kind: &str,
+        number: usize,
+    ) -> io::Result<settings::agent::Settings> {
+        let process = self.process_settings(kind, number);
+        let entries: Vec<_> = self.entries.iter().map(|entry| entry.settings.clone()).collect();
+        let mut to_entries = settings::common::Peers::default();
+        for entry in &entries {
+            let zone = &process.availability_zone;
+            let address = self.through(zone, &entry.process, entry.listen.links).await?;
+            to_entries.addresses.push(address);
+        }
+        Ok(settings::agent::Settings {
+            process,
+            entries: to_entries,
             weights: settings::agent::Weights {
                 origin: Some(self.origin.address()),
                 origin_weight_percent: self.plan.origin_weight_percent,
@@ -302,13 +377,13 @@
             },
             credentials: credentials(),
             ..settings::agent::Settings::default()
-        }
+        })
     }
 
     /// Starts an engine with its agent.
     pub async fn start_engine(&mut self, number: usize) -> io::Result<()> {
         let engine = engine::Engine::start(self.plan.engine.clone()).await?;
-        let mut settings = self.agent_settings("engine", number);
+        let mut settings = self.agent_settings("engine", number).await?;
         settings.upstream.address = engine.address();
         settings.upstream.checks_fence = self.plan.engine.checks_fence;
         settings.upstream.order_life_ms = self.plan.order_life_ms;
@@ -327,7 +402,7 @@
         behaviour: service::Behaviour,
     ) -> io::Result<()> {
         let service = service::Service::start(self.ledger.clone(), behaviour).await?;
-        let mut settings = self.agent_settings(name, number);
+        let mut settings = self.agent_settings(name, number).await?;
         settings.upstream.kind = settings::agent::UpstreamKind::Service;
         settings.upstream.service = Some(name.to_owned());
         settings.upstream.address = service.address();
@@ -338,30 +413,34 @@
     }
 
     /// Starts a killed voter again, with its disk as it is.
-    pub fn restart_voter(&mut self, number: usize) -> io::Result<()> {
+    pub async fn restart_voter(&mut self, number: usize) -> io::Result<()> {
         let voter = &mut self.voters[number];
-        let listener = rebind(voter.settings.listen.links)?;
+        let listener = rebind(voter.settings.listen.links).await?;
         voter.process = Some(start_voter(voter.settings.clone(), listener)?);
         Ok(())
     }
 
     /// Starts a killed entry again.
-    pub fn restart_entry(&mut self, number: usize) -> io::Result<()> {
+    pub async fn restart_entry(&mut self, number: usize) -> io::Result<()> {
         let entry = &mut self.entries[number];
         let listen = &entry.settings.listen;
-        let listeners = [rebind(listen.callers)?, rebind(listen.operators)?, rebind(listen.links)?];
+        let listeners = [
+            rebind(listen.callers).await?,
+            rebind(listen.operators).await?,
+            rebind(listen.links).await?,
+        ];
         entry.process = Some(start_entry(entry.settings.clone(), listeners)?);
         Ok(())
     }
 
     /// Starts a killed agent of an engine again, beside the engine that went on.
-    pub fn restart_engine_agent(&mut self, number: usize) -> io::Result<()> {
-        restart_agent(&mut self.engines[number])
+    pub async fn restart_engine_agent(&mut self, number: usize) -> io::Result<()> {
+        restart_agent(&mut self.engines[number]).await
     }
 
     /// Starts a killed agent of a service again, beside the service that went on.
-    pub fn restart_service_agent(&mut self, number: usize) -> io::Result<()> {
-        restart_agent(&mut self.services[number])
+    pub async fn restart_service_agent(&mut self, number: usize) -> io::Result<()> {
+        restart_agent(&mut self.services[number]).await
     }
 
     /// Address at which an entry takes links.
@@ -409,8 +488,7 @@
     pub async fn open_routes(&self) {
         let all = String::new;
         let route = wire::Route { accounts: all(), targets: all(), upstreams: all() };
-        let answer = self.operator(0).set("open", "route/all", wire::Object::Route(route)).await;
-        assert!(answer.is_some(), "the route was not answered");
+        self.set("route/all", wire::Object::Route(route)).await;
     }
 
     /// Registers a version and places it on all engines.
@@ -422,18 +500,34 @@
             adapter: None,
             size_bytes: weights.manifest.size_bytes(),
         });
-        let operator = self.operator(0);
-        let (id, key) = (format!("register-{version}"), format!("version/{version}"));
-        operator.set(&id, &key, object).await;
-        let object = wire::Object::Placement(wire::Placement {
-            instances: "name".to_owned(),
-            version: version.clone(),
-        });
+        self.set(&format!("version/{version}"), object).await;
         for number in 0..self.plan.engines {
-            let key = format!("instance/engine-{number}");
-            operator.set(&format!("label-{number}"), &key, caller::labels(&[])).await;
+            self.set(&format!("instance/engine-{number}"), caller::labels(&[])).await;
         }
-        operator.set(&format!("place-{version}"), "placement/all", object).await;
+        let instances = "name".to_owned();
+        let object = wire::Object::Placement(wire::Placement { instances, version });
+        self.set("placement/all", object).await;
+    }
+
+    /// Sets an object, at whichever entry answers. A change whose answer was lost is sent again
+    /// with its identifier, as an operator's tool does.
+    pub async fn set(&self, key: &str, object: wire::Object) {
+        let number = self.changes.fetch_add(1, atomic::Ordering::Relaxed);
+        let id = format!("deployment-{number}");
+        let entries = self.entries.len();
+        let mut tries = 0;
+        wait_for("a change is accepted", async || {
+            let entry = tries % entries;
+            tries += 1;
+            if self.entries[entry].process.is_none() {
+                return false;
+            }
+            let answer = self.operator(entry).set(&id, key, object.clone()).await;
+            let outcome = answer.as_ref().map(|answer| answer.outcome);
+            assert!(outcome != Some(wire::ChangeAnswerOutcome::Refused), "{key}: {answer:?}");
+            outcome == Some(wire::ChangeAnswerOutcome::Accepted)
+        })
+        .await;
     }
 
     /// Waits until so many engines serve a version as seen by an entry.
@@ -467,82 +561,3 @@
 fn credentials() -> settings::common::Credentials {
     settings::common::Credentials { cluster: CLUSTER_SECRET.to_owned() }
 }
-
-fn start_voter(
-    settings: settings::voter::Settings,
-    listener: net::TcpListener,
-) -> io::Result<process::Process> {
-    process::Process::start("voter", async move |stop| {
-        let listener = async_net::TcpListener::from_std(listener).expect("a bound listener");
-        if let Err(error) = voter::run(settings, listener, stop).await {
-            log::error!("stand-in: voter ended: {error}");
-        }
-    })
-}
-
-struct BoundEntry {
-    listeners: [net::TcpListener; 3],
-    settings: settings::entry::Listen,
-}
-
-fn bind_entry() -> io::Result<BoundEntry> {
-    let (callers, callers_address) = process::bind()?;
-    let (operators, operators_address) = process::bind()?;
-    let (links, links_address) = process::bind()?;
-    let settings = settings::entry::Listen {
-        callers: callers_address,
-        operators: operators_address,
-        links: links_address,
-        unready_ms: 200,
-        grace_ms: 20_000,
-        ..settings::entry::Listen::default()
-    };
-    Ok(BoundEntry { listeners: [callers, operators, links], settings })
-}
-
-fn start_entry(
-    settings: settings::entry::Settings,
-    listeners: [net::TcpListener; 3],
-) -> io::Result<process::Process> {
-    process::Process::start("entry", async move |stop| {
-        let listener =
-            |listener| async_net::TcpListener::from_std(listener).expect("a bound listener");
-        let [callers, operators, links] = listeners.map(listener);
-        let listeners = entry::Listeners { callers, operators, links, voter: None };
-        if let Err(error) = entry::run(settings, listeners, stop).await {
-            log::error!("stand-in: entry ended: {error}");
-        }
-    })
-}
-
-fn start_agent(mut settings: settings::agent::Settings) -> io::Result<AgentProcess> {
-    let (listener, address) = process::bind()?;
-    settings.listen = settings::agent::Listen { calls: address, grace_ms: 20_000 };
-    let name = settings.process.name.clone();
-    let process = Some(run_agent(settings.clone(), listener)?);
-    Ok(AgentProcess { name, process, engine: None, service: None, settings })
-}
-
-fn restart_agent(agent: &mut AgentProcess) -> io::Result<()> {
-    let listener = rebind(agent.settings.listen.calls)?;
-    agent.process = Some(run_agent(agent.settings.clone(), listener)?);
-    Ok(())
-}
-
-fn run_agent(
-    settings: settings::agent::Settings,
-    listener: net::TcpListener,
-) -> io::Result<process::Process> {
-    process::Process::start("agent", async move |stop| {
-        let listener = async_net::TcpListener::from_std(listener).expect("a bound listener");
-        if let Err(error) = agent::run(settings, listener, stop).await {
-            log::error!("stand-in: agent ended: {error}");
-        }
-    })
-}
-
-fn rebind(address: net::SocketAddr) -> io::Result<net::TcpListener> {
-    let listener = net::TcpListener::bind(address)?;
-    listener.set_nonblocking(true)?;
-    Ok(listener)
-}
--- a/ragwortdeal_standins/src/engine.rs
+++ b/ragwortdeal_standins/src/engine.rs
@@ -53,6 +53,7 @@
     streams: collections::BTreeMap<String, Stream>,
     cancelled: collections::BTreeSet<String>,
     orders: Vec<wire::Order>,
+    begun: Vec<time::Instant>,
 }
 
 #[derive(Debug)]
@@ -122,6 +123,11 @@
         self.shared.held.lock().expect("no panic under lock").cancelled.len()
     }
 
+    /// When requests began, resumed streams left out.
+    pub fn begun(&self) -> Vec<time::Instant> {
+        self.shared.held.lock().expect("no panic under lock").begun.clone()
+    }
+
     /// All orders that arrived, carried out or not.
     pub fn orders(&self) -> Vec<wire::Order> {
         self.shared.held.lock().expect("no panic under lock").orders.clone()
@@ -225,6 +231,7 @@
                 prompt: call["prompt"].as_str().unwrap_or_default().to_owned(),
                 tokens: call["max_tokens"].as_u64().unwrap_or(16),
             };
+            held.begun.push(time::Instant::now());
             held.streams.insert(id.clone(), stream.clone());
             stream
         };
--- a/ragwortdeal_standins/src/peer.rs
+++ b/ragwortdeal_standins/src/peer.rs
@@ -7,7 +7,7 @@
 };
 
 use ragwortdeal_core::{name, spread::roster};
-use ragwortdeal_node::{http as node_http, link};
+use ragwortdeal_node::{http as node_http, lease, link};
 use ragwortdeal_wire::link as wire;
 use tokio::sync::mpsc;
 
@@ -19,6 +19,9 @@
 /// Longest time one of its requests may take.
 const PATIENCE_MS: u64 = 1_000;
 
+/// Its only life.
+const INCARNATION: u64 = 1;
+
 /// What it does when it is asked for a chunk.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answers {
@@ -113,7 +116,7 @@
             instance: self.instance.to_string(),
             zone: zone.to_owned(),
             region: "home".to_owned(),
-            incarnation: 1,
+            incarnation: INCARNATION,
             sequence,
             target: String::new(),
             kind: wire::AnnouncementKind::Engine,
@@ -164,11 +167,13 @@
         name: shared.instance.to_string(),
         zone: zone.clone(),
         role: "agent".to_owned(),
-        incarnation: 1,
+        incarnation: INCARNATION,
     };
     let (sender, mut events) = mpsc::channel(1_024);
     let limits = link::LinkLimits::default();
     let link = link::open(&entry.to_string(), credential.clone(), hello, limits, sender);
+    let mut leases = tokio::task::JoinSet::new();
+    leases.spawn(lease::keep(link.clone(), INCARNATION));
     let http = node_http::Client::new(PATIENCE_MS);
     let mut agents = roster::Roster::new();
     let mut renew = tokio::time::interval(RENEW);
