Answer an operation before its record is committed

Cause: the caller waited for two synced entries of the log, though its answer is true after the first. Change: the reply goes out with the proposal of the record; the agent keeps and offers the answer until it is recorded, as it did.

--- a/ragwortdeal_core/src/claims/operation.rs
+++ b/ragwortdeal_core/src/claims/operation.rs
@@ -407,10 +407,16 @@
         vec![Action::Wait { pause_ms }]
     }
 
+    /// The caller has its answer at once, for it is true whether or not it is recorded; the log is
+    /// for a resend. Until it stands there the agent keeps the answer and offers it to any entry.
     fn record(&mut self, subject: Subject, answer: answer::Answer) -> Vec<Action> {
         let attempt = subject.attempt.clone();
+        let replayed = !self.is_own(&subject);
+        let mut actions = self.reply(Reply::Answer { answer: answer.clone(), replayed });
         self.phase = Phase::Recording(subject, answer.clone());
-        vec![Action::Propose(state::Command::Record { id: self.id, attempt, answer })]
+        let record = state::Command::Record { id: self.id, attempt, answer };
+        actions.push(Action::Propose(record));
+        actions
     }
 
     fn release(&mut self, subject: Subject, evidence: state::Evidence) -> Vec<Action> {
