--- a/ragwortdeal_standins/src/deployment.rs
+++ b/ragwortdeal_standins/src/deployment.rs
@@ -2,14 +2,15 @@
 
 use std::{io, net, path, sync, time};
 
-use ragwortdeal_node::{agent, entry, settings, voter};
-use ragwortdeal_wire::operator as wire;
-use tokio::net as async_net;
+use ragwortdeal_core::replication::replica;
+use ragwortdeal_node::{agent, entry, link, settings, voter};
+use ragwortdeal_wire::{link as link_wire, operator as wire};
+use tokio::{net as async_net, sync::mpsc};
 
 use crate::{caller, engine, origin, process, service};
 
 /// Secret between the system's processes in tests.
-const CLUSTER_SECRET: &str = "secret-between-the-processes";
+pub(crate) const CLUSTER_SECRET: &str = "secret-between-the-processes";
 
 /// Model that tests roll out.
 pub const MODEL: &str = "match";
@@ -37,6 +38,8 @@
     pub portals: usize,
     /// Rate of the origin's link.
     pub origin_bytes_per_s: u64,
+    /// Rate of each agent's link towards other agents, 0 for no bound.
+    pub upload_bytes_per_s: u64,
     /// 0 weighs time until all serve, 100 weighs bytes from the origin.
     pub origin_weight_percent: u8,
     /// Limits on calls at the entries.
@@ -61,6 +64,7 @@
             ledgers: 1,
             portals: 1,
             origin_bytes_per_s: 64 << 20,
+            upload_bytes_per_s: 0,
             origin_weight_percent: 50,
             limits: settings::entry::Limits::default(),
             accounts: Vec::new(),
@@ -151,6 +155,7 @@
             deployment.start_service(PORTAL, number, service::Behaviour::default()).await?;
         }
         deployment.settle().await;
+        deployment.reach_voters().await;
         Ok(deployment)
     }
 
@@ -187,6 +192,59 @@
         Ok(())
     }
 
+    /// Starts a voter that the settings of the others do not name, and returns its number.
+    pub fn start_new_voter(&mut self) -> io::Result<usize> {
+        let number = self.voters.len();
+        let (listener, address) = process::bind()?;
+        let mut settings = self.voters[0].settings.clone();
+        let process = self.process_settings("voter", number);
+        settings
+            .voter
+            .initial
+            .push(settings::voter::Member { name: process.name.clone(), address });
+        settings.voter.data_dir = Some(self.data_dir(number));
+        settings.process = process;
+        settings.listen.links = address;
+        let process = Some(start_voter(settings.clone(), listener)?);
+        self.voters.push(VoterProcess { process, settings });
+        Ok(number)
+    }
+
+    /// A link to a voter, as an operator's tool opens it. It is up a moment later.
+    pub fn voter_link(&self, number: usize) -> link::Link {
+        let address = self.voters[number].settings.listen.links.to_string();
+        let hello = link_wire::Hello {
+            name: "tests".to_owned(),
+            role: "operator".to_owned(),
+            zone: "home".to_owned(),
+            incarnation: 1,
+        };
+        let (events, mut received) = mpsc::channel(16);
+        tokio::spawn(async move { while received.recv().await.is_some() {} });
+        let credential = link::Credential::new(CLUSTER_SECRET);
+        link::open(&address, credential, hello, link::LinkLimits::default(), events)
+    }
+
+    /// A voter's view of its group, `None` where it does not answer.
+    pub async fn voter_status(&self, number: usize) -> Option<replica::Status> {
+        match self.ask_voter(number, &voter::operate::Request::Status).await {
+            Some(voter::operate::Reply::Status(status)) => Some(*status),
+            _ => None,
+        }
+    }
+
+    /// Asks a voter as an operator's tool does.
+    pub async fn ask_voter(
+        &self,
+        number: usize,
+        request: &voter::operate::Request,
+    ) -> Option<voter::operate::Reply> {
+        self.voters[number].process.as_ref()?;
+        let link = self.voter_link(number);
+        wait_for("the link to a running voter is up", async || link.is_up()).await;
+        voter::operate::ask(&link, request, 1_000).await.ok()
+    }
+
     /// Folder of a voter's disk.
     pub fn data_dir(&self, number: usize) -> path::PathBuf {
         self.folder.path().join(format!("voter-{number}"))
@@ -239,6 +297,7 @@
             weights: settings::agent::Weights {
                 origin: Some(self.origin.address()),
                 origin_weight_percent: self.plan.origin_weight_percent,
+                upload_bytes_per_s: self.plan.upload_bytes_per_s,
                 ..settings::agent::Weights::default()
             },
             credentials: credentials(),
@@ -305,6 +364,11 @@
         restart_agent(&mut self.services[number])
     }
 
+    /// Address at which an entry takes links.
+    pub fn links(&self, entry: usize) -> net::SocketAddr {
+        self.entries[entry].settings.listen.links
+    }
+
     /// A caller of one entry.
     pub fn caller(&self, entry: usize) -> caller::Caller {
         caller::Caller::new(self.entries[entry].callers)
@@ -329,6 +393,18 @@
         }
     }
 
+    /// Waits until all entries have a link to a voter; a change before that is refused as not run.
+    async fn reach_voters(&self) {
+        for number in 0..self.entries.len() {
+            let operator = self.operator(number);
+            wait_for("a voter can be reached", async || {
+                let status = operator.status().await;
+                status.is_some_and(|status| status.control == wire::StatusControl::Reachable)
+            })
+            .await;
+        }
+    }
+
     /// Sets a route from every account to every model, service and upstream.
     pub async fn open_routes(&self) {
         let all = String::new;
