Keep a proposal whose leader has no link left for the next leader

Cause: a follower passed proposals on to a leader that was gone; the entry then waited 3 s. Change: without a link to the leader the proposal waits for the election instead.

--- a/ragwortdeal_node/src/voter/driver.rs
+++ b/ragwortdeal_node/src/voter/driver.rs
@@ -188,7 +188,10 @@
     ) {
         let now_ms = self.clock.now_ms();
         let may_wait = proposal.may_wait(now_ms);
-        let kept = match (reason, leader) {
+        // A leader whose links are gone is most likely dead. What is passed on to it has no answer,
+        // and its asker would wait out a whole deadline; kept, it goes to the next leader.
+        let reached = leader.filter(|leader| self.peers.reaches(&leader.instance));
+        let kept = match (reason, reached) {
             (Rejection::NotLeader, Some(leader)) if may_wait => {
                 let own = self.replica.id();
                 self.proposals.pass_on(proposal, own, leader, &self.peers, now_ms)
--- a/ragwortdeal_node/src/voter/peers.rs
+++ b/ragwortdeal_node/src/voter/peers.rs
@@ -75,6 +75,12 @@
         self.initial.get(&id.instance).cloned()
     }
 
+    /// Whether a letter would leave this process at present.
+    pub(super) fn reaches(&self, name: &name::InstanceName) -> bool {
+        let accepted = || self.sessions.values().any(|session| session.hello.name == **name);
+        self.links.get(name).is_some_and(link::Link::is_up) || accepted()
+    }
+
     /// Sends a letter; it may be lost, and replication sends what matters again.
     pub(super) fn send(&self, to: &name::InstanceName, letter: &Letter) {
         let message = operate::seal(letter);
