Serve by no less than the zone had in force, also after a restart

In a cut-off zone it could also go on with a voter that is behind what the zone had applied. Change: voters answer a subscription even where nothing is new; an entry refuses calls and is not ready until it was told and has at least what its upstreams announce as applied, and asks an upstream for the configuration where the voters do not bring it. Besides, found by the new test: the root path of a plain service was answered with 404, since the router's glob needs a segment.

--- a/ragwortdeal_core/src/config/replica.rs
+++ b/ragwortdeal_core/src/config/replica.rs
@@ -47,6 +47,16 @@
         self.digest
     }
 
+    /// The whole state, for a receiver that lacks steps.
+    pub fn snapshot(&self) -> delta::Update {
+        let objects = self.objects.iter().map(|(key, stored)| (key.clone(), stored.clone()));
+        delta::Update::Snapshot(delta::Snapshot {
+            revision: self.revision,
+            objects: objects.collect(),
+            digest: self.digest.value(),
+        })
+    }
+
     /// Applies an update. Returns whether the revision rose.
     ///
     /// An update that is older than what is held is passed over: a delayed or stale sender must
--- a/ragwortdeal_core/src/config/state.rs
+++ b/ragwortdeal_core/src/config/state.rs
@@ -88,6 +88,12 @@
         Some(delta::Update::Delta(delta::Delta { from_revision: held_revision, steps, digest }))
     }
 
+    /// Tells a receiver that it has everything this voter has.
+    pub fn no_update(&self) -> delta::Update {
+        let (from_revision, digest) = (self.revision, self.digest.value());
+        delta::Update::Delta(delta::Delta { from_revision, steps: Vec::new(), digest })
+    }
+
     /// The whole state for a receiver.
     pub fn snapshot(&self) -> delta::Snapshot {
         let objects = self.objects.iter().map(|(key, stored)| (key.clone(), stored.clone()));
--- a/ragwortdeal_node/src/agent/announce.rs
+++ b/ragwortdeal_node/src/agent/announce.rs
@@ -6,7 +6,7 @@
 use tokio::sync::mpsc;
 
 use super::{Agent, guard};
-use crate::{lease, link};
+use crate::{lease, link, voter};
 
 /// How often an announcement is renewed; entries believe it for several times as long.
 const RENEW: time::Duration = time::Duration::from_millis(500);
@@ -48,6 +48,13 @@
             wire::Message::ConfigUpdate(update) if !agent.apply(&update) => {
                 subscribe(link, 0);
             }
+            // An entry that started anew and reaches no voter that knows what is in force here.
+            wire::Message::Subscribe(subscribe) => {
+                let config = agent.config.borrow();
+                if config.revision() > subscribe.held_revision {
+                    send(link, "pass configuration on", voter::config_update(&config.snapshot()));
+                }
+            }
             wire::Message::Members(members) => {
                 if let Ok(update) = ciborium::from_reader(&members.payload[..]) {
                     agent.transfer.roster(address, update);
@@ -60,8 +67,11 @@
 }
 
 fn subscribe(link: &link::Link, held_revision: u64) {
-    let message = wire::Message::Subscribe(wire::Subscribe { held_revision });
-    if let Err(error) = link.push("subscribe", message) {
+    send(link, "subscribe", wire::Message::Subscribe(wire::Subscribe { held_revision }));
+}
+
+fn send(link: &link::Link, step: &'static str, message: wire::Message) {
+    if let Err(error) = link.push(step, message) {
         log::debug!("agent: {error}");
     }
 }
--- a/ragwortdeal_node/src/agent/calls.rs
+++ b/ragwortdeal_node/src/agent/calls.rs
@@ -40,6 +40,9 @@
         route.get("/internal/peers/*").to_new_handler(chunks);
         let hear = http::route(agent.clone(), transfer::hear);
         route.post("/internal/peers/holdings").to_new_handler(hear);
+        // gotham's glob needs at least one segment, which the root of a service has not.
+        let root = http::route(agent.clone(), call);
+        route.request(all.to_vec(), "/call").to_new_handler(root);
         let call = http::route(agent.clone(), call);
         route.request(all.to_vec(), "/call/*").to_new_handler(call);
     })
--- a/ragwortdeal_node/src/entry.rs
+++ b/ragwortdeal_node/src/entry.rs
@@ -88,6 +88,10 @@
     next_request: atomic::AtomicU64,
     attempts: sync::Mutex<attempt::AttemptSource>,
     ready: atomic::AtomicBool,
+    /// Whether some source has told which configuration is in force.
+    told: atomic::AtomicBool,
+    /// The highest revision that any upstream said it had applied.
+    floor_revision: atomic::AtomicU64,
 }
 
 impl Entry {
@@ -124,6 +128,8 @@
             next_request: atomic::AtomicU64::new(1),
             attempts: sync::Mutex::new(attempts),
             ready: atomic::AtomicBool::new(true),
+            told: atomic::AtomicBool::new(false),
+            floor_revision: atomic::AtomicU64::new(0),
         })
     }
 
--- a/ragwortdeal_node/src/entry/callers.rs
+++ b/ragwortdeal_node/src/entry/callers.rs
@@ -43,6 +43,9 @@
 
 /// The balancer stops sending new requests here before a planned stop begins.
 async fn readiness(entry: sync::Arc<Entry>, _request: http::Request) -> http::Response {
+    if !entry.knows_configuration() {
+        return http::respond(503, "text/plain", http::full("starting\n"));
+    }
     match entry.ready.load(atomic::Ordering::Relaxed) {
         true => http::respond(200, "text/plain", http::full("ready\n")),
         false => http::respond(503, "text/plain", http::full("stopping\n")),
--- a/ragwortdeal_node/src/entry/calls.rs
+++ b/ragwortdeal_node/src/entry/calls.rs
@@ -170,6 +170,10 @@
         urgency: permit::Urgency,
         id: &str,
     ) -> Result<permit::Permit, http::Response> {
+        if !self.knows_configuration() {
+            let detail = "the configuration in force is not known here yet";
+            return Err(callers::not_run(http::Kind::Unavailable, detail, id));
+        }
         if let Err(kind) = self.routable(account, target) {
             return Err(callers::not_run(kind, "no upstream may serve this call now", id));
         }
@@ -213,6 +217,9 @@
         self: &sync::Arc<Self>,
         wanted: &traffic::Wanted<'_>,
     ) -> Result<Chosen, http::Kind> {
+        if !self.knows_configuration() {
+            return Err(http::Kind::Unavailable);
+        }
         let choose = || {
             let now_ms = self.clock.now_ms();
             let config = self.config.borrow();
--- a/ragwortdeal_node/src/entry/control.rs
+++ b/ragwortdeal_node/src/entry/control.rs
@@ -1,6 +1,6 @@
 //! The entry's side of the voters: follows the configuration and proposes entries of their log.
 
-use std::sync;
+use std::sync::{self, atomic};
 
 use ragwortdeal_core::command;
 use ragwortdeal_wire::link as wire;
@@ -80,7 +80,7 @@
 
 impl Entry {
     /// Takes a configuration update, upwards only, and passes it on. `false` asks for the whole.
-    fn apply(&self, update: &wire::ConfigUpdate) -> bool {
+    pub(super) fn apply(&self, update: &wire::ConfigUpdate) -> bool {
         let Ok(decoded) = ciborium::from_reader(&update.payload[..]) else {
             return false;
         };
@@ -96,9 +96,28 @@
         if rose {
             self.pass_on(update);
         }
+        if whole {
+            self.told.store(true, atomic::Ordering::Relaxed);
+        }
         whole
     }
 
+    /// Whether the configuration held here is at least what its upstreams have in force.
+    ///
+    /// A restarted entry in a cut-off availability zone may reach one voter alone, and that one may
+    /// be behind what the zone had applied. Serving by it would take accepted changes back. The
+    /// announcements of upstreams carry what they have applied, so the entry refuses calls until it
+    /// has at least that, and asks the upstreams themselves for it.
+    pub(super) fn knows_configuration(&self) -> bool {
+        self.told.load(atomic::Ordering::Relaxed) && !self.is_behind_upstreams()
+    }
+
+    /// Whether some upstream has a later configuration in force than this entry.
+    pub(super) fn is_behind_upstreams(&self) -> bool {
+        let floor_revision = self.floor_revision.load(atomic::Ordering::Relaxed);
+        self.config.borrow().revision() < floor_revision
+    }
+
     /// Whether a voter can be reached now.
     pub(super) fn reaches_voters(&self) -> bool {
         self.voters.iter().any(link::Link::is_up)
--- a/ragwortdeal_node/src/entry/operator.rs
+++ b/ragwortdeal_node/src/entry/operator.rs
@@ -54,6 +54,10 @@
     if let Err(refusal) = may(&entry, &request) {
         return refusal;
     }
+    if !entry.knows_configuration() {
+        let detail = "the configuration in force is not known here yet";
+        return callers::not_run(http::Kind::CutOff, detail, &entry.request_id());
+    }
     let config = entry.config.borrow();
     let view =
         |(key, stored): (&config::object::ObjectKey, &config::object::Stored)| wire::ObjectView {
@@ -150,7 +154,7 @@
         let intended = config::intent::of_instance(&config, name);
         instance_status(&member.announcement, intended.as_ref())
     };
-    let control = match entry.reaches_voters() {
+    let control = match entry.reaches_voters() && entry.knows_configuration() {
         true => wire::StatusControl::Reachable,
         false => wire::StatusControl::CutOff,
     };
--- a/ragwortdeal_node/src/entry/relay.rs
+++ b/ragwortdeal_node/src/entry/relay.rs
@@ -1,8 +1,8 @@
 //! Links that the entry accepts: agents announce their upstreams and follow the configuration.
 
-use std::sync;
+use std::sync::{self, atomic};
 
-use ragwortdeal_core::{config, membership};
+use ragwortdeal_core::membership;
 use ragwortdeal_wire::link as wire;
 
 use super::{Entry, operations};
@@ -12,6 +12,8 @@
 pub(super) struct Subscriber {
     session: link::Session,
     subscribed: bool,
+    /// Whether its last announcement told of a later configuration than this entry's.
+    was_ahead: bool,
 }
 
 /// The entry as a service to links.
@@ -19,7 +21,8 @@
 
 impl link::Service for Links {
     fn opened(&self, session: &link::Session) {
-        let subscriber = Subscriber { session: session.clone(), subscribed: false };
+        let subscriber =
+            Subscriber { session: session.clone(), subscribed: false, was_ahead: false };
         let mut sessions = self.0.sessions.lock().expect("no panic under lock");
         sessions.insert(session.id, subscriber);
     }
@@ -29,6 +32,7 @@
             wire::Message::Announce(announcement) => {
                 let now_ms = self.0.clock.now_ms();
                 let instance = announcement.instance.clone();
+                self.0.learn_floor(session, announcement.applied_revision);
                 let mut members = self.0.members.lock().expect("no panic under lock");
                 members.announced(announcement, now_ms);
                 drop(members);
@@ -38,6 +42,9 @@
                 self.0.subscribe(session, subscribe.held_revision);
                 self.0.roster.introduce(session);
             }
+            wire::Message::ConfigUpdate(update) => {
+                self.0.apply(&update);
+            }
             wire::Message::Demand(demand) => self.0.learn_demand(&session.hello.name, &demand),
             _ => log::debug!("entry: unexpected message from {}", session.hello.name),
         }
@@ -71,6 +78,23 @@
         lease::message(&lease::Answer { stamp, granted })
     }
 
+    /// Notes what an upstream has in force, and asks it for that where the voters do not bring it.
+    fn learn_floor(&self, session: &link::Session, applied_revision: u64) {
+        self.floor_revision.fetch_max(applied_revision, atomic::Ordering::Relaxed);
+        let held_revision = self.config.borrow().revision();
+        let is_ahead = applied_revision > held_revision;
+        let mut sessions = self.sessions.lock().expect("no panic under lock");
+        let Some(subscriber) = sessions.get_mut(&session.id) else {
+            return;
+        };
+        // An upstream that is ahead once has only heard of a change a moment earlier.
+        if is_ahead && subscriber.was_ahead {
+            let message = wire::Message::Subscribe(wire::Subscribe { held_revision });
+            subscriber.session.push(message);
+        }
+        subscriber.was_ahead = is_ahead;
+    }
+
     fn subscribe(&self, session: &link::Session, held_revision: u64) {
         let mut sessions = self.sessions.lock().expect("no panic under lock");
         if let Some(subscriber) = sessions.get_mut(&session.id) {
@@ -79,7 +103,7 @@
         // Sent under the lock, so that no update passes between the snapshot and the deltas.
         let config = self.config.borrow();
         if config.revision() > held_revision {
-            session.push(voter::config_update(&whole(&config)));
+            session.push(voter::config_update(&config.snapshot()));
         }
     }
 
@@ -92,12 +116,3 @@
         }
     }
 }
-
-fn whole(config: &config::replica::Replica) -> config::delta::Update {
-    let objects = config.objects().iter().map(|(key, stored)| (key.clone(), stored.clone()));
-    config::delta::Update::Snapshot(config::delta::Snapshot {
-        revision: config.revision(),
-        objects: objects.collect(),
-        digest: config.digest().value(),
-    })
-}
--- a/ragwortdeal_node/src/voter/driver.rs
+++ b/ragwortdeal_node/src/voter/driver.rs
@@ -117,6 +117,11 @@
             Event::Letter(letter) => self.receive(letter),
             Event::Subscribe { session, held_revision } => {
                 let subscriber = Subscriber { sent_revision: held_revision, session };
+                // An entry that has just started cannot tell an empty configuration from one that
+                // it has not heard of yet, unless it is answered either way.
+                if self.machine.config().revision() <= held_revision {
+                    subscriber.session.push(config_update(&self.machine.config().no_update()));
+                }
                 self.subscribers.insert(subscriber.session.id, subscriber);
                 self.push_updates();
             }
