Follow a request by one trace id, and apply deltas without a copy

Figures: the trace test follows one request through caller, entry, agent and engine. Conclusion: spans from operator to voter are missing still.

--- a/ragwortdeal_core/src/config/replica.rs
+++ b/ragwortdeal_core/src/config/replica.rs
@@ -1,5 +1,7 @@
 //! A receiver's copy of the configuration, which only ever moves upwards.
 
+use std::collections;
+
 use snafu::Snafu;
 
 use super::{Revision, delta, object};
@@ -73,37 +75,30 @@
         if delta.from_revision > held_revision {
             return Err(ApplyError::Gap { held_revision, from_revision: delta.from_revision });
         }
-        let mut next = self.clone();
-        for step in delta.steps.iter().filter(|step| step.revision > held_revision) {
-            if step.revision != next.revision + 1 {
+        let steps = delta.steps.iter().filter(|step| step.revision > held_revision);
+        let mut pending = Pending::new(self);
+        for step in steps {
+            if step.revision != pending.revision + 1 {
                 let from_revision = step.revision - 1;
                 return Err(ApplyError::Gap { held_revision, from_revision });
             }
-            next.apply_step(step);
+            pending.add(step);
         }
-        if next.revision == held_revision {
+        if pending.revision == held_revision {
             return Ok(false);
         }
-        if next.digest.value() != delta.digest {
-            return Err(ApplyError::DigestMismatch { revision: next.revision });
+        if pending.digest.value() != delta.digest {
+            return Err(ApplyError::DigestMismatch { revision: pending.revision });
         }
-        *self = next;
-        Ok(true)
-    }
-
-    fn apply_step(&mut self, step: &delta::Step) {
-        self.revision = step.revision;
-        let old = match &step.object {
-            Some(object) => {
-                let stored = object::Stored { object: object.clone(), revision: step.revision };
-                self.digest.toggle(&step.key, &stored);
-                self.objects.insert(step.key.clone(), stored)
-            }
-            None => self.objects.remove(&step.key),
-        };
-        if let Some(old) = old {
-            self.digest.toggle(&step.key, &old);
+        let Pending { revision, digest, changed, .. } = pending;
+        for (key, stored) in changed {
+            match stored {
+                Some(stored) => self.objects.insert(key.clone(), stored),
+                None => self.objects.remove(key),
+            };
         }
+        (self.revision, self.digest) = (revision, digest);
+        Ok(true)
     }
 
     fn apply_snapshot(&mut self, snapshot: &delta::Snapshot) -> Result<bool, ApplyError> {
@@ -119,3 +114,40 @@
         Ok(true)
     }
 }
+
+/// What a delta would change. The digest is known before anything is changed, so that an update
+/// with another digest leaves no trace, and no copy of the whole configuration is made for it.
+struct Pending<'r, 'd> {
+    held: &'r object::Objects,
+    revision: Revision,
+    digest: delta::SetDigest,
+    changed: collections::BTreeMap<&'d object::ObjectKey, Option<object::Stored>>,
+}
+
+impl<'r, 'd> Pending<'r, 'd> {
+    fn new(replica: &'r Replica) -> Self {
+        Self {
+            held: &replica.objects,
+            revision: replica.revision,
+            digest: replica.digest,
+            changed: collections::BTreeMap::new(),
+        }
+    }
+
+    fn add(&mut self, step: &'d delta::Step) {
+        self.revision = step.revision;
+        let old = match self.changed.get(&step.key) {
+            Some(changed) => changed.as_ref(),
+            None => self.held.get(&step.key),
+        };
+        if let Some(old) = old {
+            self.digest.toggle(&step.key, old);
+        }
+        let new = step.object.clone();
+        let new = new.map(|object| object::Stored { object, revision: step.revision });
+        if let Some(new) = &new {
+            self.digest.toggle(&step.key, new);
+        }
+        self.changed.insert(&step.key, new);
+    }
+}
--- a/ragwortdeal_node/src/agent.rs
+++ b/ragwortdeal_node/src/agent.rs
@@ -19,7 +19,7 @@
 use snafu::Snafu;
 use tokio::{net, sync::watch};
 
-use crate::{http, link, settings, stop};
+use crate::{http, link, settings, stop, telemetry};
 
 /// How long a leaving agent still takes calls, because entries may not have heard yet.
 const LINGER_MS: u64 = 3_000;
@@ -33,6 +33,12 @@
         /// What is wrong.
         source: name::NameError,
     },
+    /// Metrics or traces cannot be sent as the settings say.
+    #[snafu(display("start telemetry: {source}"), context(false))]
+    Telemetry {
+        /// What is wrong.
+        source: telemetry::TelemetryError,
+    },
 }
 
 /// What the agent knows of the weights on its instance.
@@ -77,6 +83,7 @@
     running: sync::Mutex<collections::BTreeMap<Option<digest::Digest>, u64>>,
     by_entry: sync::Mutex<collections::BTreeMap<String, u64>>,
     sequence: atomic::AtomicU64,
+    telemetry: telemetry::Telemetry,
     leaving: atomic::AtomicBool,
     engine: engine::Engine,
     attempts: guard::Attempts,
@@ -92,6 +99,7 @@
         let identity = settings.process.identity()?;
         let by_entry = collections::BTreeMap::new();
         let report = Report { running: 0, queued: 0, by_entry, at: std::time::Instant::now() };
+        let telemetry = telemetry::Telemetry::start(&identity.name, &settings.telemetry)?;
         let http = http::Client::new(1_000);
         Ok(Self {
             attempts: guard::Attempts::new(identity.incarnation),
@@ -110,6 +118,7 @@
             running: sync::Mutex::default(),
             by_entry: sync::Mutex::default(),
             sequence: atomic::AtomicU64::new(0),
+            telemetry,
             leaving: atomic::AtomicBool::new(false),
         })
     }
@@ -204,6 +213,7 @@
     stopper.stop();
     let finished = serving.await.unwrap_or(false);
     guard::settled(&agent, grace_ms).await;
+    agent.telemetry.flush();
     log::info!("agent: stopped, all calls finished: {finished}");
     Ok(())
 }
--- a/ragwortdeal_node/src/agent/calls.rs
+++ b/ragwortdeal_node/src/agent/calls.rs
@@ -11,7 +11,7 @@
 use ragwortdeal_wire::operator as wire;
 
 use super::{Agent, guard, transfer};
-use crate::{attempt, http};
+use crate::{attempt, http, telemetry};
 
 /// Longest time an upstream may take to the head of its answer. The mainframe behind a ledger may
 /// take minutes; entries give up earlier by their own limits.
@@ -148,7 +148,12 @@
     agent.credential.accepts(given)
 }
 
-async fn call(agent: sync::Arc<Agent>, request: http::Request) -> http::Response {
+async fn call(agent: sync::Arc<Agent>, mut request: http::Request) -> http::Response {
+    let span = agent.telemetry.span("agent", request.header(telemetry::TRACEPARENT));
+    agent.telemetry.count("agent.calls", 1);
+    if let Some(value) = span.traceparent().and_then(|text| text.parse().ok()) {
+        request.headers.insert(telemetry::TRACEPARENT, value);
+    }
     if !is_own_process(&agent, &request) {
         return refuse(&agent, http::Kind::Unauthorized, "wrong credential");
     }
--- a/ragwortdeal_node/src/entry.rs
+++ b/ragwortdeal_node/src/entry.rs
@@ -19,7 +19,7 @@
 use snafu::Snafu;
 use tokio::{net, sync::watch};
 
-use crate::{clock, http, link, settings, stop, voter};
+use crate::{clock, http, link, settings, stop, telemetry, voter};
 
 /// Why an entry cannot run.
 #[derive(Debug, Snafu)]
@@ -30,6 +30,12 @@
         /// What is wrong.
         source: name::NameError,
     },
+    /// Metrics or traces cannot be sent as the settings say.
+    #[snafu(display("start telemetry: {source}"), context(false))]
+    Telemetry {
+        /// What is wrong.
+        source: telemetry::TelemetryError,
+    },
     /// The voter part on this instance failed.
     #[snafu(display("voter part: {source}"), context(false))]
     Voter {
@@ -87,6 +93,7 @@
     roster: roster::Roster,
     next_request: atomic::AtomicU64,
     attempts: sync::Mutex<attempt::AttemptSource>,
+    telemetry: telemetry::Telemetry,
     ready: atomic::AtomicBool,
     /// Whether some source has told which configuration is in force.
     told: atomic::AtomicBool,
@@ -100,6 +107,7 @@
         events: tokio::sync::mpsc::Sender<control::VoterEvent>,
     ) -> Result<Self, EntryError> {
         let identity = settings.process.identity()?;
+        let telemetry = telemetry::Telemetry::start(&identity.name, &settings.telemetry)?;
         let credential = link::Credential::new(&settings.credentials.cluster);
         let mut accounts = collections::HashMap::new();
         let mut weights = collections::HashMap::new();
@@ -127,6 +135,7 @@
             roster: roster::Roster::default(),
             next_request: atomic::AtomicU64::new(1),
             attempts: sync::Mutex::new(attempts),
+            telemetry,
             ready: atomic::AtomicBool::new(true),
             told: atomic::AtomicBool::new(false),
             floor_revision: atomic::AtomicU64::new(0),
@@ -187,6 +196,7 @@
     {
         ended?;
     }
+    entry.telemetry.flush();
     log::info!("entry: stopped, all requests finished: {finished}");
     Ok(())
 }
--- a/ragwortdeal_node/src/entry/calls.rs
+++ b/ragwortdeal_node/src/entry/calls.rs
@@ -13,7 +13,7 @@
 use ragwortdeal_wire::operator as wire;
 
 use super::{Entry, callers, stream};
-use crate::http;
+use crate::{http, telemetry};
 
 /// Start of a prompt that engines may share, in bytes. Shorter prompts are not worth an affinity.
 const PREFIX_BYTES: usize = 256;
@@ -37,6 +37,8 @@
     /// When the caller stops waiting.
     deadline_ms: u64,
     prefix: Option<u64>,
+    /// Trace context for the hop to the agent.
+    traceparent: Option<String>,
 }
 
 /// An upstream that was chosen for a call.
@@ -58,10 +60,20 @@
 /// Answers a call for a completion.
 pub(super) async fn complete(entry: sync::Arc<Entry>, request: http::Request) -> http::Response {
     let id = request.header(http::REQUEST_ID).map_or_else(|| entry.request_id(), str::to_owned);
-    match read(&entry, request, id).await {
-        Ok(call) => serve(entry, call).await,
+    let span = entry.telemetry.span("entry", request.header(telemetry::TRACEPARENT));
+    span.note("request_id", &id);
+    entry.telemetry.count("entry.completions", 1);
+    let answer = match read(&entry, request, id).await {
+        Ok(call) => {
+            let traceparent = span.traceparent();
+            serve(entry.clone(), Call { traceparent, ..call }).await
+        }
         Err(refusal) => refusal,
+    };
+    if !answer.status().is_success() {
+        entry.telemetry.count("entry.completions_refused", 1);
     }
+    answer
 }
 
 async fn read(entry: &Entry, request: http::Request, id: String) -> Result<Call, http::Response> {
@@ -89,7 +101,20 @@
         true => hop_id(entry, &id),
         false => id.clone(),
     };
-    Ok(Call { id, hop_id, account, path, model, body, events, urgency, deadline_ms, prefix })
+    let traceparent = None;
+    Ok(Call {
+        id,
+        hop_id,
+        account,
+        path,
+        model,
+        body,
+        events,
+        urgency,
+        deadline_ms,
+        prefix,
+        traceparent,
+    })
 }
 
 /// An identifier that is unique and still shows the caller's own.
@@ -253,6 +278,13 @@
         self.over(&hop, method, path, body)
     }
 
+    /// Adds the trace context to a request for the next hop.
+    pub(super) fn trace(request: &mut hyper::Request<http::Body>, traceparent: Option<&str>) {
+        if let Some(value) = traceparent.and_then(|text| text.parse().ok()) {
+            request.headers_mut().insert(telemetry::TRACEPARENT, value);
+        }
+    }
+
     fn over(
         &self,
         hop: &Hop<'_>,
--- a/ragwortdeal_node/src/entry/calls/attempt.rs
+++ b/ragwortdeal_node/src/entry/calls/attempt.rs
@@ -64,6 +64,7 @@
 ) -> Result<FirstByte, (retry::Failure, String)> {
     let lost = |detail: String| (retry::Failure::NoAnswer, detail);
     let mut request = entry.to_agent(chosen, "POST", &call.path, &call.hop_id, call.body.clone());
+    Entry::trace(&mut request, call.traceparent.as_deref());
     let priority = hyper::header::HeaderValue::from_static(call.urgency.priority_text());
     request.headers_mut().insert(http::PRIORITY, priority);
     let response = self::head(entry, chosen, request, patience_ms).await?;
--- a/ragwortdeal_node/src/entry/calls/reads.rs
+++ b/ragwortdeal_node/src/entry/calls/reads.rs
@@ -11,6 +11,8 @@
 /// A read from a plain service.
 pub(in super::super) struct Read<'a> {
     pub(in super::super) id: &'a str,
+    /// Trace context for the hop to the agent.
+    pub(in super::super) traceparent: Option<&'a str>,
     pub(in super::super) account: &'a name::AccountName,
     pub(in super::super) target: &'a config::object::ObjectKey,
     pub(in super::super) method: &'a hyper::Method,
@@ -33,8 +35,9 @@
             Err(kind) => return history.nobody_left(kind),
         };
         history.tried.push(chosen.instance.clone());
-        let request =
+        let mut request =
             entry.to_agent(&chosen, read.method.as_str(), read.path, read.id, read.body.clone());
+        Entry::trace(&mut request, read.traceparent);
         let patience_ms = history.patience_ms(entry);
         let (failure, detail) = match attempt::head(entry, &chosen, request, patience_ms).await {
             Ok(response) => {
--- a/ragwortdeal_node/src/entry/operations.rs
+++ b/ragwortdeal_node/src/entry/operations.rs
@@ -13,7 +13,7 @@
 use ragwortdeal_wire::link as wire;
 
 use super::{Entry, callers, calls};
-use crate::{attempt, http, link};
+use crate::{attempt, http, link, telemetry};
 
 pub(super) use staff::{list, settle};
 
@@ -27,6 +27,9 @@
 /// Answers a call to a plain service below `/services/NAME/`.
 pub(super) async fn service(entry: sync::Arc<Entry>, request: http::Request) -> http::Response {
     let id = request.header(http::REQUEST_ID).map_or_else(|| entry.request_id(), str::to_owned);
+    let span = entry.telemetry.span("entry", request.header(telemetry::TRACEPARENT));
+    span.note("request_id", &id);
+    entry.telemetry.count("entry.service_calls", 1);
     let refuse = |kind, detail: &str| callers::not_run(kind, detail, &id);
     let Some(account) = callers::account(&entry, &request) else {
         return refuse(http::Kind::Unauthorized, "no account has this secret");
@@ -46,6 +49,7 @@
         path: format!("/{rest}{query}"),
         content_type,
         key: request.header("idempotency-key").map(str::to_owned),
+        traceparent: span.traceparent(),
     };
     let limits = &entry.settings.limits;
     let urgency = calls::permit::Urgency::of(&request);
@@ -71,6 +75,8 @@
     path: String,
     content_type: Option<String>,
     key: Option<String>,
+    /// Trace context for the hop to the agent.
+    traceparent: Option<String>,
 }
 
 impl Call {
@@ -87,6 +93,7 @@
 ) -> http::Response {
     let read = calls::reads::Read {
         id: &call.id,
+        traceparent: call.traceparent.as_deref(),
         account: &call.account,
         target: &call.target(),
         method: &call.method,
--- a/ragwortdeal_node/src/entry/operations/drive.rs
+++ b/ragwortdeal_node/src/entry/operations/drive.rs
@@ -134,6 +134,7 @@
         };
         let (method, path) = (call.method.as_str(), call.path.as_str());
         let mut request = self.entry.to_agent(&chosen, method, path, &call.id, body);
+        Entry::trace(&mut request, call.traceparent.as_deref());
         let headers = request.headers_mut();
         let texts = [("idempotency-key", &call.key), ("content-type", &call.content_type)];
         for (name, text) in texts {
--- a/ragwortdeal_node/tests/whole_path.rs
+++ b/ragwortdeal_node/tests/whole_path.rs
@@ -63,3 +63,35 @@
     expect_that!(problem.ran, eq(ragwortdeal_wire::operator::Ran::DidNotRun));
     expect_that!(deployment.ledger.effects().len(), eq(0));
 }
+
+/// A caller's answer is slow and its operator looks for the hop that took the time. With a hop that
+/// starts a trace of its own, or passes the context on unchanged, nobody could tell.
+#[googletest::test]
+#[tokio::test]
+async fn one_request_is_followed_through_all_hops_by_one_trace_id() {
+    const TRACE_ID: &str = "4bf92f3577b34da6a3ce929d0e0e4736";
+    let plan = deployment::Plan { spans: true, ..small() };
+    let deployment = deployment::Deployment::start(plan).await.unwrap();
+    deployment.open_routes().await;
+    let weights = origin::Weights::of_seed(1, 10_000, 64 << 10);
+    deployment.roll_out(&weights).await;
+    deployment.serving(0, &weights.version().to_string(), 3).await;
+    let mut caller = deployment.caller(0);
+    caller.traceparent = Some(format!("00-{TRACE_ID}-00f067aa0ba902b7-01"));
+    expect_that!(caller.complete(deployment::MODEL, "hello", 5).await.status, eq(200));
+
+    let text = std::fs::read_to_string(deployment.spans_file()).unwrap();
+    let spans: Vec<serde_json::Value> =
+        text.lines().map(|line| serde_json::from_str(line).unwrap()).collect();
+    let span = |name: &str| {
+        let found = spans.iter().find(|span| span["name"] == name && span["trace_id"] == TRACE_ID);
+        found.unwrap_or_else(|| panic!("no span {name} in {text}")).clone()
+    };
+    let (entry, agent) = (span("entry"), span("agent"));
+    expect_that!(entry["parent_span_id"].as_str(), some(eq("00f067aa0ba902b7")));
+    expect_that!(agent["parent_span_id"], eq(&entry["span_id"]));
+    let engines = deployment.engines.iter().filter_map(|agent| agent.engine.as_ref());
+    let arrived: Vec<String> = engines.flat_map(engine::Engine::traceparents).collect();
+    let expected = format!("00-{TRACE_ID}-{}-01", agent["span_id"].as_str().unwrap());
+    expect_that!(arrived, elements_are![eq(&expected)]);
+}
--- a/ragwortdeal_standins/src/caller.rs
+++ b/ragwortdeal_standins/src/caller.rs
@@ -64,6 +64,8 @@
     /// Address of the entry's listener for callers.
     pub address: net::SocketAddr,
     token: String,
+    /// Trace context to send with each request.
+    pub traceparent: Option<String>,
     http: http::Client,
 }
 
@@ -75,7 +77,8 @@
 
     /// A caller that presents the given secret.
     pub fn with_token(address: net::SocketAddr, token: &str) -> Self {
-        Self { address, token: token.to_owned(), http: http::Client::new(1_000) }
+        let http = http::Client::new(1_000);
+        Self { address, token: token.to_owned(), traceparent: None, http }
     }
 
     /// Asks for a streamed completion.
@@ -101,6 +104,9 @@
         if let Some(key) = key {
             request = request.header("idempotency-key", key);
         }
+        if let Some(traceparent) = &self.traceparent {
+            request = request.header("traceparent", traceparent);
+        }
         let request = request.body(http::full(body)).expect("tests send valid headers");
         let start = time::Instant::now();
         let peer = self.address.to_string();
--- a/ragwortdeal_standins/src/deployment.rs
+++ b/ragwortdeal_standins/src/deployment.rs
@@ -62,6 +62,8 @@
     pub order_life_ms: u64,
     /// How ledgers behave.
     pub ledger: service::Behaviour,
+    /// Whether entries and agents append their spans to `spans.jsonl` in the deployment's folder.
+    pub spans: bool,
     /// Whether links between availability zones go through stretches of network that can be cut.
     pub network: bool,
 }
@@ -84,6 +86,7 @@
             order_life_ms: 60_000,
             ledger: service::Behaviour::default(),
             network: false,
+            spans: false,
         }
     }
 }
@@ -299,6 +302,16 @@
         voter::operate::ask(&link, request, 1_000).await.ok()
     }
 
+    /// File that spans are appended to.
+    pub fn spans_file(&self) -> path::PathBuf {
+        self.folder.path().join("spans.jsonl")
+    }
+
+    fn telemetry(&self) -> settings::common::Telemetry {
+        let spans_file = self.plan.spans.then(|| self.spans_file());
+        settings::common::Telemetry { spans_file, ..settings::common::Telemetry::default() }
+    }
+
     /// Folder of a voter's disk.
     pub fn data_dir(&self, number: usize) -> path::PathBuf {
         self.folder.path().join(format!("voter-{number}"))
@@ -335,6 +348,7 @@
                     token: caller::OPERATOR_TOKEN.to_owned(),
                 }],
                 credentials: credentials(),
+                telemetry: self.telemetry(),
                 ..settings::entry::Settings::default()
             };
             let process = Some(start_entry(settings.clone(), listeners)?);
@@ -376,6 +390,7 @@
                 ..settings::agent::Weights::default()
             },
             credentials: credentials(),
+            telemetry: self.telemetry(),
             ..settings::agent::Settings::default()
         })
     }
--- a/ragwortdeal_standins/src/engine.rs
+++ b/ragwortdeal_standins/src/engine.rs
@@ -54,6 +54,7 @@
     cancelled: collections::BTreeSet<String>,
     orders: Vec<wire::Order>,
     begun: Vec<time::Instant>,
+    traceparents: Vec<String>,
 }
 
 #[derive(Debug)]
@@ -128,6 +129,11 @@
         self.shared.held.lock().expect("no panic under lock").begun.clone()
     }
 
+    /// Trace contexts that requests carried.
+    pub fn traceparents(&self) -> Vec<String> {
+        self.shared.held.lock().expect("no panic under lock").traceparents.clone()
+    }
+
     /// All orders that arrived, carried out or not.
     pub fn orders(&self) -> Vec<wire::Order> {
         self.shared.held.lock().expect("no panic under lock").orders.clone()
@@ -215,6 +221,7 @@
         let header = |name: &str| Some(request.headers().get(name)?.to_str().ok()?.to_owned());
         let id = header("x-request-id").unwrap_or_else(|| "none".to_owned());
         let wanted = header("x-model-version");
+        let traceparent = header("traceparent");
         let body = http::body(request).await;
         let Ok(call) = serde_json::from_slice::<serde_json::Value>(&body) else {
             return http::respond(400, "text/plain", "no JSON");
@@ -232,6 +239,7 @@
                 tokens: call["max_tokens"].as_u64().unwrap_or(16),
             };
             held.begun.push(time::Instant::now());
+            held.traceparents.extend(traceparent);
             held.streams.insert(id.clone(), stream.clone());
             stream
         };
