Split the deployment, share what the programs do alike

Change: rollouts and questions to voters stand in files of their own; program::run loads, checks and runs for all programs; one list of methods.

--- a/ragwortdeal_node/src/agent/calls.rs
+++ b/ragwortdeal_node/src/agent/calls.rs
@@ -23,14 +23,6 @@
 
 /// Routes of an agent.
 pub(super) fn router(agent: &sync::Arc<Agent>) -> router::Router {
-    let all = [
-        hyper::Method::GET,
-        hyper::Method::HEAD,
-        hyper::Method::POST,
-        hyper::Method::PUT,
-        hyper::Method::PATCH,
-        hyper::Method::DELETE,
-    ];
     router::builder::build_simple_router(|route| {
         let staged = http::route(agent.clone(), staged);
         route.get("/internal/staged/*").to_new_handler(staged);
@@ -42,9 +34,9 @@
         route.post("/internal/peers/holdings").to_new_handler(hear);
         // gotham's glob needs at least one segment, which the root of a service has not.
         let root = http::route(agent.clone(), call);
-        route.request(all.to_vec(), "/call").to_new_handler(root);
+        route.request(http::methods(), "/call").to_new_handler(root);
         let call = http::route(agent.clone(), call);
-        route.request(all.to_vec(), "/call/*").to_new_handler(call);
+        route.request(http::methods(), "/call/*").to_new_handler(call);
     })
 }
 
--- a/ragwortdeal_node/src/entry/callers.rs
+++ b/ragwortdeal_node/src/entry/callers.rs
@@ -3,7 +3,7 @@
 use std::sync::{self, atomic};
 
 use gotham::{
-    hyper, router,
+    router,
     router::builder::{DefineSingleRoute as _, DrawRoutes as _},
 };
 use ragwortdeal_core::name;
@@ -15,14 +15,6 @@
 
 /// Routes towards callers.
 pub(super) fn router(entry: &sync::Arc<Entry>) -> router::Router {
-    let all = [
-        hyper::Method::GET,
-        hyper::Method::HEAD,
-        hyper::Method::POST,
-        hyper::Method::PUT,
-        hyper::Method::PATCH,
-        hyper::Method::DELETE,
-    ];
     router::builder::build_simple_router(|route| {
         route.get("/healthz").to_new_handler(http::route(entry.clone(), health));
         route.get("/readyz").to_new_handler(http::route(entry.clone(), readiness));
@@ -33,7 +25,7 @@
         let outcome = http::route(entry.clone(), operations::outcome);
         route.get("/operations/*").to_new_handler(outcome);
         let service = http::route(entry.clone(), operations::service);
-        route.request(all.to_vec(), "/services/*").to_new_handler(service);
+        route.request(http::methods(), "/services/*").to_new_handler(service);
     })
 }
 
--- a/ragwortdeal_node/src/http.rs
+++ b/ragwortdeal_node/src/http.rs
@@ -41,6 +41,18 @@
 /// Header with the time in milliseconds for which the caller will wait.
 pub const TIMEOUT_MS: &str = "x-request-timeout-ms";
 
+/// Methods that calls to upstreams may have.
+pub fn methods() -> Vec<hyper::Method> {
+    vec![
+        hyper::Method::GET,
+        hyper::Method::HEAD,
+        hyper::Method::POST,
+        hyper::Method::PUT,
+        hyper::Method::PATCH,
+        hyper::Method::DELETE,
+    ]
+}
+
 /// A whole body from memory.
 pub fn full(bytes: impl Into<bytes::Bytes>) -> Body {
     http_body_util::Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
--- a/ragwortdeal_node/src/program.rs
+++ b/ragwortdeal_node/src/program.rs
@@ -15,14 +15,23 @@
     })
 }
 
-/// Runs a program to its end. `main` gets the request to stop, which SIGTERM and SIGINT give.
-pub fn run<F, R, E>(level: &str, main: F) -> process::ExitCode
+/// Runs a program to its end, or only checks its settings. `main` gets the request to stop, which
+/// SIGTERM and SIGINT give.
+pub fn run<S, F, R, E>(file: &path::Path, only_check: bool, main: F) -> process::ExitCode
 where
-    F: FnOnce(stop::Stop) -> R,
+    S: settings::Settings,
+    F: FnOnce(S, stop::Stop) -> R,
     R: Future<Output = Result<(), E>>,
     E: fmt::Display,
 {
-    logging::start(level);
+    let settings: S = match load(file) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    if only_check {
+        return process::ExitCode::SUCCESS;
+    }
+    logging::start(settings.log_level());
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
@@ -34,7 +43,7 @@
     let ended = runtime.block_on(async {
         let (stopper, stop) = stop::pair();
         tokio::spawn(stop::on_signal(stopper));
-        main(stop).await
+        main(settings, stop).await
     });
     match ended {
         Ok(()) => process::ExitCode::SUCCESS,
--- a/ragwortdeal_node/src/settings.rs
+++ b/ragwortdeal_node/src/settings.rs
@@ -72,6 +72,9 @@
 pub trait Settings: serde::de::DeserializeOwned {
     /// Finds what the types alone cannot tell, as pairs of a key and what is wrong with it.
     fn check(&self) -> Vec<(String, String)>;
+
+    /// What the program logs.
+    fn log_level(&self) -> &str;
 }
 
 /// Reads and checks a settings file.
--- a/ragwortdeal_node/src/settings/voter.rs
+++ b/ragwortdeal_node/src/settings/voter.rs
@@ -66,6 +66,10 @@
 }
 
 impl super::Settings for Settings {
+    fn log_level(&self) -> &str {
+        &self.log.level
+    }
+
     fn check(&self) -> Vec<(String, String)> {
         let mut complaints = self.process.check();
         complaints.extend(self.credentials.check());
--- a/ragwortdeal_standins/src/deployment.rs
+++ b/ragwortdeal_standins/src/deployment.rs
@@ -1,20 +1,21 @@
 //! A whole deployment on loopback: the system's programs and the stand-ins round them.
 
 mod programs;
+mod rollouts;
+mod voters;
 
 use std::{
     io, net, path,
     sync::{self, atomic},
-    time,
 };
 
-use ragwortdeal_core::replication::replica;
-use ragwortdeal_node::{link, settings, voter};
-use ragwortdeal_wire::{link as link_wire, operator as wire};
-use tokio::sync::mpsc;
+use ragwortdeal_node::settings;
+use ragwortdeal_wire::operator as wire;
 
 use crate::{caller, engine, network, origin, process, service};
 
+pub use rollouts::wait_for;
+
 use programs::{
     BoundEntry, bind_entry, rebind, restart_agent, start_agent, start_entry, start_voter,
 };
@@ -267,41 +268,6 @@
         Ok(number)
     }
 
-    /// A link to a voter, as an operator's tool opens it. It is up a moment later.
-    pub fn voter_link(&self, number: usize) -> link::Link {
-        let address = self.voters[number].settings.listen.links.to_string();
-        let hello = link_wire::Hello {
-            name: "tests".to_owned(),
-            role: "operator".to_owned(),
-            zone: "home".to_owned(),
-            incarnation: 1,
-        };
-        let (events, mut received) = mpsc::channel(16);
-        tokio::spawn(async move { while received.recv().await.is_some() {} });
-        let credential = link::Credential::new(CLUSTER_SECRET);
-        link::open(&address, credential, hello, link::LinkLimits::default(), events)
-    }
-
-    /// A voter's view of its group, `None` where it does not answer.
-    pub async fn voter_status(&self, number: usize) -> Option<replica::Status> {
-        match self.ask_voter(number, &voter::operate::Request::Status).await {
-            Some(voter::operate::Reply::Status(status)) => Some(*status),
-            _ => None,
-        }
-    }
-
-    /// Asks a voter as an operator's tool does.
-    pub async fn ask_voter(
-        &self,
-        number: usize,
-        request: &voter::operate::Request,
-    ) -> Option<voter::operate::Reply> {
-        self.voters[number].process.as_ref()?;
-        let link = self.voter_link(number);
-        wait_for("the link to a running voter is up", async || link.is_up()).await;
-        voter::operate::ask(&link, request, 1_000).await.ok()
-    }
-
     /// File that spans are appended to.
     pub fn spans_file(&self) -> path::PathBuf {
         self.folder.path().join("spans.jsonl")
@@ -498,79 +464,6 @@
             .await;
         }
     }
-
-    /// Sets a route from every account to every model, service and upstream.
-    pub async fn open_routes(&self) {
-        let all = String::new;
-        let route = wire::Route { accounts: all(), targets: all(), upstreams: all() };
-        self.set("route/all", wire::Object::Route(route)).await;
-    }
-
-    /// Registers a version and places it on all engines.
-    pub async fn roll_out(&self, weights: &origin::Weights) {
-        self.origin.offer(weights);
-        let version = weights.version().to_string();
-        let object = wire::Object::Version(wire::Version {
-            model: MODEL.to_owned(),
-            adapter: None,
-            size_bytes: weights.manifest.size_bytes(),
-        });
-        self.set(&format!("version/{version}"), object).await;
-        for number in 0..self.plan.engines {
-            self.set(&format!("instance/engine-{number}"), caller::labels(&[])).await;
-        }
-        let instances = "name".to_owned();
-        let object = wire::Object::Placement(wire::Placement { instances, version });
-        self.set("placement/all", object).await;
-    }
-
-    /// Sets an object, at whichever entry answers. A change whose answer was lost is sent again
-    /// with its identifier, as an operator's tool does.
-    pub async fn set(&self, key: &str, object: wire::Object) {
-        let number = self.changes.fetch_add(1, atomic::Ordering::Relaxed);
-        let id = format!("deployment-{number}");
-        let entries = self.entries.len();
-        let mut tries = 0;
-        wait_for("a change is accepted", async || {
-            let entry = tries % entries;
-            tries += 1;
-            if self.entries[entry].process.is_none() {
-                return false;
-            }
-            let answer = self.operator(entry).set(&id, key, object.clone()).await;
-            let outcome = answer.as_ref().map(|answer| answer.outcome);
-            assert!(outcome != Some(wire::ChangeAnswerOutcome::Refused), "{key}: {answer:?}");
-            outcome == Some(wire::ChangeAnswerOutcome::Accepted)
-        })
-        .await;
-    }
-
-    /// Waits until so many engines serve a version as seen by an entry.
-    pub async fn serving(&self, entry: usize, version: &str, replicas: usize) {
-        let operator = self.operator(entry);
-        wait_for("the replicas serve the version", async || {
-            let Some(status) = operator.status().await else {
-                return false;
-            };
-            let serving =
-                status.instances.iter().filter(|one| one.serving.as_deref() == Some(version));
-            serving.count() >= replicas
-        })
-        .await;
-    }
-}
-
-/// Waits until a condition holds, for as long as a test may take.
-///
-/// # Panics
-///
-/// Where it does not hold within a minute.
-pub async fn wait_for(what: &str, mut holds: impl AsyncFnMut() -> bool) {
-    let deadline = time::Instant::now() + time::Duration::from_secs(60);
-    while !holds().await {
-        assert!(time::Instant::now() < deadline, "did not come about: {what}");
-        tokio::time::sleep(time::Duration::from_millis(20)).await;
-    }
 }
 
 fn credentials() -> settings::common::Credentials {
