Let operators see and replace voters

Cause: ragwortctl members asked a path that nobody served, and replacing a lost voter needed a program over a link. Conclusion: repair is one command now. The system does not propose it by itself yet.

--- a/extra/completions/ragwortctl.bash
+++ b/extra/completions/ragwortctl.bash
@@ -31,6 +31,9 @@
             ragwortctl,operations)
                 cmd="ragwortctl__subcmd__operations"
                 ;;
+            ragwortctl,replace-voter)
+                cmd="ragwortctl__subcmd__replace__subcmd__voter"
+                ;;
             ragwortctl,selector)
                 cmd="ragwortctl__subcmd__selector"
                 ;;
@@ -89,7 +92,7 @@
 
     case "${cmd}" in
         ragwortctl)
-            opts="-h -V --entry --token --output --help --version label selector version status spread operations settle members check-config generate"
+            opts="-h -V --entry --token --output --help --version label selector version status spread operations settle members replace-voter check-config generate"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 1 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -368,6 +371,40 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        ragwortctl__subcmd__replace__subcmd__voter)
+            opts="-h --lost --new --entry --token --output --help"
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                --lost)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --new)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --entry)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --token)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --output)
+                    COMPREPLY=($(compgen -W "table json" -- "${cur}"))
+                    return 0
+                    ;;
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         ragwortctl__subcmd__selector)
             opts="-h --entry --token --output --help place route get list remove"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
--- a/extra/completions/ragwortctl.fish
+++ b/extra/completions/ragwortctl.fish
@@ -38,6 +38,7 @@
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "operations" -d 'Operations that may not be repeated'
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "settle" -d 'Settles an operation in doubt after a look at the ledger'
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "members" -d 'The voters'
+complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "replace-voter" -d 'Replaces a voter that is lost for good, brings a new one in, or both'
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "check-config" -d 'Checks a settings file'
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "generate" -d 'Writes shell completions and man pages'
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand label; and not __fish_seen_subcommand_from set get list remove" -l entry -d 'Address of an entry\'s listener for operators. With several, the next is asked when one does not answer; a change keeps its identifier, so it is never made twice' -r
@@ -178,6 +179,13 @@
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand members" -l output -d 'How to print' -r -f -a "table\t'For people'
 json\t'For programs'"
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand members" -s h -l help -d 'Print help (see more with \'--help\')'
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand replace-voter" -l lost -d 'Instance whose voter is lost for good' -r
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand replace-voter" -l new -d 'Instance of a running voter that is to take part' -r
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand replace-voter" -l entry -d 'Address of an entry\'s listener for operators. With several, the next is asked when one does not answer; a change keeps its identifier, so it is never made twice' -r
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand replace-voter" -l token -d 'The operator\'s secret' -r
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand replace-voter" -l output -d 'How to print' -r -f -a "table\t'For people'
+json\t'For programs'"
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand replace-voter" -s h -l help -d 'Print help (see more with \'--help\')'
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand check-config" -l program -d 'The program that reads it' -r -f -a "entry\t'`ragwortdeal-entry`'
 agent\t'`ragwortdeal-agent`'
 voter\t'`ragwortdeal-voter`'"
--- a/ragwortctl/src/cli.rs
+++ b/ragwortctl/src/cli.rs
@@ -78,6 +78,15 @@
     },
     /// The voters.
     Members,
+    /// Replaces a voter that is lost for good, brings a new one in, or both.
+    ReplaceVoter {
+        /// Instance whose voter is lost for good.
+        #[arg(long)]
+        lost: Option<String>,
+        /// Instance of a running voter that is to take part.
+        #[arg(long)]
+        new: Option<String>,
+    },
     /// Checks a settings file.
     CheckConfig {
         /// The program that reads it.
--- a/ragwortctl/src/commands.rs
+++ b/ragwortctl/src/commands.rs
@@ -8,6 +8,7 @@
 use std::{io, process};
 
 use ragwortdeal_node::{border, program, settings};
+use ragwortdeal_wire::operator as wire;
 use snafu::Snafu;
 
 use crate::{cli, client};
@@ -70,6 +71,10 @@
             views::settle(&client, output, operation, ran).await
         }
         cli::Command::Members => views::members(&client, output).await,
+        cli::Command::ReplaceVoter { lost, new } => {
+            let replacement = wire::VoterReplacement { lost, new };
+            views::replace_voter(&client, output, replacement).await
+        }
         cli::Command::CheckConfig { program, file } => Ok(check_config(program, &file)),
         cli::Command::Generate { folder } => generate::write(&folder),
     }
--- a/ragwortctl/src/commands/views.rs
+++ b/ragwortctl/src/commands/views.rs
@@ -159,14 +159,27 @@
     output: cli::Output,
 ) -> Result<process::ExitCode, CommandError> {
     let list: wire::VoterList = client.get("/api/voters").await?;
-    output::print(output, &list, |list| {
-        let mut table = output::Table::new(&["VOTER", "ADDRESS", "ROLE", "LAST INDEX"]);
-        for voter in &list.voters {
-            let last_index = voter.last_index.to_string();
-            let cells = [&voter.name, &voter.address, &voter.role, &last_index];
-            table.row(cells.map(Clone::clone).to_vec());
-        }
-        table
-    })?;
+    output::print(output, &list, voters_table)?;
     Ok(process::ExitCode::SUCCESS)
 }
+
+pub(super) async fn replace_voter(
+    client: &client::Client,
+    output: cli::Output,
+    replacement: wire::VoterReplacement,
+) -> Result<process::ExitCode, CommandError> {
+    let body = serde_json::to_vec(&replacement).unwrap_or_default();
+    let list: wire::VoterList = client.post("/api/voters/replace", body).await?;
+    output::print(output, &list, voters_table)?;
+    Ok(process::ExitCode::SUCCESS)
+}
+
+fn voters_table(list: &wire::VoterList) -> output::Table {
+    let mut table = output::Table::new(&["VOTER", "STORAGE", "ROLE", "LAST INDEX"]);
+    for voter in &list.voters {
+        let last_index = voter.last_index.to_string();
+        let cells = [&voter.name, &voter.storage, &voter.role, &last_index];
+        table.row(cells.map(Clone::clone).to_vec());
+    }
+    table
+}
--- a/ragwortdeal_node/src/entry/operator.rs
+++ b/ragwortdeal_node/src/entry/operator.rs
@@ -1,5 +1,7 @@
 //! HTTP towards operators: objects, changes and status.
 
+mod voters;
+
 use std::sync;
 
 use gotham::{
@@ -28,6 +30,9 @@
         route.get("/api/operations").to_new_handler(list);
         let settle = http::route(entry.clone(), settle);
         route.post("/api/operations/settle").to_new_handler(settle);
+        route.get("/api/voters").to_new_handler(http::route(entry.clone(), voters::list));
+        let replace = http::route(entry.clone(), voters::replace);
+        route.post("/api/voters/replace").to_new_handler(replace);
         route.get("/api/status").to_new_handler(http::route(entry.clone(), status));
     })
 }
--- a/ragwortdeal_node/tests/voters.rs
+++ b/ragwortdeal_node/tests/voters.rs
@@ -189,3 +189,43 @@
         .await;
     }
 }
+
+/// A voter's disk is lost for good. The operator's tool lists the voters, brings a new one in for
+/// the lost one by one request, and sees when it is done.
+#[googletest::test]
+#[tokio::test]
+async fn a_lost_voter_is_replaced_through_the_operators_api() {
+    let mut deployment = deployment::Deployment::start(deployment::Plan {
+        entries: 1,
+        engines: 0,
+        ledgers: 0,
+        portals: 0,
+        ..deployment::Plan::default()
+    })
+    .await
+    .unwrap();
+    let operator = deployment.operator(0);
+    let voters = async || -> Option<ragwortdeal_wire::operator::VoterList> {
+        serde_json::from_slice(&operator.send("GET", "/api/voters", Vec::new()).await?).ok()
+    };
+    let led = async || {
+        let list = voters().await;
+        list.is_some_and(|list| list.voters.iter().any(|voter| voter.role == "leader"))
+    };
+    deployment::wait_for("a leader is listed", led).await;
+    deployment.voters[2].process.take().unwrap().kill();
+    let new = deployment.start_new_voter().unwrap();
+    let replacement = format!("{{\"lost\": \"voter-2\", \"new\": \"voter-{new}\"}}");
+    let replaced = async || {
+        operator.send("POST", "/api/voters/replace", replacement.clone().into_bytes()).await;
+        let Some(list) = voters().await else { return false };
+        let names: Vec<&str> = list
+            .voters
+            .iter()
+            .filter(|voter| voter.role != "learner")
+            .map(|voter| voter.name.as_str())
+            .collect();
+        names == ["voter-0", "voter-1", "voter-3"]
+    };
+    deployment::wait_for("the new voter took the lost one's place", replaced).await;
+}
--- a/ragwortdeal_wire/src/operator.rs
+++ b/ragwortdeal_wire/src/operator.rs
@@ -1,7 +1,7 @@
 //! Generated from schema/operator.json by ./generate; not edited by hand.
 
 /// SHA-256 of the schema file that this module was generated from.
-pub const SCHEMA_SHA256: &str = "8be55d4829039784ac9bb21265ed96a7de206da0d5356c8b8138b0de75239110";
+pub const SCHEMA_SHA256: &str = "4aaca4e22a5ba2896cc2b6d26e4980b97c12ce67cfa7d8f3c47bbd3f26f059d9";
 
 #[doc = "A change of one object."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
@@ -444,14 +444,14 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Voter {
-    #[doc = "Address of its link listener."]
-    pub address: ::std::string::String,
     #[doc = "Last index of its log."]
     pub last_index: u64,
     #[doc = "Name of the voter."]
     pub name: ::std::string::String,
     #[doc = "leader, follower or learner."]
     pub role: ::std::string::String,
+    #[doc = "Identifier of its data folder, which another disk does not have."]
+    pub storage: ::std::string::String,
 }
 #[doc = "The voters as the leader knows them."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
@@ -462,6 +462,17 @@
     #[doc = "All voters and learners."]
     pub voters: ::std::vec::Vec<Voter>,
 }
+#[doc = "Replaces a voter that is lost for good, brings a new one in, or both."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, Default, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct VoterReplacement {
+    #[doc = "Instance whose voter is lost for good."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub lost: ::std::option::Option<::std::string::String>,
+    #[doc = "Instance of a running voter that is to take part."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub new: ::std::option::Option<::std::string::String>,
+}
 #[doc = " Error types."]
 pub mod error {
     #[doc = r" Error from a `TryFrom` or `FromStr` implementation."]
