Read what operators send in one place

Cause: the read-through found the bounded reading of a JSON body twice. Change: one function for changes and replacements of voters.

--- a/ragwortdeal_node/src/entry/operator.rs
+++ b/ragwortdeal_node/src/entry/operator.rs
@@ -74,18 +74,26 @@
     http::json(200, &wire::ObjectList { revision: config.revision(), objects })
 }
 
+/// Reads what an operator sends, within bounds, or refuses it as not run.
+async fn read<T: serde::de::DeserializeOwned>(
+    request: http::Request,
+    id: &str,
+) -> Result<T, http::Response> {
+    let bad = |detail: &str| callers::not_run(http::Kind::BadRequest, detail, id);
+    let body = http::read(request.body, CHANGE_MAX_BYTES, CHANGE_READ_MS).await;
+    let body = body.map_err(|_| bad("the body is too large or too slow"))?;
+    serde_json::from_slice(&body).map_err(|error| bad(&error.to_string()))
+}
+
 async fn change(entry: sync::Arc<Entry>, request: http::Request) -> http::Response {
     if let Err(refusal) = may(&entry, &request) {
         return refusal;
     }
     let id = entry.request_id();
     let bad = |detail: &str| callers::not_run(http::Kind::BadRequest, detail, &id);
-    let Ok(body) = http::read(request.body, CHANGE_MAX_BYTES, CHANGE_READ_MS).await else {
-        return bad("the body is too large or too slow");
-    };
-    let change = match serde_json::from_slice::<wire::Change>(&body) {
+    let change: wire::Change = match read(request, &id).await {
         Ok(change) => change,
-        Err(error) => return bad(&error.to_string()),
+        Err(refusal) => return refusal,
     };
     let change = match border::change_from_wire(&change) {
         Ok(change) => change,
--- a/ragwortdeal_node/src/entry/operator/voters.rs
+++ b/ragwortdeal_node/src/entry/operator/voters.rs
@@ -8,7 +8,7 @@
 };
 use ragwortdeal_wire::operator as wire;
 
-use super::{CHANGE_MAX_BYTES, CHANGE_READ_MS, may};
+use super::{may, read};
 use crate::{
     entry::{Entry, callers},
     http,
@@ -33,12 +33,9 @@
     }
     let id = entry.request_id();
     let bad = |detail: &str| callers::not_run(http::Kind::BadRequest, detail, &id);
-    let Ok(body) = http::read(request.body, CHANGE_MAX_BYTES, CHANGE_READ_MS).await else {
-        return bad("the body is too large or too slow");
-    };
-    let asked = match serde_json::from_slice::<wire::VoterReplacement>(&body) {
+    let asked: wire::VoterReplacement = match read(request, &id).await {
         Ok(asked) => asked,
-        Err(error) => return bad(&error.to_string()),
+        Err(refusal) => return refusal,
     };
     let named = |name: Option<String>| name.map(|name| name::InstanceName::new(&name)).transpose();
     let (lost, new) = match (named(asked.lost), named(asked.new)) {
