--- a/ragwortdeal_core/src/command.rs
+++ b/ragwortdeal_core/src/command.rs
@@ -1,6 +1,6 @@
 //! Entries of the voters' log, and the state machine that they drive.
 
-use crate::{claims, config};
+use crate::{claims, config, document};
 
 /// One entry of the log.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -9,6 +9,8 @@
     Change(config::change::Change),
     /// A change to the claims of operations that may not be repeated.
     Operation(claims::state::Stamped),
+    /// A step of the configuration that is kept as one document.
+    Document(document::store::Step),
 }
 
 impl Command {
@@ -33,6 +35,8 @@
     Change(config::change::Decision),
     /// What became of a command about an operation.
     Operation(claims::state::Outcome),
+    /// The document or the weights in force are at least as new as the step.
+    Document,
 }
 
 /// The state that every voter computes from the log.
@@ -40,13 +44,17 @@
 pub struct Machine {
     config: config::state::State,
     claims: claims::table::ClaimTable,
+    /// Absent in snapshots that were written before there were documents.
+    #[serde(default)]
+    documents: document::store::Store,
 }
 
 impl Default for Machine {
     fn default() -> Self {
         let slots = (0..=u8::MAX).map(claims::key::Slot);
         let claims = claims::table::ClaimTable::new(claims::table::TableLimits::default(), slots);
-        Self { config: config::state::State::default(), claims }
+        let documents = document::store::Store::default();
+        Self { config: config::state::State::default(), claims, documents }
     }
 }
 
@@ -61,11 +69,20 @@
         &self.claims
     }
 
+    /// The document and the weights in force.
+    pub fn documents(&self) -> &document::store::Store {
+        &self.documents
+    }
+
     /// Applies one committed entry.
     pub fn apply(&mut self, command: &Command) -> Outcome {
         match command {
             Command::Change(change) => Outcome::Change(self.config.apply(change)),
             Command::Operation(stamped) => Outcome::Operation(self.claims.apply(stamped.clone())),
+            Command::Document(step) => {
+                self.documents.apply(step);
+                Outcome::Document
+            }
         }
     }
 }
--- a/ragwortdeal_core/src/digest.rs
+++ b/ragwortdeal_core/src/digest.rs
@@ -2,12 +2,33 @@
 
 use std::{fmt, str};
 
+use sha2::Digest as _;
 use snafu::Snafu;
 
 /// Length of a digest in bytes.
 pub const DIGEST_BYTES: usize = 32;
 
-/// A BLAKE3 hash, written as 64 hexadecimal digits.
+/// Which function made a hash.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Algorithm {
+    /// The project's own choice: fast on every machine.
+    #[default]
+    Blake3,
+    /// What many origins publish.
+    Sha256,
+}
+
+impl Algorithm {
+    /// Hashes the given bytes.
+    pub fn hash(self, bytes: &[u8]) -> Digest {
+        match self {
+            Algorithm::Blake3 => Digest::of(bytes),
+            Algorithm::Sha256 => Digest(sha2::Sha256::digest(bytes).into()),
+        }
+    }
+}
+
+/// A hash, of BLAKE3 unless said otherwise, written as 64 hexadecimal digits.
 #[derive(
     Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
 )]
--- /dev/null
+++ b/ragwortdeal_core/src/directory.rs
@@ -0,0 +1,190 @@
+//! The upstreams that announced themselves, as one process knows them.
+//!
+//! There is no other list. Announcements come late, twice and out of order, and an address may be
+//! taken over by another upstream, so each announcement is ordered by the start of its sender and
+//! its number, and of two upstreams at one address the one that started later holds it.
+
+use std::{collections, sync};
+
+/// A shared immutable text.
+pub type Text = sync::Arc<str>;
+
+/// How long an upstream is remembered after it left, so that a late announcement of it is known
+/// to be old. Announcements were seen to come some seconds late.
+const GONE_MS: u64 = 60_000;
+
+/// Most upstreams that are kept; an outside writer must not fill the memory.
+pub const UPSTREAMS_MAX: usize = 20_000;
+
+/// Whether an upstream takes new work.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
+pub enum Standing {
+    /// It takes work.
+    Ready,
+    /// It leaves and gets no new work.
+    Draining,
+    /// It said that it is gone.
+    Gone,
+}
+
+/// A version of a model that an engine serves.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Held {
+    /// The model.
+    pub model: Text,
+    /// The version.
+    pub version: u64,
+}
+
+/// Order of what one upstream says of itself: its start in Unix milliseconds, then a number that
+/// rises with each announcement. Both are the upstream's own; no clock of ours is compared.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+pub struct Age {
+    /// Start of the upstream.
+    pub born_ms: u64,
+    /// Number of the announcement.
+    pub sequence: u64,
+}
+
+/// What an upstream says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Announcement {
+    /// Its identifier.
+    pub instance: Text,
+    /// How old the announcement is.
+    pub age: Age,
+    /// Its service.
+    pub service: Text,
+    /// Its HTTP address.
+    pub address: std::net::SocketAddrV4,
+    /// Its availability zone.
+    pub zone: Text,
+    /// Whether it takes work.
+    pub standing: Standing,
+    /// Requests that it works on together.
+    pub slots: u32,
+    /// Models that it serves.
+    pub held: Vec<Held>,
+}
+
+/// One upstream as it is known here.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    /// The newest announcement.
+    pub said: Announcement,
+    /// When it was heard of last, on this process's clock.
+    pub heard_ms: u64,
+}
+
+/// What an announcement changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// It is older than what is known, or no upstream's.
+    Stale,
+    /// It only shows that the upstream lives.
+    Refreshed,
+    /// Something about the upstream is new.
+    Changed,
+}
+
+/// All known upstreams.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    upstreams: collections::BTreeMap<Text, Upstream>,
+}
+
+impl Directory {
+    /// Takes an announcement.
+    pub fn announced(&mut self, said: Announcement, now_ms: u64) -> Effect {
+        if !self.upstreams.contains_key(&said.instance) && self.upstreams.len() >= UPSTREAMS_MAX {
+            return Effect::Stale;
+        }
+        if self.address_taken(&said) {
+            return Effect::Stale;
+        }
+        let known = self.upstreams.get_mut(&said.instance);
+        let Some(known) = known else {
+            self.upstreams.insert(said.instance.clone(), Upstream { said, heard_ms: now_ms });
+            return Effect::Changed;
+        };
+        // An upstream that said that it leaves never comes back in the same life.
+        let same_life = known.said.age.born_ms == said.age.born_ms;
+        let returns = same_life && said.standing < known.said.standing;
+        if said.age <= known.said.age || returns {
+            return Effect::Stale;
+        }
+        let mut previous = std::mem::replace(&mut known.said, said);
+        known.heard_ms = now_ms;
+        previous.age = known.said.age;
+        if previous == known.said && same_life { Effect::Refreshed } else { Effect::Changed }
+    }
+
+    /// Takes the word of an upstream that it is gone. The service need not be known.
+    pub fn left(&mut self, instance: &str, age: Option<Age>, now_ms: u64) -> Effect {
+        let Some(known) = self.upstreams.get_mut(instance) else {
+            return Effect::Stale;
+        };
+        let older = age.is_some_and(|age| age.born_ms < known.said.age.born_ms);
+        if older || known.said.standing == Standing::Gone {
+            return Effect::Stale;
+        }
+        known.said.standing = Standing::Gone;
+        known.said.age = known.said.age.max(age.unwrap_or_default());
+        known.heard_ms = now_ms;
+        Effect::Changed
+    }
+
+    /// Whether another upstream that started later holds the address. Without this, a late
+    /// announcement from behind a partition would bring a dead upstream back to the address of a
+    /// live one of another service.
+    fn address_taken(&self, said: &Announcement) -> bool {
+        self.upstreams.values().any(|other| {
+            other.said.address == said.address
+                && other.said.instance != said.instance
+                && other.said.age.born_ms > said.age.born_ms
+                && other.said.standing != Standing::Gone
+        })
+    }
+
+    /// All upstreams, those that left included.
+    pub fn all(&self) -> impl Iterator<Item = &Upstream> {
+        self.upstreams.values()
+    }
+
+    /// One upstream.
+    pub fn get(&self, instance: &str) -> Option<&Upstream> {
+        self.upstreams.get(instance)
+    }
+
+    /// Forgets those that were silent for long. Returns their names.
+    pub fn forget_silent(&mut self, silent_ms: u64, now_ms: u64) -> Vec<Text> {
+        let forgotten = |upstream: &Upstream| {
+            let keep_ms = match upstream.said.standing {
+                Standing::Gone => GONE_MS,
+                Standing::Ready | Standing::Draining => silent_ms,
+            };
+            now_ms.saturating_sub(upstream.heard_ms) > keep_ms
+        };
+        let names: Vec<Text> = self
+            .upstreams
+            .iter()
+            .filter(|(_, upstream)| forgotten(upstream))
+            .map(|(name, _)| name.clone())
+            .collect();
+        names.iter().for_each(|name| _ = self.upstreams.remove(name));
+        names
+    }
+}
--- /dev/null
+++ b/ragwortdeal_core/src/dispatch.rs
@@ -0,0 +1,6 @@
+//! Where one request goes, and whether it may go once more, for callers of announced upstreams.
+//!
+//! Modules here need no network. `docs/design/platform.md` tells which policies were weighed.
+
+pub mod choice;
+pub mod share;
--- /dev/null
+++ b/ragwortdeal_core/src/dispatch/choice.rs
@@ -0,0 +1,53 @@
+//! Which upstream serves a request.
+
+/// An upstream that may serve a request, as one entry sees it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Candidate {
+    /// Requests that this entry has open there.
+    pub open: u32,
+    /// Requests of other entries there, by the last word of the upstream.
+    pub elsewhere: f64,
+    /// Requests that it works on together.
+    pub slots: u32,
+    /// Whether it stands in this entry's availability zone.
+    pub near: bool,
+    /// How often it failed lately, from 0 to 1.
+    pub failing: f64,
+}
+
+/// How much fuller, in slots, a near upstream may be before a far one is taken: what a request
+/// costs on the links between zones is worth a wait of about that many requests.
+const NEAR_SLOTS: f64 = 1.0;
+
+/// Slots that an upstream which always fails is taken to have filled.
+const FAILING_SLOTS: f64 = 24.0;
+
+/// Requests beyond the slots that may wait at an upstream, as a part of its slots. What waits
+/// longer comes too late for its caller.
+const WAITING_SHARE: f64 = 0.5;
+
+/// Load of an upstream in requests, as far as known.
+pub fn load(candidate: &Candidate) -> f64 {
+    f64::from(candidate.open) + candidate.elsewhere
+}
+
+/// Whether one more request would only wait in vain.
+pub fn is_full(candidate: &Candidate) -> bool {
+    let slots = f64::from(candidate.slots.max(1));
+    load(candidate) >= slots * (1.0 + WAITING_SHARE)
+}
+
+/// The upstream with the smallest load, near ones first among equals. `draw` breaks ties, so that
+/// entries with equal views do not all choose the same one.
+pub fn best(candidates: &[Candidate], draw: u64) -> Option<usize> {
+    let count = candidates.len();
+    let start = usize::try_from(draw).unwrap_or(0).checked_rem(count)?;
+    let order = (0..count).map(|step| (start + step) % count);
+    let open = order.filter(|&index| !is_full(&candidates[index]));
+    open.min_by(|&a, &b| cost(&candidates[a]).total_cmp(&cost(&candidates[b])))
+}
+
+fn cost(candidate: &Candidate) -> f64 {
+    let far = if candidate.near { 0.0 } else { NEAR_SLOTS };
+    load(candidate) + far + candidate.failing * FAILING_SLOTS
+}
--- /dev/null
+++ b/ragwortdeal_core/src/document/store.rs
@@ -0,0 +1,116 @@
+//! The document and the named weights as the voters' log keeps them.
+
+use std::{collections, sync};
+
+use super::Version;
+
+/// A document as it was given, opaque to the log.
+///
+/// The bytes are kept so that a reader gets back exactly what the operator sent, also where it
+/// holds fields that this program does not know.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Sealed {
+    /// Its number.
+    pub version: Version,
+    /// The compressed bytes.
+    #[serde(with = "shared_bytes")]
+    pub body: sync::Arc<[u8]>,
+}
+
+mod shared_bytes {
+    use std::sync;
+
+    use serde::de::Visitor;
+
+    pub fn serialize<S: serde::Serializer>(
+        bytes: &sync::Arc<[u8]>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        serializer.serialize_bytes(bytes)
+    }
+
+    struct Bytes;
+
+    impl<'de> Visitor<'de> for Bytes {
+        type Value = sync::Arc<[u8]>;
+
+        fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+            f.write_str("bytes")
+        }
+
+        fn visit_bytes<E>(self, bytes: &[u8]) -> Result<Self::Value, E> {
+            Ok(sync::Arc::from(bytes))
+        }
+    }
+
+    pub fn deserialize<'de, D: serde::Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<sync::Arc<[u8]>, D::Error> {
+        deserializer.deserialize_bytes(Bytes)
+    }
+}
+
+/// Weights that are to be served: a model's newest version.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Weights {
+    /// The model.
+    pub model: String,
+    /// Its version; higher ones replace lower ones.
+    pub version: u64,
+}
+
+/// A step of the store.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum Step {
+    /// Puts a document in force.
+    Install(Sealed),
+    /// Names new weights.
+    Name(Weights),
+}
+
+/// What is in force.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Store {
+    /// The highest document.
+    pub document: Option<Sealed>,
+    /// The highest version of each model that was named.
+    pub weights: collections::BTreeMap<String, u64>,
+}
+
+impl Store {
+    /// Applies a step. One that a higher version has overtaken changes nothing: a delayed resend
+    /// must never take back what was accepted after it.
+    pub fn apply(&mut self, step: &Step) {
+        match step {
+            Step::Install(sealed) => {
+                if sealed.version > self.version() {
+                    self.document = Some(sealed.clone());
+                }
+            }
+            Step::Name(weights) => {
+                let held = self.weights.entry(weights.model.clone()).or_default();
+                *held = weights.version.max(*held);
+            }
+        }
+    }
+
+    /// Version of the document in force, 0 before the first.
+    pub fn version(&self) -> Version {
+        self.document.as_ref().map_or(0, |sealed| sealed.version)
+    }
+
+    /// Takes over what is newer in another store. Returns whether anything was.
+    pub fn merge(&mut self, other: &Store) -> bool {
+        let mut newer = false;
+        if other.version() > self.version() {
+            self.document = other.document.clone();
+            newer = true;
+        }
+        for (model, version) in &other.weights {
+            let held = self.weights.entry(model.clone()).or_default();
+            newer |= version > held;
+            *held = (*held).max(*version);
+        }
+        newer
+    }
+}
--- /dev/null
+++ b/ragwortdeal_core/src/document/table.rs
@@ -0,0 +1,96 @@
+//! A document made ready for look-ups: routes by host and longest prefix, accounts by key.
+
+use std::{collections, sync};
+
+use super::{Account, Document, Engine, Route, Service, Text};
+
+/// A document with its indices. It is immutable; the next document makes another one.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    document: sync::Arc<Document>,
+    by_host: collections::HashMap<Text, Vec<usize>>,
+    by_key: collections::HashMap<Text, usize>,
+    services: collections::HashMap<Text, usize>,
+}
+
+/// Who calls.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Caller<'t> {
+    /// The account that holds the key.
+    Account(&'t Account),
+    /// The document names no accounts, or the route is open to everybody.
+    Anybody,
+    /// No account holds the key.
+    Unknown,
+}
+
+impl Table {
+    /// Builds the indices.
+    pub fn new(document: sync::Arc<Document>) -> Self {
+        let mut by_host: collections::HashMap<Text, Vec<usize>> = collections::HashMap::new();
+        for (index, route) in document.routes.iter().enumerate() {
+            let host = Text::from(route.host.to_ascii_lowercase());
+            by_host.entry(host).or_default().push(index);
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|&index| usize::MAX - document.routes[index].prefix.len());
+        }
+        let mut by_key = collections::HashMap::new();
+        for (index, account) in document.accounts.iter().enumerate() {
+            by_key.extend(account.keys.iter().map(|key| (key.clone(), index)));
+        }
+        let services = document.services.iter().enumerate();
+        let services = services.map(|(index, service)| (service.name.clone(), index)).collect();
+        Self { document, by_host, by_key, services }
+    }
+
+    /// The document.
+    pub fn document(&self) -> &sync::Arc<Document> {
+        &self.document
+    }
+
+    /// Among the routes of the host, the one with the longest prefix of the path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let routes = match self.by_host.get(host) {
+            Some(routes) => routes,
+            None => self.by_host.get(&*host.to_ascii_lowercase())?,
+        };
+        let mut routes = routes.iter().map(|&index| &self.document.routes[index]);
+        routes.find(|route| path.starts_with(&*route.prefix))
+    }
+
+    /// Whose request it is, by the key that it carries.
+    pub fn caller(&self, route: &Route, key: Option<&str>) -> Caller<'_> {
+        let account = key.and_then(|key| self.by_key.get(key));
+        match account {
+            Some(&index) => Caller::Account(&self.document.accounts[index]),
+            None if route.public || self.document.accounts.is_empty() => Caller::Anybody,
+            None => Caller::Unknown,
+        }
+    }
+
+    /// A service by its name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.get(name).map(|&index| &self.document.services[index])
+    }
+
+    /// How the engines of a service work.
+    pub fn engine(&self, service: &str) -> Option<&Engine> {
+        self.service(service)?.engine.as_ref()
+    }
+}
+
+/// The service that a route leads a request to. `draw` spreads requests over the weights.
+pub fn target(route: &Route, draw: u64) -> Option<&Text> {
+    let total: u64 = route.targets.iter().map(|target| u64::from(target.weight)).sum();
+    let mut left = draw.checked_rem(total)?;
+    for target in &route.targets {
+        let weight = u64::from(target.weight);
+        if left < weight {
+            return Some(&target.service);
+        }
+        left -= weight;
+    }
+    None
+}
--- a/ragwortdeal_core/src/replication.rs
+++ b/ragwortdeal_core/src/replication.rs
@@ -11,6 +11,7 @@
 pub mod progress;
 pub mod repair;
 pub mod replica;
+pub mod staffing;
 
 /// Bounds and times of one replica. All replicas of a group are given the same.
 #[derive(Clone, Debug)]
--- a/ragwortdeal_core/src/spread/manifest.rs
+++ b/ragwortdeal_core/src/spread/manifest.rs
@@ -18,6 +18,7 @@
 pub struct Manifest {
     data: ManifestData,
     version: digest::Digest,
+    algorithm: digest::Algorithm,
 }
 
 /// The fields of a manifest as they cross a border, not yet checked.
@@ -141,7 +142,17 @@
         let expected = size_bytes.div_ceil(u64::from(chunk_bytes));
         ensure!(chunks as u64 == expected, WrongCountSnafu { size_bytes, chunk_bytes, chunks });
         let version = digest::Digest::of(&encode(&data));
-        Ok(Self { data, version })
+        Ok(Self { data, version, algorithm: digest::Algorithm::Blake3 })
+    }
+
+    /// A manifest that an origin published under a version and hash function of its own.
+    pub fn published(
+        version: digest::Digest,
+        algorithm: digest::Algorithm,
+        data: ManifestData,
+    ) -> Result<Self, ManifestError> {
+        let Self { data, .. } = Self::new(data)?;
+        Ok(Self { data, version, algorithm })
     }
 
     /// Cuts bytes into chunks and hashes them.
@@ -187,7 +198,7 @@
         let len_bytes = bytes.len() as u64;
         ensure!(len_bytes == expected_bytes, LengthSnafu { len_bytes, expected_bytes });
         let expected = self.data.chunks[chunk as usize];
-        ensure!(digest::Digest::of(bytes) == expected, CorruptSnafu);
+        ensure!(self.algorithm.hash(bytes) == expected, CorruptSnafu);
         Ok(VerifiedChunk { version: self.version, chunk })
     }
 
--- a/ragwortdeal_node/src/entry/operations/drive.rs
+++ b/ragwortdeal_node/src/entry/operations/drive.rs
@@ -225,7 +225,7 @@
     ) -> Option<state::Outcome> {
         match self.propose(&command::Command::operation(command)).await {
             Ok(command::Outcome::Operation(outcome)) => Some(outcome),
-            Ok(command::Outcome::Change(_)) => None,
+            Ok(command::Outcome::Change(_) | command::Outcome::Document) => None,
             Err(error) => {
                 log::info!("operations: {error}");
                 None
--- /dev/null
+++ b/ragwortdeal_node/src/fleet/agent.rs
@@ -0,0 +1,216 @@
+//! The agent of a fleet: brings weights to the engine on its instance.
+//!
+//! It fetches the chunks of the named version by the spread policy, stages them at the engine, reads
+//! them back, and orders the engine to load them. `docs/design/platform.md` has the times.
+
+mod engine;
+mod keeper;
+mod origin;
+mod peers;
+mod spread;
+
+use std::{
+    collections, net as std_net,
+    sync::{self, atomic},
+};
+
+use ragwortdeal_core::{document, document::store, name};
+use snafu::Snafu;
+use tokio::{net, sync::mpsc, sync::watch};
+
+use super::{dialect, follow, notice, packing};
+use crate::{clock, http, link, settings, stop};
+
+/// How long a connect may take; engine, peers and origin stand a few milliseconds away.
+const CONNECT_MS: u64 = 500;
+
+/// Why an agent cannot run.
+#[derive(Debug, Snafu)]
+pub enum AgentError {
+    /// The settings lack something.
+    #[snafu(display("read settings: {what} is missing"))]
+    Missing {
+        /// What.
+        what: &'static str,
+    },
+    /// A name in the settings is malformed.
+    #[snafu(display("read settings: {source}"), context(false))]
+    Name {
+        /// What is wrong.
+        source: name::NameError,
+    },
+}
+
+/// What this agent is to do, as the voters tell.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Told {
+    document: Option<sync::Arc<document::Document>>,
+    /// Versions that were named, and when this agent heard of them.
+    named: collections::BTreeMap<String, (u64, u64)>,
+    /// Other agents, by the voter that tells of them.
+    seats: collections::BTreeMap<std_net::Ipv4Addr, Vec<notice::Seat>>,
+}
+
+/// An agent and its state.
+struct Agent {
+    spoken: dialect::Spoken,
+    settings: sync::Arc<settings::fleet::Settings>,
+    identity: settings::common::Identity,
+    credential: link::Credential,
+    engine: std_net::SocketAddrV4,
+    service: String,
+    http: http::Client,
+    clock: clock::Clock,
+    held_version: sync::Arc<atomic::AtomicU64>,
+    told: watch::Sender<Told>,
+    spread: spread::Spread,
+    voters: sync::OnceLock<follow::Voters>,
+    serves: sync::Mutex<notice::Serves>,
+}
+
+/// Runs an agent until the stop.
+pub async fn run(
+    settings: settings::fleet::Settings,
+    spoken: dialect::Spoken,
+    listener: net::TcpListener,
+    stop: stop::Stop,
+) -> Result<(), AgentError> {
+    let settings = sync::Arc::new(settings);
+    let engine = settings.fleet.engine.ok_or(AgentError::Missing { what: "fleet.engine" })?;
+    let service = settings.fleet.service.clone();
+    let service = service.ok_or(AgentError::Missing { what: "fleet.service" })?;
+    let mut identity = settings.process.identity()?;
+    identity.name = name::InstanceName::new(&settings.fleet.address.to_string())?;
+    let agent = sync::Arc::new(Agent {
+        spoken,
+        credential: link::Credential::new(&settings.credentials.cluster),
+        engine,
+        service,
+        http: http::Client::new(CONNECT_MS),
+        clock: clock::Clock::start(),
+        held_version: sync::Arc::default(),
+        told: watch::Sender::new(Told::default()),
+        spread: spread::Spread::new(),
+        voters: sync::OnceLock::new(),
+        serves: sync::Mutex::new(notice::Serves {
+            address: engine,
+            born_ms: 0,
+            number: identity.incarnation,
+            version: 0,
+            accepts: false,
+        }),
+        identity: identity.clone(),
+        settings: settings.clone(),
+    });
+    let (voters, told) = follow::start(settings, identity, "agent", agent.held_version.clone());
+    let _ = agent.voters.set(voters);
+    tokio::spawn(learn(agent.clone(), told));
+    tokio::spawn(keeper::run(agent.clone()));
+    tokio::spawn(spread::tick(agent.clone()));
+    let handler = http::route(agent.clone(), peers::answer);
+    let (stopper, serve_stop) = stop::pair();
+    tokio::spawn(http::serve_with(listener, handler, http::Bounds::default(), serve_stop, 0));
+    log::info!("agent: started, engine={engine}");
+    stop.wait().await;
+    stopper.stop();
+    log::info!("agent: stopped");
+    Ok(())
+}
+
+/// Takes what voters tell.
+async fn learn(agent: sync::Arc<Agent>, mut told: mpsc::Receiver<follow::Told>) {
+    while let Some(told) = told.recv().await {
+        match told {
+            follow::Told::Notice(_, notice::Notice::Documents(documents)) => {
+                agent.documents(&documents);
+            }
+            follow::Told::Notice(voter, notice::Notice::Agents(seats)) => {
+                agent.told.send_modify(|told| _ = told.seats.insert(voter, seats));
+            }
+            // A voter that comes into reach may have missed what this agent said before.
+            follow::Told::Up(_) => agent.say_again(),
+            follow::Told::Down(voter) => {
+                agent.told.send_modify(|told| _ = told.seats.remove(&voter));
+            }
+            follow::Told::Notice(..) => (),
+        }
+    }
+}
+
+impl Agent {
+    fn documents(&self, documents: &store::Store) {
+        let now_ms = self.clock.now_ms();
+        let newer = documents
+            .document
+            .as_ref()
+            .filter(|sealed| sealed.version > self.held_version.load(atomic::Ordering::Relaxed));
+        let read = newer.and_then(|sealed| match self.read(sealed) {
+            Ok(document) => Some(document),
+            Err(error) => {
+                log::error!("agent: document version={} cannot be read: {error}", sealed.version);
+                None
+            }
+        });
+        if let Some(document) = &read {
+            self.held_version.store(document.version, atomic::Ordering::Relaxed);
+        }
+        self.told.send_modify(|told| {
+            if let Some(document) = read {
+                told.document = Some(sync::Arc::new(document));
+            }
+            for (model, version) in &documents.weights {
+                let held = told.named.entry(model.clone()).or_insert((0, now_ms));
+                if *version > held.0 {
+                    log::info!("agent: weights {model} version={version} are named");
+                    *held = (*version, now_ms);
+                }
+            }
+        });
+    }
+
+    fn read(&self, sealed: &store::Sealed) -> Result<document::Document, String> {
+        let bytes = packing::unpack(&sealed.body).map_err(|error| error.to_string())?;
+        self.spoken.document(&bytes).map_err(|error| error.to_string())
+    }
+
+    /// Tells entries, by the voters, which version the engine serves and whether it takes work.
+    fn say(&self, born_ms: u64, version: u64, accepts: bool) {
+        let mut serves = self.serves.lock().expect("no panic under lock");
+        if (serves.born_ms, serves.version, serves.accepts) == (born_ms, version, accepts) {
+            return;
+        }
+        log::info!("agent: engine born={born_ms} serves version={version} accepts={accepts}");
+        let number = serves.number + 1;
+        *serves = notice::Serves { born_ms, number, version, accepts, ..serves.clone() };
+        self.tell(&serves);
+    }
+
+    fn say_again(&self) {
+        let serves = self.serves.lock().expect("no panic under lock");
+        if serves.born_ms > 0 {
+            self.tell(&serves);
+        }
+    }
+
+    fn tell(&self, serves: &notice::Serves) {
+        if let Some(voters) = self.voters.get() {
+            voters.tell(&notice::Notice::Serves(serves.clone()));
+        }
+    }
+
+    /// Other agents that run, as any voter knows them.
+    fn seats(&self) -> collections::BTreeMap<std_net::Ipv4Addr, notice::Seat> {
+        let told = self.told.borrow();
+        let mut seats: collections::BTreeMap<std_net::Ipv4Addr, notice::Seat> =
+            collections::BTreeMap::new();
+        for seat in told.seats.values().flatten() {
+            let later = |held: &notice::Seat| held.incarnation >= seat.incarnation;
+            if seat.address != self.settings.fleet.address
+                && !seats.get(&seat.address).is_some_and(later)
+            {
+                seats.insert(seat.address, seat.clone());
+            }
+        }
+        seats
+    }
+}
--- /dev/null
+++ b/ragwortdeal_node/src/fleet/agent/engine.rs
@@ -0,0 +1,91 @@
+//! Calls to the engine on this instance.
+
+use bytes::Bytes;
+
+use super::{Agent, peers};
+use crate::{fleet::dialect, http};
+
+/// How long the engine may take to answer. It is on this instance; longer means that it hangs.
+const CALL_MS: u64 = 1_000;
+
+/// Largest report.
+const REPORT_MAX_BYTES: usize = 256 << 10;
+
+impl Agent {
+    /// Calls an HTTP server.
+    pub(super) async fn call(
+        &self,
+        step: &'static str,
+        peer: &str,
+        call: dialect::Call,
+        max_bytes: usize,
+        deadline_ms: u64,
+    ) -> Result<(u16, Bytes), http::HttpError> {
+        let request = hyper::Request::builder()
+            .method(call.method)
+            .uri(format!("http://{peer}{}", call.path))
+            .header("content-type", "application/json");
+        let request = match call.path.starts_with(peers::PREFIX) {
+            true => request.header("authorization", self.credential.header_value()),
+            false => request,
+        };
+        let request = request
+            .body(http::full(call.body))
+            .expect("an address and an encoded path make a valid URL");
+        let (head, bytes) = self.http.fetch(step, peer, request, max_bytes, deadline_ms).await?;
+        Ok((head.status.as_u16(), bytes))
+    }
+
+    async fn call_engine(
+        &self,
+        step: &'static str,
+        call: dialect::Call,
+        max_bytes: usize,
+    ) -> Option<(u16, Bytes)> {
+        match self.call(step, &self.engine.to_string(), call, max_bytes, CALL_MS).await {
+            Ok(answer) => Some(answer),
+            Err(error) => {
+                log::debug!("agent: {error}");
+                None
+            }
+        }
+    }
+
+    /// What the engine says of itself.
+    pub(super) async fn report(&self) -> Option<dialect::EngineReport> {
+        let call = self.spoken.report_call();
+        let (status, bytes) = self.call_engine("ask engine", call, REPORT_MAX_BYTES).await?;
+        if status != 200 {
+            return None;
+        }
+        match self.spoken.report(&bytes) {
+            Ok(report) => Some(report),
+            Err(error) => {
+                log::warn!("agent: {error}");
+                None
+            }
+        }
+    }
+
+    /// Stages a chunk. Returns whether the engine took it.
+    pub(super) async fn stage(&self, model: &str, chunk: u32, bytes: Bytes) -> bool {
+        let call = self.spoken.stage_call(model, chunk, bytes);
+        let answer = self.call_engine("stage chunk", call, REPORT_MAX_BYTES).await;
+        answer.is_some_and(|(status, _)| (200..300).contains(&status))
+    }
+
+    /// Reads a staged chunk back.
+    pub(super) async fn staged(&self, model: &str, chunk: u32, max_bytes: usize) -> Option<Bytes> {
+        let call = self.spoken.staged_call(model, chunk);
+        let (status, bytes) = self.call_engine("read staged chunk", call, max_bytes).await?;
+        (status == 200).then_some(bytes)
+    }
+
+    /// Orders the engine to load what is staged. Returns the status, none where no answer came: the
+    /// order may have been accepted all the same.
+    pub(super) async fn order_load(&self, model: &str, version: u64, orders: u64) -> Option<u16> {
+        let call = self.spoken.load_call(model, version, Some(orders));
+        let (status, _) = self.call_engine("order load", call, REPORT_MAX_BYTES).await?;
+        Some(status)
+    }
+}
--- /dev/null
+++ b/ragwortdeal_node/src/fleet/agent/spread.rs
@@ -0,0 +1,379 @@
+//! Runs the spread policy: requests for chunks, answers to peers, members that come and go.
+
+use std::{collections, net, sync, time};
+
+use bytes::Bytes;
+use ragwortdeal_core::{
+    name,
+    spread::{download, event, limits, manifest, roster},
+};
+use tokio::{sync::Notify, task};
+
+use super::{Agent, origin, peers};
+use crate::{
+    fleet::{dialect, notice},
+    http,
+};
+
+/// How often deadlines, announcements and members are looked at.
+const TICK: time::Duration = time::Duration::from_millis(40);
+
+/// Longest time that an announcement of chunks may take.
+const ANNOUNCE_MS: u64 = 2_000;
+
+/// Largest answer to it.
+const ANSWER_MAX_BYTES: usize = 64 << 10;
+
+/// Bad chunks from the origin in a row after which the manifest itself is doubted: it comes from
+/// there too, and may have been spoilt on the way.
+const ORIGIN_FAULTS_MAX: u32 = 6;
+
+/// The transfers of an agent.
+pub(super) struct Spread {
+    state: sync::Mutex<Option<Active>>,
+    /// Signalled when a version is complete.
+    complete: Notify,
+}
+
+/// The version that is being fetched, or was fetched last.
+struct Active {
+    weights: origin::Weights,
+    listed: origin::Listed,
+    download: download::Download,
+    bytes: collections::BTreeMap<u32, Bytes>,
+    fetches: collections::BTreeMap<(event::Source, u32), task::AbortHandle>,
+    reported: collections::BTreeMap<net::Ipv4Addr, u64>,
+    origin_faults: u32,
+}
+
+/// Times and bounds for versions of a few megabytes that have to be everywhere in seconds.
+fn limits() -> limits::Limits {
+    limits::Limits {
+        origin_weight_percent: 100,
+        announce_interval_ms: 60,
+        probe_interval_ms: 150,
+        busy_backoff_ms: 40,
+        settle_ms: 0,
+        deadline_min_ms: 600,
+        deadline_far_min_ms: 1_500,
+        deadline_first_ms: 1_500,
+        deadline_max_ms: 3_000,
+        stall_ms: 1_500,
+        banned_ms: 3_000,
+        ..limits::Limits::default()
+    }
+}
+
+impl Spread {
+    pub(super) fn new() -> Self {
+        Self { state: sync::Mutex::default(), complete: Notify::new() }
+    }
+
+    fn state(&self) -> sync::MutexGuard<'_, Option<Active>> {
+        self.state.lock().expect("no panic under lock")
+    }
+
+    /// The manifest of a version, where it is the one at hand.
+    pub(super) fn listed(&self, weights: &origin::Weights) -> Option<origin::Listed> {
+        let state = self.state();
+        state.as_ref().filter(|it| it.weights == *weights).map(|it| it.listed.clone())
+    }
+
+    /// Whether all chunks of a version are at hand.
+    pub(super) fn is_complete(&self, weights: &origin::Weights) -> bool {
+        let state = self.state();
+        state.as_ref().is_some_and(|it| it.weights == *weights && it.download.is_complete())
+    }
+
+    /// Whether the origin sent so much that does not fit the manifest that this is doubted.
+    pub(super) fn doubts_manifest(&self) -> bool {
+        self.state().as_ref().is_some_and(|it| it.origin_faults >= ORIGIN_FAULTS_MAX)
+    }
+
+    /// A chunk that was verified here.
+    pub(super) fn chunk(&self, chunk: u32) -> Option<Bytes> {
+        self.state().as_ref()?.bytes.get(&chunk).cloned()
+    }
+
+    /// Waits until a version may be complete.
+    pub(super) async fn wait(&self) {
+        self.complete.notified().await;
+    }
+
+    /// Answers a peer that asks for a chunk.
+    pub(super) fn serve(
+        &self,
+        weights: &origin::Weights,
+        chunk: u32,
+        to: &name::InstanceName,
+        now_ms: u64,
+    ) -> Result<Bytes, event::Answer> {
+        let mut state = self.state();
+        let active = state.as_mut().filter(|it| it.weights == *weights);
+        let active = active.ok_or(event::Answer::NotYet { held: 0 })?;
+        let version = active.download.version();
+        match active.download.serve(now_ms, to, version, chunk) {
+            event::Answer::Send => {
+                active.bytes.get(&chunk).cloned().ok_or(event::Answer::OtherVersion)
+            }
+            refused => Err(refused),
+        }
+    }
+}
+
+/// Ticks for as long as the process runs.
+pub(super) async fn tick(agent: sync::Arc<Agent>) {
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        agent.tick_spread();
+    }
+}
+
+impl Agent {
+    /// Begins to fetch a version, with the chunks that are staged already.
+    pub(super) fn begin(
+        self: &sync::Arc<Self>,
+        weights: origin::Weights,
+        listed: origin::Listed,
+        kept: Vec<(manifest::VerifiedChunk, Bytes)>,
+    ) {
+        log::info!("agent: fetches {weights:?}, kept={} chunks", kept.len());
+        let proofs: Vec<_> = kept.iter().map(|(proof, _)| *proof).collect();
+        let manifest = listed.manifest.clone();
+        let download = download::Download::new(self.place(), manifest, limits(), &proofs);
+        let bytes = kept.into_iter().map(|(proof, bytes)| (proof.chunk(), bytes)).collect();
+        let active = Active {
+            weights,
+            listed,
+            download,
+            bytes,
+            fetches: collections::BTreeMap::new(),
+            reported: collections::BTreeMap::new(),
+            origin_faults: 0,
+        };
+        let before = self.spread.state().replace(active);
+        if let Some(before) = before {
+            before.fetches.values().for_each(task::AbortHandle::abort);
+        }
+        self.tick_spread();
+    }
+
+    fn place(&self) -> event::Place {
+        event::Place {
+            instance: self.identity.name.clone(),
+            zone: self.identity.zone.clone(),
+            region: self.identity.region.clone(),
+        }
+    }
+
+    fn place_of(&self, seat: &notice::Seat) -> Option<event::Place> {
+        let region = self.settings.fleet.regions.get(&seat.zone).unwrap_or(&seat.zone);
+        Some(event::Place {
+            instance: name::InstanceName::new(&seat.address.to_string()).ok()?,
+            zone: name::ZoneName::new(&seat.zone).ok()?,
+            region: name::RegionName::new(region).ok()?,
+        })
+    }
+
+    fn tick_spread(self: &sync::Arc<Self>) {
+        let seats = self.seats();
+        let mut state = self.spread.state();
+        let Some(active) = state.as_mut() else {
+            return;
+        };
+        let mut events = Vec::new();
+        let gone: Vec<_> = active
+            .reported
+            .keys()
+            .filter(|address| !seats.contains_key(address))
+            .copied()
+            .collect();
+        for address in gone {
+            active.reported.remove(&address);
+            let instance = name::InstanceName::new(&address.to_string());
+            events.extend(instance.ok().map(event::Event::Left));
+        }
+        for (address, seat) in &seats {
+            if active.reported.insert(*address, seat.incarnation) != Some(seat.incarnation) {
+                events.extend(self.place_of(seat).map(event::Event::Joined));
+            }
+        }
+        events.push(event::Event::Tick);
+        events.into_iter().for_each(|event| self.feed_active(active, event));
+    }
+
+    /// Hands an event to the policy and does what it says.
+    pub(super) fn feed(self: &sync::Arc<Self>, event: event::Event) {
+        if let Some(active) = self.spread.state().as_mut() {
+            self.feed_active(active, event);
+        }
+    }
+
+    pub(super) fn upload_ended(&self, to: &name::InstanceName, chunk: u32) {
+        if let Some(active) = self.spread.state().as_mut() {
+            active.download.upload_ended(to, chunk);
+        }
+    }
+
+    fn feed_active(self: &sync::Arc<Self>, active: &mut Active, event: event::Event) {
+        for action in active.download.handle(self.clock.now_ms(), event) {
+            self.act(active, action);
+        }
+    }
+
+    fn act(self: &sync::Arc<Self>, active: &mut Active, action: event::Action) {
+        match action {
+            event::Action::Request { source, chunk, deadline_ms } => {
+                let fetch = self.clone().fetch(
+                    active.weights.clone(),
+                    active.listed.manifest.clone(),
+                    source.clone(),
+                    chunk,
+                    deadline_ms.saturating_sub(self.clock.now_ms()),
+                );
+                let handle = tokio::spawn(fetch).abort_handle();
+                active.fetches.insert((source, chunk), handle);
+            }
+            event::Action::Cancel { source, chunk } => {
+                if let Some(fetch) = active.fetches.remove(&(source, chunk)) {
+                    fetch.abort();
+                }
+            }
+            event::Action::Announce { to, chunks } => {
+                let version = active.download.version();
+                let instance = self.identity.name.clone();
+                let holdings = roster::Holdings { instance, version, chunks };
+                tokio::spawn(self.clone().announce(to, holdings));
+            }
+            event::Action::Blame { source, chunk, fault } => {
+                log::info!("agent: chunk {chunk} from {source:?}: {fault:?}");
+                let from_origin = source == event::Source::Origin;
+                if from_origin && matches!(fault, event::Fault::BadChunk(_)) {
+                    active.origin_faults += 1;
+                }
+            }
+            event::Action::AbortUpload { .. } => (),
+            event::Action::Complete => {
+                log::info!("agent: all chunks of {:?} are here", active.weights);
+                self.spread.complete.notify_one();
+            }
+        }
+    }
+
+    async fn fetch(
+        self: sync::Arc<Self>,
+        weights: origin::Weights,
+        manifest: manifest::Manifest,
+        source: event::Source,
+        chunk: u32,
+        deadline_ms: u64,
+    ) {
+        let version = manifest.version();
+        let fetched = self.fetch_bytes(&weights, &manifest, &source, chunk, deadline_ms).await;
+        let event = match fetched {
+            Err(failure) => {
+                event::Event::Failed { source: source.clone(), version, chunk, failure }
+            }
+            Ok(bytes) => match manifest.verify_chunk(chunk, &bytes) {
+                Err(fault) => event::Event::Bad { source: source.clone(), version, chunk, fault },
+                Ok(proof) => {
+                    // Staged before it is offered to others: what this instance needs goes first.
+                    self.stage(&weights.model, chunk, bytes.clone()).await;
+                    self.keep(&weights, chunk, bytes);
+                    event::Event::Arrived { source: source.clone(), chunk: proof }
+                }
+            },
+        };
+        let mut state = self.spread.state();
+        if let Some(active) = state.as_mut().filter(|it| it.weights == weights) {
+            active.fetches.remove(&(source, chunk));
+            self.feed_active(active, event);
+        }
+    }
+
+    fn keep(&self, weights: &origin::Weights, chunk: u32, bytes: Bytes) {
+        let mut state = self.spread.state();
+        if let Some(active) = state.as_mut().filter(|it| it.weights == *weights) {
+            active.origin_faults = 0;
+            active.bytes.insert(chunk, bytes);
+        }
+    }
+
+    async fn fetch_bytes(
+        &self,
+        weights: &origin::Weights,
+        manifest: &manifest::Manifest,
+        source: &event::Source,
+        chunk: u32,
+        deadline_ms: u64,
+    ) -> Result<Bytes, event::Failure> {
+        let (peer, call) = match source {
+            event::Source::Origin => {
+                let document = self.told.borrow().document.clone();
+                let origin = document.as_ref().and_then(|document| document.origin());
+                let origin = origin.ok_or(event::Failure::Error)?.to_string();
+                (origin, self.spoken.chunk_call(&weights.model, weights.version, chunk))
+            }
+            event::Source::Peer(instance) => {
+                let path = peers::chunk_path(weights, chunk);
+                let call = dialect::Call { method: hyper::Method::GET, path, body: Bytes::new() };
+                (self.settings.link_address(instance), call)
+            }
+        };
+        // One byte more than the chunk, so that one that is too long is told from a good one.
+        let max_bytes = manifest.chunk_bytes() as usize + 1;
+        let request = hyper::Request::builder()
+            .method(call.method)
+            .uri(format!("http://{peer}{}", call.path))
+            .header(peers::INSTANCE, self.identity.name.as_str());
+        let request = match source {
+            event::Source::Origin => request,
+            event::Source::Peer(_) => {
+                request.header("authorization", self.credential.header_value())
+            }
+        };
+        let request = request.body(http::full(call.body)).map_err(|_| event::Failure::Error)?;
+        let fetched = self.http.fetch("fetch chunk", &peer, request, max_bytes, deadline_ms).await;
+        let (head, bytes) = fetched.map_err(|error| {
+            log::debug!("agent: {error}");
+            event::Failure::Error
+        })?;
+        let held =
+            head.headers.get(peers::HELD).and_then(|value| value.to_str().ok()?.parse().ok());
+        match (head.status.as_u16(), held) {
+            (200, _) => Ok(bytes),
+            (404, Some(held)) => Err(event::Failure::NotYet { held }),
+            (503, _) => Err(event::Failure::Busy),
+            _ => Err(event::Failure::Error),
+        }
+    }
+
+    /// Tells peers which further chunks are held here.
+    async fn announce(
+        self: sync::Arc<Self>,
+        to: Vec<name::InstanceName>,
+        holdings: roster::Holdings,
+    ) {
+        let mut body = Vec::new();
+        ciborium::into_writer(&holdings, &mut body).expect("own types encode into memory");
+        let body = Bytes::from(body);
+        for instance in to {
+            let peer = self.settings.link_address(&instance);
+            let call = dialect::Call {
+                method: hyper::Method::POST,
+                path: peers::HOLDINGS_PATH.to_owned(),
+                body: body.clone(),
+            };
+            let agent = self.clone();
+            tokio::spawn(async move {
+                let told =
+                    agent.call("announce chunks", &peer, call, ANSWER_MAX_BYTES, ANNOUNCE_MS);
+                if let Err(error) = told.await {
+                    log::debug!("agent: {error}");
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/ragwortdeal_node/src/fleet/entry/learn.rs
@@ -0,0 +1,67 @@
+//! Takes what voters tell: documents, weights, upstreams.
+
+use std::sync::{self, atomic};
+
+use ragwortdeal_core::document::{self, store, table};
+use tokio::sync::mpsc;
+
+use super::Entry;
+use crate::fleet::{follow, notice, packing};
+
+/// Follows the voters for as long as the process runs.
+pub(super) async fn follow(entry: sync::Arc<Entry>, mut told: mpsc::Receiver<follow::Told>) {
+    while let Some(told) = told.recv().await {
+        let follow::Told::Notice(voter, notice) = told else {
+            continue;
+        };
+        let now_ms = entry.clock.now_ms();
+        match notice {
+            notice::Notice::Documents(documents) => entry.documents(&documents, now_ms),
+            notice::Notice::Upstreams(said) => {
+                said.into_iter().for_each(|said| entry.fleet().announced(said, now_ms));
+            }
+            notice::Notice::Serves(serves) => entry.fleet().serves(serves),
+            notice::Notice::Entries(count) => entry.fleet().entries(voter, count),
+            notice::Notice::Follow { .. }
+            | notice::Notice::Voters(_)
+            | notice::Notice::Agents(_) => (),
+        }
+    }
+}
+
+impl Entry {
+    /// Puts a newer document in force. An older one is passed over, whoever sends it: an accepted
+    /// change must never be taken back.
+    fn documents(&self, documents: &store::Store, now_ms: u64) {
+        for (model, version) in &documents.weights {
+            self.fleet().named(model, *version, now_ms);
+        }
+        let Some(sealed) = &documents.document else {
+            return;
+        };
+        if sealed.version <= self.held_version.load(atomic::Ordering::Relaxed) {
+            return;
+        }
+        match self.read(sealed) {
+            Ok(document) => {
+                log::info!(
+                    "entry: document version={} in force, routes={} accounts={}",
+                    document.version,
+                    document.routes.len(),
+                    document.accounts.len()
+                );
+                self.held_version.store(document.version, atomic::Ordering::Relaxed);
+                let table = table::Table::new(sync::Arc::new(document));
+                self.table.store(Some(sync::Arc::new(table)));
+            }
+            Err(error) => {
+                log::error!("entry: document version={} cannot be read: {error}", sealed.version);
+            }
+        }
+    }
+
+    fn read(&self, sealed: &store::Sealed) -> Result<document::Document, String> {
+        let bytes = packing::unpack(&sealed.body).map_err(|error| error.to_string())?;
+        self.spoken.document(&bytes).map_err(|error| error.to_string())
+    }
+}
--- /dev/null
+++ b/ragwortdeal_node/src/fleet/entry/relay.rs
@@ -0,0 +1,191 @@
+//! Passes a stream on event by event, and goes on at another upstream where one breaks off.
+
+use std::{io, sync};
+
+use bytes::Bytes;
+use futures_util::StreamExt as _;
+use http_body_util::BodyExt as _;
+use hyper::body::Frame;
+use ragwortdeal_core::document;
+use tokio::sync::mpsc;
+
+use super::{Entry, events, exchange, request::Asked, serve, upstreams};
+use crate::http;
+
+/// Pieces that may wait for a slow caller. A full queue stops reading from the upstream.
+const PIECES: usize = 16;
+
+type Piece = Result<Frame<Bytes>, io::Error>;
+
+/// What the next read brought.
+enum Read {
+    /// Whole events.
+    Events(Bytes),
+    /// The end of the stream.
+    Whole,
+    /// The upstream broke off.
+    Lost(String),
+    /// Time is up.
+    Late,
+}
+
+/// An answer that is being read.
+struct Source {
+    chosen: upstreams::Chosen,
+    answer: exchange::Answer,
+}
+
+/// A stream on its way to the caller.
+struct Pump {
+    entry: sync::Arc<Entry>,
+    asked: sync::Arc<Asked>,
+    events: events::Events,
+    source: Source,
+    progress: serve::Progress,
+}
+
+/// Begins to pass a stream on, once its first event is here: before that, another upstream may
+/// still begin anew. None where the stream broke off before.
+pub(super) async fn begin(
+    entry: &sync::Arc<Entry>,
+    asked: &sync::Arc<Asked>,
+    chosen: upstreams::Chosen,
+    answer: exchange::Answer,
+    progress: &mut serve::Progress,
+) -> Option<http::Response> {
+    let events = events::Events::after(asked.last_event);
+    let source = Source { chosen, answer };
+    let taken = std::mem::take(progress);
+    let (entry, asked) = (entry.clone(), asked.clone());
+    let mut pump = Pump { entry, asked, events, source, progress: taken };
+    loop {
+        match pump.read().await {
+            Read::Events(bytes) if bytes.is_empty() => (),
+            Read::Events(bytes) => return Some(pump.start(bytes)),
+            Read::Whole => {
+                let response = serve::pass_on(&pump.source.answer.head, http::full(""));
+                pump.source.give_back(&pump.entry);
+                return Some(response);
+            }
+            Read::Lost(reason) => {
+                pump.entry.broke_off(&pump.asked, &pump.source.chosen, &reason);
+                *progress = pump.progress;
+                return None;
+            }
+            Read::Late => {
+                *progress = pump.progress;
+                return None;
+            }
+        }
+    }
+}
+
+impl Source {
+    fn give_back(self, entry: &Entry) {
+        let Self { chosen, answer } = self;
+        serve::give_back(entry, &chosen.peer, answer.connection, answer.keep);
+    }
+}
+
+impl Pump {
+    async fn read(&mut self) -> Read {
+        let next = tokio::time::timeout(self.asked.left(), self.source.answer.body.frame()).await;
+        match next {
+            Err(_) => Read::Late,
+            Ok(None) if self.events.is_whole() => Read::Whole,
+            Ok(None) => Read::Lost("the stream ended within an event".to_owned()),
+            Ok(Some(Err(error))) => Read::Lost(format!("the stream broke off: {error}")),
+            Ok(Some(Ok(frame))) => match frame.into_data() {
+                Err(_) => Read::Events(Bytes::new()),
+                Ok(piece) => match self.events.push(&piece) {
+                    Ok(events) => Read::Events(events),
+                    Err(broken) => Read::Lost(format!("the stream is broken: {broken:?}")),
+                },
+            },
+        }
+    }
+
+    fn start(self, first: Bytes) -> http::Response {
+        let (sender, receiver) = mpsc::channel(PIECES);
+        // The queue is empty and longer than one piece.
+        let _ = sender.try_send(Ok(Frame::data(first)));
+        let pieces = futures_util::stream::unfold(receiver, |mut receiver| async {
+            let piece: Piece = receiver.recv().await?;
+            Some((piece, receiver))
+        });
+        let body = http_body_util::StreamBody::new(pieces.boxed()).boxed_unsync();
+        let response = serve::pass_on(&self.source.answer.head, body);
+        tokio::spawn(self.run(sender));
+        response
+    }
+
+    /// Passes events on until the end, the deadline, or until the caller goes. Leaving drops the
+    /// connection to the upstream, which then stops working for nobody.
+    async fn run(mut self, sender: mpsc::Sender<Piece>) {
+        loop {
+            let read = tokio::select! {
+                read = self.read() => read,
+                () = sender.closed() => return self.caller_gone(),
+            };
+            let failure = match read {
+                Read::Events(bytes) if bytes.is_empty() => continue,
+                Read::Events(bytes) => match sender.send(Ok(Frame::data(bytes))).await {
+                    Ok(()) => continue,
+                    Err(_) => return self.caller_gone(),
+                },
+                Read::Whole => return self.source.give_back(&self.entry),
+                Read::Late => "no time is left".to_owned(),
+                Read::Lost(reason) => {
+                    self.entry.broke_off(&self.asked, &self.source.chosen, &reason);
+                    match self.resume(&sender).await {
+                        Ok(()) => continue,
+                        Err(reason) => reason,
+                    }
+                }
+            };
+            log::info!(
+                "entry: request {} cut after {:?}: {failure}",
+                self.asked.id(),
+                self.events.last()
+            );
+            // The connection is closed without the end of the body, so the part is not taken for
+            // the whole.
+            let _ = sender.send(Err(io::Error::other(failure))).await;
+            return;
+        }
+    }
+
+    fn caller_gone(self) {
+        log::info!("entry: request {} left by its caller", self.asked.id());
+    }
+
+    /// Goes on at another upstream behind the last event that was passed on.
+    async fn resume(&mut self, sender: &mpsc::Sender<Piece>) -> Result<(), String> {
+        if self.asked.route.repeat != document::Repeat::Resume {
+            return Err("the stream cannot be resumed".to_owned());
+        }
+        self.events.reconnect();
+        loop {
+            let next = self.entry.next(&self.asked, &mut self.progress);
+            let chosen = next.map_err(|refusal| refusal.reason.to_owned())?;
+            let exchange = self.entry.exchange(&self.asked, &chosen, self.events.last());
+            let outcome = tokio::select! {
+                outcome = exchange => outcome,
+                () = sender.closed() => return Err("the caller left".to_owned()),
+            };
+            let settled = self.entry.settle(&self.asked, &chosen, outcome, &mut self.progress);
+            if let Some(answer) = settled
+                && answer.head.status.is_success()
+            {
+                log::info!(
+                    "entry: request {} resumed after {:?} at {}",
+                    self.asked.id(),
+                    self.events.last(),
+                    chosen.peer.instance
+                );
+                self.source = Source { chosen, answer: *answer };
+                return Ok(());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/ragwortdeal_node/src/fleet/entry/request.rs
@@ -0,0 +1,164 @@
+//! A caller's request, read and judged.
+
+use std::time;
+
+use hyper::header;
+use ragwortdeal_core::{directory, document, document::table};
+
+use super::Entry;
+use crate::http;
+
+/// Longest time for which a body is waited for where the caller names no deadline.
+const BODY_MS: u64 = 10_000;
+
+/// Headers that concern one connection only.
+const HOP_HEADERS: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+];
+
+/// A request that may be served.
+pub(super) struct Asked {
+    pub(super) id: header::HeaderValue,
+    pub(super) method: hyper::Method,
+    pub(super) uri: hyper::Uri,
+    /// Headers for the upstream, without those that are set for each attempt.
+    pub(super) headers: header::HeaderMap,
+    pub(super) body: bytes::Bytes,
+    pub(super) route: document::Route,
+    pub(super) service: directory::Text,
+    /// Models of the service where it is one of engines.
+    pub(super) models: Option<Vec<directory::Text>>,
+    pub(super) started: time::Instant,
+    /// When the caller or the operator stops waiting.
+    pub(super) deadline: time::Instant,
+    /// Number of the last event that the caller has.
+    pub(super) last_event: Option<u64>,
+}
+
+impl Asked {
+    /// Time that is left.
+    pub(super) fn left(&self) -> time::Duration {
+        self.deadline.saturating_duration_since(time::Instant::now())
+    }
+
+    /// The identifier as text, for logs.
+    pub(super) fn id(&self) -> &str {
+        self.id.to_str().unwrap_or("?")
+    }
+}
+
+/// A refusal: the request did not run and never will, or it is no proper request.
+#[derive(Debug)]
+pub(super) struct Refusal {
+    pub(super) status: u16,
+    pub(super) reason: &'static str,
+    pub(super) retry_after: Option<time::Duration>,
+}
+
+impl Refusal {
+    pub(super) fn new(status: u16, reason: &'static str) -> Self {
+        Self { status, reason, retry_after: None }
+    }
+
+    /// A refusal that says when to come back.
+    pub(super) fn later(status: u16, reason: &'static str, after: time::Duration) -> Self {
+        Self { status, reason, retry_after: Some(after) }
+    }
+}
+
+impl Entry {
+    /// Reads a request and finds its route, its account and its service.
+    pub(super) async fn read_request(
+        &self,
+        request: http::Request,
+        id: header::HeaderValue,
+    ) -> Result<Asked, Refusal> {
+        let started = time::Instant::now();
+        let Some(table) = self.table.load_full() else {
+            let after = time::Duration::from_millis(300);
+            return Err(Refusal::later(503, "no document is known here yet", after));
+        };
+        let names = self.spoken.headers();
+        let host = request.header("host").or_else(|| request.uri.host()).unwrap_or_default();
+        let route = table.route(host, request.uri.path());
+        let route = route.ok_or(Refusal::new(404, "no route"))?;
+        let caller = table.caller(route, self.spoken.key(&request.headers));
+        let mut headers = forwarded(&request.headers);
+        headers.remove(header::AUTHORIZATION);
+        headers.remove(&names.account);
+        headers.remove(&names.expected_instance);
+        headers.remove(&names.expected_version);
+        headers.remove(&names.rank);
+        match caller {
+            table::Caller::Unknown => return Err(Refusal::new(401, "no account holds this key")),
+            table::Caller::Anybody => (),
+            table::Caller::Account(account) => {
+                let value = header::HeaderValue::from_str(&account.name);
+                let value =
+                    value.map_err(|_| Refusal::new(503, "the account has no usable name"))?;
+                headers.insert(names.account.clone(), value);
+            }
+        }
+        let service = document::table::target(route, self.draw()).cloned();
+        let service = service.ok_or(Refusal::new(503, "the route leads nowhere"))?;
+        let models = table.engine(&service).map(|engine| engine.models.clone());
+        let number = |name: &header::HeaderName| {
+            request.headers.get(name)?.to_str().ok()?.trim().parse::<u64>().ok()
+        };
+        let waits_ms = number(&names.deadline_ms).unwrap_or(u64::MAX).min(route.timeout_ms);
+        let deadline = started + time::Duration::from_millis(waits_ms);
+        let last_event = number(&names.last_event);
+        let body_max_bytes = table.document().limits.body_max_bytes;
+        let asked = Asked {
+            id,
+            method: request.method,
+            uri: request.uri,
+            headers,
+            body: bytes::Bytes::new(),
+            route: route.clone(),
+            service,
+            models,
+            started,
+            deadline,
+            last_event,
+        };
+        let body = http::read(request.body, body_max_bytes, waits_ms.min(BODY_MS)).await;
+        match body {
+            Ok(body) => Ok(Asked { body, ..asked }),
+            Err(error) if error.kind() == std::io::ErrorKind::TimedOut => {
+                Err(Refusal::new(408, "the body did not come in time"))
+            }
+            Err(error) => {
+                log::info!("entry: request {}: body: {error}", asked.id());
+                Err(Refusal::new(413, "the body is too large or was cut"))
+            }
+        }
+    }
+}
+
+/// Headers that go on to the next hop.
+pub(super) fn forwarded(headers: &header::HeaderMap) -> header::HeaderMap {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let mut forwarded = header::HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let hop =
+            HOP_HEADERS.contains(&name.as_str()) || named.iter().any(|it| it == name.as_str());
+        if !hop && name != header::CONTENT_LENGTH {
+            forwarded.append(name.clone(), value.clone());
+        }
+    }
+    forwarded
+}
--- /dev/null
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -0,0 +1,291 @@
+//! Serves one request: attempts, repeats, refusals.
+
+use std::{sync, time};
+
+use http_body_util::BodyExt as _;
+use hyper::{header, http::response};
+use ragwortdeal_core::{directory, document};
+
+use super::{
+    Entry,
+    exchange::{self, Outcome},
+    pool, relay, request,
+    request::{Asked, Refusal},
+    upstreams,
+};
+use crate::http;
+
+/// Upstreams that are tried for one request, those that could not be reached included.
+const TRIES_MAX: usize = 4;
+
+/// Largest answer that is read as a whole before it is passed on.
+const ANSWER_MAX_BYTES: usize = 16 << 20;
+
+/// After how long a caller comes back where no upstream takes work: about the time in which one is
+/// heard of again.
+const AFTER_NONE: time::Duration = time::Duration::from_millis(500);
+
+/// After how long a caller comes back where all upstreams are full, about the length of one
+/// answer: places become free within it.
+const AFTER_FULL: time::Duration = time::Duration::from_millis(800);
+
+/// Answers a caller.
+pub(super) async fn answer(entry: sync::Arc<Entry>, request: http::Request) -> http::Response {
+    let names = entry.spoken.headers();
+    let Some(id) = request.headers.get(&names.request_id).cloned() else {
+        return refused(&entry, None, &Refusal::new(400, "the request has no identifier"));
+    };
+    let mut response = match entry.read_request(request, id.clone()).await {
+        Ok(asked) => serve(&entry, asked).await,
+        Err(refusal) => refused(&entry, Some(&id), &refusal),
+    };
+    if entry.is_stopping() {
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+/// Answers with a refusal or failure of the entry's own.
+fn refused(entry: &Entry, id: Option<&header::HeaderValue>, refusal: &Refusal) -> http::Response {
+    let text = id.and_then(|id| id.to_str().ok()).unwrap_or("?");
+    log::info!("entry: request {text} refused, status={} {}", refusal.status, refusal.reason);
+    let body = http::full(format!("{}\n", refusal.reason));
+    let mut response = http::respond(refusal.status, "text/plain", body);
+    if let Some(id) = id {
+        response.headers_mut().insert(entry.spoken.headers().request_id.clone(), id.clone());
+    }
+    if let Some(after) = refusal.retry_after {
+        let seconds = format!("{:.3}", after.as_secs_f64());
+        if let Ok(value) = header::HeaderValue::from_str(&seconds) {
+            response.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// How far a request got.
+#[derive(Default)]
+pub(super) struct Progress {
+    /// Upstreams that were tried.
+    pub(super) tried: Vec<directory::Text>,
+    /// Upstreams to which it was sent.
+    pub(super) sent: u32,
+    /// Whether it may have run.
+    pub(super) may_have_run: bool,
+}
+
+async fn serve(entry: &sync::Arc<Entry>, asked: Asked) -> http::Response {
+    let asked = sync::Arc::new(asked);
+    let mut progress = Progress::default();
+    loop {
+        let chosen = match entry.next(&asked, &mut progress) {
+            Ok(chosen) => chosen,
+            Err(refusal) => return refused(entry, Some(&asked.id), &refusal),
+        };
+        let outcome = entry.exchange(&asked, &chosen, asked.last_event).await;
+        let Some(answer) = entry.settle(&asked, &chosen, outcome, &mut progress) else {
+            continue;
+        };
+        let relayed = if asked.route.streams && answer.head.status.is_success() {
+            relay::begin(entry, &asked, chosen, *answer, &mut progress).await
+        } else {
+            whole(entry, &asked, &chosen, *answer, &mut progress).await
+        };
+        if let Some(response) = relayed {
+            return response;
+        }
+    }
+}
+
+impl Entry {
+    /// Chooses the upstream for the next attempt, or says that there is none.
+    pub(super) fn next(
+        self: &sync::Arc<Self>,
+        asked: &Asked,
+        progress: &mut Progress,
+    ) -> Result<upstreams::Chosen, Refusal> {
+        let now_ms = self.clock.now_ms();
+        let failed = |reason| match progress.may_have_run {
+            true => Refusal::new(if asked.left().is_zero() { 504 } else { 502 }, reason),
+            false => Refusal::later(503, reason, AFTER_NONE),
+        };
+        let repeatable = asked.route.repeat != document::Repeat::Never;
+        if progress.may_have_run && !repeatable {
+            return Err(failed("it may have run and must not run twice"));
+        }
+        if progress.sent >= asked.route.attempts_max || progress.tried.len() >= TRIES_MAX {
+            return Err(failed("it has had its attempts"));
+        }
+        if asked.left().is_zero() {
+            return Err(failed("no time is left"));
+        }
+        let wanted = upstreams::Wanted {
+            service: &asked.service,
+            models: asked.models.as_deref(),
+            tried: &progress.tried,
+        };
+        let chosen = self.choose(&wanted).map_err(|no_way| match no_way {
+            _ if progress.may_have_run => failed("no other upstream takes it"),
+            upstreams::NoWay::None => Refusal::later(503, "no upstream takes work", AFTER_NONE),
+            upstreams::NoWay::Full => Refusal::later(503, "all upstreams are full", AFTER_FULL),
+        })?;
+        let mut fleet = self.fleet();
+        if progress.sent == 0 {
+            if progress.tried.is_empty() {
+                fleet.first(&asked.service, &self.budget, now_ms);
+            }
+        } else if !fleet.repeat(&asked.service, &self.budget, now_ms) {
+            drop(fleet);
+            return Err(failed("the budget of repeats is used up"));
+        }
+        Ok(chosen)
+    }
+
+    /// Notes how an attempt ended. Gives the answer where there is one.
+    pub(super) fn settle(
+        &self,
+        asked: &Asked,
+        chosen: &upstreams::Chosen,
+        outcome: Outcome,
+        progress: &mut Progress,
+    ) -> Option<Box<exchange::Answer>> {
+        let now_ms = self.clock.now_ms();
+        let instance = &chosen.peer.instance;
+        let names = self.spoken.headers();
+        progress.tried.push(instance.clone());
+        let held_ms = asked.started.elapsed().as_millis();
+        match outcome {
+            Outcome::NotSent(reason) => {
+                log::info!("entry: request {} not sent to {instance}: {reason}", asked.id());
+                self.fleet().failed(instance, now_ms);
+                None
+            }
+            Outcome::NotRun(head) => {
+                log::info!(
+                    "entry: request {} not run by {instance}, status={} after {held_ms} ms",
+                    asked.id(),
+                    head.status
+                );
+                progress.sent += 1;
+                let other = head.headers.get(&names.instance);
+                let other = other.is_some_and(|it| it.as_bytes() != instance.as_bytes());
+                match head.status.as_u16() {
+                    421 if other => self.fleet().displaced(instance, now_ms),
+                    421 => self.fleet().failed(instance, now_ms),
+                    _ => self.fleet().shed(instance, 16, now_ms),
+                }
+                None
+            }
+            Outcome::Lost(reason) => {
+                log::info!(
+                    "entry: request {} lost at {instance} after {held_ms} ms: {reason}",
+                    asked.id()
+                );
+                progress.sent += 1;
+                progress.may_have_run = true;
+                self.fleet().failed(instance, now_ms);
+                None
+            }
+            Outcome::Answer(answer) => {
+                progress.sent += 1;
+                progress.may_have_run = true;
+                let load = answer.head.headers.get(&names.load);
+                let load = load.and_then(|value| value.to_str().ok());
+                let load = load.and_then(|value| self.spoken.load(value));
+                self.fleet().answered(instance, load, now_ms);
+                Some(answer)
+            }
+        }
+    }
+}
+
+/// Reads an answer as a whole and passes it on. None where it broke off and may be asked for again.
+async fn whole(
+    entry: &sync::Arc<Entry>,
+    asked: &sync::Arc<Asked>,
+    chosen: &upstreams::Chosen,
+    answer: exchange::Answer,
+    progress: &mut Progress,
+) -> Option<http::Response> {
+    let exchange::Answer { head, body, connection, keep } = answer;
+    let again = asked.route.repeat != document::Repeat::Never
+        && progress.sent < asked.route.attempts_max
+        && head.status.is_server_error();
+    let limited = http_body_util::Limited::new(body, ANSWER_MAX_BYTES);
+    let read = tokio::time::timeout(asked.left(), limited.collect()).await;
+    let bytes = match read {
+        Ok(Ok(collected)) => collected.to_bytes(),
+        Ok(Err(error)) => {
+            let reason = format!("the answer broke off: {error}");
+            entry.broke_off(asked, chosen, &reason);
+            return None;
+        }
+        Err(_) => {
+            entry.broke_off(asked, chosen, "the answer did not end in time");
+            return None;
+        }
+    };
+    give_back(entry, &chosen.peer, connection, keep);
+    if again {
+        log::info!("entry: request {} failed at {}", asked.id(), chosen.peer.instance);
+        entry.fleet().failed(&chosen.peer.instance, entry.clock.now_ms());
+        if let Some(other) = another(entry, asked, progress).await {
+            return Some(other);
+        }
+    }
+    Some(pass_on(&head, http::full(bytes)))
+}
+
+/// Asks one other upstream after a failure that the first one answered with. None where that
+/// brings nothing better, so that the first answer stands.
+async fn another(
+    entry: &sync::Arc<Entry>,
+    asked: &sync::Arc<Asked>,
+    progress: &mut Progress,
+) -> Option<http::Response> {
+    let chosen = entry.next(asked, progress).ok()?;
+    let outcome = entry.exchange(asked, &chosen, asked.last_event).await;
+    let answer = entry.settle(asked, &chosen, outcome, progress)?;
+    if !answer.head.status.is_success() {
+        return None;
+    }
+    if asked.route.streams {
+        return relay::begin(entry, asked, chosen, *answer, progress).await;
+    }
+    let exchange::Answer { head, body, connection, keep } = *answer;
+    let limited = http_body_util::Limited::new(body, ANSWER_MAX_BYTES);
+    let read = tokio::time::timeout(asked.left(), limited.collect()).await;
+    let bytes = read.ok()?.ok()?.to_bytes();
+    give_back(entry, &chosen.peer, connection, keep);
+    Some(pass_on(&head, http::full(bytes)))
+}
+
+impl Entry {
+    /// Notes that an upstream broke an answer off.
+    pub(super) fn broke_off(&self, asked: &Asked, chosen: &upstreams::Chosen, reason: &str) {
+        let instance = &chosen.peer.instance;
+        log::info!("entry: request {} at {instance}: {reason}", asked.id());
+        self.fleet().failed(instance, self.clock.now_ms());
+    }
+}
+
+/// The answer as the caller gets it.
+pub(super) fn pass_on(head: &response::Parts, body: http::Body) -> http::Response {
+    let mut response = http::Response::new(body);
+    *response.status_mut() = head.status;
+    *response.headers_mut() = request::forwarded(&head.headers);
+    response
+}
+
+/// Keeps a connection after a whole answer, where its upstream does.
+pub(super) fn give_back(
+    entry: &Entry,
+    peer: &pool::Peer,
+    connection: pool::Connection,
+    keep: Option<time::Duration>,
+) {
+    if let Some(keep) = keep {
+        entry.pool.put(peer, connection, keep);
+    }
+}
--- /dev/null
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -0,0 +1,287 @@
+//! The upstreams as this entry sees them: what they said, what is open there, how they fared.
+
+use std::{collections, net, sync};
+
+use ragwortdeal_core::{
+    directory,
+    dispatch::{choice, share},
+};
+
+use super::{Entry, pool};
+use crate::fleet::{dialect, notice};
+
+/// How long an upstream is passed over after a first failure; it doubles with each further one.
+/// Longer than a lost packet, shorter than callers wait.
+const SUSPEND_MS: u64 = 300;
+
+/// Longest time for which a failing upstream is passed over.
+const SUSPEND_MAX_MS: u64 = 3_000;
+
+/// Part of an upstream's failing that is left after one good answer.
+const FAILING_KEPT: f64 = 0.8;
+
+/// How long an upstream's word on its load counts. Engines report some hundred milliseconds late.
+const LOAD_MS: u64 = 2_000;
+
+/// Taken off the time in which engines must serve named weights: requests that were sent before
+/// still wait for their first token.
+const WEIGHTS_MARGIN_MS: u64 = 2_500;
+
+/// How this entry fared with an upstream.
+#[derive(Clone, Debug, Default)]
+struct Way {
+    open: u32,
+    /// Requests of others, and when the upstream said so.
+    elsewhere: Option<(f64, u64)>,
+    failing: f64,
+    failures: u32,
+    suspended_until_ms: u64,
+}
+
+/// Weights that were named.
+#[derive(Clone, Copy, Debug)]
+struct Named {
+    version: u64,
+    heard_ms: u64,
+}
+
+/// An upstream that was chosen for a request. It counts as busy until this is dropped.
+pub(super) struct Chosen {
+    pub(super) peer: pool::Peer,
+    /// Version of weights that it serves.
+    pub(super) version: Option<u64>,
+    entry: sync::Arc<Entry>,
+}
+
+impl Drop for Chosen {
+    fn drop(&mut self) {
+        self.entry.fleet().closed(&self.peer.instance);
+    }
+}
+
+/// Why no upstream was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum NoWay {
+    /// There is none that takes work.
+    None,
+    /// All that take work are full.
+    Full,
+}
+
+/// All upstreams.
+pub(super) struct Fleet {
+    zone: directory::Text,
+    weights_ms: u64,
+    directory: directory::Directory,
+    ways: collections::HashMap<directory::Text, Way>,
+    serves: collections::HashMap<net::SocketAddrV4, notice::Serves>,
+    named: collections::HashMap<String, Named>,
+    entries: collections::HashMap<net::Ipv4Addr, u32>,
+    spending: collections::HashMap<directory::Text, share::Spending>,
+}
+
+impl Fleet {
+    pub(super) fn new(zone: directory::Text, weights_ms: u64) -> Self {
+        Self {
+            zone,
+            weights_ms,
+            directory: directory::Directory::default(),
+            ways: collections::HashMap::new(),
+            serves: collections::HashMap::new(),
+            named: collections::HashMap::new(),
+            entries: collections::HashMap::new(),
+            spending: collections::HashMap::new(),
+        }
+    }
+
+    pub(super) fn announced(&mut self, said: directory::Announcement, now_ms: u64) {
+        let instance = said.instance.clone();
+        let (standing, address, born_ms) = (said.standing, said.address, said.age.born_ms);
+        let lives = self.directory.get(&instance).map(|upstream| upstream.said.age.born_ms);
+        if self.directory.announced(said, now_ms) == directory::Effect::Changed {
+            log::info!("entry: upstream {instance} at {address} is {standing:?}");
+        }
+        if lives.is_some_and(|held_ms| held_ms < born_ms) {
+            // A new life has none of the faults of the one before.
+            self.ways.entry(instance).and_modify(|way| {
+                *way = Way { open: way.open, ..Way::default() };
+            });
+        }
+    }
+
+    pub(super) fn serves(&mut self, serves: notice::Serves) {
+        let newer = |held: &notice::Serves| held.number < serves.number;
+        if self.serves.get(&serves.address).is_none_or(newer) {
+            self.serves.insert(serves.address, serves);
+        }
+    }
+
+    pub(super) fn named(&mut self, model: &str, version: u64, now_ms: u64) {
+        let held = self.named.entry(model.to_owned()).or_insert(Named { version: 0, heard_ms: 0 });
+        if version > held.version {
+            log::info!("entry: weights {model} version={version} are named");
+            *held = Named { version, heard_ms: now_ms };
+        }
+    }
+
+    pub(super) fn entries(&mut self, voter: net::Ipv4Addr, count: u32) {
+        let held = self.entries.entry(voter).or_default();
+        // Never fewer than were seen before: an entry that is cut off goes on drawing.
+        *held = count.max(*held);
+    }
+
+    /// Whether an upstream may still get requests.
+    pub(super) fn knows(&self, peer: &pool::Peer) -> bool {
+        let upstream = self.directory.get(&peer.instance);
+        upstream.is_some_and(|it| it.said.standing != directory::Standing::Gone)
+    }
+
+    /// Version that an engine serves: none where it loads or has nothing. The word of the agent
+    /// beside it counts where it speaks of the same life of the engine.
+    fn version_of(&self, said: &directory::Announcement) -> Option<u64> {
+        let announced = said.held.iter().map(|held| held.version).max();
+        let agent = self.serves.get(&said.address);
+        match agent.filter(|it| it.born_ms == said.age.born_ms) {
+            Some(agent) if !agent.accepts => None,
+            Some(agent) => Some(agent.version.max(announced.unwrap_or(0))),
+            None => announced,
+        }
+        .filter(|version| *version > 0)
+    }
+
+    /// Lowest version of a model that a request may begin on now.
+    fn lowest(&self, model: &str, now_ms: u64) -> u64 {
+        let Some(named) = self.named.get(model) else {
+            return 0;
+        };
+        let due_ms = named.heard_ms + self.weights_ms.saturating_sub(WEIGHTS_MARGIN_MS);
+        if now_ms >= due_ms { named.version } else { named.version.saturating_sub(1) }
+    }
+
+    fn candidate(&self, said: &directory::Announcement, now_ms: u64) -> Option<choice::Candidate> {
+        let way = self.ways.get(&said.instance);
+        if way.is_some_and(|way| way.suspended_until_ms > now_ms) {
+            return None;
+        }
+        let fresh = way.and_then(|way| way.elsewhere).filter(|(_, at)| now_ms - at <= LOAD_MS);
+        Some(choice::Candidate {
+            open: way.map_or(0, |way| way.open),
+            elsewhere: fresh.map_or(0.0, |(load, _)| load),
+            slots: said.slots,
+            near: said.zone == self.zone,
+            failing: way.map_or(0.0, |way| way.failing),
+        })
+    }
+
+    /// Notes a request as open at an upstream.
+    fn opened(&mut self, instance: &directory::Text) {
+        self.ways.entry(instance.clone()).or_default().open += 1;
+    }
+
+    fn closed(&mut self, instance: &str) {
+        if let Some(way) = self.ways.get_mut(instance) {
+            way.open = way.open.saturating_sub(1);
+        }
+    }
+
+    /// Notes that an upstream answered, and what it said of its load.
+    pub(super) fn answered(&mut self, instance: &str, load: Option<dialect::Load>, now_ms: u64) {
+        let Some(way) = self.ways.get_mut(instance) else {
+            return;
+        };
+        way.failures = 0;
+        way.failing *= FAILING_KEPT;
+        if let Some(load) = load {
+            let others = f64::from(load.running + load.waiting) - f64::from(way.open);
+            way.elsewhere = Some((others.max(0.0), now_ms));
+        }
+    }
+
+    /// Notes that an upstream failed. It is passed over for a while, for longer each time.
+    pub(super) fn failed(&mut self, instance: &directory::Text, now_ms: u64) {
+        let way = self.ways.entry(instance.clone()).or_default();
+        let suspend_ms = SUSPEND_MS << way.failures.min(8);
+        way.failures += 1;
+        way.failing = 1.0 - (1.0 - way.failing) * FAILING_KEPT;
+        way.suspended_until_ms = now_ms + suspend_ms.min(SUSPEND_MAX_MS);
+    }
+
+    /// Notes that an upstream is full.
+    pub(super) fn shed(&mut self, instance: &str, slots: u32, now_ms: u64) {
+        if let Some(way) = self.ways.get_mut(instance) {
+            way.elsewhere = Some((f64::from(slots) * 2.0, now_ms));
+        }
+    }
+
+    /// Another upstream answers at the address.
+    pub(super) fn displaced(&mut self, instance: &str, now_ms: u64) {
+        self.directory.left(instance, None, now_ms);
+    }
+
+    /// Counts a first request to a service.
+    pub(super) fn first(&mut self, service: &directory::Text, budget: &share::Budget, now_ms: u64) {
+        self.spending.entry(service.clone()).or_default().first(budget, now_ms);
+    }
+
+    /// Asks for one more request to a service.
+    pub(super) fn repeat(
+        &mut self,
+        service: &directory::Text,
+        budget: &share::Budget,
+        now_ms: u64,
+    ) -> bool {
+        let entries = self.entries.values().copied().max().unwrap_or(1) as usize + 1;
+        self.spending.entry(service.clone()).or_default().repeat(budget, entries, now_ms)
+    }
+}
+
+/// What is looked for.
+pub(super) struct Wanted<'w> {
+    pub(super) service: &'w str,
+    /// Models of the service where it is one of engines.
+    pub(super) models: Option<&'w [directory::Text]>,
+    /// Upstreams that were tried already.
+    pub(super) tried: &'w [directory::Text],
+}
+
+impl Entry {
+    /// Chooses an upstream for a request and counts the request as open there.
+    pub(super) fn choose(self: &sync::Arc<Self>, wanted: &Wanted<'_>) -> Result<Chosen, NoWay> {
+        let now_ms = self.clock.now_ms();
+        let draw = self.draw();
+        let mut fleet = self.fleet();
+        let lowest = wanted.models.map(|models| {
+            models.iter().map(|model| fleet.lowest(model, now_ms)).max().unwrap_or(0)
+        });
+        let mut offered = Vec::new();
+        let mut candidates = Vec::new();
+        for upstream in fleet.directory.all() {
+            let said = &upstream.said;
+            let takes_work = said.standing == directory::Standing::Ready
+                && *said.service == *wanted.service
+                && !wanted.tried.contains(&said.instance);
+            if !takes_work {
+                continue;
+            }
+            let version = match lowest {
+                Some(lowest) => match fleet.version_of(said).filter(|held| *held >= lowest) {
+                    Some(version) => Some(version),
+                    None => continue,
+                },
+                None => None,
+            };
+            if let Some(candidate) = fleet.candidate(said, now_ms) {
+                candidates.push(candidate);
+                offered.push((said.instance.clone(), said.address, version));
+            }
+        }
+        let empty = candidates.is_empty();
+        let Some(index) = choice::best(&candidates, draw) else {
+            return Err(if empty { NoWay::None } else { NoWay::Full });
+        };
+        let (instance, address, version) = offered.swap_remove(index);
+        fleet.opened(&instance);
+        let peer = pool::Peer { instance, address };
+        Ok(Chosen { peer, version, entry: self.clone() })
+    }
+}
--- /dev/null
+++ b/ragwortdeal_node/src/fleet/notice.rs
@@ -0,0 +1,69 @@
+//! What voters, entries and agents tell each other on their links.
+
+use std::net;
+
+use ragwortdeal_core::{directory, document::store};
+use ragwortdeal_wire::link as wire;
+
+/// One message. It travels inside a link's opaque field: both ends are the same program.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub enum Notice {
+    /// A follower wants to be told, and holds this document already.
+    Follow {
+        /// Version of its document.
+        version: u64,
+    },
+    /// The document where the follower's is older, and the named weights.
+    Documents(store::Store),
+    /// Voters that can be followed, by address.
+    Voters(Vec<net::Ipv4Addr>),
+    /// Announcements of upstreams.
+    Upstreams(Vec<directory::Announcement>),
+    /// Agents that run, as this voter knows them.
+    Agents(Vec<Seat>),
+    /// An agent tells which weights its engine serves.
+    Serves(Serves),
+    /// An entry counts as running as long as it says so.
+    Entries(u32),
+}
+
+/// An agent and where it stands.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Seat {
+    /// Its address.
+    pub address: net::Ipv4Addr,
+    /// Its availability zone.
+    pub zone: String,
+    /// Start of its process.
+    pub incarnation: u64,
+}
+
+/// What an agent knows of its engine, sooner than the engine announces it.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Serves {
+    /// Address of the engine.
+    pub address: net::SocketAddrV4,
+    /// Start of the engine, 0 where it is not known.
+    pub born_ms: u64,
+    /// Number of this word of the agent; a higher one is newer.
+    pub number: u64,
+    /// Version that it serves, 0 for none.
+    pub version: u64,
+    /// Whether it takes new requests.
+    pub accepts: bool,
+}
+
+/// Wraps a notice for a link.
+pub fn seal(notice: &Notice) -> wire::Message {
+    let mut payload = Vec::new();
+    ciborium::into_writer(notice, &mut payload).expect("own types encode into memory");
+    wire::Message::Replicate(wire::Replicate { payload: payload.into() })
+}
+
+/// Reads a notice. Another kind of message is none.
+pub fn open(message: &wire::Message) -> Option<Notice> {
+    let wire::Message::Replicate(replicate) = message else {
+        return None;
+    };
+    ciborium::from_reader(&replicate.payload[..]).ok()
+}
--- a/ragwortdeal_node/src/http.rs
+++ b/ragwortdeal_node/src/http.rs
@@ -6,7 +6,7 @@
 
 pub use client::{Client, HttpError, RequestBody};
 pub use problem::{Kind, answer, problem};
-pub use server::{Request, route, serve};
+pub use server::{Bounds, Request, route, serve, serve_with};
 
 use std::{io, time};
 
--- a/ragwortdeal_node/src/http/server.rs
+++ b/ragwortdeal_node/src/http/server.rs
@@ -18,6 +18,9 @@
 /// Longest time to send a request's headers, against callers that hold connections for nothing.
 const HEADER_READ: time::Duration = time::Duration::from_secs(10);
 
+/// Smallest buffer that hyper takes for a head.
+const HEAD_MIN_BYTES: usize = 8 << 10;
+
 /// A request as the handlers of this crate take it.
 pub struct Request {
     /// Method.
@@ -92,6 +95,37 @@
     stop: stop::Stop,
     grace_ms: u64,
 ) -> bool {
+    serve_with(listener, router, Bounds::default(), stop, grace_ms).await
+}
+
+/// Bounds on what a listener's callers may send.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Longest time in milliseconds to send a request's headers. It also ends a kept connection
+    /// on which no request comes.
+    pub head_ms: u64,
+    /// Largest head in bytes.
+    pub head_max_bytes: usize,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        // As large as hyper's own bound, which holds for callers that are known.
+        Self { head_ms: HEADER_READ.as_millis() as u64, head_max_bytes: 408 << 10 }
+    }
+}
+
+/// Serves any gotham handler, as [`serve`] does, within bounds of its own.
+pub async fn serve_with<H>(
+    listener: net::TcpListener,
+    router: H,
+    bounds: Bounds,
+    stop: stop::Stop,
+    grace_ms: u64,
+) -> bool
+where
+    H: handler::NewHandler + 'static,
+{
     let router = sync::Arc::new(router);
     let graceful = hyper_server::graceful::GracefulShutdown::new();
     let places = sync::Arc::new(Semaphore::new(CONNECTIONS_MAX));
@@ -107,7 +141,7 @@
             continue;
         };
         let _ = stream.set_nodelay(true);
-        let connection = connection(stream, client, router.clone());
+        let connection = connection(stream, client, router.clone(), bounds);
         let watched = graceful.watch(connection);
         tokio::spawn(async move {
             if let Err(error) = watched.await {
@@ -120,10 +154,11 @@
     tokio::time::timeout(time::Duration::from_millis(grace_ms), graceful.shutdown()).await.is_ok()
 }
 
-fn connection(
+fn connection<H: handler::NewHandler + 'static>(
     stream: net::TcpStream,
     client: std_net::SocketAddr,
-    router: sync::Arc<router::Router>,
+    router: sync::Arc<H>,
+    bounds: Bounds,
 ) -> impl hyper_server::graceful::GracefulConnection<Error = hyper::Error> {
     let service = hyper::service::service_fn(move |request| {
         let state = state::State::from_request(request, client);
@@ -131,6 +166,7 @@
     });
     hyper::server::conn::http1::Builder::new()
         .timer(rt::TokioTimer::new())
-        .header_read_timeout(HEADER_READ)
+        .header_read_timeout(time::Duration::from_millis(bounds.head_ms))
+        .max_buf_size(bounds.head_max_bytes.max(HEAD_MIN_BYTES))
         .serve_connection(rt::TokioIo::new(stream), service)
 }
--- a/ragwortdeal_node/src/program.rs
+++ b/ragwortdeal_node/src/program.rs
@@ -18,6 +18,37 @@
 /// Runs a program to its end, or only checks its settings. `main` gets the request to stop, which
 /// SIGTERM and SIGINT give.
 pub fn run<S, F, R, E>(file: &path::Path, only_check: bool, main: F) -> process::ExitCode
+where
+    S: settings::Settings,
+    F: FnOnce(S, stop::Stop) -> R,
+    R: Future<Output = Result<(), E>>,
+    E: fmt::Display,
+{
+    run_on(tokio::runtime::Builder::new_multi_thread(), file, only_check, main)
+}
+
+/// Runs a program on one thread, for an instance that has a part of one core: more threads would
+/// only take turns there, at the price of a switch for each.
+pub fn run_on_one_thread<S, F, R, E>(
+    file: &path::Path,
+    only_check: bool,
+    main: F,
+) -> process::ExitCode
+where
+    S: settings::Settings,
+    F: FnOnce(S, stop::Stop) -> R,
+    R: Future<Output = Result<(), E>>,
+    E: fmt::Display,
+{
+    run_on(tokio::runtime::Builder::new_current_thread(), file, only_check, main)
+}
+
+fn run_on<S, F, R, E>(
+    mut builder: tokio::runtime::Builder,
+    file: &path::Path,
+    only_check: bool,
+    main: F,
+) -> process::ExitCode
 where
     S: settings::Settings,
     F: FnOnce(S, stop::Stop) -> R,
@@ -32,7 +63,7 @@
         return process::ExitCode::SUCCESS;
     }
     logging::start(settings.log_level());
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    let runtime = builder.enable_all().build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
         Err(error) => {
--- a/ragwortdeal_node/src/settings.rs
+++ b/ragwortdeal_node/src/settings.rs
@@ -6,6 +6,7 @@
 pub mod agent;
 pub mod common;
 pub mod entry;
+pub mod fleet;
 pub mod voter;
 
 use std::{fmt, fs, path};
--- a/ragwortdeal_node/src/storage.rs
+++ b/ragwortdeal_node/src/storage.rs
@@ -75,6 +75,14 @@
     GivenUp,
 }
 
+/// Gives up all that a folder holds, so that the next opening makes a new replica of it.
+///
+/// The old identity goes first: a crash in the middle leaves a log without an identity, which is
+/// refused as damaged and given up again.
+pub fn start_over(folder: &path::Path) -> Result<(), StorageError> {
+    files::remove_all(folder, identity::NAME)
+}
+
 /// What follows a checkpoint in a segment, and the checkpoint itself.
 #[derive(Debug, serde::Serialize, serde::Deserialize)]
 enum Record {
@@ -119,12 +127,28 @@
         Self::open_with(folder, Box::new(|file| Box::new(file)))
     }
 
+    /// Opens a folder on a file system that gives files new numbers when a process or an instance
+    /// starts again. A folder that was copied or set back is then told by the group alone: the
+    /// leader holds the acknowledgements of its storage id, and stops a voter that lacks one.
+    pub fn open_renumbered(folder: &path::Path) -> Result<Self, StorageError> {
+        let open_segment: OpenSegment = Box::new(|file| Box::new(file));
+        Self::open_guarded(folder, open_segment, identity::Guard::Group)
+    }
+
     /// Opens a folder with the given kind of segment file.
     pub fn open_with(folder: &path::Path, open_segment: OpenSegment) -> Result<Self, StorageError> {
+        Self::open_guarded(folder, open_segment, identity::Guard::FileNumber)
+    }
+
+    fn open_guarded(
+        folder: &path::Path,
+        open_segment: OpenSegment,
+        guard: identity::Guard,
+    ) -> Result<Self, StorageError> {
         files::make_folder(folder)?;
         let lock = files::lock(folder)?;
         files::check_not_failed(folder)?;
-        let storage_id = identity::open(folder)?;
+        let storage_id = identity::open(folder, guard)?;
         files::remove_unfinished(folder)?;
         let recovered = match files::newest_number(folder, files::SEGMENT)? {
             Some(number) => Recovered::read(folder, number)?,
--- a/ragwortdeal_node/src/storage/files.rs
+++ b/ragwortdeal_node/src/storage/files.rs
@@ -119,6 +119,25 @@
     Ok(())
 }
 
+/// Removes all files of a folder, the named one first, and syncs after it.
+pub(super) fn remove_all(folder: &path::Path, first: &str) -> Result<(), StorageError> {
+    let remove = |name: &str| {
+        let path = folder.join(name);
+        match fs::remove_file(&path) {
+            Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
+            _ => Ok(()),
+        }
+        .context(IoSnafu { step: "remove", path: &path })
+    };
+    if !fs::exists(folder).context(IoSnafu { step: "look for", path: folder })? {
+        return Ok(());
+    }
+    remove(first)?;
+    sync_folder(folder)?;
+    names(folder)?.iter().try_for_each(|name| remove(name))?;
+    sync_folder(folder)
+}
+
 fn number_of(name: &str, prefix: &str) -> Option<u64> {
     name.strip_prefix(prefix)?.parse().ok()
 }
--- a/ragwortdeal_node/src/storage/identity.rs
+++ b/ragwortdeal_node/src/storage/identity.rs
@@ -8,7 +8,17 @@
 
 use super::{CopiedSnafu, DamagedSnafu, IoSnafu, StorageError, files, frame};
 
-const NAME: &str = "identity";
+/// File that holds the identity.
+pub(super) const NAME: &str = "identity";
+
+/// By what a folder that was copied or set back is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Guard {
+    /// Its identity's file has another number.
+    FileNumber,
+    /// Only the other voters remember more than it holds.
+    Group,
+}
 
 #[derive(Debug, serde::Serialize, serde::Deserialize)]
 struct Identity {
@@ -19,7 +29,7 @@
 }
 
 /// Reads the identity of a folder, or gives a new folder one.
-pub(super) fn open(folder: &path::Path) -> Result<entry::StorageId, StorageError> {
+pub(super) fn open(folder: &path::Path, guard: Guard) -> Result<entry::StorageId, StorageError> {
     let path = folder.join(NAME);
     if !fs::exists(&path).context(IoSnafu { step: "look for", path: &path })? {
         return create(folder, &path);
@@ -31,7 +41,8 @@
     let what = "the identity fails its checksum";
     let identity =
         identity.ok_or_else(|| DamagedSnafu { path: &path, offset_bytes: 0_u64, what }.build())?;
-    ensure!(inode(&path)? == identity.inode, CopiedSnafu { path });
+    let same_file = guard == Guard::Group || inode(&path)? == identity.inode;
+    ensure!(same_file, CopiedSnafu { path });
     Ok(identity.storage)
 }
 
--- a/ragwortdeal_node/src/voter.rs
+++ b/ragwortdeal_node/src/voter.rs
@@ -5,10 +5,12 @@
 
 mod disk;
 mod driver;
+pub mod fleet;
 mod letter;
 pub mod operate;
 mod peers;
 mod proposals;
+mod reads;
 
 use std::{path, sync, time};
 
@@ -82,11 +84,31 @@
     Opened(link::Session),
     Closed(link::SessionId),
     Letter(letter::Letter),
-    Subscribe { session: link::Session, held_revision: u64 },
-    Propose { payload: Vec<u8>, answer: oneshot::Sender<Answer> },
-    Operate { request: operate::Request, reply: oneshot::Sender<operate::Reply> },
-    Synced { write_id: u64, segment_bytes: u64 },
-    DiskFailed(storage::StorageError),
+    Subscribe {
+        session: link::Session,
+        held_revision: u64,
+    },
+    Propose {
+        payload: Vec<u8>,
+        answer: oneshot::Sender<Answer>,
+    },
+    Read {
+        answer: reads::ReadAnswer,
+    },
+    Operate {
+        request: operate::Request,
+        reply: oneshot::Sender<operate::Reply>,
+    },
+    /// Both name the data folder: one that was given up may still report.
+    Synced {
+        storage: entry::StorageId,
+        write_id: u64,
+        segment_bytes: u64,
+    },
+    DiskFailed {
+        storage: entry::StorageId,
+        error: storage::StorageError,
+    },
 }
 
 /// The voter's side of accepted links.
@@ -100,14 +122,14 @@
             log::debug!("voter: too busy, an event was dropped");
         }
     }
+}
 
-    async fn operate(&self, request: operate::Request) -> wire::Message {
-        let (reply, replied) = oneshot::channel();
-        let told = self.events.send(Event::Operate { request, reply }).await;
-        match (told, replied.await) {
-            (Ok(()), Ok(reply)) => operate::seal(&reply),
-            _ => link::refused("operate voter", "the voter is stopping"),
-        }
+async fn ask_driver(events: &mpsc::Sender<Event>, request: operate::Request) -> wire::Message {
+    let (reply, replied) = oneshot::channel();
+    let told = events.send(Event::Operate { request, reply }).await;
+    match (told, replied.await) {
+        (Ok(()), Ok(reply)) => operate::seal(&reply),
+        _ => link::refused("operate voter", "the voter is stopping"),
     }
 }
 
@@ -130,7 +152,7 @@
 
     async fn requested(&self, _session: &link::Session, message: wire::Message) -> wire::Message {
         if let Some(request) = operate::open::<operate::Request>(&message) {
-            return self.operate(request).await;
+            return ask_driver(&self.events, request).await;
         }
         let wire::Message::Propose(proposal) = message else {
             return link::refused("voter", "not a request for a voter");
@@ -191,7 +213,9 @@
     let service = sync::Arc::new(Links { events });
     let limits = link::LinkLimits::default();
     let serving = tokio::spawn(link::serve(listener, credential, limits, service, serve_stop));
-    let ended = drive(driver::Driver::new(replica, clock, peers, disk), received, stop).await;
+    let mut received = received;
+    let driver = driver::Driver::new(replica, clock, peers, disk);
+    let (_, ended) = drive(driver, &mut received, stop).await;
     serve_stopper.stop();
     let _ = serving.await;
     ended
@@ -235,9 +259,9 @@
 
 async fn drive(
     mut driver: driver::Driver,
-    mut events: mpsc::Receiver<Event>,
+    events: &mut mpsc::Receiver<Event>,
     stop: stop::Stop,
-) -> Result<(), VoterError> {
+) -> (driver::Driver, Result<(), VoterError>) {
     let mut ticks = tokio::time::interval(time::Duration::from_millis(TICK_MS));
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut gives_up: Option<time::Instant> = None;
@@ -245,7 +269,7 @@
         tokio::select! {
             event = events.recv() => match event {
                 Some(event) => driver.handle(event),
-                None => return Ok(()),
+                None => return (driver, Ok(())),
             },
             _ = ticks.tick() => driver.tick(),
             () = stop.wait(), if gives_up.is_none() => {
@@ -254,10 +278,10 @@
             }
         }
         if let Some(failure) = driver.take_failure() {
-            return Err(failure);
+            return (driver, Err(failure));
         }
         if gives_up.is_some_and(|at| time::Instant::now() >= at || !driver.leads()) {
-            return Ok(());
+            return (driver, Ok(()));
         }
     }
 }
--- a/ragwortdeal_node/src/voter/disk.rs
+++ b/ragwortdeal_node/src/voter/disk.rs
@@ -31,10 +31,13 @@
         batch.extend(writes.try_iter().take(BATCH_WRITES - 1));
         let write_id = batch[batch.len() - 1].id;
         let event = match storage.write(&batch) {
-            Ok(()) => Event::Synced { write_id, segment_bytes: storage.segment_bytes() },
-            Err(error) => Event::DiskFailed(error),
+            Ok(()) => {
+                let segment_bytes = storage.segment_bytes();
+                Event::Synced { storage: storage.storage_id(), write_id, segment_bytes }
+            }
+            Err(error) => Event::DiskFailed { storage: storage.storage_id(), error },
         };
-        let failed = matches!(event, Event::DiskFailed(_));
+        let failed = matches!(event, Event::DiskFailed { .. });
         if events.blocking_send(event).is_err() || failed {
             return;
         }
--- a/ragwortdeal_node/src/voter/driver.rs
+++ b/ragwortdeal_node/src/voter/driver.rs
@@ -3,12 +3,16 @@
 use std::{collections, sync::mpsc as blocking};
 
 use ragwortdeal_core::{
-    claims, command,
+    claims, command, document, name,
     replication::{Input, Output, Rejection, RoleKind, entry, payload, replica},
 };
 use ragwortdeal_wire::link as wire;
 
-use super::{Answer, Event, VoterError, config_update, letter::Letter, operate, peers, proposals};
+use tokio::sync::watch;
+
+use super::{
+    Answer, Event, VoterError, config_update, letter::Letter, operate, peers, proposals, reads,
+};
 use crate::{clock, link, storage};
 
 /// Bytes of log after which the state is written as a snapshot. It bounds the time of a restart.
@@ -38,6 +42,17 @@
     snapshot_index: u64,
     housekeeping_due_ms: u64,
     failure: Option<VoterError>,
+    reads: reads::Reads,
+    publisher: Option<Publisher>,
+}
+
+/// What a voter that keeps documents tells the other parts of its process.
+#[derive(Clone)]
+pub(super) struct Publisher {
+    /// What is in force, as far as it is applied here.
+    pub(super) documents: watch::Sender<document::store::Store>,
+    /// Voters heard lately.
+    pub(super) voters: watch::Sender<Vec<name::InstanceName>>,
 }
 
 impl Driver {
@@ -61,6 +76,38 @@
             snapshot_index: 0,
             housekeeping_due_ms: 0,
             failure: None,
+            reads: reads::Reads::default(),
+            publisher: None,
+        }
+    }
+
+    /// Publishes documents and voters from now on.
+    pub(super) fn publish_to(&mut self, publisher: Publisher) {
+        self.publisher = Some(publisher);
+    }
+
+    /// The ways to the other voters, for the driver that follows this one.
+    pub(super) fn into_peers(self) -> peers::Peers {
+        self.peers
+    }
+
+    fn publish_voters(&self, now_ms: u64) {
+        if let Some(publisher) = &self.publisher {
+            let heard = self.peers.heard_lately(now_ms);
+            publisher.voters.send_if_modified(|held| {
+                let differs = *held != heard;
+                *held = heard;
+                differs
+            });
+        }
+    }
+
+    /// A state that was read back after a restart may be older than what this process published
+    /// before, so only what is newer is taken over.
+    fn publish_documents(&self) {
+        if let Some(publisher) = &self.publisher {
+            let applied = self.machine.documents();
+            publisher.documents.send_if_modified(|held| held.merge(applied));
         }
     }
 
@@ -81,6 +128,7 @@
     pub(super) fn tick(&mut self) {
         self.step(Input::Tick);
         let now_ms = self.clock.now_ms();
+        self.reads.forget_late(now_ms);
         // Given to the replica once more, which refuses them for good where no leader is known.
         for proposal in self.proposals.take_late(now_ms) {
             self.propose(proposal);
@@ -92,15 +140,16 @@
     }
 
     fn housekeep(&mut self, now_ms: u64) {
-        self.peers.announce(self.replica.is_empty());
+        self.peers.announce(self.replica.is_empty(), now_ms);
+        self.publish_voters(now_ms);
         if self.replica.is_empty() {
             if let Some(membership) = self.peers.founding(now_ms) {
                 log::info!("voter: founding a group of {}", membership.voters.len());
                 self.step(Input::Found { membership });
             }
         } else if self.replica.is_leader() {
-            let present = self.replica.status().membership;
-            if let Some(change) = self.peers.repair(&present, now_ms) {
+            let status = self.replica.status();
+            if let Some(change) = self.peers.repair(&status, now_ms) {
                 log::debug!("voter: repair step {change:?}");
                 self.step(Input::Change { token: 0, change });
             }
@@ -128,16 +177,19 @@
             Event::Propose { payload, answer } => {
                 self.propose_for(payload.into(), proposals::Asker::Here(answer));
             }
+            Event::Read { answer } => self.read(reads::Reader::Here(answer)),
             Event::Operate { request, reply } => {
                 // The operator's tool may have gone; it asks again.
                 let _ = reply.send(self.operate(request));
             }
-            Event::Synced { write_id, segment_bytes } => {
+            Event::Synced { storage, .. } | Event::DiskFailed { storage, .. }
+                if storage != self.replica.id().storage => {}
+            Event::Synced { write_id, segment_bytes, .. } => {
                 self.segment_bytes = segment_bytes;
                 self.step(Input::WriteSynced { write_id });
                 self.take_snapshot_if_due();
             }
-            Event::DiskFailed(error) => self.disk_failed(error),
+            Event::DiskFailed { error, .. } => self.disk_failed(error),
         }
     }
 
@@ -232,8 +284,9 @@
 
     fn receive(&mut self, letter: Letter) {
         match letter {
-            Letter::Announce { id, empty } => {
+            Letter::Announce { id, empty, zone, known } => {
                 let now_ms = self.clock.now_ms();
+                self.peers.introduced(&id, zone, &known);
                 self.peers.heard(id, empty, now_ms);
             }
             Letter::Replication { from, to, message } => {
@@ -252,6 +305,14 @@
                     self.tell(asker, answer);
                 }
             }
+            Letter::Read { from, number } => {
+                self.read(reads::Reader::Peer { name: from.instance, number });
+            }
+            Letter::ReadAt { number, index, .. } => {
+                let now_ms = self.clock.now_ms();
+                self.reads.located(number, index, now_ms);
+                self.answer_reads();
+            }
         }
     }
 
@@ -290,12 +351,13 @@
                     self.proposals.logged(position, proposal.asker);
                 }
             }
+            Output::Rejected { token, .. } if token != 0 => self.read_rejected(token),
             Output::Rejected { reason, leader, .. } => {
                 if let Some(proposal) = self.proposing.take() {
                     self.rejected(proposal, reason, leader.as_ref());
                 }
             }
-            Output::ReadReady { .. } => {}
+            Output::ReadReady { token, index } => self.read_ready(token, index),
             Output::RoleChanged { role, term, leader } => {
                 log_role(role, term, leader.as_ref());
                 if role == RoleKind::Leader {
@@ -321,6 +383,8 @@
             self.answer(entry.position, outcome);
         }
         self.push_updates();
+        self.publish_documents();
+        self.answer_reads();
     }
 
     /// An entry that cannot be read has the same effect on every voter: none.
@@ -358,6 +422,61 @@
         }
         self.proposals.covered(self.snapshot_index);
         self.push_updates();
+        self.publish_documents();
+        self.answer_reads();
+    }
+
+    /// Begins a read that is current. The leader confirms it by a quorum; a follower asks it.
+    fn read(&mut self, reader: reads::Reader) {
+        let now_ms = self.clock.now_ms();
+        if self.replica.is_leader() {
+            let token = self.reads.begin(reader, now_ms);
+            return self.step(Input::Read { token });
+        }
+        let leader = self.replica.status().leader;
+        let leader = leader.filter(|leader| self.peers.reaches(&leader.instance));
+        match (reader, leader) {
+            (reads::Reader::Here(answer), Some(leader)) => {
+                let number = self.reads.pass_on(answer, now_ms);
+                let from = self.replica.id().clone();
+                self.peers.send(&leader.instance, &Letter::Read { from, number });
+            }
+            (reader, _) => self.tell_reader(reader, None),
+        }
+    }
+
+    fn read_ready(&mut self, token: u64, index: u64) {
+        if let Some(reader) = self.reads.take(token) {
+            self.tell_reader(reader, Some(index));
+        }
+    }
+
+    fn read_rejected(&mut self, token: u64) {
+        if let Some(reader) = self.reads.take(token) {
+            self.tell_reader(reader, None);
+        }
+    }
+
+    /// Tells a reader how far the log has to be applied, or that nobody knows.
+    fn tell_reader(&mut self, reader: reads::Reader, index: Option<u64>) {
+        match reader {
+            reads::Reader::Here(answer) => {
+                let documents = index.map(|_| self.machine.documents().clone());
+                // The reader may have gone; it asks again.
+                let _ = answer.send(documents);
+            }
+            reads::Reader::Peer { name, number } => {
+                let from = self.replica.id().clone();
+                self.peers.send(&name, &Letter::ReadAt { from, number, index });
+            }
+        }
+    }
+
+    fn answer_reads(&mut self) {
+        let applied = self.replica.applied();
+        for answer in self.reads.applied(applied) {
+            let _ = answer.send(Some(self.machine.documents().clone()));
+        }
     }
 
     fn take_snapshot_if_due(&mut self) {
--- /dev/null
+++ b/ragwortdeal_node/src/voter/fleet.rs
@@ -0,0 +1,231 @@
+//! A voter that finds its group by itself, keeps documents, and takes announcements.
+//!
+//! Beside the replicated log it serves operators and upstreams over HTTP and tells its followers,
+//! entries and agents, what changed. A data folder that can no longer be trusted is given up and
+//! the voter joins again as a new replica; the process stays up meanwhile.
+
+mod control;
+mod hub;
+
+use std::{path, sync, time};
+
+use ragwortdeal_core::{
+    document::store,
+    name,
+    replication::{self, entry, replica, staffing},
+};
+use ragwortdeal_wire::link as wire;
+use rand::RngExt as _;
+use tokio::{
+    net,
+    sync::{mpsc, watch},
+};
+
+use super::{Event, VoterError, driver, letter, operate, peers};
+use crate::{clock, fleet::dialect, http, link, settings, stop, storage};
+
+/// Pause before a data folder that failed is tried again. A full disk can stay so for long; trying
+/// more often would only fill the log.
+const FOLDER_RETRY_MS: u64 = 250;
+
+/// Time that requests by operators in progress get at a stop.
+const CONTROL_GRACE_MS: u64 = 1_000;
+
+/// The sockets of a voter.
+#[derive(Debug)]
+pub struct Listeners {
+    /// For links.
+    pub links: net::TcpListener,
+    /// For operators and upstreams.
+    pub control: net::TcpListener,
+}
+
+/// The voter's side of accepted links: voters' letters go to the driver, the rest to the hub.
+struct Service {
+    events: mpsc::Sender<Event>,
+    hub: sync::Arc<hub::Hub>,
+}
+
+impl Service {
+    fn tell(&self, event: Event) {
+        if self.events.try_send(event).is_err() {
+            log::warn!("voter: too busy, an event was dropped");
+        }
+    }
+}
+
+impl link::Service for Service {
+    fn opened(&self, session: &link::Session) {
+        if session.hello.role == "voter" {
+            self.tell(Event::Opened(session.clone()));
+        } else {
+            self.hub.opened(session);
+        }
+    }
+
+    fn pushed(&self, session: &link::Session, message: wire::Message) {
+        if session.hello.role != "voter" {
+            return self.hub.heard(session, &message);
+        }
+        if let Some(letter) = operate::open::<letter::Letter>(&message)
+            && peers::is_from(&session.hello, letter.sender())
+        {
+            self.tell(Event::Letter(letter));
+        }
+    }
+
+    async fn requested(&self, _session: &link::Session, message: wire::Message) -> wire::Message {
+        let Some(request) = operate::open::<operate::Request>(&message) else {
+            return link::refused("voter", "not a request for a voter");
+        };
+        super::ask_driver(&self.events, request).await
+    }
+
+    fn closed(&self, session: &link::Session) {
+        if session.hello.role == "voter" {
+            self.tell(Event::Closed(session.id));
+        } else {
+            self.hub.closed(session.id);
+        }
+    }
+}
+
+/// Runs a voter until the stop.
+pub async fn run(
+    settings: settings::fleet::Settings,
+    spoken: dialect::Spoken,
+    listeners: Listeners,
+    stop: stop::Stop,
+) -> Result<(), VoterError> {
+    let settings = sync::Arc::new(settings);
+    let (events, mut received) = mpsc::channel(super::EVENTS);
+    let publisher = driver::Publisher {
+        documents: watch::Sender::new(store::Store::default()),
+        voters: watch::Sender::new(Vec::new()),
+    };
+    let hub = sync::Arc::new(hub::Hub::new());
+    let credential = link::Credential::new(&settings.credentials.cluster);
+    let limits = link::LinkLimits::default();
+    let (serve_stopper, serve_stop) = stop::pair();
+    let service = Service { events: events.clone(), hub: hub.clone() };
+    let serving = link::serve(
+        listeners.links,
+        credential,
+        limits,
+        sync::Arc::new(service),
+        serve_stop.clone(),
+    );
+    tokio::spawn(serving);
+    tokio::spawn(hub::publish(hub.clone(), publisher.clone()));
+    let api = control::Control::new(spoken, hub, events.clone(), publisher.documents.subscribe());
+    let api = sync::Arc::new(api);
+    let handler = http::route(api, control::answer);
+    let bounds = http::Bounds::default();
+    let serving =
+        http::serve_with(listeners.control, handler, bounds, serve_stop, CONTROL_GRACE_MS);
+    tokio::spawn(serving);
+    let ended = keep_voting(&settings, &events, &mut received, &publisher, &stop).await;
+    serve_stopper.stop();
+    ended
+}
+
+/// Votes until the stop, with another replica each time the data folder had to be given up.
+async fn keep_voting(
+    settings: &sync::Arc<settings::fleet::Settings>,
+    events: &mpsc::Sender<Event>,
+    received: &mut mpsc::Receiver<Event>,
+    publisher: &driver::Publisher,
+    stop: &stop::Stop,
+) -> Result<(), VoterError> {
+    let folder = settings.disk.data_dir.clone().unwrap_or_default().join("log");
+    let mut known: Option<peers::Peers> = None;
+    loop {
+        let storage = tokio::select! {
+            storage = open(&folder) => storage,
+            () = stop.wait() => return Ok(()),
+        };
+        let clock = clock::Clock::start();
+        let address = settings.fleet.address.to_string();
+        let instance = name::InstanceName::new(&address)?;
+        let id = entry::ReplicaId { instance, storage: storage.storage_id() };
+        log::info!("voter: opened {id}, entries={}", storage.stored().entries.len());
+        let options = replication::Options { seed: rand::rng().random(), ..Default::default() };
+        let replica =
+            replica::Replica::new(id.clone(), options, storage.stored().clone(), clock.now_ms());
+        let peers = match known.take() {
+            Some(mut peers) => {
+                peers.rebind(id);
+                peers
+            }
+            None => meet(settings, id, events)?,
+        };
+        let disk = super::disk::start(storage, events.clone());
+        let mut driver = driver::Driver::new(replica, clock, peers, disk);
+        driver.publish_to(publisher.clone());
+        let (driver, ended) = super::drive(driver, received, stop.clone()).await;
+        let Err(error) = ended else {
+            return Ok(());
+        };
+        log::error!("voter: the data folder is given up: {error}");
+        known = Some(driver.into_peers());
+        give_up(&folder, stop).await;
+    }
+}
+
+/// Opens the data folder, and gives up what cannot be trusted. The replica that a new folder makes
+/// is another one, so nothing that the old one promised is claimed by it.
+async fn open(folder: &path::Path) -> storage::Storage {
+    loop {
+        match storage::Storage::open_renumbered(folder) {
+            Ok(storage) => return storage,
+            Err(storage::StorageError::InUse { .. }) => (),
+            Err(error) => {
+                log::error!("voter: {error}");
+                if let Err(error) = storage::start_over(folder) {
+                    log::error!("voter: cannot start over: {error}");
+                }
+            }
+        }
+        tokio::time::sleep(time::Duration::from_millis(FOLDER_RETRY_MS)).await;
+    }
+}
+
+async fn give_up(folder: &path::Path, stop: &stop::Stop) {
+    while !stop.requested() {
+        match storage::start_over(folder) {
+            Ok(()) => return,
+            Err(error) => log::error!("voter: cannot start over: {error}"),
+        }
+        tokio::time::sleep(time::Duration::from_millis(FOLDER_RETRY_MS)).await;
+    }
+}
+
+/// Finds the other voters from the seeds.
+fn meet(
+    settings: &sync::Arc<settings::fleet::Settings>,
+    own: entry::ReplicaId,
+    events: &mpsc::Sender<Event>,
+) -> Result<peers::Peers, VoterError> {
+    let fleet = &settings.fleet;
+    let mut identity = settings.process.identity()?;
+    identity.name = own.instance.clone();
+    let credential = link::Credential::new(&settings.credentials.cluster);
+    let (told, events) = (settings.clone(), events.clone());
+    let open = move |name: &name::InstanceName| {
+        let address = told.link_address(name);
+        super::open_link(&address, name, &credential, &identity, &events)
+    };
+    let seeds = fleet.seeds.iter().map(|seed| settings::voter::Member {
+        name: seed.ip().to_string(),
+        address: std::net::SocketAddr::from((*seed.ip(), fleet.link_port)),
+    });
+    let initial: Vec<_> = seeds.collect();
+    let discovery = peers::Discovery {
+        zone: settings.process.availability_zone.clone(),
+        wanted: staffing::wanted_voters(fleet.losses_borne),
+        founds: fleet.first_start,
+        open: Box::new(open),
+        zones: std::collections::BTreeMap::new(),
+    };
+    Ok(peers::Peers::discovering(own, &initial, discovery))
+}
--- /dev/null
+++ b/ragwortdeal_node/src/voter/fleet/control.rs
@@ -0,0 +1,216 @@
+//! HTTP towards operators and upstreams.
+
+use std::{sync, time};
+
+use ragwortdeal_core::{command, directory, document, document::store};
+use tokio::sync::{mpsc, oneshot, watch};
+
+use super::hub;
+use crate::{
+    fleet::{dialect, packing},
+    http,
+    voter::{Answer, Event},
+};
+
+/// Largest announcement. An upstream of many models stays far below it.
+const ANNOUNCEMENT_MAX_BYTES: usize = 64 << 10;
+
+/// Largest document, as it is sent.
+const DOCUMENT_MAX_BYTES: usize = 8 << 20;
+
+/// How long a body may take to arrive.
+const BODY_MS: u64 = 3_000;
+
+/// How long an operator is kept waiting for the group. Callers give up after a second or a little
+/// more and ask another voter; what is decided later is decided all the same.
+const DECIDE: time::Duration = time::Duration::from_millis(2_500);
+
+/// How long a read may take.
+const READ: time::Duration = time::Duration::from_millis(900);
+
+/// The part that answers operators and upstreams.
+pub(super) struct Control {
+    spoken: dialect::Spoken,
+    hub: sync::Arc<hub::Hub>,
+    events: mpsc::Sender<Event>,
+    documents: watch::Receiver<store::Store>,
+}
+
+impl Control {
+    pub(super) fn new(
+        spoken: dialect::Spoken,
+        hub: sync::Arc<hub::Hub>,
+        events: mpsc::Sender<Event>,
+        documents: watch::Receiver<store::Store>,
+    ) -> Self {
+        Self { spoken, hub, events, documents }
+    }
+}
+
+/// Answers one call.
+pub(super) async fn answer(control: sync::Arc<Control>, request: http::Request) -> http::Response {
+    let Some(call) = control.spoken.control_call(&request.method, &request.uri) else {
+        return text(404, "there is no such call\n");
+    };
+    let max_bytes = match call {
+        dialect::ControlCall::Install => DOCUMENT_MAX_BYTES,
+        _ => ANNOUNCEMENT_MAX_BYTES,
+    };
+    let Ok(body) = http::read(request.body, max_bytes, BODY_MS).await else {
+        return text(400, "the body is too large, cut or too slow\n");
+    };
+    match call {
+        dialect::ControlCall::Announce { instance } => control.announce(&instance, &body),
+        dialect::ControlCall::Leave { instance } => control.leave(&instance, &body),
+        dialect::ControlCall::Install => control.install(&body).await,
+        dialect::ControlCall::Read => control.read().await,
+        dialect::ControlCall::NameWeights => control.name_weights(&body).await,
+    }
+}
+
+impl Control {
+    fn announce(&self, instance: &str, body: &[u8]) -> http::Response {
+        match self.spoken.announcement(instance, body) {
+            Ok(said) => {
+                self.hub.announced(said);
+                http::respond(200, "application/json", http::full(self.spoken.announced()))
+            }
+            Err(error) => {
+                log::warn!("voter: announcement of {instance}: {error}");
+                text(400, &format!("{error}\n"))
+            }
+        }
+    }
+
+    fn leave(&self, instance: &str, body: &[u8]) -> http::Response {
+        let age = self.spoken.departure(body);
+        if !self.hub.left(instance, age) {
+            log::info!("voter: upstream {instance} left, which was not known here");
+            self.hub.left_unknown(unknown(instance, age));
+        }
+        http::respond(200, "application/json", http::full("{}"))
+    }
+
+    /// Takes a document. It is judged before the group hears of it, so that an invalid one never
+    /// gets a place in the log.
+    async fn install(&self, body: &[u8]) -> http::Response {
+        let document = match self.spoken.document(body) {
+            Ok(document) => document,
+            Err(error) => {
+                log::warn!("voter: document refused: {error}");
+                return text(400, &format!("{error}\n"));
+            }
+        };
+        if let Err(invalid) = document::check::check(&document) {
+            log::warn!("voter: document version={} refused: {invalid}", document.version);
+            return text(400, &format!("{invalid}\n"));
+        }
+        let version = document.version;
+        // What is applied here is on the disks of a quorum, so an older or repeated version is
+        // acknowledged without asking the group.
+        if self.documents.borrow().version() >= version {
+            log::info!("voter: document version={version} acknowledged, overtaken");
+            return text(200, "overtaken\n");
+        }
+        let sealed = store::Sealed { version, body: packing::pack(body).into() };
+        match self.decide(store::Step::Install(sealed)).await {
+            Ok(()) => {
+                log::info!("voter: document version={version} acknowledged");
+                text(200, "in force\n")
+            }
+            Err(reason) => {
+                log::warn!("voter: document version={version} not acknowledged: {reason}");
+                text(503, &format!("{reason}\n"))
+            }
+        }
+    }
+
+    async fn name_weights(&self, body: &[u8]) -> http::Response {
+        let weights = match self.spoken.weights(body) {
+            Ok(weights) => weights,
+            Err(error) => {
+                log::warn!("voter: weights refused: {error}");
+                return text(400, &format!("{error}\n"));
+            }
+        };
+        let store::Weights { model, version } = weights.clone();
+        if self.documents.borrow().weights.get(&model).is_some_and(|held| *held >= version) {
+            return text(200, "overtaken\n");
+        }
+        match self.decide(store::Step::Name(weights)).await {
+            Ok(()) => {
+                log::info!("voter: weights {model} version={version} acknowledged");
+                text(200, "named\n")
+            }
+            Err(reason) => {
+                log::warn!("voter: weights {model} version={version} not acknowledged: {reason}");
+                text(503, &format!("{reason}\n"))
+            }
+        }
+    }
+
+    /// Brings a step through the log. An error says nothing of whether it will be decided later.
+    async fn decide(&self, step: store::Step) -> Result<(), String> {
+        let mut payload = Vec::new();
+        let command = command::Command::Document(step);
+        ciborium::into_writer(&command, &mut payload).expect("own types encode into memory");
+        let (answer, answered) = oneshot::channel();
+        let event = Event::Propose { payload, answer };
+        if self.events.send(event).await.is_err() {
+            return Err("the voter is stopping".to_owned());
+        }
+        match tokio::time::timeout(DECIDE, answered).await {
+            Ok(Ok(Answer::Decided(_))) => Ok(()),
+            Ok(Ok(Answer::Refused { reason, .. })) => Err(reason),
+            Ok(Err(_)) => Err("nobody knows what became of it".to_owned()),
+            Err(_) => Err("the group did not decide in time".to_owned()),
+        }
+    }
+
+    /// Gives the newest document, or says that nobody can be sure which one it is.
+    async fn read(&self) -> http::Response {
+        let (answer, answered) = oneshot::channel();
+        if self.events.send(Event::Read { answer }).await.is_err() {
+            return text(503, "the voter is stopping\n");
+        }
+        let documents = match tokio::time::timeout(READ, answered).await {
+            Ok(Ok(Some(documents))) => documents,
+            _ => {
+                log::warn!("voter: read refused, no quorum confirmed it");
+                return text(503, "no quorum of the voters confirmed it\n");
+            }
+        };
+        let Some(sealed) = documents.document else {
+            return text(503, "there is no document yet\n");
+        };
+        match packing::unpack(&sealed.body) {
+            Ok(bytes) => http::respond(200, "application/json", http::full(bytes)),
+            Err(error) => {
+                log::error!(
+                    "voter: document version={} cannot be unpacked: {error}",
+                    sealed.version
+                );
+                text(503, "the document cannot be unpacked\n")
+            }
+        }
+    }
+}
+
+/// An upstream that left before anything was heard of it. Its service is not known, so it only
+/// serves to mark its identifier as gone.
+fn unknown(instance: &str, age: Option<directory::Age>) -> directory::Announcement {
+    directory::Announcement {
+        instance: instance.into(),
+        age: age.unwrap_or_default(),
+        service: "".into(),
+        address: std::net::SocketAddrV4::new(std::net::Ipv4Addr::UNSPECIFIED, 0),
+        zone: "".into(),
+        standing: directory::Standing::Gone,
+        slots: 0,
+        held: Vec::new(),
+    }
+}
+
+fn text(status: u16, detail: &str) -> http::Response {
+    http::respond(status, "text/plain", http::full(detail.to_owned()))
+}
--- /dev/null
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -0,0 +1,219 @@
+//! Tells followers what changed: documents, weights, upstreams, agents, voters.
+
+use std::{collections, net, sync};
+
+use ragwortdeal_core::{directory, document::store};
+use ragwortdeal_wire::link as wire;
+
+use crate::{clock, fleet::notice, link, voter::driver};
+
+/// How long an upstream that fell silent is kept. Engines behind a cut come back within it.
+const SILENT_MS: u64 = 120_000;
+
+struct Follower {
+    session: link::Session,
+    /// Version of the document that it was sent or said to hold; none before it asked.
+    version: Option<u64>,
+    weights: collections::BTreeMap<String, u64>,
+}
+
+#[derive(Default)]
+struct State {
+    directory: directory::Directory,
+    followers: collections::BTreeMap<link::SessionId, Follower>,
+    agents: collections::BTreeMap<link::SessionId, notice::Seat>,
+    serves: collections::BTreeMap<net::SocketAddrV4, notice::Serves>,
+    documents: store::Store,
+    voters: Vec<net::Ipv4Addr>,
+}
+
+/// What this voter knows first hand, and who wants to know it.
+pub(super) struct Hub {
+    clock: clock::Clock,
+    state: sync::Mutex<State>,
+}
+
+/// Passes on what the driver publishes.
+pub(super) async fn publish(hub: sync::Arc<Hub>, publisher: driver::Publisher) {
+    let mut documents = publisher.documents.subscribe();
+    let mut voters = publisher.voters.subscribe();
+    loop {
+        let (documents_now, voters_now) =
+            (documents.borrow_and_update().clone(), voters.borrow_and_update().clone());
+        hub.published(documents_now, &voters_now);
+        let changed = tokio::select! {
+            changed = documents.changed() => changed,
+            changed = voters.changed() => changed,
+        };
+        if changed.is_err() {
+            return;
+        }
+    }
+}
+
+impl Hub {
+    pub(super) fn new() -> Self {
+        Self { clock: clock::Clock::start(), state: sync::Mutex::default() }
+    }
+
+    fn state(&self) -> sync::MutexGuard<'_, State> {
+        self.state.lock().expect("no panic under lock")
+    }
+
+    fn published(&self, documents: store::Store, voters: &[ragwortdeal_core::name::InstanceName]) {
+        let mut state = self.state();
+        state.directory.forget_silent(SILENT_MS, self.clock.now_ms());
+        state.documents = documents;
+        let voters: Vec<_> = voters.iter().filter_map(|name| name.parse().ok()).collect();
+        if voters != state.voters {
+            state.voters = voters;
+            let notice = notice::seal(&notice::Notice::Voters(state.voters.clone()));
+            state.tell_all(&notice);
+        }
+        let State { followers, documents, .. } = &mut *state;
+        followers.values_mut().for_each(|follower| follower.send_documents(documents));
+    }
+
+    /// Takes an announcement. Followers are told of what is new before the upstream gets its
+    /// answer, because from the answer on the time counts in which it gets no more work.
+    pub(super) fn announced(&self, said: directory::Announcement) -> directory::Effect {
+        let mut state = self.state();
+        let effect = state.directory.announced(said.clone(), self.clock.now_ms());
+        if effect == directory::Effect::Changed {
+            log::info!(
+                "voter: upstream {} of {} at {} is {:?}, born={} sequence={} held={:?}",
+                said.instance,
+                said.service,
+                said.address,
+                said.standing,
+                said.age.born_ms,
+                said.age.sequence,
+                said.held
+            );
+            state.tell_all(&notice::seal(&notice::Notice::Upstreams(vec![said])));
+        }
+        effect
+    }
+
+    /// Takes the word of an upstream that it is gone. Returns whether it was known.
+    pub(super) fn left(&self, instance: &str, age: Option<directory::Age>) -> bool {
+        let mut state = self.state();
+        let effect = state.directory.left(instance, age, self.clock.now_ms());
+        let said = state.directory.get(instance).map(|upstream| upstream.said.clone());
+        if let (directory::Effect::Changed, Some(said)) = (effect, &said) {
+            log::info!("voter: upstream {} of {} left", said.instance, said.service);
+            state.tell_all(&notice::seal(&notice::Notice::Upstreams(vec![said.clone()])));
+        }
+        said.is_some()
+    }
+
+    /// Followers are told of an upstream that only they may know: it said that it leaves, and this
+    /// voter never heard of it before.
+    pub(super) fn left_unknown(&self, said: directory::Announcement) {
+        self.state().tell_all(&notice::seal(&notice::Notice::Upstreams(vec![said])));
+    }
+
+    pub(super) fn opened(&self, session: &link::Session) {
+        let mut state = self.state();
+        let follower = Follower {
+            session: session.clone(),
+            version: None,
+            weights: collections::BTreeMap::new(),
+        };
+        state.followers.insert(session.id, follower);
+        if session.hello.role == "agent"
+            && let Ok(address) = session.hello.name.parse()
+        {
+            let zone = session.hello.zone.clone();
+            let incarnation = session.hello.incarnation;
+            state.agents.insert(session.id, notice::Seat { address, zone, incarnation });
+            state.tell_agents();
+        }
+        state.tell_entries();
+    }
+
+    pub(super) fn closed(&self, session: link::SessionId) {
+        let mut state = self.state();
+        state.followers.remove(&session);
+        if state.agents.remove(&session).is_some() {
+            state.tell_agents();
+        }
+        state.tell_entries();
+    }
+
+    pub(super) fn heard(&self, session: &link::Session, message: &wire::Message) {
+        let mut state = self.state();
+        match notice::open(message) {
+            Some(notice::Notice::Follow { version }) => state.follow(session.id, version),
+            Some(notice::Notice::Serves(serves)) => {
+                let newer = |held: &notice::Serves| held.number < serves.number;
+                if state.serves.get(&serves.address).is_none_or(newer) {
+                    state.serves.insert(serves.address, serves.clone());
+                    let message = notice::seal(&notice::Notice::Serves(serves));
+                    state.tell_role("entry", &message);
+                }
+            }
+            _ => log::warn!("voter: {} sent what is no notice", session.hello.name),
+        }
+    }
+}
+
+impl State {
+    fn tell_all(&self, message: &wire::Message) {
+        for follower in self.followers.values() {
+            // A follower whose queue is full loses its link and asks for everything anew.
+            follower.session.push(message.clone());
+        }
+    }
+
+    fn tell_role(&self, role: &str, message: &wire::Message) {
+        for follower in self.followers.values().filter(|it| it.session.hello.role == role) {
+            follower.session.push(message.clone());
+        }
+    }
+
+    fn tell_agents(&self) {
+        let seats = self.agents.values().cloned().collect();
+        self.tell_role("agent", &notice::seal(&notice::Notice::Agents(seats)));
+    }
+
+    fn tell_entries(&self) {
+        let entries = self.followers.values().filter(|it| it.session.hello.role == "entry");
+        let entries = entries.count() as u32;
+        self.tell_role("entry", &notice::seal(&notice::Notice::Entries(entries)));
+    }
+
+    /// Sends a follower all that it may lack.
+    fn follow(&mut self, session: link::SessionId, version: u64) {
+        let Some(follower) = self.followers.get_mut(&session) else {
+            return;
+        };
+        follower.version = Some(version);
+        follower.send_documents(&self.documents);
+        let push = |notice: &notice::Notice| _ = follower.session.push(notice::seal(notice));
+        push(&notice::Notice::Voters(self.voters.clone()));
+        let said = self.directory.all().map(|upstream| upstream.said.clone()).collect();
+        push(&notice::Notice::Upstreams(said));
+        match follower.session.hello.role.as_str() {
+            "agent" => push(&notice::Notice::Agents(self.agents.values().cloned().collect())),
+            _ => self.serves.values().for_each(|it| push(&notice::Notice::Serves(it.clone()))),
+        }
+    }
+}
+
+impl Follower {
+    fn send_documents(&mut self, documents: &store::Store) {
+        let Some(version) = self.version else {
+            return;
+        };
+        let newer = documents.version() > version;
+        if !newer && self.weights == documents.weights {
+            return;
+        }
+        self.weights.clone_from(&documents.weights);
+        self.version = Some(version.max(documents.version()));
+        let document = documents.document.clone().filter(|_| newer);
+        let news = store::Store { document, weights: documents.weights.clone() };
+        self.session.push(notice::seal(&notice::Notice::Documents(news)));
+    }
+}
--- a/ragwortdeal_node/src/voter/letter.rs
+++ b/ragwortdeal_node/src/voter/letter.rs
@@ -1,6 +1,9 @@
 //! What voters send each other inside a link's replication message.
 
-use ragwortdeal_core::replication::{entry, message, payload};
+use ragwortdeal_core::{
+    name,
+    replication::{entry, message, payload},
+};
 
 use super::Answer;
 
@@ -13,6 +16,12 @@
         id: entry::ReplicaId,
         /// Whether its data folder is new.
         empty: bool,
+        /// Its availability zone, where voters are chosen by it.
+        #[serde(default)]
+        zone: String,
+        /// Other voters that it knows, so that two which do not know each other get to.
+        #[serde(default)]
+        known: Vec<name::InstanceName>,
     },
     /// A message of the replicated log.
     Replication {
@@ -42,6 +51,22 @@
         /// The answer.
         answer: Answer,
     },
+    /// Asks the leader how far the log has to be applied for a read that is current.
+    Read {
+        /// The follower.
+        from: entry::ReplicaId,
+        /// The follower's number for it.
+        number: u64,
+    },
+    /// How far, or nothing where the sender cannot tell.
+    ReadAt {
+        /// The voter that was taken for the leader.
+        from: entry::ReplicaId,
+        /// The follower's number for it.
+        number: u64,
+        /// Index that has to be applied.
+        index: Option<u64>,
+    },
 }
 
 impl Letter {
@@ -51,7 +76,9 @@
             Self::Announce { id, .. } => id,
             Self::Replication { from, .. }
             | Self::Forward { from, .. }
-            | Self::Forwarded { from, .. } => from,
+            | Self::Forwarded { from, .. }
+            | Self::Read { from, .. }
+            | Self::ReadAt { from, .. } => from,
         }
     }
 }
--- a/ragwortdeal_node/src/voter/peers.rs
+++ b/ragwortdeal_node/src/voter/peers.rs
@@ -4,7 +4,7 @@
 
 use ragwortdeal_core::{
     name,
-    replication::{entry, membership, repair},
+    replication::{entry, membership, repair, replica, staffing},
 };
 use ragwortdeal_wire::link as wire;
 
@@ -14,6 +14,30 @@
 /// For how long an announcement counts. Voters announce themselves several times within it.
 const ANNOUNCED_MS: u64 = 3_000;
 
+/// Silence after which a standby takes a voter's place. Longer than an election, and short enough
+/// that the group is whole again before a second loss is to be borne.
+const LOST_MS: u64 = 2_000;
+
+/// Voters that are remembered, so that false names do not fill the memory.
+const KNOWN_MAX: usize = 64;
+
+/// Opens a link to a voter that was not known before.
+pub(super) type OpenLink = Box<dyn Fn(&name::InstanceName) -> link::Link + Send>;
+
+/// How voters are found and chosen where the settings name only some addresses to begin with.
+pub(super) struct Discovery {
+    /// Zone of this voter.
+    pub(super) zone: String,
+    /// Voters that the group should have.
+    pub(super) wanted: usize,
+    /// Whether a group may be founded: only when all of the system starts for the first time.
+    pub(super) founds: bool,
+    /// Opens links to voters that others tell of.
+    pub(super) open: OpenLink,
+    /// Zones by instance.
+    pub(super) zones: collections::BTreeMap<String, String>,
+}
+
 /// The other voters as one voter sees them.
 pub(super) struct Peers {
     own: entry::ReplicaId,
@@ -25,6 +49,7 @@
     announced: collections::BTreeMap<name::InstanceName, Announced>,
     /// Replacements that an operator asked for, by the lost and the new instance.
     replacements: collections::BTreeSet<Replacement>,
+    discovery: Option<Discovery>,
 }
 
 type Replacement = (Option<name::InstanceName>, Option<name::InstanceName>);
@@ -47,9 +72,50 @@
             sessions: collections::BTreeMap::new(),
             announced: collections::BTreeMap::new(),
             replacements: collections::BTreeSet::new(),
+            discovery: None,
+        }
+    }
+
+    /// Voters that find each other and choose who votes. Links to the initial ones are opened.
+    pub(super) fn discovering(
+        own: entry::ReplicaId,
+        initial: &[settings::voter::Member],
+        discovery: Discovery,
+    ) -> Self {
+        let mut peers = Self::new(own, initial);
+        peers.discovery = Some(discovery);
+        let names: Vec<_> = peers.initial.keys().cloned().collect();
+        peers.get_to_know(&names);
+        peers
+    }
+
+    /// Goes on as another replica, after the data folder was given up.
+    pub(super) fn rebind(&mut self, own: entry::ReplicaId) {
+        self.own = own;
+    }
+
+    fn get_to_know(&mut self, names: &[name::InstanceName]) {
+        let Some(discovery) = &self.discovery else {
+            return;
+        };
+        for name in names {
+            let known = *name == self.own.instance || self.links.contains_key(name);
+            if !known && self.links.len() < KNOWN_MAX {
+                log::info!("voter: opens a link to {name}");
+                self.links.insert(name.clone(), (discovery.open)(name));
+            }
         }
     }
 
+    /// Names of all voters heard lately, this one included.
+    pub(super) fn heard_lately(&self, now_ms: u64) -> Vec<name::InstanceName> {
+        let others = self.fresh(now_ms).map(|it| it.id.instance.clone());
+        let mut names: Vec<_> = others.chain([self.own.instance.clone()]).collect();
+        names.sort_unstable();
+        names.dedup();
+        names
+    }
+
     /// Voters of the settings other than this one, with their addresses.
     pub(super) fn others(&self) -> Vec<(name::InstanceName, String)> {
         let others = self.initial.iter().filter(|(name, _)| **name != self.own.instance);
@@ -97,8 +163,13 @@
     }
 
     /// Tells all reachable voters which replica this is.
-    pub(super) fn announce(&self, empty: bool) {
-        let letter = Letter::Announce { id: self.own.clone(), empty };
+    pub(super) fn announce(&self, empty: bool, now_ms: u64) {
+        let zone = self.discovery.as_ref().map_or_else(String::new, |it| it.zone.clone());
+        let known = match self.discovery {
+            Some(_) => self.heard_lately(now_ms),
+            None => Vec::new(),
+        };
+        let letter = Letter::Announce { id: self.own.clone(), empty, zone, known };
         let sessions = self.sessions.values().map(|session| session.hello.name.as_str());
         let accepted = sessions.filter_map(|name| name::InstanceName::new(name).ok());
         let names: collections::BTreeSet<_> = self.links.keys().cloned().chain(accepted).collect();
@@ -107,6 +178,20 @@
         }
     }
 
+    /// Notes what a voter said of itself and of others.
+    pub(super) fn introduced(
+        &mut self,
+        id: &entry::ReplicaId,
+        zone: String,
+        known: &[name::InstanceName],
+    ) {
+        if let Some(discovery) = &mut self.discovery {
+            discovery.zones.insert(id.instance.to_string(), zone);
+        }
+        self.get_to_know(std::slice::from_ref(&id.instance));
+        self.get_to_know(known);
+    }
+
     pub(super) fn heard(&mut self, id: entry::ReplicaId, empty: bool, now_ms: u64) {
         let announced = Announced { id: id.clone(), empty, at_ms: now_ms };
         self.announced.insert(id.instance, announced);
@@ -123,6 +208,12 @@
     /// its own disk was emptied later, the others say that they are not, and it waits to be taken
     /// in. Were one silent voter enough to go on, two groups could accept changes side by side.
     pub(super) fn founding(&self, now_ms: u64) -> Option<membership::Membership> {
+        let may_found = |discovery: &Discovery| {
+            discovery.founds && self.initial.contains_key(&self.own.instance)
+        };
+        if !self.discovery.as_ref().is_none_or(may_found) {
+            return None;
+        }
         let others = self.others();
         if others.iter().any(|(name, _)| *name < self.own.instance) {
             return None;
@@ -146,9 +237,13 @@
     /// settings name and the group lacks, or to carry on a replacement.
     pub(super) fn repair(
         &self,
-        present: &membership::Membership,
+        status: &replica::Status,
         now_ms: u64,
     ) -> Option<membership::Change> {
+        let present = &status.membership;
+        if let Some(discovery) = &self.discovery {
+            return staffing::next_change(&self.view(discovery, status, now_ms));
+        }
         let taken_out = |id: &entry::ReplicaId| {
             self.replacements.iter().any(|(lost, _)| lost.as_ref() == Some(&id.instance))
         };
@@ -165,6 +260,28 @@
         steps.next().or_else(|| self.take_out(present))
     }
 
+    fn view(&self, discovery: &Discovery, status: &replica::Status, now_ms: u64) -> staffing::View {
+        let zone_of = |instance: &name::InstanceName| {
+            discovery.zones.get(&**instance).cloned().unwrap_or_default()
+        };
+        let candidates = self.fresh(now_ms).map(|it| it.id.clone());
+        let candidate =
+            |id: entry::ReplicaId| staffing::Candidate { zone: zone_of(&id.instance), id };
+        let mut candidates: Vec<_> = candidates.map(candidate).collect();
+        let own = staffing::Candidate { zone: discovery.zone.clone(), id: self.own.clone() };
+        candidates.push(own);
+        let silent = status.followers.iter().filter(|it| it.silent_ms > LOST_MS || it.memory_lost);
+        let mut zones = discovery.zones.clone();
+        zones.insert(self.own.instance.to_string(), discovery.zone.clone());
+        staffing::View {
+            present: status.membership.clone(),
+            candidates,
+            lost: silent.map(|it| it.id.clone()).collect(),
+            zones,
+            wanted: discovery.wanted,
+        }
+    }
+
     /// Takes a lost voter out, once the one that stands in for it votes.
     fn take_out(&self, present: &membership::Membership) -> Option<membership::Change> {
         let on =
