Bring named weights to all engines within the bound

Cause: an agent's word on its engine was not believed, since reports do not tell the engine's start, and all agents drew chunks as if alone, with more connections than the origin takes.

Change: the engine's start comes from its announcement; draws settle for 60 ms and are bounded.

--- a/ragwortdeal_node/src/fleet/agent.rs
+++ b/ragwortdeal_node/src/fleet/agent.rs
@@ -66,6 +66,8 @@
     spread: spread::Spread,
     voters: sync::OnceLock<follow::Voters>,
     serves: sync::Mutex<notice::Serves>,
+    /// Start of the engine by its newest announcement.
+    engine_born_ms: atomic::AtomicU64,
 }
 
 /// Runs an agent until the stop.
@@ -101,6 +103,7 @@
         }),
         identity: identity.clone(),
         settings: settings.clone(),
+        engine_born_ms: atomic::AtomicU64::new(0),
     });
     let (voters, told) = follow::start(settings, identity, "agent", agent.held_version.clone());
     let _ = agent.voters.set(voters);
@@ -127,6 +130,10 @@
             follow::Told::Notice(voter, notice::Notice::Agents(seats)) => {
                 agent.told.send_modify(|told| _ = told.seats.insert(voter, seats));
             }
+            follow::Told::Notice(_, notice::Notice::Upstreams(said)) => {
+                let own = said.iter().filter(|said| said.address == agent.engine);
+                own.for_each(|said| agent.engine_announced(said.age.born_ms));
+            }
             // A voter that comes into reach may have missed what this agent said before.
             follow::Told::Up(_) => agent.say_again(),
             follow::Told::Down(voter) => {
@@ -173,8 +180,17 @@
         self.spoken.document(&bytes).map_err(|error| error.to_string())
     }
 
+    /// Notes the start of the engine, which its reports do not tell.
+    fn engine_announced(&self, born_ms: u64) {
+        let held_ms = self.engine_born_ms.fetch_max(born_ms, atomic::Ordering::Relaxed);
+        if held_ms < born_ms {
+            log::info!("agent: the engine on this instance started at born={born_ms}");
+        }
+    }
+
     /// Tells entries, by the voters, which version the engine serves and whether it takes work.
-    fn say(&self, born_ms: u64, version: u64, accepts: bool) {
+    fn say(&self, version: u64, accepts: bool) {
+        let born_ms = self.engine_born_ms.load(atomic::Ordering::Relaxed);
         let mut serves = self.serves.lock().expect("no panic under lock");
         if (serves.born_ms, serves.version, serves.accepts) == (born_ms, version, accepts) {
             return;
--- a/ragwortdeal_node/src/fleet/agent/keeper.rs
+++ b/ragwortdeal_node/src/fleet/agent/keeper.rs
@@ -73,7 +73,7 @@
         if report.busy {
             return;
         }
-        self.say(report.born_ms, serving, serving > 0);
+        self.say(serving, serving > 0);
         if self.spread.listed(&weights).is_none() || self.spread.doubts_manifest() {
             let doubted = self.spread.doubts_manifest();
             let Some(listed) = self.manifest(&weights, doubted).await else {
@@ -140,7 +140,7 @@
             return;
         }
         let serving = held(report, &weights.model);
-        self.say(report.born_ms, serving, false);
+        self.say(serving, false);
         if serving > 0 {
             tokio::time::sleep(QUIET).await;
         }
@@ -178,7 +178,7 @@
             if let Some(report) = self.report().await {
                 let serving = held(&report, &weights.model);
                 if !report.busy && serving >= weights.version {
-                    return self.say(report.born_ms, serving, true);
+                    return self.say(serving, true);
                 }
                 let refused = !report.busy && report.orders == orders;
                 if refused && begun.elapsed() > PAUSE {
--- a/ragwortdeal_node/src/fleet/agent/spread.rs
+++ b/ragwortdeal_node/src/fleet/agent/spread.rs
@@ -53,7 +53,10 @@
         announce_interval_ms: 60,
         probe_interval_ms: 150,
         busy_backoff_ms: 40,
-        settle_ms: 0,
+        // Members are known before a fetch begins, but are told to the policy one by one.
+        settle_ms: 60,
+        // Below the connections that an origin takes, of which some are still closing.
+        origin_requests_max: 20,
         deadline_min_ms: 600,
         deadline_far_min_ms: 1_500,
         deadline_first_ms: 1_500,
--- a/ragwortdeal_node/src/fleet/dialect.rs
+++ b/ragwortdeal_node/src/fleet/dialect.rs
@@ -110,8 +110,6 @@
 /// What an engine says of itself.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct EngineReport {
-    /// Start of the engine in Unix milliseconds, 0 where it does not tell.
-    pub born_ms: u64,
     /// Models that it serves.
     pub held: Vec<directory::Held>,
     /// Whether an order is being carried out.
