--- a/ragwortdeal_agent/src/main.rs
+++ b/ragwortdeal_agent/src/main.rs
@@ -26,9 +26,10 @@
 
 fn run_in_fleet(options: &cli::Options) -> process::ExitCode {
     let run = async |settings: settings::fleet::Settings, stop| {
+        let seeds = fleet::reload::seeds(&options.config, &settings);
         let address = (settings.fleet.address, settings.fleet.link_port);
         let listener = tokio::net::TcpListener::bind(address).await?;
-        fleet::agent::run(settings, &ragwortdeal_platform::DIALECT, listener, stop).await?;
+        fleet::agent::run(settings, &ragwortdeal_platform::DIALECT, listener, seeds, stop).await?;
         Ok::<_, Box<dyn std::error::Error>>(())
     };
     program::run_on_one_thread(&options.config, options.check, run)
--- a/ragwortdeal_node/src/fleet.rs
+++ b/ragwortdeal_node/src/fleet.rs
@@ -10,3 +10,4 @@
 pub mod follow;
 pub mod notice;
 pub mod packing;
+pub mod reload;
--- a/ragwortdeal_node/src/fleet/agent.rs
+++ b/ragwortdeal_node/src/fleet/agent.rs
@@ -75,6 +75,7 @@
     settings: settings::fleet::Settings,
     spoken: dialect::Spoken,
     listener: net::TcpListener,
+    seeds: follow::Seeds,
     stop: stop::Stop,
 ) -> Result<(), AgentError> {
     let settings = sync::Arc::new(settings);
@@ -105,7 +106,8 @@
         settings: settings.clone(),
         engine_born_ms: atomic::AtomicU64::new(0),
     });
-    let (voters, told) = follow::start(settings, identity, "agent", agent.held_version.clone());
+    let (voters, told) =
+        follow::start(settings, identity, "agent", agent.held_version.clone(), seeds);
     let _ = agent.voters.set(voters);
     tokio::spawn(learn(agent.clone(), told));
     tokio::spawn(keeper::run(agent.clone()));
--- a/ragwortdeal_node/src/fleet/entry.rs
+++ b/ragwortdeal_node/src/fleet/entry.rs
@@ -138,6 +138,7 @@
     settings: settings::fleet::Settings,
     spoken: dialect::Spoken,
     listeners: Listeners,
+    seeds: follow::Seeds,
     stop: stop::Stop,
 ) -> Result<(), EntryError> {
     let settings = sync::Arc::new(settings);
@@ -145,7 +146,7 @@
     identity.name = ragwortdeal_core::name::InstanceName::new(&settings.fleet.address.to_string())?;
     let entry = sync::Arc::new(Entry::new(&settings, spoken));
     let (voters, told) =
-        follow::start(settings.clone(), identity, "entry", entry.held_version.clone());
+        follow::start(settings.clone(), identity, "entry", entry.held_version.clone(), seeds);
     tokio::spawn(learn::follow(entry.clone(), told));
     tokio::spawn(sweep(entry.clone()));
     let (stopper, unready) = stop::pair();
--- a/ragwortdeal_node/src/fleet/follow.rs
+++ b/ragwortdeal_node/src/fleet/follow.rs
@@ -9,7 +9,10 @@
     sync::{self, atomic},
 };
 
-use tokio::{sync::mpsc, time};
+use tokio::{
+    sync::{mpsc, watch},
+    time,
+};
 
 use super::notice;
 use crate::{link, settings, settings::common};
@@ -26,6 +29,9 @@
 /// Most voters that are followed.
 const VOTERS_MAX: usize = 32;
 
+/// Voters' listeners for operators, as the settings name them at present.
+pub type Seeds = watch::Receiver<Vec<std::net::SocketAddrV4>>;
+
 /// Something that a voter told, or that happened to the link to it.
 #[derive(Debug)]
 pub enum Told {
@@ -63,14 +69,13 @@
     identity: common::Identity,
     role: &'static str,
     held_version: sync::Arc<atomic::AtomicU64>,
+    seeds: Seeds,
 ) -> (Voters, mpsc::Receiver<Told>) {
     let (told, receiver) = mpsc::channel(NOTICES);
-    let seeds: Vec<_> = settings.fleet.seeds.iter().map(|seed| *seed.ip()).collect();
     let shared =
         Shared { settings, identity, role, held_version, told, followed: sync::Mutex::default() };
     let voters = Voters { shared: sync::Arc::new(shared) };
-    voters.get_to_know(&seeds);
-    tokio::spawn(voters.clone().sweep());
+    tokio::spawn(voters.clone().sweep(seeds));
     (voters, receiver)
 }
 
@@ -152,16 +157,18 @@
         }
     }
 
-    /// Gives up voters that nobody names and that are out of reach.
-    async fn sweep(self) {
+    /// Takes up new seeds, and gives up voters that nobody names and that are out of reach.
+    async fn sweep(self, mut seeds: Seeds) {
         loop {
-            time::sleep(SWEEP).await;
-            let seeds: Vec<_> =
-                self.shared.settings.fleet.seeds.iter().map(|seed| *seed.ip()).collect();
-            self.followed().retain(|address, followed| {
-                let named = followed.named.elapsed() < FORGET || seeds.contains(address);
-                named || followed.link.is_up()
-            });
+            let named: Vec<_> = seeds.borrow_and_update().iter().map(|seed| *seed.ip()).collect();
+            self.get_to_know(&named);
+            tokio::select! {
+                () = time::sleep(SWEEP) => (),
+                // An error means that the process stops.
+                _ = seeds.changed() => (),
+            }
+            self.followed()
+                .retain(|_, followed| followed.named.elapsed() < FORGET || followed.link.is_up());
         }
     }
 }
--- a/ragwortdeal_node/src/voter.rs
+++ b/ragwortdeal_node/src/voter.rs
@@ -92,6 +92,8 @@
         payload: Vec<u8>,
         answer: oneshot::Sender<Answer>,
     },
+    /// Voters that the settings name now.
+    Named(Vec<name::InstanceName>),
     Read {
         answer: reads::ReadAnswer,
     },
--- a/ragwortdeal_node/src/voter/driver.rs
+++ b/ragwortdeal_node/src/voter/driver.rs
@@ -177,6 +177,7 @@
             Event::Propose { payload, answer } => {
                 self.propose_for(payload.into(), proposals::Asker::Here(answer));
             }
+            Event::Named(names) => self.peers.get_to_know(&names),
             Event::Read { answer } => self.read(reads::Reader::Here(answer)),
             Event::Operate { request, reply } => {
                 // The operator's tool may have gone; it asks again.
--- a/ragwortdeal_node/src/voter/fleet.rs
+++ b/ragwortdeal_node/src/voter/fleet.rs
@@ -22,7 +22,11 @@
 };
 
 use super::{Event, VoterError, driver, letter, operate, peers};
-use crate::{clock, fleet::dialect, http, link, settings, stop, storage};
+use crate::{
+    clock,
+    fleet::{dialect, follow},
+    http, link, settings, stop, storage,
+};
 
 /// Pause before a data folder that failed is tried again. A full disk can stay so for long; trying
 /// more often would only fill the log.
@@ -95,6 +99,7 @@
     settings: settings::fleet::Settings,
     spoken: dialect::Spoken,
     listeners: Listeners,
+    seeds: follow::Seeds,
     stop: stop::Stop,
 ) -> Result<(), VoterError> {
     let settings = sync::Arc::new(settings);
@@ -116,6 +121,7 @@
         serve_stop.clone(),
     );
     tokio::spawn(serving);
+    tokio::spawn(pass_on_seeds(events.clone(), seeds));
     tokio::spawn(hub::publish(hub.clone(), publisher.clone()));
     let api = control::Control::new(spoken, hub, events.clone(), publisher.documents.subscribe());
     let api = sync::Arc::new(api);
@@ -129,6 +135,17 @@
     ended
 }
 
+/// Tells the driver of new seeds.
+async fn pass_on_seeds(events: mpsc::Sender<Event>, mut seeds: follow::Seeds) {
+    while seeds.changed().await.is_ok() {
+        let named = seeds.borrow_and_update().clone();
+        let names = named.iter().filter_map(|seed| seed.ip().to_string().as_str().try_into().ok());
+        if events.send(Event::Named(names.collect())).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Votes until the stop, with another replica each time the data folder had to be given up.
 async fn keep_voting(
     settings: &sync::Arc<settings::fleet::Settings>,
--- a/ragwortdeal_node/src/voter/peers.rs
+++ b/ragwortdeal_node/src/voter/peers.rs
@@ -94,7 +94,8 @@
         self.own = own;
     }
 
-    fn get_to_know(&mut self, names: &[name::InstanceName]) {
+    /// Opens links to voters that are not known yet.
+    pub(super) fn get_to_know(&mut self, names: &[name::InstanceName]) {
         let Some(discovery) = &self.discovery else {
             return;
         };
--- a/ragwortdeal_voter/src/main.rs
+++ b/ragwortdeal_voter/src/main.rs
@@ -5,7 +5,7 @@
 use std::process;
 
 use clap::Parser as _;
-use ragwortdeal_node::{program, settings, voter};
+use ragwortdeal_node::{fleet, program, settings, voter};
 
 fn main() -> process::ExitCode {
     let options = cli::Options::parse();
@@ -26,13 +26,14 @@
 
 fn run_in_fleet(options: &cli::Options) -> process::ExitCode {
     let run = async |settings: settings::fleet::Settings, stop| {
+        let seeds = fleet::reload::seeds(&options.config, &settings);
         let control = settings.listen.control.ok_or("listen.control is missing")?;
         let links = (settings.fleet.address, settings.fleet.link_port);
         let listeners = voter::fleet::Listeners {
             links: tokio::net::TcpListener::bind(links).await?,
             control: tokio::net::TcpListener::bind(control).await?,
         };
-        voter::fleet::run(settings, &ragwortdeal_platform::DIALECT, listeners, stop).await?;
+        voter::fleet::run(settings, &ragwortdeal_platform::DIALECT, listeners, seeds, stop).await?;
         Ok::<_, Box<dyn std::error::Error>>(())
     };
     program::run_on_one_thread(&options.config, options.check, run)
