Count an upstream's leaving by every way, reset what callers gave up

Transfers of chunks filled the links that requests wait on.

Ruled out: the entry noticing late that a caller leaves (it is tested before and within a stream).

Change: a word of leaving of its own, which counts within a life whatever was heard later; given up connections are reset; two chunks at a time.

--- a/ragwortdeal_core/src/directory.rs
+++ b/ragwortdeal_core/src/directory.rs
@@ -80,6 +80,22 @@
     pub held: Vec<Held>,
 }
 
+impl Announcement {
+    /// An upstream of which only its end is known.
+    fn gone(instance: &str, age: Age) -> Self {
+        Self {
+            instance: instance.into(),
+            age,
+            service: "".into(),
+            address: std::net::SocketAddrV4::new(std::net::Ipv4Addr::UNSPECIFIED, 0),
+            zone: "".into(),
+            standing: Standing::Gone,
+            slots: 0,
+            held: Vec::new(),
+        }
+    }
+}
+
 /// One upstream as it is known here.
 #[derive(Clone, Debug)]
 pub struct Upstream {
@@ -120,8 +136,15 @@
             self.upstreams.insert(said.instance.clone(), Upstream { said, heard_ms: now_ms });
             return Effect::Changed;
         };
-        // An upstream that said that it leaves never comes back in the same life.
+        // An upstream that said that it leaves never comes back in the same life. So its leaving
+        // counts also where something else was heard that is newer, by another way.
         let same_life = known.said.age.born_ms == said.age.born_ms;
+        if same_life && said.standing > known.said.standing {
+            let age = known.said.age.max(said.age);
+            known.said = Announcement { age, ..said };
+            known.heard_ms = now_ms;
+            return Effect::Changed;
+        }
         let returns = same_life && said.standing < known.said.standing;
         if said.age <= known.said.age || returns {
             return Effect::Stale;
@@ -132,10 +155,16 @@
         if previous == known.said && same_life { Effect::Refreshed } else { Effect::Changed }
     }
 
-    /// Takes the word of an upstream that it is gone. The service need not be known.
+    /// Takes the word of an upstream that it is gone. One that was not known is remembered as gone
+    /// where it told its age, so that a late announcement of it is known to be old.
     pub fn left(&mut self, instance: &str, age: Option<Age>, now_ms: u64) -> Effect {
         let Some(known) = self.upstreams.get_mut(instance) else {
-            return Effect::Stale;
+            let Some(age) = age.filter(|_| self.upstreams.len() < UPSTREAMS_MAX) else {
+                return Effect::Stale;
+            };
+            let said = Announcement::gone(instance, age);
+            self.upstreams.insert(said.instance.clone(), Upstream { said, heard_ms: now_ms });
+            return Effect::Changed;
         };
         let older = age.is_some_and(|age| age.born_ms < known.said.age.born_ms);
         if older || known.said.standing == Standing::Gone {
--- a/ragwortdeal_node/src/fleet/agent/spread.rs
+++ b/ragwortdeal_node/src/fleet/agent/spread.rs
@@ -50,6 +50,11 @@
 fn limits() -> limits::Limits {
     limits::Limits {
         origin_weight_percent: 100,
+        // Callers' requests and answers share the instance's link, and wait behind each chunk that
+        // is under way: 42 ms each at 9.4 Mbit/s, of which a first event may take 300.
+        downloads_max: 2,
+        uploads_max: 2,
+        uploads_per_peer_max: 1,
         announce_interval_ms: 60,
         probe_interval_ms: 150,
         busy_backoff_ms: 40,
--- a/ragwortdeal_node/src/fleet/entry/learn.rs
+++ b/ragwortdeal_node/src/fleet/entry/learn.rs
@@ -20,6 +20,7 @@
             notice::Notice::Upstreams(said) => {
                 said.into_iter().for_each(|said| entry.fleet().announced(said, now_ms));
             }
+            notice::Notice::Left { instance, age } => entry.fleet().left(&instance, age, now_ms),
             notice::Notice::Serves(serves) => entry.fleet().serves(serves),
             notice::Notice::Entries(count) => entry.fleet().entries(voter, count),
             notice::Notice::Follow { .. }
--- a/ragwortdeal_node/src/fleet/entry/pool.rs
+++ b/ragwortdeal_node/src/fleet/entry/pool.rs
@@ -131,8 +131,11 @@
         .with_time(time::Duration::from_secs(1))
         .with_interval(time::Duration::from_secs(1))
         .with_retries(2);
+    // A connection that is given up is reset. What is still on its way is then lost, and an
+    // upstream behind a slow link does not begin on a request whose caller left long ago.
     let set = stream
         .set_nodelay(true)
+        .and_then(|()| socket.set_linger(Some(time::Duration::ZERO)))
         .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)))
         .and_then(|()| socket.set_tcp_keepalive(&keepalive));
     if let Err(error) = set {
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -109,6 +109,12 @@
         }
     }
 
+    pub(super) fn left(&mut self, instance: &str, age: Option<directory::Age>, now_ms: u64) {
+        if self.directory.left(instance, age, now_ms) == directory::Effect::Changed {
+            log::info!("entry: upstream {instance} is gone");
+        }
+    }
+
     pub(super) fn serves(&mut self, serves: notice::Serves) {
         let newer = |held: &notice::Serves| held.number < serves.number;
         if self.serves.get(&serves.address).is_none_or(newer) {
--- a/ragwortdeal_node/src/fleet/notice.rs
+++ b/ragwortdeal_node/src/fleet/notice.rs
@@ -19,6 +19,13 @@
     Voters(Vec<net::Ipv4Addr>),
     /// Announcements of upstreams.
     Upstreams(Vec<directory::Announcement>),
+    /// An upstream says that it is gone.
+    Left {
+        /// Its identifier.
+        instance: directory::Text,
+        /// How old its word is, where it told.
+        age: Option<directory::Age>,
+    },
     /// Agents that run, as this voter knows them.
     Agents(Vec<Seat>),
     /// An agent tells which weights its engine serves.
--- a/ragwortdeal_node/src/voter/fleet/control.rs
+++ b/ragwortdeal_node/src/voter/fleet/control.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use ragwortdeal_core::{command, directory, document, document::store};
+use ragwortdeal_core::{command, document, document::store};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::hub;
@@ -84,10 +84,7 @@
 
     fn leave(&self, instance: &str, body: &[u8]) -> http::Response {
         let age = self.spoken.departure(body);
-        if !self.hub.left(instance, age) {
-            log::info!("voter: upstream {instance} left, which was not known here");
-            self.hub.left_unknown(unknown(instance, age));
-        }
+        self.hub.left(instance, age);
         http::respond(200, "application/json", http::full("{}"))
     }
 
@@ -196,21 +193,6 @@
     }
 }
 
-/// An upstream that left before anything was heard of it. Its service is not known, so it only
-/// serves to mark its identifier as gone.
-fn unknown(instance: &str, age: Option<directory::Age>) -> directory::Announcement {
-    directory::Announcement {
-        instance: instance.into(),
-        age: age.unwrap_or_default(),
-        service: "".into(),
-        address: std::net::SocketAddrV4::new(std::net::Ipv4Addr::UNSPECIFIED, 0),
-        zone: "".into(),
-        standing: directory::Standing::Gone,
-        slots: 0,
-        held: Vec::new(),
-    }
-}
-
 fn text(status: u16, detail: &str) -> http::Response {
     http::respond(status, "text/plain", http::full(detail.to_owned()))
 }
--- a/ragwortdeal_node/src/voter/fleet/hub.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -95,22 +95,14 @@
         effect
     }
 
-    /// Takes the word of an upstream that it is gone. Returns whether it was known.
-    pub(super) fn left(&self, instance: &str, age: Option<directory::Age>) -> bool {
+    /// Takes the word of an upstream that it is gone. Followers are told in any case: they may know
+    /// an upstream that this voter never heard of.
+    pub(super) fn left(&self, instance: &str, age: Option<directory::Age>) {
         let mut state = self.state();
         let effect = state.directory.left(instance, age, self.clock.now_ms());
-        let said = state.directory.get(instance).map(|upstream| upstream.said.clone());
-        if let (directory::Effect::Changed, Some(said)) = (effect, &said) {
-            log::info!("voter: upstream {} of {} left", said.instance, said.service);
-            state.tell_all(&notice::seal(&notice::Notice::Upstreams(vec![said.clone()])));
-        }
-        said.is_some()
-    }
-
-    /// Followers are told of an upstream that only they may know: it said that it leaves, and this
-    /// voter never heard of it before.
-    pub(super) fn left_unknown(&self, said: directory::Announcement) {
-        self.state().tell_all(&notice::seal(&notice::Notice::Upstreams(vec![said])));
+        log::info!("voter: upstream {instance} left, age={age:?} effect={effect:?}");
+        let left = notice::Notice::Left { instance: instance.into(), age };
+        state.tell_all(&notice::seal(&left));
     }
 
     pub(super) fn opened(&self, session: &link::Session) {
--- /dev/null
+++ b/ragwortdeal_node/tests/fleet_requests.rs
@@ -0,0 +1,305 @@
+//! Callers' requests through an entry of a fleet, against stand-ins that misbehave.
+
+use std::{sync, time};
+
+use googletest::prelude::*;
+use ragwortdeal_platform::DIALECT;
+use ragwortdeal_standins::fleet::{
+    caller::{Answer, Ask},
+    engine::{self, Behaviour},
+    world::{self, World},
+};
+
+/// A fleet of one voter and one entry, with two upstreams of each kind.
+struct Fleet {
+    world: World,
+    models: Vec<sync::Arc<engine::Engine>>,
+    ledgers: Vec<sync::Arc<engine::Engine>>,
+    _processes: Vec<world::Process>,
+}
+
+const ENTRY: u8 = 10;
+
+async fn fleet() -> Fleet {
+    let world = World::new(&DIALECT, 1);
+    let voter = world.voter(1, true).await;
+    world.install(&world.document(1, None)).await;
+    let mut models = Vec::new();
+    let mut ledgers = Vec::new();
+    for number in [20, 23] {
+        models.push(world.engine(number, "models", 1).await);
+    }
+    for number in [30, 33] {
+        ledgers.push(world.engine(number, "ledger", 0).await);
+    }
+    let entry = world.entry(ENTRY).await;
+    world.ready(ENTRY).await;
+    let fleet = Fleet { world, models, ledgers, _processes: vec![voter, entry] };
+    // The entry knows the document before it knows all upstreams.
+    world::until("all upstreams serve", async || {
+        fleet.ask(&Ask::new("GET", "/read/warm", "warm")).await;
+        fleet.ask(&Ask::new("POST", "/stream/warm", "warm")).await;
+        let served = |engines: &[sync::Arc<engine::Engine>]| {
+            engines.iter().all(|engine| !engine.arrivals().is_empty())
+        };
+        served(&fleet.models) && served(&fleet.ledgers)
+    })
+    .await;
+    fleet
+}
+
+impl Fleet {
+    async fn ask(&self, ask: &Ask) -> Answer {
+        ask.answer(self.world.callers(ENTRY)).await
+    }
+
+    /// Arrivals of a request at all upstreams.
+    fn arrivals(&self, id: &str) -> Vec<engine::Arrival> {
+        let engines = self.models.iter().chain(&self.ledgers);
+        engines.flat_map(|engine| engine.arrivals()).filter(|it| it.id == id).collect()
+    }
+
+    fn all_behave(&self, behaviour: &Behaviour) {
+        let engines = self.models.iter().chain(&self.ledgers);
+        engines.for_each(|engine| engine.behave(behaviour.clone()));
+    }
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn a_read_reaches_an_upstream_and_its_answer_comes_back_unchanged() {
+    let fleet = fleet().await;
+    let answer = fleet.ask(&Ask::new("GET", "/read/one?x=1", "read-1")).await;
+    expect_that!(answer.status, eq(200));
+    expect_that!(answer.whole, eq(true));
+    expect_that!(answer.header("x-request-id"), some(eq("read-1")));
+    let arrived = fleet.arrivals("read-1");
+    expect_that!(arrived.len(), eq(1));
+    let headers = &arrived[0].headers;
+    expect_that!(arrived[0].path, eq("/read/one?x=1"));
+    expect_that!(headers.contains_key("authorization"), eq(false));
+    expect_that!(headers["x-tenant"].to_str().unwrap(), eq("account-a"));
+    let left: u64 = headers["x-request-deadline"].to_str().unwrap().parse().unwrap();
+    expect_that!(left, le(5_000));
+    let by = headers["x-expected-instance"].to_str().unwrap();
+    expect_that!(answer.header("x-server-signature"), some(eq(format!("proof-of-{by}").as_str())));
+    expect_that!(answer.body, eq(&format!("by {by}")));
+}
+
+macro_rules! refused {
+    ($($case:ident: $ask:expr => $status:expr,)*) => {$(
+        #[googletest::test]
+        #[tokio::test]
+        async fn $case() {
+            let fleet = fleet().await;
+            let answer = fleet.ask(&$ask).await;
+            expect_that!(answer.status, eq($status));
+            expect_that!(fleet.arrivals("refused"), is_empty());
+        }
+    )*};
+}
+
+refused! {
+    a_path_without_a_route: Ask::new("GET", "/elsewhere/", "refused") => 404,
+    an_unknown_key: Ask { key: Some("key-b"), ..Ask::new("GET", "/read/x", "refused") } => 401,
+    no_key: Ask { key: None, ..Ask::new("GET", "/read/x", "refused") } => 401,
+}
+
+/// An upstream runs a transfer and its answer is lost. Sent once more, the transfer would be booked
+/// twice; told that it did not run, the caller would send it once more.
+#[googletest::test]
+#[tokio::test]
+async fn a_transfer_whose_answer_is_lost_runs_once_and_promises_nothing() {
+    let fleet = fleet().await;
+    fleet.all_behave(&Behaviour::LoseAnswer);
+    let answer = fleet.ask(&Ask::new("POST", "/transfer/one", "transfer-1")).await;
+    expect_that!(answer.status, eq(502));
+    expect_that!(fleet.arrivals("transfer-1").len(), eq(1));
+}
+
+/// Upstreams say that they did not run a transfer. The caller may be told so, and come back.
+#[googletest::test]
+#[tokio::test]
+async fn a_transfer_that_nobody_ran_is_refused_with_a_time_to_come_back() {
+    let fleet = fleet().await;
+    fleet.all_behave(&Behaviour::Shed);
+    let answer = fleet.ask(&Ask::new("POST", "/transfer/one", "transfer-2")).await;
+    expect_that!(answer.status, eq(503));
+    expect_that!(answer.header("retry-after"), some(anything()));
+    expect_that!(fleet.arrivals("transfer-2").len(), eq(2));
+}
+
+/// One upstream loses answers. A read is asked of the other one, and the caller notices nothing.
+#[googletest::test]
+#[tokio::test]
+async fn a_read_whose_answer_is_lost_is_served_by_the_other_upstream() {
+    let fleet = fleet().await;
+    fleet.ledgers[0].behave(Behaviour::LoseAnswer);
+    for number in 0..8 {
+        let answer = fleet.ask(&Ask::new("GET", "/read/one", &format!("read-{number}"))).await;
+        expect_that!(answer.status, eq(200));
+    }
+}
+
+/// An upstream answers with what belongs to another request. A caller who got it would read
+/// somebody else's balance.
+#[googletest::test]
+#[tokio::test]
+async fn an_answer_to_another_request_is_never_passed_on() {
+    let fleet = fleet().await;
+    fleet.all_behave(&Behaviour::OtherAnswer);
+    let answer = fleet.ask(&Ask::new("GET", "/read/one", "read-2")).await;
+    expect_that!(answer.status, eq(502));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn a_stream_comes_whole() {
+    let fleet = fleet().await;
+    let answer = fleet.ask(&Ask::new("POST", "/stream/one", "stream-1")).await;
+    expect_that!(answer.status, eq(200));
+    expect_that!(answer.whole, eq(true));
+    expect_that!(answer.body, eq(&engine::whole_stream(5)));
+}
+
+/// An engine breaks off in the middle of an event. The caller gets each event once and whole, the
+/// rest from another engine.
+#[googletest::test]
+#[tokio::test]
+async fn a_stream_that_breaks_off_within_an_event_goes_on_elsewhere() {
+    let fleet = fleet().await;
+    fleet.models[0].behave(Behaviour::CutWithin(3));
+    for number in 0..6 {
+        let id = format!("stream-{number}");
+        let answer = fleet.ask(&Ask::new("POST", "/stream/one", &id)).await;
+        expect_that!(answer.status, eq(200));
+        expect_that!(answer.whole, eq(true));
+        expect_that!(answer.body, eq(&engine::whole_stream(5)));
+    }
+}
+
+/// All engines break off. What the caller has must not look like the whole stream.
+#[googletest::test]
+#[tokio::test]
+async fn a_stream_that_nobody_ends_does_not_look_complete() {
+    let fleet = fleet().await;
+    fleet.all_behave(&Behaviour::CutWithin(3));
+    let answer = fleet.ask(&Ask::new("POST", "/stream/one", "stream-1")).await;
+    expect_that!(answer.whole, eq(false));
+    expect_that!(answer.body, eq(&engine::whole_stream(2)));
+}
+
+/// A caller leaves before the first event, while its engine is still reading the prompt. An engine
+/// that worked on would have less room for those who wait.
+#[googletest::test]
+#[tokio::test]
+async fn an_engine_stops_when_the_caller_leaves_before_the_first_event() {
+    let fleet = fleet().await;
+    fleet.all_behave(&Behaviour::Hang);
+    let ask = Ask::new("POST", "/stream/one", "left-1");
+    let connection = ask.send(fleet.world.callers(ENTRY)).await.unwrap();
+    world::until("the request arrives", async || !fleet.arrivals("left-1").is_empty()).await;
+    drop(connection);
+    let abandoned = async || fleet.models.iter().map(|engine| engine.abandoned()).sum::<u64>() == 1;
+    world::until("the engine is told", abandoned).await;
+}
+
+/// A request is still on a slow link when its caller leaves. Its connection is reset and not merely
+/// closed: after a close the upstream would read the request seconds later and run it for nobody.
+#[googletest::test]
+#[tokio::test]
+async fn the_connection_of_a_caller_who_left_is_reset() {
+    let fleet = fleet().await;
+    let slow = tokio::net::TcpListener::bind(fleet.world.upstream(40)).await.unwrap();
+    let announced = serde_json::json!({
+        "service": "slow", "address": slow.local_addr().unwrap().to_string(), "zone": "zone-0",
+        "version": "v1", "slots": 8, "state": "ready", "models": [], "sequence": 1, "born": 1,
+    });
+    let operator = fleet.world.operator();
+    operator.order("PUT", "/instances/slow", &announced.to_string()).await;
+    let mut document = fleet.world.document(2, None);
+    document["routes"][1]["service"] = "slow".into();
+    let service = serde_json::json!({"name": "slow", "connection-limit": 64});
+    document["services"].as_array_mut().unwrap().push(service);
+    fleet.world.install(&document).await;
+    let ask = Ask::new("GET", "/read/one", "late-1");
+    let callers = fleet.world.callers(ENTRY);
+    let (caller, upstream) = loop {
+        let caller = ask.send(callers).await.unwrap();
+        let accepted = tokio::time::timeout(time::Duration::from_millis(200), slow.accept());
+        if let Ok(Ok((upstream, _))) = accepted.await {
+            break (caller, upstream);
+        }
+    };
+    upstream.readable().await.unwrap();
+    drop(caller);
+    let mut bytes = Vec::new();
+    let mut upstream = upstream;
+    let read = tokio::io::AsyncReadExt::read_to_end(&mut upstream, &mut bytes).await;
+    let kind = read.map_err(|error| error.kind());
+    expect_that!(kind, err(eq(std::io::ErrorKind::ConnectionReset)));
+}
+
+/// A caller leaves in the middle of a stream.
+#[googletest::test]
+#[tokio::test]
+async fn an_engine_stops_when_the_caller_leaves_within_a_stream() {
+    let fleet = fleet().await;
+    for engine in &fleet.models {
+        engine.stream(1_000, time::Duration::from_millis(10));
+    }
+    let ask = Ask::new("POST", "/stream/one", "left-2");
+    let connection = ask.send(fleet.world.callers(ENTRY)).await.unwrap();
+    world::until("the request arrives", async || !fleet.arrivals("left-2").is_empty()).await;
+    tokio::time::sleep(time::Duration::from_millis(60)).await;
+    drop(connection);
+    let abandoned = async || fleet.models.iter().map(|engine| engine.abandoned()).sum::<u64>() == 1;
+    world::until("the engine is told", abandoned).await;
+}
+
+/// An upstream says that it leaves. From the acknowledgement on no request may be sent to it for
+/// long, or its end would cut the request off.
+#[googletest::test]
+#[tokio::test]
+async fn an_upstream_that_leaves_gets_no_new_requests() {
+    let fleet = fleet().await;
+    fleet.world.announce(&fleet.ledgers[0], "ledger", "draining", 2).await;
+    let marked = "the entry knows";
+    let mut number = 0;
+    world::until(marked, async || {
+        number += 1;
+        let before = fleet.ledgers[0].arrivals().len();
+        for read in 0..6 {
+            fleet.ask(&Ask::new("GET", "/read/one", &format!("read-{number}-{read}"))).await;
+        }
+        fleet.ledgers[0].arrivals().len() == before
+    })
+    .await;
+    // A late announcement from before must not bring it back.
+    fleet.world.announce(&fleet.ledgers[0], "ledger", "ready", 1).await;
+    let before = fleet.ledgers[0].arrivals().len();
+    for read in 0..12 {
+        fleet.ask(&Ask::new("GET", "/read/one", &format!("late-{read}"))).await;
+    }
+    expect_that!(fleet.ledgers[0].arrivals().len(), eq(before));
+}
+
+/// A document moves a route and takes a key away. Requests follow within moments, and never fall
+/// back.
+#[googletest::test]
+#[tokio::test]
+async fn a_document_moves_a_route_and_revokes_a_key() {
+    let fleet = fleet().await;
+    let mut document = fleet.world.document(7, None);
+    document["routes"][1]["path-prefix"] = "/moved/".into();
+    document["tenants"][0]["api-keys"] = serde_json::json!(["key-c"]);
+    fleet.world.install(&document).await;
+    let moved = Ask { key: Some("key-c"), ..Ask::new("GET", "/moved/one", "moved") };
+    world::until("the route has moved", async || fleet.ask(&moved).await.status == 200).await;
+    let old = Ask { key: Some("key-c"), ..Ask::new("GET", "/read/one", "old") };
+    expect_that!(fleet.ask(&old).await.status, eq(404));
+    expect_that!(fleet.ask(&Ask::new("GET", "/moved/one", "key")).await.status, eq(401));
+    // An older document that arrives late is acknowledged and changes nothing.
+    fleet.world.install(&fleet.world.document(2, None)).await;
+    expect_that!(fleet.ask(&moved).await.status, eq(200));
+}
--- /dev/null
+++ b/ragwortdeal_standins/src/fleet/engine.rs
@@ -0,0 +1,391 @@
+//! A stand-in for an upstream: answers requests, announces itself, takes weights and orders.
+
+use std::{collections, io, net, sync, time};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, StreamBody, combinators::UnsyncBoxBody};
+use hyper::{Request, Response, body, header, server::conn::http1, service};
+use hyper_util::rt;
+use ragwortdeal_node::http;
+use sha2::Digest as _;
+use tokio::{net as tokio_net, sync::mpsc, task};
+
+type Body = UnsyncBoxBody<Bytes, io::Error>;
+
+/// What the engine does with requests.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Behaviour {
+    /// Answers.
+    Good,
+    /// Takes a request and never answers.
+    Hang,
+    /// Says that it did not run the request.
+    Shed,
+    /// Runs a request and closes the connection without an answer.
+    LoseAnswer,
+    /// Breaks a stream off in the middle of the event with this number.
+    CutWithin(u64),
+    /// Answers with the identifier of another request.
+    OtherAnswer,
+    /// Answers with this status.
+    Fail(u16),
+}
+
+/// A request as it arrived.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Identifier.
+    pub id: String,
+    /// Method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Headers.
+    pub headers: header::HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// State of an engine, shared with the test.
+#[derive(Debug)]
+pub struct Engine {
+    /// Its identifier.
+    pub instance: String,
+    /// Its address.
+    pub address: net::SocketAddrV4,
+    state: sync::Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    behaviour: Behaviour,
+    arrivals: Vec<Arrival>,
+    /// Requests that were cut off because their connection was closed.
+    abandoned: u64,
+    running: u64,
+    staged: collections::BTreeMap<u32, Bytes>,
+    version: u64,
+    orders: u64,
+    loaded: Vec<Vec<[u8; 32]>>,
+    events: u64,
+    event_gap: time::Duration,
+}
+
+/// Counts a request as running until it ends or its connection is closed.
+struct Running {
+    engine: sync::Arc<Engine>,
+    ended: bool,
+}
+
+impl Running {
+    fn end(&mut self) {
+        self.ended = true;
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let mut state = self.engine.state();
+        state.running -= 1;
+        state.abandoned += u64::from(!self.ended);
+    }
+}
+
+impl Engine {
+    /// Starts an engine that serves this version of weights, 0 for none.
+    pub async fn start(
+        instance: &str,
+        address: net::SocketAddrV4,
+        version: u64,
+    ) -> sync::Arc<Self> {
+        let listener = tokio_net::TcpListener::bind(address).await.expect("a free address");
+        let state = State {
+            behaviour: Behaviour::Good,
+            arrivals: Vec::new(),
+            abandoned: 0,
+            running: 0,
+            staged: collections::BTreeMap::new(),
+            version,
+            orders: 0,
+            loaded: Vec::new(),
+            events: 5,
+            event_gap: time::Duration::from_millis(5),
+        };
+        let state = sync::Mutex::new(state);
+        let engine = sync::Arc::new(Self { instance: instance.to_owned(), address, state });
+        task::spawn(accept(engine.clone(), listener));
+        engine
+    }
+
+    fn state(&self) -> sync::MutexGuard<'_, State> {
+        self.state.lock().expect("no panic under lock")
+    }
+
+    /// Changes what the engine does from now on.
+    pub fn behave(&self, behaviour: Behaviour) {
+        self.state().behaviour = behaviour;
+    }
+
+    /// Sets how many events a stream has, and the pause before each.
+    pub fn stream(&self, events: u64, gap: time::Duration) {
+        let mut state = self.state();
+        (state.events, state.event_gap) = (events, gap);
+    }
+
+    /// Requests that arrived.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.state().arrivals.clone()
+    }
+
+    /// Requests whose connection was closed before their answer ended.
+    pub fn abandoned(&self) -> u64 {
+        self.state().abandoned
+    }
+
+    /// Version that it serves.
+    pub fn version(&self) -> u64 {
+        self.state().version
+    }
+
+    /// Stages chunks beforehand, as an engine that was there at the start has them.
+    pub fn stage_all(&self, chunks: &[Bytes]) {
+        let numbered = (0..).zip(chunks.iter().cloned());
+        self.state().staged.extend(numbered);
+    }
+
+    /// Spoils a staged chunk.
+    pub fn rot(&self, chunk: u32) {
+        let spoilt = Bytes::from_static(b"spoilt");
+        self.state().staged.insert(chunk, spoilt);
+    }
+
+    /// Hashes of the chunks at each load.
+    pub fn loaded(&self) -> Vec<Vec<[u8; 32]>> {
+        self.state().loaded.clone()
+    }
+
+    /// What the engine announces.
+    pub fn announcement(&self, service: &str, zone: &str, standing: &str, number: u64) -> String {
+        let version = self.version();
+        let models = match version {
+            0 => serde_json::json!([]),
+            _ => serde_json::json!([{"name": "model-a", "version": version, "adapters": []}]),
+        };
+        serde_json::json!({
+            "service": service, "address": self.address.to_string(), "zone": zone, "version": "v1",
+            "slots": 8, "state": standing, "cold-remaining-ms": 0, "stage": "combined",
+            "models": models, "sequence": number, "born": 1_000,
+        })
+        .to_string()
+    }
+}
+
+async fn accept(engine: sync::Arc<Engine>, listener: tokio_net::TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            return;
+        };
+        let engine = engine.clone();
+        task::spawn(async move {
+            let service = service::service_fn(move |request| answer(engine.clone(), request));
+            // A connection that breaks is what some tests are about.
+            let _ = http1::Builder::new().serve_connection(rt::TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+async fn answer(
+    engine: sync::Arc<Engine>,
+    request: Request<body::Incoming>,
+) -> Result<Response<Body>, io::Error> {
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+    let path = head.uri.path().to_owned();
+    let query = head.uri.query().unwrap_or_default().to_owned();
+    if path == "/report" {
+        return Ok(engine.report());
+    }
+    if path == "/order" {
+        return Ok(engine.order(&body));
+    }
+    if path.starts_with("/stage-put/") || path.starts_with("/stage-get/") {
+        return Ok(engine.stage(&path, &query, body));
+    }
+    let id = head.headers.get("x-request-id").and_then(|id| id.to_str().ok());
+    let id = id.unwrap_or_default().to_owned();
+    let arrival = Arrival {
+        id: id.clone(),
+        method: head.method.to_string(),
+        path: head.uri.to_string(),
+        headers: head.headers.clone(),
+        body,
+    };
+    engine.state().arrivals.push(arrival);
+    engine.serve(&id, &head).await
+}
+
+fn plain(status: u16, body: impl Into<Bytes>) -> Response<Body> {
+    http::respond(status, "application/json", http::full(body.into()))
+}
+
+impl Engine {
+    async fn serve(
+        self: &sync::Arc<Self>,
+        id: &str,
+        head: &hyper::http::request::Parts,
+    ) -> Result<Response<Body>, io::Error> {
+        let behaviour = self.state().behaviour.clone();
+        let expected = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+        let other_instance =
+            expected("x-expected-instance").is_some_and(|it| *it != *self.instance);
+        let version = self.version().to_string();
+        let other_version = expected("x-expected-version").is_some_and(|it| *it != *version);
+        if other_instance || other_version {
+            return Ok(self.signed(plain(421, ""), id, &version));
+        }
+        if behaviour == Behaviour::Shed {
+            let mut response = self.signed(plain(503, ""), id, &version);
+            response.headers_mut().insert("x-not-executed", "1".parse().expect("a value"));
+            return Ok(response);
+        }
+        self.state().running += 1;
+        let mut running = Running { engine: self.clone(), ended: false };
+        match behaviour {
+            Behaviour::Hang => std::future::pending().await,
+            Behaviour::LoseAnswer => {
+                running.end();
+                return Err(io::Error::other("the answer is lost"));
+            }
+            _ => (),
+        }
+        if head.uri.path().starts_with("/stream/") && !matches!(behaviour, Behaviour::Fail(_)) {
+            let after = expected("last-event-id").and_then(|last| last.parse().ok()).unwrap_or(0);
+            let body = self.events(after, running, &behaviour);
+            return Ok(self.signed(Response::new(body), id, &version));
+        }
+        running.end();
+        let status = match behaviour {
+            Behaviour::Fail(status) => status,
+            _ => 200,
+        };
+        let id = if behaviour == Behaviour::OtherAnswer { "another" } else { id };
+        Ok(self.signed(plain(status, format!("by {}", self.instance)), id, &version))
+    }
+
+    fn signed(&self, mut response: Response<Body>, id: &str, version: &str) -> Response<Body> {
+        let headers = response.headers_mut();
+        let fields = [
+            ("x-request-id", id),
+            ("x-server-signature", &format!("proof-of-{}", self.instance)),
+            ("x-instance-id", &self.instance),
+            ("x-weight-versions", version),
+        ];
+        for (name, value) in fields {
+            let name = header::HeaderName::from_static(name);
+            headers.insert(name, value.parse().expect("a value"));
+        }
+        response
+    }
+
+    fn events(
+        self: &sync::Arc<Self>,
+        after: u64,
+        mut running: Running,
+        behaviour: &Behaviour,
+    ) -> Body {
+        let (events, gap) = {
+            let state = self.state();
+            (state.events, state.event_gap)
+        };
+        let cut = match behaviour {
+            Behaviour::CutWithin(number) => Some(*number),
+            _ => None,
+        };
+        let (sender, receiver) = mpsc::channel::<Result<body::Frame<Bytes>, io::Error>>(1);
+        task::spawn(async move {
+            for number in after + 1..=events {
+                tokio::select! {
+                    () = tokio::time::sleep(gap) => (),
+                    () = sender.closed() => return,
+                }
+                let event = event(number);
+                let half = event.len() / 2;
+                let sent = match cut == Some(number) {
+                    true => Bytes::from(event.as_bytes()[..half].to_vec()),
+                    false => Bytes::from(event),
+                };
+                if sender.send(Ok(body::Frame::data(sent))).await.is_err() {
+                    return;
+                }
+                if cut == Some(number) {
+                    running.end();
+                    let _ = sender.send(Err(io::Error::other("cut"))).await;
+                    return;
+                }
+            }
+            running.end();
+        });
+        let frames = futures_util::stream::unfold(receiver, |mut receiver| async {
+            Some((receiver.recv().await?, receiver))
+        });
+        StreamBody::new(Box::pin(frames)).boxed_unsync()
+    }
+
+    fn report(&self) -> Response<Body> {
+        let state = self.state();
+        let models = match state.version {
+            0 => serde_json::json!([]),
+            version => serde_json::json!([{"name": "model-a", "version": version, "adapters": []}]),
+        };
+        let report = serde_json::json!({
+            "stage": "combined", "models": models, "busy": false, "sequence": state.orders,
+            "waiting-requests": 0, "running-requests": state.running,
+        });
+        plain(200, report.to_string())
+    }
+
+    fn order(&self, body: &[u8]) -> Response<Body> {
+        let order: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
+        let mut state = self.state();
+        let (Some("start"), Some(version)) =
+            (order["operation"].as_str(), order["version"].as_u64())
+        else {
+            return plain(400, "");
+        };
+        if order["expect"].as_u64().is_some_and(|expected| expected != state.orders) {
+            return plain(409, "");
+        }
+        state.orders += 1;
+        let hash = |bytes: &Bytes| <[u8; 32]>::from(sha2::Sha256::digest(bytes));
+        let hashes = state.staged.values().map(hash).collect();
+        state.loaded.push(hashes);
+        state.version = version;
+        plain(202, "")
+    }
+
+    fn stage(&self, path: &str, query: &str, body: Bytes) -> Response<Body> {
+        let number = query.split('&').find_map(|pair| pair.strip_prefix("number="));
+        let Some(number) = number.and_then(|number| number.parse::<u32>().ok()) else {
+            return plain(400, "");
+        };
+        let mut state = self.state();
+        if path.starts_with("/stage-put/") {
+            state.staged.insert(number, body);
+            return plain(200, "");
+        }
+        match state.staged.get(&number) {
+            Some(bytes) => plain(200, bytes.clone()),
+            None => plain(404, ""),
+        }
+    }
+}
+
+/// One event of a stream.
+pub fn event(number: u64) -> String {
+    format!("id: {number}\ndata: piece {number}\n\n")
+}
+
+/// A whole stream of so many events.
+pub fn whole_stream(events: u64) -> String {
+    (1..=events).map(event).collect()
+}
--- a/ragwortdeal_standins/src/lib.rs
+++ b/ragwortdeal_standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod checkers;
 pub mod deployment;
 pub mod engine;
+pub mod fleet;
 pub mod history;
 pub mod network;
 pub mod origin;
