Balance by prompts to read, switch engines in turn and quickly

Cause: entries chose by open requests alone, so prompts met at one engine while others were idle; an engine that waited for its longest answer was away for 2.5 s; a version named 2 s after another one put every engine out of use at once; a document of many routes could not be read back from the log.

Change: choice counts the milliseconds of prompts that have no first event; engines get 0.9 s and then break off what is left, which goes on elsewhere; each named version has its own time; chunks are staged at the switch; failures at one engine at one moment count once.

--- a/ragwortdeal_core/src/dispatch/choice.rs
+++ b/ragwortdeal_core/src/dispatch/choice.rs
@@ -13,6 +13,9 @@
     pub near: bool,
     /// How often it failed lately, from 0 to 1.
     pub failing: f64,
+    /// Milliseconds that it needs to read the prompts which this entry sent and which have no first
+    /// event yet. A new request waits behind them.
+    pub reading_ms: f64,
 }
 
 /// How much fuller, in slots, a near upstream may be before a far one is taken: what a request
@@ -22,9 +25,13 @@
 /// Slots that an upstream which always fails is taken to have filled.
 const FAILING_SLOTS: f64 = 24.0;
 
+/// Milliseconds of prompts to read that count like one more request: about what one usual prompt
+/// takes, by which the first event of all that wait comes later.
+const READING_MS_PER_SLOT: f64 = 35.0;
+
 /// Requests beyond the slots that may wait at an upstream, as a part of its slots. What waits
 /// longer comes too late for its caller.
-const WAITING_SHARE: f64 = 0.5;
+const WAITING_SHARE: f64 = 0.15;
 
 /// Load of an upstream in requests, as far as known.
 pub fn load(candidate: &Candidate) -> f64 {
@@ -49,5 +56,6 @@
 
 fn cost(candidate: &Candidate) -> f64 {
     let far = if candidate.near { 0.0 } else { NEAR_SLOTS };
-    load(candidate) + far + candidate.failing * FAILING_SLOTS
+    let reading = candidate.reading_ms / READING_MS_PER_SLOT;
+    load(candidate) + far + reading + candidate.failing * FAILING_SLOTS
 }
--- a/ragwortdeal_core/src/document/store.rs
+++ b/ragwortdeal_core/src/document/store.rs
@@ -41,12 +41,17 @@
         fn visit_bytes<E>(self, bytes: &[u8]) -> Result<Self::Value, E> {
             Ok(sync::Arc::from(bytes))
         }
+
+        fn visit_byte_buf<E>(self, bytes: Vec<u8>) -> Result<Self::Value, E> {
+            Ok(sync::Arc::from(bytes))
+        }
     }
 
     pub fn deserialize<'de, D: serde::Deserializer<'de>>(
         deserializer: D,
     ) -> Result<sync::Arc<[u8]>, D::Error> {
-        deserializer.deserialize_bytes(Bytes)
+        // Asked for as a buffer of its own: a decoder lends out short ones only.
+        deserializer.deserialize_byte_buf(Bytes)
     }
 }
 
--- /dev/null
+++ b/ragwortdeal_core/tests/document.rs
@@ -0,0 +1,149 @@
+//! Documents: what is valid, what is in force, which route serves.
+
+use std::sync;
+
+use googletest::prelude::*;
+use ragwortdeal_core::{
+    command,
+    document::{
+        Account, Document, Limits, Repeat, Route, Service, Target,
+        check::{self, Invalid},
+        store::{Sealed, Step, Store, Weights},
+        table::{self, Caller, Table},
+    },
+};
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: "a.example".into(),
+        prefix: prefix.into(),
+        repeat: Repeat::Idempotent,
+        streams: false,
+        timeout_ms: 1_000,
+        objective_ms: 100,
+        gap_objective_ms: None,
+        rank: 0,
+        targets: vec![Target { service: "ledger".into(), weight: 1 }],
+        attempts_max: 2,
+        public: false,
+        affinity: false,
+    }
+}
+
+fn document(version: u64) -> Document {
+    Document {
+        version,
+        routes: vec![route("all", "/a/"), route("part", "/a/b/")],
+        services: vec![Service {
+            name: "ledger".into(),
+            connections_max: 8,
+            engine: None,
+            origin: None,
+        }],
+        accounts: vec![Account { name: "one".into(), keys: vec!["key-1".into()], rank: None }],
+        limits: Limits::default(),
+    }
+}
+
+#[googletest::test]
+fn a_proper_document_is_valid() {
+    expect_that!(check::check(&document(1)), ok(anything()));
+}
+
+macro_rules! invalid {
+    ($($case:ident: $spoil:expr => $invalid:pat,)*) => {$(
+        #[googletest::test]
+        fn $case() {
+            let mut document = document(1);
+            let spoil: fn(&mut Document) = $spoil;
+            spoil(&mut document);
+            expect_that!(matches!(check::check(&document), Err($invalid)), eq(true));
+        }
+    )*};
+}
+
+invalid! {
+    an_unknown_service: |document| document.routes[0].targets[0].service = "none".into()
+        => Invalid::UnknownService { .. },
+    one_place_for_two_routes: |document| document.routes[1].prefix = "/a/".into()
+        => Invalid::SamePlace { .. },
+    weights_of_nothing: |document| document.routes[0].targets[0].weight = 0
+        => Invalid::NoWeight { .. },
+    no_target_at_all: |document| document.routes[0].targets.clear() => Invalid::NoWeight { .. },
+    no_time: |document| document.routes[0].timeout_ms = 0 => Invalid::NoTimeout { .. },
+    an_open_prefix: |document| document.routes[0].prefix = "/a".into() => Invalid::Prefix { .. },
+    one_name_for_two_services: |document| document.services.push(document.services[0].clone())
+        => Invalid::SameService { .. },
+    one_key_for_two_accounts: |document| {
+        let keys = document.accounts[0].keys.clone();
+        document.accounts.push(Account { name: "two".into(), keys, rank: None });
+    } => Invalid::SharedKey { .. },
+}
+
+#[googletest::test]
+fn the_longest_prefix_of_the_host_serves() {
+    let table = Table::new(sync::Arc::new(document(1)));
+    let name = |host, path| table.route(host, path).map(|route| route.name.to_string());
+    expect_that!(name("a.example", "/a/b/c"), some(eq("part")));
+    expect_that!(name("A.Example:80", "/a/c"), some(eq("all")));
+    expect_that!(name("a.example", "/a"), none());
+    expect_that!(name("b.example", "/a/b/"), none());
+}
+
+#[googletest::test]
+fn keys_name_accounts() {
+    let mut document = document(1);
+    document.routes[1].public = true;
+    let table = Table::new(sync::Arc::new(document));
+    let [all, part] = &table.document().routes[..] else {
+        panic!("there are two routes");
+    };
+    expect_that!(matches!(table.caller(all, Some("key-1")), Caller::Account(_)), eq(true));
+    expect_that!(table.caller(all, Some("key-2")), eq(&Caller::Unknown));
+    expect_that!(table.caller(all, None), eq(&Caller::Unknown));
+    expect_that!(table.caller(part, None), eq(&Caller::Anybody));
+}
+
+#[googletest::test]
+fn a_split_follows_its_weights() {
+    let mut route = route("split", "/");
+    route.targets = vec![
+        Target { service: "most".into(), weight: 9 },
+        Target { service: "none".into(), weight: 0 },
+        Target { service: "rest".into(), weight: 1 },
+    ];
+    let to = |name: &str| {
+        (0..100).filter(|draw| table::target(&route, *draw).is_some_and(|it| **it == *name)).count()
+    };
+    expect_that!((to("most"), to("none"), to("rest")), eq((90, 0, 10)));
+}
+
+fn sealed(version: u64, bytes: usize) -> Sealed {
+    Sealed { version, body: vec![version as u8; bytes].into() }
+}
+
+/// An operator's change is overtaken by a higher version, and its resend arrives after. Put in
+/// force it would take an accepted change back.
+#[googletest::test]
+fn an_older_document_never_replaces_a_newer() {
+    let mut store = Store::default();
+    store.apply(&Step::Install(sealed(7, 3)));
+    store.apply(&Step::Install(sealed(5, 4)));
+    store.apply(&Step::Install(sealed(7, 5)));
+    expect_that!(store.document, some(eq(&sealed(7, 3))));
+    store.apply(&Step::Name(Weights { model: "m".to_owned(), version: 3 }));
+    store.apply(&Step::Name(Weights { model: "m".to_owned(), version: 2 }));
+    expect_that!(store.weights.get("m"), some(eq(&3)));
+}
+
+/// A document of many routes is larger than what a decoder lends out at once. Refused by the log,
+/// it would never be acknowledged, and the operator would send it for ever.
+#[googletest::test]
+fn a_large_document_passes_the_log_unchanged() {
+    let step = command::Command::Document(Step::Install(sealed(1, 300_000)));
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&step, &mut bytes).unwrap();
+    let read: command::Command = ciborium::from_reader(&bytes[..]).unwrap();
+    expect_that!(read, eq(&step));
+}
--- a/ragwortdeal_node/src/fleet/agent.rs
+++ b/ragwortdeal_node/src/fleet/agent.rs
@@ -45,12 +45,19 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 struct Told {
     document: Option<sync::Arc<document::Document>>,
-    /// Versions that were named, and when this agent heard of them.
-    named: collections::BTreeMap<String, (u64, u64)>,
+    /// Versions of each model that were named, with the time when this agent heard of them.
+    named: collections::BTreeMap<String, collections::BTreeMap<u64, u64>>,
     /// Other agents, by the voter that tells of them.
     seats: collections::BTreeMap<std_net::Ipv4Addr, Vec<notice::Seat>>,
 }
 
+impl Told {
+    /// When a version was named, as far as this agent heard of it.
+    fn named_ms(&self, model: &str, version: u64) -> Option<u64> {
+        self.named.get(model)?.get(&version).copied()
+    }
+}
+
 /// An agent and its state.
 struct Agent {
     spoken: dialect::Spoken,
@@ -168,10 +175,10 @@
                 told.document = Some(sync::Arc::new(document));
             }
             for (model, version) in &documents.weights {
-                let held = told.named.entry(model.clone()).or_insert((0, now_ms));
-                if *version > held.0 {
+                let named = told.named.entry(model.clone()).or_default();
+                if named.keys().all(|held| held < version) {
                     log::info!("agent: weights {model} version={version} are named");
-                    *held = (*version, now_ms);
+                    named.insert(*version, now_ms);
                 }
             }
         });
--- a/ragwortdeal_node/src/fleet/agent/engine.rs
+++ b/ragwortdeal_node/src/fleet/agent/engine.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-use super::{Agent, peers};
+use super::{Agent, origin, peers};
 use crate::{fleet::dialect, http};
 
 /// How long the engine may take to answer. It is on this instance; longer means that it hangs.
@@ -83,8 +83,14 @@
 
     /// Orders the engine to load what is staged. Returns the status, none where no answer came: the
     /// order may have been accepted all the same.
-    pub(super) async fn order_load(&self, model: &str, version: u64, orders: u64) -> Option<u16> {
-        let call = self.spoken.load_call(model, version, Some(orders));
+    pub(super) async fn order_load(
+        &self,
+        weights: &origin::Weights,
+        cutover: dialect::Cutover,
+        orders: u64,
+    ) -> Option<u16> {
+        let origin::Weights { model, version } = weights;
+        let call = self.spoken.load_call(model, *version, cutover, Some(orders));
         let (status, _) = self.call_engine("order load", call, REPORT_MAX_BYTES).await?;
         Some(status)
     }
--- a/ragwortdeal_node/src/fleet/agent/keeper.rs
+++ b/ragwortdeal_node/src/fleet/agent/keeper.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use ragwortdeal_core::spread::manifest;
 
-use super::{Agent, origin};
+use super::{Agent, origin, spread};
 use crate::fleet::dialect;
 
 /// Pause between two looks while there is nothing to do.
@@ -17,9 +17,13 @@
 /// Pause between two looks while the engine loads.
 const LOADING_PAUSE: time::Duration = time::Duration::from_millis(40);
 
-/// Time that entries get to stop sending before the engine is ordered to load: a few times the
-/// way of a notice over a voter.
-const QUIET: time::Duration = time::Duration::from_millis(30);
+/// Time in which running requests may end before the engine loads. Most do; the rest is broken off
+/// and goes on at other engines, which costs them one reading of a prompt. Waiting for the longest
+/// kept each engine away for 2.5 s in place of 1.3 s.
+const QUIET: time::Duration = time::Duration::from_millis(900);
+
+/// How often the engine is asked meanwhile whether all have ended.
+const QUIET_PAUSE: time::Duration = time::Duration::from_millis(50);
 
 /// Longest time for which one order is waited for. An engine finishes its answers first.
 const LOAD: time::Duration = time::Duration::from_secs(12);
@@ -28,11 +32,11 @@
 const STAGE_TRIES: u32 = 3;
 
 /// Earliest start of the switches after weights were named, while others still fetch.
-const SWITCHES_BEGIN_MS: u64 = 2_500;
+const SWITCHES_BEGIN_MS: u64 = 3_000;
 
 /// The last switch begins this long before the bound, so that a request that was on its way still
 /// begins in time.
-const SWITCHES_END_MARGIN_MS: u64 = 2_800;
+const SWITCHES_END_MARGIN_MS: u64 = 1_800;
 
 /// Version that engines hold before any is named.
 const FIRST_VERSION: u64 = 1;
@@ -57,9 +61,9 @@
         let document = told.document.as_ref()?;
         let engine = document.service(&self.service)?.engine.as_ref()?;
         let model = engine.models.first()?.to_string();
-        let named = told.named.get(&model).copied();
-        let version = named.map_or(FIRST_VERSION, |(version, _)| version.max(FIRST_VERSION));
-        Some((origin::Weights { model, version }, named.map(|(_, heard_ms)| heard_ms)))
+        let newest = told.named.get(&model).and_then(|named| named.last_key_value());
+        let version = newest.map_or(FIRST_VERSION, |(&version, _)| version.max(FIRST_VERSION));
+        Some((origin::Weights { model, version }, newest.map(|(_, &heard_ms)| heard_ms)))
     }
 
     async fn look(self: &sync::Arc<Self>) {
@@ -82,15 +86,31 @@
             let kept = self.kept(&weights, &listed.manifest).await;
             self.begin(weights.clone(), listed, kept);
         }
-        let begins = self.switch_at_ms(named_ms, serving);
-        if serving < weights.version
-            && self.spread.is_complete(&weights)
-            && self.clock.now_ms() >= begins
-        {
-            self.switch(&weights, &report).await;
+        if let Some(whole) = self.due(&weights, named_ms, serving) {
+            self.switch(&whole, &report).await;
         }
     }
 
+    /// The version to switch to now, if any. Where a newer one cannot be had in time, the engine
+    /// goes to the last complete one before the version that it serves may not be served any more.
+    fn due(
+        &self,
+        weights: &origin::Weights,
+        named_ms: Option<u64>,
+        serving: u64,
+    ) -> Option<spread::Whole> {
+        let now_ms = self.clock.now_ms();
+        if let Some(whole) = self.spread.whole().filter(|whole| whole.weights == *weights) {
+            let due = now_ms >= self.switch_at_ms(named_ms, serving);
+            return Some(whole).filter(|_| due && serving < weights.version);
+        }
+        let older = self.spread.older().filter(|older| older.weights.version > serving)?;
+        let named = self.told.borrow().named_ms(&older.weights.model, older.weights.version);
+        let bound_ms = self.settings.bounds.weights_ms.saturating_sub(SWITCHES_END_MARGIN_MS);
+        let due = named.is_none_or(|named_ms| now_ms >= named_ms + bound_ms);
+        Some(older).filter(|_| due || serving == 0)
+    }
+
     /// When the switch may begin. Engines that serve an older version switch one after the other,
     /// so that most of them take work at any time; one that serves nothing switches at once.
     fn switch_at_ms(&self, named_ms: Option<u64>, serving: u64) -> u64 {
@@ -127,32 +147,38 @@
 
     /// Brings the engine to the version. The order goes out only after everything that is staged
     /// was read back: staged bytes rot, and an engine loads them without a look.
-    async fn switch(
-        self: &sync::Arc<Self>,
-        weights: &origin::Weights,
-        report: &dialect::EngineReport,
-    ) {
-        let Some(listed) = self.spread.listed(weights) else {
-            return;
-        };
-        if !self.check_staged(weights, &listed.manifest).await {
+    async fn switch(&self, whole: &spread::Whole, report: &dialect::EngineReport) {
+        let weights = &whole.weights;
+        if !self.check_staged(whole).await {
             log::warn!("agent: {weights:?} is not whole where it is staged, tried again");
             return;
         }
         let serving = held(report, &weights.model);
         self.say(serving, false);
         if serving > 0 {
-            tokio::time::sleep(QUIET).await;
+            self.let_requests_end().await;
         }
-        let status = self.order_load(&weights.model, weights.version, report.orders).await;
+        let status = self.order_load(weights, dialect::Cutover::BreakOff, report.orders).await;
         log::info!("agent: ordered {weights:?}, status={status:?}");
         self.await_load(weights, report.orders).await;
     }
 
+    async fn let_requests_end(&self) {
+        let begun = time::Instant::now();
+        while begun.elapsed() < QUIET {
+            tokio::time::sleep(QUIET_PAUSE).await;
+            let report = self.report().await;
+            if report.is_some_and(|report| report.running + report.waiting == 0) {
+                return;
+            }
+        }
+    }
+
     /// Reads all staged chunks back, and stages those anew that are missing or spoilt.
-    async fn check_staged(&self, weights: &origin::Weights, manifest: &manifest::Manifest) -> bool {
+    async fn check_staged(&self, whole: &spread::Whole) -> bool {
+        let spread::Whole { weights, manifest, bytes } = whole;
         let max_bytes = manifest.chunk_bytes() as usize + 1;
-        for chunk in 0..manifest.chunks().len() as u32 {
+        for (&chunk, bytes) in bytes {
             let mut tries = 0;
             loop {
                 let staged = self.staged(&weights.model, chunk, max_bytes).await;
@@ -160,11 +186,11 @@
                     break;
                 }
                 tries += 1;
-                let Some(bytes) = self.spread.chunk(chunk).filter(|_| tries <= STAGE_TRIES) else {
+                if tries > STAGE_TRIES {
+                    log::warn!("agent: chunk {chunk} of {weights:?} cannot be staged");
                     return false;
-                };
-                log::info!("agent: chunk {chunk} of {weights:?} is staged anew");
-                self.stage(&weights.model, chunk, bytes).await;
+                }
+                self.stage(&weights.model, chunk, bytes.clone()).await;
             }
         }
         true
--- a/ragwortdeal_node/src/fleet/agent/spread.rs
+++ b/ragwortdeal_node/src/fleet/agent/spread.rs
@@ -31,10 +31,20 @@
 /// The transfers of an agent.
 pub(super) struct Spread {
     state: sync::Mutex<Option<Active>>,
+    /// The last version that was complete when a newer one began.
+    older: sync::Mutex<Option<Whole>>,
     /// Signalled when a version is complete.
     complete: Notify,
 }
 
+/// A version with all its chunks.
+#[derive(Clone)]
+pub(super) struct Whole {
+    pub(super) weights: origin::Weights,
+    pub(super) manifest: manifest::Manifest,
+    pub(super) bytes: collections::BTreeMap<u32, Bytes>,
+}
+
 /// The version that is being fetched, or was fetched last.
 struct Active {
     weights: origin::Weights,
@@ -46,14 +56,24 @@
     origin_faults: u32,
 }
 
+impl Active {
+    fn whole(&self) -> Option<Whole> {
+        self.download.is_complete().then(|| Whole {
+            weights: self.weights.clone(),
+            manifest: self.listed.manifest.clone(),
+            bytes: self.bytes.clone(),
+        })
+    }
+}
+
 /// Times and bounds for versions of a few megabytes that have to be everywhere in seconds.
 fn limits() -> limits::Limits {
     limits::Limits {
         origin_weight_percent: 100,
         // Callers' requests and answers share the instance's link, and wait behind each chunk that
         // is under way: 42 ms each at 9.4 Mbit/s, of which a first event may take 300.
-        downloads_max: 2,
-        uploads_max: 2,
+        downloads_max: 3,
+        uploads_max: 3,
         uploads_per_peer_max: 1,
         announce_interval_ms: 60,
         probe_interval_ms: 150,
@@ -74,7 +94,11 @@
 
 impl Spread {
     pub(super) fn new() -> Self {
-        Self { state: sync::Mutex::default(), complete: Notify::new() }
+        Self {
+            state: sync::Mutex::default(),
+            older: sync::Mutex::default(),
+            complete: Notify::new(),
+        }
     }
 
     fn state(&self) -> sync::MutexGuard<'_, Option<Active>> {
@@ -87,10 +111,14 @@
         state.as_ref().filter(|it| it.weights == *weights).map(|it| it.listed.clone())
     }
 
-    /// Whether all chunks of a version are at hand.
-    pub(super) fn is_complete(&self, weights: &origin::Weights) -> bool {
-        let state = self.state();
-        state.as_ref().is_some_and(|it| it.weights == *weights && it.download.is_complete())
+    /// The version that is being fetched, once all its chunks are at hand.
+    pub(super) fn whole(&self) -> Option<Whole> {
+        self.state().as_ref().and_then(Active::whole)
+    }
+
+    /// The complete version before it.
+    pub(super) fn older(&self) -> Option<Whole> {
+        self.older.lock().expect("no panic under lock").clone()
     }
 
     /// Whether the origin sent so much that does not fit the manifest that this is doubted.
@@ -98,11 +126,6 @@
         self.state().as_ref().is_some_and(|it| it.origin_faults >= ORIGIN_FAULTS_MAX)
     }
 
-    /// A chunk that was verified here.
-    pub(super) fn chunk(&self, chunk: u32) -> Option<Bytes> {
-        self.state().as_ref()?.bytes.get(&chunk).cloned()
-    }
-
     /// Waits until a version may be complete.
     pub(super) async fn wait(&self) {
         self.complete.notified().await;
@@ -164,6 +187,9 @@
         let before = self.spread.state().replace(active);
         if let Some(before) = before {
             before.fetches.values().for_each(task::AbortHandle::abort);
+            if let Some(whole) = before.whole() {
+                *self.spread.older.lock().expect("no panic under lock") = Some(whole);
+            }
         }
         self.tick_spread();
     }
@@ -287,8 +313,7 @@
             Ok(bytes) => match manifest.verify_chunk(chunk, &bytes) {
                 Err(fault) => event::Event::Bad { source: source.clone(), version, chunk, fault },
                 Ok(proof) => {
-                    // Staged before it is offered to others: what this instance needs goes first.
-                    self.stage(&weights.model, chunk, bytes.clone()).await;
+                    log::debug!("agent: chunk {chunk} of {weights:?} came from {source:?}");
                     self.keep(&weights, chunk, bytes);
                     event::Event::Arrived { source: source.clone(), chunk: proof }
                 }
@@ -352,8 +377,14 @@
             head.headers.get(peers::HELD).and_then(|value| value.to_str().ok()?.parse().ok());
         match (head.status.as_u16(), held) {
             (200, _) => Ok(bytes),
-            (404, Some(held)) => Err(event::Failure::NotYet { held }),
-            (503, _) => Err(event::Failure::Busy),
+            (404, Some(held)) => {
+                log::debug!("agent: chunk {chunk} is not there yet, held={held} at {source:?}");
+                Err(event::Failure::NotYet { held })
+            }
+            (503, _) => {
+                log::debug!("agent: chunk {chunk}: {source:?} is busy");
+                Err(event::Failure::Busy)
+            }
             _ => Err(event::Failure::Error),
         }
     }
--- a/ragwortdeal_node/src/fleet/dialect.rs
+++ b/ragwortdeal_node/src/fleet/dialect.rs
@@ -107,6 +107,15 @@
     pub body: bytes::Bytes,
 }
 
+/// What becomes of running requests when an engine loads other weights.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cutover {
+    /// They end before.
+    Wait,
+    /// They are broken off.
+    BreakOff,
+}
+
 /// What an engine says of itself.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct EngineReport {
@@ -174,7 +183,13 @@
     fn report(&self, body: &[u8]) -> Result<EngineReport, Unreadable>;
 
     /// Orders an engine to load what is staged.
-    fn load_call(&self, model: &str, version: u64, expected_orders: Option<u64>) -> Call;
+    fn load_call(
+        &self,
+        model: &str,
+        version: u64,
+        cutover: Cutover,
+        expected_orders: Option<u64>,
+    ) -> Call;
 
     /// Asks the origin for the hashes of a version.
     fn manifest_call(&self, model: &str, version: u64) -> Call;
--- a/ragwortdeal_node/src/fleet/entry/relay.rs
+++ b/ragwortdeal_node/src/fleet/entry/relay.rs
@@ -105,7 +105,8 @@
         }
     }
 
-    fn start(self, first: Bytes) -> http::Response {
+    fn start(mut self, first: Bytes) -> http::Response {
+        self.source.chosen.began();
         let (sender, receiver) = mpsc::channel(PIECES);
         // The queue is empty and longer than one piece.
         let _ = sender.try_send(Ok(Frame::data(first)));
--- a/ragwortdeal_node/src/fleet/entry/request.rs
+++ b/ragwortdeal_node/src/fleet/entry/request.rs
@@ -35,6 +35,8 @@
     pub(super) service: directory::Text,
     /// Models of the service where it is one of engines.
     pub(super) models: Option<Vec<directory::Text>>,
+    /// Milliseconds that an engine takes to read the prompt, 0 where there is none.
+    pub(super) reading_ms: f64,
     pub(super) started: time::Instant,
     /// When the caller or the operator stops waiting.
     pub(super) deadline: time::Instant,
@@ -108,7 +110,14 @@
         }
         let service = document::table::target(route, self.draw()).cloned();
         let service = service.ok_or(Refusal::new(503, "the route leads nowhere"))?;
-        let models = table.engine(&service).map(|engine| engine.models.clone());
+        let engine = table.engine(&service);
+        let models = engine.map(|engine| engine.models.clone());
+        let tokens = request.header(names.tokens.as_str());
+        let tokens = tokens.and_then(|value| self.spoken.tokens(value));
+        let reading_ms = match (engine, tokens) {
+            (Some(engine), Some(tokens)) => reading_ms(engine, tokens.prompt),
+            _ => 0.0,
+        };
         let number = |name: &header::HeaderName| {
             request.headers.get(name)?.to_str().ok()?.trim().parse::<u64>().ok()
         };
@@ -125,6 +134,7 @@
             route: route.clone(),
             service,
             models,
+            reading_ms,
             started,
             deadline,
             last_event,
@@ -143,6 +153,13 @@
     }
 }
 
+/// Milliseconds that an engine takes to read a prompt: its tokens, and the pairs among them.
+fn reading_ms(engine: &document::Engine, prompt_tokens: u32) -> f64 {
+    let tokens = f64::from(prompt_tokens);
+    let pairs = tokens * tokens / 2.0;
+    tokens * 1_000.0 / engine.read_tokens_per_s.max(1.0) + pairs / 1e6 * engine.read_pairs_ms
+}
+
 /// Headers that go on to the next hop.
 pub(super) fn forwarded(headers: &header::HeaderMap) -> header::HeaderMap {
     let named: Vec<String> = headers
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -123,6 +123,7 @@
         let wanted = upstreams::Wanted {
             service: &asked.service,
             models: asked.models.as_deref(),
+            reading_ms: asked.reading_ms,
             tried: &progress.tried,
         };
         let chosen = self.choose(&wanted).map_err(|no_way| match no_way {
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -25,7 +25,10 @@
 
 /// Taken off the time in which engines must serve named weights: requests that were sent before
 /// still wait for their first token.
-const WEIGHTS_MARGIN_MS: u64 = 2_500;
+const WEIGHTS_MARGIN_MS: u64 = 1_300;
+
+/// Versions of a model of which the time is remembered.
+const NAMED_MAX: usize = 32;
 
 /// How this entry fared with an upstream.
 #[derive(Clone, Debug, Default)]
@@ -36,6 +39,8 @@
     failing: f64,
     failures: u32,
     suspended_until_ms: u64,
+    /// Milliseconds of prompts that it has to read before their first event.
+    reading_ms: f64,
 }
 
 /// Weights that were named.
@@ -50,12 +55,24 @@
     pub(super) peer: pool::Peer,
     /// Version of weights that it serves.
     pub(super) version: Option<u64>,
+    /// Milliseconds of the prompt that count as unread there.
+    reading_ms: f64,
     entry: sync::Arc<Entry>,
 }
 
+impl Chosen {
+    /// The first event came: the prompt is read.
+    pub(super) fn began(&mut self) {
+        let reading_ms = std::mem::take(&mut self.reading_ms);
+        self.entry.fleet().read(&self.peer.instance, reading_ms);
+    }
+}
+
 impl Drop for Chosen {
     fn drop(&mut self) {
-        self.entry.fleet().closed(&self.peer.instance);
+        let mut fleet = self.entry.fleet();
+        fleet.closed(&self.peer.instance);
+        fleet.read(&self.peer.instance, self.reading_ms);
     }
 }
 
@@ -75,7 +92,7 @@
     directory: directory::Directory,
     ways: collections::HashMap<directory::Text, Way>,
     serves: collections::HashMap<net::SocketAddrV4, notice::Serves>,
-    named: collections::HashMap<String, Named>,
+    named: collections::HashMap<String, Vec<Named>>,
     entries: collections::HashMap<net::Ipv4Addr, u32>,
     spending: collections::HashMap<directory::Text, share::Spending>,
 }
@@ -117,16 +134,30 @@
 
     pub(super) fn serves(&mut self, serves: notice::Serves) {
         let newer = |held: &notice::Serves| held.number < serves.number;
-        if self.serves.get(&serves.address).is_none_or(newer) {
-            self.serves.insert(serves.address, serves);
+        if !self.serves.get(&serves.address).is_none_or(newer) {
+            return;
+        }
+        if serves.accepts {
+            // What failed while the engine loaded says nothing of how it works now.
+            let here = self.directory.all().filter(|it| it.said.address == serves.address);
+            for upstream in here {
+                if let Some(way) = self.ways.get_mut(&upstream.said.instance) {
+                    (way.failing, way.failures, way.suspended_until_ms) = (0.0, 0, 0);
+                }
+            }
         }
+        self.serves.insert(serves.address, serves);
     }
 
     pub(super) fn named(&mut self, model: &str, version: u64, now_ms: u64) {
-        let held = self.named.entry(model.to_owned()).or_insert(Named { version: 0, heard_ms: 0 });
-        if version > held.version {
+        let named = self.named.entry(model.to_owned()).or_default();
+        if named.iter().all(|held| held.version < version) {
             log::info!("entry: weights {model} version={version} are named");
-            *held = Named { version, heard_ms: now_ms };
+            named.push(Named { version, heard_ms: now_ms });
+            // Those whose time is up long since are covered by the newest of them.
+            if named.len() > NAMED_MAX {
+                named.remove(0);
+            }
         }
     }
 
@@ -155,13 +186,13 @@
         .filter(|version| *version > 0)
     }
 
-    /// Lowest version of a model that a request may begin on now.
+    /// Lowest version of a model that a request may begin on now: the highest whose time is up.
+    /// Versions may be named faster than engines take them, so each has a time of its own.
     fn lowest(&self, model: &str, now_ms: u64) -> u64 {
-        let Some(named) = self.named.get(model) else {
-            return 0;
-        };
-        let due_ms = named.heard_ms + self.weights_ms.saturating_sub(WEIGHTS_MARGIN_MS);
-        if now_ms >= due_ms { named.version } else { named.version.saturating_sub(1) }
+        let due_ms = self.weights_ms.saturating_sub(WEIGHTS_MARGIN_MS);
+        let named = self.named.get(model).into_iter().flatten();
+        let due = named.filter(|named| now_ms >= named.heard_ms + due_ms);
+        due.map(|named| named.version).max().unwrap_or(0)
     }
 
     fn candidate(&self, said: &directory::Announcement, now_ms: u64) -> Option<choice::Candidate> {
@@ -176,12 +207,21 @@
             slots: said.slots,
             near: said.zone == self.zone,
             failing: way.map_or(0.0, |way| way.failing),
+            reading_ms: way.map_or(0.0, |way| way.reading_ms),
         })
     }
 
     /// Notes a request as open at an upstream.
-    fn opened(&mut self, instance: &directory::Text) {
-        self.ways.entry(instance.clone()).or_default().open += 1;
+    fn opened(&mut self, instance: &directory::Text, reading_ms: f64) {
+        let way = self.ways.entry(instance.clone()).or_default();
+        way.open += 1;
+        way.reading_ms += reading_ms;
+    }
+
+    fn read(&mut self, instance: &str, reading_ms: f64) {
+        if let Some(way) = self.ways.get_mut(instance) {
+            way.reading_ms = (way.reading_ms - reading_ms).max(0.0);
+        }
     }
 
     fn closed(&mut self, instance: &str) {
@@ -206,6 +246,10 @@
     /// Notes that an upstream failed. It is passed over for a while, for longer each time.
     pub(super) fn failed(&mut self, instance: &directory::Text, now_ms: u64) {
         let way = self.ways.entry(instance.clone()).or_default();
+        // All that was open there fails together, which is one failure and not many.
+        if now_ms < way.suspended_until_ms {
+            return;
+        }
         let suspend_ms = SUSPEND_MS << way.failures.min(8);
         way.failures += 1;
         way.failing = 1.0 - (1.0 - way.failing) * FAILING_KEPT;
@@ -246,6 +290,8 @@
     pub(super) service: &'w str,
     /// Models of the service where it is one of engines.
     pub(super) models: Option<&'w [directory::Text]>,
+    /// Milliseconds that an engine takes to read the prompt.
+    pub(super) reading_ms: f64,
     /// Upstreams that were tried already.
     pub(super) tried: &'w [directory::Text],
 }
@@ -286,8 +332,9 @@
             return Err(if empty { NoWay::None } else { NoWay::Full });
         };
         let (instance, address, version) = offered.swap_remove(index);
-        fleet.opened(&instance);
+        fleet.opened(&instance, wanted.reading_ms);
         let peer = pool::Peer { instance, address };
-        Ok(Chosen { peer, version, entry: self.clone() })
+        let reading_ms = wanted.reading_ms;
+        Ok(Chosen { peer, version, reading_ms, entry: self.clone() })
     }
 }
