Keep requests in their zone, and few chunks on the links between regions

Cause: streams were late because one event of theirs waited over 120 ms on a link between regions behind chunks of weights: each agent kept up to five requests open there.

Change: three requests a region in flight; a far upstream is taken only when it is emptier by four slots; a version that another one overtakes goes on among peers without the origin.

--- a/ragwortdeal_core/src/dispatch/choice.rs
+++ b/ragwortdeal_core/src/dispatch/choice.rs
@@ -20,7 +20,7 @@
 
 /// How much fuller, in slots, a near upstream may be before a far one is taken: what a request
 /// costs on the links between zones is worth a wait of about that many requests.
-const NEAR_SLOTS: f64 = 1.0;
+const NEAR_SLOTS: f64 = 4.0;
 
 /// Slots that an upstream which always fails is taken to have filled.
 const FAILING_SLOTS: f64 = 24.0;
--- a/ragwortdeal_node/src/fleet/agent/spread.rs
+++ b/ragwortdeal_node/src/fleet/agent/spread.rs
@@ -30,9 +30,9 @@
 
 /// The transfers of an agent.
 pub(super) struct Spread {
-    state: sync::Mutex<Option<Active>>,
-    /// The last version that was complete when a newer one began.
-    older: sync::Mutex<Option<Whole>>,
+    /// The versions at hand, the newest last. One before it goes on among peers: where the origin is
+    /// lost, it may be the newest that can be had.
+    state: sync::Mutex<Vec<Active>>,
     /// Signalled when a version is complete.
     complete: Notify,
 }
@@ -54,6 +54,19 @@
     fetches: collections::BTreeMap<(event::Source, u32), task::AbortHandle>,
     reported: collections::BTreeMap<net::Ipv4Addr, u64>,
     origin_faults: u32,
+    /// Whether the origin may be asked: its link is for the newest version.
+    draws: bool,
+}
+
+/// One chunk to fetch.
+struct Wanted {
+    weights: origin::Weights,
+    manifest: manifest::Manifest,
+    source: event::Source,
+    chunk: u32,
+    deadline_ms: u64,
+    /// Whether the origin may be asked.
+    draws: bool,
 }
 
 impl Active {
@@ -72,12 +85,13 @@
         origin_weight_percent: 100,
         // Callers' requests and answers share the instance's link, and wait behind each chunk that
         // is under way: 42 ms each at 9.4 Mbit/s, of which a first event may take 300.
-        downloads_max: 3,
-        uploads_max: 3,
+        downloads_max: 2,
+        uploads_max: 2,
+        remote_requests_max: 3,
         uploads_per_peer_max: 1,
         announce_interval_ms: 60,
         probe_interval_ms: 150,
-        busy_backoff_ms: 40,
+        busy_backoff_ms: 25,
         // Members are known before a fetch begins, but are told to the policy one by one.
         settle_ms: 60,
         // Below the connections that an origin takes, of which some are still closing.
@@ -94,36 +108,33 @@
 
 impl Spread {
     pub(super) fn new() -> Self {
-        Self {
-            state: sync::Mutex::default(),
-            older: sync::Mutex::default(),
-            complete: Notify::new(),
-        }
+        Self { state: sync::Mutex::default(), complete: Notify::new() }
     }
 
-    fn state(&self) -> sync::MutexGuard<'_, Option<Active>> {
+    fn state(&self) -> sync::MutexGuard<'_, Vec<Active>> {
         self.state.lock().expect("no panic under lock")
     }
 
-    /// The manifest of a version, where it is the one at hand.
+    /// The manifest of a version, where it is at hand.
     pub(super) fn listed(&self, weights: &origin::Weights) -> Option<origin::Listed> {
-        let state = self.state();
-        state.as_ref().filter(|it| it.weights == *weights).map(|it| it.listed.clone())
+        self.state().iter().find(|it| it.weights == *weights).map(|it| it.listed.clone())
     }
 
-    /// The version that is being fetched, once all its chunks are at hand.
+    /// The newest version that is being fetched, once all its chunks are at hand.
     pub(super) fn whole(&self) -> Option<Whole> {
-        self.state().as_ref().and_then(Active::whole)
+        self.state().last().and_then(Active::whole)
     }
 
     /// The complete version before it.
     pub(super) fn older(&self) -> Option<Whole> {
-        self.older.lock().expect("no panic under lock").clone()
+        let state = self.state();
+        let (_, before) = state.split_last()?;
+        before.iter().rev().find_map(Active::whole)
     }
 
     /// Whether the origin sent so much that does not fit the manifest that this is doubted.
     pub(super) fn doubts_manifest(&self) -> bool {
-        self.state().as_ref().is_some_and(|it| it.origin_faults >= ORIGIN_FAULTS_MAX)
+        self.state().last().is_some_and(|it| it.origin_faults >= ORIGIN_FAULTS_MAX)
     }
 
     /// Waits until a version may be complete.
@@ -140,7 +151,7 @@
         now_ms: u64,
     ) -> Result<Bytes, event::Answer> {
         let mut state = self.state();
-        let active = state.as_mut().filter(|it| it.weights == *weights);
+        let active = state.iter_mut().find(|it| it.weights == *weights);
         let active = active.ok_or(event::Answer::NotYet { held: 0 })?;
         let version = active.download.version();
         match active.download.serve(now_ms, to, version, chunk) {
@@ -183,14 +194,17 @@
             fetches: collections::BTreeMap::new(),
             reported: collections::BTreeMap::new(),
             origin_faults: 0,
+            draws: true,
         };
-        let before = self.spread.state().replace(active);
-        if let Some(before) = before {
-            before.fetches.values().for_each(task::AbortHandle::abort);
-            if let Some(whole) = before.whole() {
-                *self.spread.older.lock().expect("no panic under lock") = Some(whole);
-            }
+        let mut state = self.spread.state();
+        state.retain(|it| it.weights != active.weights);
+        if let [first, second] = state.as_slice() {
+            // A complete version is worth more than a later one that is not.
+            let keeps_first = first.download.is_complete() && !second.download.is_complete();
+            state.remove(usize::from(keeps_first));
         }
+        state.push(active);
+        drop(state);
         self.tick_spread();
     }
 
@@ -214,9 +228,19 @@
     fn tick_spread(self: &sync::Arc<Self>) {
         let seats = self.seats();
         let mut state = self.spread.state();
-        let Some(active) = state.as_mut() else {
-            return;
-        };
+        for index in 0..state.len() {
+            let newest = index + 1 == state.len();
+            self.tick_active(&mut state[index], &seats, newest);
+        }
+    }
+
+    fn tick_active(
+        self: &sync::Arc<Self>,
+        active: &mut Active,
+        seats: &collections::BTreeMap<net::Ipv4Addr, notice::Seat>,
+        newest: bool,
+    ) {
+        active.draws = newest;
         let mut events = Vec::new();
         let gone: Vec<_> = active
             .reported
@@ -229,7 +253,7 @@
             let instance = name::InstanceName::new(&address.to_string());
             events.extend(instance.ok().map(event::Event::Left));
         }
-        for (address, seat) in &seats {
+        for (address, seat) in seats {
             if active.reported.insert(*address, seat.incarnation) != Some(seat.incarnation) {
                 events.extend(self.place_of(seat).map(event::Event::Joined));
             }
@@ -240,13 +264,13 @@
 
     /// Hands an event to the policy and does what it says.
     pub(super) fn feed(self: &sync::Arc<Self>, event: event::Event) {
-        if let Some(active) = self.spread.state().as_mut() {
-            self.feed_active(active, event);
+        for active in self.spread.state().iter_mut() {
+            self.feed_active(active, event.clone());
         }
     }
 
     pub(super) fn upload_ended(&self, to: &name::InstanceName, chunk: u32) {
-        if let Some(active) = self.spread.state().as_mut() {
+        for active in self.spread.state().iter_mut() {
             active.download.upload_ended(to, chunk);
         }
     }
@@ -260,13 +284,15 @@
     fn act(self: &sync::Arc<Self>, active: &mut Active, action: event::Action) {
         match action {
             event::Action::Request { source, chunk, deadline_ms } => {
-                let fetch = self.clone().fetch(
-                    active.weights.clone(),
-                    active.listed.manifest.clone(),
-                    source.clone(),
+                let wanted = Wanted {
+                    weights: active.weights.clone(),
+                    manifest: active.listed.manifest.clone(),
+                    source: source.clone(),
                     chunk,
-                    deadline_ms.saturating_sub(self.clock.now_ms()),
-                );
+                    deadline_ms: deadline_ms.saturating_sub(self.clock.now_ms()),
+                    draws: active.draws,
+                };
+                let fetch = self.clone().fetch(wanted);
                 let handle = tokio::spawn(fetch).abort_handle();
                 active.fetches.insert((source, chunk), handle);
             }
@@ -296,16 +322,10 @@
         }
     }
 
-    async fn fetch(
-        self: sync::Arc<Self>,
-        weights: origin::Weights,
-        manifest: manifest::Manifest,
-        source: event::Source,
-        chunk: u32,
-        deadline_ms: u64,
-    ) {
+    async fn fetch(self: sync::Arc<Self>, wanted: Wanted) {
+        let fetched = self.fetch_bytes(&wanted).await;
+        let Wanted { weights, manifest, source, chunk, .. } = wanted;
         let version = manifest.version();
-        let fetched = self.fetch_bytes(&weights, &manifest, &source, chunk, deadline_ms).await;
         let event = match fetched {
             Err(failure) => {
                 event::Event::Failed { source: source.clone(), version, chunk, failure }
@@ -320,7 +340,7 @@
             },
         };
         let mut state = self.spread.state();
-        if let Some(active) = state.as_mut().filter(|it| it.weights == weights) {
+        if let Some(active) = state.iter_mut().find(|it| it.weights == weights) {
             active.fetches.remove(&(source, chunk));
             self.feed_active(active, event);
         }
@@ -328,21 +348,17 @@
 
     fn keep(&self, weights: &origin::Weights, chunk: u32, bytes: Bytes) {
         let mut state = self.spread.state();
-        if let Some(active) = state.as_mut().filter(|it| it.weights == *weights) {
+        if let Some(active) = state.iter_mut().find(|it| it.weights == *weights) {
             active.origin_faults = 0;
             active.bytes.insert(chunk, bytes);
         }
     }
 
-    async fn fetch_bytes(
-        &self,
-        weights: &origin::Weights,
-        manifest: &manifest::Manifest,
-        source: &event::Source,
-        chunk: u32,
-        deadline_ms: u64,
-    ) -> Result<Bytes, event::Failure> {
+    async fn fetch_bytes(&self, wanted: &Wanted) -> Result<Bytes, event::Failure> {
+        let Wanted { weights, manifest, source, chunk, deadline_ms, draws } = wanted;
+        let (chunk, deadline_ms) = (*chunk, *deadline_ms);
         let (peer, call) = match source {
+            event::Source::Origin if !draws => return Err(event::Failure::Error),
             event::Source::Origin => {
                 let document = self.told.borrow().document.clone();
                 let origin = document.as_ref().and_then(|document| document.origin());
