Keep a version only where it is newer than what is served

Cause: of two older versions an agent kept the complete one that its engine served already, so a version overtaken after 2 s was lost and all engines were out of use when the origin failed.

Change: the served version is not kept; silent owners of chunks are passed over sooner.

--- a/ragwortdeal_node/src/fleet/agent/keeper.rs
+++ b/ragwortdeal_node/src/fleet/agent/keeper.rs
@@ -84,7 +84,7 @@
                 return;
             };
             let kept = self.kept(&weights, &listed.manifest).await;
-            self.begin(weights.clone(), listed, kept);
+            self.begin(serving, weights.clone(), listed, kept);
         }
         if let Some(whole) = self.due(&weights, named_ms, serving) {
             self.switch(&whole, &report).await;
--- a/ragwortdeal_node/src/fleet/agent/spread.rs
+++ b/ragwortdeal_node/src/fleet/agent/spread.rs
@@ -96,11 +96,11 @@
         settle_ms: 60,
         // Below the connections that an origin takes, of which some are still closing.
         origin_requests_max: 20,
-        deadline_min_ms: 600,
-        deadline_far_min_ms: 1_500,
-        deadline_first_ms: 1_500,
+        deadline_min_ms: 400,
+        deadline_far_min_ms: 1_000,
+        deadline_first_ms: 600,
         deadline_max_ms: 3_000,
-        stall_ms: 1_500,
+        stall_ms: 800,
         banned_ms: 3_000,
         ..limits::Limits::default()
     }
@@ -174,9 +174,11 @@
 }
 
 impl Agent {
-    /// Begins to fetch a version, with the chunks that are staged already.
+    /// Begins to fetch a version, with the chunks that are staged already, while the engine serves
+    /// another one.
     pub(super) fn begin(
         self: &sync::Arc<Self>,
+        serving: u64,
         weights: origin::Weights,
         listed: origin::Listed,
         kept: Vec<(manifest::VerifiedChunk, Bytes)>,
@@ -199,8 +201,11 @@
         let mut state = self.spread.state();
         state.retain(|it| it.weights != active.weights);
         if let [first, second] = state.as_slice() {
-            // A complete version is worth more than a later one that is not.
-            let keeps_first = first.download.is_complete() && !second.download.is_complete();
+            // A complete version is worth more than a later one that is not, unless the engine
+            // serves it anyway.
+            let keeps_first = first.weights.version > serving
+                && first.download.is_complete()
+                && !second.download.is_complete();
             state.remove(usize::from(keeps_first));
         }
         state.push(active);
