Log as JSON lines, count, and test voters and weights of a fleet

Cause: on-call engineers had lines for people on standard error only, and no metrics could be fetched.

Change: one line a decision, through a bounded queue that nobody waits for, with a budget for each kind of line; counters and latencies as text; an upstream that answered slowly gets no request on older weights from 4 s after the name and counts as partly failing.

--- a/ragwortdeal_node/src/fleet.rs
+++ b/ragwortdeal_node/src/fleet.rs
@@ -8,6 +8,7 @@
 pub mod dialect;
 pub mod entry;
 pub mod follow;
+pub mod metrics;
 pub mod notice;
 pub mod packing;
 pub mod reload;
--- a/ragwortdeal_node/src/fleet/agent.rs
+++ b/ragwortdeal_node/src/fleet/agent.rs
@@ -18,8 +18,8 @@
 use snafu::Snafu;
 use tokio::{net, sync::mpsc, sync::watch};
 
-use super::{dialect, follow, notice, packing};
-use crate::{clock, http, link, settings, stop};
+use super::{dialect, follow, metrics, notice, packing};
+use crate::{clock, http, link, settings, stop, telemetry};
 
 /// How long a connect may take; engine, peers and origin stand a few milliseconds away.
 const CONNECT_MS: u64 = 500;
@@ -71,6 +71,7 @@
     held_version: sync::Arc<atomic::AtomicU64>,
     told: watch::Sender<Told>,
     spread: spread::Spread,
+    telemetry: telemetry::Telemetry,
     voters: sync::OnceLock<follow::Voters>,
     serves: sync::Mutex<notice::Serves>,
     /// Start of the engine by its newest announcement.
@@ -91,6 +92,7 @@
     let service = service.ok_or(AgentError::Missing { what: "fleet.service" })?;
     let mut identity = settings.process.identity()?;
     identity.name = name::InstanceName::new(&settings.fleet.address.to_string())?;
+    let (telemetry, _) = metrics::start(settings.listen.metrics, stop.clone()).await;
     let agent = sync::Arc::new(Agent {
         spoken,
         credential: link::Credential::new(&settings.credentials.cluster),
@@ -101,6 +103,7 @@
         held_version: sync::Arc::default(),
         told: watch::Sender::new(Told::default()),
         spread: spread::Spread::new(),
+        telemetry,
         voters: sync::OnceLock::new(),
         serves: sync::Mutex::new(notice::Serves {
             address: engine,
--- a/ragwortdeal_node/src/fleet/agent/keeper.rs
+++ b/ragwortdeal_node/src/fleet/agent/keeper.rs
@@ -36,7 +36,7 @@
 
 /// The last switch begins this long before the bound, so that a request that was on its way still
 /// begins in time.
-const SWITCHES_END_MARGIN_MS: u64 = 1_800;
+const SWITCHES_END_MARGIN_MS: u64 = 2_500;
 
 /// Version that engines hold before any is named.
 const FIRST_VERSION: u64 = 1;
@@ -160,7 +160,9 @@
         }
         let status = self.order_load(weights, dialect::Cutover::BreakOff, report.orders).await;
         log::info!("agent: ordered {weights:?}, status={status:?}");
+        let begun = time::Instant::now();
         self.await_load(weights, report.orders).await;
+        self.telemetry.took("agent.load_ms", begun.elapsed().as_millis() as u64);
     }
 
     async fn let_requests_end(&self) {
--- a/ragwortdeal_node/src/fleet/agent/spread.rs
+++ b/ragwortdeal_node/src/fleet/agent/spread.rs
@@ -339,6 +339,11 @@
                 Err(fault) => event::Event::Bad { source: source.clone(), version, chunk, fault },
                 Ok(proof) => {
                     log::debug!("agent: chunk {chunk} of {weights:?} came from {source:?}");
+                    let from = match source {
+                        event::Source::Origin => "agent.origin_bytes",
+                        event::Source::Peer(_) => "agent.peer_bytes",
+                    };
+                    self.telemetry.count(from, bytes.len() as u64);
                     self.keep(&weights, chunk, bytes);
                     event::Event::Arrived { source: source.clone(), chunk: proof }
                 }
--- a/ragwortdeal_node/src/fleet/entry.rs
+++ b/ragwortdeal_node/src/fleet/entry.rs
@@ -19,8 +19,8 @@
 use snafu::{ResultExt as _, Snafu};
 use tokio::net;
 
-use super::{dialect, follow};
-use crate::{clock, http, settings, stop};
+use super::{dialect, follow, metrics};
+use crate::{clock, http, settings, stop, telemetry};
 
 /// How long a stopping entry goes on taking connections after it said that it is not ready: the
 /// balancer asks every second, believes the second answer, and needs a moment to act on it.
@@ -92,11 +92,16 @@
     held_version: sync::Arc<atomic::AtomicU64>,
     fleet: sync::Mutex<upstreams::Fleet>,
     pool: pool::Pool,
+    telemetry: telemetry::Telemetry,
     stopping: atomic::AtomicBool,
 }
 
 impl Entry {
-    fn new(settings: &settings::fleet::Settings, spoken: dialect::Spoken) -> Self {
+    fn new(
+        settings: &settings::fleet::Settings,
+        spoken: dialect::Spoken,
+        telemetry: telemetry::Telemetry,
+    ) -> Self {
         let bounds = &settings.bounds;
         let budget = share::Budget {
             ratio: bounds.budget_ratio,
@@ -115,6 +120,7 @@
             held_version: sync::Arc::default(),
             fleet: sync::Mutex::new(fleet),
             pool: pool::Pool::default(),
+            telemetry,
             stopping: atomic::AtomicBool::new(false),
         }
     }
@@ -144,7 +150,8 @@
     let settings = sync::Arc::new(settings);
     let mut identity = settings.process.identity()?;
     identity.name = ragwortdeal_core::name::InstanceName::new(&settings.fleet.address.to_string())?;
-    let entry = sync::Arc::new(Entry::new(&settings, spoken));
+    let (telemetry, _) = metrics::start(settings.listen.metrics, stop.clone()).await;
+    let entry = sync::Arc::new(Entry::new(&settings, spoken, telemetry));
     let (voters, told) =
         follow::start(settings.clone(), identity, "entry", entry.held_version.clone(), seeds);
     tokio::spawn(learn::follow(entry.clone(), told));
--- a/ragwortdeal_node/src/fleet/entry/exchange.rs
+++ b/ragwortdeal_node/src/fleet/entry/exchange.rs
@@ -32,6 +32,8 @@
     pub(super) connection: pool::Connection,
     /// For how long the connection may be kept afterwards.
     pub(super) keep: Option<time::Duration>,
+    /// Time from the sending to the head.
+    pub(super) took: time::Duration,
 }
 
 impl Entry {
@@ -56,8 +58,10 @@
             },
         };
         let request = self.outgoing(asked, chosen, last_event);
+        let begun = time::Instant::now();
         let sent = connection.sender.try_send_request(request);
-        let response = match tokio::time::timeout(asked.left(), sent).await {
+        let left = chosen.left_to_begin().map_or(asked.left(), |left| left.min(asked.left()));
+        let response = match tokio::time::timeout(left, sent).await {
             Err(_) => return Outcome::Lost("no answer in time".to_owned()),
             Ok(Err(mut error)) => {
                 return match error.take_message() {
@@ -68,7 +72,8 @@
             Ok(Ok(response)) => response,
         };
         let (head, body) = response.into_parts();
-        self.judge(asked, Answer { keep: pool::keep(&head.headers), head, body, connection })
+        let keep = pool::keep(&head.headers);
+        self.judge(asked, Answer { keep, head, body, connection, took: begun.elapsed() })
     }
 
     /// Tells an answer to this request from a late one to another, which may come on a connection
--- a/ragwortdeal_node/src/fleet/entry/relay.rs
+++ b/ragwortdeal_node/src/fleet/entry/relay.rs
@@ -89,8 +89,14 @@
 
 impl Pump {
     async fn read(&mut self) -> Read {
-        let next = tokio::time::timeout(self.asked.left(), self.source.answer.body.frame()).await;
+        let left = self.asked.left();
+        let to_begin = self.source.chosen.left_to_begin();
+        let bound = to_begin.map_or(left, |to_begin| to_begin.min(left));
+        let next = tokio::time::timeout(bound, self.source.answer.body.frame()).await;
         match next {
+            Err(_) if to_begin.is_some_and(|to_begin| to_begin < left) => {
+                Read::Lost("its weights are superseded and it has not begun".to_owned())
+            }
             Err(_) => Read::Late,
             Ok(None) if self.events.is_whole() => Read::Whole,
             Ok(None) => Read::Lost("the stream ended within an event".to_owned()),
@@ -130,9 +136,9 @@
             };
             let failure = match read {
                 Read::Events(bytes) if bytes.is_empty() => continue,
-                Read::Events(bytes) => match sender.send(Ok(Frame::data(bytes))).await {
-                    Ok(()) => continue,
-                    Err(_) => return self.caller_gone(),
+                Read::Events(bytes) => match self.pass(&sender, bytes).await {
+                    true => continue,
+                    false => return self.caller_gone(),
                 },
                 Read::Whole => return self.source.give_back(&self.entry),
                 Read::Late => "no time is left".to_owned(),
@@ -145,10 +151,11 @@
                 }
             };
             log::info!(
-                "entry: request {} cut after {:?}: {failure}",
-                self.asked.id(),
-                self.events.last()
+                request = self.asked.id(), last_event = self.events.last().unwrap_or(0),
+                held_ms = self.asked.started.elapsed().as_millis() as u64, reason = failure.as_str();
+                "entry: stream cut"
             );
+            self.entry.telemetry.count("entry.streams_cut", 1);
             // The connection is closed without the end of the body, so the part is not taken for
             // the whole.
             let _ = sender.send(Err(io::Error::other(failure))).await;
@@ -156,8 +163,19 @@
         }
     }
 
+    /// Passes events on. Returns whether the caller is still there.
+    async fn pass(&mut self, sender: &mpsc::Sender<Piece>, events: Bytes) -> bool {
+        self.source.chosen.began();
+        sender.send(Ok(Frame::data(events))).await.is_ok()
+    }
+
     fn caller_gone(self) {
-        log::info!("entry: request {} left by its caller", self.asked.id());
+        log::info!(
+            request = self.asked.id(), last_event = self.events.last().unwrap_or(0),
+            held_ms = self.asked.started.elapsed().as_millis() as u64;
+            "entry: left by its caller"
+        );
+        self.entry.telemetry.count("entry.callers_left", 1);
     }
 
     /// Goes on at another upstream behind the last event that was passed on.
@@ -179,11 +197,11 @@
                 && answer.head.status.is_success()
             {
                 log::info!(
-                    "entry: request {} resumed after {:?} at {}",
-                    self.asked.id(),
-                    self.events.last(),
-                    chosen.peer.instance
+                    request = self.asked.id(), last_event = self.events.last().unwrap_or(0),
+                    upstream = &*chosen.peer.instance;
+                    "entry: stream resumed"
                 );
+                self.entry.telemetry.count("entry.streams_resumed", 1);
                 self.source = Source { chosen, answer: *answer };
                 return Ok(());
             }
--- a/ragwortdeal_node/src/fleet/entry/request.rs
+++ b/ragwortdeal_node/src/fleet/entry/request.rs
@@ -146,7 +146,7 @@
                 Err(Refusal::new(408, "the body did not come in time"))
             }
             Err(error) => {
-                log::info!("entry: request {}: body: {error}", asked.id());
+                log::info!(request = asked.id(), reason:% = error; "entry: the body did not come");
                 Err(Refusal::new(413, "the body is too large or was cut"))
             }
         }
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -1,6 +1,9 @@
 //! Serves one request: attempts, repeats, refusals.
 
-use std::{sync, time};
+use std::{
+    sync::{self, atomic},
+    time,
+};
 
 use http_body_util::BodyExt as _;
 use hyper::{header, http::response};
@@ -35,6 +38,7 @@
     let Some(id) = request.headers.get(&names.request_id).cloned() else {
         return refused(&entry, None, &Refusal::new(400, "the request has no identifier"));
     };
+    entry.telemetry.count("entry.requests", 1);
     let mut response = match entry.read_request(request, id.clone()).await {
         Ok(asked) => serve(&entry, asked).await,
         Err(refusal) => refused(&entry, Some(&id), &refusal),
@@ -49,7 +53,12 @@
 /// Answers with a refusal or failure of the entry's own.
 fn refused(entry: &Entry, id: Option<&header::HeaderValue>, refusal: &Refusal) -> http::Response {
     let text = id.and_then(|id| id.to_str().ok()).unwrap_or("?");
-    log::info!("entry: request {text} refused, status={} {}", refusal.status, refusal.reason);
+    log::info!(
+        request = text, status = refusal.status, reason = refusal.reason,
+        document = entry.held_version.load(atomic::Ordering::Relaxed);
+        "entry: refused: {}", refusal.reason
+    );
+    entry.telemetry.count("entry.refused", 1);
     let body = http::full(format!("{}\n", refusal.reason));
     let mut response = http::respond(refusal.status, "text/plain", body);
     if let Some(id) = id {
@@ -155,19 +164,24 @@
         let instance = &chosen.peer.instance;
         let names = self.spoken.headers();
         progress.tried.push(instance.clone());
-        let held_ms = asked.started.elapsed().as_millis();
+        let held_ms = asked.started.elapsed().as_millis() as u64;
         match outcome {
             Outcome::NotSent(reason) => {
-                log::info!("entry: request {} not sent to {instance}: {reason}", asked.id());
+                log::info!(
+                    request = asked.id(), upstream = &**instance, held_ms, reason:%;
+                    "entry: not sent"
+                );
+                self.telemetry.count("entry.not_sent", 1);
                 self.fleet().failed(instance, now_ms);
                 None
             }
             Outcome::NotRun(head) => {
                 log::info!(
-                    "entry: request {} not run by {instance}, status={} after {held_ms} ms",
-                    asked.id(),
-                    head.status
+                    request = asked.id(), upstream = &**instance, held_ms,
+                    status = head.status.as_u16();
+                    "entry: not run by its upstream"
                 );
+                self.telemetry.count("entry.not_run", 1);
                 progress.sent += 1;
                 let other = head.headers.get(&names.instance);
                 let other = other.is_some_and(|it| it.as_bytes() != instance.as_bytes());
@@ -180,9 +194,10 @@
             }
             Outcome::Lost(reason) => {
                 log::info!(
-                    "entry: request {} lost at {instance} after {held_ms} ms: {reason}",
-                    asked.id()
+                    request = asked.id(), upstream = &**instance, held_ms, reason:%;
+                    "entry: lost, it may have run"
                 );
+                self.telemetry.count("entry.lost", 1);
                 progress.sent += 1;
                 progress.may_have_run = true;
                 self.fleet().failed(instance, now_ms);
@@ -191,10 +206,18 @@
             Outcome::Answer(answer) => {
                 progress.sent += 1;
                 progress.may_have_run = true;
+                self.telemetry.took("entry.head_ms", held_ms);
+                log::info!(
+                    request = asked.id(), upstream = &**instance, route = &*asked.route.name,
+                    attempt = progress.sent, version = chosen.version.unwrap_or(0), held_ms,
+                    status = answer.head.status.as_u16();
+                    "entry: answered by its upstream"
+                );
                 let load = answer.head.headers.get(&names.load);
                 let load = load.and_then(|value| value.to_str().ok());
                 let load = load.and_then(|value| self.spoken.load(value));
-                self.fleet().answered(instance, load, now_ms);
+                let took_ms = answer.took.as_millis() as u64;
+                self.fleet().answered(instance, load, took_ms, now_ms);
                 Some(answer)
             }
         }
@@ -209,7 +232,7 @@
     answer: exchange::Answer,
     progress: &mut Progress,
 ) -> Option<http::Response> {
-    let exchange::Answer { head, body, connection, keep } = answer;
+    let exchange::Answer { head, body, connection, keep, .. } = answer;
     let again = asked.route.repeat != document::Repeat::Never
         && progress.sent < asked.route.attempts_max
         && head.status.is_server_error();
@@ -229,7 +252,10 @@
     };
     give_back(entry, &chosen.peer, connection, keep);
     if again {
-        log::info!("entry: request {} failed at {}", asked.id(), chosen.peer.instance);
+        log::info!(
+            request = asked.id(), upstream = &*chosen.peer.instance, status = head.status.as_u16();
+            "entry: failed at its upstream, another one is asked"
+        );
         entry.fleet().failed(&chosen.peer.instance, entry.clock.now_ms());
         if let Some(other) = another(entry, asked, progress).await {
             return Some(other);
@@ -254,7 +280,7 @@
     if asked.route.streams {
         return relay::begin(entry, asked, chosen, *answer, progress).await;
     }
-    let exchange::Answer { head, body, connection, keep } = *answer;
+    let exchange::Answer { head, body, connection, keep, .. } = *answer;
     let limited = http_body_util::Limited::new(body, ANSWER_MAX_BYTES);
     let read = tokio::time::timeout(asked.left(), limited.collect()).await;
     let bytes = read.ok()?.ok()?.to_bytes();
@@ -266,7 +292,11 @@
     /// Notes that an upstream broke an answer off.
     pub(super) fn broke_off(&self, asked: &Asked, chosen: &upstreams::Chosen, reason: &str) {
         let instance = &chosen.peer.instance;
-        log::info!("entry: request {} at {instance}: {reason}", asked.id());
+        log::info!(
+            request = asked.id(), upstream = &**instance, reason;
+            "entry: the answer broke off"
+        );
+        self.telemetry.count("entry.broke_off", 1);
         self.fleet().failed(instance, self.clock.now_ms());
     }
 }
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -1,6 +1,6 @@
 //! The upstreams as this entry sees them: what they said, what is open there, how they fared.
 
-use std::{collections, net, sync};
+use std::{collections, net, sync, time};
 
 use ragwortdeal_core::{
     directory,
@@ -25,7 +25,25 @@
 
 /// Taken off the time in which engines must serve named weights: requests that were sent before
 /// still wait for their first token.
-const WEIGHTS_MARGIN_MS: u64 = 1_300;
+const WEIGHTS_MARGIN_MS: u64 = 1_500;
+
+/// The same for upstreams that answered slowly of late. Behind a narrow link requests were seen to
+/// arrive two seconds after they were sent, where no reset takes them back.
+const WEIGHTS_MARGIN_SLOW_MS: u64 = 4_000;
+
+/// A head that takes longer shows a slow way to an upstream; with the engine at work it takes a
+/// third of that.
+const SLOW_HEAD_MS: u64 = 800;
+
+/// How long an upstream counts as slow after it. Each further slow head begins it anew.
+const SLOW_MS: u64 = 4_000;
+
+/// Part of the requests that an upstream which is slow is taken to fail.
+const SLOW_FAILING: f64 = 0.4;
+
+/// A request that has no first event so long before that time is up is taken back from an engine on
+/// older weights: on a slow link it may still be on its way, and would begin too late.
+const BEGIN_MARGIN_MS: u64 = 500;
 
 /// Versions of a model of which the time is remembered.
 const NAMED_MAX: usize = 32;
@@ -39,10 +57,18 @@
     failing: f64,
     failures: u32,
     suspended_until_ms: u64,
+    slow_until_ms: u64,
     /// Milliseconds of prompts that it has to read before their first event.
     reading_ms: f64,
 }
 
+impl Way {
+    fn failing_at(&self, now_ms: u64) -> f64 {
+        let slow = if now_ms < self.slow_until_ms { SLOW_FAILING } else { 0.0 };
+        self.failing.max(slow)
+    }
+}
+
 /// Weights that were named.
 #[derive(Clone, Copy, Debug)]
 struct Named {
@@ -57,12 +83,22 @@
     pub(super) version: Option<u64>,
     /// Milliseconds of the prompt that count as unread there.
     reading_ms: f64,
+    /// Time at which the request must have begun there, as the weights are superseded.
+    begin_by_ms: Option<u64>,
     entry: sync::Arc<Entry>,
 }
 
 impl Chosen {
+    /// Time that is left for the request to begin there, where there is a bound.
+    pub(super) fn left_to_begin(&self) -> Option<time::Duration> {
+        let by_ms = self.begin_by_ms?;
+        let left_ms = by_ms.saturating_sub(self.entry.clock.now_ms());
+        Some(time::Duration::from_millis(left_ms))
+    }
+
     /// The first event came: the prompt is read.
     pub(super) fn began(&mut self) {
+        self.begin_by_ms = None;
         let reading_ms = std::mem::take(&mut self.reading_ms);
         self.entry.fleet().read(&self.peer.instance, reading_ms);
     }
@@ -188,13 +224,21 @@
 
     /// Lowest version of a model that a request may begin on now: the highest whose time is up.
     /// Versions may be named faster than engines take them, so each has a time of its own.
-    fn lowest(&self, model: &str, now_ms: u64) -> u64 {
-        let due_ms = self.weights_ms.saturating_sub(WEIGHTS_MARGIN_MS);
+    fn lowest(&self, model: &str, margin_ms: u64, now_ms: u64) -> u64 {
+        let due_ms = self.weights_ms.saturating_sub(margin_ms);
         let named = self.named.get(model).into_iter().flatten();
         let due = named.filter(|named| now_ms >= named.heard_ms + due_ms);
         due.map(|named| named.version).max().unwrap_or(0)
     }
 
+    /// When a request must have begun on a version, because a newer one was named.
+    fn begin_by_ms(&self, models: &[directory::Text], version: u64) -> Option<u64> {
+        let named = models.iter().filter_map(|model| self.named.get(&**model)).flatten();
+        let newer = named.filter(|named| named.version > version);
+        let first_ms = newer.map(|named| named.heard_ms).min()?;
+        Some(first_ms + self.weights_ms.saturating_sub(BEGIN_MARGIN_MS))
+    }
+
     fn candidate(&self, said: &directory::Announcement, now_ms: u64) -> Option<choice::Candidate> {
         let way = self.ways.get(&said.instance);
         if way.is_some_and(|way| way.suspended_until_ms > now_ms) {
@@ -206,7 +250,7 @@
             elsewhere: fresh.map_or(0.0, |(load, _)| load),
             slots: said.slots,
             near: said.zone == self.zone,
-            failing: way.map_or(0.0, |way| way.failing),
+            failing: way.map_or(0.0, |way| way.failing_at(now_ms)),
             reading_ms: way.map_or(0.0, |way| way.reading_ms),
         })
     }
@@ -230,11 +274,24 @@
         }
     }
 
-    /// Notes that an upstream answered, and what it said of its load.
-    pub(super) fn answered(&mut self, instance: &str, load: Option<dialect::Load>, now_ms: u64) {
+    fn is_slow(&self, instance: &str, now_ms: u64) -> bool {
+        self.ways.get(instance).is_some_and(|way| now_ms < way.slow_until_ms)
+    }
+
+    /// Notes that an upstream answered after so long, and what it said of its load.
+    pub(super) fn answered(
+        &mut self,
+        instance: &str,
+        load: Option<dialect::Load>,
+        took_ms: u64,
+        now_ms: u64,
+    ) {
         let Some(way) = self.ways.get_mut(instance) else {
             return;
         };
+        if took_ms >= SLOW_HEAD_MS {
+            way.slow_until_ms = now_ms + SLOW_MS;
+        }
         way.failures = 0;
         way.failing *= FAILING_KEPT;
         if let Some(load) = load {
@@ -302,9 +359,13 @@
         let now_ms = self.clock.now_ms();
         let draw = self.draw();
         let mut fleet = self.fleet();
-        let lowest = wanted.models.map(|models| {
-            models.iter().map(|model| fleet.lowest(model, now_ms)).max().unwrap_or(0)
-        });
+        let lowest_within = |margin_ms: u64| {
+            let models = wanted.models?.iter();
+            let lowest = models.map(|model| fleet.lowest(model, margin_ms, now_ms)).max();
+            Some(lowest.unwrap_or(0))
+        };
+        let lowest = lowest_within(WEIGHTS_MARGIN_MS);
+        let lowest_if_slow = lowest_within(WEIGHTS_MARGIN_SLOW_MS);
         let mut offered = Vec::new();
         let mut candidates = Vec::new();
         for upstream in fleet.directory.all() {
@@ -315,7 +376,8 @@
             if !takes_work {
                 continue;
             }
-            let version = match lowest {
+            let slow = fleet.is_slow(&said.instance, now_ms);
+            let version = match if slow { lowest_if_slow } else { lowest } {
                 Some(lowest) => match fleet.version_of(said).filter(|held| *held >= lowest) {
                     Some(version) => Some(version),
                     None => continue,
@@ -335,6 +397,10 @@
         fleet.opened(&instance, wanted.reading_ms);
         let peer = pool::Peer { instance, address };
         let reading_ms = wanted.reading_ms;
-        Ok(Chosen { peer, version, reading_ms, entry: self.clone() })
+        let begin_by_ms = match (wanted.models, version) {
+            (Some(models), Some(version)) => fleet.begin_by_ms(models, version),
+            _ => None,
+        };
+        Ok(Chosen { peer, version, reading_ms, begin_by_ms, entry: self.clone() })
     }
 }
--- a/ragwortdeal_node/src/program.rs
+++ b/ragwortdeal_node/src/program.rs
@@ -24,7 +24,8 @@
     R: Future<Output = Result<(), E>>,
     E: fmt::Display,
 {
-    run_on(tokio::runtime::Builder::new_multi_thread(), file, only_check, main)
+    let runtime = tokio::runtime::Builder::new_multi_thread();
+    run_on(runtime, Logs::ForPeople, file, only_check, main)
 }
 
 /// Runs a program on one thread, for an instance that has a part of one core: more threads would
@@ -40,11 +41,20 @@
     R: Future<Output = Result<(), E>>,
     E: fmt::Display,
 {
-    run_on(tokio::runtime::Builder::new_current_thread(), file, only_check, main)
+    let runtime = tokio::runtime::Builder::new_current_thread();
+    run_on(runtime, Logs::Structured, file, only_check, main)
+}
+
+/// Form of a program's logs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Logs {
+    ForPeople,
+    Structured,
 }
 
 fn run_on<S, F, R, E>(
     mut builder: tokio::runtime::Builder,
+    logs: Logs,
     file: &path::Path,
     only_check: bool,
     main: F,
@@ -62,7 +72,13 @@
     if only_check {
         return process::ExitCode::SUCCESS;
     }
-    logging::start(settings.log_level());
+    let pending = match logs {
+        Logs::ForPeople => {
+            logging::start(settings.log_level());
+            None
+        }
+        Logs::Structured => Some(logging::start_structured(settings.log_level())),
+    };
     let runtime = builder.enable_all().build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
@@ -76,11 +92,15 @@
         tokio::spawn(stop::on_signal(stopper));
         main(settings, stop).await
     });
-    match ended {
+    let code = match ended {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(error) => {
             log::error!("program: {error}");
             process::ExitCode::FAILURE
         }
+    };
+    if let Some(pending) = pending {
+        pending.flush();
     }
+    code
 }
--- a/ragwortdeal_node/src/telemetry.rs
+++ b/ragwortdeal_node/src/telemetry.rs
@@ -4,11 +4,12 @@
 //! and in the frames of links; a process that exports nothing passes it on unchanged, so that the
 //! hops before and after it stay in one trace.
 
+pub mod aggregate;
 mod spans_file;
 
 use std::{io, net, sync};
 
-use cadence::{Counted as _, Gauged as _};
+use cadence::{Counted as _, Gauged as _, Timed as _};
 use opentelemetry::{
     KeyValue,
     propagation::TextMapPropagator as _,
@@ -70,6 +71,17 @@
         Self { metrics: sync::Arc::new(metrics), provider: None, instance: "".into() }
     }
 
+    /// Keeps metrics in the process, for those who fetch them.
+    pub fn kept(aggregate: &aggregate::Aggregate) -> Self {
+        let metrics = cadence::StatsdClient::from_sink(METRICS_PREFIX, aggregate.clone());
+        Self { metrics: sync::Arc::new(metrics), ..Self::off() }
+    }
+
+    /// Records a latency in milliseconds.
+    pub fn took(&self, key: &str, took_ms: u64) {
+        let _ = self.metrics.time(key, took_ms);
+    }
+
     /// Starts what the settings of a process ask for.
     pub fn start(
         instance: &str,
--- a/ragwortdeal_node/src/voter/fleet.rs
+++ b/ragwortdeal_node/src/voter/fleet.rs
@@ -24,7 +24,7 @@
 use super::{Event, VoterError, driver, letter, operate, peers};
 use crate::{
     clock,
-    fleet::{dialect, follow},
+    fleet::{dialect, follow, metrics},
     http, link, settings, stop, storage,
 };
 
@@ -123,7 +123,9 @@
     tokio::spawn(serving);
     tokio::spawn(pass_on_seeds(events.clone(), seeds));
     tokio::spawn(hub::publish(hub.clone(), publisher.clone()));
-    let api = control::Control::new(spoken, hub, events.clone(), publisher.documents.subscribe());
+    let (telemetry, _) = metrics::start(settings.listen.metrics, stop.clone()).await;
+    let documents = publisher.documents.subscribe();
+    let api = control::Control::new(spoken, hub, events.clone(), documents, telemetry);
     let api = sync::Arc::new(api);
     let handler = http::route(api, control::answer);
     let bounds = http::Bounds::default();
--- a/ragwortdeal_node/src/voter/fleet/control.rs
+++ b/ragwortdeal_node/src/voter/fleet/control.rs
@@ -8,7 +8,7 @@
 use super::hub;
 use crate::{
     fleet::{dialect, packing},
-    http,
+    http, telemetry,
     voter::{Answer, Event},
 };
 
@@ -34,6 +34,7 @@
     hub: sync::Arc<hub::Hub>,
     events: mpsc::Sender<Event>,
     documents: watch::Receiver<store::Store>,
+    telemetry: telemetry::Telemetry,
 }
 
 impl Control {
@@ -42,8 +43,9 @@
         hub: sync::Arc<hub::Hub>,
         events: mpsc::Sender<Event>,
         documents: watch::Receiver<store::Store>,
+        telemetry: telemetry::Telemetry,
     ) -> Self {
-        Self { spoken, hub, events, documents }
+        Self { spoken, hub, events, documents, telemetry }
     }
 }
 
@@ -59,13 +61,27 @@
     let Ok(body) = http::read(request.body, max_bytes, BODY_MS).await else {
         return text(400, "the body is too large, cut or too slow\n");
     };
-    match call {
+    let begun = time::Instant::now();
+    let counted = match call {
+        dialect::ControlCall::Announce { .. } => "voter.announcements",
+        dialect::ControlCall::Leave { .. } => "voter.departures",
+        dialect::ControlCall::Install => "voter.documents",
+        dialect::ControlCall::Read => "voter.reads",
+        dialect::ControlCall::NameWeights => "voter.weights",
+    };
+    control.telemetry.count(counted, 1);
+    let response = match call {
         dialect::ControlCall::Announce { instance } => control.announce(&instance, &body),
         dialect::ControlCall::Leave { instance } => control.leave(&instance, &body),
         dialect::ControlCall::Install => control.install(&body).await,
         dialect::ControlCall::Read => control.read().await,
         dialect::ControlCall::NameWeights => control.name_weights(&body).await,
+    };
+    if !response.status().is_success() {
+        control.telemetry.count("voter.refusals", 1);
     }
+    control.telemetry.took("voter.answer_ms", begun.elapsed().as_millis() as u64);
+    response
 }
 
 impl Control {
--- /dev/null
+++ b/ragwortdeal_node/tests/fleet_voters.rs
@@ -0,0 +1,177 @@
+//! Voters of a fleet that find each other, lose disks and are replaced.
+
+use std::{collections, fs};
+
+use googletest::prelude::*;
+use ragwortdeal_platform::DIALECT;
+use ragwortdeal_standins::fleet::world::{self, Process, World};
+
+/// The version that any voter reads back, none where it cannot be sure.
+async fn read(world: &World, voter: u8) -> Option<u64> {
+    let operator = world.operator();
+    let answer = operator.call(world.control(voter), "GET", "/configuration", "").await;
+    let (_, text) = answer.filter(|(status, _)| *status == 200)?;
+    let document: serde_json::Value = serde_json::from_str(&text).ok()?;
+    document["version"].as_u64()
+}
+
+async fn until_read(world: &World, voter: u8, version: u64) {
+    world::until("the voter reads the newest document", async || {
+        read(world, voter).await == Some(version)
+    })
+    .await;
+}
+
+async fn started() -> (World, collections::BTreeMap<u8, Process>) {
+    let world = World::new(&DIALECT, 3);
+    let voters = world.first_voters().await;
+    world.install(&world.document(3, None)).await;
+    (world, voters)
+}
+
+/// Ends a voter at once, empties its disk and starts it at its old address.
+async fn empty(world: &World, voters: &mut collections::BTreeMap<u8, Process>, number: u8) {
+    voters.remove(&number).expect("a running voter").kill().await;
+    fs::remove_dir_all(world.data_dir(number)).unwrap();
+    voters.insert(number, world.voter(number, false).await);
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn every_voter_reads_what_was_acknowledged_by_any() {
+    let (world, _voters) = started().await;
+    for voter in 1..=3 {
+        until_read(&world, voter, 3).await;
+    }
+}
+
+/// One voter after the other loses its disk, the leader among them, each right after the one before
+/// was taken in again. Two empty disks that still counted could outvote the last memory.
+#[googletest::test]
+#[tokio::test]
+async fn emptied_voters_are_replaced_one_after_the_other() {
+    let (world, mut voters) = started().await;
+    for (version, number) in [(4, 1), (5, 2), (6, 3), (7, 1)] {
+        world.whole_group(3, &[1, 2, 3]).await;
+        empty(&world, &mut voters, number).await;
+        until_read(&world, number, version - 1).await;
+        world.install(&world.document(version, None)).await;
+    }
+    for voter in 1..=3 {
+        until_read(&world, voter, 7).await;
+    }
+}
+
+/// A voter is gone for good, and an empty one comes at another address. Nobody tells the group.
+#[googletest::test]
+#[tokio::test]
+async fn a_new_voter_takes_the_place_of_one_that_is_gone() {
+    let (world, mut voters) = started().await;
+    voters.remove(&1).expect("a running voter").kill().await;
+    voters.insert(4, world.voter(4, false).await);
+    until_read(&world, 4, 3).await;
+    // Once it votes, the group bears the loss of another one.
+    world.install(&world.document(4, None)).await;
+    world.whole_group(3, &[2, 3, 4]).await;
+    voters.remove(&2).expect("a running voter").kill().await;
+    until_read(&world, 4, 4).await;
+    world.install(&world.document(5, None)).await;
+    until_read(&world, 3, 5).await;
+}
+
+/// All voters are ended at one moment and come back with their disks.
+#[googletest::test]
+#[tokio::test]
+async fn all_voters_come_back_with_what_they_acknowledged() {
+    let (world, mut voters) = started().await;
+    for number in 1..=3 {
+        voters.remove(&number).expect("a running voter").kill().await;
+    }
+    for number in 1..=3 {
+        voters.insert(number, world.voter(number, false).await);
+    }
+    for number in 1..=3 {
+        until_read(&world, number, 3).await;
+    }
+}
+
+/// A voter alone cannot know whether others accepted something newer. It says so, and does not give
+/// out what it holds.
+#[googletest::test]
+#[tokio::test]
+async fn a_voter_without_a_quorum_reads_and_accepts_nothing() {
+    let (world, mut voters) = started().await;
+    until_read(&world, 3, 3).await;
+    for number in [1, 2] {
+        voters.remove(&number).expect("a running voter").kill().await;
+    }
+    world::until("it notices", async || read(&world, 3).await.is_none()).await;
+    let document = world.document(9, None).to_string();
+    let operator = world.operator();
+    let answer = operator.call(world.control(3), "PUT", "/configuration", &document).await;
+    expect_that!(answer.is_none_or(|(status, _)| status == 503), eq(true));
+    expect_that!(read(&world, 3).await, none());
+}
+
+/// An emptied voter whose group is not in reach must not found another one beside it.
+#[googletest::test]
+#[tokio::test]
+async fn an_emptied_voter_founds_no_second_group() {
+    let (world, mut voters) = started().await;
+    for number in [1, 2, 3] {
+        voters.remove(&number).expect("a running voter").kill().await;
+    }
+    fs::remove_dir_all(world.data_dir(1)).unwrap();
+    voters.insert(1, world.voter(1, false).await);
+    tokio::time::sleep(std::time::Duration::from_millis(1_500)).await;
+    expect_that!(read(&world, 1).await, none());
+    for number in [2, 3] {
+        voters.insert(number, world.voter(number, false).await);
+    }
+    until_read(&world, 1, 3).await;
+}
+
+macro_rules! refused {
+    ($($case:ident: $spoil:expr,)*) => {$(
+        #[googletest::test]
+        #[tokio::test]
+        async fn $case() {
+            let (world, _voters) = started().await;
+            let mut document = world.document(8, None);
+            let spoil: fn(&mut serde_json::Value) -> String = $spoil;
+            let text = spoil(&mut document);
+            let answer = world.operator().order("PUT", "/configuration", &text).await;
+            expect_that!(answer.0, eq(400));
+            until_read(&world, 1, 3).await;
+        }
+    )*};
+}
+
+refused! {
+    a_document_that_is_cut_short: |document| document.to_string()[..200].to_owned(),
+    a_document_with_an_unknown_service: |document| {
+        document["routes"][0]["service"] = "nowhere".into();
+        document.to_string()
+    },
+    a_document_without_a_timeout: |document| {
+        document["routes"][0]["timeout-ms"] = 0.into();
+        document.to_string()
+    },
+}
+
+/// A folder cannot be trusted: what was synced no longer reads back. The voter gives it up and joins
+/// as a new replica, and its process never ends.
+#[googletest::test]
+#[tokio::test]
+async fn a_voter_with_a_spoilt_folder_joins_anew() {
+    let (world, mut voters) = started().await;
+    voters.remove(&2).expect("a running voter").kill().await;
+    for file in fs::read_dir(world.data_dir(2).join("log")).unwrap() {
+        let path = file.unwrap().path();
+        let mut bytes = fs::read(&path).unwrap();
+        bytes.iter_mut().for_each(|byte| *byte ^= 0x55);
+        fs::write(&path, bytes).unwrap();
+    }
+    voters.insert(2, world.voter(2, false).await);
+    until_read(&world, 2, 3).await;
+}
--- /dev/null
+++ b/ragwortdeal_node/tests/fleet_weights.rs
@@ -0,0 +1,131 @@
+//! Weights of a fleet: named, fetched, checked, loaded, under streams.
+
+use std::{sync, time};
+
+use googletest::prelude::*;
+use ragwortdeal_platform::DIALECT;
+use ragwortdeal_standins::fleet::{
+    caller::Ask,
+    engine,
+    origin::{self, CHUNKS, Origin},
+    world::{self, Process, World},
+};
+
+const ENTRY: u8 = 10;
+
+struct Fleet {
+    world: World,
+    origin: sync::Arc<Origin>,
+    engines: Vec<sync::Arc<engine::Engine>>,
+    _processes: Vec<Process>,
+}
+
+/// One voter, one entry and so many engines with agents, on version 1.
+async fn fleet(count: u8) -> Fleet {
+    let world = World::new(&DIALECT, 1);
+    let mut processes = vec![world.voter(1, true).await];
+    let origin = Origin::start(world.upstream(9)).await;
+    world.install(&world.document(1, Some(&origin))).await;
+    let mut engines = Vec::new();
+    for number in 20..20 + count {
+        let engine = world.engine(number, "models", 1).await;
+        engine.stage_all(&origin::chunks(1));
+        engines.push(engine);
+        processes.push(world.agent(number).await);
+    }
+    processes.push(world.entry(ENTRY).await);
+    world.ready(ENTRY).await;
+    Fleet { world, origin, engines, _processes: processes }
+}
+
+impl Fleet {
+    async fn name(&self, version: u64) {
+        let body = serde_json::json!({"model": "model-a", "version": version}).to_string();
+        let answer = self.world.operator().order("POST", "/version-put", &body).await;
+        assert_eq!(answer.0, 200, "{}", answer.1);
+    }
+
+    async fn until_all_serve(&self, version: u64) {
+        world::until("all engines serve the version", async || {
+            self.engines.iter().all(|engine| engine.version() == version)
+        })
+        .await;
+    }
+
+    /// Whether each engine's last load was the whole version, chunk by chunk.
+    fn loaded_whole(&self, version: u64) -> bool {
+        let whole = origin::hashes(version);
+        self.engines.iter().all(|engine| engine.loaded().last() == Some(&whole))
+    }
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn a_named_version_reaches_all_engines_with_few_bytes_of_the_origin() {
+    let fleet = fleet(4).await;
+    // All agents know each other before the version is named.
+    tokio::time::sleep(time::Duration::from_millis(500)).await;
+    fleet.name(2).await;
+    fleet.until_all_serve(2).await;
+    expect_that!(fleet.loaded_whole(2), eq(true));
+    expect_that!(fleet.origin.sent_chunks(), le(2 * u64::from(CHUNKS)));
+}
+
+/// The origin sends spoilt chunks. Loaded, they would mix weights, which no answer shows.
+#[googletest::test]
+#[tokio::test]
+async fn spoilt_chunks_are_never_loaded() {
+    let fleet = fleet(2).await;
+    fleet.origin.spoil(3);
+    fleet.name(2).await;
+    fleet.until_all_serve(2).await;
+    expect_that!(fleet.loaded_whole(2), eq(true));
+}
+
+/// What lies staged at an engine rots after it was checked on arrival.
+#[googletest::test]
+#[tokio::test]
+async fn rotten_staged_chunks_are_staged_anew_before_the_order() {
+    let fleet = fleet(2).await;
+    for engine in &fleet.engines {
+        engine.rot(1);
+        engine.rot(4);
+    }
+    fleet.name(2).await;
+    fleet.until_all_serve(2).await;
+    expect_that!(fleet.loaded_whole(2), eq(true));
+}
+
+/// An empty engine is added. Its agent gets the weights from peers, which read theirs back from
+/// their engines, and the origin sends nothing.
+#[googletest::test]
+#[tokio::test]
+async fn an_added_engine_gets_its_weights_from_peers() {
+    let fleet = fleet(2).await;
+    tokio::time::sleep(time::Duration::from_millis(600)).await;
+    let added = fleet.world.engine(30, "models", 0).await;
+    let _agent = fleet.world.agent(30).await;
+    world::until("the added engine serves", async || added.version() == 1).await;
+    expect_that!(added.loaded().last(), some(eq(&origin::hashes(1))));
+    expect_that!(fleet.origin.sent_chunks(), eq(0));
+}
+
+/// Weights change while streams run. Callers get each stream whole.
+#[googletest::test]
+#[tokio::test]
+async fn streams_stay_whole_while_weights_change() {
+    let fleet = fleet(3).await;
+    for engine in &fleet.engines {
+        engine.stream(20, time::Duration::from_millis(10));
+    }
+    fleet.name(2).await;
+    let mut number = 0;
+    while fleet.engines.iter().any(|engine| engine.version() != 2) {
+        number += 1;
+        assert!(number < 200, "the version does not reach all engines");
+        let ask = Ask::new("POST", "/stream/one", &format!("stream-{number}"));
+        let answer = ask.answer(fleet.world.callers(ENTRY)).await;
+        expect_that!(answer.status, eq(200));
+        expect_that!(answer.body, eq(&engine::whole_stream(20)));
+    }
+}
--- a/ragwortdeal_standins/src/fleet/world.rs
+++ b/ragwortdeal_standins/src/fleet/world.rs
@@ -2,13 +2,18 @@
 
 use std::{collections, net, path, process, sync, sync::atomic, time};
 
+use ragwortdeal_core::replication::replica;
 use ragwortdeal_node::{
     fleet::{self, dialect},
-    logging,
+    link, logging,
     settings::{self, common},
     stop, voter,
 };
-use tokio::{net as tokio_net, sync::watch, task};
+use tokio::{
+    net as tokio_net,
+    sync::{mpsc, watch},
+    task,
+};
 
 use super::{engine, operator, origin};
 
@@ -178,6 +183,43 @@
         voters
     }
 
+    /// The group as a voter sees it.
+    pub async fn group(&self, number: u8) -> Option<replica::Status> {
+        let address = self.address(number);
+        let settings = self.settings(number, false);
+        let credential = link::Credential::new(&settings.credentials.cluster);
+        let identity = settings.process.identity().expect("a proper name");
+        let (events, mut opened) = mpsc::channel(8);
+        let peer = settings.link_address(&address.to_string());
+        let limits = link::LinkLimits::default();
+        let link = link::open(&peer, credential, identity.hello("operator"), limits, events);
+        let up = tokio::time::timeout(time::Duration::from_secs(2), opened.recv()).await;
+        up.ok()??;
+        match voter::operate::ask(&link, &voter::operate::Request::Status, 1_000).await.ok()? {
+            voter::operate::Reply::Status(status) => Some(*status),
+            _ => None,
+        }
+    }
+
+    /// Waits until the leader has so many voters, all of which it hears and none of which is on its
+    /// way in or out.
+    pub async fn whole_group(&self, voters: usize, among: &[u8]) {
+        until("the group is whole", async || {
+            for &number in among {
+                if let Some(status) = self.group(number).await.filter(|it| it.is_leader) {
+                    let whole = status.membership.voters.len() == voters
+                        && status.membership.learners.is_empty()
+                        && status.followers.iter().all(|it| {
+                            it.silent_ms < 500 && !it.memory_lost && it.matched >= status.commit
+                        });
+                    return whole;
+                }
+            }
+            false
+        })
+        .await;
+    }
+
     /// Starts an entry.
     pub async fn entry(&self, number: u8) -> Process {
         let settings = self.settings(number, false);
