Explain a failed request from its identifier alone

Cause: the lines of several processes had to be put together by hand.

Change: ragwortctl explain ID FILE... prints the story of one request in the order of time and the line that decided; check-config knows the settings of a fleet.

Figures: a test plays a refusal, a cut stream and a lost answer over loopback; the cause of each is named.

--- a/extra/completions/ragwortctl.bash
+++ b/extra/completions/ragwortctl.bash
@@ -19,6 +19,9 @@
             ragwortctl,check-config)
                 cmd="ragwortctl__subcmd__check__subcmd__config"
                 ;;
+            ragwortctl,explain)
+                cmd="ragwortctl__subcmd__explain"
+                ;;
             ragwortctl,generate)
                 cmd="ragwortctl__subcmd__generate"
                 ;;
@@ -92,7 +95,7 @@
 
     case "${cmd}" in
         ragwortctl)
-            opts="-h -V --entry --token --output --help --version label selector version status spread operations settle members replace-voter check-config generate"
+            opts="-h -V --entry --token --output --help --version label selector version status spread operations settle explain members replace-voter check-config generate"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 1 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -125,9 +128,35 @@
             fi
             case "${prev}" in
                 --program)
-                    COMPREPLY=($(compgen -W "entry agent voter" -- "${cur}"))
+                    COMPREPLY=($(compgen -W "entry agent voter fleet" -- "${cur}"))
+                    return 0
+                    ;;
+                --entry)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --token)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --output)
+                    COMPREPLY=($(compgen -W "table json" -- "${cur}"))
                     return 0
                     ;;
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
+        ragwortctl__subcmd__explain)
+            opts="-h --entry --token --output --help"
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
                 --entry)
                     COMPREPLY=($(compgen -f "${cur}"))
                     return 0
--- a/extra/completions/ragwortctl.fish
+++ b/extra/completions/ragwortctl.fish
@@ -37,6 +37,7 @@
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "spread" -d 'Progress of the rollout of each version'
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "operations" -d 'Operations that may not be repeated'
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "settle" -d 'Settles an operation in doubt after a look at the ledger'
+complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "explain" -d 'Prints the story of one request from log files of a fleet\'s processes, and its cause'
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "members" -d 'The voters'
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "replace-voter" -d 'Replaces a voter that is lost for good, brings a new one in, or both'
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "check-config" -d 'Checks a settings file'
@@ -174,6 +175,11 @@
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand settle" -l output -d 'How to print' -r -f -a "table\t'For people'
 json\t'For programs'"
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand settle" -s h -l help -d 'Print help (see more with \'--help\')'
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand explain" -l entry -d 'Address of an entry\'s listener for operators. With several, the next is asked when one does not answer; a change keeps its identifier, so it is never made twice' -r
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand explain" -l token -d 'The operator\'s secret' -r
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand explain" -l output -d 'How to print' -r -f -a "table\t'For people'
+json\t'For programs'"
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand explain" -s h -l help -d 'Print help (see more with \'--help\')'
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand members" -l entry -d 'Address of an entry\'s listener for operators. With several, the next is asked when one does not answer; a change keeps its identifier, so it is never made twice' -r
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand members" -l token -d 'The operator\'s secret' -r
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand members" -l output -d 'How to print' -r -f -a "table\t'For people'
@@ -188,7 +194,8 @@
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand replace-voter" -s h -l help -d 'Print help (see more with \'--help\')'
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand check-config" -l program -d 'The program that reads it' -r -f -a "entry\t'`ragwortdeal-entry`'
 agent\t'`ragwortdeal-agent`'
-voter\t'`ragwortdeal-voter`'"
+voter\t'`ragwortdeal-voter`'
+fleet\t'Any program in a fleet'"
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand check-config" -l entry -d 'Address of an entry\'s listener for operators. With several, the next is asked when one does not answer; a change keeps its identifier, so it is never made twice' -r
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand check-config" -l token -d 'The operator\'s secret' -r
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand check-config" -l output -d 'How to print' -r -f -a "table\t'For people'
--- a/ragwortctl/src/cli.rs
+++ b/ragwortctl/src/cli.rs
@@ -76,6 +76,14 @@
         #[arg(long, value_parser = clap::builder::BoolishValueParser::new(), action = clap::ArgAction::Set)]
         ran: bool,
     },
+    /// Prints the story of one request from log files of a fleet's processes, and its cause.
+    Explain {
+        /// The request's identifier.
+        request: String,
+        /// Log files.
+        #[arg(required = true)]
+        files: Vec<path::PathBuf>,
+    },
     /// The voters.
     Members,
     /// Replaces a voter that is lost for good, brings a new one in, or both.
@@ -112,6 +120,8 @@
     Agent,
     /// `ragwortdeal-voter`.
     Voter,
+    /// Any program in a fleet.
+    Fleet,
 }
 
 /// What guards a change.
--- a/ragwortctl/src/commands.rs
+++ b/ragwortctl/src/commands.rs
@@ -1,6 +1,7 @@
 //! What each command does.
 
 mod changes;
+mod explain;
 mod generate;
 mod spread;
 mod views;
@@ -70,6 +71,7 @@
         cli::Command::Settle { operation, ran } => {
             views::settle(&client, output, operation, ran).await
         }
+        cli::Command::Explain { request, files } => explain::explain(&request, &files),
         cli::Command::Members => views::members(&client, output).await,
         cli::Command::ReplaceVoter { lost, new } => {
             let replacement = wire::VoterReplacement { lost, new };
@@ -85,6 +87,7 @@
         cli::Program::Entry => program::load::<settings::entry::Settings>(file).map(drop),
         cli::Program::Agent => program::load::<settings::agent::Settings>(file).map(drop),
         cli::Program::Voter => program::load::<settings::voter::Settings>(file).map(drop),
+        cli::Program::Fleet => program::load::<settings::fleet::Settings>(file).map(drop),
     };
     match checked {
         Ok(()) => {
--- a/ragwortdeal_node/src/lib.rs
+++ b/ragwortdeal_node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod border;
 pub mod clock;
 pub mod entry;
+pub mod explain;
 pub mod fleet;
 pub mod http;
 pub mod lease;
--- a/ragwortdeal_node/src/logging.rs
+++ b/ragwortdeal_node/src/logging.rs
@@ -6,7 +6,10 @@
 mod limit;
 mod queue;
 
-use std::{io::Write as _, sync, time};
+use std::{
+    io::{self, Write as _},
+    sync, time,
+};
 
 use log::kv;
 
@@ -30,7 +33,12 @@
 /// Starts logging as JSON lines on standard output. No part of the process ever waits for its log:
 /// lines go through a bounded queue, and those that do not fit are counted.
 pub fn start_structured(level: &str) -> Pending {
-    let queue = sync::Arc::new(queue::Queue::start(std::io::stdout()));
+    start_structured_to(level, std::io::stdout())
+}
+
+/// The same, on another output.
+pub fn start_structured_to(level: &str, output: impl io::Write + Send + 'static) -> Pending {
+    let queue = sync::Arc::new(queue::Queue::start(output));
     let (target, limits) = (queue.clone(), limit::Limits::default());
     let environment = env_logger::Env::default().default_filter_or(level);
     let builder = env_logger::Builder::from_env(environment)
--- /dev/null
+++ b/ragwortdeal_node/tests/fleet_explain.rs
@@ -0,0 +1,73 @@
+//! Failed requests of a fleet, explained from the logs alone.
+
+use std::{io, sync};
+
+use googletest::prelude::*;
+use ragwortdeal_node::{explain, logging};
+use ragwortdeal_platform::DIALECT;
+use ragwortdeal_standins::fleet::{
+    caller::Ask,
+    engine::Behaviour,
+    world::{self, World},
+};
+
+/// What the processes of the test wrote.
+#[derive(Clone, Default)]
+struct Written(sync::Arc<sync::Mutex<Vec<u8>>>);
+
+impl io::Write for Written {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+const ENTRY: u8 = 10;
+
+/// A refusal, a stream that nobody can go on with and a transfer whose answer is lost. Somebody who
+/// has only the identifier and the logs finds the cause of each.
+#[googletest::test]
+#[tokio::test]
+async fn three_kinds_of_failure_are_explained_from_the_identifier() {
+    let written = Written::default();
+    let pending = logging::start_structured_to("info", written.clone());
+    let world = World::new(&DIALECT, 1);
+    let _voter = world.voter(1, true).await;
+    world.install(&world.document(1, None)).await;
+    let model = world.engine(20, "models", 1).await;
+    let ledger = world.engine(30, "ledger", 0).await;
+    let _entry = world.entry(ENTRY).await;
+    world.ready(ENTRY).await;
+    let callers = world.callers(ENTRY);
+    world::until("both serve", async || {
+        let read = Ask::new("GET", "/read/x", "warm").answer(callers).await;
+        let stream = Ask::new("POST", "/stream/x", "warm").answer(callers).await;
+        (read.status, stream.status) == (200, 200)
+    })
+    .await;
+    model.behave(Behaviour::CutWithin(3));
+    ledger.behave(Behaviour::LoseAnswer);
+    expect_that!(Ask::new("POST", "/stream/x", "cut-1").answer(callers).await.whole, eq(false));
+    expect_that!(Ask::new("POST", "/transfer/x", "lost-1").answer(callers).await.status, eq(502));
+    world.announce(&model, "models", "draining", 2).await;
+    world::until("the refusal", async || {
+        Ask::new("POST", "/stream/x", "refused-1").answer(callers).await.status == 503
+    })
+    .await;
+    pending.flush();
+    let log = String::from_utf8(written.0.lock().unwrap().clone()).unwrap();
+    let cause = |request: &str| {
+        let story = explain::lines_of(request, "entry.log", &log);
+        explain::cause(&story).map(ToString::to_string).unwrap_or_default()
+    };
+    expect_that!(cause("cut-1"), contains_substring("stream cut"));
+    expect_that!(cause("cut-1"), contains_substring("last_event=2"));
+    expect_that!(cause("lost-1"), contains_substring("lost, it may have run"));
+    expect_that!(cause("lost-1"), contains_substring("upstream=\"engine-30\""));
+    expect_that!(cause("refused-1"), contains_substring("refused"));
+    expect_that!(cause("refused-1"), contains_substring("no upstream takes work"));
+}
