Close connections to the origin after each answer

Cause: kept connections of agents that had nothing to ask filled the 48 that the origin takes; with 68 agents the others could not connect, and the last chunks came after 13 s.

Ruled out: too few bytes a second (15 of 48 chunks were drawn by the agents of one zone in time).

--- a/ragwortdeal_node/src/fleet/agent/engine.rs
+++ b/ragwortdeal_node/src/fleet/agent/engine.rs
@@ -25,9 +25,12 @@
             .method(call.method)
             .uri(format!("http://{peer}{}", call.path))
             .header("content-type", "application/json");
-        let request = match call.path.starts_with(peers::PREFIX) {
-            true => request.header("authorization", self.credential.header_value()),
-            false => request,
+        let request = if call.path.starts_with(peers::PREFIX) {
+            request.header("authorization", self.credential.header_value())
+        } else if *peer == *self.engine.to_string() {
+            request
+        } else {
+            origin::closing(request)
         };
         let request = request
             .body(http::full(call.body))
--- a/ragwortdeal_node/src/fleet/agent/origin.rs
+++ b/ragwortdeal_node/src/fleet/agent/origin.rs
@@ -12,6 +12,12 @@
 /// Largest manifest as it is sent.
 const MANIFEST_MAX_BYTES: usize = 8 << 20;
 
+/// Asks for the connection to be closed after the answer. An origin takes few connections, and kept
+/// ones of many agents that have nothing to ask would shut out those that draw.
+pub(super) fn closing(request: hyper::http::request::Builder) -> hyper::http::request::Builder {
+    request.header("connection", "close")
+}
+
 /// A version of weights, as it is named.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Weights {
--- a/ragwortdeal_node/src/fleet/agent/spread.rs
+++ b/ragwortdeal_node/src/fleet/agent/spread.rs
@@ -388,7 +388,7 @@
             .uri(format!("http://{peer}{}", call.path))
             .header(peers::INSTANCE, self.identity.name.as_str());
         let request = match source {
-            event::Source::Origin => request,
+            event::Source::Origin => origin::closing(request),
             event::Source::Peer(_) => {
                 request.header("authorization", self.credential.header_value())
             }
