--- a/ragwortdeal_node/src/fleet/agent/keeper.rs
+++ b/ragwortdeal_node/src/fleet/agent/keeper.rs
@@ -32,11 +32,11 @@
 const STAGE_TRIES: u32 = 3;
 
 /// Earliest start of the switches after weights were named, while others still fetch.
-const SWITCHES_BEGIN_MS: u64 = 3_000;
+const SWITCHES_BEGIN_MS: u64 = 2_800;
 
 /// The last switch begins this long before the bound, so that a request that was on its way still
 /// begins in time.
-const SWITCHES_END_MARGIN_MS: u64 = 2_500;
+const SWITCHES_END_MARGIN_MS: u64 = 3_000;
 
 /// Version that engines hold before any is named.
 const FIRST_VERSION: u64 = 1;
--- a/ragwortdeal_node/src/fleet/agent/spread.rs
+++ b/ragwortdeal_node/src/fleet/agent/spread.rs
@@ -82,7 +82,7 @@
 /// Times and bounds for versions of a few megabytes that have to be everywhere in seconds.
 fn limits() -> limits::Limits {
     limits::Limits {
-        origin_weight_percent: 100,
+        origin_weight_percent: 50,
         // Callers' requests and answers share the instance's link, and wait behind each chunk that
         // is under way: 42 ms each at 9.4 Mbit/s, of which a first event may take 300.
         downloads_max: 2,
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -25,7 +25,7 @@
 
 /// Taken off the time in which engines must serve named weights: requests that were sent before
 /// still wait for their first token.
-const WEIGHTS_MARGIN_MS: u64 = 1_500;
+const WEIGHTS_MARGIN_MS: u64 = 2_500;
 
 /// The same for upstreams that answered slowly of late. Behind a narrow link requests were seen to
 /// arrive two seconds after they were sent, where no reset takes them back.
--- a/ragwortdeal_node/src/logging/limit.rs
+++ b/ragwortdeal_node/src/logging/limit.rs
@@ -28,11 +28,14 @@
     left_out: u64,
 }
 
+/// Where in the code a kind of line is written.
+type Place = (Option<String>, Option<u32>);
+
 /// Budgets of all kinds of lines.
 #[derive(Debug)]
 pub(super) struct Limits {
     start: time::Instant,
-    kinds: sync::Mutex<collections::HashMap<(Option<String>, Option<u32>), Kind>>,
+    kinds: sync::Mutex<collections::HashMap<Place, Kind>>,
 }
 
 impl Default for Limits {
@@ -48,7 +51,7 @@
         self.admit_at(place, self.start.elapsed().as_secs())
     }
 
-    fn admit_at(&self, place: (Option<String>, Option<u32>), second: u64) -> Verdict {
+    fn admit_at(&self, place: Place, second: u64) -> Verdict {
         let mut kinds = self.kinds.lock().expect("no panic under lock");
         let kind = kinds.entry(place).or_default();
         if kind.second != second {
