--- /dev/null
+++ b/ragwortdeal_core/tests/dispatch.rs
@@ -0,0 +1,114 @@
+//! Where requests go, and how many may go once more.
+
+use googletest::prelude::*;
+use ragwortdeal_core::dispatch::{
+    choice::{self, Candidate},
+    share::{Budget, Spending},
+};
+use rand::{RngExt as _, SeedableRng as _};
+
+const BUDGET: Budget = Budget { ratio: 0.2, allowance: 100.0, window_ms: 10_000 };
+
+/// Entries join, are cut off from each other and see changing traffic, while every request wants to
+/// be repeated. Together they must stay within the budget in every window.
+#[googletest::test]
+fn entries_that_do_not_hear_each_other_keep_the_budget_together() {
+    for seed in 0..50 {
+        let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+        let entries = random.random_range(1..9usize);
+        let mut spending = vec![Spending::default(); entries];
+        let mut firsts = Vec::new();
+        let mut repeats = Vec::new();
+        let mut now_ms = 0;
+        for _ in 0..6_000 {
+            now_ms += random.random_range(0..20);
+            let entry = random.random_range(0..entries);
+            spending[entry].first(&BUDGET, now_ms);
+            firsts.push(now_ms);
+            // An entry may take others for gone for a while, never more than there are.
+            if spending[entry].repeat(&BUDGET, entries, now_ms) {
+                repeats.push(now_ms);
+            }
+        }
+        let within = |times: &[u64], to_ms: u64| {
+            let from_ms = to_ms.saturating_sub(BUDGET.window_ms);
+            times.iter().filter(|at| **at > from_ms && **at <= to_ms).count() as f64
+        };
+        for to_ms in (0..now_ms).step_by(500) {
+            let allowed = BUDGET.ratio * within(&firsts, to_ms) + BUDGET.allowance;
+            expect_that!(within(&repeats, to_ms), le(allowed));
+        }
+        expect_that!(repeats.len(), gt(0));
+    }
+}
+
+fn idle() -> Candidate {
+    Candidate { slots: 16, near: true, ..Candidate::default() }
+}
+
+#[googletest::test]
+fn an_emptier_upstream_is_taken() {
+    let busy = Candidate { open: 9, ..idle() };
+    expect_that!(choice::best(&[busy, idle()], 0), some(eq(1)));
+}
+
+#[googletest::test]
+fn a_far_upstream_is_taken_only_where_it_is_much_emptier() {
+    let far = Candidate { near: false, ..idle() };
+    expect_that!(choice::best(&[Candidate { open: 3, ..idle() }, far], 0), some(eq(0)));
+    expect_that!(choice::best(&[Candidate { open: 6, ..idle() }, far], 0), some(eq(1)));
+}
+
+#[googletest::test]
+fn nobody_is_taken_where_all_are_full() {
+    let full = Candidate { open: 10, elsewhere: 9.0, ..idle() };
+    expect_that!(choice::best(&[full, full], 1), none());
+    expect_that!(choice::best(&[], 1), none());
+}
+
+/// Prompts of very different length arrive at a few engines, each of which reads one after the other.
+/// By open requests alone short ones end up behind long ones while another engine has nothing to
+/// read. The wait before the first event is compared with the rule that counts requests.
+#[googletest::test]
+fn counting_unread_prompts_shortens_the_wait_for_the_first_event() {
+    let counted = mean_wait_ms(true);
+    let naive = mean_wait_ms(false);
+    expect_that!(counted, lt(naive * 0.8));
+}
+
+/// Mean wait over a seeded load: 8 engines read prompts of 5 to 130 ms, 160 arrive a second, and
+/// each request stays open for 1.2 s.
+fn mean_wait_ms(counts_prompts: bool) -> f64 {
+    const ENGINES: usize = 8;
+    let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(7);
+    let mut free_at_ms = [0.0f64; ENGINES];
+    let mut ends_ms: Vec<Vec<f64>> = vec![Vec::new(); ENGINES];
+    let (mut now_ms, mut waited_ms, mut served) = (0.0, 0.0, 0.0);
+    for _ in 0..8_000 {
+        now_ms += -6.25 * (1.0 - random.random::<f64>()).ln();
+        let long = random.random::<f64>().powi(3);
+        let read_ms = 5.0 + 125.0 * long;
+        let candidates: Vec<Candidate> = (0..ENGINES)
+            .map(|engine| {
+                ends_ms[engine].retain(|end| *end > now_ms);
+                let unread_ms = (free_at_ms[engine] - now_ms).max(0.0);
+                Candidate {
+                    open: ends_ms[engine].len() as u32,
+                    slots: 64,
+                    near: true,
+                    reading_ms: if counts_prompts { unread_ms } else { 0.0 },
+                    ..Candidate::default()
+                }
+            })
+            .collect();
+        let Some(engine) = choice::best(&candidates, random.random()) else {
+            continue;
+        };
+        let begins_ms = free_at_ms[engine].max(now_ms);
+        free_at_ms[engine] = begins_ms + read_ms;
+        waited_ms += begins_ms + read_ms - now_ms;
+        served += 1.0;
+        ends_ms[engine].push(begins_ms + read_ms + 1_200.0);
+    }
+    waited_ms / served
+}
