Count a refusing upstream as full by its own slots

Cause: an upstream that said it did not run a request counted as 32 requests full whatever its size, a figure of one service; three names of headers were read by nobody.

Change: twice the slots that it announced; the unused names are gone.

--- a/ragwortdeal_node/src/fleet/dialect.rs
+++ b/ragwortdeal_node/src/fleet/dialect.rs
@@ -39,8 +39,6 @@
     pub rank: header::HeaderName,
     /// Present where an upstream did not run a request.
     pub not_run: header::HeaderName,
-    /// Proof of an upstream's answer.
-    pub proof: header::HeaderName,
     /// Load of an upstream.
     pub load: header::HeaderName,
     /// Last event of a stream that the caller has.
@@ -49,10 +47,6 @@
     pub tokens: header::HeaderName,
     /// The answering upstream.
     pub instance: header::HeaderName,
-    /// Version of weights behind an answer.
-    pub weights: header::HeaderName,
-    /// Estimate of the answer's length.
-    pub length_hint: header::HeaderName,
 }
 
 /// A call by an operator or an upstream.
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -188,7 +188,7 @@
                 match head.status.as_u16() {
                     421 if other => self.fleet().displaced(instance, now_ms),
                     421 => self.fleet().failed(instance, now_ms),
-                    _ => self.fleet().shed(instance, 16, now_ms),
+                    _ => self.fleet().shed(instance, now_ms),
                 }
                 None
             }
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -23,6 +23,9 @@
 /// How long an upstream's word on its load counts. Engines report some hundred milliseconds late.
 const LOAD_MS: u64 = 2_000;
 
+/// Load of an upstream that refuses work, as a multiple of its slots: more than it is offered at.
+const SHED_SLOTS: f64 = 2.0;
+
 /// Taken off the time in which engines must serve named weights: requests that were sent before
 /// still wait for their first token.
 const WEIGHTS_MARGIN_MS: u64 = 2_500;
@@ -313,10 +316,11 @@
         way.suspended_until_ms = now_ms + suspend_ms.min(SUSPEND_MAX_MS);
     }
 
-    /// Notes that an upstream is full.
-    pub(super) fn shed(&mut self, instance: &str, slots: u32, now_ms: u64) {
+    /// Notes that an upstream is full, by the slots that it announced itself.
+    pub(super) fn shed(&mut self, instance: &str, now_ms: u64) {
+        let slots = self.directory.get(instance).map_or(0, |upstream| upstream.said.slots);
         if let Some(way) = self.ways.get_mut(instance) {
-            way.elsewhere = Some((f64::from(slots) * 2.0, now_ms));
+            way.elsewhere = Some((f64::from(slots) * SHED_SLOTS, now_ms));
         }
     }
 
