--- a/ragwortdeal_core/src/document.rs
+++ b/ragwortdeal_core/src/document.rs
@@ -5,6 +5,7 @@
 //! [`crate::config`] keeps.
 
 pub mod check;
+pub mod naming;
 pub mod store;
 pub mod table;
 
@@ -91,8 +92,17 @@
     pub connections_max: usize,
     /// Set where the upstreams are engines.
     pub engine: Option<Engine>,
-    /// Set where the service is an origin of weights: its address.
-    pub origin: Option<Text>,
+    /// Set where the service is an origin of weights.
+    pub origin: Option<Origin>,
+}
+
+/// Where weights come from.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Origin {
+    /// Its HTTP address.
+    pub address: Text,
+    /// Megabits a second that its link carries, 0 where that is not told.
+    pub link_mbps: f64,
 }
 
 /// How the engines of a service work.
@@ -171,8 +181,8 @@
         self.services.iter().find(|service| *service.name == *name)
     }
 
-    /// Address of the origin of weights.
-    pub fn origin(&self) -> Option<&Text> {
+    /// The origin of weights.
+    pub fn origin(&self) -> Option<&Origin> {
         self.services.iter().find_map(|service| service.origin.as_ref())
     }
 }
--- a/ragwortdeal_core/src/orders.rs
+++ b/ragwortdeal_core/src/orders.rs
@@ -6,4 +6,5 @@
 pub mod giver;
 pub mod lineup;
 pub mod order;
+pub mod turns;
 pub mod weights;
--- a/ragwortdeal_core/src/spread/download.rs
+++ b/ragwortdeal_core/src/spread/download.rs
@@ -8,9 +8,6 @@
 mod arrivals;
 mod choice;
 
-/// Longest pause before the origin is asked again, as doublings of the first.
-const ORIGIN_DOUBLINGS_MAX: u32 = 6;
-
 /// The decisions of one instance about one version.
 ///
 /// Feed it [`event::Event`]s, and call [`Download::handle`] with [`event::Event::Tick`] a few times
@@ -116,7 +113,8 @@
         }
         if !self.held.contains(chunk) {
             self.asked_for(chunk);
-            return event::Answer::NotYet { held: self.held.len() as u32 };
+            let held = self.held.len() as u32;
+            return event::Answer::NotYet { held, origin_fails: self.origin_failures > 0 };
         }
         let scope = self.peers.find(to).map(|peer| self.peers.get(peer).scope);
         let same_zone = scope == Some(peers::Scope::Zone);
--- a/ragwortdeal_core/src/spread/download/arrivals.rs
+++ b/ragwortdeal_core/src/spread/download/arrivals.rs
@@ -5,7 +5,7 @@
     spread::{event, manifest, owners, requests},
 };
 
-use super::{Download, ORIGIN_DOUBLINGS_MAX, choice};
+use super::{Download, choice};
 
 impl Download {
     pub(super) fn arrived(
@@ -71,7 +71,10 @@
                     self.peers.get_mut(index).retry_at_ms = retry_at_ms;
                 }
             }
-            (event::Failure::NotYet { held }, Some(requests::Asked::Peer(index))) => {
+            (event::Failure::NotYet { held, origin_fails }, Some(requests::Asked::Peer(index))) => {
+                if origin_fails {
+                    self.peers.get_mut(index).excuse();
+                }
                 self.not_yet(now_ms, index, chunk, held, actions);
             }
             (_, None) => (),
@@ -165,7 +168,7 @@
     }
 
     fn pause_origin(&mut self, now_ms: u64) {
-        let doublings = self.origin_failures.min(ORIGIN_DOUBLINGS_MAX);
+        let doublings = self.origin_failures.min(self.limits.origin_doublings_max);
         self.origin_failures += 1;
         self.origin_retry_at_ms = now_ms + (self.limits.busy_backoff_ms << doublings);
     }
--- a/ragwortdeal_core/src/spread/download/choice.rs
+++ b/ragwortdeal_core/src/spread/download/choice.rs
@@ -14,9 +14,28 @@
     /// Chunks that this instance brings into its region.
     region: chunk_set::ChunkSet,
     /// Chunks that this instance draws from the origin, the most urgent last.
-    draws: Vec<u32>,
+    draws: Vec<Draw>,
 }
 
+/// One draw from the origin, in the order of its turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Draw {
+    /// Place among all who draw the chunk.
+    rank: usize,
+    /// Milliseconds after the settling before which it is not asked for.
+    turn_ms: u64,
+    tie_break: u32,
+    chunk: u32,
+}
+
+/// Part of the time of a chunk on the origin's link after which the next draw has its turn. Less
+/// than the whole keeps the link busy where an owner is late; the queue grows by five chunks over 48.
+const TURN_SHARE: f64 = 0.9;
+
+/// Turns by which an owner may be late before it is asked where its chunk is. Its request waits
+/// behind the queue at the origin and behind its other chunks.
+const TURNS_LATE: f64 = 8.0;
+
 impl Duties {
     /// To be worked out when they are next needed, once for many changes of members.
     pub(super) fn stale() -> Self {
@@ -84,14 +103,32 @@
             return None;
         }
         let held = &self.held;
-        self.duties.draws.retain(|&chunk| !held.contains(chunk));
+        self.duties.draws.retain(|draw| !held.contains(draw.chunk));
         let open = self.requests.chunks();
-        let wanted = |chunk: &u32| !open.contains(*chunk) && !self.region_holds(*chunk);
-        let chunk = self.duties.draws.iter().rev().copied().find(wanted)?;
+        let since_ms = now_ms.saturating_sub(self.settled_at_ms.unwrap_or(now_ms));
+        let wanted = |draw: &&Draw| {
+            let asked = open.contains(draw.chunk);
+            draw.turn_ms <= since_ms && !asked && !self.region_holds(draw.chunk)
+        };
+        let chunk = self.duties.draws.iter().rev().find(wanted)?.chunk;
         let (asked, link) = (requests::Asked::Origin, requests::Link::Origin);
         Some(Choice { chunk, asked, link, probe: false })
     }
 
+    /// Milliseconds after the settling at which a draw has its turn. All instances work out the same
+    /// order without a message: first each chunk once, then those that are drawn once more.
+    fn turn_ms(&self, rank: usize, chunk: u32) -> u64 {
+        let place = rank * self.manifest.chunks().len() + chunk as usize;
+        (place as f64 * self.limits.origin_chunk_ms * TURN_SHARE) as u64
+    }
+
+    /// Whether a chunk should be at its owner by now.
+    fn is_due(&self, now_ms: u64, chunk: u32) -> bool {
+        let late_ms = (TURNS_LATE * self.limits.origin_chunk_ms) as u64;
+        let settled_at_ms = self.settled_at_ms.unwrap_or(now_ms);
+        now_ms >= settled_at_ms + self.turn_ms(0, chunk) + late_ms
+    }
+
     fn region_holds(&self, chunk: u32) -> bool {
         if self.peers.availability[chunk as usize] == 0 {
             return false;
@@ -168,7 +205,8 @@
         self.reachable(&holders).for_each(|chunk| _ = unknown.remove(chunk));
         let open = self.requests.chunks();
         let missing = |chunk: &u32| {
-            unknown.contains(*chunk) && !self.held.contains(*chunk) && !open.contains(*chunk)
+            let missing = !self.held.contains(*chunk) && !open.contains(*chunk);
+            unknown.contains(*chunk) && missing && self.is_due(now_ms, *chunk)
         };
         let order = |chunk: &u32| (self.probed[*chunk as usize], self.tie_breaks[*chunk as usize]);
         let chunks = 0..self.manifest.chunks().len() as u32;
@@ -209,10 +247,14 @@
                 region.insert(chunk);
             }
             let rank = self.owners.draw_rank(chunk, copies);
-            draws.extend(rank.map(|rank| (rank, self.tie_breaks[chunk as usize], chunk)));
+            draws.extend(rank.map(|rank| Draw {
+                rank,
+                turn_ms: self.turn_ms(rank, chunk),
+                tie_break: self.tie_breaks[chunk as usize],
+                chunk,
+            }));
         }
         draws.sort_unstable_by(|a, b| b.cmp(a));
-        let draws = draws.into_iter().map(|(_, _, chunk)| chunk).collect();
         self.duties = Duties { fresh: true, zone, region, draws };
     }
 }
--- a/ragwortdeal_core/src/spread/event.rs
+++ b/ragwortdeal_core/src/spread/event.rs
@@ -31,6 +31,8 @@
     NotYet {
         /// Chunks that it holds, by which a stalled owner is told from a slow one.
         held: u32,
+        /// Whether the origin failed it last.
+        origin_fails: bool,
     },
     /// The connection failed or the answer was an error.
     Error,
@@ -157,6 +159,8 @@
     NotYet {
         /// Chunks held here.
         held: u32,
+        /// Whether the origin failed this instance last.
+        origin_fails: bool,
     },
     /// Another version is being spread here.
     OtherVersion,
--- a/ragwortdeal_core/src/spread/limits.rs
+++ b/ragwortdeal_core/src/spread/limits.rs
@@ -19,6 +19,11 @@
     /// Requests that all instances together should keep open at the origin; each keeps its part of
     /// them, and at least one.
     pub origin_requests_max: usize,
+    /// Milliseconds that the origin's link takes for one chunk, 0 where that is not known. Where it
+    /// is, each draw has its turn, so that chunks arrive one after the other and can be passed on.
+    pub origin_chunk_ms: f64,
+    /// Most doublings of the pause after failures of the origin.
+    pub origin_doublings_max: u32,
     /// Requests that all instances of a region together should keep open at other regions; each
     /// keeps its part of them, and at least one.
     pub remote_requests_max: usize,
@@ -61,6 +66,8 @@
             region_copies: 1.0,
             downloads_max: 8,
             origin_requests_max: 64,
+            origin_chunk_ms: 0.0,
+            origin_doublings_max: 6,
             remote_requests_max: 32,
             uploads_max: 6,
             uploads_per_peer_max: 2,
--- a/ragwortdeal_core/src/spread/peers.rs
+++ b/ragwortdeal_core/src/spread/peers.rs
@@ -93,6 +93,12 @@
         now_ms.saturating_sub(since_ms) > stall_ms
     }
 
+    /// Forgets since when it made no progress: it is the origin that fails. Were it suspected, every
+    /// instance would take its chunks over and draw them all once the origin is back.
+    pub fn excuse(&mut self) {
+        self.progress_at_ms = None;
+    }
+
     /// Suspects it, longer each time.
     pub fn suspect(&mut self, now_ms: u64, banned_ms: u64) {
         let doublings = self.suspicions.min(SUSPICION_DOUBLINGS_MAX);
--- /dev/null
+++ b/ragwortdeal_core/tests/naming.rs
@@ -0,0 +1,58 @@
+//! When weights were named, over restarts of those who know it.
+
+use googletest::prelude::*;
+use ragwortdeal_core::document::naming::{Naming, Namings};
+
+const WITHIN_MS: u64 = 8_000;
+
+fn naming(version: u64, age_ms: u64) -> Naming {
+    Naming { model: "m".to_owned(), version, age_ms }
+}
+
+/// An entry is restarted eight seconds after weights were named. If it counted the time from its own
+/// start, its callers would get answers on the old weights for eight seconds more.
+#[googletest::test]
+fn a_process_that_starts_later_counts_from_the_naming() {
+    let mut teller = Namings::default();
+    teller.heard(&naming(2, 0), 18_000);
+    let mut started = Namings::default();
+    teller.told(26_400).iter().for_each(|naming| _ = started.heard(naming, 30));
+    expect_that!(started.lowest_due("m", WITHIN_MS, 30), eq(2));
+    expect_that!(started.superseded_at_ms("m", 1), some(eq(-8_370)));
+}
+
+/// A voter that restarted learns of the weights from its disk and takes them for new. What another
+/// voter knows longer counts, whichever tells first.
+#[googletest::test]
+fn the_oldest_word_counts() {
+    for order in [[9_000, 10], [10, 9_000]] {
+        let mut namings = Namings::default();
+        order.iter().for_each(|age_ms| _ = namings.heard(&naming(2, *age_ms), 10_000));
+        expect_that!(namings.named_at_ms("m", 2), some(eq(1_000)));
+    }
+}
+
+/// Versions are named faster than engines take them. Were each due only when the next one is, or
+/// all as soon as the first, callers would find no engine or get superseded weights.
+#[googletest::test]
+fn each_version_has_a_time_of_its_own() {
+    let mut namings = Namings::default();
+    expect_that!(namings.heard(&naming(2, 0), 18_000), eq(true));
+    expect_that!(namings.heard(&naming(3, 0), 20_000), eq(true));
+    expect_that!(namings.heard(&naming(2, 0), 21_000), eq(false));
+    expect_that!(namings.newest("m"), some(eq(3)));
+    expect_that!(namings.lowest_due("m", WITHIN_MS, 25_999), eq(0));
+    expect_that!(namings.lowest_due("m", WITHIN_MS, 26_000), eq(2));
+    expect_that!(namings.lowest_due("m", WITHIN_MS, 28_000), eq(3));
+    expect_that!(namings.superseded_at_ms("m", 2), some(eq(20_000)));
+    expect_that!(namings.superseded_at_ms("m", 3), none());
+    expect_that!(namings.lowest_due("other", WITHIN_MS, 28_000), eq(0));
+}
+
+#[googletest::test]
+fn a_long_row_of_versions_stays_bounded() {
+    let mut namings = Namings::default();
+    (1..1_000).for_each(|version| _ = namings.heard(&naming(version, 0), version * 1_000));
+    expect_that!(namings.told(1_000_000).len(), eq(32));
+    expect_that!(namings.lowest_due("m", WITHIN_MS, 1_000_000), eq(992));
+}
--- a/ragwortdeal_core/tests/spread.rs
+++ b/ragwortdeal_core/tests/spread.rs
@@ -8,6 +8,7 @@
 mod shapes;
 
 use googletest::prelude::*;
+use ragwortdeal_core::spread::limits;
 
 use model::setup;
 
@@ -88,6 +89,42 @@
     expect_that!(many, all!(ge(1.5), le(4.0)));
 }
 
+/// As many instances as make one request each fill the origin's link several times over: all chunks
+/// then arrive together at the end in place of one after the other, what waits counts as stalled, and
+/// others draw it again. Users see a version that comes many seconds late, or not before the next.
+#[googletest::test]
+fn many_instances_before_a_small_origin_draw_one_after_the_other() {
+    let mut setup = model::Setup::new(68, 48);
+    (setup.regions, setup.chunk_ms) = (3, 42);
+    setup.faults.origin_connections_max = 48;
+    setup.limits = limits::Limits {
+        origin_copies: 3.2,
+        region_copies: 5.5,
+        origin_chunk_ms: 26.0,
+        downloads_max: 2,
+        uploads_max: 2,
+        remote_requests_max: 3,
+        uploads_per_peer_max: 1,
+        announce_interval_ms: 60,
+        probe_interval_ms: 150,
+        busy_backoff_ms: 25,
+        settle_ms: 60,
+        origin_requests_max: 20,
+        deadline_min_ms: 400,
+        deadline_far_min_ms: 1_000,
+        deadline_first_ms: 600,
+        deadline_max_ms: 3_000,
+        stall_ms: 800,
+        banned_ms: 3_000,
+        ..limits::Limits::default()
+    };
+    let outcome = model::run(setup.clone());
+    expect_that!(outcome.origin_open_max, le(12));
+    expect_that!(origin_copies(&setup, &outcome), le(1.6));
+    expect_that!(time_ratio(&setup, &outcome, &[]), le(1.6));
+    expect_that!(outcome.faults.get("Stalled"), none());
+}
+
 macro_rules! faulty {
     ($($(#[$doc:meta])* $case:ident: $faults:expr, skip $skip:expr, weight $weight:expr
         => time $time:expr, origin $origin:expr, blamed $blamed:expr;)*) => {$(
--- a/ragwortdeal_core/tests/spread/model.rs
+++ b/ragwortdeal_core/tests/spread/model.rs
@@ -38,6 +38,7 @@
     Deliver { life: u32, event: event::Event },
     Cross(usize, Parcel),
     Enter(Parcel),
+    OriginSent(Parcel),
     Bytes(Parcel),
 }
 
@@ -93,6 +94,7 @@
     machines: Vec<Machine>,
     index: collections::BTreeMap<name::InstanceName, usize>,
     origin: Link,
+    origin_open: usize,
     region_links: collections::BTreeMap<(usize, usize), (Link, usize)>,
     queue: collections::BinaryHeap<Scheduled>,
     sequence: u64,
@@ -140,6 +142,7 @@
             index: names.map(|(index, m)| (m.place.instance.clone(), index)).collect(),
             random: ChaCha8Rng::seed_from_u64(setup.seed ^ 0xfa17),
             origin: Link::default(),
+            origin_open: 0,
             region_links: collections::BTreeMap::new(),
             queue: collections::BinaryHeap::new(),
             sequence: 0,
@@ -226,6 +229,10 @@
             }
             Happening::Cross(sender, parcel) => self.cross(sender, index, parcel),
             Happening::Enter(parcel) => self.enter(index, parcel),
+            Happening::OriginSent(parcel) => {
+                self.origin_open -= 1;
+                self.enter(index, parcel);
+            }
             Happening::Bytes(parcel) => {
                 if parcel.life == self.machines[index].life {
                     self.arrive(index, parcel.source, parcel.chunk, &parcel.bytes);
@@ -378,8 +385,9 @@
                 self.outcome.refusals += 1;
                 self.fail(sender, from, life, chunk, event::Failure::Busy);
             }
-            event::Answer::NotYet { held } => {
-                self.fail(sender, from, life, chunk, event::Failure::NotYet { held });
+            event::Answer::NotYet { held, origin_fails } => {
+                let why = event::Failure::NotYet { held, origin_fails };
+                self.fail(sender, from, life, chunk, why);
             }
             event::Answer::OtherVersion => unreachable!("a run spreads one version"),
         }
@@ -447,14 +455,26 @@
             let event = event::Event::Failed { source, version, chunk, failure };
             return self.schedule(start_ms + 1.0, from, Happening::Deliver { life, event });
         }
+        let connections_max = self.setup.faults.origin_connections_max;
+        if connections_max > 0 && self.origin_open >= connections_max {
+            let (source, version) = (event::Source::Origin, self.manifest.version());
+            let failure = event::Failure::Error;
+            let event = event::Event::Failed { source, version, chunk, failure };
+            return self.schedule(start_ms + 1.0, from, Happening::Deliver { life, event });
+        }
+        self.origin_open += 1;
+        self.outcome.origin_open_max = self.outcome.origin_open_max.max(self.origin_open);
         self.outcome.origin_chunks += 1;
-        let sent_ms = self.origin.pass(start_ms, takes_ms);
+        let sent_ms = match connections_max {
+            0 => self.origin.pass(start_ms, takes_ms),
+            _ => start_ms + takes_ms * self.origin_open as f64,
+        };
         let mut bytes = self.bytes(chunk).to_vec();
         if self.hits(self.setup.faults.origin_short_permille) {
             bytes.truncate(7);
         }
         let parcel = Parcel { life, source: event::Source::Origin, chunk, bytes };
-        self.schedule(sent_ms, from, Happening::Enter(parcel));
+        self.schedule(sent_ms, from, Happening::OriginSent(parcel));
     }
 
     fn arrive(&mut self, index: usize, source: event::Source, chunk: u32, bytes: &[u8]) {
--- a/ragwortdeal_core/tests/spread/setup.rs
+++ b/ragwortdeal_core/tests/spread/setup.rs
@@ -21,6 +21,9 @@
     pub origin_short_permille: u32,
     /// The origin does not answer before this time.
     pub origin_silent_until_ms: u64,
+    /// Connections that the origin takes at once; more are refused. All share its link, so that
+    /// each gets slower the more there are. 0 where it sends one chunk after the other.
+    pub origin_connections_max: usize,
     /// Instances that accept every request and never send anything.
     pub stalled: Vec<usize>,
     /// Instances that announce every chunk at the start.
@@ -85,6 +88,8 @@
 pub struct Outcome {
     pub done_ms: Vec<Option<u64>>,
     pub origin_chunks: usize,
+    /// Most requests that were open at the origin at once.
+    pub origin_open_max: usize,
     pub peer_chunks: usize,
     /// Chunks over the busiest link between two regions, one way.
     pub region_chunks_max: usize,
--- a/ragwortdeal_core/tests/spread_download.rs
+++ b/ragwortdeal_core/tests/spread_download.rs
@@ -198,8 +198,11 @@
     let version = download.version();
     let mut ask = |version, chunk| download.serve(0, &instance("a"), version, chunk);
     expect_that!(ask(other, 0), eq(event::Answer::OtherVersion));
-    expect_that!(ask(version, 0), eq(event::Answer::NotYet { held: 0 }));
-    expect_that!(ask(version, u32::MAX), eq(event::Answer::NotYet { held: 0 }));
+    expect_that!(ask(version, 0), eq(event::Answer::NotYet { held: 0, origin_fails: false }));
+    expect_that!(
+        ask(version, u32::MAX),
+        eq(event::Answer::NotYet { held: 0, origin_fails: false })
+    );
 }
 
 /// A peer announces chunks that the version does not have; it may be broken or of another release.
--- a/ragwortdeal_node/src/agent.rs
+++ b/ragwortdeal_node/src/agent.rs
@@ -19,7 +19,7 @@
 use snafu::Snafu;
 use tokio::{net, sync::watch};
 
-use crate::{http, link, settings, stop, telemetry};
+use crate::{http, link, pace, settings, stop, telemetry};
 
 /// How long a leaving agent still takes calls, because entries may not have heard yet.
 const LINGER_MS: u64 = 3_000;
@@ -89,7 +89,7 @@
     attempts: guard::Attempts,
     transfer: transfer::Transfer,
     /// When the bound on uploads allows the next piece.
-    upload_free_at: sync::Mutex<std::time::Instant>,
+    upload_pace: sync::Arc<pace::Pace>,
     /// What the engine shall serve, once it is staged whole.
     wanted: watch::Sender<Option<engine::Wanted>>,
 }
@@ -109,7 +109,7 @@
             store: sync::Mutex::new(store::Store::new(settings.weights.staged_max_bytes)),
             engine: engine::Engine::new(settings.upstream.address, http.clone()),
             transfer: transfer::Transfer::new(&settings.weights),
-            upload_free_at: sync::Mutex::new(std::time::Instant::now()),
+            upload_pace: sync::Arc::new(pace::Pace::new(settings.weights.upload_bytes_per_s)),
             settings,
             http,
             config: watch::Sender::new(replica::Replica::default()),
--- a/ragwortdeal_node/src/agent/transfer.rs
+++ b/ragwortdeal_node/src/agent/transfer.rs
@@ -23,9 +23,6 @@
 /// Header by which an agent that asks for a chunk names itself.
 pub(super) const INSTANCE: &str = "x-ragwortdeal-instance";
 
-/// Header that tells how many chunks an agent holds that lacks the one it was asked for.
-pub(super) const HELD: &str = "x-ragwortdeal-held";
-
 /// The transfers of one agent.
 #[derive(Debug)]
 pub(super) struct Transfer {
--- a/ragwortdeal_node/src/agent/transfer/fetch.rs
+++ b/ragwortdeal_node/src/agent/transfer/fetch.rs
@@ -7,8 +7,8 @@
     spread::{download, event, manifest, roster},
 };
 
-use super::{Agent, HELD, INSTANCE, State};
-use crate::http;
+use super::{Agent, INSTANCE, State};
+use crate::{chunk_answers, http};
 
 /// Longest time an announcement may take. A later one does not make up for it, so it is generous;
 /// what is lost is found by asking the chunk's owner.
@@ -185,10 +185,8 @@
 }
 
 fn failure(head: &hyper::http::response::Parts) -> event::Failure {
-    let held = head.headers.get(HELD).and_then(|held| held.to_str().ok());
-    match (head.status.as_u16(), held.and_then(|held| held.parse().ok())) {
-        (429, _) => event::Failure::Busy,
-        (404, Some(held)) => event::Failure::NotYet { held },
-        _ => event::Failure::Error,
+    match head.status.as_u16() {
+        429 => event::Failure::Busy,
+        _ => chunk_answers::read_not_yet(head).unwrap_or(event::Failure::Error),
     }
 }
--- a/ragwortdeal_node/src/agent/transfer/serve.rs
+++ b/ragwortdeal_node/src/agent/transfer/serve.rs
@@ -1,9 +1,6 @@
 //! Answers to peers that ask for chunks or announce theirs.
 
-use std::{
-    sync::{self, atomic},
-    time,
-};
+use std::sync::{self, atomic};
 
 use futures_util::stream;
 use http_body_util::BodyExt as _;
@@ -13,8 +10,8 @@
 };
 use ragwortdeal_wire::operator as wire;
 
-use super::{Agent, HELD, INSTANCE};
-use crate::http;
+use super::{Agent, INSTANCE};
+use crate::{chunk_answers, http};
 
 /// Piece in which a chunk is sent: the unit of pacing, and the most that waits in a socket's queue
 /// beyond what the kernel buffers.
@@ -109,19 +106,19 @@
     let now_ms = agent.transfer.clock.now_ms();
     let mut state = agent.transfer.state();
     let Some(download) = &mut state.download else {
-        return not_yet(0);
+        return chunk_answers::not_yet(0, false);
     };
     match download.serve(now_ms, &from, version, chunk) {
         event::Answer::Busy => empty(429),
-        event::Answer::NotYet { held } => not_yet(held),
+        event::Answer::NotYet { held, origin_fails } => chunk_answers::not_yet(held, origin_fails),
         // The peer follows a newer or an older revision; it is no fault of either side.
-        event::Answer::OtherVersion => not_yet(0),
+        event::Answer::OtherVersion => chunk_answers::not_yet(0, false),
         event::Answer::Send => {
             let digest = download.manifest().chunks()[chunk as usize];
             let bytes = agent.store.lock().expect("no panic under lock").chunk(&digest);
             let Some(bytes) = bytes else {
                 download.upload_ended(&from, chunk);
-                return not_yet(0);
+                return chunk_answers::not_yet(0, false);
             };
             let aborted = atomic::AtomicBool::new(false);
             let to = from.clone();
@@ -135,18 +132,18 @@
 
 fn send(agent: &Agent, upload: sync::Arc<Upload>, bytes: bytes::Bytes) -> http::Response {
     let len_bytes = bytes.len();
-    let rate_bytes_per_s = agent.settings.weights.upload_bytes_per_s;
-    let pieces = stream::unfold((upload, bytes), move |(upload, mut rest)| async move {
+    let pace = agent.upload_pace.clone();
+    let pieces = stream::unfold((upload, bytes, pace), async |(upload, mut rest, pace)| {
         if rest.is_empty() {
             return None;
         }
         if upload.aborted.load(atomic::Ordering::Relaxed) {
             let error = std::io::Error::other("the upload was given up");
-            return Some((Err(error), (upload, bytes::Bytes::new())));
+            return Some((Err(error), (upload, bytes::Bytes::new(), pace)));
         }
         let piece = rest.split_to(rest.len().min(PIECE_BYTES));
-        pace(&upload, piece.len(), rate_bytes_per_s).await;
-        Some((Ok(hyper::body::Frame::data(piece)), (upload, rest)))
+        pace.turn(piece.len()).await;
+        Some((Ok(hyper::body::Frame::data(piece)), (upload, rest, pace)))
     });
     let body = http_body_util::StreamBody::new(pieces).boxed_unsync();
     let mut response = http::respond(200, "application/octet-stream", body);
@@ -155,30 +152,6 @@
     response
 }
 
-/// Holds a piece back until the bound on this agent's uploads allows it.
-async fn pace(upload: &Upload, len_bytes: usize, rate_bytes_per_s: u64) {
-    if rate_bytes_per_s == 0 {
-        return;
-    }
-    let Some(agent) = upload.agent.upgrade() else {
-        return;
-    };
-    let takes = time::Duration::from_secs_f64(len_bytes as f64 / rate_bytes_per_s as f64);
-    let turn = {
-        let mut free_at = agent.upload_free_at.lock().expect("no panic under lock");
-        let turn = (*free_at).max(time::Instant::now());
-        *free_at = turn + takes;
-        turn
-    };
-    tokio::time::sleep_until(turn.into()).await;
-}
-
-fn not_yet(held: u32) -> http::Response {
-    let mut response = empty(404);
-    response.headers_mut().insert(HELD, hyper::header::HeaderValue::from(held));
-    response
-}
-
 fn empty(status: u16) -> http::Response {
     http::respond(status, "text/plain", http::full(bytes::Bytes::new()))
 }
--- a/ragwortdeal_node/src/fleet/agent.rs
+++ b/ragwortdeal_node/src/fleet/agent.rs
@@ -14,16 +14,23 @@
     sync::{self, atomic},
 };
 
-use ragwortdeal_core::{document, document::store, name};
+use ragwortdeal_core::{
+    document::{self, naming, store},
+    name,
+};
 use snafu::Snafu;
 use tokio::{net, sync::mpsc, sync::watch};
 
 use super::{dialect, follow, metrics, notice, packing};
-use crate::{clock, http, link, settings, stop, telemetry};
+use crate::{clock, http, link, pace, settings, stop, telemetry};
 
 /// How long a connect may take; engine, peers and origin stand a few milliseconds away.
 const CONNECT_MS: u64 = 500;
 
+/// Part of the instance's link that chunks to peers may take. The rest is for the events of streams,
+/// which come late where they wait behind chunks; a copy takes 2.5 s in place of 2.0 s for it.
+const UPLOAD_SHARE: f64 = 0.8;
+
 /// Why an agent cannot run.
 #[derive(Debug, Snafu)]
 pub enum AgentError {
@@ -45,19 +52,12 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 struct Told {
     document: Option<sync::Arc<document::Document>>,
-    /// Versions of each model that were named, with the time when this agent heard of them.
-    named: collections::BTreeMap<String, collections::BTreeMap<u64, u64>>,
+    /// Weights that were named.
+    named: naming::Namings,
     /// Other agents, by the voter that tells of them.
     seats: collections::BTreeMap<std_net::Ipv4Addr, Vec<notice::Seat>>,
 }
 
-impl Told {
-    /// When a version was named, as far as this agent heard of it.
-    fn named_ms(&self, model: &str, version: u64) -> Option<u64> {
-        self.named.get(model)?.get(&version).copied()
-    }
-}
-
 /// An agent and its state.
 struct Agent {
     spoken: dialect::Spoken,
@@ -71,6 +71,7 @@
     held_version: sync::Arc<atomic::AtomicU64>,
     told: watch::Sender<Told>,
     spread: spread::Spread,
+    upload_pace: pace::Pace,
     telemetry: telemetry::Telemetry,
     voters: sync::OnceLock<follow::Voters>,
     serves: sync::Mutex<notice::Serves>,
@@ -103,6 +104,7 @@
         held_version: sync::Arc::default(),
         told: watch::Sender::new(Told::default()),
         spread: spread::Spread::new(),
+        upload_pace: pace::Pace::new(upload_bytes_per_s(settings.fleet.link_mbps)),
         telemetry,
         voters: sync::OnceLock::new(),
         serves: sync::Mutex::new(notice::Serves {
@@ -111,6 +113,7 @@
             number: identity.incarnation,
             version: 0,
             accepts: false,
+            whole: 0,
         }),
         identity: identity.clone(),
         settings: settings.clone(),
@@ -132,6 +135,11 @@
     Ok(())
 }
 
+/// Bytes a second that chunks may take of the instance's link.
+fn upload_bytes_per_s(link_mbps: f64) -> u64 {
+    (link_mbps * 125_000.0 * UPLOAD_SHARE) as u64
+}
+
 /// Takes what voters tell.
 async fn learn(agent: sync::Arc<Agent>, mut told: mpsc::Receiver<follow::Told>) {
     while let Some(told) = told.recv().await {
@@ -139,6 +147,7 @@
             follow::Told::Notice(_, notice::Notice::Documents(documents)) => {
                 agent.documents(&documents);
             }
+            follow::Told::Notice(_, notice::Notice::Named(named)) => agent.named(&named),
             follow::Told::Notice(voter, notice::Notice::Agents(seats)) => {
                 agent.told.send_modify(|told| _ = told.seats.insert(voter, seats));
             }
@@ -158,7 +167,6 @@
 
 impl Agent {
     fn documents(&self, documents: &store::Store) {
-        let now_ms = self.clock.now_ms();
         let newer = documents
             .document
             .as_ref()
@@ -177,11 +185,15 @@
             if let Some(document) = read {
                 told.document = Some(sync::Arc::new(document));
             }
-            for (model, version) in &documents.weights {
-                let named = told.named.entry(model.clone()).or_default();
-                if named.keys().all(|held| held < version) {
-                    log::info!("agent: weights {model} version={version} are named");
-                    named.insert(*version, now_ms);
+        });
+    }
+
+    fn named(&self, named: &[naming::Naming]) {
+        let now_ms = self.clock.now_ms();
+        self.told.send_modify(|told| {
+            for naming in named {
+                if told.named.heard(naming, now_ms) {
+                    log::info!("agent: weights are named, {naming:?}");
                 }
             }
         });
@@ -202,14 +214,18 @@
 
     /// Tells entries, by the voters, which version the engine serves and whether it takes work.
     fn say(&self, version: u64, accepts: bool) {
+        let whole = self.spread.whole_version();
         let born_ms = self.engine_born_ms.load(atomic::Ordering::Relaxed);
         let mut serves = self.serves.lock().expect("no panic under lock");
-        if (serves.born_ms, serves.version, serves.accepts) == (born_ms, version, accepts) {
+        let said = (serves.born_ms, serves.version, serves.accepts, serves.whole);
+        if said == (born_ms, version, accepts, whole) {
             return;
         }
-        log::info!("agent: engine born={born_ms} serves version={version} accepts={accepts}");
+        log::info!(
+            "agent: engine born={born_ms} serves version={version} accepts={accepts} whole={whole}"
+        );
         let number = serves.number + 1;
-        *serves = notice::Serves { born_ms, number, version, accepts, ..serves.clone() };
+        *serves = notice::Serves { born_ms, number, version, accepts, whole, ..serves.clone() };
         self.tell(&serves);
     }
 
--- a/ragwortdeal_node/src/fleet/agent/keeper.rs
+++ b/ragwortdeal_node/src/fleet/agent/keeper.rs
@@ -6,7 +6,7 @@
 use std::{sync, time};
 
 use bytes::Bytes;
-use ragwortdeal_core::spread::manifest;
+use ragwortdeal_core::{orders::turns, spread::manifest};
 
 use super::{Agent, origin, spread};
 use crate::fleet::dialect;
@@ -31,12 +31,15 @@
 /// Times that a staged chunk is staged anew before the order is put off.
 const STAGE_TRIES: u32 = 3;
 
-/// Earliest start of the switches after weights were named, while others still fetch.
-const SWITCHES_BEGIN_MS: u64 = 2_800;
+/// Earliest start of the switches after weights were named: about when the first have all chunks.
+const SWITCHES_BEGIN_MS: u64 = 3_200;
 
-/// The last switch begins this long before the bound, so that a request that was on its way still
-/// begins in time.
-const SWITCHES_END_MARGIN_MS: u64 = 3_000;
+/// The last switch begins this long before the bound. What was sent before has its first event
+/// within some hundred milliseconds, on the older weights.
+const SWITCHES_END_MARGIN_MS: u64 = 1_400;
+
+/// The same where the newest weights cannot be had and an engine goes to those before them.
+const FALLBACK_MARGIN_MS: u64 = 3_000;
 
 /// Version that engines hold before any is named.
 const FIRST_VERSION: u64 = 1;
@@ -56,14 +59,14 @@
 
 impl Agent {
     /// The weights that the engine is to serve, and when they were named.
-    fn intended(&self) -> Option<(origin::Weights, Option<u64>)> {
+    fn intended(&self) -> Option<(origin::Weights, Option<i64>)> {
         let told = self.told.borrow();
         let document = told.document.as_ref()?;
         let engine = document.service(&self.service)?.engine.as_ref()?;
         let model = engine.models.first()?.to_string();
-        let newest = told.named.get(&model).and_then(|named| named.last_key_value());
-        let version = newest.map_or(FIRST_VERSION, |(&version, _)| version.max(FIRST_VERSION));
-        Some((origin::Weights { model, version }, newest.map(|(_, &heard_ms)| heard_ms)))
+        let version = told.named.newest(&model).unwrap_or(0).max(FIRST_VERSION);
+        let named_ms = told.named.named_at_ms(&model, version);
+        Some((origin::Weights { model, version }, named_ms))
     }
 
     async fn look(self: &sync::Arc<Self>) {
@@ -96,34 +99,41 @@
     fn due(
         &self,
         weights: &origin::Weights,
-        named_ms: Option<u64>,
+        named_ms: Option<i64>,
         serving: u64,
     ) -> Option<spread::Whole> {
-        let now_ms = self.clock.now_ms();
+        let now_ms = self.clock.now_ms() as i64;
         if let Some(whole) = self.spread.whole().filter(|whole| whole.weights == *weights) {
-            let due = now_ms >= self.switch_at_ms(named_ms, serving);
+            let due = now_ms >= self.switch_at_ms(weights.version, named_ms, serving);
             return Some(whole).filter(|_| due && serving < weights.version);
         }
         let older = self.spread.older().filter(|older| older.weights.version > serving)?;
-        let named = self.told.borrow().named_ms(&older.weights.model, older.weights.version);
-        let bound_ms = self.settings.bounds.weights_ms.saturating_sub(SWITCHES_END_MARGIN_MS);
-        let due = named.is_none_or(|named_ms| now_ms >= named_ms + bound_ms);
+        let origin::Weights { model, version } = &older.weights;
+        let named = self.told.borrow().named.named_at_ms(model, *version);
+        let bound_ms = self.settings.bounds.weights_ms.saturating_sub(FALLBACK_MARGIN_MS);
+        let due = named.is_none_or(|named_ms| now_ms >= named_ms + bound_ms as i64);
         Some(older).filter(|_| due || serving == 0)
     }
 
     /// When the switch may begin. Engines that serve an older version switch one after the other,
     /// so that most of them take work at any time; one that serves nothing switches at once.
-    fn switch_at_ms(&self, named_ms: Option<u64>, serving: u64) -> u64 {
+    fn switch_at_ms(&self, version: u64, named_ms: Option<i64>, serving: u64) -> i64 {
         let Some(named_ms) = named_ms.filter(|_| serving > 0) else {
-            return 0;
+            return i64::MIN;
         };
         let seats = self.seats();
-        let own = self.settings.fleet.address;
-        let earlier = seats.keys().filter(|address| **address < own).count() as u64;
-        let count = seats.len() as u64 + 1;
+        let seats: Vec<_> =
+            seats.values().map(|seat| (seat.address.to_string(), seat.zone.as_str())).collect();
+        let others =
+            seats.iter().map(|(instance, zone)| turns::Seat { instance: instance.as_str(), zone });
+        let own = turns::Seat {
+            instance: &self.identity.name,
+            zone: &self.settings.process.availability_zone,
+        };
+        let share = turns::share(own, others, version);
         let bound_ms = self.settings.bounds.weights_ms;
         let span_ms = bound_ms.saturating_sub(SWITCHES_BEGIN_MS + SWITCHES_END_MARGIN_MS);
-        named_ms + SWITCHES_BEGIN_MS + span_ms * earlier / count
+        named_ms + SWITCHES_BEGIN_MS as i64 + (span_ms as f64 * share) as i64
     }
 
     /// Chunks that are staged at the engine and fit the manifest.
--- a/ragwortdeal_node/src/fleet/agent/origin.rs
+++ b/ragwortdeal_node/src/fleet/agent/origin.rs
@@ -43,7 +43,7 @@
                 }
             }
         }
-        let origin = self.told.borrow().document.as_ref()?.origin()?.to_string();
+        let origin = self.told.borrow().document.as_ref()?.origin()?.address.to_string();
         let call = self.spoken.manifest_call(&weights.model, weights.version);
         self.read_manifest(weights, &origin, call).await
     }
--- a/ragwortdeal_node/src/fleet/agent/peers.rs
+++ b/ragwortdeal_node/src/fleet/agent/peers.rs
@@ -10,13 +10,14 @@
 };
 
 use super::{Agent, origin};
-use crate::http;
+use crate::{chunk_answers, http};
 
 /// Header by which an agent names itself.
 pub(super) const INSTANCE: &str = "x-ragwortdeal-instance";
 
-/// Header that tells how many chunks an agent holds that lacks the one it was asked for.
-pub(super) const HELD: &str = "x-ragwortdeal-held";
+/// Piece in which a chunk is sent. An event of a stream waits behind one piece, 4 ms at 9.4 Mbit/s,
+/// in place of a whole chunk.
+const PIECE_BYTES: usize = 4 << 10;
 
 /// Largest message about chunks that are held.
 const HOLDINGS_MAX_BYTES: usize = 256 << 10;
@@ -122,19 +123,21 @@
             Ok(bytes) => {
                 let upload = Upload { agent: self.clone(), to: to.clone(), chunk };
                 let pieces = futures_util::stream::unfold(
-                    (upload, Some(bytes)),
-                    |(upload, bytes)| async move {
-                        let piece = Ok(hyper::body::Frame::data(bytes?));
-                        Some((piece, (upload, None)))
+                    (upload, bytes),
+                    async |(upload, mut rest): (Upload, bytes::Bytes)| {
+                        if rest.is_empty() {
+                            return None;
+                        }
+                        let piece = rest.split_to(rest.len().min(PIECE_BYTES));
+                        upload.agent.upload_pace.turn(piece.len()).await;
+                        Some((Ok(hyper::body::Frame::data(piece)), (upload, rest)))
                     },
                 );
                 let body = http_body_util::StreamBody::new(pieces.boxed()).boxed_unsync();
                 http::respond(200, "application/octet-stream", body)
             }
-            Err(event::Answer::NotYet { held }) => {
-                let mut response = status(404);
-                response.headers_mut().insert(HELD, held.into());
-                response
+            Err(event::Answer::NotYet { held, origin_fails }) => {
+                chunk_answers::not_yet(held, origin_fails)
             }
             Err(event::Answer::Busy) => status(503),
             Err(_) => status(409),
--- a/ragwortdeal_node/src/fleet/agent/spread.rs
+++ b/ragwortdeal_node/src/fleet/agent/spread.rs
@@ -11,6 +11,7 @@
 
 use super::{Agent, origin, peers};
 use crate::{
+    chunk_answers,
     fleet::{dialect, notice},
     http,
 };
@@ -80,7 +81,7 @@
 }
 
 /// Times and bounds for versions of a few megabytes that have to be everywhere in seconds.
-fn limits() -> limits::Limits {
+fn limits(origin_chunk_ms: f64) -> limits::Limits {
     limits::Limits {
         origin_weight_percent: 50,
         // Callers' requests and answers share the instance's link, and wait behind each chunk that
@@ -96,6 +97,10 @@
         settle_ms: 60,
         // Below the connections that an origin takes, of which some are still closing.
         origin_requests_max: 20,
+        origin_chunk_ms,
+        // 400 ms at most: an origin that is back is noticed soon, and hundreds of agents that ask
+        // so often are a few connections for it.
+        origin_doublings_max: 4,
         deadline_min_ms: 400,
         deadline_far_min_ms: 1_000,
         deadline_first_ms: 600,
@@ -125,6 +130,13 @@
         self.state().last().and_then(Active::whole)
     }
 
+    /// Highest version of which all chunks are at hand, 0 where there is none.
+    pub(super) fn whole_version(&self) -> u64 {
+        let state = self.state();
+        let whole = state.iter().filter(|it| it.download.is_complete());
+        whole.map(|it| it.weights.version).max().unwrap_or(0)
+    }
+
     /// The complete version before it.
     pub(super) fn older(&self) -> Option<Whole> {
         let state = self.state();
@@ -152,7 +164,7 @@
     ) -> Result<Bytes, event::Answer> {
         let mut state = self.state();
         let active = state.iter_mut().find(|it| it.weights == *weights);
-        let active = active.ok_or(event::Answer::NotYet { held: 0 })?;
+        let active = active.ok_or(event::Answer::NotYet { held: 0, origin_fails: false })?;
         let version = active.download.version();
         match active.download.serve(now_ms, to, version, chunk) {
             event::Answer::Send => {
@@ -186,7 +198,8 @@
         log::info!("agent: fetches {weights:?}, kept={} chunks", kept.len());
         let proofs: Vec<_> = kept.iter().map(|(proof, _)| *proof).collect();
         let manifest = listed.manifest.clone();
-        let download = download::Download::new(self.place(), manifest, limits(), &proofs);
+        let limits = limits(self.origin_chunk_ms(&manifest));
+        let download = download::Download::new(self.place(), manifest, limits, &proofs);
         let bytes = kept.into_iter().map(|(proof, bytes)| (proof.chunk(), bytes)).collect();
         let active = Active {
             weights,
@@ -213,6 +226,15 @@
         self.tick_spread();
     }
 
+    /// Milliseconds of one chunk on the origin's link, 0 where the document tells nothing of it.
+    fn origin_chunk_ms(&self, manifest: &manifest::Manifest) -> f64 {
+        let told = self.told.borrow();
+        let origin = told.document.as_ref().and_then(|document| document.origin());
+        let link_mbps = origin.map_or(0.0, |origin| origin.link_mbps);
+        let bits = f64::from(manifest.chunk_bytes()) * 8.0;
+        if link_mbps > 0.0 { bits / (link_mbps * 1_000.0) } else { 0.0 }
+    }
+
     fn place(&self) -> event::Place {
         event::Place {
             instance: self.identity.name.clone(),
@@ -372,7 +394,7 @@
             event::Source::Origin => {
                 let document = self.told.borrow().document.clone();
                 let origin = document.as_ref().and_then(|document| document.origin());
-                let origin = origin.ok_or(event::Failure::Error)?.to_string();
+                let origin = origin.ok_or(event::Failure::Error)?.address.to_string();
                 (origin, self.spoken.chunk_call(&weights.model, weights.version, chunk))
             }
             event::Source::Peer(instance) => {
@@ -399,19 +421,10 @@
             log::debug!("agent: {error}");
             event::Failure::Error
         })?;
-        let held =
-            head.headers.get(peers::HELD).and_then(|value| value.to_str().ok()?.parse().ok());
-        match (head.status.as_u16(), held) {
-            (200, _) => Ok(bytes),
-            (404, Some(held)) => {
-                log::debug!("agent: chunk {chunk} is not there yet, held={held} at {source:?}");
-                Err(event::Failure::NotYet { held })
-            }
-            (503, _) => {
-                log::debug!("agent: chunk {chunk}: {source:?} is busy");
-                Err(event::Failure::Busy)
-            }
-            _ => Err(event::Failure::Error),
+        match head.status.as_u16() {
+            200 => Ok(bytes),
+            503 => Err(event::Failure::Busy),
+            _ => Err(chunk_answers::read_not_yet(&head).unwrap_or(event::Failure::Error)),
         }
     }
 
--- a/ragwortdeal_node/src/fleet/entry/learn.rs
+++ b/ragwortdeal_node/src/fleet/entry/learn.rs
@@ -16,7 +16,8 @@
         };
         let now_ms = entry.clock.now_ms();
         match notice {
-            notice::Notice::Documents(documents) => entry.documents(&documents, now_ms),
+            notice::Notice::Documents(documents) => entry.documents(&documents),
+            notice::Notice::Named(named) => entry.fleet().named(&named, now_ms),
             notice::Notice::Upstreams(said) => {
                 said.into_iter().for_each(|said| entry.fleet().announced(said, now_ms));
             }
@@ -33,10 +34,7 @@
 impl Entry {
     /// Puts a newer document in force. An older one is passed over, whoever sends it: an accepted
     /// change must never be taken back.
-    fn documents(&self, documents: &store::Store, now_ms: u64) {
-        for (model, version) in &documents.weights {
-            self.fleet().named(model, *version, now_ms);
-        }
+    fn documents(&self, documents: &store::Store) {
         let Some(sealed) = &documents.document else {
             return;
         };
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -5,6 +5,7 @@
 use ragwortdeal_core::{
     directory,
     dispatch::{choice, share},
+    document::naming,
 };
 
 use super::{Entry, pool};
@@ -27,9 +28,13 @@
 const SHED_SLOTS: f64 = 2.0;
 
 /// Taken off the time in which engines must serve named weights: requests that were sent before
-/// still wait for their first token.
+/// still wait for their first token. A link may have turned narrow without anybody knowing.
 const WEIGHTS_MARGIN_MS: u64 = 2_500;
 
+/// The same for an engine whose agent holds the newer weights already: their chunks came over the
+/// same link in time, and its change is due in its turn.
+const WEIGHTS_MARGIN_WHOLE_MS: u64 = 1_200;
+
 /// The same for upstreams that answered slowly of late. Behind a narrow link requests were seen to
 /// arrive two seconds after they were sent, where no reset takes them back.
 const WEIGHTS_MARGIN_SLOW_MS: u64 = 4_000;
@@ -48,9 +53,6 @@
 /// older weights: on a slow link it may still be on its way, and would begin too late.
 const BEGIN_MARGIN_MS: u64 = 500;
 
-/// Versions of a model of which the time is remembered.
-const NAMED_MAX: usize = 32;
-
 /// How this entry fared with an upstream.
 #[derive(Clone, Debug, Default)]
 struct Way {
@@ -72,13 +74,6 @@
     }
 }
 
-/// Weights that were named.
-#[derive(Clone, Copy, Debug)]
-struct Named {
-    version: u64,
-    heard_ms: u64,
-}
-
 /// An upstream that was chosen for a request. It counts as busy until this is dropped.
 pub(super) struct Chosen {
     pub(super) peer: pool::Peer,
@@ -87,7 +82,7 @@
     /// Milliseconds of the prompt that count as unread there.
     reading_ms: f64,
     /// Time at which the request must have begun there, as the weights are superseded.
-    begin_by_ms: Option<u64>,
+    begin_by_ms: Option<i64>,
     entry: sync::Arc<Entry>,
 }
 
@@ -95,8 +90,8 @@
     /// Time that is left for the request to begin there, where there is a bound.
     pub(super) fn left_to_begin(&self) -> Option<time::Duration> {
         let by_ms = self.begin_by_ms?;
-        let left_ms = by_ms.saturating_sub(self.entry.clock.now_ms());
-        Some(time::Duration::from_millis(left_ms))
+        let left_ms = by_ms - self.entry.clock.now_ms() as i64;
+        Some(time::Duration::from_millis(left_ms.max(0).unsigned_abs()))
     }
 
     /// The first event came: the prompt is read.
@@ -131,7 +126,7 @@
     directory: directory::Directory,
     ways: collections::HashMap<directory::Text, Way>,
     serves: collections::HashMap<net::SocketAddrV4, notice::Serves>,
-    named: collections::HashMap<String, Vec<Named>>,
+    named: naming::Namings,
     entries: collections::HashMap<net::Ipv4Addr, u32>,
     spending: collections::HashMap<directory::Text, share::Spending>,
 }
@@ -144,7 +139,7 @@
             directory: directory::Directory::default(),
             ways: collections::HashMap::new(),
             serves: collections::HashMap::new(),
-            named: collections::HashMap::new(),
+            named: naming::Namings::default(),
             entries: collections::HashMap::new(),
             spending: collections::HashMap::new(),
         }
@@ -188,14 +183,10 @@
         self.serves.insert(serves.address, serves);
     }
 
-    pub(super) fn named(&mut self, model: &str, version: u64, now_ms: u64) {
-        let named = self.named.entry(model.to_owned()).or_default();
-        if named.iter().all(|held| held.version < version) {
-            log::info!("entry: weights {model} version={version} are named");
-            named.push(Named { version, heard_ms: now_ms });
-            // Those whose time is up long since are covered by the newest of them.
-            if named.len() > NAMED_MAX {
-                named.remove(0);
+    pub(super) fn named(&mut self, named: &[naming::Naming], now_ms: u64) {
+        for naming in named {
+            if self.named.heard(naming, now_ms) {
+                log::info!("entry: weights are named, {naming:?}");
             }
         }
     }
@@ -225,21 +216,22 @@
         .filter(|version| *version > 0)
     }
 
-    /// Lowest version of a model that a request may begin on now: the highest whose time is up.
-    /// Versions may be named faster than engines take them, so each has a time of its own.
+    /// Highest version of which the agent beside an engine holds all chunks.
+    fn whole_at(&self, said: &directory::Announcement) -> u64 {
+        let agent = self.serves.get(&said.address);
+        agent.filter(|it| it.born_ms == said.age.born_ms).map_or(0, |it| it.whole)
+    }
+
+    /// Lowest version of a model that a request may be sent to now.
     fn lowest(&self, model: &str, margin_ms: u64, now_ms: u64) -> u64 {
-        let due_ms = self.weights_ms.saturating_sub(margin_ms);
-        let named = self.named.get(model).into_iter().flatten();
-        let due = named.filter(|named| now_ms >= named.heard_ms + due_ms);
-        due.map(|named| named.version).max().unwrap_or(0)
+        self.named.lowest_due(model, self.weights_ms.saturating_sub(margin_ms), now_ms)
     }
 
     /// When a request must have begun on a version, because a newer one was named.
-    fn begin_by_ms(&self, models: &[directory::Text], version: u64) -> Option<u64> {
-        let named = models.iter().filter_map(|model| self.named.get(&**model)).flatten();
-        let newer = named.filter(|named| named.version > version);
-        let first_ms = newer.map(|named| named.heard_ms).min()?;
-        Some(first_ms + self.weights_ms.saturating_sub(BEGIN_MARGIN_MS))
+    fn begin_by_ms(&self, models: &[directory::Text], version: u64) -> Option<i64> {
+        let superseded = |model: &directory::Text| self.named.superseded_at_ms(model, version);
+        let first_ms = models.iter().filter_map(superseded).min()?;
+        Some(first_ms + self.weights_ms.saturating_sub(BEGIN_MARGIN_MS) as i64)
     }
 
     fn candidate(&self, said: &directory::Announcement, now_ms: u64) -> Option<choice::Candidate> {
@@ -370,6 +362,7 @@
         };
         let lowest = lowest_within(WEIGHTS_MARGIN_MS);
         let lowest_if_slow = lowest_within(WEIGHTS_MARGIN_SLOW_MS);
+        let lowest_if_whole = lowest_within(WEIGHTS_MARGIN_WHOLE_MS);
         let mut offered = Vec::new();
         let mut candidates = Vec::new();
         for upstream in fleet.directory.all() {
@@ -381,7 +374,13 @@
                 continue;
             }
             let slow = fleet.is_slow(&said.instance, now_ms);
-            let version = match if slow { lowest_if_slow } else { lowest } {
+            let whole = fleet.whole_at(said);
+            let lowest = match lowest {
+                _ if slow => lowest_if_slow,
+                Some(due) if whole >= due => lowest_if_whole,
+                _ => lowest,
+            };
+            let version = match lowest {
                 Some(lowest) => match fleet.version_of(said).filter(|held| *held >= lowest) {
                     Some(version) => Some(version),
                     None => continue,
--- a/ragwortdeal_node/src/fleet/notice.rs
+++ b/ragwortdeal_node/src/fleet/notice.rs
@@ -2,7 +2,10 @@
 
 use std::net;
 
-use ragwortdeal_core::{directory, document::store};
+use ragwortdeal_core::{
+    directory,
+    document::{naming, store},
+};
 use ragwortdeal_wire::link as wire;
 
 /// One message. It travels inside a link's opaque field: both ends are the same program.
@@ -13,8 +16,10 @@
         /// Version of its document.
         version: u64,
     },
-    /// The document where the follower's is older, and the named weights.
+    /// The document where the follower's is older.
     Documents(store::Store),
+    /// Weights that were named, and how long ago.
+    Named(Vec<naming::Naming>),
     /// Voters that can be followed, by address.
     Voters(Vec<net::Ipv4Addr>),
     /// Announcements of upstreams.
@@ -58,6 +63,9 @@
     pub version: u64,
     /// Whether it takes new requests.
     pub accepts: bool,
+    /// Highest version of which the agent holds all chunks. An agent that has got the newer weights
+    /// shows that its link is well and that its engine changes in its turn.
+    pub whole: u64,
 }
 
 /// Wraps a notice for a link.
--- a/ragwortdeal_node/src/lib.rs
+++ b/ragwortdeal_node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod agent;
 mod attempt;
 pub mod border;
+mod chunk_answers;
 pub mod clock;
 pub mod entry;
 pub mod explain;
@@ -14,6 +15,7 @@
 pub mod lease;
 pub mod link;
 pub mod logging;
+mod pace;
 pub mod program;
 pub mod relay;
 pub mod settings;
--- a/ragwortdeal_node/src/settings/fleet.rs
+++ b/ragwortdeal_node/src/settings/fleet.rs
@@ -47,6 +47,9 @@
     pub engine: Option<net::SocketAddrV4>,
     /// Service of that engine.
     pub service: Option<String>,
+    /// Megabits a second that this instance's link carries, 0 where it is not told. Chunks to other
+    /// agents take a part of it only.
+    pub link_mbps: f64,
 }
 
 impl Default for Fleet {
@@ -60,6 +63,7 @@
             regions: collections::BTreeMap::new(),
             engine: None,
             service: None,
+            link_mbps: 0.0,
         }
     }
 }
--- a/ragwortdeal_node/src/voter/fleet/hub.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -2,7 +2,10 @@
 
 use std::{collections, net, sync};
 
-use ragwortdeal_core::{directory, document::store};
+use ragwortdeal_core::{
+    directory,
+    document::{naming, store},
+};
 use ragwortdeal_wire::link as wire;
 
 use crate::{clock, fleet::notice, link, voter::driver};
@@ -14,7 +17,6 @@
     session: link::Session,
     /// Version of the document that it was sent or said to hold; none before it asked.
     version: Option<u64>,
-    weights: collections::BTreeMap<String, u64>,
 }
 
 #[derive(Default)]
@@ -24,6 +26,7 @@
     agents: collections::BTreeMap<link::SessionId, notice::Seat>,
     serves: collections::BTreeMap<net::SocketAddrV4, notice::Serves>,
     documents: store::Store,
+    named: naming::Namings,
     voters: Vec<net::Ipv4Addr>,
 }
 
@@ -64,6 +67,7 @@
         let mut state = self.state();
         state.directory.forget_silent(SILENT_MS, self.clock.now_ms());
         state.documents = documents;
+        state.name_weights(self.clock.now_ms());
         let voters: Vec<_> = voters.iter().filter_map(|name| name.parse().ok()).collect();
         if voters != state.voters {
             state.voters = voters;
@@ -107,11 +111,7 @@
 
     pub(super) fn opened(&self, session: &link::Session) {
         let mut state = self.state();
-        let follower = Follower {
-            session: session.clone(),
-            version: None,
-            weights: collections::BTreeMap::new(),
-        };
+        let follower = Follower { session: session.clone(), version: None };
         state.followers.insert(session.id, follower);
         if session.hello.role == "agent"
             && let Ok(address) = session.hello.name.parse()
@@ -136,7 +136,9 @@
     pub(super) fn heard(&self, session: &link::Session, message: &wire::Message) {
         let mut state = self.state();
         match notice::open(message) {
-            Some(notice::Notice::Follow { version }) => state.follow(session.id, version),
+            Some(notice::Notice::Follow { version }) => {
+                state.follow(session.id, version, self.clock.now_ms());
+            }
             Some(notice::Notice::Serves(serves)) => {
                 let newer = |held: &notice::Serves| held.number < serves.number;
                 if state.serves.get(&serves.address).is_none_or(newer) {
@@ -175,14 +177,29 @@
         self.tell_role("entry", &notice::seal(&notice::Notice::Entries(entries)));
     }
 
+    /// Notes weights that the log has named, and tells followers of those that are new.
+    fn name_weights(&mut self, now_ms: u64) {
+        let mut new = false;
+        for (model, &version) in &self.documents.weights {
+            if self.named.named_at_ms(model, version).is_none() {
+                let naming = naming::Naming { model: model.clone(), version, age_ms: 0 };
+                new |= self.named.heard(&naming, now_ms);
+            }
+        }
+        if new {
+            self.tell_all(&notice::seal(&notice::Notice::Named(self.named.told(now_ms))));
+        }
+    }
+
     /// Sends a follower all that it may lack.
-    fn follow(&mut self, session: link::SessionId, version: u64) {
+    fn follow(&mut self, session: link::SessionId, version: u64, now_ms: u64) {
         let Some(follower) = self.followers.get_mut(&session) else {
             return;
         };
         follower.version = Some(version);
         follower.send_documents(&self.documents);
         let push = |notice: &notice::Notice| _ = follower.session.push(notice::seal(notice));
+        push(&notice::Notice::Named(self.named.told(now_ms)));
         push(&notice::Notice::Voters(self.voters.clone()));
         let said = self.directory.all().map(|upstream| upstream.said.clone()).collect();
         push(&notice::Notice::Upstreams(said));
@@ -198,14 +215,11 @@
         let Some(version) = self.version else {
             return;
         };
-        let newer = documents.version() > version;
-        if !newer && self.weights == documents.weights {
+        if documents.version() <= version {
             return;
         }
-        self.weights.clone_from(&documents.weights);
-        self.version = Some(version.max(documents.version()));
-        let document = documents.document.clone().filter(|_| newer);
-        let news = store::Store { document, weights: documents.weights.clone() };
+        self.version = Some(documents.version());
+        let news = store::Store { weights: collections::BTreeMap::new(), ..documents.clone() };
         self.session.push(notice::seal(&notice::Notice::Documents(news)));
     }
 }
--- a/ragwortdeal_standins/src/fleet/world.rs
+++ b/ragwortdeal_standins/src/fleet/world.rs
@@ -145,6 +145,7 @@
                     .collect(),
                 engine: Some(self.upstream(number)),
                 service: Some("models".to_owned()),
+                link_mbps: 0.0,
             },
             listen: settings::fleet::Listen {
                 callers: Some(self.callers(number)),
