Leave narrow links to callers, let the version before finish its draws

And once version 3 was named, the few chunks of version 2 that owners behind such links had not drawn could not be had at all, so no engine took it.

Ruled out: links between regions (some 30 chunks a second over six of 30 Mbit/s, where one carries 76).

Change: core spread::flow halves the rate of uploads after two slow chunks in a row and asks for one chunk at a time; a single slow one is taken for the other end's. A version before the newest may draw what is missing once all draws had their turn.

--- a/ragwortdeal_core/src/spread.rs
+++ b/ragwortdeal_core/src/spread.rs
@@ -10,6 +10,7 @@
 pub mod chunk_set;
 pub mod download;
 pub mod event;
+pub mod flow;
 pub mod limits;
 pub mod manifest;
 pub mod owners;
--- a/ragwortdeal_core/src/spread/download/choice.rs
+++ b/ragwortdeal_core/src/spread/download/choice.rs
@@ -122,6 +122,13 @@
         (place as f64 * self.limits.origin_chunk_ms * TURN_SHARE) as u64
     }
 
+    /// Whether the last draw had its turn. From then on the origin is only asked for what an owner
+    /// could not get, which is little beside another version.
+    pub fn turns_are_over(&self, now_ms: u64) -> bool {
+        let last = self.manifest.chunks().len() as u32 - 1;
+        self.is_due(now_ms, last)
+    }
+
     /// Whether a chunk should be at its owner by now.
     fn is_due(&self, now_ms: u64, chunk: u32) -> bool {
         let late_ms = (TURNS_LATE * self.limits.origin_chunk_ms) as u64;
--- a/ragwortdeal_node/src/agent/transfer/serve.rs
+++ b/ragwortdeal_node/src/agent/transfer/serve.rs
@@ -142,7 +142,7 @@
             return Some((Err(error), (upload, bytes::Bytes::new(), pace)));
         }
         let piece = rest.split_to(rest.len().min(PIECE_BYTES));
-        pace.turn(piece.len()).await;
+        pace.turn(piece.len(), 1.0).await;
         Some((Ok(hyper::body::Frame::data(piece)), (upload, rest, pace)))
     });
     let body = http_body_util::StreamBody::new(pieces).boxed_unsync();
--- a/ragwortdeal_node/src/fleet/agent.rs
+++ b/ragwortdeal_node/src/fleet/agent.rs
@@ -103,7 +103,7 @@
         clock: clock::Clock::start(),
         held_version: sync::Arc::default(),
         told: watch::Sender::new(Told::default()),
-        spread: spread::Spread::new(),
+        spread: spread::Spread::new(spread::chunk_ms(settings.fleet.link_mbps)),
         upload_pace: pace::Pace::new(upload_bytes_per_s(settings.fleet.link_mbps)),
         telemetry,
         voters: sync::OnceLock::new(),
--- a/ragwortdeal_node/src/fleet/agent/peers.rs
+++ b/ragwortdeal_node/src/fleet/agent/peers.rs
@@ -1,6 +1,6 @@
 //! What agents ask each other: manifests, chunks, and who holds what.
 
-use std::{net, sync};
+use std::{net, sync, time};
 
 use futures_util::StreamExt as _;
 use http_body_util::BodyExt as _;
@@ -96,10 +96,24 @@
     agent: sync::Arc<Agent>,
     to: name::InstanceName,
     chunk: u32,
+    begun: time::Instant,
+    /// Time for which it waited for its turn, which is not the link's doing.
+    paced: time::Duration,
+}
+
+impl Upload {
+    async fn turn(&mut self, len_bytes: usize) {
+        let begun = time::Instant::now();
+        let share = self.agent.spread.flow().share();
+        self.agent.upload_pace.turn(len_bytes, share).await;
+        self.paced += begun.elapsed();
+    }
 }
 
 impl Drop for Upload {
     fn drop(&mut self) {
+        let held_up = self.begun.elapsed().saturating_sub(self.paced);
+        self.agent.spread.flow().sent(held_up.as_millis() as u64);
         self.agent.upload_ended(&self.to, self.chunk);
     }
 }
@@ -121,15 +135,21 @@
         let now_ms = self.clock.now_ms();
         match self.spread.serve(weights, chunk, to, now_ms) {
             Ok(bytes) => {
-                let upload = Upload { agent: self.clone(), to: to.clone(), chunk };
+                let upload = Upload {
+                    agent: self.clone(),
+                    to: to.clone(),
+                    chunk,
+                    begun: time::Instant::now(),
+                    paced: time::Duration::ZERO,
+                };
                 let pieces = futures_util::stream::unfold(
                     (upload, bytes),
-                    async |(upload, mut rest): (Upload, bytes::Bytes)| {
+                    async |(mut upload, mut rest): (Upload, bytes::Bytes)| {
                         if rest.is_empty() {
                             return None;
                         }
                         let piece = rest.split_to(rest.len().min(PIECE_BYTES));
-                        upload.agent.upload_pace.turn(piece.len()).await;
+                        upload.turn(piece.len()).await;
                         Some((Ok(hyper::body::Frame::data(piece)), (upload, rest)))
                     },
                 );
--- a/ragwortdeal_node/src/fleet/agent/spread.rs
+++ b/ragwortdeal_node/src/fleet/agent/spread.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use ragwortdeal_core::{
     name,
-    spread::{download, event, limits, manifest, roster},
+    spread::{download, event, flow, limits, manifest, roster},
 };
 use tokio::{sync::Notify, task};
 
@@ -25,6 +25,13 @@
 /// Largest answer to it.
 const ANSWER_MAX_BYTES: usize = 64 << 10;
 
+/// Chunks under way to an instance at once. Callers' requests share its link and wait behind each:
+/// 42 ms at 9.4 Mbit/s, of which a first event may take 300.
+const DOWNLOADS_MAX: usize = 2;
+
+/// Usual size of a chunk, by which a slow one is told before a document tells the size.
+const CHUNK_USUAL_BYTES: f64 = 49_152.0;
+
 /// Bad chunks from the origin in a row after which the manifest itself is doubted: it comes from
 /// there too, and may have been spoilt on the way.
 const ORIGIN_FAULTS_MAX: u32 = 6;
@@ -36,6 +43,7 @@
     state: sync::Mutex<Vec<Active>>,
     /// Signalled when a version is complete.
     complete: Notify,
+    flow: sync::Mutex<flow::Flow>,
 }
 
 /// A version with all its chunks.
@@ -55,7 +63,8 @@
     fetches: collections::BTreeMap<(event::Source, u32), task::AbortHandle>,
     reported: collections::BTreeMap<net::Ipv4Addr, u64>,
     origin_faults: u32,
-    /// Whether the origin may be asked: its link is for the newest version.
+    /// Whether the origin may be asked: its link is for the newest version, and for the little that
+    /// one before it still lacks.
     draws: bool,
 }
 
@@ -84,9 +93,7 @@
 fn limits(origin_chunk_ms: f64) -> limits::Limits {
     limits::Limits {
         origin_weight_percent: 50,
-        // Callers' requests and answers share the instance's link, and wait behind each chunk that
-        // is under way: 42 ms each at 9.4 Mbit/s, of which a first event may take 300.
-        downloads_max: 2,
+        downloads_max: DOWNLOADS_MAX,
         uploads_max: 2,
         remote_requests_max: 3,
         uploads_per_peer_max: 1,
@@ -112,8 +119,19 @@
 }
 
 impl Spread {
-    pub(super) fn new() -> Self {
-        Self { state: sync::Mutex::default(), complete: Notify::new() }
+    /// Nothing is fetched yet, over a link on which a chunk takes `chunk_ms`.
+    pub(super) fn new(chunk_ms: f64) -> Self {
+        let flow = flow::Flow::new(chunk_ms, DOWNLOADS_MAX);
+        Self {
+            state: sync::Mutex::default(),
+            complete: Notify::new(),
+            flow: sync::Mutex::new(flow),
+        }
+    }
+
+    /// What the link carries, by the chunks of late.
+    pub(super) fn flow(&self) -> sync::MutexGuard<'_, flow::Flow> {
+        self.flow.lock().expect("no panic under lock")
     }
 
     fn state(&self) -> sync::MutexGuard<'_, Vec<Active>> {
@@ -175,6 +193,11 @@
     }
 }
 
+/// Milliseconds of a usual chunk on a link, 0 where its rate is not told.
+pub(super) fn chunk_ms(link_mbps: f64) -> f64 {
+    if link_mbps > 0.0 { CHUNK_USUAL_BYTES * 8.0 / (link_mbps * 1_000.0) } else { 0.0 }
+}
+
 /// Ticks for as long as the process runs.
 pub(super) async fn tick(agent: sync::Arc<Agent>) {
     let mut ticks = tokio::time::interval(TICK);
@@ -254,7 +277,9 @@
 
     fn tick_spread(self: &sync::Arc<Self>) {
         let seats = self.seats();
+        let window = self.spread.flow().window();
         let mut state = self.spread.state();
+        state.iter_mut().for_each(|it| it.download.set_window(window));
         for index in 0..state.len() {
             let newest = index + 1 == state.len();
             self.tick_active(&mut state[index], &seats, newest);
@@ -267,7 +292,7 @@
         seats: &collections::BTreeMap<net::Ipv4Addr, notice::Seat>,
         newest: bool,
     ) {
-        active.draws = newest;
+        active.draws = newest || active.download.turns_are_over(self.clock.now_ms());
         let mut events = Vec::new();
         let gone: Vec<_> = active
             .reported
@@ -335,6 +360,9 @@
                 tokio::spawn(self.clone().announce(to, holdings));
             }
             event::Action::Blame { source, chunk, fault } => {
+                if fault == event::Fault::Timeout && source != event::Source::Origin {
+                    self.spread.flow().came(u64::MAX);
+                }
                 log::info!("agent: chunk {chunk} from {source:?}: {fault:?}");
                 let from_origin = source == event::Source::Origin;
                 if from_origin && matches!(fault, event::Fault::BadChunk(_)) {
@@ -350,7 +378,12 @@
     }
 
     async fn fetch(self: sync::Arc<Self>, wanted: Wanted) {
+        let begun = time::Instant::now();
         let fetched = self.fetch_bytes(&wanted).await;
+        // What is given up is counted where its deadline is. The origin's queue is not the own link.
+        if fetched.is_ok() && wanted.source != event::Source::Origin {
+            self.spread.flow().came(begun.elapsed().as_millis() as u64);
+        }
         let Wanted { weights, manifest, source, chunk, .. } = wanted;
         let version = manifest.version();
         let event = match fetched {
--- a/ragwortdeal_node/src/pace.rs
+++ b/ragwortdeal_node/src/pace.rs
@@ -21,12 +21,13 @@
         Self { bytes_per_s, free_at: sync::Mutex::new(time::Instant::now()) }
     }
 
-    /// Waits until so many bytes may leave.
-    pub async fn turn(&self, len_bytes: usize) {
+    /// Waits until so many bytes may leave at a part of the bound.
+    pub async fn turn(&self, len_bytes: usize, share: f64) {
         if self.bytes_per_s == 0 {
             return;
         }
-        let takes = time::Duration::from_secs_f64(len_bytes as f64 / self.bytes_per_s as f64);
+        let takes = len_bytes as f64 / (self.bytes_per_s as f64 * share);
+        let takes = time::Duration::from_secs_f64(takes);
         let turn = {
             let mut free_at = self.free_at.lock().expect("no panic under lock");
             let turn = (*free_at).max(time::Instant::now());
