Choose engines by a forecast of the first event

Cause: with 12 of 19 engines at hand while weights change, and always on the grown site, engines are asked for more than they can do. Choice by open requests also kept requests at near engines with long prompts unread.

Ruled out: streams that are broken off by a change (60 of 216 late answers); transit between entry and engine.

Change: core dispatch::forecast works out the first event from the engine's constants, what is open, what is unread, and how wrong its last forecasts were. The soonest engine is taken, near ones first; what cannot be in time is refused at once, but for callers that were refused before and streams that go on elsewhere, up to three times the aim. An engine that answered promptly keeps requests on superseded weights until 1.7 s before the bound, others until 2.5 s.

--- a/ragwortdeal_core/src/dispatch.rs
+++ b/ragwortdeal_core/src/dispatch.rs
@@ -3,4 +3,5 @@
 //! Modules here need no network. `docs/design/platform.md` tells which policies were weighed.
 
 pub mod choice;
+pub mod forecast;
 pub mod share;
--- a/ragwortdeal_core/src/dispatch/choice.rs
+++ b/ragwortdeal_core/src/dispatch/choice.rs
@@ -1,5 +1,7 @@
 //! Which upstream serves a request.
 
+use super::forecast;
+
 /// An upstream that may serve a request, as one entry sees it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Candidate {
@@ -16,6 +18,10 @@
     /// Milliseconds that it needs to read the prompts which this entry sent and which have no first
     /// event yet. A new request waits behind them.
     pub reading_ms: f64,
+    /// The same for the prompts of other entries, by the last word of the upstream.
+    pub unread_elsewhere_ms: f64,
+    /// Milliseconds by which first events came later than forecast, of late; negative where sooner.
+    pub excess_ms: f64,
 }
 
 /// How much fuller, in slots, a near upstream may be before a far one is taken: what a request
@@ -33,6 +39,17 @@
 /// longer comes too late for its caller.
 const WAITING_SHARE: f64 = 0.15;
 
+/// How much later the first event may come from an engine in the own zone before one behind a link
+/// between zones is taken. Such links are narrow and dear.
+const FAR_MS: f64 = 100.0;
+
+/// Milliseconds of waiting that count like one more open request. It spreads requests over engines
+/// that would all begin at once, so that their slots fill evenly.
+const OPEN_MS: f64 = 6.0;
+
+/// Milliseconds that an engine which always fails is taken to lose.
+const FAILING_MS: f64 = 800.0;
+
 /// Load of an upstream in requests, as far as known.
 pub fn load(candidate: &Candidate) -> f64 {
     f64::from(candidate.open) + candidate.elsewhere
@@ -54,6 +71,38 @@
     open.min_by(|&a, &b| cost(&candidates[a]).total_cmp(&cost(&candidates[b])))
 }
 
+/// What a request to an engine asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct Prompt {
+    /// Milliseconds that an engine takes to read it.
+    pub reading_ms: f64,
+    /// Milliseconds to the first event beyond which it is not worth the engine's time.
+    pub first_event_max_ms: f64,
+}
+
+/// The engine at which the first event comes soonest, near ones first, if any gives it in time.
+pub fn best_engine(
+    candidates: &[Candidate],
+    pace: &forecast::Pace,
+    prompt: &Prompt,
+    draw: u64,
+) -> Option<usize> {
+    let count = candidates.len();
+    let start = usize::try_from(draw).unwrap_or(0).checked_rem(count)?;
+    let order = (0..count).map(|step| (start + step) % count);
+    let forecasts = order.map(|index| {
+        let candidate = &candidates[index];
+        (index, candidate, pace.first_event_ms(candidate, prompt.reading_ms))
+    });
+    let in_time = forecasts.filter(|(_, _, first_ms)| *first_ms <= prompt.first_event_max_ms);
+    let cost = |candidate: &Candidate, first_ms: f64| {
+        let far_ms = if candidate.near { 0.0 } else { FAR_MS };
+        first_ms + far_ms + load(candidate) * OPEN_MS + candidate.failing * FAILING_MS
+    };
+    let costs = in_time.map(|(index, candidate, first_ms)| (index, cost(candidate, first_ms)));
+    costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(index, _)| index)
+}
+
 fn cost(candidate: &Candidate) -> f64 {
     let far = if candidate.near { 0.0 } else { NEAR_SLOTS };
     let reading = candidate.reading_ms / READING_MS_PER_SLOT;
--- /dev/null
+++ b/ragwortdeal_core/src/dispatch/forecast.rs
@@ -0,0 +1,108 @@
+//! How long a request would wait for its first event at an engine.
+//!
+//! An engine reads prompts between the tokens of others, and takes only so many requests at once. A
+//! request that comes in late has lost most of its worth to its caller, and the time that the engine
+//! spent on it is lost to others. So the wait is worked out before a request is sent, from what the
+//! engine said last and from what was sent since. `docs/design/routing.md` has the figures.
+
+use crate::document;
+
+use super::choice::Candidate;
+
+/// Part of a pass for which a request waits on average before an engine looks at it.
+const PASS_WAITED: f64 = 0.5;
+
+/// How the engines of a service work, as far as a forecast needs it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pace {
+    slots: f64,
+    /// Milliseconds of the token steps of one pass.
+    steps_ms: f64,
+    /// Milliseconds for reading what fits between the steps of two passes.
+    chunk_ms: f64,
+    /// Milliseconds of an engine's time that a usual request takes.
+    service_ms: f64,
+    /// Milliseconds for reading a usual prompt.
+    usual_reading_ms: f64,
+}
+
+impl Pace {
+    /// Works it out from what the document says of a service's engines.
+    pub fn new(engine: &document::Engine) -> Self {
+        let slots = f64::from(engine.slots.max(1));
+        let usual = engine.usual;
+        let context = engine.step_per_context_ms * usual.prompt_tokens / 1_000.0;
+        let step_ms = engine.step_ms + slots * (engine.step_per_request_ms + context);
+        let usual_reading_ms = reading_ms(engine, usual.prompt_tokens);
+        Self {
+            slots,
+            steps_ms: f64::from(engine.stride.max(1)) * step_ms,
+            chunk_ms: reading_ms(engine, f64::from(engine.read_chunk_tokens)),
+            service_ms: usual_reading_ms + usual.answer_tokens * step_ms / slots,
+            usual_reading_ms,
+        }
+    }
+
+    /// Milliseconds that reading a usual prompt takes.
+    pub fn usual_reading_ms(&self) -> f64 {
+        self.usual_reading_ms
+    }
+
+    /// Milliseconds until the first event of a request whose prompt takes so long to read.
+    pub fn first_event_ms(&self, engine: &Candidate, reading_ms: f64) -> f64 {
+        let load = f64::from(engine.open) + engine.elsewhere;
+        let unread_ms = engine.reading_ms + engine.unread_elsewhere_ms + reading_ms;
+        // While others write, their steps come between the chunks of what is read.
+        let steps_ms = match load >= 1.0 {
+            true => self.steps_ms * (unread_ms / self.chunk_ms.max(1.0)).ceil(),
+            false => 0.0,
+        };
+        let before_slot_ms = (load + 1.0 - self.slots).max(0.0) * self.service_ms;
+        let worked_out_ms = PASS_WAITED * self.steps_ms + unread_ms + steps_ms + before_slot_ms;
+        (worked_out_ms + engine.excess_ms).max(0.0)
+    }
+}
+
+/// Milliseconds that an engine takes to read a prompt: its tokens, and the pairs among them.
+pub fn reading_ms(engine: &document::Engine, prompt_tokens: f64) -> f64 {
+    let pairs = prompt_tokens * prompt_tokens / 2.0;
+    prompt_tokens * 1_000.0 / engine.read_tokens_per_s.max(1.0) + pairs / 1e6 * engine.read_pairs_ms
+}
+
+/// Weight of one answer in the mean excess: about five answers make it.
+const EXCESS_WEIGHT: f64 = 0.2;
+
+/// Bounds of one excess. An answer that was lost on the way must not shut an engine out for long.
+const EXCESS_MIN_MS: f64 = -100.0;
+const EXCESS_MAX_MS: f64 = 1_000.0;
+
+/// Time in which an excess halves that no answer confirms. An engine that is passed over because of
+/// it has no answers, and would never be asked again.
+const EXCESS_HALVES_MS: f64 = 2_000.0;
+
+/// How much later first events come from one engine than was worked out.
+///
+/// A slow engine, a narrow way to it and requests of others that nobody told of all show here, and
+/// only here.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Excess {
+    mean_ms: f64,
+    at_ms: u64,
+}
+
+impl Excess {
+    /// Takes an answer that was forecast for one time, its excess included, and took another.
+    pub fn answered(&mut self, forecast_ms: f64, took_ms: f64, now_ms: u64) {
+        let before_ms = self.now(now_ms);
+        let error_ms = (took_ms - forecast_ms).clamp(EXCESS_MIN_MS, EXCESS_MAX_MS);
+        let mean_ms = before_ms + EXCESS_WEIGHT * error_ms;
+        self.mean_ms = mean_ms.clamp(EXCESS_MIN_MS, EXCESS_MAX_MS);
+        self.at_ms = now_ms;
+    }
+
+    /// The mean excess in milliseconds.
+    pub fn now(&self, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.at_ms) as f64;
+        self.mean_ms * 0.5_f64.powf(age_ms / EXCESS_HALVES_MS)
+    }
+}
--- a/ragwortdeal_node/src/fleet/entry/request.rs
+++ b/ragwortdeal_node/src/fleet/entry/request.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use hyper::header;
-use ragwortdeal_core::{directory, document, document::table};
+use ragwortdeal_core::{directory, dispatch::forecast, document, document::table};
 
 use super::Entry;
 use crate::http;
@@ -11,6 +11,9 @@
 /// Longest time for which a body is waited for where the caller names no deadline.
 const BODY_MS: u64 = 10_000;
 
+/// A caller that has so much less time left than its route grants has been refused before.
+const RETURNED_MS: u64 = 300;
+
 /// Headers that concern one connection only.
 const HOP_HEADERS: [&str; 8] = [
     "connection",
@@ -35,6 +38,10 @@
     pub(super) service: directory::Text,
     /// Models of the service where it is one of engines.
     pub(super) models: Option<Vec<directory::Text>>,
+    /// How the engines work, where it is one of engines.
+    pub(super) pace: Option<forecast::Pace>,
+    /// Whether the caller has waited for so long that its answer comes late in any case.
+    pub(super) returned: bool,
     /// Milliseconds that an engine takes to read the prompt, 0 where there is none.
     pub(super) reading_ms: f64,
     pub(super) started: time::Instant,
@@ -112,10 +119,11 @@
         let service = service.ok_or(Refusal::new(503, "the route leads nowhere"))?;
         let engine = table.engine(&service);
         let models = engine.map(|engine| engine.models.clone());
+        let pace = engine.map(forecast::Pace::new);
         let tokens = request.header(names.tokens.as_str());
         let tokens = tokens.and_then(|value| self.spoken.tokens(value));
         let reading_ms = match (engine, tokens) {
-            (Some(engine), Some(tokens)) => reading_ms(engine, tokens.prompt),
+            (Some(engine), Some(tokens)) => forecast::reading_ms(engine, f64::from(tokens.prompt)),
             _ => 0.0,
         };
         let number = |name: &header::HeaderName| {
@@ -134,6 +142,8 @@
             route: route.clone(),
             service,
             models,
+            pace,
+            returned: waits_ms + RETURNED_MS < route.timeout_ms,
             reading_ms,
             started,
             deadline,
@@ -153,13 +163,6 @@
     }
 }
 
-/// Milliseconds that an engine takes to read a prompt: its tokens, and the pairs among them.
-fn reading_ms(engine: &document::Engine, prompt_tokens: u32) -> f64 {
-    let tokens = f64::from(prompt_tokens);
-    let pairs = tokens * tokens / 2.0;
-    tokens * 1_000.0 / engine.read_tokens_per_s.max(1.0) + pairs / 1e6 * engine.read_pairs_ms
-}
-
 /// Headers that go on to the next hop.
 pub(super) fn forwarded(headers: &header::HeaderMap) -> header::HeaderMap {
     let named: Vec<String> = headers
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -7,7 +7,7 @@
 
 use http_body_util::BodyExt as _;
 use hyper::{header, http::response};
-use ragwortdeal_core::{directory, document};
+use ragwortdeal_core::{directory, dispatch::choice, document};
 
 use super::{
     Entry,
@@ -32,6 +32,21 @@
 /// answer: places become free within it.
 const AFTER_FULL: time::Duration = time::Duration::from_millis(800);
 
+/// Time to the first event, as a multiple of what the operator aims at, up to which a request is
+/// sent that would come late in any case: one that was refused before, or goes on elsewhere.
+const LATE_FACTOR: f64 = 3.0;
+
+/// Longest forecast of the first event with which a request is sent. One that cannot be in time
+/// would take an engine's time from one that can, and is refused at once.
+fn first_event_max_ms(asked: &Asked, progress: &Progress) -> f64 {
+    let aim_ms = match asked.route.objective_ms {
+        0 => f64::INFINITY,
+        aim_ms => aim_ms as f64,
+    };
+    let late = asked.returned || progress.sent > 0;
+    if late { aim_ms * LATE_FACTOR } else { aim_ms }
+}
+
 /// Answers a caller.
 pub(super) async fn answer(entry: sync::Arc<Entry>, request: http::Request) -> http::Response {
     let names = entry.spoken.headers();
@@ -132,7 +147,11 @@
         let wanted = upstreams::Wanted {
             service: &asked.service,
             models: asked.models.as_deref(),
-            reading_ms: asked.reading_ms,
+            pace: asked.pace,
+            prompt: choice::Prompt {
+                reading_ms: asked.reading_ms,
+                first_event_max_ms: first_event_max_ms(asked, progress),
+            },
             tried: &progress.tried,
         };
         let chosen = self.choose(&wanted).map_err(|no_way| match no_way {
@@ -217,7 +236,7 @@
                 let load = load.and_then(|value| value.to_str().ok());
                 let load = load.and_then(|value| self.spoken.load(value));
                 let took_ms = answer.took.as_millis() as u64;
-                self.fleet().answered(instance, load, took_ms, now_ms);
+                self.fleet().answered(instance, load, took_ms, chosen.forecast_ms, now_ms);
                 Some(answer)
             }
         }
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -4,7 +4,7 @@
 
 use ragwortdeal_core::{
     directory,
-    dispatch::{choice, share},
+    dispatch::{choice, forecast, share},
     document::naming,
 };
 
@@ -24,6 +24,10 @@
 /// How long an upstream's word on its load counts. Engines report some hundred milliseconds late.
 const LOAD_MS: u64 = 2_000;
 
+/// Milliseconds that a prompt of another entry is taken to need where nothing else is known of it:
+/// some thousand tokens at thirty a millisecond.
+const UNREAD_USUAL_MS: f64 = 35.0;
+
 /// Load of an upstream that refuses work, as a multiple of its slots: more than it is offered at.
 const SHED_SLOTS: f64 = 2.0;
 
@@ -31,6 +35,9 @@
 /// still wait for their first token. A link may have turned narrow without anybody knowing.
 const WEIGHTS_MARGIN_MS: u64 = 2_500;
 
+/// The same for an engine that answered promptly just now.
+const WEIGHTS_MARGIN_PROMPT_MS: u64 = 1_700;
+
 /// The same for an engine whose agent holds the newer weights already: their chunks came over the
 /// same link in time, and its change is due in its turn.
 const WEIGHTS_MARGIN_WHOLE_MS: u64 = 1_200;
@@ -43,6 +50,12 @@
 /// third of that.
 const SLOW_HEAD_MS: u64 = 800;
 
+/// A head that takes no longer shows a free way to an upstream.
+const PROMPT_HEAD_MS: u64 = 500;
+
+/// For how long it shows that.
+const PROMPT_MS: u64 = 1_200;
+
 /// How long an upstream counts as slow after it. Each further slow head begins it anew.
 const SLOW_MS: u64 = 4_000;
 
@@ -53,21 +66,45 @@
 /// older weights: on a slow link it may still be on its way, and would begin too late.
 const BEGIN_MARGIN_MS: u64 = 500;
 
+/// What other entries have at an upstream, by its own word.
+#[derive(Clone, Copy, Debug)]
+struct Elsewhere {
+    /// Requests.
+    open: f64,
+    /// Those of them that have no first event yet.
+    unread: f64,
+    /// When it was heard.
+    at_ms: u64,
+}
+
 /// How this entry fared with an upstream.
 #[derive(Clone, Debug, Default)]
 struct Way {
     open: u32,
-    /// Requests of others, and when the upstream said so.
-    elsewhere: Option<(f64, u64)>,
+    /// Requests of others.
+    elsewhere: Option<Elsewhere>,
+    /// Requests of this entry that have no first event yet.
+    unread: u32,
     failing: f64,
     failures: u32,
     suspended_until_ms: u64,
     slow_until_ms: u64,
     /// Milliseconds of prompts that it has to read before their first event.
     reading_ms: f64,
+    excess: forecast::Excess,
+    /// When a first event came in good time last.
+    prompt_at_ms: Option<u64>,
 }
 
 impl Way {
+    /// Notes what an upstream said of its load, less what this entry has there itself.
+    fn heard_load(&mut self, running: u32, waiting: u32, at_ms: u64) {
+        let open = f64::from(running + waiting) - f64::from(self.open);
+        let unread = f64::from(waiting) - f64::from(self.unread);
+        let (open, unread) = (open.max(0.0), unread.max(0.0));
+        self.elsewhere = Some(Elsewhere { open, unread: unread.min(open), at_ms });
+    }
+
     fn failing_at(&self, now_ms: u64) -> f64 {
         let slow = if now_ms < self.slow_until_ms { SLOW_FAILING } else { 0.0 };
         self.failing.max(slow)
@@ -79,8 +116,10 @@
     pub(super) peer: pool::Peer,
     /// Version of weights that it serves.
     pub(super) version: Option<u64>,
-    /// Milliseconds of the prompt that count as unread there.
-    reading_ms: f64,
+    /// Milliseconds of the prompt, as long as it counts as unread there.
+    reading_ms: Option<f64>,
+    /// Milliseconds to the first event as they were forecast, where it is an engine.
+    pub(super) forecast_ms: Option<f64>,
     /// Time at which the request must have begun there, as the weights are superseded.
     begin_by_ms: Option<i64>,
     entry: sync::Arc<Entry>,
@@ -97,8 +136,9 @@
     /// The first event came: the prompt is read.
     pub(super) fn began(&mut self) {
         self.begin_by_ms = None;
-        let reading_ms = std::mem::take(&mut self.reading_ms);
-        self.entry.fleet().read(&self.peer.instance, reading_ms);
+        if let Some(reading_ms) = self.reading_ms.take() {
+            self.entry.fleet().read(&self.peer.instance, reading_ms);
+        }
     }
 }
 
@@ -106,7 +146,9 @@
     fn drop(&mut self) {
         let mut fleet = self.entry.fleet();
         fleet.closed(&self.peer.instance);
-        fleet.read(&self.peer.instance, self.reading_ms);
+        if let Some(reading_ms) = self.reading_ms {
+            fleet.read(&self.peer.instance, reading_ms);
+        }
     }
 }
 
@@ -239,14 +281,16 @@
         if way.is_some_and(|way| way.suspended_until_ms > now_ms) {
             return None;
         }
-        let fresh = way.and_then(|way| way.elsewhere).filter(|(_, at)| now_ms - at <= LOAD_MS);
+        let fresh = way.and_then(|way| way.elsewhere).filter(|it| now_ms - it.at_ms <= LOAD_MS);
         Some(choice::Candidate {
             open: way.map_or(0, |way| way.open),
-            elsewhere: fresh.map_or(0.0, |(load, _)| load),
+            elsewhere: fresh.map_or(0.0, |it| it.open),
             slots: said.slots,
             near: said.zone == self.zone,
             failing: way.map_or(0.0, |way| way.failing_at(now_ms)),
             reading_ms: way.map_or(0.0, |way| way.reading_ms),
+            unread_elsewhere_ms: fresh.map_or(0.0, |it| it.unread * UNREAD_USUAL_MS),
+            excess_ms: way.map_or(0.0, |way| way.excess.now(now_ms)),
         })
     }
 
@@ -254,12 +298,14 @@
     fn opened(&mut self, instance: &directory::Text, reading_ms: f64) {
         let way = self.ways.entry(instance.clone()).or_default();
         way.open += 1;
+        way.unread += 1;
         way.reading_ms += reading_ms;
     }
 
     fn read(&mut self, instance: &str, reading_ms: f64) {
         if let Some(way) = self.ways.get_mut(instance) {
             way.reading_ms = (way.reading_ms - reading_ms).max(0.0);
+            way.unread = way.unread.saturating_sub(1);
         }
     }
 
@@ -273,12 +319,18 @@
         self.ways.get(instance).is_some_and(|way| now_ms < way.slow_until_ms)
     }
 
+    fn is_prompt(&self, instance: &str, now_ms: u64) -> bool {
+        let prompt_at_ms = self.ways.get(instance).and_then(|way| way.prompt_at_ms);
+        prompt_at_ms.is_some_and(|at_ms| now_ms <= at_ms + PROMPT_MS)
+    }
+
     /// Notes that an upstream answered after so long, and what it said of its load.
     pub(super) fn answered(
         &mut self,
         instance: &str,
         load: Option<dialect::Load>,
         took_ms: u64,
+        forecast_ms: Option<f64>,
         now_ms: u64,
     ) {
         let Some(way) = self.ways.get_mut(instance) else {
@@ -286,12 +338,16 @@
         };
         if took_ms >= SLOW_HEAD_MS {
             way.slow_until_ms = now_ms + SLOW_MS;
+        } else if took_ms <= PROMPT_HEAD_MS {
+            way.prompt_at_ms = Some(now_ms);
+        }
+        if let Some(forecast_ms) = forecast_ms {
+            way.excess.answered(forecast_ms, took_ms as f64, now_ms);
         }
         way.failures = 0;
         way.failing *= FAILING_KEPT;
         if let Some(load) = load {
-            let others = f64::from(load.running + load.waiting) - f64::from(way.open);
-            way.elsewhere = Some((others.max(0.0), now_ms));
+            way.heard_load(load.running, load.waiting, now_ms);
         }
     }
 
@@ -312,7 +368,8 @@
     pub(super) fn shed(&mut self, instance: &str, now_ms: u64) {
         let slots = self.directory.get(instance).map_or(0, |upstream| upstream.said.slots);
         if let Some(way) = self.ways.get_mut(instance) {
-            way.elsewhere = Some((f64::from(slots) * SHED_SLOTS, now_ms));
+            let open = f64::from(slots) * SHED_SLOTS;
+            way.elsewhere = Some(Elsewhere { open, unread: 0.0, at_ms: now_ms });
         }
     }
 
@@ -343,8 +400,10 @@
     pub(super) service: &'w str,
     /// Models of the service where it is one of engines.
     pub(super) models: Option<&'w [directory::Text]>,
-    /// Milliseconds that an engine takes to read the prompt.
-    pub(super) reading_ms: f64,
+    /// How its engines work, where it is one of engines.
+    pub(super) pace: Option<forecast::Pace>,
+    /// What is asked of an engine.
+    pub(super) prompt: choice::Prompt,
     /// Upstreams that were tried already.
     pub(super) tried: &'w [directory::Text],
 }
@@ -363,6 +422,7 @@
         let lowest = lowest_within(WEIGHTS_MARGIN_MS);
         let lowest_if_slow = lowest_within(WEIGHTS_MARGIN_SLOW_MS);
         let lowest_if_whole = lowest_within(WEIGHTS_MARGIN_WHOLE_MS);
+        let lowest_if_prompt = lowest_within(WEIGHTS_MARGIN_PROMPT_MS);
         let mut offered = Vec::new();
         let mut candidates = Vec::new();
         for upstream in fleet.directory.all() {
@@ -378,6 +438,7 @@
             let lowest = match lowest {
                 _ if slow => lowest_if_slow,
                 Some(due) if whole >= due => lowest_if_whole,
+                _ if fleet.is_prompt(&said.instance, now_ms) => lowest_if_prompt,
                 _ => lowest,
             };
             let version = match lowest {
@@ -393,17 +454,25 @@
             }
         }
         let empty = candidates.is_empty();
-        let Some(index) = choice::best(&candidates, draw) else {
+        let best = match &wanted.pace {
+            Some(pace) => choice::best_engine(&candidates, pace, &wanted.prompt, draw),
+            None => choice::best(&candidates, draw),
+        };
+        let Some(index) = best else {
             return Err(if empty { NoWay::None } else { NoWay::Full });
         };
+        let forecast_ms = wanted
+            .pace
+            .map(|pace| pace.first_event_ms(&candidates[index], wanted.prompt.reading_ms));
         let (instance, address, version) = offered.swap_remove(index);
-        fleet.opened(&instance, wanted.reading_ms);
+        fleet.opened(&instance, wanted.prompt.reading_ms);
         let peer = pool::Peer { instance, address };
-        let reading_ms = wanted.reading_ms;
+        let reading_ms = wanted.prompt.reading_ms;
         let begin_by_ms = match (wanted.models, version) {
             (Some(models), Some(version)) => fleet.begin_by_ms(models, version),
             _ => None,
         };
-        Ok(Chosen { peer, version, reading_ms, begin_by_ms, entry: self.clone() })
+        let reading_ms = Some(reading_ms);
+        Ok(Chosen { peer, version, reading_ms, forecast_ms, begin_by_ms, entry: self.clone() })
     }
 }
