Go to the version before in turns, keep chunks off narrow links

Of the 48 chunks of version 3 eight came 2 to 5 s late, all of them owned by agents behind links of 1.2 Mbit/s, which drew them and passed them on last. And all engines went to the version before at one moment.

Change: manifests are fetched beside the loop. An agent tells by the voters that its link is narrow, and owns nothing while it is; its engine counts as slow. Engines go to the version before in turns late in the bound, or straight to the newest if it came by then. A lost origin is asked again after 200 ms at most.

With version 3 named 0.5 s before the origin is lost for 6 s, no engine may serve from 26.3 s to the end of the loads; that is bound by the origin's link.

--- a/ragwortdeal_core/src/spread/download.rs
+++ b/ragwortdeal_core/src/spread/download.rs
@@ -76,6 +76,7 @@
         match event {
             event::Event::Joined(place) => self.joined(place, &mut actions),
             event::Event::Left(instance) => self.left(&instance, &mut actions),
+            event::Event::Link { instance, narrow } => self.link(&instance, narrow),
             event::Event::Holds { instance, version, chunks } => {
                 self.peer_holds(&instance, version, &chunks);
             }
@@ -228,6 +229,24 @@
         self.duties = choice::Duties::stale();
     }
 
+    /// Takes ownership from an instance behind a narrow link, or gives it back.
+    fn link(&mut self, instance: &name::InstanceName, narrow: bool) {
+        let Some(index) = self.peers.find(instance) else {
+            return;
+        };
+        let peer = self.peers.get_mut(index);
+        if std::mem::replace(&mut peer.narrow, narrow) == narrow {
+            return;
+        }
+        let (member, trusted) = (owners::Member { key: peer.key, zone: peer.zone }, peer.trusted());
+        match narrow {
+            true => self.owners.remove(index),
+            false if trusted => self.owners.insert(index, member),
+            false => (),
+        }
+        self.duties = choice::Duties::stale();
+    }
+
     fn tick(&mut self, now_ms: u64, actions: &mut Vec<event::Action>) {
         for chunk in self.requests.overdue(now_ms) {
             self.timed_out(now_ms, chunk, actions);
@@ -251,8 +270,11 @@
         let suspects = self.peers.others().filter(|(_, peer)| ended(peer.suspected_until_ms));
         let suspects: Vec<_> = suspects.map(|(index, peer)| (index, peer.key, peer.zone)).collect();
         for (index, key, zone) in suspects {
-            self.peers.get_mut(index).trust_again();
-            self.owners.insert(index, owners::Member { key, zone });
+            let peer = self.peers.get_mut(index);
+            peer.trust_again();
+            if !peer.narrow {
+                self.owners.insert(index, owners::Member { key, zone });
+            }
             self.duties = choice::Duties::stale();
         }
     }
--- a/ragwortdeal_core/src/spread/download/choice.rs
+++ b/ragwortdeal_core/src/spread/download/choice.rs
@@ -163,8 +163,10 @@
             .iter()
             .filter(|(_, peer)| peer.holds.contains(chunk) && self.may_bring(peer.scope, chunk));
         let spot = self.tie_breaks[chunk as usize];
-        let order =
-            |peer: &peers::Peer| (peer.scope, peer.open, owners::mix(peer.key ^ u64::from(spot)));
+        let order = |peer: &peers::Peer| {
+            let draw = owners::mix(peer.key ^ u64::from(spot));
+            (peer.narrow, peer.scope, peer.open, draw)
+        };
         let (index, peer) = holding.min_by_key(|(_, peer)| order(peer))?;
         let asked = requests::Asked::Peer(*index);
         Some(Choice { chunk, asked, link: peer.scope.into(), probe: false })
--- a/ragwortdeal_core/src/spread/event.rs
+++ b/ragwortdeal_core/src/spread/event.rs
@@ -45,6 +45,13 @@
     Joined(Place),
     /// An instance left or its lease ended.
     Left(name::InstanceName),
+    /// The link of an instance turned narrow or is free again, by its own word.
+    Link {
+        /// Which one; it may be the own one.
+        instance: name::InstanceName,
+        /// Whether it is narrow.
+        narrow: bool,
+    },
     /// A peer says which further chunks it holds. It may be wrong.
     Holds {
         /// The peer.
--- a/ragwortdeal_core/src/spread/flow.rs
+++ b/ragwortdeal_core/src/spread/flow.rs
@@ -77,6 +77,11 @@
         self.share
     }
 
+    /// Whether the own link is taken for narrow.
+    pub fn is_narrow(&self) -> bool {
+        self.restless > 0 || self.sent_slow >= SLOW_IN_A_ROW
+    }
+
     /// Chunks to ask for at once.
     pub fn window(&self) -> usize {
         if self.restless == 0 { self.window_max } else { 1 }
--- a/ragwortdeal_core/src/spread/peers.rs
+++ b/ragwortdeal_core/src/spread/peers.rs
@@ -44,6 +44,8 @@
     pub scope: Scope,
     /// What it said that it holds.
     pub holds: chunk_set::ChunkSet,
+    /// Whether its link is narrow. It then owns nothing: what it brings in would come late to all.
+    pub narrow: bool,
     /// Requests open at it.
     pub open: usize,
     /// It is not asked before this time.
@@ -169,6 +171,7 @@
             region,
             scope: self.scope_of(zone, region),
             holds: chunk_set::ChunkSet::new(self.chunks),
+            narrow: false,
             open: 0,
             retry_at_ms: 0,
             suspected_until_ms: None,
--- a/ragwortdeal_core/tests/spread_download.rs
+++ b/ragwortdeal_core/tests/spread_download.rs
@@ -304,3 +304,35 @@
     expect_that!(with(12, 0), err(eq(&manifest::ManifestError::Empty)));
     expect_that!(with(9, 4), ok(anything()));
 }
+
+/// The owner of a chunk stands behind a link that turned narrow. Were it to draw the chunk, all
+/// others would wait for it for seconds; the next in rank draws it at once.
+#[googletest::test]
+fn an_owner_behind_a_narrow_link_leaves_its_draws_to_the_next() {
+    let bytes = content(1, 40);
+    let limits = limits::Limits {
+        settle_ms: 1,
+        downloads_max: 100,
+        origin_requests_max: 1_000,
+        ..limits::Limits::default()
+    };
+    let manifest = manifest_of(&bytes);
+    let mut download = download::Download::new(peer("me"), manifest, limits, &[]);
+    let drawn = |actions: &[event::Action]| {
+        requested(actions).iter().filter(|(source, _)| *source == event::Source::Origin).count()
+    };
+    let mut draws = 0;
+    // All are known before the first draw, as this instance owns everything while it is alone.
+    for name in ["a", "b", "c"] {
+        draws += drawn(&download.handle(0, event::Event::Joined(peer(name))));
+    }
+    draws += drawn(&download.handle(1, event::Event::Tick));
+    let narrow = |name: &str, narrow| event::Event::Link { instance: instance(name), narrow };
+    let mut more = 0;
+    for name in ["a", "b", "c"] {
+        more += drawn(&download.handle(2, narrow(name, true)));
+    }
+    expect_that!(more, gt(0), "{draws} were drawn before");
+    let me = download.handle(3, narrow("me", true));
+    expect_that!(drawn(&me), eq(0));
+}
--- a/ragwortdeal_node/src/fleet/agent.rs
+++ b/ragwortdeal_node/src/fleet/agent.rs
@@ -72,6 +72,8 @@
     told: watch::Sender<Told>,
     spread: spread::Spread,
     upload_pace: pace::Pace,
+    /// Held while a manifest is fetched.
+    listing: tokio::sync::Mutex<()>,
     telemetry: telemetry::Telemetry,
     voters: sync::OnceLock<follow::Voters>,
     serves: sync::Mutex<notice::Serves>,
@@ -104,6 +106,7 @@
         held_version: sync::Arc::default(),
         told: watch::Sender::new(Told::default()),
         spread: spread::Spread::new(spread::chunk_ms(settings.fleet.link_mbps)),
+        listing: tokio::sync::Mutex::new(()),
         upload_pace: pace::Pace::new(upload_bytes_per_s(settings.fleet.link_mbps)),
         telemetry,
         voters: sync::OnceLock::new(),
@@ -114,6 +117,7 @@
             version: 0,
             accepts: false,
             whole: 0,
+            narrow: false,
         }),
         identity: identity.clone(),
         settings: settings.clone(),
@@ -214,18 +218,20 @@
 
     /// Tells entries, by the voters, which version the engine serves and whether it takes work.
     fn say(&self, version: u64, accepts: bool) {
-        let whole = self.spread.whole_version();
+        let (whole, narrow) = (self.spread.whole_version(), self.spread.flow().is_narrow());
         let born_ms = self.engine_born_ms.load(atomic::Ordering::Relaxed);
         let mut serves = self.serves.lock().expect("no panic under lock");
-        let said = (serves.born_ms, serves.version, serves.accepts, serves.whole);
-        if said == (born_ms, version, accepts, whole) {
+        let said = (serves.born_ms, serves.version, serves.accepts, serves.whole, serves.narrow);
+        if said == (born_ms, version, accepts, whole, narrow) {
             return;
         }
         log::info!(
-            "agent: engine born={born_ms} serves version={version} accepts={accepts} whole={whole}"
+            "agent: engine born={born_ms} serves version={version} accepts={accepts} whole={whole} \
+             narrow={narrow}"
         );
         let number = serves.number + 1;
-        *serves = notice::Serves { born_ms, number, version, accepts, whole, ..serves.clone() };
+        let address = serves.address;
+        *serves = notice::Serves { address, born_ms, number, version, accepts, whole, narrow };
         self.tell(&serves);
     }
 
--- a/ragwortdeal_node/src/fleet/agent/keeper.rs
+++ b/ragwortdeal_node/src/fleet/agent/keeper.rs
@@ -38,8 +38,9 @@
 /// within some hundred milliseconds, on the older weights.
 const SWITCHES_END_MARGIN_MS: u64 = 1_400;
 
-/// The same where the newest weights cannot be had and an engine goes to those before them.
-const FALLBACK_MARGIN_MS: u64 = 3_000;
+/// Earliest start of the switches after what an engine serves was superseded, whatever weights are
+/// at hand by then. Until it the newest may come, which saves a second switch.
+const FALLBACK_BEGIN_MS: u64 = 5_600;
 
 /// Version that engines hold before any is named.
 const FIRST_VERSION: u64 = 1;
@@ -82,18 +83,26 @@
         }
         self.say(serving, serving > 0);
         if self.spread.listed(&weights).is_none() || self.spread.doubts_manifest() {
-            let doubted = self.spread.doubts_manifest();
-            let Some(listed) = self.manifest(&weights, doubted).await else {
-                return;
-            };
-            let kept = self.kept(&weights, &listed.manifest).await;
-            self.begin(serving, weights.clone(), listed, kept);
+            tokio::spawn(self.clone().list(weights.clone(), serving));
         }
         if let Some(whole) = self.due(&weights, named_ms, serving) {
             self.switch(&whole, &report).await;
         }
     }
 
+    /// Gets the manifest of a version and begins to fetch it. It runs beside the loop: the origin may
+    /// be lost for long, and the engine must go to weights that are at hand meanwhile.
+    async fn list(self: sync::Arc<Self>, weights: origin::Weights, serving: u64) {
+        let Ok(_alone) = self.listing.try_lock() else {
+            return;
+        };
+        let doubted = self.spread.doubts_manifest();
+        if let Some(listed) = self.manifest(&weights, doubted).await {
+            let kept = self.kept(&weights, &listed.manifest).await;
+            self.begin(serving, weights, listed, kept);
+        }
+    }
+
     /// The version to switch to now, if any. Where a newer one cannot be had in time, the engine
     /// goes to the last complete one before the version that it serves may not be served any more.
     fn due(
@@ -103,24 +112,25 @@
         serving: u64,
     ) -> Option<spread::Whole> {
         let now_ms = self.clock.now_ms() as i64;
-        if let Some(whole) = self.spread.whole().filter(|whole| whole.weights == *weights) {
-            let due = now_ms >= self.switch_at_ms(weights.version, named_ms, serving);
-            return Some(whole).filter(|_| due && serving < weights.version);
-        }
-        let older = self.spread.older().filter(|older| older.weights.version > serving)?;
-        let origin::Weights { model, version } = &older.weights;
-        let named = self.told.borrow().named.named_at_ms(model, *version);
-        let bound_ms = self.settings.bounds.weights_ms.saturating_sub(FALLBACK_MARGIN_MS);
-        let due = named.is_none_or(|named_ms| now_ms >= named_ms + bound_ms as i64);
-        Some(older).filter(|_| due || serving == 0)
+        let newest = self.spread.whole().filter(|whole| whole.weights == *weights);
+        let is_newest = newest.is_some();
+        let whole = newest.or_else(|| self.spread.older());
+        let whole = whole.filter(|whole| whole.weights.version > serving)?;
+        let superseded_ms = self.told.borrow().named.superseded_at_ms(&weights.model, serving);
+        let turn = |since_ms: Option<i64>, begin_ms| {
+            since_ms.is_none_or(|since_ms| {
+                now_ms >= since_ms + self.turn_ms(whole.weights.version, begin_ms)
+            })
+        };
+        let due = serving == 0
+            || is_newest && turn(named_ms, SWITCHES_BEGIN_MS)
+            || turn(superseded_ms, FALLBACK_BEGIN_MS);
+        due.then_some(whole)
     }
 
-    /// When the switch may begin. Engines that serve an older version switch one after the other,
-    /// so that most of them take work at any time; one that serves nothing switches at once.
-    fn switch_at_ms(&self, version: u64, named_ms: Option<i64>, serving: u64) -> i64 {
-        let Some(named_ms) = named_ms.filter(|_| serving > 0) else {
-            return i64::MIN;
-        };
+    /// How long after a naming the switch may begin. Engines that serve an older version switch one
+    /// after the other, so that most of them take work at any time.
+    fn turn_ms(&self, version: u64, begin_ms: u64) -> i64 {
         let seats = self.seats();
         let seats: Vec<_> =
             seats.values().map(|seat| (seat.address.to_string(), seat.zone.as_str())).collect();
@@ -132,8 +142,8 @@
         };
         let share = turns::share(own, others, version);
         let bound_ms = self.settings.bounds.weights_ms;
-        let span_ms = bound_ms.saturating_sub(SWITCHES_BEGIN_MS + SWITCHES_END_MARGIN_MS);
-        named_ms + SWITCHES_BEGIN_MS as i64 + (span_ms as f64 * share) as i64
+        let span_ms = bound_ms.saturating_sub(begin_ms + SWITCHES_END_MARGIN_MS);
+        begin_ms as i64 + (span_ms as f64 * share) as i64
     }
 
     /// Chunks that are staged at the engine and fit the manifest.
--- a/ragwortdeal_node/src/fleet/agent/spread.rs
+++ b/ragwortdeal_node/src/fleet/agent/spread.rs
@@ -62,6 +62,8 @@
     bytes: collections::BTreeMap<u32, Bytes>,
     fetches: collections::BTreeMap<(event::Source, u32), task::AbortHandle>,
     reported: collections::BTreeMap<net::Ipv4Addr, u64>,
+    /// Instances that the policy was told to be behind narrow links.
+    narrow: collections::BTreeSet<net::Ipv4Addr>,
     origin_faults: u32,
     /// Whether the origin may be asked: its link is for the newest version, and for the little that
     /// one before it still lacks.
@@ -105,9 +107,9 @@
         // Below the connections that an origin takes, of which some are still closing.
         origin_requests_max: 20,
         origin_chunk_ms,
-        // 400 ms at most: an origin that is back is noticed soon, and hundreds of agents that ask
+        // 200 ms at most: an origin that is back is noticed soon, and hundreds of agents that ask
         // so often are a few connections for it.
-        origin_doublings_max: 4,
+        origin_doublings_max: 3,
         deadline_min_ms: 400,
         deadline_far_min_ms: 1_000,
         deadline_first_ms: 600,
@@ -231,6 +233,7 @@
             bytes,
             fetches: collections::BTreeMap::new(),
             reported: collections::BTreeMap::new(),
+            narrow: collections::BTreeSet::new(),
             origin_faults: 0,
             draws: true,
         };
@@ -307,13 +310,41 @@
         }
         for (address, seat) in seats {
             if active.reported.insert(*address, seat.incarnation) != Some(seat.incarnation) {
+                // The policy forgets all of one that joins again.
+                active.narrow.remove(address);
                 events.extend(self.place_of(seat).map(event::Event::Joined));
             }
         }
+        events.extend(self.links(active, seats));
         events.push(event::Event::Tick);
         events.into_iter().for_each(|event| self.feed_active(active, event));
     }
 
+    /// Which links are narrow, as far as that is news. Where half of all are, nobody is better than
+    /// the others, and somebody has to bring the chunks in.
+    fn links(
+        &self,
+        active: &mut Active,
+        seats: &collections::BTreeMap<net::Ipv4Addr, notice::Seat>,
+    ) -> Vec<event::Event> {
+        let own = self.settings.fleet.address;
+        let narrow = seats.values().filter(|seat| seat.narrow).map(|seat| seat.address);
+        let mut narrow: collections::BTreeSet<_> = narrow.collect();
+        if self.spread.flow().is_narrow() {
+            narrow.insert(own);
+        }
+        if narrow.len() * 2 > seats.len() {
+            narrow.clear();
+        }
+        let news = |address: &net::Ipv4Addr| {
+            let instance = name::InstanceName::new(&address.to_string()).ok()?;
+            Some(event::Event::Link { instance, narrow: narrow.contains(address) })
+        };
+        let events = active.narrow.symmetric_difference(&narrow).filter_map(news).collect();
+        active.narrow = narrow;
+        events
+    }
+
     /// Hands an event to the policy and does what it says.
     pub(super) fn feed(self: &sync::Arc<Self>, event: event::Event) {
         for active in self.spread.state().iter_mut() {
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -264,6 +264,11 @@
         agent.filter(|it| it.born_ms == said.age.born_ms).map_or(0, |it| it.whole)
     }
 
+    fn is_narrow(&self, said: &directory::Announcement) -> bool {
+        let agent = self.serves.get(&said.address);
+        agent.is_some_and(|it| it.born_ms == said.age.born_ms && it.narrow)
+    }
+
     /// Lowest version of a model that a request may be sent to now.
     fn lowest(&self, model: &str, margin_ms: u64, now_ms: u64) -> u64 {
         self.named.lowest_due(model, self.weights_ms.saturating_sub(margin_ms), now_ms)
@@ -287,7 +292,11 @@
             elsewhere: fresh.map_or(0.0, |it| it.open),
             slots: said.slots,
             near: said.zone == self.zone,
-            failing: way.map_or(0.0, |way| way.failing_at(now_ms)),
+            failing: way.map_or(0.0, |way| way.failing_at(now_ms)).max(if self.is_narrow(said) {
+                SLOW_FAILING
+            } else {
+                0.0
+            }),
             reading_ms: way.map_or(0.0, |way| way.reading_ms),
             unread_elsewhere_ms: fresh.map_or(0.0, |it| it.unread * UNREAD_USUAL_MS),
             excess_ms: way.map_or(0.0, |way| way.excess.now(now_ms)),
@@ -433,7 +442,7 @@
             if !takes_work {
                 continue;
             }
-            let slow = fleet.is_slow(&said.instance, now_ms);
+            let slow = fleet.is_slow(&said.instance, now_ms) || fleet.is_narrow(said);
             let whole = fleet.whole_at(said);
             let lowest = match lowest {
                 _ if slow => lowest_if_slow,
--- a/ragwortdeal_node/src/fleet/notice.rs
+++ b/ragwortdeal_node/src/fleet/notice.rs
@@ -48,6 +48,8 @@
     pub zone: String,
     /// Start of its process.
     pub incarnation: u64,
+    /// Whether its link is narrow, by its own word.
+    pub narrow: bool,
 }
 
 /// What an agent knows of its engine, sooner than the engine announces it.
@@ -66,6 +68,8 @@
     /// Highest version of which the agent holds all chunks. An agent that has got the newer weights
     /// shows that its link is well and that its engine changes in its turn.
     pub whole: u64,
+    /// Whether the agent finds its link narrow. The engine stands behind the same link.
+    pub narrow: bool,
 }
 
 /// Wraps a notice for a link.
--- a/ragwortdeal_node/src/voter/fleet/hub.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -118,7 +118,8 @@
         {
             let zone = session.hello.zone.clone();
             let incarnation = session.hello.incarnation;
-            state.agents.insert(session.id, notice::Seat { address, zone, incarnation });
+            let seat = notice::Seat { address, zone, incarnation, narrow: false };
+            state.agents.insert(session.id, seat);
             state.tell_agents();
         }
         state.tell_entries();
@@ -140,6 +141,11 @@
                 state.follow(session.id, version, self.clock.now_ms());
             }
             Some(notice::Notice::Serves(serves)) => {
+                if let Some(seat) = state.agents.get_mut(&session.id)
+                    && std::mem::replace(&mut seat.narrow, serves.narrow) != serves.narrow
+                {
+                    state.tell_agents();
+                }
                 let newer = |held: &notice::Serves| held.number < serves.number;
                 if state.serves.get(&serves.address).is_none_or(newer) {
                     state.serves.insert(serves.address, serves.clone());
--- a/ragwortdeal_node/tests/fleet_weights.rs
+++ b/ragwortdeal_node/tests/fleet_weights.rs
@@ -129,3 +129,46 @@
         expect_that!(answer.body, eq(&engine::whole_stream(20)));
     }
 }
+
+/// The origin is lost just as the next weights are named, while all hold those before them. Engines
+/// that waited for the newest would still serve the oldest, and callers would find no engine once
+/// the time of that is up.
+#[googletest::test]
+#[tokio::test]
+async fn engines_go_to_the_version_before_where_the_newest_cannot_be_had() {
+    let fleet = fleet(3).await;
+    tokio::time::sleep(time::Duration::from_millis(500)).await;
+    fleet.name(2).await;
+    world::until("all chunks of the version are staged", async || {
+        fleet.engines.iter().all(|engine| engine.holds_staged(&origin::chunks(2)))
+    })
+    .await;
+    fleet.origin.lose(true);
+    fleet.name(3).await;
+    fleet.until_all_serve(2).await;
+    expect_that!(fleet.loaded_whole(2), eq(true));
+    fleet.origin.lose(false);
+    fleet.until_all_serve(3).await;
+    expect_that!(fleet.loaded_whole(3), eq(true));
+}
+
+/// An entry starts after weights were named and the time of the old ones is nearly up. If it counted
+/// from its own start, callers would get answers on superseded weights for as long again.
+#[googletest::test]
+#[tokio::test]
+async fn an_entry_that_starts_later_sends_nothing_to_superseded_weights() {
+    let fleet = fleet(1).await;
+    fleet.engines[0].stream(3, time::Duration::from_millis(5));
+    fleet.origin.lose(true);
+    fleet.name(2).await;
+    let ask = async |number: u8| {
+        let ask = Ask::new("POST", "/stream/one", &format!("stream-{number}"));
+        ask.answer(fleet.world.callers(number)).await.status
+    };
+    expect_that!(ask(ENTRY).await, eq(200));
+    tokio::time::sleep(time::Duration::from_millis(8_000)).await;
+    let _later = fleet.world.entry(ENTRY + 1).await;
+    fleet.world.ready(ENTRY + 1).await;
+    world::until("the entry knows the engine", async || ask(ENTRY + 1).await == 503).await;
+    expect_that!(fleet.engines[0].arrivals().len(), eq(1));
+}
--- a/ragwortdeal_standins/src/fleet/origin.rs
+++ b/ragwortdeal_standins/src/fleet/origin.rs
@@ -38,6 +38,7 @@
     pub address: net::SocketAddrV4,
     sent_chunks: atomic::AtomicU64,
     spoil: atomic::AtomicU64,
+    lost: atomic::AtomicBool,
 }
 
 impl Origin {
@@ -48,10 +49,14 @@
             address,
             sent_chunks: atomic::AtomicU64::new(0),
             spoil: atomic::AtomicU64::new(0),
+            lost: atomic::AtomicBool::new(false),
         });
         let accepting = origin.clone();
         task::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                if accepting.lost.load(atomic::Ordering::Relaxed) {
+                    continue;
+                }
                 let origin = accepting.clone();
                 task::spawn(async move {
                     let service = service::service_fn(move |request| {
@@ -72,6 +77,11 @@
         self.sent_chunks.load(atomic::Ordering::Relaxed)
     }
 
+    /// Closes every connection from now on, or serves again.
+    pub fn lose(&self, lost: bool) {
+        self.lost.store(lost, atomic::Ordering::Relaxed);
+    }
+
     /// Spoils the next chunks that are sent.
     pub fn spoil(&self, chunks: u64) {
         self.spoil.store(chunks, atomic::Ordering::Relaxed);
