Estimate what other entries have open

Ruled out: fresh reports pushed by agents would tell more, but cost messages by the product of agents and entries, and are not built yet.

Change: core dispatch::elsewhere mixes the upstream's last word, by its age, with what this entry has open itself times the other entries of the zone, which see the same and decide alike.

--- a/ragwortdeal_core/src/dispatch.rs
+++ b/ragwortdeal_core/src/dispatch.rs
@@ -3,5 +3,6 @@
 //! Modules here need no network. `docs/design/platform.md` tells which policies were weighed.
 
 pub mod choice;
+pub mod elsewhere;
 pub mod forecast;
 pub mod share;
--- /dev/null
+++ b/ragwortdeal_core/src/dispatch/elsewhere.rs
@@ -0,0 +1,53 @@
+//! What other entries have open at an upstream, as one entry takes it to be.
+//!
+//! An upstream tells its load with its answers, so its word is some hundred milliseconds old. When
+//! an engine comes back after a change of weights, all entries see it idle, and each sends what the
+//! engine could take alone. Nobody hears of the others in time, but they see the same and decide
+//! alike: what this entry has open itself tells what they have.
+
+/// Age at which the word of an upstream counts for half, and what this entry does for the other
+/// half. About as long as a prompt takes to be read.
+const WORD_HALVES_MS: f64 = 250.0;
+
+/// Age beyond which the word of an upstream says nothing.
+const WORD_MAX_MS: u64 = 2_000;
+
+/// Requests at an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Requests {
+    /// All.
+    pub open: f64,
+    /// Those that have no first event yet.
+    pub unread: f64,
+}
+
+/// What an upstream said of the requests of others.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Word {
+    said: Requests,
+    at_ms: Option<u64>,
+}
+
+impl Word {
+    /// Takes what an upstream has in all, of which `own` are this entry's.
+    pub fn heard(&mut self, all: Requests, own: Requests, now_ms: u64) {
+        let open = (all.open - own.open).max(0.0);
+        let unread = (all.unread - own.unread).clamp(0.0, open);
+        self.said = Requests { open, unread };
+        self.at_ms = Some(now_ms);
+    }
+
+    /// Requests of others now. `alike` is how many entries send to the upstream as this one does.
+    pub fn estimate(&self, own: Requests, alike: f64, now_ms: u64) -> Requests {
+        let age_ms = self.at_ms.map(|at_ms| now_ms.saturating_sub(at_ms));
+        let fresh = age_ms.filter(|age_ms| *age_ms <= WORD_MAX_MS);
+        let weight = fresh.map_or(0.0, |age_ms| 0.5_f64.powf(age_ms as f64 / WORD_HALVES_MS));
+        // Where nobody sends alike there is nothing better than an old word.
+        let weight = if alike <= 0.0 && fresh.is_some() { 1.0 } else { weight };
+        let mixed = |said: f64, own: f64| weight * said + (1.0 - weight) * own * alike;
+        Requests {
+            open: mixed(self.said.open, own.open),
+            unread: mixed(self.said.unread, own.unread),
+        }
+    }
+}
--- a/ragwortdeal_node/src/fleet/entry.rs
+++ b/ragwortdeal_node/src/fleet/entry.rs
@@ -110,6 +110,7 @@
         };
         let fleet = upstreams::Fleet::new(
             settings.process.availability_zone.as_str().into(),
+            settings.fleet.regions.len(),
             bounds.weights_ms,
         );
         Self {
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -4,7 +4,7 @@
 
 use ragwortdeal_core::{
     directory,
-    dispatch::{choice, forecast, share},
+    dispatch::{choice, elsewhere, forecast, share},
     document::naming,
 };
 
@@ -21,9 +21,6 @@
 /// Part of an upstream's failing that is left after one good answer.
 const FAILING_KEPT: f64 = 0.8;
 
-/// How long an upstream's word on its load counts. Engines report some hundred milliseconds late.
-const LOAD_MS: u64 = 2_000;
-
 /// Milliseconds that a prompt of another entry is taken to need where nothing else is known of it:
 /// some thousand tokens at thirty a millisecond.
 const UNREAD_USUAL_MS: f64 = 35.0;
@@ -66,23 +63,12 @@
 /// older weights: on a slow link it may still be on its way, and would begin too late.
 const BEGIN_MARGIN_MS: u64 = 500;
 
-/// What other entries have at an upstream, by its own word.
-#[derive(Clone, Copy, Debug)]
-struct Elsewhere {
-    /// Requests.
-    open: f64,
-    /// Those of them that have no first event yet.
-    unread: f64,
-    /// When it was heard.
-    at_ms: u64,
-}
-
 /// How this entry fared with an upstream.
 #[derive(Clone, Debug, Default)]
 struct Way {
     open: u32,
     /// Requests of others.
-    elsewhere: Option<Elsewhere>,
+    elsewhere: elsewhere::Word,
     /// Requests of this entry that have no first event yet.
     unread: u32,
     failing: f64,
@@ -99,10 +85,13 @@
 impl Way {
     /// Notes what an upstream said of its load, less what this entry has there itself.
     fn heard_load(&mut self, running: u32, waiting: u32, at_ms: u64) {
-        let open = f64::from(running + waiting) - f64::from(self.open);
-        let unread = f64::from(waiting) - f64::from(self.unread);
-        let (open, unread) = (open.max(0.0), unread.max(0.0));
-        self.elsewhere = Some(Elsewhere { open, unread: unread.min(open), at_ms });
+        let all =
+            elsewhere::Requests { open: f64::from(running + waiting), unread: f64::from(waiting) };
+        self.elsewhere.heard(all, self.own(), at_ms);
+    }
+
+    fn own(&self) -> elsewhere::Requests {
+        elsewhere::Requests { open: f64::from(self.open), unread: f64::from(self.unread) }
     }
 
     fn failing_at(&self, now_ms: u64) -> f64 {
@@ -164,6 +153,8 @@
 /// All upstreams.
 pub(super) struct Fleet {
     zone: directory::Text,
+    /// Availability zones of the deployment.
+    zones: usize,
     weights_ms: u64,
     directory: directory::Directory,
     ways: collections::HashMap<directory::Text, Way>,
@@ -174,9 +165,10 @@
 }
 
 impl Fleet {
-    pub(super) fn new(zone: directory::Text, weights_ms: u64) -> Self {
+    pub(super) fn new(zone: directory::Text, zones: usize, weights_ms: u64) -> Self {
         Self {
             zone,
+            zones,
             weights_ms,
             directory: directory::Directory::default(),
             ways: collections::HashMap::new(),
@@ -286,19 +278,22 @@
         if way.is_some_and(|way| way.suspended_until_ms > now_ms) {
             return None;
         }
-        let fresh = way.and_then(|way| way.elsewhere).filter(|it| now_ms - it.at_ms <= LOAD_MS);
+        let near = said.zone == self.zone;
+        let alike = if near { self.entries_alike() } else { 0.0 };
+        let elsewhere = way.map(|way| way.elsewhere.estimate(way.own(), alike, now_ms));
+        let elsewhere = elsewhere.unwrap_or_default();
         Some(choice::Candidate {
             open: way.map_or(0, |way| way.open),
-            elsewhere: fresh.map_or(0.0, |it| it.open),
+            elsewhere: elsewhere.open,
             slots: said.slots,
-            near: said.zone == self.zone,
+            near,
             failing: way.map_or(0.0, |way| way.failing_at(now_ms)).max(if self.is_narrow(said) {
                 SLOW_FAILING
             } else {
                 0.0
             }),
             reading_ms: way.map_or(0.0, |way| way.reading_ms),
-            unread_elsewhere_ms: fresh.map_or(0.0, |it| it.unread * UNREAD_USUAL_MS),
+            unread_elsewhere_ms: elsewhere.unread * UNREAD_USUAL_MS,
             excess_ms: way.map_or(0.0, |way| way.excess.now(now_ms)),
         })
     }
@@ -378,7 +373,8 @@
         let slots = self.directory.get(instance).map_or(0, |upstream| upstream.said.slots);
         if let Some(way) = self.ways.get_mut(instance) {
             let open = f64::from(slots) * SHED_SLOTS;
-            way.elsewhere = Some(Elsewhere { open, unread: 0.0, at_ms: now_ms });
+            let all = elsewhere::Requests { open, unread: 0.0 };
+            way.elsewhere.heard(all, elsewhere::Requests::default(), now_ms);
         }
     }
 
@@ -387,6 +383,16 @@
         self.directory.left(instance, None, now_ms);
     }
 
+    /// Entries that run, this one included.
+    fn entries_known(&self) -> u32 {
+        self.entries.values().copied().max().unwrap_or(1).max(1)
+    }
+
+    /// Other entries of this zone, taken as evenly spread over all zones.
+    fn entries_alike(&self) -> f64 {
+        (f64::from(self.entries_known()) / self.zones.max(1) as f64 - 1.0).max(0.0)
+    }
+
     /// Counts a first request to a service.
     pub(super) fn first(&mut self, service: &directory::Text, budget: &share::Budget, now_ms: u64) {
         self.spending.entry(service.clone()).or_default().first(budget, now_ms);
@@ -399,7 +405,8 @@
         budget: &share::Budget,
         now_ms: u64,
     ) -> bool {
-        let entries = self.entries.values().copied().max().unwrap_or(1) as usize + 1;
+        // One more than are known, for one that has just started.
+        let entries = self.entries_known() as usize + 1;
         self.spending.entry(service.clone()).or_default().repeat(budget, entries, now_ms)
     }
 }
