Test the forecast and the load pattern that it answers

Change: tests of the forecast, of what others have open, and of an overload by a quarter beside the rule that fills engines up to a number.

--- /dev/null
+++ b/ragwortdeal_core/tests/dispatch_forecast.rs
@@ -0,0 +1,184 @@
+//! The forecast of the first event, and where it sends requests under load.
+
+use googletest::prelude::*;
+use ragwortdeal_core::{
+    dispatch::{
+        choice::{self, Candidate, Prompt},
+        elsewhere::{Requests, Word},
+        forecast::{self, Excess, Pace},
+    },
+    document,
+};
+use rand::{RngExt as _, SeedableRng as _};
+
+const AIM_MS: f64 = 400.0;
+
+fn engine() -> document::Engine {
+    document::Engine {
+        slots: 16,
+        stride: 6,
+        models: Vec::new(),
+        step_ms: 6.73,
+        step_per_request_ms: 0.0219,
+        step_per_context_ms: 0.0068,
+        read_tokens_per_s: 30_600.0,
+        read_pairs_ms: 0.647,
+        read_chunk_tokens: 2_048,
+        memory_tokens: 1_640_000,
+        usual: document::Usual { prompt_tokens: 964.0, answer_tokens: 119.0 },
+        chunks: 48,
+        chunk_bytes: 49_152,
+    }
+}
+
+fn pace() -> Pace {
+    Pace::new(&engine())
+}
+
+fn idle() -> Candidate {
+    Candidate { slots: 16, near: true, ..Candidate::default() }
+}
+
+fn prompt() -> Prompt {
+    Prompt { reading_ms: pace().usual_reading_ms(), first_event_max_ms: AIM_MS }
+}
+
+#[googletest::test]
+fn unread_prompts_and_taken_slots_put_the_first_event_off() {
+    let first_ms = |candidate: Candidate| pace().first_event_ms(&candidate, prompt().reading_ms);
+    let alone = first_ms(idle());
+    let reading = first_ms(Candidate { open: 4, reading_ms: 100.0, ..idle() });
+    let full = first_ms(Candidate { open: 18, ..idle() });
+    expect_that!(alone, all!(gt(40.0), lt(80.0)));
+    expect_that!(reading, all!(gt(alone + 100.0), lt(300.0)));
+    expect_that!(full, all!(gt(reading), lt(AIM_MS)));
+    expect_that!(first_ms(Candidate { open: 22, ..idle() }), gt(AIM_MS));
+}
+
+/// All engines of a deployment are asked for more than they can do. Requests that are sent all the
+/// same come late, each of them, and take the time of those that could be in time.
+#[googletest::test]
+fn a_request_that_cannot_be_in_time_is_sent_nowhere() {
+    let full = Candidate { open: 22, ..idle() };
+    expect_that!(choice::best_engine(&[full, full], &pace(), &prompt(), 1), none());
+    let late = Prompt { first_event_max_ms: 3.0 * AIM_MS, ..prompt() };
+    expect_that!(choice::best_engine(&[full, full], &pace(), &late, 1), some(anything()));
+}
+
+#[googletest::test]
+fn a_far_engine_is_taken_where_near_ones_would_keep_a_caller_waiting() {
+    let far = Candidate { near: false, ..idle() };
+    let busy = Candidate { open: 6, ..idle() };
+    expect_that!(choice::best_engine(&[far, busy], &pace(), &prompt(), 0), some(eq(1)));
+    let busier = Candidate { open: 15, reading_ms: 90.0, ..idle() };
+    expect_that!(choice::best_engine(&[far, busier], &pace(), &prompt(), 0), some(eq(0)));
+}
+
+/// An engine works slowly, or its way is narrow, and nothing else tells so. Requests go to the others,
+/// and come back once it may be well again.
+#[googletest::test]
+fn an_engine_that_answers_later_than_forecast_is_passed_over_for_a_while() {
+    let mut excess = Excess::default();
+    (0..10).for_each(|answer| excess.answered(100.0, 900.0, answer * 50));
+    let slow = Candidate { excess_ms: excess.now(500), ..idle() };
+    let busy = Candidate { open: 12, ..idle() };
+    expect_that!(choice::best_engine(&[slow, busy], &pace(), &prompt(), 0), some(eq(1)));
+    let later = Candidate { excess_ms: excess.now(12_000), ..idle() };
+    expect_that!(choice::best_engine(&[later, busy], &pace(), &prompt(), 0), some(eq(0)));
+}
+
+/// Weights were changed, and one engine is back while others load. Each of six entries sees it idle.
+/// If each filled it alone, callers would wait for six times as long.
+#[googletest::test]
+fn entries_that_cannot_hear_each_other_share_an_engine() {
+    let sent = |alike: f64| {
+        let word = Word::default();
+        let mut own = 0;
+        loop {
+            let open = Requests { open: f64::from(own), unread: 0.0 };
+            let elsewhere = word.estimate(open, alike, 100).open;
+            let candidate = Candidate { open: own, elsewhere, ..idle() };
+            if choice::best_engine(&[candidate], &pace(), &prompt(), 0).is_none() {
+                return own;
+            }
+            own += 1;
+        }
+    };
+    expect_that!(sent(0.0), all!(ge(17), le(22)));
+    expect_that!(6 * sent(5.0), le(24));
+}
+
+#[googletest::test]
+fn the_fresh_word_of_an_upstream_goes_before_the_guess() {
+    let mut word = Word::default();
+    let own = Requests { open: 2.0, unread: 1.0 };
+    word.heard(Requests { open: 12.0, unread: 3.0 }, own, 1_000);
+    expect_that!(word.estimate(own, 5.0, 1_000), eq(Requests { open: 10.0, unread: 2.0 }));
+    let old = word.estimate(own, 5.0, 3_500);
+    expect_that!(old, eq(Requests { open: 10.0, unread: 5.0 }));
+    expect_that!(word.estimate(own, 0.0, 2_500).open, eq(10.0));
+}
+
+/// Engines are asked for a quarter more than they can do, for a minute. The worth of an answer falls
+/// to a quarter where its first event is late. The rule is compared with the one that fills each
+/// engine up to a number of requests.
+#[googletest::test]
+fn refusing_what_would_be_late_keeps_most_answers_in_time() {
+    let (forecast, forecast_refused) = overload(true);
+    let (naive, naive_refused) = overload(false);
+    expect_that!(forecast, gt(naive * 1.3), "worth {forecast:.2} and {naive:.2}");
+    expect_that!(forecast, gt(0.7));
+    expect_that!(forecast_refused, lt(0.3));
+    expect_that!(naive_refused, lt(forecast_refused));
+}
+
+/// Plays an overload on a small model of the engines: prompts are read one after the other, and a
+/// request holds a slot from its first event to its last. Returns the worth of all requests as a
+/// share of the whole, and the share that was refused.
+fn overload(forecasts: bool) -> (f64, f64) {
+    const ENGINES: usize = 8;
+    const REQUESTS: usize = 6_000;
+    /// Milliseconds of an engine's time for a usual request, prompt and answer.
+    const SERVICE_MS: f64 = 85.0;
+    let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(11);
+    let mut backlog: Vec<Vec<f64>> = vec![Vec::new(); ENGINES];
+    let (mut now_ms, mut worth, mut refused) = (0.0, 0.0, 0.0);
+    let between_ms = SERVICE_MS / ENGINES as f64 / 1.25;
+    for _ in 0..REQUESTS {
+        now_ms += -between_ms * (1.0 - random.random::<f64>()).ln();
+        let engines: Vec<Candidate> = backlog
+            .iter_mut()
+            .map(|ends| {
+                ends.retain(|end| *end > now_ms);
+                Candidate { open: ends.len() as u32, ..idle() }
+            })
+            .collect();
+        let chosen = match forecasts {
+            true => choice::best_engine(&engines, &pace(), &prompt(), random.random()),
+            // A number of waiting requests as deep as the engines' own queue.
+            false => (0..ENGINES)
+                .filter(|&engine| engines[engine].open < 16 + 8)
+                .min_by_key(|&engine| engines[engine].open),
+        };
+        let Some(chosen) = chosen else {
+            refused += 1.0;
+            continue;
+        };
+        // The engine ends one request each service time; beyond its slots a request waits for it.
+        let ahead = f64::from(engines[chosen].open);
+        let last_ms = backlog[chosen].last().copied().unwrap_or(now_ms).max(now_ms);
+        let waits_ms = (ahead + 1.0 - 16.0).max(0.0) * SERVICE_MS;
+        let first_ms = 0.5 * 42.0 + 42.0 + pace().usual_reading_ms() + waits_ms;
+        worth += if first_ms <= AIM_MS { 1.0 } else { 0.25 };
+        let shortest_ms = now_ms + 16.0 * SERVICE_MS;
+        backlog[chosen].push((last_ms + SERVICE_MS).max(shortest_ms));
+    }
+    (worth / REQUESTS as f64, refused / REQUESTS as f64)
+}
+
+#[googletest::test]
+fn reading_takes_tokens_and_pairs() {
+    let reading = |tokens| forecast::reading_ms(&engine(), tokens);
+    expect_that!(reading(0.0), eq(0.0));
+    expect_that!(reading(1_290.0), all!(gt(42.0), lt(43.0)));
+}
