Serve what is late at an idle engine, split the way to an upstream off

Cause: all 16 tests of fleet_requests failed on, back to the forecast: with its excess below zero an engine that was never asked looked slower than one that was, so one of two idle engines got no request at all. Found beside it: a request whose prompt even an idle engine reads after the aim was always refused.

Change: the excess is never below zero. The bound is the aim only where an idle engine gives the first event within three quarters of it; else, and for late requests, it is the idle time and three aims.

--- a/ragwortdeal_core/src/dispatch.rs
+++ b/ragwortdeal_core/src/dispatch.rs
@@ -3,6 +3,7 @@
 //! Modules here need no network. `docs/design/platform.md` tells which policies were weighed.
 
 pub mod choice;
+pub mod cutoff;
 pub mod elsewhere;
 pub mod forecast;
 pub mod share;
--- a/ragwortdeal_core/src/dispatch/choice.rs
+++ b/ragwortdeal_core/src/dispatch/choice.rs
@@ -20,7 +20,7 @@
     pub reading_ms: f64,
     /// The same for the prompts of other entries, by the last word of the upstream.
     pub unread_elsewhere_ms: f64,
-    /// Milliseconds by which first events came later than forecast, of late; negative where sooner.
+    /// Milliseconds by which first events came later than forecast, of late.
     pub excess_ms: f64,
 }
 
--- a/ragwortdeal_core/src/dispatch/forecast.rs
+++ b/ragwortdeal_core/src/dispatch/forecast.rs
@@ -12,6 +12,14 @@
 /// Part of a pass for which a request waits on average before an engine looks at it.
 const PASS_WAITED: f64 = 0.5;
 
+/// Part of the aim beyond which a request counts as late at an idle engine: any other request there
+/// puts it off further.
+const IDLE_SHARE: f64 = 0.75;
+
+/// Waiting that a late request may have beside what it has at an idle engine, in aims. Its answer is
+/// worth little, but it is whole, and a caller does not wait for it for long.
+const LATE_FACTOR: f64 = 3.0;
+
 /// How the engines of a service work, as far as a forecast needs it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Pace {
@@ -48,6 +56,20 @@
         self.usual_reading_ms
     }
 
+    /// Longest wait for the first event with which a request is worth an engine's time.
+    ///
+    /// One that cannot be in time takes that time from others that can, so the operator's aim is the
+    /// bound. It is none for a request that is `late` in any case: one that was refused before, that
+    /// goes on elsewhere, or whose prompt an idle engine cannot read in time.
+    pub fn first_event_max_ms(&self, aim_ms: u64, reading_ms: f64, late: bool) -> f64 {
+        if aim_ms == 0 {
+            return f64::INFINITY;
+        }
+        let aim_ms = aim_ms as f64;
+        let idle_ms = self.first_event_ms(&Candidate::default(), reading_ms);
+        if late || idle_ms > aim_ms * IDLE_SHARE { idle_ms + aim_ms * LATE_FACTOR } else { aim_ms }
+    }
+
     /// Milliseconds until the first event of a request whose prompt takes so long to read.
     pub fn first_event_ms(&self, engine: &Candidate, reading_ms: f64) -> f64 {
         let load = f64::from(engine.open) + engine.elsewhere;
@@ -72,8 +94,9 @@
 /// Weight of one answer in the mean excess: about five answers make it.
 const EXCESS_WEIGHT: f64 = 0.2;
 
-/// Bounds of one excess. An answer that was lost on the way must not shut an engine out for long.
-const EXCESS_MIN_MS: f64 = -100.0;
+/// Largest excess. An answer that was lost on the way must not shut an engine out for long. The
+/// smallest is none: were sooner answers counted, an engine that was never asked would look slower
+/// than those that were, and never be asked.
 const EXCESS_MAX_MS: f64 = 1_000.0;
 
 /// Time in which an excess halves that no answer confirms. An engine that is passed over because of
@@ -94,9 +117,9 @@
     /// Takes an answer that was forecast for one time, its excess included, and took another.
     pub fn answered(&mut self, forecast_ms: f64, took_ms: f64, now_ms: u64) {
         let before_ms = self.now(now_ms);
-        let error_ms = (took_ms - forecast_ms).clamp(EXCESS_MIN_MS, EXCESS_MAX_MS);
+        let error_ms = (took_ms - forecast_ms).clamp(-EXCESS_MAX_MS, EXCESS_MAX_MS);
         let mean_ms = before_ms + EXCESS_WEIGHT * error_ms;
-        self.mean_ms = mean_ms.clamp(EXCESS_MIN_MS, EXCESS_MAX_MS);
+        self.mean_ms = mean_ms.clamp(0.0, EXCESS_MAX_MS);
         self.at_ms = now_ms;
     }
 
--- a/ragwortdeal_core/tests/dispatch.rs
+++ b/ragwortdeal_core/tests/dispatch.rs
@@ -3,6 +3,7 @@
 use googletest::prelude::*;
 use ragwortdeal_core::dispatch::{
     choice::{self, Candidate},
+    cutoff::{self, Knowledge},
     share::{Budget, Spending},
 };
 use rand::{RngExt as _, SeedableRng as _};
@@ -112,3 +113,16 @@
     }
     waited_ms / served
 }
+
+/// Weights are superseded, and the way to an engine is narrow without anybody knowing. A request that
+/// is sent late begins on the old weights after their time.
+#[googletest::test]
+fn the_less_is_known_of_a_way_the_sooner_requests_to_old_weights_end() {
+    let unknown = cutoff::margin_ms(Knowledge::default());
+    let slow = Knowledge { slow: true, prompt: true, holds_newer: true };
+    let prompt = Knowledge { prompt: true, ..Knowledge::default() };
+    let holds = Knowledge { holds_newer: true, ..prompt };
+    expect_that!(cutoff::margin_ms(slow), gt(unknown));
+    expect_that!(cutoff::margin_ms(prompt), lt(unknown));
+    expect_that!(cutoff::margin_ms(holds), lt(cutoff::margin_ms(prompt)));
+}
--- a/ragwortdeal_core/tests/dispatch_forecast.rs
+++ b/ragwortdeal_core/tests/dispatch_forecast.rs
@@ -87,6 +87,18 @@
     expect_that!(choice::best_engine(&[later, busy], &pace(), &prompt(), 0), some(eq(0)));
 }
 
+/// Two engines stand idle, and one was asked before and answered sooner than forecast. Were that
+/// counted, the other would never be asked, and its callers' load would all lie on the first.
+#[googletest::test]
+fn an_engine_that_was_never_asked_looks_no_slower_than_one_that_was() {
+    let mut excess = Excess::default();
+    (0..10).for_each(|answer| excess.answered(100.0, 5.0, answer * 50));
+    expect_that!(excess.now(500), eq(0.0));
+    let known = Candidate { excess_ms: excess.now(500), ..idle() };
+    let taken = |draw| choice::best_engine(&[known, idle()], &pace(), &prompt(), draw);
+    expect_that!([taken(0), taken(1)], elements_are![some(eq(0)), some(eq(1))]);
+}
+
 /// Weights were changed, and one engine is back while others load. Each of six entries sees it idle.
 /// If each filled it alone, callers would wait for six times as long.
 #[googletest::test]
@@ -176,6 +188,20 @@
     (worth / REQUESTS as f64, refused / REQUESTS as f64)
 }
 
+/// A prompt is so long, or the operator's aim so short, that even an idle engine gives its first
+/// event late. Were the aim the bound, such callers would never be served.
+#[googletest::test]
+fn a_request_that_is_late_at_an_idle_engine_is_served_all_the_same() {
+    let max_ms = |aim_ms, reading_ms| pace().first_event_max_ms(aim_ms, reading_ms, false);
+    for (aim_ms, reading_ms) in [(400, 800.0), (50, 32.0), (1, 0.0)] {
+        let prompt = Prompt { reading_ms, first_event_max_ms: max_ms(aim_ms, reading_ms) };
+        expect_that!(choice::best_engine(&[idle()], &pace(), &prompt, 0), some(eq(0)));
+    }
+    expect_that!(max_ms(400, 32.0), eq(400.0));
+    expect_that!(max_ms(0, 32.0), eq(f64::INFINITY));
+    expect_that!(pace().first_event_max_ms(400, 32.0, true), gt(1_200.0));
+}
+
 #[googletest::test]
 fn reading_takes_tokens_and_pairs() {
     let reading = |tokens| forecast::reading_ms(&engine(), tokens);
--- a/ragwortdeal_node/src/fleet/entry.rs
+++ b/ragwortdeal_node/src/fleet/entry.rs
@@ -8,6 +8,7 @@
 mod request;
 mod serve;
 mod upstreams;
+mod way;
 
 use std::{
     sync::{self, atomic},
--- a/ragwortdeal_node/src/fleet/entry/request.rs
+++ b/ragwortdeal_node/src/fleet/entry/request.rs
@@ -57,6 +57,15 @@
         self.deadline.saturating_duration_since(time::Instant::now())
     }
 
+    /// Longest forecast of the first event with which it is sent.
+    pub(super) fn first_event_max_ms(&self, sent_before: bool) -> f64 {
+        let late = self.returned || sent_before;
+        let max_ms = |pace: &forecast::Pace| {
+            pace.first_event_max_ms(self.route.objective_ms, self.reading_ms, late)
+        };
+        self.pace.as_ref().map_or(f64::INFINITY, max_ms)
+    }
+
     /// The identifier as text, for logs.
     pub(super) fn id(&self) -> &str {
         self.id.to_str().unwrap_or("?")
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -14,7 +14,7 @@
     exchange::{self, Outcome},
     pool, relay, request,
     request::{Asked, Refusal},
-    upstreams,
+    upstreams, way,
 };
 use crate::http;
 
@@ -32,21 +32,6 @@
 /// answer: places become free within it.
 const AFTER_FULL: time::Duration = time::Duration::from_millis(800);
 
-/// Time to the first event, as a multiple of what the operator aims at, up to which a request is
-/// sent that would come late in any case: one that was refused before, or goes on elsewhere.
-const LATE_FACTOR: f64 = 3.0;
-
-/// Longest forecast of the first event with which a request is sent. One that cannot be in time
-/// would take an engine's time from one that can, and is refused at once.
-fn first_event_max_ms(asked: &Asked, progress: &Progress) -> f64 {
-    let aim_ms = match asked.route.objective_ms {
-        0 => f64::INFINITY,
-        aim_ms => aim_ms as f64,
-    };
-    let late = asked.returned || progress.sent > 0;
-    if late { aim_ms * LATE_FACTOR } else { aim_ms }
-}
-
 /// Answers a caller.
 pub(super) async fn answer(entry: sync::Arc<Entry>, request: http::Request) -> http::Response {
     let names = entry.spoken.headers();
@@ -150,7 +135,7 @@
             pace: asked.pace,
             prompt: choice::Prompt {
                 reading_ms: asked.reading_ms,
-                first_event_max_ms: first_event_max_ms(asked, progress),
+                first_event_max_ms: asked.first_event_max_ms(progress.sent > 0),
             },
             tried: &progress.tried,
         };
@@ -235,8 +220,12 @@
                 let load = answer.head.headers.get(&names.load);
                 let load = load.and_then(|value| value.to_str().ok());
                 let load = load.and_then(|value| self.spoken.load(value));
-                let took_ms = answer.took.as_millis() as u64;
-                self.fleet().answered(instance, load, took_ms, chosen.forecast_ms, now_ms);
+                let answered = way::Answered {
+                    load,
+                    took_ms: answer.took.as_millis() as u64,
+                    forecast_ms: chosen.forecast_ms,
+                };
+                self.fleet().answered(instance, &answered, now_ms);
                 Some(answer)
             }
         }
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -4,102 +4,17 @@
 
 use ragwortdeal_core::{
     directory,
-    dispatch::{choice, elsewhere, forecast, share},
+    dispatch::{choice, cutoff, forecast, share},
     document::naming,
 };
 
-use super::{Entry, pool};
-use crate::fleet::{dialect, notice};
-
-/// How long an upstream is passed over after a first failure; it doubles with each further one.
-/// Longer than a lost packet, shorter than callers wait.
-const SUSPEND_MS: u64 = 300;
-
-/// Longest time for which a failing upstream is passed over.
-const SUSPEND_MAX_MS: u64 = 3_000;
-
-/// Part of an upstream's failing that is left after one good answer.
-const FAILING_KEPT: f64 = 0.8;
-
-/// Milliseconds that a prompt of another entry is taken to need where nothing else is known of it:
-/// some thousand tokens at thirty a millisecond.
-const UNREAD_USUAL_MS: f64 = 35.0;
-
-/// Load of an upstream that refuses work, as a multiple of its slots: more than it is offered at.
-const SHED_SLOTS: f64 = 2.0;
-
-/// Taken off the time in which engines must serve named weights: requests that were sent before
-/// still wait for their first token. A link may have turned narrow without anybody knowing.
-const WEIGHTS_MARGIN_MS: u64 = 2_500;
-
-/// The same for an engine that answered promptly just now.
-const WEIGHTS_MARGIN_PROMPT_MS: u64 = 1_700;
-
-/// The same for an engine whose agent holds the newer weights already: their chunks came over the
-/// same link in time, and its change is due in its turn.
-const WEIGHTS_MARGIN_WHOLE_MS: u64 = 1_200;
-
-/// The same for upstreams that answered slowly of late. Behind a narrow link requests were seen to
-/// arrive two seconds after they were sent, where no reset takes them back.
-const WEIGHTS_MARGIN_SLOW_MS: u64 = 4_000;
-
-/// A head that takes longer shows a slow way to an upstream; with the engine at work it takes a
-/// third of that.
-const SLOW_HEAD_MS: u64 = 800;
-
-/// A head that takes no longer shows a free way to an upstream.
-const PROMPT_HEAD_MS: u64 = 500;
-
-/// For how long it shows that.
-const PROMPT_MS: u64 = 1_200;
-
-/// How long an upstream counts as slow after it. Each further slow head begins it anew.
-const SLOW_MS: u64 = 4_000;
-
-/// Part of the requests that an upstream which is slow is taken to fail.
-const SLOW_FAILING: f64 = 0.4;
+use super::{Entry, pool, way};
+use crate::fleet::notice;
 
 /// A request that has no first event so long before that time is up is taken back from an engine on
 /// older weights: on a slow link it may still be on its way, and would begin too late.
 const BEGIN_MARGIN_MS: u64 = 500;
 
-/// How this entry fared with an upstream.
-#[derive(Clone, Debug, Default)]
-struct Way {
-    open: u32,
-    /// Requests of others.
-    elsewhere: elsewhere::Word,
-    /// Requests of this entry that have no first event yet.
-    unread: u32,
-    failing: f64,
-    failures: u32,
-    suspended_until_ms: u64,
-    slow_until_ms: u64,
-    /// Milliseconds of prompts that it has to read before their first event.
-    reading_ms: f64,
-    excess: forecast::Excess,
-    /// When a first event came in good time last.
-    prompt_at_ms: Option<u64>,
-}
-
-impl Way {
-    /// Notes what an upstream said of its load, less what this entry has there itself.
-    fn heard_load(&mut self, running: u32, waiting: u32, at_ms: u64) {
-        let all =
-            elsewhere::Requests { open: f64::from(running + waiting), unread: f64::from(waiting) };
-        self.elsewhere.heard(all, self.own(), at_ms);
-    }
-
-    fn own(&self) -> elsewhere::Requests {
-        elsewhere::Requests { open: f64::from(self.open), unread: f64::from(self.unread) }
-    }
-
-    fn failing_at(&self, now_ms: u64) -> f64 {
-        let slow = if now_ms < self.slow_until_ms { SLOW_FAILING } else { 0.0 };
-        self.failing.max(slow)
-    }
-}
-
 /// An upstream that was chosen for a request. It counts as busy until this is dropped.
 pub(super) struct Chosen {
     pub(super) peer: pool::Peer,
@@ -157,7 +72,7 @@
     zones: usize,
     weights_ms: u64,
     directory: directory::Directory,
-    ways: collections::HashMap<directory::Text, Way>,
+    ways: collections::HashMap<directory::Text, way::Way>,
     serves: collections::HashMap<net::SocketAddrV4, notice::Serves>,
     named: naming::Namings,
     entries: collections::HashMap<net::Ipv4Addr, u32>,
@@ -187,10 +102,7 @@
             log::info!("entry: upstream {instance} at {address} is {standing:?}");
         }
         if lives.is_some_and(|held_ms| held_ms < born_ms) {
-            // A new life has none of the faults of the one before.
-            self.ways.entry(instance).and_modify(|way| {
-                *way = Way { open: way.open, ..Way::default() };
-            });
+            self.ways.entry(instance).and_modify(|way| *way = way.reborn());
         }
     }
 
@@ -210,7 +122,7 @@
             let here = self.directory.all().filter(|it| it.said.address == serves.address);
             for upstream in here {
                 if let Some(way) = self.ways.get_mut(&upstream.said.instance) {
-                    (way.failing, way.failures, way.suspended_until_ms) = (0.0, 0, 0);
+                    way.forgive();
                 }
             }
         }
@@ -274,107 +186,80 @@
     }
 
     fn candidate(&self, said: &directory::Announcement, now_ms: u64) -> Option<choice::Candidate> {
-        let way = self.ways.get(&said.instance);
-        if way.is_some_and(|way| way.suspended_until_ms > now_ms) {
+        let unknown = way::Way::default();
+        let way = self.ways.get(&said.instance).unwrap_or(&unknown);
+        if way.is_suspended(now_ms) {
             return None;
         }
-        let near = said.zone == self.zone;
-        let alike = if near { self.entries_alike() } else { 0.0 };
-        let elsewhere = way.map(|way| way.elsewhere.estimate(way.own(), alike, now_ms));
-        let elsewhere = elsewhere.unwrap_or_default();
-        Some(choice::Candidate {
-            open: way.map_or(0, |way| way.open),
-            elsewhere: elsewhere.open,
-            slots: said.slots,
-            near,
-            failing: way.map_or(0.0, |way| way.failing_at(now_ms)).max(if self.is_narrow(said) {
-                SLOW_FAILING
-            } else {
-                0.0
-            }),
-            reading_ms: way.map_or(0.0, |way| way.reading_ms),
-            unread_elsewhere_ms: elsewhere.unread * UNREAD_USUAL_MS,
-            excess_ms: way.map_or(0.0, |way| way.excess.now(now_ms)),
-        })
+        let place = way::Place { near: said.zone == self.zone, slots: said.slots };
+        let alike = if place.near { self.entries_alike() } else { 0.0 };
+        Some(way.candidate(&place, alike, self.is_narrow(said), now_ms))
+    }
+
+    /// What is known of the way to an engine. `newer` is the version that it should go to.
+    fn knowledge(
+        &self,
+        said: &directory::Announcement,
+        newer: u64,
+        now_ms: u64,
+    ) -> cutoff::Knowledge {
+        let way = self.ways.get(&said.instance);
+        cutoff::Knowledge {
+            slow: self.is_narrow(said) || way.is_some_and(|way| way.is_slow(now_ms)),
+            prompt: way.is_some_and(|way| way.is_prompt(now_ms)),
+            holds_newer: newer > 0 && self.whole_at(said) >= newer,
+        }
+    }
+
+    /// Lowest version that an engine must serve to get a request now.
+    fn lowest_at(
+        &self,
+        said: &directory::Announcement,
+        models: &[directory::Text],
+        now_ms: u64,
+    ) -> u64 {
+        let lowest = |margin_ms: u64| {
+            let versions = models.iter().map(|model| self.lowest(model, margin_ms, now_ms));
+            versions.max().unwrap_or(0)
+        };
+        let newer = lowest(cutoff::margin_ms(cutoff::Knowledge::default()));
+        lowest(cutoff::margin_ms(self.knowledge(said, newer, now_ms)))
     }
 
     /// Notes a request as open at an upstream.
     fn opened(&mut self, instance: &directory::Text, reading_ms: f64) {
-        let way = self.ways.entry(instance.clone()).or_default();
-        way.open += 1;
-        way.unread += 1;
-        way.reading_ms += reading_ms;
+        self.ways.entry(instance.clone()).or_default().opened(reading_ms);
     }
 
     fn read(&mut self, instance: &str, reading_ms: f64) {
         if let Some(way) = self.ways.get_mut(instance) {
-            way.reading_ms = (way.reading_ms - reading_ms).max(0.0);
-            way.unread = way.unread.saturating_sub(1);
+            way.read(reading_ms);
         }
     }
 
     fn closed(&mut self, instance: &str) {
         if let Some(way) = self.ways.get_mut(instance) {
-            way.open = way.open.saturating_sub(1);
+            way.closed();
         }
     }
 
-    fn is_slow(&self, instance: &str, now_ms: u64) -> bool {
-        self.ways.get(instance).is_some_and(|way| now_ms < way.slow_until_ms)
-    }
-
-    fn is_prompt(&self, instance: &str, now_ms: u64) -> bool {
-        let prompt_at_ms = self.ways.get(instance).and_then(|way| way.prompt_at_ms);
-        prompt_at_ms.is_some_and(|at_ms| now_ms <= at_ms + PROMPT_MS)
-    }
-
-    /// Notes that an upstream answered after so long, and what it said of its load.
-    pub(super) fn answered(
-        &mut self,
-        instance: &str,
-        load: Option<dialect::Load>,
-        took_ms: u64,
-        forecast_ms: Option<f64>,
-        now_ms: u64,
-    ) {
-        let Some(way) = self.ways.get_mut(instance) else {
-            return;
-        };
-        if took_ms >= SLOW_HEAD_MS {
-            way.slow_until_ms = now_ms + SLOW_MS;
-        } else if took_ms <= PROMPT_HEAD_MS {
-            way.prompt_at_ms = Some(now_ms);
-        }
-        if let Some(forecast_ms) = forecast_ms {
-            way.excess.answered(forecast_ms, took_ms as f64, now_ms);
-        }
-        way.failures = 0;
-        way.failing *= FAILING_KEPT;
-        if let Some(load) = load {
-            way.heard_load(load.running, load.waiting, now_ms);
+    /// Notes that an upstream answered.
+    pub(super) fn answered(&mut self, instance: &str, answer: &way::Answered, now_ms: u64) {
+        if let Some(way) = self.ways.get_mut(instance) {
+            way.answered(answer, now_ms);
         }
     }
 
-    /// Notes that an upstream failed. It is passed over for a while, for longer each time.
+    /// Notes that an upstream failed.
     pub(super) fn failed(&mut self, instance: &directory::Text, now_ms: u64) {
-        let way = self.ways.entry(instance.clone()).or_default();
-        // All that was open there fails together, which is one failure and not many.
-        if now_ms < way.suspended_until_ms {
-            return;
-        }
-        let suspend_ms = SUSPEND_MS << way.failures.min(8);
-        way.failures += 1;
-        way.failing = 1.0 - (1.0 - way.failing) * FAILING_KEPT;
-        way.suspended_until_ms = now_ms + suspend_ms.min(SUSPEND_MAX_MS);
+        self.ways.entry(instance.clone()).or_default().failed(now_ms);
     }
 
-    /// Notes that an upstream is full, by the slots that it announced itself.
+    /// Notes that an upstream is full.
     pub(super) fn shed(&mut self, instance: &str, now_ms: u64) {
         let slots = self.directory.get(instance).map_or(0, |upstream| upstream.said.slots);
         if let Some(way) = self.ways.get_mut(instance) {
-            let open = f64::from(slots) * SHED_SLOTS;
-            let all = elsewhere::Requests { open, unread: 0.0 };
-            way.elsewhere.heard(all, elsewhere::Requests::default(), now_ms);
+            way.shed(slots, now_ms);
         }
     }
 
@@ -430,15 +315,6 @@
         let now_ms = self.clock.now_ms();
         let draw = self.draw();
         let mut fleet = self.fleet();
-        let lowest_within = |margin_ms: u64| {
-            let models = wanted.models?.iter();
-            let lowest = models.map(|model| fleet.lowest(model, margin_ms, now_ms)).max();
-            Some(lowest.unwrap_or(0))
-        };
-        let lowest = lowest_within(WEIGHTS_MARGIN_MS);
-        let lowest_if_slow = lowest_within(WEIGHTS_MARGIN_SLOW_MS);
-        let lowest_if_whole = lowest_within(WEIGHTS_MARGIN_WHOLE_MS);
-        let lowest_if_prompt = lowest_within(WEIGHTS_MARGIN_PROMPT_MS);
         let mut offered = Vec::new();
         let mut candidates = Vec::new();
         for upstream in fleet.directory.all() {
@@ -449,20 +325,15 @@
             if !takes_work {
                 continue;
             }
-            let slow = fleet.is_slow(&said.instance, now_ms) || fleet.is_narrow(said);
-            let whole = fleet.whole_at(said);
-            let lowest = match lowest {
-                _ if slow => lowest_if_slow,
-                Some(due) if whole >= due => lowest_if_whole,
-                _ if fleet.is_prompt(&said.instance, now_ms) => lowest_if_prompt,
-                _ => lowest,
-            };
-            let version = match lowest {
-                Some(lowest) => match fleet.version_of(said).filter(|held| *held >= lowest) {
-                    Some(version) => Some(version),
-                    None => continue,
-                },
+            let version = match wanted.models {
                 None => None,
+                Some(models) => {
+                    let lowest = fleet.lowest_at(said, models, now_ms);
+                    match fleet.version_of(said).filter(|held| *held >= lowest) {
+                        Some(version) => Some(version),
+                        None => continue,
+                    }
+                }
             };
             if let Some(candidate) = fleet.candidate(said, now_ms) {
                 candidates.push(candidate);
--- /dev/null
+++ b/ragwortdeal_node/src/fleet/entry/way.rs
@@ -0,0 +1,188 @@
+//! How this entry fares with one upstream: what is open there, how it answers, how it fails.
+
+use ragwortdeal_core::dispatch::{choice, elsewhere, forecast};
+
+use crate::fleet::dialect;
+
+/// How long an upstream is passed over after a first failure; it doubles with each further one.
+/// Longer than a lost packet, shorter than callers wait.
+const SUSPEND_MS: u64 = 300;
+
+/// Longest time for which a failing upstream is passed over.
+const SUSPEND_MAX_MS: u64 = 3_000;
+
+/// Part of an upstream's failing that is left after one good answer.
+const FAILING_KEPT: f64 = 0.8;
+
+/// Milliseconds that a prompt of another entry is taken to need where nothing else is known of it:
+/// some thousand tokens at thirty a millisecond.
+const UNREAD_USUAL_MS: f64 = 35.0;
+
+/// Load of an upstream that refuses work, as a multiple of its slots: more than it is offered at.
+const SHED_SLOTS: f64 = 2.0;
+
+/// A head that takes longer shows a slow way to an upstream; with the engine at work it takes a
+/// third of that.
+const SLOW_HEAD_MS: u64 = 800;
+
+/// A head that takes no longer shows a free way to an upstream.
+const PROMPT_HEAD_MS: u64 = 500;
+
+/// For how long it shows that.
+const PROMPT_MS: u64 = 1_200;
+
+/// How long an upstream counts as slow after it. Each further slow head begins it anew.
+const SLOW_MS: u64 = 4_000;
+
+/// Part of the requests that an upstream which is slow is taken to fail.
+const SLOW_FAILING: f64 = 0.4;
+
+/// How this entry fared with an upstream.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Way {
+    open: u32,
+    /// Requests of this entry that have no first event yet.
+    unread: u32,
+    /// Milliseconds of prompts that it has to read before their first event.
+    reading_ms: f64,
+    /// Requests of others.
+    elsewhere: elsewhere::Word,
+    excess: forecast::Excess,
+    failing: f64,
+    failures: u32,
+    suspended_until_ms: u64,
+    slow_until_ms: u64,
+    /// When a first event came in good time last.
+    prompt_at_ms: Option<u64>,
+}
+
+/// An answer of an upstream, as far as it tells how the upstream fares.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Answered {
+    /// What it said of its load.
+    pub(super) load: Option<dialect::Load>,
+    /// Milliseconds from the sending to the head.
+    pub(super) took_ms: u64,
+    /// Milliseconds that were forecast, where it is an engine.
+    pub(super) forecast_ms: Option<f64>,
+}
+
+impl Way {
+    /// A new life of the upstream, which has none of the faults of the one before.
+    pub(super) fn reborn(&self) -> Self {
+        Self { open: self.open, ..Self::default() }
+    }
+
+    /// What failed before says nothing of how it works now.
+    pub(super) fn forgive(&mut self) {
+        (self.failing, self.failures, self.suspended_until_ms) = (0.0, 0, 0);
+    }
+
+    /// Notes a request as open, with a prompt to be read.
+    pub(super) fn opened(&mut self, reading_ms: f64) {
+        self.open += 1;
+        self.unread += 1;
+        self.reading_ms += reading_ms;
+    }
+
+    /// Notes a prompt as read.
+    pub(super) fn read(&mut self, reading_ms: f64) {
+        self.unread = self.unread.saturating_sub(1);
+        self.reading_ms = (self.reading_ms - reading_ms).max(0.0);
+    }
+
+    /// Notes a request as ended.
+    pub(super) fn closed(&mut self) {
+        self.open = self.open.saturating_sub(1);
+    }
+
+    /// Notes an answer.
+    pub(super) fn answered(&mut self, answer: &Answered, now_ms: u64) {
+        if answer.took_ms >= SLOW_HEAD_MS {
+            self.slow_until_ms = now_ms + SLOW_MS;
+        } else if answer.took_ms <= PROMPT_HEAD_MS {
+            self.prompt_at_ms = Some(now_ms);
+        }
+        if let Some(forecast_ms) = answer.forecast_ms {
+            self.excess.answered(forecast_ms, answer.took_ms as f64, now_ms);
+        }
+        self.failures = 0;
+        self.failing *= FAILING_KEPT;
+        if let Some(load) = answer.load {
+            let all = elsewhere::Requests {
+                open: f64::from(load.running + load.waiting),
+                unread: f64::from(load.waiting),
+            };
+            self.elsewhere.heard(all, self.own(), now_ms);
+        }
+    }
+
+    /// Notes a failure. The upstream is passed over for a while, for longer each time.
+    pub(super) fn failed(&mut self, now_ms: u64) {
+        // All that was open there fails together, which is one failure and not many.
+        if self.is_suspended(now_ms) {
+            return;
+        }
+        let suspend_ms = SUSPEND_MS << self.failures.min(8);
+        self.failures += 1;
+        self.failing = 1.0 - (1.0 - self.failing) * FAILING_KEPT;
+        self.suspended_until_ms = now_ms + suspend_ms.min(SUSPEND_MAX_MS);
+    }
+
+    /// Notes that it refused work, by the slots that it announced itself.
+    pub(super) fn shed(&mut self, slots: u32, now_ms: u64) {
+        let all = elsewhere::Requests { open: f64::from(slots) * SHED_SLOTS, unread: 0.0 };
+        self.elsewhere.heard(all, elsewhere::Requests::default(), now_ms);
+    }
+
+    /// Whether it is passed over.
+    pub(super) fn is_suspended(&self, now_ms: u64) -> bool {
+        now_ms < self.suspended_until_ms
+    }
+
+    /// Whether it answered slowly of late.
+    pub(super) fn is_slow(&self, now_ms: u64) -> bool {
+        now_ms < self.slow_until_ms
+    }
+
+    /// Whether it answered in good time just now.
+    pub(super) fn is_prompt(&self, now_ms: u64) -> bool {
+        self.prompt_at_ms.is_some_and(|at_ms| now_ms <= at_ms + PROMPT_MS)
+    }
+
+    /// The upstream as the choice sees it. `alike` is how many entries send there as this one does,
+    /// `narrow` whether its agent finds its link narrow.
+    pub(super) fn candidate(
+        &self,
+        place: &Place,
+        alike: f64,
+        narrow: bool,
+        now_ms: u64,
+    ) -> choice::Candidate {
+        let elsewhere = self.elsewhere.estimate(self.own(), alike, now_ms);
+        let slow = if narrow || self.is_slow(now_ms) { SLOW_FAILING } else { 0.0 };
+        choice::Candidate {
+            open: self.open,
+            elsewhere: elsewhere.open,
+            slots: place.slots,
+            near: place.near,
+            failing: self.failing.max(slow),
+            reading_ms: self.reading_ms,
+            unread_elsewhere_ms: elsewhere.unread * UNREAD_USUAL_MS,
+            excess_ms: self.excess.now(now_ms),
+        }
+    }
+
+    fn own(&self) -> elsewhere::Requests {
+        elsewhere::Requests { open: f64::from(self.open), unread: f64::from(self.unread) }
+    }
+}
+
+/// Where an upstream stands, and how many requests it works on together.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Place {
+    /// Whether in this entry's availability zone.
+    pub(super) near: bool,
+    /// By its own word.
+    pub(super) slots: u32,
+}
