Show that the time of named weights is lost with the processes that know it

Callers got answers on weights that had been superseded 8.6 s before, by entries that had started 5.3 s after the naming.

The same loss still acts one step further on. Two tests fail first: a voter that restarts within a change takes the naming in its log for news, and so does everything after a restart of all processes; 20 of 20 requests of a second reach the engine after the bound in both.

--- /dev/null
+++ b/ragwortdeal_node/tests/fleet_naming.rs
@@ -0,0 +1,129 @@
+//! When weights were named, over restarts of the processes that know it.
+
+use std::{collections, sync, time};
+
+use googletest::prelude::*;
+use ragwortdeal_platform::DIALECT;
+use ragwortdeal_standins::fleet::{
+    caller::Ask,
+    engine,
+    origin::{self, Origin},
+    world::{self, Process, World},
+};
+
+const VOTER: u8 = 1;
+const ENTRY: u8 = 10;
+const LATER_ENTRY: u8 = 11;
+const ENGINE: u8 = 20;
+
+/// Time after a naming in which engines may serve the weights before.
+const BOUND: time::Duration = time::Duration::from_millis(8_000);
+
+/// One voter, one entry, and one engine on version 1 that cannot get version 2: the origin is lost.
+struct Fleet {
+    world: World,
+    origin: sync::Arc<Origin>,
+    engine: sync::Arc<engine::Engine>,
+    processes: collections::BTreeMap<u8, Process>,
+    named: time::Instant,
+}
+
+impl Fleet {
+    async fn on_superseded_weights() -> Self {
+        let world = World::new(&DIALECT, 1);
+        let mut processes = collections::BTreeMap::from([(VOTER, world.voter(VOTER, true).await)]);
+        let origin = Origin::start(world.upstream(9)).await;
+        world.install(&world.document(1, Some(&origin))).await;
+        let engine = world.engine(ENGINE, "models", 1).await;
+        engine.stage_all(&origin::chunks(1));
+        engine.stream(3, time::Duration::from_millis(5));
+        processes.insert(ENGINE, world.agent(ENGINE).await);
+        processes.insert(ENTRY, world.entry(ENTRY).await);
+        world.ready(ENTRY).await;
+        origin.lose(true);
+        let named = time::Instant::now();
+        let body = serde_json::json!({"model": "model-a", "version": 2}).to_string();
+        let answer = world.operator().order("POST", "/version-put", &body).await;
+        assert_eq!(answer.0, 200, "{}", answer.1);
+        let fleet = Self { world, origin, engine, processes, named };
+        world::until("the entry serves", async || fleet.ask(ENTRY).await == 200).await;
+        fleet
+    }
+
+    async fn kill(&mut self, number: u8) {
+        let process = self.processes.remove(&number).expect("a running process");
+        process.kill().await;
+    }
+
+    /// Starts the voter again from its folder. It holds no list of engines, so the engine announces
+    /// itself to it.
+    async fn restart_voter(&mut self, announcement: u64) {
+        self.processes.insert(VOTER, self.world.voter(VOTER, false).await);
+        self.world.announce(&self.engine, "models", "ready", announcement).await;
+    }
+
+    async fn start_entry(&mut self, number: u8) {
+        self.processes.insert(number, self.world.entry(number).await);
+        self.world.ready(number).await;
+    }
+
+    async fn ask(&self, entry: u8) -> u16 {
+        let number = self.named.elapsed().as_micros();
+        let ask = Ask::new("POST", "/stream/one", &format!("stream-{entry}-{number}"));
+        ask.answer(self.world.callers(entry)).await.status
+    }
+
+    async fn until_the_weights_are_due(&self) {
+        tokio::time::sleep(BOUND.saturating_sub(self.named.elapsed())).await;
+    }
+
+    /// How many of some requests to an entry reach the engine, asked for over a second.
+    async fn served_by(&self, entry: u8) -> usize {
+        let before = self.engine.arrivals().len();
+        for _ in 0..20 {
+            self.ask(entry).await;
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+        }
+        self.engine.arrivals().len() - before
+    }
+
+    /// The entry refused because of the weights alone: it serves once the engine has the new ones.
+    async fn serves_new_weights(&self, entry: u8) {
+        self.origin.lose(false);
+        world::until("the entry serves", async || self.ask(entry).await == 200).await;
+    }
+}
+
+/// Voters restart within a change of weights, and an entry starts after it. A voter knows from its
+/// log that weights were named and not when. If that counted as news, the callers of the new entry
+/// would get answers on superseded weights for seconds, while the entries beside it refuse them.
+#[googletest::test]
+#[tokio::test]
+async fn the_time_of_weights_outlives_a_restart_of_the_voters() {
+    let mut fleet = Fleet::on_superseded_weights().await;
+    tokio::time::sleep(time::Duration::from_secs(3)).await;
+    fleet.kill(VOTER).await;
+    fleet.restart_voter(2).await;
+    fleet.start_entry(LATER_ENTRY).await;
+    fleet.until_the_weights_are_due().await;
+    expect_that!(fleet.served_by(LATER_ENTRY).await, eq(0));
+    fleet.serves_new_weights(LATER_ENTRY).await;
+}
+
+/// Every process is killed at once and starts again, a while after the weights became due. Nobody
+/// remembers when they were named; if that began anew, callers would get superseded weights again.
+#[googletest::test]
+#[tokio::test]
+async fn due_weights_stay_due_over_a_restart_of_everything() {
+    let mut fleet = Fleet::on_superseded_weights().await;
+    fleet.until_the_weights_are_due().await;
+    tokio::time::sleep(time::Duration::from_secs(2)).await;
+    for number in [VOTER, ENTRY, ENGINE] {
+        fleet.kill(number).await;
+    }
+    fleet.restart_voter(2).await;
+    fleet.processes.insert(ENGINE, fleet.world.agent(ENGINE).await);
+    fleet.start_entry(ENTRY).await;
+    expect_that!(fleet.served_by(ENTRY).await, eq(0));
+    fleet.serves_new_weights(ENTRY).await;
+}
