Tell voters that restart how long ago weights were named

Callers of an entry that started after the voters had restarted got answers on superseded weights for as long as the whole bound.

Cause: the time of a naming lives in the memory of the processes that heard it, and is told from voters to followers only. A voter that restarts reads the naming from its log and counts from there; once all voters have restarted, whoever follows them later counts so too, while the entries beside it know better and are not asked.

Ruled out: the order of the words, as the oldest counts already.

Change: entries and agents tell a voter that comes into their reach the namings that still matter, and the voter passes on what is news to it.

--- a/ragwortdeal_core/src/document/naming.rs
+++ b/ragwortdeal_core/src/document/naming.rs
@@ -3,7 +3,8 @@
 //! Callers must get no answer that begins on older weights once the time after a naming is up. Each
 //! process counts that time from an age that travels, because clocks of two instances never compare.
 //! Without the age, a process that starts later would count the whole time anew and send requests to
-//! engines that should have changed long since. `docs/design/platform.md` tells who tells whom.
+//! engines that should have changed long since. Whoever told it may have restarted as well, so the
+//! age is told both ways. `docs/design/platform.md` tells who tells whom.
 
 use std::collections;
 
@@ -11,6 +12,10 @@
 /// covered by the newest of them.
 const NAMED_MAX: usize = 32;
 
+/// Two words on one naming differ by so much because of the way alone. Were smaller differences
+/// passed on, each follower of a voter that restarted would make it tell all others.
+const WORD_TRAVELS_MS: i64 = 200;
+
 /// A version that was named, as one process tells it to another.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Naming {
@@ -30,6 +35,14 @@
 }
 
 impl Namings {
+    /// Whether a naming tells something new: an unknown version, or one that was named longer ago
+    /// than is known here by more than the time in which a word travels.
+    pub fn is_news(&self, naming: &Naming, now_ms: u64) -> bool {
+        let at_ms = signed(now_ms) - signed(naming.age_ms);
+        let held_ms = self.named_at_ms(&naming.model, naming.version);
+        held_ms.is_none_or(|held_ms| at_ms + WORD_TRAVELS_MS < held_ms)
+    }
+
     /// Takes a naming. Of several tellers the one that heard of it first is right. Returns whether
     /// the version is newer than all that were known.
     pub fn heard(&mut self, naming: &Naming, now_ms: u64) -> bool {
@@ -46,8 +59,20 @@
 
     /// All namings with their ages, to tell another process.
     pub fn told(&self, now_ms: u64) -> Vec<Naming> {
+        self.told_where(now_ms, |_, _| true)
+    }
+
+    /// The namings that still matter to a process which lost their ages: of each model the highest
+    /// that is due, and those whose time runs. They stay few, however many were named before.
+    pub fn told_open(&self, within_ms: u64, now_ms: u64) -> Vec<Naming> {
+        let due = |model: &str| self.lowest_due(model, within_ms, now_ms);
+        self.told_where(now_ms, |model, version| version >= due(model))
+    }
+
+    fn told_where(&self, now_ms: u64, matters: impl Fn(&str, u64) -> bool) -> Vec<Naming> {
         let namings = self.by_model.iter().flat_map(|(model, versions)| {
-            versions.iter().map(|(&version, at_ms)| Naming {
+            let versions = versions.iter().filter(|(version, _)| matters(model, **version));
+            versions.map(|(&version, at_ms)| Naming {
                 model: model.clone(),
                 version,
                 age_ms: (signed(now_ms) - at_ms).max(0).unsigned_abs(),
--- a/ragwortdeal_core/tests/naming.rs
+++ b/ragwortdeal_core/tests/naming.rs
@@ -56,3 +56,22 @@
     expect_that!(namings.told(1_000_000).len(), eq(32));
     expect_that!(namings.lowest_due("m", WITHIN_MS, 1_000_000), eq(992));
 }
+
+/// A voter restarts among thousands of followers, each of which tells it what it remembers. Told of
+/// all versions ever named, or passed on by each word, this would fill the links.
+#[googletest::test]
+fn little_is_told_to_a_process_that_lost_the_ages() {
+    let mut follower = Namings::default();
+    (1..30).for_each(|version| _ = follower.heard(&naming(version, 0), version * 1_000));
+    let told = follower.told_open(WITHIN_MS, 30_000);
+    let versions: Vec<_> = told.iter().map(|naming| naming.version).collect();
+    expect_that!(versions, elements_are![&22, &23, &24, &25, &26, &27, &28, &29]);
+
+    let mut restarted = Namings::default();
+    restarted.heard(&naming(29, 0), 500);
+    let remembered = naming(29, 1_000);
+    expect_that!(restarted.is_news(&remembered, 500), eq(true));
+    restarted.heard(&remembered, 500);
+    expect_that!(restarted.is_news(&naming(29, 1_150), 500), eq(false));
+    expect_that!(restarted.is_news(&naming(28, 2_000), 500), eq(true));
+}
--- a/ragwortdeal_node/src/fleet/agent.rs
+++ b/ragwortdeal_node/src/fleet/agent.rs
@@ -159,8 +159,7 @@
                 let own = said.iter().filter(|said| said.address == agent.engine);
                 own.for_each(|said| agent.engine_announced(said.age.born_ms));
             }
-            // A voter that comes into reach may have missed what this agent said before.
-            follow::Told::Up(_) => agent.say_again(),
+            follow::Told::Up(voter) => agent.tell_again(voter),
             follow::Told::Down(voter) => {
                 agent.told.send_modify(|told| _ = told.seats.remove(&voter));
             }
@@ -235,10 +234,17 @@
         self.tell(&serves);
     }
 
-    fn say_again(&self) {
+    /// Tells a voter that comes into reach what it may have missed, or lost by a restart.
+    fn tell_again(&self, voter: std_net::Ipv4Addr) {
+        let Some(voters) = self.voters.get() else {
+            return;
+        };
+        let within_ms = self.settings.bounds.weights_ms;
+        let named = self.told.borrow().named.told_open(within_ms, self.clock.now_ms());
+        voters.tell_one(voter, &notice::Notice::Named(named));
         let serves = self.serves.lock().expect("no panic under lock");
         if serves.born_ms > 0 {
-            self.tell(&serves);
+            voters.tell_one(voter, &notice::Notice::Serves(serves.clone()));
         }
     }
 
--- a/ragwortdeal_node/src/fleet/entry.rs
+++ b/ragwortdeal_node/src/fleet/entry.rs
@@ -156,7 +156,7 @@
     let entry = sync::Arc::new(Entry::new(&settings, spoken, telemetry));
     let (voters, told) =
         follow::start(settings.clone(), identity, "entry", entry.held_version.clone(), seeds);
-    tokio::spawn(learn::follow(entry.clone(), told));
+    tokio::spawn(learn::follow(entry.clone(), voters.clone(), told));
     tokio::spawn(sweep(entry.clone()));
     let (stopper, unready) = stop::pair();
     let (readiness_stopper, readiness_stop) = stop::pair();
--- a/ragwortdeal_node/src/fleet/entry/learn.rs
+++ b/ragwortdeal_node/src/fleet/entry/learn.rs
@@ -9,12 +9,22 @@
 use crate::fleet::{follow, notice, packing};
 
 /// Follows the voters for as long as the process runs.
-pub(super) async fn follow(entry: sync::Arc<Entry>, mut told: mpsc::Receiver<follow::Told>) {
+pub(super) async fn follow(
+    entry: sync::Arc<Entry>,
+    voters: follow::Voters,
+    mut told: mpsc::Receiver<follow::Told>,
+) {
     while let Some(told) = told.recv().await {
-        let follow::Told::Notice(voter, notice) = told else {
-            continue;
-        };
         let now_ms = entry.clock.now_ms();
+        let (voter, notice) = match told {
+            follow::Told::Notice(voter, notice) => (voter, notice),
+            follow::Told::Up(voter) => {
+                let named = entry.fleet().namings_open(now_ms);
+                voters.tell_one(voter, &notice::Notice::Named(named));
+                continue;
+            }
+            follow::Told::Down(_) => continue,
+        };
         match notice {
             notice::Notice::Documents(documents) => entry.documents(&documents),
             notice::Notice::Named(named) => entry.fleet().named(&named, now_ms),
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -137,6 +137,11 @@
         }
     }
 
+    /// The namings that a voter which restarted may lack the ages of.
+    pub(super) fn namings_open(&self, now_ms: u64) -> Vec<naming::Naming> {
+        self.named.told_open(self.weights_ms, now_ms)
+    }
+
     pub(super) fn entries(&mut self, voter: net::Ipv4Addr, count: u32) {
         let held = self.entries.entry(voter).or_default();
         // Never fewer than were seen before: an entry that is cut off goes on drawing.
--- a/ragwortdeal_node/src/fleet/follow.rs
+++ b/ragwortdeal_node/src/fleet/follow.rs
@@ -102,6 +102,14 @@
         }
     }
 
+    /// Tells one voter.
+    pub fn tell_one(&self, voter: Ipv4Addr, notice: &notice::Notice) {
+        if let Some(followed) = self.followed().get(&voter) {
+            // As with all voters.
+            let _ = followed.link.push("tell voter", notice::seal(notice));
+        }
+    }
+
     /// Whether any voter is within reach.
     pub fn any_up(&self) -> bool {
         self.followed().values().any(|it| it.link.is_up())
--- a/ragwortdeal_node/src/fleet/notice.rs
+++ b/ragwortdeal_node/src/fleet/notice.rs
@@ -18,7 +18,8 @@
     },
     /// The document where the follower's is older.
     Documents(store::Store),
-    /// Weights that were named, and how long ago.
+    /// Weights that were named, and how long ago. Voters tell it, and followers tell a voter that
+    /// comes into reach: after a restart it does not know how long ago.
     Named(Vec<naming::Naming>),
     /// Voters that can be followed, by address.
     Voters(Vec<net::Ipv4Addr>),
--- a/ragwortdeal_node/src/voter/fleet/hub.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -140,6 +140,7 @@
             Some(notice::Notice::Follow { version }) => {
                 state.follow(session.id, version, self.clock.now_ms());
             }
+            Some(notice::Notice::Named(named)) => state.remember(&named, self.clock.now_ms()),
             Some(notice::Notice::Serves(serves)) => {
                 if let Some(seat) = state.agents.get_mut(&session.id)
                     && std::mem::replace(&mut seat.narrow, serves.narrow) != serves.narrow
@@ -197,6 +198,21 @@
         }
     }
 
+    /// Takes what a follower knows of namings. A voter that restarted finds them in its log without
+    /// their times; without this, entries that it tells would serve superseded weights for longer.
+    fn remember(&mut self, named: &[naming::Naming], now_ms: u64) {
+        let news: Vec<_> =
+            named.iter().filter(|naming| self.named.is_news(naming, now_ms)).collect();
+        if news.is_empty() {
+            return;
+        }
+        for naming in news {
+            log::info!("voter: a follower remembers that weights were named, {naming:?}");
+            self.named.heard(naming, now_ms);
+        }
+        self.tell_all(&notice::seal(&notice::Notice::Named(self.named.told(now_ms))));
+    }
+
     /// Sends a follower all that it may lack.
     fn follow(&mut self, session: link::SessionId, version: u64, now_ms: u64) {
         let Some(follower) = self.followers.get_mut(&session) else {
