Write into the voters' log that named weights are due

After a restart of all processes callers got answers on superseded weights once more, for as long as the whole bound.

Cause: how long ago weights were named is known in memory only. With the last process that heard of the naming its time is gone, and the log tells no more than that the weights were named.

Ruled out: a time of day in the log, as clocks of two instances never compare; the time of the log, which stands still between entries.

Change: once the bound is over, voters write a step into the log that the weights are due (Store.due). A voter that reads it counts the naming as older than the bound.

What is left: all processes lost within the bound count its time anew.

--- a/ragwortdeal_core/src/document/store.rs
+++ b/ragwortdeal_core/src/document/store.rs
@@ -71,6 +71,8 @@
     Install(Sealed),
     /// Names new weights.
     Name(Weights),
+    /// Notes that the time in which older weights may be served is up.
+    Due(Weights),
 }
 
 /// What is in force.
@@ -80,6 +82,10 @@
     pub document: Option<Sealed>,
     /// The highest version of each model that was named.
     pub weights: collections::BTreeMap<String, u64>,
+    /// The highest version of each model below which nothing may be served any more. Ages of namings
+    /// are lost with the processes that remember them; this is not. Absent in older snapshots.
+    #[serde(default)]
+    pub due: collections::BTreeMap<String, u64>,
 }
 
 impl Store {
@@ -92,10 +98,8 @@
                     self.document = Some(sealed.clone());
                 }
             }
-            Step::Name(weights) => {
-                let held = self.weights.entry(weights.model.clone()).or_default();
-                *held = weights.version.max(*held);
-            }
+            Step::Name(weights) => _ = raise(&mut self.weights, &weights.model, weights.version),
+            Step::Due(weights) => _ = raise(&mut self.due, &weights.model, weights.version),
         }
     }
 
@@ -112,10 +116,19 @@
             newer = true;
         }
         for (model, version) in &other.weights {
-            let held = self.weights.entry(model.clone()).or_default();
-            newer |= version > held;
-            *held = (*held).max(*version);
+            newer |= raise(&mut self.weights, model, *version);
+        }
+        for (model, version) in &other.due {
+            newer |= raise(&mut self.due, model, *version);
         }
         newer
     }
 }
+
+/// Takes a version where it is higher than the one that is held. Returns whether it is.
+fn raise(held: &mut collections::BTreeMap<String, u64>, model: &str, version: u64) -> bool {
+    let held = held.entry(model.to_owned()).or_default();
+    let higher = version > *held;
+    *held = version.max(*held);
+    higher
+}
--- a/ragwortdeal_core/tests/document.rs
+++ b/ragwortdeal_core/tests/document.rs
@@ -147,3 +147,31 @@
     let read: command::Command = ciborium::from_reader(&bytes[..]).unwrap();
     expect_that!(read, eq(&step));
 }
+
+/// A voter reads back a state that is older than what it published, or one from before weights could
+/// be due. Were a due version taken back, superseded weights would be served again.
+#[googletest::test]
+fn what_is_due_stays_due() {
+    let due = |version| Step::Due(Weights { model: "m".to_owned(), version });
+    let mut store = Store::default();
+    let older = store.clone();
+    store.apply(&due(3));
+    store.apply(&due(2));
+    expect_that!(store.due.get("m"), some(eq(&3)));
+    expect_that!(store.merge(&older), eq(false));
+    expect_that!(store.due.get("m"), some(eq(&3)));
+    let mut other = older.clone();
+    expect_that!(other.merge(&store), eq(true));
+    expect_that!(other.due.get("m"), some(eq(&3)));
+
+    #[derive(serde::Serialize)]
+    struct Before {
+        document: Option<Sealed>,
+        weights: std::collections::BTreeMap<String, u64>,
+    }
+    let mut bytes = Vec::new();
+    let before = Before { document: None, weights: [("m".to_owned(), 3)].into() };
+    ciborium::into_writer(&before, &mut bytes).unwrap();
+    let read: Store = ciborium::from_reader(&bytes[..]).unwrap();
+    expect_that!(read.due.is_empty(), eq(true));
+}
--- a/ragwortdeal_node/src/voter/fleet.rs
+++ b/ragwortdeal_node/src/voter/fleet.rs
@@ -5,7 +5,9 @@
 //! the voter joins again as a new replica; the process stays up meanwhile.
 
 mod control;
+mod due;
 mod hub;
+mod steps;
 
 use std::{path, sync, time};
 
@@ -108,7 +110,7 @@
         documents: watch::Sender::new(store::Store::default()),
         voters: watch::Sender::new(Vec::new()),
     };
-    let hub = sync::Arc::new(hub::Hub::new());
+    let hub = sync::Arc::new(hub::Hub::new(settings.bounds.weights_ms));
     let credential = link::Credential::new(&settings.credentials.cluster);
     let limits = link::LinkLimits::default();
     let (serve_stopper, serve_stop) = stop::pair();
@@ -123,6 +125,7 @@
     tokio::spawn(serving);
     tokio::spawn(pass_on_seeds(events.clone(), seeds));
     tokio::spawn(hub::publish(hub.clone(), publisher.clone()));
+    tokio::spawn(due::record(hub.clone(), events.clone()));
     let (telemetry, _) = metrics::start(settings.listen.metrics, stop.clone()).await;
     let documents = publisher.documents.subscribe();
     let api = control::Control::new(spoken, hub, events.clone(), documents, telemetry);
--- a/ragwortdeal_node/src/voter/fleet/control.rs
+++ b/ragwortdeal_node/src/voter/fleet/control.rs
@@ -2,14 +2,14 @@
 
 use std::{sync, time};
 
-use ragwortdeal_core::{command, document, document::store};
+use ragwortdeal_core::{document, document::store};
 use tokio::sync::{mpsc, oneshot, watch};
 
-use super::hub;
+use super::{hub, steps};
 use crate::{
     fleet::{dialect, packing},
     http, telemetry,
-    voter::{Answer, Event},
+    voter::Event,
 };
 
 /// Largest announcement. An upstream of many models stays far below it.
@@ -21,10 +21,6 @@
 /// How long a body may take to arrive.
 const BODY_MS: u64 = 3_000;
 
-/// How long an operator is kept waiting for the group. Callers give up after a second or a little
-/// more and ask another voter; what is decided later is decided all the same.
-const DECIDE: time::Duration = time::Duration::from_millis(2_500);
-
 /// How long a read may take.
 const READ: time::Duration = time::Duration::from_millis(900);
 
@@ -126,7 +122,7 @@
             return text(200, "overtaken\n");
         }
         let sealed = store::Sealed { version, body: packing::pack(body).into() };
-        match self.decide(store::Step::Install(sealed)).await {
+        match steps::decide(&self.events, store::Step::Install(sealed)).await {
             Ok(()) => {
                 log::info!("voter: document version={version} acknowledged");
                 text(200, "in force\n")
@@ -150,7 +146,7 @@
         if self.documents.borrow().weights.get(&model).is_some_and(|held| *held >= version) {
             return text(200, "overtaken\n");
         }
-        match self.decide(store::Step::Name(weights)).await {
+        match steps::decide(&self.events, store::Step::Name(weights)).await {
             Ok(()) => {
                 log::info!("voter: weights {model} version={version} acknowledged");
                 text(200, "named\n")
@@ -162,24 +158,6 @@
         }
     }
 
-    /// Brings a step through the log. An error says nothing of whether it will be decided later.
-    async fn decide(&self, step: store::Step) -> Result<(), String> {
-        let mut payload = Vec::new();
-        let command = command::Command::Document(step);
-        ciborium::into_writer(&command, &mut payload).expect("own types encode into memory");
-        let (answer, answered) = oneshot::channel();
-        let event = Event::Propose { payload, answer };
-        if self.events.send(event).await.is_err() {
-            return Err("the voter is stopping".to_owned());
-        }
-        match tokio::time::timeout(DECIDE, answered).await {
-            Ok(Ok(Answer::Decided(_))) => Ok(()),
-            Ok(Ok(Answer::Refused { reason, .. })) => Err(reason),
-            Ok(Err(_)) => Err("nobody knows what became of it".to_owned()),
-            Err(_) => Err("the group did not decide in time".to_owned()),
-        }
-    }
-
     /// Gives the newest document, or says that nobody can be sure which one it is.
     async fn read(&self) -> http::Response {
         let (answer, answered) = oneshot::channel();
--- /dev/null
+++ b/ragwortdeal_node/src/voter/fleet/due.rs
@@ -0,0 +1,38 @@
+//! Writes into the log that the time in which older weights may be served is up.
+//!
+//! How long ago weights were named is known in memory only, as clocks of two instances never
+//! compare. Were all processes restarted, the time would begin anew and callers would get weights
+//! that were superseded long before. What is in the log outlives that.
+
+use std::{sync, time};
+
+use ragwortdeal_core::document::store;
+use rand::RngExt as _;
+use tokio::sync::mpsc;
+
+use super::{hub, steps};
+use crate::voter::Event;
+
+/// How often a voter looks whether something became due.
+const LOOK: time::Duration = time::Duration::from_millis(300);
+
+/// Longest further pause, drawn by lot. Every voter knows what is due, and mostly the first that
+/// writes it spares the others the writing.
+const DRAWN_MAX_MS: u64 = 400;
+
+/// Looks for as long as the process runs.
+pub(super) async fn record(hub: sync::Arc<hub::Hub>, events: mpsc::Sender<Event>) {
+    while !events.is_closed() {
+        let drawn_ms = rand::rng().random_range(0..=DRAWN_MAX_MS);
+        tokio::time::sleep(LOOK + time::Duration::from_millis(drawn_ms)).await;
+        for weights in hub.due_unrecorded() {
+            let store::Weights { model, version } = weights.clone();
+            match steps::decide(&events, store::Step::Due(weights)).await {
+                Ok(()) => log::info!("voter: weights {model} version={version} are due"),
+                Err(reason) => {
+                    log::warn!("voter: weights {model} version={version} are due: {reason}");
+                }
+            }
+        }
+    }
+}
--- a/ragwortdeal_node/src/voter/fleet/hub.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -33,6 +33,8 @@
 /// What this voter knows first hand, and who wants to know it.
 pub(super) struct Hub {
     clock: clock::Clock,
+    /// Time after a naming in which older weights may be served.
+    weights_ms: u64,
     state: sync::Mutex<State>,
 }
 
@@ -55,8 +57,8 @@
 }
 
 impl Hub {
-    pub(super) fn new() -> Self {
-        Self { clock: clock::Clock::start(), state: sync::Mutex::default() }
+    pub(super) fn new(weights_ms: u64) -> Self {
+        Self { clock: clock::Clock::start(), weights_ms, state: sync::Mutex::default() }
     }
 
     fn state(&self) -> sync::MutexGuard<'_, State> {
@@ -67,7 +69,7 @@
         let mut state = self.state();
         state.directory.forget_silent(SILENT_MS, self.clock.now_ms());
         state.documents = documents;
-        state.name_weights(self.clock.now_ms());
+        state.name_weights(self.weights_ms, self.clock.now_ms());
         let voters: Vec<_> = voters.iter().filter_map(|name| name.parse().ok()).collect();
         if voters != state.voters {
             state.voters = voters;
@@ -109,6 +111,18 @@
         state.tell_all(&notice::seal(&left));
     }
 
+    /// Weights that are due, which the log does not tell yet.
+    pub(super) fn due_unrecorded(&self) -> Vec<store::Weights> {
+        let state = self.state();
+        let now_ms = self.clock.now_ms();
+        let due = state.documents.weights.keys().map(|model| {
+            let version = state.named.lowest_due(model, self.weights_ms, now_ms);
+            store::Weights { model: model.clone(), version }
+        });
+        let recorded = |model: &str| state.documents.due.get(model).copied().unwrap_or(0);
+        due.filter(|it| it.version > recorded(&it.model)).collect()
+    }
+
     pub(super) fn opened(&self, session: &link::Session) {
         let mut state = self.state();
         let follower = Follower { session: session.clone(), version: None };
@@ -184,18 +198,26 @@
         self.tell_role("entry", &notice::seal(&notice::Notice::Entries(entries)));
     }
 
-    /// Notes weights that the log has named, and tells followers of those that are new.
-    fn name_weights(&mut self, now_ms: u64) {
-        let mut new = false;
-        for (model, &version) in &self.documents.weights {
-            if self.named.named_at_ms(model, version).is_none() {
-                let naming = naming::Naming { model: model.clone(), version, age_ms: 0 };
-                new |= self.named.heard(&naming, now_ms);
+    /// Notes weights that the log has named, and tells followers of what is new. What the log calls
+    /// due was named longer ago than older weights may be served.
+    fn name_weights(&mut self, weights_ms: u64, now_ms: u64) {
+        let State { documents, named, .. } = self;
+        let mut news = Vec::new();
+        for (model, &version) in &documents.weights {
+            if named.named_at_ms(model, version).is_none() {
+                news.push(naming::Naming { model: model.clone(), version, age_ms: 0 });
             }
         }
-        if new {
-            self.tell_all(&notice::seal(&notice::Notice::Named(self.named.told(now_ms))));
+        for (model, &version) in &documents.due {
+            if named.lowest_due(model, weights_ms, now_ms) < version {
+                news.push(naming::Naming { model: model.clone(), version, age_ms: weights_ms });
+            }
         }
+        if news.is_empty() {
+            return;
+        }
+        news.iter().for_each(|naming| _ = named.heard(naming, now_ms));
+        self.tell_all(&notice::seal(&notice::Notice::Named(self.named.told(now_ms))));
     }
 
     /// Takes what a follower knows of namings. A voter that restarted finds them in its log without
@@ -241,7 +263,8 @@
             return;
         }
         self.version = Some(documents.version());
-        let news = store::Store { weights: collections::BTreeMap::new(), ..documents.clone() };
+        let document = documents.document.clone();
+        let news = store::Store { document, ..store::Store::default() };
         self.session.push(notice::seal(&notice::Notice::Documents(news)));
     }
 }
--- /dev/null
+++ b/ragwortdeal_node/src/voter/fleet/steps.rs
@@ -0,0 +1,30 @@
+//! Brings steps of the document store through the log.
+
+use std::time;
+
+use ragwortdeal_core::{command, document::store};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::voter::{Answer, Event};
+
+/// How long an operator is kept waiting for the group. Callers give up after a second or a little
+/// more and ask another voter; what is decided later is decided all the same.
+const DECIDE: time::Duration = time::Duration::from_millis(2_500);
+
+/// Brings a step through the log. An error says nothing of whether it will be decided later.
+pub(super) async fn decide(events: &mpsc::Sender<Event>, step: store::Step) -> Result<(), String> {
+    let mut payload = Vec::new();
+    let command = command::Command::Document(step);
+    ciborium::into_writer(&command, &mut payload).expect("own types encode into memory");
+    let (answer, answered) = oneshot::channel();
+    let event = Event::Propose { payload, answer };
+    if events.send(event).await.is_err() {
+        return Err("the voter is stopping".to_owned());
+    }
+    match tokio::time::timeout(DECIDE, answered).await {
+        Ok(Ok(Answer::Decided(_))) => Ok(()),
+        Ok(Ok(Answer::Refused { reason, .. })) => Err(reason),
+        Ok(Err(_)) => Err("nobody knows what became of it".to_owned()),
+        Err(_) => Err("the group did not decide in time".to_owned()),
+    }
+}
