Log how long served weights are superseded, and who told when they were named

What the incident's logs could not tell: whether an entry sent to superseded weights because it counted their time wrongly, by whose word, or because the request was long on its way.

No decision changes.

--- a/ragwortdeal_node/src/fleet/agent.rs
+++ b/ragwortdeal_node/src/fleet/agent.rs
@@ -151,7 +151,9 @@
             follow::Told::Notice(_, notice::Notice::Documents(documents)) => {
                 agent.documents(&documents);
             }
-            follow::Told::Notice(_, notice::Notice::Named(named)) => agent.named(&named),
+            follow::Told::Notice(voter, notice::Notice::Named(named)) => {
+                agent.named(voter, &named);
+            }
             follow::Told::Notice(voter, notice::Notice::Agents(seats)) => {
                 agent.told.send_modify(|told| _ = told.seats.insert(voter, seats));
             }
@@ -191,13 +193,14 @@
         });
     }
 
-    fn named(&self, named: &[naming::Naming]) {
+    fn named(&self, voter: std_net::Ipv4Addr, named: &[naming::Naming]) {
         let now_ms = self.clock.now_ms();
         self.told.send_modify(|told| {
             for naming in named {
-                if told.named.heard(naming, now_ms) {
-                    log::info!("agent: weights are named, {naming:?}");
+                if told.named.is_news(naming, now_ms) {
+                    notice::log_naming("agent", voter, naming);
                 }
+                told.named.heard(naming, now_ms);
             }
         });
     }
--- a/ragwortdeal_node/src/fleet/agent/keeper.rs
+++ b/ragwortdeal_node/src/fleet/agent/keeper.rs
@@ -48,8 +48,9 @@
 /// Looks after the engine for as long as the process runs.
 pub(super) async fn run(agent: sync::Arc<Agent>) {
     let mut told = agent.told.subscribe();
+    let mut overdue = None;
     loop {
-        agent.look().await;
+        agent.look(&mut overdue).await;
         tokio::select! {
             () = tokio::time::sleep(PAUSE) => (),
             () = agent.spread.wait() => (),
@@ -70,7 +71,9 @@
         Some((origin::Weights { model, version }, named_ms))
     }
 
-    async fn look(self: &sync::Arc<Self>) {
+    /// Takes the next step. `overdue` holds for which versions it was told last that the engine does
+    /// not serve the newer one in time.
+    async fn look(self: &sync::Arc<Self>, overdue: &mut Option<(u64, u64)>) {
         let Some((weights, named_ms)) = self.intended() else {
             return;
         };
@@ -87,9 +90,25 @@
         }
         if let Some(whole) = self.due(&weights, named_ms, serving) {
             self.switch(&whole, &report).await;
+        } else if self.is_overdue(&weights, serving)
+            && overdue.replace((serving, weights.version)) != Some((serving, weights.version))
+        {
+            let missing = self.spread.missing(&weights).map_or(-1, |chunks| chunks as i64);
+            log::warn!(
+                model = &*weights.model, version = serving, newest = weights.version,
+                missing_chunks = missing;
+                "agent: the engine serves weights whose time is up"
+            );
         }
     }
 
+    /// Whether the engine serves weights that entries send nothing to any more.
+    fn is_overdue(&self, weights: &origin::Weights, serving: u64) -> bool {
+        let bound_ms = self.settings.bounds.weights_ms;
+        let named = &self.told.borrow().named;
+        serving > 0 && named.lowest_due(&weights.model, bound_ms, self.clock.now_ms()) > serving
+    }
+
     /// Gets the manifest of a version and begins to fetch it. It runs beside the loop: the origin may
     /// be lost for long, and the engine must go to weights that are at hand meanwhile.
     async fn list(self: sync::Arc<Self>, weights: origin::Weights, serving: u64) {
--- a/ragwortdeal_node/src/fleet/agent/spread.rs
+++ b/ragwortdeal_node/src/fleet/agent/spread.rs
@@ -150,6 +150,13 @@
         self.state().iter().find(|it| it.weights == *weights)?.whole()
     }
 
+    /// Chunks that are missing of a version, none where its manifest is.
+    pub(super) fn missing(&self, weights: &origin::Weights) -> Option<usize> {
+        let state = self.state();
+        let active = state.iter().find(|it| it.weights == *weights)?;
+        Some(active.listed.manifest.chunks().len().saturating_sub(active.bytes.len()))
+    }
+
     /// Highest version of which all chunks are at hand, 0 where there is none.
     pub(super) fn whole_version(&self) -> u64 {
         let state = self.state();
--- a/ragwortdeal_node/src/fleet/entry/learn.rs
+++ b/ragwortdeal_node/src/fleet/entry/learn.rs
@@ -27,7 +27,7 @@
         };
         match notice {
             notice::Notice::Documents(documents) => entry.documents(&documents),
-            notice::Notice::Named(named) => entry.fleet().named(&named, now_ms),
+            notice::Notice::Named(named) => entry.fleet().named(voter, &named, now_ms),
             notice::Notice::Upstreams(said) => {
                 said.into_iter().for_each(|said| entry.fleet().announced(said, now_ms));
             }
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -213,7 +213,8 @@
                 self.telemetry.took("entry.head_ms", held_ms);
                 log::info!(
                     request = asked.id(), upstream = &**instance, route = &*asked.route.name,
-                    attempt = progress.sent, version = chosen.version.unwrap_or(0), held_ms,
+                    attempt = progress.sent, version = chosen.version.unwrap_or(0),
+                    superseded_ms = chosen.superseded_ms(), held_ms,
                     status = answer.head.status.as_u16();
                     "entry: answered by its upstream"
                 );
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -24,6 +24,8 @@
     reading_ms: Option<f64>,
     /// Milliseconds to the first event as they were forecast, where it is an engine.
     pub(super) forecast_ms: Option<f64>,
+    /// Since when its weights are superseded, by the entry's clock.
+    superseded_at_ms: Option<i64>,
     /// Time at which the request must have begun there, as the weights are superseded.
     begin_by_ms: Option<i64>,
     entry: sync::Arc<Entry>,
@@ -37,6 +39,12 @@
         Some(time::Duration::from_millis(left_ms.max(0).unsigned_abs()))
     }
 
+    /// For how long the weights there are superseded, 0 where they are the newest.
+    pub(super) fn superseded_ms(&self) -> u64 {
+        let now_ms = self.entry.clock.now_ms() as i64;
+        self.superseded_at_ms.map_or(0, |at_ms| (now_ms - at_ms).max(0).unsigned_abs())
+    }
+
     /// The first event came: the prompt is read.
     pub(super) fn began(&mut self) {
         self.begin_by_ms = None;
@@ -129,11 +137,12 @@
         self.serves.insert(serves.address, serves);
     }
 
-    pub(super) fn named(&mut self, named: &[naming::Naming], now_ms: u64) {
+    pub(super) fn named(&mut self, voter: net::Ipv4Addr, named: &[naming::Naming], now_ms: u64) {
         for naming in named {
-            if self.named.heard(naming, now_ms) {
-                log::info!("entry: weights are named, {naming:?}");
+            if self.named.is_news(naming, now_ms) {
+                notice::log_naming("entry", voter, naming);
             }
+            self.named.heard(naming, now_ms);
         }
     }
 
@@ -183,11 +192,15 @@
         self.named.lowest_due(model, self.weights_ms.saturating_sub(margin_ms), now_ms)
     }
 
-    /// When a request must have begun on a version, because a newer one was named.
-    fn begin_by_ms(&self, models: &[directory::Text], version: u64) -> Option<i64> {
+    /// When the first version above this one was named.
+    fn superseded_at_ms(&self, models: &[directory::Text], version: u64) -> Option<i64> {
         let superseded = |model: &directory::Text| self.named.superseded_at_ms(model, version);
-        let first_ms = models.iter().filter_map(superseded).min()?;
-        Some(first_ms + self.weights_ms.saturating_sub(BEGIN_MARGIN_MS) as i64)
+        models.iter().filter_map(superseded).min()
+    }
+
+    /// When a request must have begun on weights that were superseded then.
+    fn begin_by_ms(&self, superseded_at_ms: i64) -> i64 {
+        superseded_at_ms + self.weights_ms.saturating_sub(BEGIN_MARGIN_MS) as i64
     }
 
     fn candidate(&self, said: &directory::Announcement, now_ms: u64) -> Option<choice::Candidate> {
@@ -360,11 +373,18 @@
         fleet.opened(&instance, wanted.prompt.reading_ms);
         let peer = pool::Peer { instance, address };
         let reading_ms = wanted.prompt.reading_ms;
-        let begin_by_ms = match (wanted.models, version) {
-            (Some(models), Some(version)) => fleet.begin_by_ms(models, version),
+        let superseded_at_ms = match (wanted.models, version) {
+            (Some(models), Some(version)) => fleet.superseded_at_ms(models, version),
             _ => None,
         };
-        let reading_ms = Some(reading_ms);
-        Ok(Chosen { peer, version, reading_ms, forecast_ms, begin_by_ms, entry: self.clone() })
+        Ok(Chosen {
+            peer,
+            version,
+            reading_ms: Some(reading_ms),
+            forecast_ms,
+            superseded_at_ms,
+            begin_by_ms: superseded_at_ms.map(|at_ms| fleet.begin_by_ms(at_ms)),
+            entry: self.clone(),
+        })
     }
 }
--- a/ragwortdeal_node/src/fleet/notice.rs
+++ b/ragwortdeal_node/src/fleet/notice.rs
@@ -1,6 +1,6 @@
 //! What voters, entries and agents tell each other on their links.
 
-use std::net;
+use std::{fmt, net};
 
 use ragwortdeal_core::{
     directory,
@@ -87,3 +87,12 @@
     };
     ciborium::from_reader(&replicate.payload[..]).ok()
 }
+
+/// Logs what a process learns of a naming. With its age and its teller the line explains later why
+/// requests went to older weights, or did not.
+pub fn log_naming(process: &str, teller: impl fmt::Display, naming: &naming::Naming) {
+    log::info!(
+        model = &*naming.model, version = naming.version, age_ms = naming.age_ms, teller:%;
+        "{process}: weights are named"
+    );
+}
--- a/ragwortdeal_node/src/voter/fleet/hub.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -154,7 +154,9 @@
             Some(notice::Notice::Follow { version }) => {
                 state.follow(session.id, version, self.clock.now_ms());
             }
-            Some(notice::Notice::Named(named)) => state.remember(&named, self.clock.now_ms()),
+            Some(notice::Notice::Named(named)) => {
+                state.remember(&session.hello.name, &named, self.clock.now_ms());
+            }
             Some(notice::Notice::Serves(serves)) => {
                 if let Some(seat) = state.agents.get_mut(&session.id)
                     && std::mem::replace(&mut seat.narrow, serves.narrow) != serves.narrow
@@ -216,20 +218,23 @@
         if news.is_empty() {
             return;
         }
-        news.iter().for_each(|naming| _ = named.heard(naming, now_ms));
+        for naming in &news {
+            notice::log_naming("voter", "the log", naming);
+            named.heard(naming, now_ms);
+        }
         self.tell_all(&notice::seal(&notice::Notice::Named(self.named.told(now_ms))));
     }
 
     /// Takes what a follower knows of namings. A voter that restarted finds them in its log without
     /// their times; without this, entries that it tells would serve superseded weights for longer.
-    fn remember(&mut self, named: &[naming::Naming], now_ms: u64) {
+    fn remember(&mut self, follower: &str, named: &[naming::Naming], now_ms: u64) {
         let news: Vec<_> =
             named.iter().filter(|naming| self.named.is_news(naming, now_ms)).collect();
         if news.is_empty() {
             return;
         }
         for naming in news {
-            log::info!("voter: a follower remembers that weights were named, {naming:?}");
+            notice::log_naming("voter", follower, naming);
             self.named.heard(naming, now_ms);
         }
         self.tell_all(&notice::seal(&notice::Notice::Named(self.named.told(now_ms))));
--- a/ragwortdeal_node/tests/fleet_explain.rs
+++ b/ragwortdeal_node/tests/fleet_explain.rs
@@ -1,6 +1,6 @@
 //! Failed requests of a fleet, explained from the logs alone.
 
-use std::{io, sync};
+use std::{io, sync, time};
 
 use googletest::prelude::*;
 use ragwortdeal_node::{explain, logging};
@@ -28,11 +28,11 @@
 
 const ENTRY: u8 = 10;
 
-/// A refusal, a stream that nobody can go on with and a transfer whose answer is lost. Somebody who
-/// has only the identifier and the logs finds the cause of each.
+/// A refusal, a stream that nobody can go on with, a transfer whose answer is lost and an answer on
+/// superseded weights. Somebody who has only the identifier and the logs finds the cause of each.
 #[googletest::test]
 #[tokio::test]
-async fn three_kinds_of_failure_are_explained_from_the_identifier() {
+async fn kinds_of_failure_are_explained_from_the_identifier() {
     let written = Written::default();
     let pending = logging::start_structured_to("info", written.clone());
     let world = World::new(&DIALECT, 1);
@@ -49,6 +49,11 @@
         (read.status, stream.status) == (200, 200)
     })
     .await;
+    let weights = serde_json::json!({"model": "model-a", "version": 2}).to_string();
+    expect_that!(world.operator().order("POST", "/version-put", &weights).await.0, eq(200));
+    // The entry hears of it within milliseconds; the line tells the time since.
+    tokio::time::sleep(time::Duration::from_millis(500)).await;
+    expect_that!(Ask::new("POST", "/stream/x", "older-1").answer(callers).await.status, eq(200));
     model.behave(Behaviour::CutWithin(3));
     ledger.behave(Behaviour::LoseAnswer);
     expect_that!(Ask::new("POST", "/stream/x", "cut-1").answer(callers).await.whole, eq(false));
@@ -64,6 +69,12 @@
         let story = explain::lines_of(request, "entry.log", &log);
         explain::cause(&story).map(ToString::to_string).unwrap_or_default()
     };
+    let answered = explain::lines_of("older-1", "entry.log", &log);
+    let fields = answered.iter().flat_map(|line| &line.fields);
+    let superseded = fields.filter_map(|field| field.strip_prefix("superseded_ms="));
+    let superseded_ms: Vec<u64> = superseded.filter_map(|value| value.parse().ok()).collect();
+    expect_that!(superseded_ms, elements_are![ge(&1)]);
+    expect_that!(log, contains_substring("\"teller\":\"the log\""));
     expect_that!(cause("cut-1"), contains_substring("stream cut"));
     expect_that!(cause("cut-1"), contains_substring("last_event=2"));
     expect_that!(cause("lost-1"), contains_substring("lost, it may have run"));
