Do not spin where nobody can change the seeds

What was seen: while the fleet tests ran, each of their threads took a whole core, and tests that wait for times were late beside them. Callers of the programs noticed nothing: there the reader of the settings file keeps the seeds changeable for as long as the process runs. A process whose reader ends, or one that is run as a library, went round without a pause.

Cause: the search for voters waits for a pause or for changed seeds. Once the sender of the seeds is gone, the wait for a change ends at once with an error each time.

Ruled out: the agents' tick, the retry against a lost origin (52 calls in 8 s), and the links.

Change: only a change ends the wait; without a sender the pause does.

--- a/ragwortdeal_node/src/fleet/follow.rs
+++ b/ragwortdeal_node/src/fleet/follow.rs
@@ -164,8 +164,8 @@
             self.get_to_know(&named);
             tokio::select! {
                 () = time::sleep(SWEEP) => (),
-                // An error means that the process stops.
-                _ = seeds.changed() => (),
+                // Where nobody can change them any more, the seeds stay as they are.
+                Ok(()) = seeds.changed() => (),
             }
             self.followed()
                 .retain(|_, followed| followed.named.elapsed() < FORGET || followed.link.is_up());
