--- a/ragwortdeal_standins/src/fleet/world.rs
+++ b/ragwortdeal_standins/src/fleet/world.rs
@@ -265,12 +265,11 @@
         let settings = self.settings(number, false);
         let peer = settings.link_address(&settings.fleet.address.to_string());
         let credential = link::Credential::new(&settings.credentials.cluster);
-        let request = hyper::Request::get(format!(
-            "http://{peer}/internal/manifests/model-a/{version}"
-        ))
-        .header("authorization", credential.header_value())
-        .body(http::full(""))
-        .expect("a well formed request");
+        let request =
+            hyper::Request::get(format!("http://{peer}/internal/manifests/model-a/{version}"))
+                .header("authorization", credential.header_value())
+                .body(http::full(""))
+                .expect("a well formed request");
         let client = http::Client::new(ASK_MS);
         let asked = client.fetch("ask", &peer, request, ASK_MAX_BYTES, ASK_MS).await;
         asked.is_ok_and(|(head, _)| head.status == 200)
