Believe an agent that restarts after its clock was set back

Callers find an engine loading for ever: its agent said so, was killed, and the agent that started after it is not believed.

Cause: an agent numbers its words from the time of day of its start, and of two words the higher number counts. Where the time of day was set back between two starts, the second agent's words count as older, in voters and entries alike; a number grows by one a word and never catches up.

Change: a voter tells an agent that follows it what was said from its instance before, and the agent numbers its words above that.

Left: where all voters lost the higher word and only an entry holds it, that entry goes on with it until the engine starts anew.

--- a/ragwortdeal_node/src/fleet/agent.rs
+++ b/ragwortdeal_node/src/fleet/agent.rs
@@ -162,6 +162,7 @@
                 let own = said.iter().filter(|said| said.address == agent.engine);
                 own.for_each(|said| agent.engine_announced(said.age.born_ms));
             }
+            follow::Told::Notice(_, notice::Notice::Serves(held)) => agent.overtake(&held),
             follow::Told::Up(voter) => agent.tell_again(voter),
             follow::Told::Down(voter) => {
                 agent.told.send_modify(|told| _ = told.seats.remove(&voter));
@@ -252,6 +253,25 @@
         }
     }
 
+    /// Numbers its words above one that a voter holds from an earlier process on this instance. A
+    /// number begins at the time of day, which may have been set back since; entries would believe
+    /// the earlier process for ever.
+    fn overtake(&self, held: &notice::Serves) {
+        let mut serves = self.serves.lock().expect("no panic under lock");
+        if held.address != serves.address || held.number < serves.number || *held == *serves {
+            return;
+        }
+        log::warn!(
+            "agent: a voter holds word number={} of an earlier process, own number={}",
+            held.number,
+            serves.number
+        );
+        serves.number = held.number.saturating_add(1);
+        if serves.born_ms > 0 {
+            self.tell(&serves);
+        }
+    }
+
     fn tell(&self, serves: &notice::Serves) {
         if let Some(voters) = self.voters.get() {
             voters.tell(&notice::Notice::Serves(serves.clone()));
--- a/ragwortdeal_node/src/fleet/notice.rs
+++ b/ragwortdeal_node/src/fleet/notice.rs
@@ -34,7 +34,8 @@
     },
     /// Agents that run, as this voter knows them.
     Agents(Vec<Seat>),
-    /// An agent tells which weights its engine serves.
+    /// An agent tells which weights its engine serves. A voter tells an agent that follows it what
+    /// was said from there before.
     Serves(Serves),
     /// An entry counts as running as long as it says so.
     Entries(u32),
--- a/ragwortdeal_node/src/voter/fleet/hub.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -253,7 +253,15 @@
         let said = self.directory.all().map(|upstream| upstream.said.clone()).collect();
         push(&notice::Notice::Upstreams(said));
         match follower.session.hello.role.as_str() {
-            "agent" => push(&notice::Notice::Agents(self.agents.values().cloned().collect())),
+            "agent" => {
+                push(&notice::Notice::Agents(self.agents.values().cloned().collect()));
+                let seat = self.agents.get(&session);
+                let own = |it: &&notice::Serves| {
+                    seat.is_some_and(|seat| seat.address == *it.address.ip())
+                };
+                let said = self.serves.values().filter(own);
+                said.for_each(|it| push(&notice::Notice::Serves(it.clone())));
+            }
             _ => self.serves.values().for_each(|it| push(&notice::Notice::Serves(it.clone()))),
         }
     }
--- a/ragwortdeal_node/tests/fleet_weights.rs
+++ b/ragwortdeal_node/tests/fleet_weights.rs
@@ -3,6 +3,7 @@
 use std::{sync, time};
 
 use googletest::prelude::*;
+use ragwortdeal_node::fleet::notice;
 use ragwortdeal_platform::DIALECT;
 use ragwortdeal_standins::fleet::{
     caller::Ask,
@@ -186,3 +187,38 @@
     world::until("the entry knows the engine", async || ask(ENTRY + 1).await == 503).await;
     expect_that!(fleet.engines[0].arrivals().len(), eq(1));
 }
+
+/// An agent is killed while its engine loads, and the time of day of its instance is set back before
+/// it starts again. It numbers its words from the time of day, so they look older than those that it
+/// said before. Were they passed over, callers would find the engine loading for ever.
+#[googletest::test]
+#[tokio::test]
+async fn an_agent_is_believed_though_its_clock_was_set_back() {
+    let world = World::new(&DIALECT, 1);
+    let _voter = world.voter(1, true).await;
+    let origin = Origin::start(world.upstream(9)).await;
+    world.install(&world.document(1, Some(&origin))).await;
+    let engine = world.engine(20, "models", 1).await;
+    engine.stage_all(&origin::chunks(1));
+    let _entry = world.entry(ENTRY).await;
+    world.ready(ENTRY).await;
+    let ask = async || {
+        let number = time::UNIX_EPOCH.elapsed().unwrap_or_default().as_micros();
+        let ask = Ask::new("POST", "/stream/one", &format!("stream-{number}"));
+        ask.answer(world.callers(ENTRY)).await.status
+    };
+    world::until("the entry serves", async || ask().await == 200).await;
+    let ahead = notice::Serves {
+        address: engine.address,
+        born_ms: 1_000,
+        number: u64::MAX / 2,
+        version: 1,
+        accepts: false,
+        whole: 1,
+        narrow: false,
+    };
+    world.tell_as_agent(1, 20, &notice::Notice::Serves(ahead)).await;
+    world::until("the entry takes the engine for loading", async || ask().await == 503).await;
+    let _agent = world.agent(20).await;
+    world::until("the entry serves again", async || ask().await == 200).await;
+}
--- a/ragwortdeal_standins/src/fleet/world.rs
+++ b/ragwortdeal_standins/src/fleet/world.rs
@@ -4,7 +4,7 @@
 
 use ragwortdeal_core::replication::replica;
 use ragwortdeal_node::{
-    fleet::{self, dialect},
+    fleet::{self, dialect, notice},
     http, link, logging,
     settings::{self, common},
     stop, voter,
@@ -238,6 +238,21 @@
         })
     }
 
+    /// Tells a voter something as the agent beside the engine with this number would.
+    pub async fn tell_as_agent(&self, voter: u8, number: u8, told: &notice::Notice) {
+        let settings = self.settings(number, false);
+        let credential = link::Credential::new(&settings.credentials.cluster);
+        let identity = settings.process.identity().expect("a proper name");
+        let (events, mut opened) = mpsc::channel(8);
+        let peer = settings.link_address(&self.address(voter).to_string());
+        let limits = link::LinkLimits::default();
+        let link = link::open(&peer, credential, identity.hello("agent"), limits, events);
+        assert!(opened.recv().await.is_some(), "the voter takes the link");
+        link.push("tell", notice::seal(told)).expect("the link is up");
+        // Frames leave in order; a heartbeat behind it shows that it left.
+        tokio::time::sleep(time::Duration::from_millis(200)).await;
+    }
+
     /// Starts an agent beside the engine with the same number.
     pub async fn agent(&self, number: u8) -> Process {
         let settings = self.settings(number, false);
