Tell the time of a naming again while it runs

An entry whose instance was suspended for a second or two within the bound sends to superseded weights for as much longer: its clock stood still, and its links lived on. The same holds for a word lost where a queue was full.

Cause: the age of a naming was told once, at the naming or when a link opens. A monotonic clock does not count the time of a suspension.

Change: voters repeat the namings whose time runs, about once a second; the oldest word counts.

No instance can be suspended in a test here, so that end was not run.

--- a/ragwortdeal_node/src/voter/fleet/due.rs
+++ b/ragwortdeal_node/src/voter/fleet/due.rs
@@ -1,4 +1,4 @@
-//! Writes into the log that the time in which older weights may be served is up.
+//! Keeps the time of namings: tells it again while it runs, and writes into the log that it is up.
 //!
 //! How long ago weights were named is known in memory only, as clocks of two instances never
 //! compare. Were all processes restarted, the time would begin anew and callers would get weights
@@ -14,7 +14,7 @@
 use crate::voter::Event;
 
 /// How often a voter looks whether something became due.
-const LOOK: time::Duration = time::Duration::from_millis(300);
+const LOOK: time::Duration = time::Duration::from_millis(600);
 
 /// Longest further pause, drawn by lot. Every voter knows what is due, and mostly the first that
 /// writes it spares the others the writing.
@@ -25,12 +25,15 @@
     while !events.is_closed() {
         let drawn_ms = rand::rng().random_range(0..=DRAWN_MAX_MS);
         tokio::time::sleep(LOOK + time::Duration::from_millis(drawn_ms)).await;
+        hub.repeat_open_namings();
         for weights in hub.due_unrecorded() {
             let store::Weights { model, version } = weights.clone();
             match steps::decide(&events, store::Step::Due(weights)).await {
                 Ok(()) => log::info!("voter: weights {model} version={version} are due"),
                 Err(reason) => {
-                    log::warn!("voter: weights {model} version={version} are due: {reason}");
+                    log::warn!(
+                        "voter: weights {model} version={version} not noted as due: {reason}"
+                    );
                 }
             }
         }
--- a/ragwortdeal_node/src/voter/fleet/hub.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -153,6 +153,17 @@
         self.state().learn(&voter.to_string(), told, self.clock.now_ms());
     }
 
+    /// Tells the namings whose time runs once more. A follower may have lost the first word, or its
+    /// clock may have stood still since, as it does on an instance that is suspended.
+    pub(super) fn repeat_open_namings(&self) {
+        let state = self.state();
+        let now_ms = self.clock.now_ms();
+        let open = state.named.told_open(self.weights_ms, now_ms);
+        if open.iter().any(|naming| naming.age_ms < self.weights_ms) {
+            state.tell_all(&notice::seal(&notice::Notice::Named(open)));
+        }
+    }
+
     pub(super) fn heard(&self, session: &link::Session, message: &wire::Message) {
         let mut state = self.state();
         match notice::open(message) {
