--- a/ragwortdeal_node/src/fleet/agent.rs
+++ b/ragwortdeal_node/src/fleet/agent.rs
@@ -4,6 +4,7 @@
 //! them back, and orders the engine to load them. `docs/design/platform.md` has the times.
 
 mod engine;
+mod heard;
 mod keeper;
 mod origin;
 mod peers;
@@ -151,7 +152,9 @@
             follow::Told::Notice(_, notice::Notice::Documents(documents)) => {
                 agent.documents(&documents);
             }
-            follow::Told::Notice(_, notice::Notice::Named(named)) => agent.named(&named),
+            follow::Told::Notice(voter, notice::Notice::Named(named)) => {
+                agent.named(voter, &named);
+            }
             follow::Told::Notice(voter, notice::Notice::Agents(seats)) => {
                 agent.told.send_modify(|told| _ = told.seats.insert(voter, seats));
             }
@@ -159,8 +162,8 @@
                 let own = said.iter().filter(|said| said.address == agent.engine);
                 own.for_each(|said| agent.engine_announced(said.age.born_ms));
             }
-            // A voter that comes into reach may have missed what this agent said before.
-            follow::Told::Up(_) => agent.say_again(),
+            follow::Told::Notice(_, notice::Notice::Serves(held)) => agent.overtake(&held),
+            follow::Told::Up(voter) => agent.tell_again(voter),
             follow::Told::Down(voter) => {
                 agent.told.send_modify(|told| _ = told.seats.remove(&voter));
             }
@@ -192,13 +195,14 @@
         });
     }
 
-    fn named(&self, named: &[naming::Naming]) {
+    fn named(&self, voter: std_net::Ipv4Addr, named: &[naming::Naming]) {
         let now_ms = self.clock.now_ms();
         self.told.send_modify(|told| {
             for naming in named {
-                if told.named.heard(naming, now_ms) {
-                    log::info!("agent: weights are named, {naming:?}");
+                if told.named.is_news(naming, now_ms) {
+                    notice::log_naming("agent", voter, naming);
                 }
+                told.named.heard(naming, now_ms);
             }
         });
     }
@@ -235,8 +239,34 @@
         self.tell(&serves);
     }
 
-    fn say_again(&self) {
+    /// Tells a voter that comes into reach what it may have missed, or lost by a restart.
+    fn tell_again(&self, voter: std_net::Ipv4Addr) {
+        let Some(voters) = self.voters.get() else {
+            return;
+        };
+        let within_ms = self.settings.bounds.weights_ms;
+        let named = self.told.borrow().named.told_open(within_ms, self.clock.now_ms());
+        voters.tell_one(voter, &notice::Notice::Named(named));
         let serves = self.serves.lock().expect("no panic under lock");
+        if serves.born_ms > 0 {
+            voters.tell_one(voter, &notice::Notice::Serves(serves.clone()));
+        }
+    }
+
+    /// Numbers its words above one that a voter holds from an earlier process on this instance. A
+    /// number begins at the time of day, which may have been set back since; entries would believe
+    /// the earlier process for ever.
+    fn overtake(&self, held: &notice::Serves) {
+        let mut serves = self.serves.lock().expect("no panic under lock");
+        if held.address != serves.address || held.number < serves.number || *held == *serves {
+            return;
+        }
+        log::warn!(
+            "agent: a voter holds word number={} of an earlier process, own number={}",
+            held.number,
+            serves.number
+        );
+        serves.number = held.number.saturating_add(1);
         if serves.born_ms > 0 {
             self.tell(&serves);
         }
--- a/ragwortdeal_node/src/fleet/notice.rs
+++ b/ragwortdeal_node/src/fleet/notice.rs
@@ -1,6 +1,6 @@
 //! What voters, entries and agents tell each other on their links.
 
-use std::net;
+use std::{fmt, net};
 
 use ragwortdeal_core::{
     directory,
@@ -18,7 +18,8 @@
     },
     /// The document where the follower's is older.
     Documents(store::Store),
-    /// Weights that were named, and how long ago.
+    /// Weights that were named, and how long ago. Voters tell it, and followers tell a voter that
+    /// comes into reach: after a restart it does not know how long ago.
     Named(Vec<naming::Naming>),
     /// Voters that can be followed, by address.
     Voters(Vec<net::Ipv4Addr>),
@@ -33,7 +34,8 @@
     },
     /// Agents that run, as this voter knows them.
     Agents(Vec<Seat>),
-    /// An agent tells which weights its engine serves.
+    /// An agent tells which weights its engine serves. A voter tells an agent that follows it what
+    /// was said from there before.
     Serves(Serves),
     /// An entry counts as running as long as it says so.
     Entries(u32),
@@ -86,3 +88,12 @@
     };
     ciborium::from_reader(&replicate.payload[..]).ok()
 }
+
+/// Logs what a process learns of a naming. With its age and its teller the line explains later why
+/// requests went to older weights, or did not.
+pub fn log_naming(process: &str, teller: impl fmt::Display, naming: &naming::Naming) {
+    log::info!(
+        model = &*naming.model, version = naming.version, age_ms = naming.age_ms, teller:%;
+        "{process}: weights are named"
+    );
+}
--- a/ragwortdeal_node/tests/fleet_weights.rs
+++ b/ragwortdeal_node/tests/fleet_weights.rs
@@ -3,6 +3,7 @@
 use std::{sync, time};
 
 use googletest::prelude::*;
+use ragwortdeal_node::fleet::notice;
 use ragwortdeal_platform::DIALECT;
 use ragwortdeal_standins::fleet::{
     caller::Ask,
@@ -96,17 +97,27 @@
     expect_that!(fleet.loaded_whole(2), eq(true));
 }
 
-/// An empty engine is added. Its agent gets the weights from peers, which read theirs back from
-/// their engines, and the origin sends nothing.
+/// Empty engines are added one after the other. Each agent gets the weights from peers, which read
+/// theirs back from their engines, and the origin sends nothing. An agent that did not wait until
+/// its peers had told what they hold took itself for the one who brings chunks into its zone, and
+/// drew them from the origin, whose bytes are the dearest; so did one that was told before it had
+/// the manifest. Each comes at another moment of its peers' turns to tell.
 #[googletest::test]
 #[tokio::test]
-async fn an_added_engine_gets_its_weights_from_peers() {
+async fn added_engines_get_their_weights_from_peers() {
     let fleet = fleet(2).await;
-    tokio::time::sleep(time::Duration::from_millis(600)).await;
-    let added = fleet.world.engine(30, "models", 0).await;
-    let _agent = fleet.world.agent(30).await;
-    world::until("the added engine serves", async || added.version() == 1).await;
-    expect_that!(added.loaded().last(), some(eq(&origin::hashes(1))));
+    for number in [20, 21] {
+        world::until("the agent holds its weights", async || fleet.world.lists(number, 1).await)
+            .await;
+    }
+    let mut agents = Vec::new();
+    // The two zones in which an engine holds the weights.
+    for number in [30, 32, 33, 35, 36, 38] {
+        let added = fleet.world.engine(number, "models", 0).await;
+        agents.push(fleet.world.agent(number).await);
+        world::until("the added engine serves", async || added.version() == 1).await;
+        expect_that!(added.loaded().last(), some(eq(&origin::hashes(1))));
+    }
     expect_that!(fleet.origin.sent_chunks(), eq(0));
 }
 
@@ -176,3 +187,38 @@
     world::until("the entry knows the engine", async || ask(ENTRY + 1).await == 503).await;
     expect_that!(fleet.engines[0].arrivals().len(), eq(1));
 }
+
+/// An agent is killed while its engine loads, and the time of day of its instance is set back before
+/// it starts again. It numbers its words from the time of day, so they look older than those that it
+/// said before. Were they passed over, callers would find the engine loading for ever.
+#[googletest::test]
+#[tokio::test]
+async fn an_agent_is_believed_though_its_clock_was_set_back() {
+    let world = World::new(&DIALECT, 1);
+    let _voter = world.voter(1, true).await;
+    let origin = Origin::start(world.upstream(9)).await;
+    world.install(&world.document(1, Some(&origin))).await;
+    let engine = world.engine(20, "models", 1).await;
+    engine.stage_all(&origin::chunks(1));
+    let _entry = world.entry(ENTRY).await;
+    world.ready(ENTRY).await;
+    let ask = async || {
+        let number = time::UNIX_EPOCH.elapsed().unwrap_or_default().as_micros();
+        let ask = Ask::new("POST", "/stream/one", &format!("stream-{number}"));
+        ask.answer(world.callers(ENTRY)).await.status
+    };
+    world::until("the entry serves", async || ask().await == 200).await;
+    let ahead = notice::Serves {
+        address: engine.address,
+        born_ms: 1_000,
+        number: u64::MAX / 2,
+        version: 1,
+        accepts: false,
+        whole: 1,
+        narrow: false,
+    };
+    world.tell_as_agent(1, 20, &notice::Notice::Serves(ahead)).await;
+    world::until("the entry takes the engine for loading", async || ask().await == 503).await;
+    let _agent = world.agent(20).await;
+    world::until("the entry serves again", async || ask().await == 200).await;
+}
