Keep what peers tell an agent before it can use it

What was seen: an empty engine is added while peers in its zone hold the weights, and its agent drew chunks from the origin, whose bytes are the dearest (2 of 6, in 9 of 20 runs of the test beside three busy processes, once in a run of the whole workspace).

Cause, from the agents' lines: peers greet a newcomer with what they hold as soon as they hear of it, and only once. Two ways led to the origin: - The greeting came while the newcomer still read the manifest, or before it knew the peer. It was taken and forgotten, so the newcomer took itself for the one who brings its chunks into the zone. - The newcomer drew after 60 ms, but a greeting may take a tick of 40 ms, an interval of 60 ms and a trip.

Ruled out: peers that had not read their weights back (they held all six chunks before the engine was added), refusals and missed deadlines of peers (none in the logs).

Change: what is told too early is kept, and put to use when the peer is known and its version is fetched. An agent whose engine is empty draws only after 250 ms; the others still after 60 ms.

The test waited 600 ms and added one engine. It now waits until the peers list their weights, adds six engines one after the other, each at another moment of its peers' turns to tell, and still expects that the origin sends nothing. On the code before it fails (2 chunks); with the longer wait alone it fails too (2 to 5 chunks, the first engine of a zone among them, which has no peer to greet it and draws by design; the test adds engines in the two zones that hold the weights).

--- a/ragwortdeal_node/src/fleet/agent/peers.rs
+++ b/ragwortdeal_node/src/fleet/agent/peers.rs
@@ -68,8 +68,8 @@
             let body = http::read(request.body, HOLDINGS_MAX_BYTES, HOLDINGS_MS).await;
             let holdings = body.ok().and_then(|body| ciborium::from_reader(&body[..]).ok());
             match holdings {
-                Some(roster::Holdings { instance, version, chunks }) => {
-                    agent.feed(event::Event::Holds { instance, version, chunks });
+                Some(told) => {
+                    agent.told_chunks(told);
                     status(204)
                 }
                 None => status(400),
@@ -119,6 +119,15 @@
 }
 
 impl Agent {
+    fn told_chunks(self: &sync::Arc<Self>, told: roster::Holdings) {
+        let (instance, version) = (told.instance.clone(), told.version);
+        self.spread.heard().keep(told);
+        if self.spread.knows(&instance, version) {
+            let heard = self.spread.heard().take(&instance, version);
+            heard.into_iter().for_each(|event| self.feed(event));
+        }
+    }
+
     fn give_manifest(&self, weights: &origin::Weights) -> http::Response {
         match self.spread.listed(weights) {
             Some(listed) => http::respond(200, "application/json", http::full(listed.source)),
--- a/ragwortdeal_node/src/fleet/agent/spread.rs
+++ b/ragwortdeal_node/src/fleet/agent/spread.rs
@@ -4,12 +4,12 @@
 
 use bytes::Bytes;
 use ragwortdeal_core::{
-    name,
+    digest, name,
     spread::{download, event, flow, limits, manifest, roster},
 };
 use tokio::{sync::Notify, task};
 
-use super::{Agent, origin, peers};
+use super::{Agent, heard, origin, peers};
 use crate::{
     chunk_answers,
     fleet::{dialect, notice},
@@ -44,6 +44,7 @@
     /// Signalled when a version is complete.
     complete: Notify,
     flow: sync::Mutex<flow::Flow>,
+    heard: sync::Mutex<heard::Heard>,
 }
 
 /// A version with all its chunks.
@@ -91,8 +92,17 @@
     }
 }
 
+/// Milliseconds before an agent draws whose engine serves weights already. Members are known before
+/// such a fetch begins, but are told to the policy one by one.
+const SETTLE_MS: u64 = 60;
+
+/// Milliseconds before an agent draws whose engine is empty. Most likely its peers hold the weights:
+/// it waits until they have found it, a tick, told what they hold, an interval of announcements, and
+/// been heard over a busy link.
+const SETTLE_EMPTY_MS: u64 = 250;
+
 /// Times and bounds for versions of a few megabytes that have to be everywhere in seconds.
-fn limits(origin_chunk_ms: f64) -> limits::Limits {
+fn limits(serving: u64, origin_chunk_ms: f64) -> limits::Limits {
     limits::Limits {
         origin_weight_percent: 50,
         downloads_max: DOWNLOADS_MAX,
@@ -102,8 +112,7 @@
         announce_interval_ms: 60,
         probe_interval_ms: 150,
         busy_backoff_ms: 25,
-        // Members are known before a fetch begins, but are told to the policy one by one.
-        settle_ms: 60,
+        settle_ms: if serving > 0 { SETTLE_MS } else { SETTLE_EMPTY_MS },
         // Below the connections that an origin takes, of which some are still closing.
         origin_requests_max: 20,
         origin_chunk_ms,
@@ -128,9 +137,22 @@
             state: sync::Mutex::default(),
             complete: Notify::new(),
             flow: sync::Mutex::new(flow),
+            heard: sync::Mutex::default(),
         }
     }
 
+    /// What peers told too early.
+    pub(super) fn heard(&self) -> sync::MutexGuard<'_, heard::Heard> {
+        self.heard.lock().expect("no panic under lock")
+    }
+
+    /// Whether what a peer tells of a version can be put to use.
+    pub(super) fn knows(&self, instance: &name::InstanceName, version: digest::Digest) -> bool {
+        let state = self.state();
+        let mut active = state.iter().filter(|it| it.download.version() == version);
+        active.any(|it| it.download.standing(instance).is_some())
+    }
+
     /// What the link carries, by the chunks of late.
     pub(super) fn flow(&self) -> sync::MutexGuard<'_, flow::Flow> {
         self.flow.lock().expect("no panic under lock")
@@ -224,7 +246,7 @@
         log::info!("agent: fetches {weights:?}, kept={} chunks", kept.len());
         let proofs: Vec<_> = kept.iter().map(|(proof, _)| *proof).collect();
         let manifest = listed.manifest.clone();
-        let limits = limits(self.origin_chunk_ms(&manifest));
+        let limits = limits(serving, self.origin_chunk_ms(&manifest));
         let download = download::Download::new(self.place(), manifest, limits, &proofs);
         let bytes = kept.into_iter().map(|(proof, bytes)| (proof.chunk(), bytes)).collect();
         let active = Active {
@@ -313,7 +335,12 @@
             if active.reported.insert(*address, seat.incarnation) != Some(seat.incarnation) {
                 // The policy forgets all of one that joins again.
                 active.narrow.remove(address);
-                events.extend(self.place_of(seat).map(event::Event::Joined));
+                let place = self.place_of(seat);
+                let heard = place.as_ref().and_then(|place| {
+                    self.spread.heard().take(&place.instance, active.download.version())
+                });
+                events.extend(place.map(event::Event::Joined));
+                events.extend(heard);
             }
         }
         events.extend(self.links(active, seats));
--- a/ragwortdeal_node/tests/fleet_weights.rs
+++ b/ragwortdeal_node/tests/fleet_weights.rs
@@ -96,17 +96,27 @@
     expect_that!(fleet.loaded_whole(2), eq(true));
 }
 
-/// An empty engine is added. Its agent gets the weights from peers, which read theirs back from
-/// their engines, and the origin sends nothing.
+/// Empty engines are added one after the other. Each agent gets the weights from peers, which read
+/// theirs back from their engines, and the origin sends nothing. An agent that did not wait until
+/// its peers had told what they hold took itself for the one who brings chunks into its zone, and
+/// drew them from the origin, whose bytes are the dearest; so did one that was told before it had
+/// the manifest. Each comes at another moment of its peers' turns to tell.
 #[googletest::test]
 #[tokio::test]
-async fn an_added_engine_gets_its_weights_from_peers() {
+async fn added_engines_get_their_weights_from_peers() {
     let fleet = fleet(2).await;
-    tokio::time::sleep(time::Duration::from_millis(600)).await;
-    let added = fleet.world.engine(30, "models", 0).await;
-    let _agent = fleet.world.agent(30).await;
-    world::until("the added engine serves", async || added.version() == 1).await;
-    expect_that!(added.loaded().last(), some(eq(&origin::hashes(1))));
+    for number in [20, 21] {
+        world::until("the agent holds its weights", async || fleet.world.lists(number, 1).await)
+            .await;
+    }
+    let mut agents = Vec::new();
+    // The two zones in which an engine holds the weights.
+    for number in [30, 32, 33, 35, 36, 38] {
+        let added = fleet.world.engine(number, "models", 0).await;
+        agents.push(fleet.world.agent(number).await);
+        world::until("the added engine serves", async || added.version() == 1).await;
+        expect_that!(added.loaded().last(), some(eq(&origin::hashes(1))));
+    }
     expect_that!(fleet.origin.sent_chunks(), eq(0));
 }
 
--- a/ragwortdeal_standins/src/fleet/world.rs
+++ b/ragwortdeal_standins/src/fleet/world.rs
@@ -5,7 +5,7 @@
 use ragwortdeal_core::replication::replica;
 use ragwortdeal_node::{
     fleet::{self, dialect},
-    link, logging,
+    http, link, logging,
     settings::{self, common},
     stop, voter,
 };
@@ -28,6 +28,11 @@
 /// Port of upstreams.
 const UPSTREAM_PORT: u16 = 8_080;
 
+/// How long an agent may take to answer.
+const ASK_MS: u64 = 1_000;
+/// Largest answer of an agent.
+const ASK_MAX_BYTES: usize = 64 << 10;
+
 /// Fleets that this process has started, for addresses of their own.
 static FLEETS: atomic::AtomicU32 = atomic::AtomicU32::new(0);
 
@@ -255,6 +260,21 @@
         Process { address: self.address(number), stopper: Some(stopper), task }
     }
 
+    /// Whether an agent lists a version. From then on it holds the chunks that its engine had staged.
+    pub async fn lists(&self, number: u8, version: u64) -> bool {
+        let settings = self.settings(number, false);
+        let peer = settings.link_address(&settings.fleet.address.to_string());
+        let credential = link::Credential::new(&settings.credentials.cluster);
+        let request =
+            hyper::Request::get(format!("http://{peer}/internal/manifests/model-a/{version}"))
+                .header("authorization", credential.header_value())
+                .body(http::full(""))
+                .expect("a well formed request");
+        let client = http::Client::new(ASK_MS);
+        let asked = client.fetch("ask", &peer, request, ASK_MAX_BYTES, ASK_MS).await;
+        asked.is_ok_and(|(head, _)| head.status == 200)
+    }
+
     /// Starts an engine and announces it.
     pub async fn engine(
         &self,
