--- a/ragwortdeal_standins/src/fleet/engine.rs
+++ b/ragwortdeal_standins/src/fleet/engine.rs
@@ -44,6 +44,10 @@
     pub headers: header::HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// When it arrived.
+    pub at: time::Instant,
+    /// Version on which it began to run, none where the engine refused it.
+    pub ran_on: Option<u64>,
 }
 
 /// State of an engine, shared with the test.
@@ -69,6 +73,7 @@
     loaded: Vec<Vec<[u8; 32]>>,
     events: u64,
     event_gap: time::Duration,
+    work: time::Duration,
 }
 
 /// Counts a request as running until it ends or its connection is closed.
@@ -110,6 +115,7 @@
             loaded: Vec::new(),
             events: 5,
             event_gap: time::Duration::from_millis(5),
+            work: time::Duration::ZERO,
         };
         let state = sync::Mutex::new(state);
         let engine = sync::Arc::new(Self { instance: instance.to_owned(), address, state });
@@ -132,11 +138,21 @@
         (state.events, state.event_gap) = (events, gap);
     }
 
+    /// Sets how long a plain answer takes.
+    pub fn work(&self, work: time::Duration) {
+        self.state().work = work;
+    }
+
     /// Requests that arrived.
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.state().arrivals.clone()
     }
 
+    /// Requests that arrived, without so many of the first.
+    pub fn arrivals_after(&self, first: usize) -> Vec<Arrival> {
+        self.state().arrivals[first..].to_vec()
+    }
+
     /// Requests whose connection was closed before their answer ended.
     pub fn abandoned(&self) -> u64 {
         self.state().abandoned
@@ -219,9 +235,11 @@
         path: head.uri.to_string(),
         headers: head.headers.clone(),
         body,
+        at: time::Instant::now(),
+        ran_on: None,
     };
-    engine.state().arrivals.push(arrival);
-    engine.serve(&id, &head).await
+    let index = engine.note(arrival);
+    engine.serve(&id, index, &head).await
 }
 
 fn plain(status: u16, body: impl Into<Bytes>) -> Response<Body> {
@@ -229,9 +247,23 @@
 }
 
 impl Engine {
+    fn note(&self, arrival: Arrival) -> usize {
+        let mut state = self.state();
+        state.arrivals.push(arrival);
+        state.arrivals.len() - 1
+    }
+
+    fn begin(self: &sync::Arc<Self>, index: usize) -> Running {
+        let mut state = self.state();
+        state.running += 1;
+        state.arrivals[index].ran_on = Some(state.version);
+        Running { engine: self.clone(), ended: false }
+    }
+
     async fn serve(
         self: &sync::Arc<Self>,
         id: &str,
+        index: usize,
         head: &hyper::http::request::Parts,
     ) -> Result<Response<Body>, io::Error> {
         let behaviour = self.state().behaviour.clone();
@@ -248,8 +280,7 @@
             response.headers_mut().insert("x-not-executed", "1".parse().expect("a value"));
             return Ok(response);
         }
-        self.state().running += 1;
-        let mut running = Running { engine: self.clone(), ended: false };
+        let mut running = self.begin(index);
         match behaviour {
             Behaviour::Hang => std::future::pending().await,
             Behaviour::LoseAnswer => {
@@ -263,13 +294,21 @@
             let body = self.events(after, running, &behaviour);
             return Ok(self.signed(Response::new(body), id, &version));
         }
+        let work = self.state().work;
+        if !work.is_zero() {
+            tokio::time::sleep(work).await;
+        }
         running.end();
         let status = match behaviour {
             Behaviour::Fail(status) => status,
             _ => 200,
         };
+        let body = match head.uri.query().and_then(|query| query.strip_prefix("bytes=")) {
+            Some(len) => long_body(id, len.parse().unwrap_or(0)),
+            None => format!("by {}", self.instance).into(),
+        };
         let id = if behaviour == Behaviour::OtherAnswer { "another" } else { id };
-        Ok(self.signed(plain(status, format!("by {}", self.instance)), id, &version))
+        Ok(self.signed(plain(status, body), id, &version))
     }
 
     fn signed(&self, mut response: Response<Body>, id: &str, version: &str) -> Response<Body> {
@@ -380,6 +419,11 @@
     }
 }
 
+/// Body of an answer to a request that asks for so many bytes, different for each request.
+pub fn long_body(id: &str, len: usize) -> Bytes {
+    id.bytes().cycle().take(len).collect::<Vec<u8>>().into()
+}
+
 /// One event of a stream.
 pub fn event(number: u64) -> String {
     format!("id: {number}\ndata: piece {number}\n\n")
