Judge what a stopping entry cuts off in the soak

Cause: SIGTERM counted as a disturbance of its entry for every check, so that the check of cut requests passed over those that it is there for. Its test had planned work without the stop.

Change: a stop that leaves time for answers in progress is noted as planned. It still disturbs the bounds of time, and no longer excuses a cut; a kill in its grace does.

The test fails on the code before.

--- a/ragwortdeal_soak/src/checks.rs
+++ b/ragwortdeal_soak/src/checks.rs
@@ -231,7 +231,7 @@
         else {
             continue;
         };
-        if history.in_touch_since(sent.entry, end.at_ms) > sent.at_ms {
+        if history.unharmed_since(sent.entry, end.at_ms) > sent.at_ms {
             continue;
         }
         let seen = format!("{id} ran, entry {} cut it off at {} ms", sent.entry, end.at_ms);
--- a/ragwortdeal_soak/src/history.rs
+++ b/ragwortdeal_soak/src/history.rs
@@ -120,6 +120,8 @@
 pub struct Disturbance {
     /// Of whom.
     pub who: Who,
+    /// Whether it is a stop that leaves time for answers in progress.
+    pub planned: bool,
     /// Its start.
     pub from_ms: u64,
     /// Its end, as far as it has ended.
@@ -165,7 +167,14 @@
 impl History {
     /// Notes that a disturbance begins.
     pub fn disturb(&mut self, who: Who, now_ms: u64) {
-        self.disturbances.push(Disturbance { who, from_ms: now_ms, to_ms: None });
+        let (from_ms, to_ms) = (now_ms, None);
+        self.disturbances.push(Disturbance { who, planned: false, from_ms, to_ms });
+    }
+
+    /// Notes that a planned stop begins.
+    pub fn stop(&mut self, who: Who, now_ms: u64) {
+        let (from_ms, to_ms) = (now_ms, None);
+        self.disturbances.push(Disturbance { who, planned: true, from_ms, to_ms });
     }
 
     /// Notes that all disturbances of one end.
@@ -177,13 +186,27 @@
     /// Since when bounds of time hold for what an entry does at a moment: a while after the last
     /// disturbance of that entry, of any voter, of any engine, or of the machine.
     pub fn in_touch_since(&self, entry: u8, at_ms: u64) -> u64 {
+        self.undisturbed_since(entry, at_ms, |_| true)
+    }
+
+    /// The same, where planned stops of the entry count as no disturbance.
+    pub fn unharmed_since(&self, entry: u8, at_ms: u64) -> u64 {
+        self.undisturbed_since(entry, at_ms, |it| !(it.planned && it.who == Who::Entry(entry)))
+    }
+
+    fn undisturbed_since(
+        &self,
+        entry: u8,
+        at_ms: u64,
+        counts: impl Fn(&Disturbance) -> bool,
+    ) -> u64 {
         let concerns = |who: Who| match who {
             Who::Entry(number) | Who::Callers(number) => number == entry,
             Who::Voter(_) | Who::Engine(_) | Who::Machine => true,
             Who::Agent(_) | Who::Control(_) | Who::Origin => false,
         };
         let before = self.disturbances.iter();
-        let before = before.filter(|it| concerns(it.who) && it.from_ms <= at_ms);
+        let before = before.filter(|it| concerns(it.who) && it.from_ms <= at_ms && counts(it));
         let ends = before.map(|it| it.to_ms.map_or(at_ms, |to_ms| to_ms.min(at_ms)) + WINDOW_MS);
         ends.max().unwrap_or(0)
     }
--- a/ragwortdeal_soak/src/run.rs
+++ b/ragwortdeal_soak/src/run.rs
@@ -313,7 +313,7 @@
             }
             schedule::Signal::Terminate => {
                 plan(TERMINATE_MS);
-                self.record.disturb(who);
+                self.record.change(|history| history.stop(who, now_ms));
                 signals::Signal::TERM
             }
             schedule::Signal::Stop => {
--- a/ragwortdeal_soak/tests/checks.rs
+++ b/ragwortdeal_soak/tests/checks.rs
@@ -237,6 +237,16 @@
         history.planned.push(Planned { entry: ENTRY, from_ms: 7_500, to_ms: 8_500 });
     };
     expect_that!(found(planned), eq(&promise(9)));
+    let stopped = |history: &mut History| {
+        planned(history);
+        history.stop(Who::Entry(ENTRY), 7_500);
+    };
+    expect_that!(found(stopped), eq(&promise(9)));
+    let killed = |history: &mut History| {
+        stopped(history);
+        history.disturb(Who::Entry(ENTRY), 7_600);
+    };
+    expect_that!(found(killed), is_empty());
 }
 
 #[googletest::test]
