Let agents of empty engines draw after 60 ms again

What was told too early was the cause, and keeping it is the whole of the mend. A wait of 250 ms would only hold up an engine that comes back while new weights are drawn.

--- a/ragwortdeal_node/src/fleet/agent/spread.rs
+++ b/ragwortdeal_node/src/fleet/agent/spread.rs
@@ -92,17 +92,8 @@
     }
 }
 
-/// Milliseconds before an agent draws whose engine serves weights already. Members are known before
-/// such a fetch begins, but are told to the policy one by one.
-const SETTLE_MS: u64 = 60;
-
-/// Milliseconds before an agent draws whose engine is empty. Most likely its peers hold the weights:
-/// it waits until they have found it, a tick, told what they hold, an interval of announcements, and
-/// been heard over a busy link.
-const SETTLE_EMPTY_MS: u64 = 250;
-
 /// Times and bounds for versions of a few megabytes that have to be everywhere in seconds.
-fn limits(serving: u64, origin_chunk_ms: f64) -> limits::Limits {
+fn limits(origin_chunk_ms: f64) -> limits::Limits {
     limits::Limits {
         origin_weight_percent: 50,
         downloads_max: DOWNLOADS_MAX,
@@ -112,7 +103,8 @@
         announce_interval_ms: 60,
         probe_interval_ms: 150,
         busy_backoff_ms: 25,
-        settle_ms: if serving > 0 { SETTLE_MS } else { SETTLE_EMPTY_MS },
+        // Members are known before a fetch begins, but are told to the policy one by one.
+        settle_ms: 60,
         // Below the connections that an origin takes, of which some are still closing.
         origin_requests_max: 20,
         origin_chunk_ms,
@@ -246,7 +238,7 @@
         log::info!("agent: fetches {weights:?}, kept={} chunks", kept.len());
         let proofs: Vec<_> = kept.iter().map(|(proof, _)| *proof).collect();
         let manifest = listed.manifest.clone();
-        let limits = limits(serving, self.origin_chunk_ms(&manifest));
+        let limits = limits(self.origin_chunk_ms(&manifest));
         let download = download::Download::new(self.place(), manifest, limits, &proofs);
         let bytes = kept.into_iter().map(|(proof, bytes)| (proof.chunk(), bytes)).collect();
         let active = Active {
