--- a/ragwortdeal_soak/src/schedule.rs
+++ b/ragwortdeal_soak/src/schedule.rs
@@ -1,7 +1,5 @@
 //! Which faults come when. The same seed gives the same schedule.
 
-use std::time;
-
 use ragwortdeal_standins::fleet::engine;
 use rand::{RngExt as _, SeedableRng as _};
 
@@ -281,8 +279,3 @@
         self.push(settled_ms + 9_000, Step::Document);
     }
 }
-
-/// Time of a run.
-pub fn run_time(end_ms: u64) -> time::Duration {
-    time::Duration::from_millis(end_ms + CALM_MS)
-}
