Close a link whose queue was full

An entry never hears a word that did not fit into the queue of its link, such as that an upstream leaves, and goes on sending callers there.

Cause: a push to a full queue was refused and nothing else happened, though the code said that the link is lost then and everything told anew.

Change: the accepting side closes such a link. The other side opens another one and asks for what it lacks.

Figures: a_link_whose_queue_is_full_is_replaced waited 10 s in vain before, and passes.

--- a/ragwortdeal_node/src/link/server.rs
+++ b/ragwortdeal_node/src/link/server.rs
@@ -5,7 +5,7 @@
 use ragwortdeal_wire::link as wire;
 use tokio::{
     net,
-    sync::{Semaphore, mpsc},
+    sync::{Notify, Semaphore, mpsc},
     time,
 };
 use tokio_tungstenite::tungstenite;
@@ -27,14 +27,21 @@
     /// Who opened it.
     pub hello: sync::Arc<wire::Hello>,
     outgoing: mpsc::Sender<wire::Frame>,
+    /// Signalled where a message did not fit into the queue.
+    overflown: sync::Arc<Notify>,
 }
 
 impl Session {
-    /// Pushes a message. Returns `false` where the link is gone or its queue is full; the peer then
-    /// opens another link and asks for what it lacks.
+    /// Pushes a message. Returns `false` where the link is gone or its queue is full. A link whose
+    /// queue was full is closed: the message is told to nobody again, and the peer opens another
+    /// link and asks for what it lacks.
     pub fn push(&self, message: wire::Message) -> bool {
         let frame = wire::Frame { request: None, answer: false, traceparent: None, message };
-        self.outgoing.try_send(frame).is_ok()
+        let sent = self.outgoing.try_send(frame);
+        if let Err(mpsc::error::TrySendError::Full(_)) = sent {
+            self.overflown.notify_one();
+        }
+        sent.is_ok()
     }
 }
 
@@ -116,6 +123,7 @@
         return;
     };
     let (sender, mut outgoing) = mpsc::channel(limits.queue_frames);
+    let overflown = sync::Arc::new(Notify::new());
     let requests = sync::Arc::new(Semaphore::new(limits.requests_max));
     let mut opened: Option<ClosedOnDrop<S>> = None;
     let heard = |frame: wire::Frame| match &opened {
@@ -124,16 +132,20 @@
                 return false;
             };
             let hello = sync::Arc::new(hello);
-            let session = Session { id, hello, outgoing: sender.clone() };
+            let (outgoing, overflown) = (sender.clone(), overflown.clone());
+            let session = Session { id, hello, outgoing, overflown };
             service.opened(&session);
             opened = Some(ClosedOnDrop { service: service.clone(), session });
             true
         }
         Some(open) => dispatch(frame, open, &requests),
     };
-    let end =
-        connection::run(socket, connection::Side::Acceptor, &limits, &mut outgoing, heard).await;
-    log::debug!("link: accepted link {id} ended: {end:?}");
+    let running =
+        connection::run(socket, connection::Side::Acceptor, &limits, &mut outgoing, heard);
+    tokio::select! {
+        end = running => log::debug!("link: accepted link {id} ended: {end:?}"),
+        () = overflown.notified() => log::warn!("link: accepted link {id} is closed, its queue is full"),
+    }
 }
 
 fn dispatch<S: Service>(
--- a/ragwortdeal_node/tests/link.rs
+++ b/ragwortdeal_node/tests/link.rs
@@ -21,6 +21,8 @@
     pushes: atomic::AtomicU64,
     opened: atomic::AtomicU64,
     closed: atomic::AtomicU64,
+    /// How often a pushed message is pushed back, all at once.
+    echoes: atomic::AtomicU64,
 }
 
 impl link::Service for Counting {
@@ -28,8 +30,11 @@
         self.opened.fetch_add(1, atomic::Ordering::Relaxed);
     }
 
-    fn pushed(&self, _session: &link::Session, _message: wire::Message) {
+    fn pushed(&self, session: &link::Session, message: wire::Message) {
         self.pushes.fetch_add(1, atomic::Ordering::Relaxed);
+        for _ in 0..self.echoes.swap(0, atomic::Ordering::Relaxed) {
+            session.push(message.clone());
+        }
     }
 
     async fn requested(&self, _session: &link::Session, message: wire::Message) -> wire::Message {
@@ -217,3 +222,26 @@
     expect_that!(stretch.carried_bytes() - before, le(8 * heartbeats));
     expect_that!(stretch.connections(), eq(1));
 }
+
+/// A process is told more at once than may wait for it. What did not fit is told to nobody again; if
+/// the link went on as if nothing had happened, the process would never hear it. A new link brings
+/// everything anew.
+#[googletest::test]
+#[tokio::test]
+async fn a_link_whose_queue_is_full_is_replaced() {
+    let limits = link::LinkLimits { queue_frames: 16, ..limits() };
+    let served = serve_with(limits).await;
+    served.service.echoes.store(40, atomic::Ordering::Relaxed);
+    let (link, mut events) = open_with(served.address, SECRET, limits);
+    expect_that!(events.recv().await, some(matches_pattern!(link::LinkEvent::Up)));
+    link.push("tell", subscribe(0)).unwrap();
+    let replaced = async {
+        while let Some(event) = events.recv().await {
+            if matches!(event, link::LinkEvent::Up) {
+                return;
+            }
+        }
+    };
+    let heard = tokio::time::timeout(time::Duration::from_secs(10), replaced).await;
+    expect_that!(heard.is_ok(), eq(true));
+}
