Tell an entry the words of all agents in one message

With more than about a thousand engines an entry that starts sends callers' requests to engines that load.

Cause: the words of agents were pushed one by one as an entry follows, in one go, and the queue of a link holds 1,024 messages.

Change: one message holds them all.

Figures: an_entry_hears_the_words_of_all_agents heard 1,021 of 1,100 before, now all.

--- a/ragwortdeal_node/src/fleet/entry/learn.rs
+++ b/ragwortdeal_node/src/fleet/entry/learn.rs
@@ -34,6 +34,9 @@
             }
             notice::Notice::Left { instance, age } => entry.fleet().left(&instance, age, now_ms),
             notice::Notice::Serves(serves) => entry.fleet().serves(serves),
+            notice::Notice::AllServe(words) => {
+                words.into_iter().for_each(|serves| entry.fleet().serves(serves));
+            }
             notice::Notice::Entries(count) => entry.fleet().entries(voter, count),
             notice::Notice::Follow { .. }
             | notice::Notice::Voters(_)
--- a/ragwortdeal_node/src/fleet/notice.rs
+++ b/ragwortdeal_node/src/fleet/notice.rs
@@ -37,6 +37,9 @@
     /// An agent tells which weights its engine serves. A voter tells an agent that follows it what
     /// was said from there before.
     Serves(Serves),
+    /// The words of all agents, for an entry that follows anew. One by one they would not fit into
+    /// the queue of its link.
+    AllServe(Vec<Serves>),
     /// An entry counts as running as long as it says so.
     Entries(u32),
 }
--- a/ragwortdeal_node/src/voter/fleet/hub.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -314,7 +314,10 @@
                 let said = self.serves.values().filter(own);
                 said.for_each(|it| push(&notice::Notice::Serves(it.clone())));
             }
-            _ => self.serves.values().for_each(|it| push(&notice::Notice::Serves(it.clone()))),
+            "entry" => {
+                push(&notice::Notice::AllServe(self.serves.values().cloned().collect()));
+            }
+            _ => (),
         }
     }
 }
--- a/ragwortdeal_node/tests/fleet_voters.rs
+++ b/ragwortdeal_node/tests/fleet_voters.rs
@@ -3,6 +3,7 @@
 use std::{collections, fs};
 
 use googletest::prelude::*;
+use ragwortdeal_node::{fleet::notice, link};
 use ragwortdeal_platform::DIALECT;
 use ragwortdeal_standins::fleet::world::{self, Process, World};
 
@@ -175,3 +176,58 @@
     voters.insert(2, world.voter(2, false).await);
     until_read(&world, 2, 3).await;
 }
+
+/// A deployment has more engines than messages may wait on a link. An entry that starts is told of
+/// all agents' words at once; those that did not fit were never told, and its callers' requests went
+/// to engines that loaded.
+#[googletest::test]
+#[tokio::test]
+async fn an_entry_hears_the_words_of_all_agents() {
+    const AGENTS: u32 = 1_100;
+    let world = World::new(&DIALECT, 1);
+    let _voter = world.voter(1, true).await;
+    let (agent, _told) = world.link(1, 20, "agent").await;
+    for number in 0..AGENTS {
+        let address = std::net::Ipv4Addr::from_bits(0x0a00_0000 + number);
+        let serves = notice::Serves {
+            address: std::net::SocketAddrV4::new(address, 8_080),
+            born_ms: 1,
+            number: 1,
+            version: 1,
+            accepts: true,
+            whole: 1,
+            narrow: false,
+        };
+        let word = notice::seal(&notice::Notice::Serves(serves));
+        // The queue of the test's own link is as short, so it is given time to empty.
+        while agent.push("tell", word.clone()).is_err() {
+            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+        }
+        if number % 100 == 0 {
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+    }
+    let (entry, mut told) = world.link(1, 10, "entry").await;
+    let follow = notice::seal(&notice::Notice::Follow { version: 0 });
+    entry.push("follow", follow).expect("the link is up");
+    let mut heard = std::collections::BTreeSet::new();
+    let all = async {
+        while let Some(event) = told.recv().await {
+            let link::LinkEvent::Push(message) = event else {
+                continue;
+            };
+            match notice::open(&message) {
+                Some(notice::Notice::Serves(word)) => _ = heard.insert(word.address),
+                Some(notice::Notice::AllServe(words)) => {
+                    heard.extend(words.iter().map(|it| it.address));
+                }
+                _ => (),
+            }
+            if heard.len() == AGENTS as usize {
+                return;
+            }
+        }
+    };
+    let _ = tokio::time::timeout(std::time::Duration::from_secs(10), all).await;
+    expect_that!(heard.len(), eq(AGENTS as usize));
+}
