Take requests back from an upstream that has gone quiet

What callers saw: streams without an event for 2.4 s, where the machine of an engine stood still; they left, and the engine ran what waited there when it woke.

The engine was not between two orders: it had loaded the newest weights 1.1 s before and answered others until it froze. The closing of the caller reached the entry within milliseconds (seen once callers that leave before an answer are logged), but a machine that stands still notices no close; on waking it begins what waits in its queue. Nothing told the entry, which waited there until callers left.

Change: an entry looks ten times a second at which upstreams spoke. One that owes answers and was silent for four looks at which others spoke, eight where it has begun on nothing, is quiet: requests that may run twice are taken back, go on elsewhere or get their final answer at once, and one request at a time asks it until it is heard. A silence of all upstreams is the entry's own and counts for nothing. A transfer waits on.

--- a/ragwortdeal_core/src/dispatch.rs
+++ b/ragwortdeal_core/src/dispatch.rs
@@ -7,3 +7,4 @@
 pub mod elsewhere;
 pub mod forecast;
 pub mod share;
+pub mod silence;
--- a/ragwortdeal_node/src/fleet/entry.rs
+++ b/ragwortdeal_node/src/fleet/entry.rs
@@ -37,6 +37,10 @@
 /// How often idle connections and lists are looked through.
 const SWEEP: time::Duration = time::Duration::from_millis(500);
 
+/// How often it is looked which upstreams have said something. Events of a stream come several times
+/// as often, and a caller counts a pause of three looks as late.
+const LOOK: time::Duration = time::Duration::from_millis(100);
+
 /// Why an entry cannot run.
 #[derive(Debug, Snafu)]
 pub enum EntryError {
@@ -158,6 +162,7 @@
         follow::start(settings.clone(), identity, "entry", entry.held_version.clone(), seeds);
     tokio::spawn(learn::follow(entry.clone(), told));
     tokio::spawn(sweep(entry.clone()));
+    tokio::spawn(look(entry.clone()));
     let (stopper, unready) = stop::pair();
     let (readiness_stopper, readiness_stop) = stop::pair();
     let bounds = http::Bounds { head_ms: CALLER_IDLE_MS, ..http::Bounds::default() };
@@ -197,3 +202,13 @@
         entry.pool.sweep(|peer| fleet.knows(peer));
     }
 }
+
+/// Looks for upstreams that have gone quiet. After a standstill of this process one look is made, and
+/// not all that were missed: what came meanwhile is not read yet.
+async fn look(entry: sync::Arc<Entry>) {
+    loop {
+        tokio::time::sleep(LOOK).await;
+        let now_ms = entry.clock.now_ms();
+        entry.fleet().look(now_ms);
+    }
+}
--- a/ragwortdeal_node/src/fleet/entry/exchange.rs
+++ b/ragwortdeal_node/src/fleet/entry/exchange.rs
@@ -61,7 +61,13 @@
         let begun = time::Instant::now();
         let sent = connection.sender.try_send_request(request);
         let left = chosen.left_to_begin().map_or(asked.left(), |left| left.min(asked.left()));
-        let response = match tokio::time::timeout(left, sent).await {
+        let answered = tokio::select! {
+            answered = tokio::time::timeout(left, sent) => answered,
+            () = chosen.gone_quiet() => {
+                return Outcome::Lost("its upstream has gone quiet".to_owned());
+            }
+        };
+        let response = match answered {
             Err(_) => return Outcome::Lost("no answer in time".to_owned()),
             Ok(Err(mut error)) => {
                 return match error.take_message() {
@@ -71,6 +77,7 @@
             }
             Ok(Ok(response)) => response,
         };
+        chosen.spoke();
         let (head, body) = response.into_parts();
         let keep = pool::keep(&head.headers);
         self.judge(asked, Answer { keep, head, body, connection, took: begun.elapsed() })
--- a/ragwortdeal_node/src/fleet/entry/relay.rs
+++ b/ragwortdeal_node/src/fleet/entry/relay.rs
@@ -92,7 +92,15 @@
         let left = self.asked.left();
         let to_begin = self.source.chosen.left_to_begin();
         let bound = to_begin.map_or(left, |to_begin| to_begin.min(left));
-        let next = tokio::time::timeout(bound, self.source.answer.body.frame()).await;
+        let next = tokio::select! {
+            next = tokio::time::timeout(bound, self.source.answer.body.frame()) => next,
+            () = self.source.chosen.gone_quiet() => {
+                return Read::Lost("its upstream has gone quiet".to_owned());
+            }
+        };
+        if let Ok(Some(Ok(_))) = &next {
+            self.source.chosen.spoke();
+        }
         match next {
             Err(_) if to_begin.is_some_and(|to_begin| to_begin < left) => {
                 Read::Lost("its weights are superseded and it has not begun".to_owned())
@@ -171,7 +179,8 @@
 
     fn caller_gone(self) {
         log::info!(
-            request = self.asked.id(), last_event = self.events.last().unwrap_or(0),
+            request = self.asked.id(), upstream = &*self.source.chosen.peer.instance,
+            last_event = self.events.last().unwrap_or(0),
             held_ms = self.asked.started.elapsed().as_millis() as u64;
             "entry: left by its caller"
         );
--- a/ragwortdeal_node/src/fleet/entry/request.rs
+++ b/ragwortdeal_node/src/fleet/entry/request.rs
@@ -14,6 +14,19 @@
 /// A caller that has so much less time left than its route grants has been refused before.
 const RETURNED_MS: u64 = 300;
 
+/// Shortest time after which the caller of a stream that has no event leaves.
+const LEAVES_MIN: time::Duration = time::Duration::from_secs(2);
+
+/// The same as a multiple of the operator's objective for the first event.
+const LEAVES_OBJECTIVES: u64 = 4;
+
+/// The same as a multiple of the operator's objective for the pause between two events.
+const LEAVES_GAPS: u64 = 8;
+
+/// How much earlier a caller began to wait than its request was read here, with what an answer takes
+/// on its way back.
+const LEAVES_MARGIN: time::Duration = time::Duration::from_millis(100);
+
 /// Headers that concern one connection only.
 const HOP_HEADERS: [&str; 8] = [
     "connection",
@@ -66,6 +79,19 @@
         self.pace.as_ref().map_or(f64::INFINITY, max_ms)
     }
 
+    /// Whether the caller of a stream without an event leaves before one comes so many milliseconds
+    /// from now. Sent on all the same, the request would only run for nobody.
+    pub(super) fn is_left_before(&self, first_event_ms: f64) -> bool {
+        if !self.route.streams {
+            return false;
+        }
+        let objectives = self.route.objective_ms * LEAVES_OBJECTIVES;
+        let gaps = self.route.gap_objective_ms.unwrap_or(0) * LEAVES_GAPS;
+        let leaves = time::Duration::from_millis(objectives.max(gaps)).max(LEAVES_MIN);
+        let first_event = time::Duration::from_secs_f64(first_event_ms / 1_000.0);
+        self.started.elapsed() + first_event + LEAVES_MARGIN >= leaves
+    }
+
     /// The identifier as text, for logs.
     pub(super) fn id(&self) -> &str {
         self.id.to_str().unwrap_or("?")
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -84,22 +84,62 @@
     pub(super) may_have_run: bool,
 }
 
+/// A request that waits for the head or the first event of an answer. It is dropped where it waits
+/// when its caller leaves, which is noted here.
+struct Waiting<'e> {
+    entry: &'e Entry,
+    asked: sync::Arc<Asked>,
+    /// Where it waits.
+    upstream: Option<directory::Text>,
+    over: bool,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if self.over {
+            return;
+        }
+        log::info!(
+            request = self.asked.id(), upstream = self.upstream.as_deref().unwrap_or_default(),
+            held_ms = self.asked.started.elapsed().as_millis() as u64;
+            "entry: left by its caller before an answer"
+        );
+        self.entry.telemetry.count("entry.callers_left", 1);
+    }
+}
+
 async fn serve(entry: &sync::Arc<Entry>, asked: Asked) -> http::Response {
     let asked = sync::Arc::new(asked);
+    let mut waiting = Waiting { entry, asked: asked.clone(), upstream: None, over: false };
+    let response = attempts(entry, &asked, &mut waiting).await;
+    waiting.over = true;
+    response
+}
+
+async fn attempts(
+    entry: &sync::Arc<Entry>,
+    asked: &sync::Arc<Asked>,
+    waiting: &mut Waiting<'_>,
+) -> http::Response {
     let mut progress = Progress::default();
     loop {
-        let chosen = match entry.next(&asked, &mut progress) {
+        let chosen = match entry.next(asked, &mut progress) {
             Ok(chosen) => chosen,
             Err(refusal) => return refused(entry, Some(&asked.id), &refusal),
         };
-        let outcome = entry.exchange(&asked, &chosen, asked.last_event).await;
-        let Some(answer) = entry.settle(&asked, &chosen, outcome, &mut progress) else {
+        if progress.may_have_run && asked.is_left_before(chosen.forecast_ms.unwrap_or(0.0)) {
+            let reason = "its caller would leave before it begins";
+            return refused(entry, Some(&asked.id), &Refusal::new(502, reason));
+        }
+        waiting.upstream = Some(chosen.peer.instance.clone());
+        let outcome = entry.exchange(asked, &chosen, asked.last_event).await;
+        let Some(answer) = entry.settle(asked, &chosen, outcome, &mut progress) else {
             continue;
         };
         let relayed = if asked.route.streams && answer.head.status.is_success() {
-            relay::begin(entry, &asked, chosen, *answer, &mut progress).await
+            relay::begin(entry, asked, chosen, *answer, &mut progress).await
         } else {
-            whole(entry, &asked, &chosen, *answer, &mut progress).await
+            whole(entry, asked, &chosen, *answer, &mut progress).await
         };
         if let Some(response) = relayed {
             return response;
@@ -138,6 +178,7 @@
                 first_event_max_ms: asked.first_event_max_ms(progress.sent > 0),
             },
             tried: &progress.tried,
+            repeatable,
         };
         let chosen = self.choose(&wanted).map_err(|no_way| match no_way {
             _ if progress.may_have_run => failed("no other upstream takes it"),
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -4,7 +4,7 @@
 
 use ragwortdeal_core::{
     directory,
-    dispatch::{choice, cutoff, forecast, share},
+    dispatch::{choice, cutoff, forecast, share, silence},
     document::naming,
 };
 
@@ -26,6 +26,9 @@
     pub(super) forecast_ms: Option<f64>,
     /// Time at which the request must have begun there, as the weights are superseded.
     begin_by_ms: Option<i64>,
+    voice: sync::Arc<way::Voice>,
+    /// Whether the request may be sent to more than one upstream.
+    repeatable: bool,
     entry: sync::Arc<Entry>,
 }
 
@@ -37,6 +40,20 @@
         Some(time::Duration::from_millis(left_ms.max(0).unsigned_abs()))
     }
 
+    /// Something came from the upstream.
+    pub(super) fn spoke(&self) {
+        self.voice.spoke();
+    }
+
+    /// Waits until the upstream has gone quiet. A request that may run only once waits on: nobody
+    /// else can answer it.
+    pub(super) async fn gone_quiet(&self) {
+        match self.repeatable {
+            true => self.voice.gone_quiet().await,
+            false => std::future::pending().await,
+        }
+    }
+
     /// The first event came: the prompt is read.
     pub(super) fn began(&mut self) {
         self.begin_by_ms = None;
@@ -185,10 +202,15 @@
         Some(first_ms + self.weights_ms.saturating_sub(BEGIN_MARGIN_MS) as i64)
     }
 
-    fn candidate(&self, said: &directory::Announcement, now_ms: u64) -> Option<choice::Candidate> {
+    fn candidate(
+        &self,
+        said: &directory::Announcement,
+        repeatable: bool,
+        now_ms: u64,
+    ) -> Option<choice::Candidate> {
         let unknown = way::Way::default();
         let way = self.ways.get(&said.instance).unwrap_or(&unknown);
-        if way.is_suspended(now_ms) {
+        if !way.may_take(repeatable, now_ms) {
             return None;
         }
         let place = way::Place { near: said.zone == self.zone, slots: said.slots };
@@ -226,9 +248,27 @@
         lowest(cutoff::margin_ms(self.knowledge(said, newer, now_ms)))
     }
 
+    /// Looks at all upstreams for those that have gone quiet, or are heard again.
+    pub(super) fn look(&mut self, now_ms: u64) {
+        let speaking = self.ways.values().filter(|way| way.has_spoken()).count();
+        for (instance, way) in &mut self.ways {
+            let others_spoke = speaking > usize::from(way.has_spoken());
+            let Some(change) = way.look(others_spoke, now_ms) else {
+                continue;
+            };
+            let message = match change {
+                silence::Change::Quiet => "has gone quiet",
+                silence::Change::Heard => "is heard again",
+            };
+            log::info!(upstream = &**instance, open = way.open(); "entry: upstream {message}");
+        }
+    }
+
     /// Notes a request as open at an upstream.
-    fn opened(&mut self, instance: &directory::Text, reading_ms: f64) {
-        self.ways.entry(instance.clone()).or_default().opened(reading_ms);
+    fn opened(&mut self, instance: &directory::Text, reading_ms: f64) -> sync::Arc<way::Voice> {
+        let way = self.ways.entry(instance.clone()).or_default();
+        way.opened(reading_ms);
+        way.voice()
     }
 
     fn read(&mut self, instance: &str, reading_ms: f64) {
@@ -307,6 +347,8 @@
     pub(super) prompt: choice::Prompt,
     /// Upstreams that were tried already.
     pub(super) tried: &'w [directory::Text],
+    /// Whether it may be sent to more than one upstream.
+    pub(super) repeatable: bool,
 }
 
 impl Entry {
@@ -335,7 +377,7 @@
                     }
                 }
             };
-            if let Some(candidate) = fleet.candidate(said, now_ms) {
+            if let Some(candidate) = fleet.candidate(said, wanted.repeatable, now_ms) {
                 candidates.push(candidate);
                 offered.push((said.instance.clone(), said.address, version));
             }
@@ -352,14 +394,22 @@
             .pace
             .map(|pace| pace.first_event_ms(&candidates[index], wanted.prompt.reading_ms));
         let (instance, address, version) = offered.swap_remove(index);
-        fleet.opened(&instance, wanted.prompt.reading_ms);
+        let voice = fleet.opened(&instance, wanted.prompt.reading_ms);
         let peer = pool::Peer { instance, address };
         let reading_ms = wanted.prompt.reading_ms;
         let begin_by_ms = match (wanted.models, version) {
             (Some(models), Some(version)) => fleet.begin_by_ms(models, version),
             _ => None,
         };
-        let reading_ms = Some(reading_ms);
-        Ok(Chosen { peer, version, reading_ms, forecast_ms, begin_by_ms, entry: self.clone() })
+        Ok(Chosen {
+            peer,
+            version,
+            reading_ms: Some(reading_ms),
+            forecast_ms,
+            begin_by_ms,
+            voice,
+            repeatable: wanted.repeatable,
+            entry: self.clone(),
+        })
     }
 }
--- a/ragwortdeal_node/src/fleet/entry/way.rs
+++ b/ragwortdeal_node/src/fleet/entry/way.rs
@@ -1,6 +1,9 @@
 //! How this entry fares with one upstream: what is open there, how it answers, how it fails.
 
-use ragwortdeal_core::dispatch::{choice, elsewhere, forecast};
+use std::sync::{self, atomic};
+
+use ragwortdeal_core::dispatch::{choice, elsewhere, forecast, silence};
+use tokio::sync as tokio_sync;
 
 use crate::fleet::dialect;
 
@@ -37,6 +40,25 @@
 /// Part of the requests that an upstream which is slow is taken to fail.
 const SLOW_FAILING: f64 = 0.4;
 
+/// What the requests at an upstream and the looks at it tell each other.
+#[derive(Debug, Default)]
+pub(super) struct Voice {
+    spoke: atomic::AtomicBool,
+    quiet: tokio_sync::Notify,
+}
+
+impl Voice {
+    /// Something came from the upstream.
+    pub(super) fn spoke(&self) {
+        self.spoke.store(true, atomic::Ordering::Relaxed);
+    }
+
+    /// Waits until the upstream has gone quiet.
+    pub(super) async fn gone_quiet(&self) {
+        self.quiet.notified().await;
+    }
+}
+
 /// How this entry fared with an upstream.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Way {
@@ -54,6 +76,8 @@
     slow_until_ms: u64,
     /// When a first event came in good time last.
     prompt_at_ms: Option<u64>,
+    voice: sync::Arc<Voice>,
+    silence: silence::Silence,
 }
 
 /// An answer of an upstream, as far as it tells how the upstream fares.
@@ -70,12 +94,53 @@
 impl Way {
     /// A new life of the upstream, which has none of the faults of the one before.
     pub(super) fn reborn(&self) -> Self {
-        Self { open: self.open, ..Self::default() }
+        Self { open: self.open, voice: self.voice.clone(), ..Self::default() }
     }
 
     /// What failed before says nothing of how it works now.
     pub(super) fn forgive(&mut self) {
         (self.failing, self.failures, self.suspended_until_ms) = (0.0, 0, 0);
+        self.silence = silence::Silence::default();
+    }
+
+    /// What is heard of it, for a request there.
+    pub(super) fn voice(&self) -> sync::Arc<Voice> {
+        self.voice.clone()
+    }
+
+    /// Whether it sent something since the last look.
+    pub(super) fn has_spoken(&self) -> bool {
+        self.voice.spoke.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Looks whether it goes on with what it owes. Where it has gone quiet, all requests there are
+    /// told.
+    pub(super) fn look(&mut self, others_spoke: bool, now_ms: u64) -> Option<silence::Change> {
+        let spoke = self.voice.spoke.swap(false, atomic::Ordering::Relaxed);
+        let begun = self.open > self.unread;
+        let reads = self.unread > 0 && self.reading_ms > 0.0;
+        let owes = begun || reads || self.silence.is_quiet() && self.open > 0;
+        let change = self.silence.look(silence::Look { spoke, others_spoke, owes, begun })?;
+        match change {
+            silence::Change::Heard => self.forgive(),
+            silence::Change::Quiet => {
+                self.failed(now_ms);
+                self.voice.quiet.notify_waiters();
+            }
+        }
+        Some(change)
+    }
+
+    /// Requests that are open there.
+    pub(super) fn open(&self) -> u32 {
+        self.open
+    }
+
+    /// Whether one more request may be sent there. Where it has gone quiet, one at a time shows
+    /// whether it is back, and only one that may be sent elsewhere afterwards.
+    pub(super) fn may_take(&self, repeatable: bool, now_ms: u64) -> bool {
+        let trusted = !self.silence.is_quiet() || repeatable && self.open == 0;
+        trusted && !self.is_suspended(now_ms)
     }
 
     /// Notes a request as open, with a prompt to be read.
