Count chunks that came late as late, whichever timer noticed

Cause: all engines concerned stand behind links that had turned narrow. The call for a chunk has a timer of its own, of the connect or of the whole, which ends before the policy's next tick. So the agent did not find its link narrow, told nobody, and went on to ask for two chunks every 0.4 s, all of which it gave up while they were on their way.

Ruled out: full links between regions. Most late chunks were asked for inside a zone, and the same nine agents asked for nearly all of them.

Change: a call says whether it was late, and the policy blames a timeout for it. Four chunks in a row that never came show the own link to be narrow; the same number doubles the patience with peers, so that peers that are gone hold nobody up.

--- a/ragwortctl/src/client.rs
+++ b/ragwortctl/src/client.rs
@@ -111,6 +111,7 @@
         let error = last.unwrap_or(http::HttpError::NotSent {
             step: "ask entry",
             peer: "no entry is set, or the secret is no header value".into(),
+            late: false,
         });
         Err(ClientError::NoAnswer { source: error })
     }
--- a/ragwortdeal_core/src/spread/download/arrivals.rs
+++ b/ragwortdeal_core/src/spread/download/arrivals.rs
@@ -62,6 +62,9 @@
         actions: &mut Vec<event::Action>,
     ) {
         match (failure, self.asked(source)) {
+            (event::Failure::Timeout, _) => {
+                self.request_failed(now_ms, source, chunk, event::Fault::Timeout, actions);
+            }
             (event::Failure::Error, _) | (_, Some(requests::Asked::Origin)) => {
                 self.request_failed(now_ms, source, chunk, event::Fault::Error, actions);
             }
--- a/ragwortdeal_core/src/spread/event.rs
+++ b/ragwortdeal_core/src/spread/event.rs
@@ -36,6 +36,9 @@
     },
     /// The connection failed or the answer was an error.
     Error,
+    /// Nothing came in time, by the timers of whoever sends requests: of a connect, or before the
+    /// next tick. Later requests get no longer for it, as each holds an upload slot at its sender.
+    Timeout,
 }
 
 /// Something that happened.
--- a/ragwortdeal_core/src/spread/flow.rs
+++ b/ragwortdeal_core/src/spread/flow.rs
@@ -14,6 +14,10 @@
 /// the other end's.
 const SLOW_IN_A_ROW: u32 = 2;
 
+/// Chunks in a row that never came and show the same. A peer that is gone sends none either, and
+/// some of all peers may go at once, each of which is asked once.
+const LATE_IN_A_ROW: u32 = 4;
+
 /// Part of the rate that is left after a slow chunk.
 const NARROWED: f64 = 0.5;
 
@@ -33,6 +37,7 @@
     share: f64,
     sent_slow: u32,
     came_slow: u32,
+    came_late: u32,
     /// Chunks that still have to come in time before the link counts as free.
     restless: u32,
     window_max: usize,
@@ -43,7 +48,15 @@
     /// to ask for at once there.
     pub fn new(chunk_ms: f64, window_max: usize) -> Self {
         let slow_ms = if chunk_ms > 0.0 { chunk_ms * SLOW_FACTOR } else { f64::INFINITY };
-        Self { slow_ms, share: 1.0, sent_slow: 0, came_slow: 0, restless: 0, window_max }
+        Self {
+            slow_ms,
+            share: 1.0,
+            sent_slow: 0,
+            came_slow: 0,
+            came_late: 0,
+            restless: 0,
+            window_max,
+        }
     }
 
     /// A chunk left, or was given up, and was held up by the link for so long.
@@ -59,10 +72,10 @@
         }
     }
 
-    /// A chunk came, or was given up, after so long.
+    /// A chunk came after so long.
     pub fn came(&mut self, took_ms: u64) {
         if took_ms as f64 <= self.slow_ms {
-            self.came_slow = 0;
+            (self.came_slow, self.came_late) = (0, 0);
             self.restless = self.restless.saturating_sub(1);
             return;
         }
@@ -72,6 +85,14 @@
         }
     }
 
+    /// A chunk was given up, as it had not come in time.
+    pub fn gave_up(&mut self) {
+        self.came_late += 1;
+        if self.came_late >= LATE_IN_A_ROW && self.slow_ms.is_finite() {
+            self.restless = CALM_CHUNKS;
+        }
+    }
+
     /// Part of the usual rate at which to send.
     pub fn share(&self) -> f64 {
         self.share
--- a/ragwortdeal_core/src/spread/requests.rs
+++ b/ragwortdeal_core/src/spread/requests.rs
@@ -8,6 +8,11 @@
 /// treble it, and a false timeout costs a second transfer of the chunk.
 const DEADLINE_FACTOR: u64 = 8;
 
+/// Timeouts in a row after which the way to peers is taken for slow. A peer that is gone answers
+/// nobody: were all who deal with it to wait longer for others too, a few such peers would hold up
+/// every instance. The origin is one for all, so a single one shows that it is slow.
+const LATE_IN_A_ROW: u32 = 4;
+
 /// Who was asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Asked {
@@ -61,6 +66,8 @@
     remote: usize,
     probes: usize,
     durations_ms: [Option<u64>; 3],
+    /// Timeouts since a chunk came over such a link.
+    late: [u32; 3],
     deadline_min_ms: u64,
     deadline_far_min_ms: u64,
     deadline_max_ms: u64,
@@ -77,6 +84,7 @@
             remote: 0,
             probes: 0,
             durations_ms: [None; 3],
+            late: [0; 3],
             deadline_min_ms: limits.deadline_min_ms,
             deadline_far_min_ms: limits.deadline_far_min_ms,
             deadline_max_ms: limits.deadline_max_ms,
@@ -114,13 +122,19 @@
     /// Learns from a request that brought its chunk.
     pub fn answered(&mut self, now_ms: u64, request: &Request) {
         let took_ms = now_ms.saturating_sub(request.sent_ms);
+        self.late[request.link as usize] = 0;
         let smoothed = &mut self.durations_ms[request.link as usize];
         *smoothed = Some(smoothed.map_or(took_ms, |before_ms| (before_ms * 7 + took_ms) / 8));
     }
 
-    /// Doubles the patience after a timeout: if the link is slow for all, the same deadline would
+    /// Doubles the patience after timeouts: if the link is slow for all, the same deadline would
     /// fail again and again and the link would carry nothing but abandoned chunks.
     pub fn expired(&mut self, link: Link) {
+        let late = &mut self.late[link as usize];
+        *late += 1;
+        if link != Link::Origin && *late < LATE_IN_A_ROW {
+            return;
+        }
         let patience_ms = self.patience_ms(link);
         self.durations_ms[link as usize] = Some(patience_ms * 2 / DEADLINE_FACTOR);
     }
--- a/ragwortdeal_node/src/agent/transfer/fetch.rs
+++ b/ragwortdeal_node/src/agent/transfer/fetch.rs
@@ -109,7 +109,7 @@
             Ok((head, _)) => failed(wanted, failure(&head)),
             Err(error) => {
                 log::debug!("agent: {error}");
-                failed(wanted, event::Failure::Error)
+                failed(wanted, chunk_answers::failure_of(&error))
             }
         }
     }
--- a/ragwortdeal_node/src/chunk_answers.rs
+++ b/ragwortdeal_node/src/chunk_answers.rs
@@ -1,4 +1,5 @@
-//! How agents tell each other that a chunk is not there yet.
+//! What became of requests for chunks: how agents tell each other that one is not there yet, and
+//! what a call without an answer means.
 
 use gotham::hyper::{header, http::response};
 use ragwortdeal_core::spread::event;
@@ -29,3 +30,8 @@
     let origin_fails = head.headers.contains_key(ORIGIN_FAILS);
     (head.status.as_u16() == 404).then_some(event::Failure::NotYet { held, origin_fails })
 }
+
+/// What it means for a chunk that a call for it failed.
+pub fn failure_of(error: &http::HttpError) -> event::Failure {
+    if error.is_late() { event::Failure::Timeout } else { event::Failure::Error }
+}
--- a/ragwortdeal_node/src/fleet/agent.rs
+++ b/ragwortdeal_node/src/fleet/agent.rs
@@ -4,6 +4,7 @@
 //! them back, and orders the engine to load them. `docs/design/platform.md` has the times.
 
 mod engine;
+mod fetch;
 mod keeper;
 mod origin;
 mod peers;
--- a/ragwortdeal_node/src/fleet/agent/spread.rs
+++ b/ragwortdeal_node/src/fleet/agent/spread.rs
@@ -9,22 +9,12 @@
 };
 use tokio::{sync::Notify, task};
 
-use super::{Agent, origin, peers};
-use crate::{
-    chunk_answers,
-    fleet::{dialect, notice},
-    http,
-};
+use super::{Agent, fetch, origin};
+use crate::fleet::notice;
 
 /// How often deadlines, announcements and members are looked at.
 const TICK: time::Duration = time::Duration::from_millis(40);
 
-/// Longest time that an announcement of chunks may take.
-const ANNOUNCE_MS: u64 = 2_000;
-
-/// Largest answer to it.
-const ANSWER_MAX_BYTES: usize = 64 << 10;
-
 /// Chunks under way to an instance at once. Callers' requests share its link and wait behind each:
 /// 42 ms at 9.4 Mbit/s, of which a first event may take 300.
 const DOWNLOADS_MAX: usize = 2;
@@ -70,17 +60,6 @@
     draws: bool,
 }
 
-/// One chunk to fetch.
-struct Wanted {
-    weights: origin::Weights,
-    manifest: manifest::Manifest,
-    source: event::Source,
-    chunk: u32,
-    deadline_ms: u64,
-    /// Whether the origin may be asked.
-    draws: bool,
-}
-
 impl Active {
     fn whole(&self) -> Option<Whole> {
         self.download.is_complete().then(|| Whole {
@@ -368,7 +347,7 @@
     fn act(self: &sync::Arc<Self>, active: &mut Active, action: event::Action) {
         match action {
             event::Action::Request { source, chunk, deadline_ms } => {
-                let wanted = Wanted {
+                let wanted = fetch::Wanted {
                     weights: active.weights.clone(),
                     manifest: active.listed.manifest.clone(),
                     source: source.clone(),
@@ -393,7 +372,7 @@
             }
             event::Action::Blame { source, chunk, fault } => {
                 if fault == event::Fault::Timeout && source != event::Source::Origin {
-                    self.spread.flow().came(u64::MAX);
+                    self.spread.flow().gave_up();
                 }
                 log::info!("agent: chunk {chunk} from {source:?}: {fault:?}");
                 let from_origin = source == event::Source::Origin;
@@ -409,114 +388,25 @@
         }
     }
 
-    async fn fetch(self: sync::Arc<Self>, wanted: Wanted) {
-        let begun = time::Instant::now();
-        let fetched = self.fetch_bytes(&wanted).await;
-        // What is given up is counted where its deadline is. The origin's queue is not the own link.
-        if fetched.is_ok() && wanted.source != event::Source::Origin {
-            self.spread.flow().came(begun.elapsed().as_millis() as u64);
-        }
-        let Wanted { weights, manifest, source, chunk, .. } = wanted;
-        let version = manifest.version();
-        let event = match fetched {
-            Err(failure) => {
-                event::Event::Failed { source: source.clone(), version, chunk, failure }
-            }
-            Ok(bytes) => match manifest.verify_chunk(chunk, &bytes) {
-                Err(fault) => event::Event::Bad { source: source.clone(), version, chunk, fault },
-                Ok(proof) => {
-                    log::debug!("agent: chunk {chunk} of {weights:?} came from {source:?}");
-                    let from = match source {
-                        event::Source::Origin => "agent.origin_bytes",
-                        event::Source::Peer(_) => "agent.peer_bytes",
-                    };
-                    self.telemetry.count(from, bytes.len() as u64);
-                    self.keep(&weights, chunk, bytes);
-                    event::Event::Arrived { source: source.clone(), chunk: proof }
-                }
-            },
-        };
+    /// A request for a chunk has ended.
+    pub(super) fn fetched(
+        self: &sync::Arc<Self>,
+        weights: &origin::Weights,
+        request: (event::Source, u32),
+        event: event::Event,
+    ) {
         let mut state = self.spread.state();
-        if let Some(active) = state.iter_mut().find(|it| it.weights == weights) {
-            active.fetches.remove(&(source, chunk));
+        if let Some(active) = state.iter_mut().find(|it| it.weights == *weights) {
+            active.fetches.remove(&request);
             self.feed_active(active, event);
         }
     }
 
-    fn keep(&self, weights: &origin::Weights, chunk: u32, bytes: Bytes) {
+    pub(super) fn keep(&self, weights: &origin::Weights, chunk: u32, bytes: Bytes) {
         let mut state = self.spread.state();
         if let Some(active) = state.iter_mut().find(|it| it.weights == *weights) {
             active.origin_faults = 0;
             active.bytes.insert(chunk, bytes);
         }
     }
-
-    async fn fetch_bytes(&self, wanted: &Wanted) -> Result<Bytes, event::Failure> {
-        let Wanted { weights, manifest, source, chunk, deadline_ms, draws } = wanted;
-        let (chunk, deadline_ms) = (*chunk, *deadline_ms);
-        let (peer, call) = match source {
-            event::Source::Origin if !draws => return Err(event::Failure::Error),
-            event::Source::Origin => {
-                let document = self.told.borrow().document.clone();
-                let origin = document.as_ref().and_then(|document| document.origin());
-                let origin = origin.ok_or(event::Failure::Error)?.address.to_string();
-                (origin, self.spoken.chunk_call(&weights.model, weights.version, chunk))
-            }
-            event::Source::Peer(instance) => {
-                let path = peers::chunk_path(weights, chunk);
-                let call = dialect::Call { method: hyper::Method::GET, path, body: Bytes::new() };
-                (self.settings.link_address(instance), call)
-            }
-        };
-        // One byte more than the chunk, so that one that is too long is told from a good one.
-        let max_bytes = manifest.chunk_bytes() as usize + 1;
-        let request = hyper::Request::builder()
-            .method(call.method)
-            .uri(format!("http://{peer}{}", call.path))
-            .header(peers::INSTANCE, self.identity.name.as_str());
-        let request = match source {
-            event::Source::Origin => origin::closing(request),
-            event::Source::Peer(_) => {
-                request.header("authorization", self.credential.header_value())
-            }
-        };
-        let request = request.body(http::full(call.body)).map_err(|_| event::Failure::Error)?;
-        let fetched = self.http.fetch("fetch chunk", &peer, request, max_bytes, deadline_ms).await;
-        let (head, bytes) = fetched.map_err(|error| {
-            log::debug!("agent: {error}");
-            event::Failure::Error
-        })?;
-        match head.status.as_u16() {
-            200 => Ok(bytes),
-            503 => Err(event::Failure::Busy),
-            _ => Err(chunk_answers::read_not_yet(&head).unwrap_or(event::Failure::Error)),
-        }
-    }
-
-    /// Tells peers which further chunks are held here.
-    async fn announce(
-        self: sync::Arc<Self>,
-        to: Vec<name::InstanceName>,
-        holdings: roster::Holdings,
-    ) {
-        let mut body = Vec::new();
-        ciborium::into_writer(&holdings, &mut body).expect("own types encode into memory");
-        let body = Bytes::from(body);
-        for instance in to {
-            let peer = self.settings.link_address(&instance);
-            let call = dialect::Call {
-                method: hyper::Method::POST,
-                path: peers::HOLDINGS_PATH.to_owned(),
-                body: body.clone(),
-            };
-            let agent = self.clone();
-            tokio::spawn(async move {
-                let told =
-                    agent.call("announce chunks", &peer, call, ANSWER_MAX_BYTES, ANNOUNCE_MS);
-                if let Err(error) = told.await {
-                    log::debug!("agent: {error}");
-                }
-            });
-        }
-    }
 }
--- a/ragwortdeal_node/src/http/client.rs
+++ b/ragwortdeal_node/src/http/client.rs
@@ -33,6 +33,8 @@
         step: &'static str,
         /// Address of the other side.
         peer: sync::Arc<str>,
+        /// Whether it took too long, so that it was not refused.
+        late: bool,
     },
     /// The request may have arrived, but no answer came.
     #[snafu(display("{step}: no answer from {peer}: {reason}"))]
@@ -43,6 +45,8 @@
         peer: sync::Arc<str>,
         /// What went wrong.
         reason: String,
+        /// Whether the time was up.
+        late: bool,
     },
     /// The answer was cut short, too large or too slow.
     #[snafu(display("{step}: bad answer from {peer}: {source}"))]
@@ -56,6 +60,16 @@
     },
 }
 
+impl HttpError {
+    /// Whether nothing came in time. Another failure says nothing about the way there.
+    pub fn is_late(&self) -> bool {
+        match self {
+            Self::NotSent { late, .. } | Self::Unanswered { late, .. } => *late,
+            Self::BadAnswer { source, .. } => source.kind() == io::ErrorKind::TimedOut,
+        }
+    }
+}
+
 /// An HTTP client with a pool of connections.
 #[derive(Clone, Debug)]
 pub struct Client {
@@ -98,14 +112,17 @@
         let deadline = time::Duration::from_millis(deadline_ms);
         match tokio::time::timeout(deadline, self.inner.request(request)).await {
             Ok(Ok(response)) => Ok(response),
-            Ok(Err(error)) if error.is_connect() => Err(HttpError::NotSent { step, peer: peer() }),
+            Ok(Err(error)) if error.is_connect() => {
+                let late = timed_out(&error);
+                Err(HttpError::NotSent { step, peer: peer(), late })
+            }
             Ok(Err(error)) => {
-                let reason = error.to_string();
-                Err(HttpError::Unanswered { step, peer: peer(), reason })
+                let (reason, late) = (error.to_string(), timed_out(&error));
+                Err(HttpError::Unanswered { step, peer: peer(), reason, late })
             }
             Err(_) => {
                 let reason = format!("nothing within {deadline_ms} ms");
-                Err(HttpError::Unanswered { step, peer: peer(), reason })
+                Err(HttpError::Unanswered { step, peer: peer(), reason, late: true })
             }
         }
     }
@@ -127,3 +144,13 @@
         Ok((head, bytes))
     }
 }
+
+/// Whether a failure goes back to a time that was up: of the connect, or of sent bytes that nobody
+/// acknowledged.
+fn timed_out(error: &(dyn std::error::Error + 'static)) -> bool {
+    let mut causes = std::iter::successors(Some(error), |error| error.source());
+    causes.any(|cause| {
+        let cause = cause.downcast_ref::<io::Error>();
+        cause.is_some_and(|cause| cause.kind() == io::ErrorKind::TimedOut)
+    })
+}
