Tell neighbours behind narrow links of chunks once a second

What callers saw: requests went on to arrive seconds late at engines behind links that had turned narrow, though no chunk came over these links any more.

Cause, as far as traced: an agent's connects go on to time out for 6 s after it found its link narrow and asked for next to nothing. By arithmetic, not by a measurement of bytes, the words of sixteen neighbours fill the link: each tells of its new chunks up to sixteen times a second, and 256 words of some 500 bytes a second are 1.0 of the 1.2 Mbit/s.

Change: a neighbour that says that its link is narrow is told once a second, of all that is new.

In the core test a neighbour is told 29 times in 6.6 s before and at most 7 times after.

--- a/ragwortdeal_core/src/spread/announcer.rs
+++ b/ragwortdeal_core/src/spread/announcer.rs
@@ -11,10 +11,17 @@
 /// start of a spread the others wait for each chunk, later they have enough to go on with.
 const FRESH_PART: usize = 8;
 
+/// Time between two messages to a neighbour behind a narrow link. All neighbours tell it of each
+/// chunk, a dozen times a second each, which alone would fill such a link.
+const NARROW_INTERVAL_MS: u64 = 1_000;
+
 /// Announcements that are gathered until the interval is over.
 #[derive(Clone, Debug)]
 pub struct Announcer {
     fresh: Vec<u32>,
+    /// What neighbours behind narrow links were not told yet.
+    narrow_fresh: Vec<u32>,
+    narrow_due_ms: u64,
     neighbours: Vec<owners::PeerIndex>,
     informed: collections::BTreeSet<owners::PeerIndex>,
     neighbours_stale: bool,
@@ -31,6 +38,8 @@
     pub fn new(kept: Vec<u32>, limits: &limits::Limits) -> Self {
         Self {
             fresh: kept,
+            narrow_fresh: Vec::new(),
+            narrow_due_ms: 0,
             neighbours: Vec::new(),
             informed: collections::BTreeSet::new(),
             neighbours_stale: true,
@@ -59,25 +68,45 @@
         peers: &peers::Peers,
         owners: &owners::Owners,
     ) -> Vec<Message> {
+        let mut messages = self.due_at_narrow(now_ms, peers);
         let many = self.fresh.len() * FRESH_PART >= held.len().max(1);
         if now_ms < self.due_ms && !many {
-            return Vec::new();
+            return messages;
         }
         self.due_ms = now_ms + self.interval_ms;
-        let mut messages = self.greet(held, peers);
+        messages.extend(self.greet(held, peers));
         if self.fresh.is_empty() {
             return messages;
         }
         let fresh = std::mem::take(&mut self.fresh);
+        self.narrow_fresh.extend_from_slice(&fresh);
         messages.extend(tier_messages(&fresh, peers, owners));
-        let incomplete = |peer: &owners::PeerIndex| !peers.get(*peer).holds.is_full();
-        let to: Vec<_> = self.neighbours.iter().copied().filter(incomplete).collect();
+        let to = self.incomplete(peers, false);
         if !to.is_empty() {
             messages.push((to, fresh));
         }
         messages
     }
 
+    fn due_at_narrow(&mut self, now_ms: u64, peers: &peers::Peers) -> Vec<Message> {
+        if now_ms < self.narrow_due_ms || self.narrow_fresh.is_empty() {
+            return Vec::new();
+        }
+        self.narrow_due_ms = now_ms + NARROW_INTERVAL_MS;
+        let fresh = std::mem::take(&mut self.narrow_fresh);
+        let to = self.incomplete(peers, true);
+        if to.is_empty() { Vec::new() } else { vec![(to, fresh)] }
+    }
+
+    /// Neighbours that lack chunks, behind narrow links or not.
+    fn incomplete(&self, peers: &peers::Peers, narrow: bool) -> Vec<owners::PeerIndex> {
+        let lacks = |peer: &owners::PeerIndex| {
+            let peer = peers.get(*peer);
+            !peer.holds.is_full() && peer.narrow == narrow
+        };
+        self.neighbours.iter().copied().filter(lacks).collect()
+    }
+
     /// Tells new neighbours everything that was announced before they came.
     fn greet(&mut self, held: &chunk_set::ChunkSet, peers: &peers::Peers) -> Vec<Message> {
         if !std::mem::take(&mut self.neighbours_stale) {
--- a/ragwortdeal_core/tests/spread_narrow.rs
+++ b/ragwortdeal_core/tests/spread_narrow.rs
@@ -63,6 +63,10 @@
     /// Requests under way with their deadline and when their chunk will have come.
     under_way: collections::BTreeMap<u32, (event::Source, u64, u64, u64)>,
     wait_ms: u64,
+    /// Of whose messages account is kept.
+    told_of: Option<name::InstanceName>,
+    words: usize,
+    told: collections::BTreeSet<u32>,
 }
 
 impl Scene {
@@ -72,6 +76,8 @@
         let limits = limits::Limits {
             downloads_max: 2,
             uploads_per_peer_max: 1,
+            neighbours_max: PEERS as usize + 1,
+            announce_interval_ms: 60,
             busy_backoff_ms: 25,
             // Peers hold everything, so that nothing is drawn or probed.
             settle_ms: 1_000_000,
@@ -92,6 +98,9 @@
             free_at_ms: 0,
             under_way: collections::BTreeMap::new(),
             wait_ms: 0,
+            told_of: None,
+            words: 0,
+            told: collections::BTreeSet::new(),
         };
         for peer in 1..=PEERS {
             scene.feed(0, event::Event::Joined(place(peer)));
@@ -151,6 +160,12 @@
                     let request = (source, now_ms, deadline_ms, self.free_at_ms);
                     self.under_way.insert(chunk, request);
                 }
+                event::Action::Announce { to, chunks }
+                    if self.told_of.as_ref().is_some_and(|instance| to.contains(instance)) =>
+                {
+                    self.words += 1;
+                    self.told.extend(chunks);
+                }
                 event::Action::Cancel { chunk, .. } => _ = self.under_way.remove(&chunk),
                 event::Action::Blame { fault: event::Fault::Timeout, .. } => {
                     self.flow.gave_up();
@@ -205,3 +220,19 @@
         expect_that!(scene.download.is_complete(), eq(true), "{ends:?}");
     }
 }
+
+/// All neighbours of an instance tell it of every chunk that they get, a dozen times a second each.
+/// Behind a link at an eighth of its rate these words alone fill it, and callers' requests wait
+/// behind them for as long as the others fetch.
+#[googletest::test]
+fn a_neighbour_behind_a_narrow_link_is_told_of_chunks_seldom_and_of_all() {
+    let mut scene = Scene::new(Ends::First, u64::MAX, 0);
+    let narrow = place(PEERS + 1).instance;
+    scene.feed(0, event::Event::Joined(place(PEERS + 1)));
+    scene.feed(0, event::Event::Link { instance: narrow.clone(), narrow: true });
+    scene.told_of = Some(narrow);
+    scene.run(STEP_MS, SWITCHES_END_MS);
+    expect_that!(scene.download.is_complete(), eq(true));
+    expect_that!(scene.words, le(SWITCHES_END_MS as usize / 1_000 + 1));
+    expect_that!(scene.told.len(), eq(CHUNKS as usize));
+}
