Leave a silent engine only for one that takes the stream

Cause: a quiet upstream was treated as one that broke off. Its silence is no end of an answer, which may still come.

Change: a stream that has begun leaves a quiet upstream once another one goes on with it, and waits on where none does. A request without an event yet is taken back as before.

Figures: streams_of_a_silent_engine_stay_open_where_nobody_takes_them lost all streams of the silent engine before, none now.

--- a/ragwortdeal_node/src/fleet/entry/relay.rs
+++ b/ragwortdeal_node/src/fleet/entry/relay.rs
@@ -25,6 +25,8 @@
     Whole,
     /// The upstream broke off.
     Lost(String),
+    /// The upstream has gone quiet. What it owes may still come.
+    Quiet,
     /// Time is up.
     Late,
 }
@@ -67,6 +69,12 @@
                 pump.source.give_back(&pump.entry);
                 return Some(response);
             }
+            Read::Quiet => {
+                let reason = "it has gone quiet before its first event";
+                pump.entry.broke_off(&pump.asked, &pump.source.chosen, reason);
+                *progress = pump.progress;
+                return None;
+            }
             Read::Lost(reason) => {
                 pump.entry.broke_off(&pump.asked, &pump.source.chosen, &reason);
                 *progress = pump.progress;
@@ -94,9 +102,7 @@
         let bound = to_begin.map_or(left, |to_begin| to_begin.min(left));
         let next = tokio::select! {
             next = tokio::time::timeout(bound, self.source.answer.body.frame()) => next,
-            () = self.source.chosen.gone_quiet() => {
-                return Read::Lost("its upstream has gone quiet".to_owned());
-            }
+            () = self.source.chosen.gone_quiet() => return Read::Quiet,
         };
         if let Ok(Some(Ok(_))) = &next {
             self.source.chosen.spoke();
@@ -149,6 +155,10 @@
                     false => return self.caller_gone(),
                 },
                 Read::Whole => return self.source.give_back(&self.entry),
+                Read::Quiet => {
+                    self.leave_quiet(&sender).await;
+                    continue;
+                }
                 Read::Late => "no time is left".to_owned(),
                 Read::Lost(reason) => {
                     self.entry.broke_off(&self.asked, &self.source.chosen, &reason);
@@ -196,24 +206,54 @@
         loop {
             let next = self.entry.next(&self.asked, &mut self.progress);
             let chosen = next.map_err(|refusal| refusal.reason.to_owned())?;
-            let exchange = self.entry.exchange(&self.asked, &chosen, self.events.last());
-            let outcome = tokio::select! {
-                outcome = exchange => outcome,
-                () = sender.closed() => return Err("the caller left".to_owned()),
-            };
-            let settled = self.entry.settle(&self.asked, &chosen, outcome, &mut self.progress);
-            if let Some(answer) = settled
-                && answer.head.status.is_success()
-            {
-                log::info!(
-                    request = self.asked.id(), last_event = self.events.last().unwrap_or(0),
-                    upstream = &*chosen.peer.instance;
-                    "entry: stream resumed"
-                );
-                self.entry.telemetry.count("entry.streams_resumed", 1);
-                self.source = Source { chosen, answer: *answer };
-                return Ok(());
+            match self.go_on_at(chosen, sender).await {
+                Some(Ok(source)) => {
+                    self.source = source;
+                    return Ok(());
+                }
+                Some(Err(())) => (),
+                None => return Err("the caller left".to_owned()),
             }
         }
     }
+
+    /// Leaves an upstream that has gone quiet, once another one goes on with the stream. Until then
+    /// it may be heard again: no caller's answer ends because an upstream says nothing for a while.
+    async fn leave_quiet(&mut self, sender: &mpsc::Sender<Piece>) {
+        if self.asked.route.repeat != document::Repeat::Resume {
+            return;
+        }
+        let Ok(chosen) = self.entry.next(&self.asked, &mut self.progress) else {
+            return;
+        };
+        if let Some(Ok(source)) = self.go_on_at(chosen, sender).await {
+            self.events.reconnect();
+            self.source = source;
+        }
+    }
+
+    /// Asks an upstream for what is behind the last event that was passed on. None where the caller
+    /// left meanwhile.
+    async fn go_on_at(
+        &mut self,
+        chosen: upstreams::Chosen,
+        sender: &mpsc::Sender<Piece>,
+    ) -> Option<Result<Source, ()>> {
+        let exchange = self.entry.exchange(&self.asked, &chosen, self.events.last());
+        let outcome = tokio::select! {
+            outcome = exchange => outcome,
+            () = sender.closed() => return None,
+        };
+        let settled = self.entry.settle(&self.asked, &chosen, outcome, &mut self.progress);
+        let Some(answer) = settled.filter(|answer| answer.head.status.is_success()) else {
+            return Some(Err(()));
+        };
+        log::info!(
+            request = self.asked.id(), last_event = self.events.last().unwrap_or(0),
+            upstream = &*chosen.peer.instance;
+            "entry: stream resumed"
+        );
+        self.entry.telemetry.count("entry.streams_resumed", 1);
+        Some(Ok(Source { chosen, answer: *answer }))
+    }
 }
--- a/ragwortdeal_node/tests/fleet_requests.rs
+++ b/ragwortdeal_node/tests/fleet_requests.rs
@@ -402,3 +402,24 @@
     })
     .await;
 }
+
+/// An engine says nothing for a second, and no other engine takes its streams. Cut at once, callers
+/// would have lost answers that were still to come.
+#[googletest::test]
+#[tokio::test]
+async fn streams_of_a_silent_engine_stay_open_where_nobody_takes_them() {
+    let fleet = fleet().await;
+    let streams = long_streams(&fleet).await;
+    let both_work = async || fleet.models.iter().all(|engine| in_work(engine) > 1);
+    world::until("both engines work", both_work).await;
+    tokio::time::sleep(time::Duration::from_millis(100)).await;
+    fleet.models[1].behave(Behaviour::Shed);
+    fleet.models[0].freeze(true);
+    tokio::time::sleep(time::Duration::from_millis(1_000)).await;
+    fleet.models[0].freeze(false);
+    for stream in streams {
+        let answer = stream.await.unwrap();
+        expect_that!(answer.whole, eq(true));
+        expect_that!(answer.body, eq(&engine::whole_stream(LONG_EVENTS)));
+    }
+}
