Tell agents what changed of one agent, not all of all

Cause: a voter told all agents the whole list of agents whenever one came, went or called its link narrow or free again. The list takes 59 bytes an agent, 4.5 KB with 76 agents, and eight voters send it: 36 KB on the link of each agent for one change. In the three seconds after links turned narrow there were 37 changes of that kind and 24 of agents that were killed and came back: 2.2 MB for each link, 15 s of one of 1.2 Mbit/s. Requests waited behind it. Evidence: 1.7 s after the squeeze dozens of agents of which nine were behind narrow links called theirs narrow, as chunks came late behind the lists; each such word made another round of lists. Voters' reads failed meanwhile for want of a quorum, as three quarters of these bytes cross regions.

Ruled out: chunks (two under way, 0.7 s of the link) and announcements of chunks (0.4 MB in all) are a part of it, by arithmetic, and cannot fill six seconds.

Change: a voter tells the one agent that came or changed, or that one has left; the whole list goes to an agent that connects. The count of entries is told where an entry comes or goes, not with each agent. A message about one agent is the same size among any number of them, so the messages of a squeeze do not add up to a flood.

--- a/ragwortdeal_node/src/fleet/agent.rs
+++ b/ragwortdeal_node/src/fleet/agent.rs
@@ -57,10 +57,13 @@
     document: Option<sync::Arc<document::Document>>,
     /// Weights that were named.
     named: naming::Namings,
-    /// Other agents, by the voter that tells of them.
-    seats: collections::BTreeMap<std_net::Ipv4Addr, Vec<notice::Seat>>,
+    /// Agents, by the voter that tells of them.
+    seats: collections::BTreeMap<std_net::Ipv4Addr, Seats>,
 }
 
+/// Agents by their address.
+type Seats = collections::BTreeMap<std_net::Ipv4Addr, notice::Seat>;
+
 /// An agent and its state.
 struct Agent {
     spoken: dialect::Spoken,
@@ -158,9 +161,25 @@
             follow::Told::Notice(voter, notice::Notice::Named(named)) => {
                 agent.named(voter, &named);
             }
-            follow::Told::Notice(voter, notice::Notice::Agents(seats)) => {
+            follow::Told::Notice(voter, notice::Notice::Agents(mut seats)) => {
+                // Of two processes at one address the one that started later runs.
+                seats.sort_by_key(|seat| seat.incarnation);
+                let seats = seats.into_iter().map(|seat| (seat.address, seat)).collect();
                 agent.told.send_modify(|told| _ = told.seats.insert(voter, seats));
             }
+            follow::Told::Notice(voter, notice::Notice::Agent(seat)) => {
+                agent.told.send_modify(|told| {
+                    let seats = told.seats.entry(voter).or_default();
+                    seats.insert(seat.address, seat);
+                });
+            }
+            follow::Told::Notice(voter, notice::Notice::AgentLeft(address)) => {
+                agent.told.send_modify(|told| {
+                    if let Some(seats) = told.seats.get_mut(&voter) {
+                        seats.remove(&address);
+                    }
+                });
+            }
             follow::Told::Notice(_, notice::Notice::Upstreams(said)) => {
                 let own = said.iter().filter(|said| said.address == agent.engine);
                 own.for_each(|said| agent.engine_announced(said.age.born_ms));
@@ -282,11 +301,10 @@
     }
 
     /// Other agents that run, as any voter knows them.
-    fn seats(&self) -> collections::BTreeMap<std_net::Ipv4Addr, notice::Seat> {
+    fn seats(&self) -> Seats {
         let told = self.told.borrow();
-        let mut seats: collections::BTreeMap<std_net::Ipv4Addr, notice::Seat> =
-            collections::BTreeMap::new();
-        for seat in told.seats.values().flatten() {
+        let mut seats = Seats::new();
+        for seat in told.seats.values().flat_map(collections::BTreeMap::values) {
             let later = |held: &notice::Seat| held.incarnation >= seat.incarnation;
             if seat.address != self.settings.fleet.address
                 && !seats.get(&seat.address).is_some_and(later)
--- a/ragwortdeal_node/src/fleet/entry/learn.rs
+++ b/ragwortdeal_node/src/fleet/entry/learn.rs
@@ -40,7 +40,9 @@
             notice::Notice::Entries(count) => entry.fleet().entries(voter, count),
             notice::Notice::Follow { .. }
             | notice::Notice::Voters(_)
-            | notice::Notice::Agents(_) => (),
+            | notice::Notice::Agents(_)
+            | notice::Notice::Agent(_)
+            | notice::Notice::AgentLeft(_) => (),
         }
     }
 }
--- a/ragwortdeal_node/src/fleet/notice.rs
+++ b/ragwortdeal_node/src/fleet/notice.rs
@@ -32,8 +32,13 @@
         /// How old its word is, where it told.
         age: Option<directory::Age>,
     },
-    /// Agents that run, as this voter knows them.
+    /// All agents that run, as this voter knows them, for an agent that follows anew.
     Agents(Vec<Seat>),
+    /// An agent that has come, or of which something changed. Each change goes to all agents from all
+    /// voters, so it names this agent alone.
+    Agent(Seat),
+    /// An agent that is not connected any more.
+    AgentLeft(net::Ipv4Addr),
     /// An agent tells which weights its engine serves. A voter tells an agent that follows it what
     /// was said from there before.
     Serves(Serves),
--- a/ragwortdeal_node/src/voter/fleet/hub.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -133,19 +133,23 @@
             let zone = session.hello.zone.clone();
             let incarnation = session.hello.incarnation;
             let seat = notice::Seat { address, zone, incarnation, narrow: false };
-            state.agents.insert(session.id, seat);
-            state.tell_agents();
+            state.agents.insert(session.id, seat.clone());
+            state.tell_role("agent", &notice::seal(&notice::Notice::Agent(seat)));
+        }
+        if session.hello.role == "entry" {
+            state.tell_entries();
         }
-        state.tell_entries();
     }
 
     pub(super) fn closed(&self, session: link::SessionId) {
         let mut state = self.state();
-        state.followers.remove(&session);
-        if state.agents.remove(&session).is_some() {
-            state.tell_agents();
+        let closed = state.followers.remove(&session);
+        if let Some(seat) = state.agents.remove(&session) {
+            state.tell_agent_closed(seat.address);
+        }
+        if closed.is_some_and(|it| it.session.hello.role == "entry") {
+            state.tell_entries();
         }
-        state.tell_entries();
     }
 
     /// Takes what another voter told.
@@ -179,7 +183,8 @@
                 if let Some(seat) = state.agents.get_mut(&session.id)
                     && std::mem::replace(&mut seat.narrow, serves.narrow) != serves.narrow
                 {
-                    state.tell_agents();
+                    let changed = notice::seal(&notice::Notice::Agent(seat.clone()));
+                    state.tell_role("agent", &changed);
                 }
                 let newer = |held: &notice::Serves| held.number < serves.number;
                 if state.serves.get(&serves.address).is_none_or(newer) {
@@ -207,9 +212,15 @@
         }
     }
 
-    fn tell_agents(&self) {
-        let seats = self.agents.values().cloned().collect();
-        self.tell_role("agent", &notice::seal(&notice::Notice::Agents(seats)));
+    /// Tells agents that a link to one of them has closed. A process that was started again there may
+    /// have opened another one before.
+    fn tell_agent_closed(&self, address: net::Ipv4Addr) {
+        let others = self.agents.values().filter(|seat| seat.address == address);
+        let notice = match others.max_by_key(|seat| seat.incarnation) {
+            Some(seat) => notice::Notice::Agent(seat.clone()),
+            None => notice::Notice::AgentLeft(address),
+        };
+        self.tell_role("agent", &notice::seal(&notice));
     }
 
     fn tell_entries(&self) {
