Withdraw engines that cannot change their weights in time

Callers got answers that began on superseded weights: entries stop sending 1.2 to 4 s before the bound, but requests that were sent in time reached engines behind narrow links six seconds later. An entry cannot take back what is on its way, so no margin before the bound can hold.

Change: shortly before the bound an agent whose engine still serves superseded weights, and for which no newer ones are at hand, orders the engine to hold one layer alone. The engine ends its answers in progress, and rejects what arrives with 421, so it has not run. The agent stands beside its engine and needs no link for that. Entries hear that the engine takes nothing, and read from announcements whether an engine holds all layers. The same bound ends the wait for answers before a change of weights, in which late requests could begin.

--- a/ragwortdeal_core/src/directory.rs
+++ b/ragwortdeal_core/src/directory.rs
@@ -38,6 +38,22 @@
     pub version: u64,
 }
 
+/// The part of a model's layers that an engine holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Layers {
+    /// The first layer.
+    pub from: u32,
+    /// The layer behind the last one.
+    pub to: u32,
+}
+
+impl Layers {
+    /// Whether these are all layers of a model that has so many.
+    pub fn is_all(self, layers: u32) -> bool {
+        self.from == 0 && self.to >= layers
+    }
+}
+
 /// Order of what one upstream says of itself: its start in Unix milliseconds, then a number that
 /// rises with each announcement. Both are the upstream's own; no clock of ours is compared.
 #[derive(
@@ -78,6 +94,9 @@
     pub slots: u32,
     /// Models that it serves.
     pub held: Vec<Held>,
+    /// Layers that it holds of them, none where it does not tell.
+    #[serde(default)]
+    pub layers: Option<Layers>,
 }
 
 impl Announcement {
@@ -92,6 +111,7 @@
             standing: Standing::Gone,
             slots: 0,
             held: Vec::new(),
+            layers: None,
         }
     }
 }
--- a/ragwortdeal_core/src/document.rs
+++ b/ragwortdeal_core/src/document.rs
@@ -130,6 +130,8 @@
     pub memory_tokens: u64,
     /// Mean prompt and answer in tokens.
     pub usual: Usual,
+    /// Layers of a model, 0 where that is not told.
+    pub layers: u32,
     /// Chunks of one version of weights.
     pub chunks: u32,
     /// Bytes of one chunk.
--- a/ragwortdeal_core/src/orders/turns.rs
+++ b/ragwortdeal_core/src/orders/turns.rs
@@ -21,6 +21,14 @@
 /// at hand by then.
 const OVERDUE_BEGIN_MS: u64 = 5_600;
 
+/// Time before the bound at which an engine that cannot change in time stops to serve. Requests that
+/// it has by then begin within some hundred milliseconds.
+const WITHDRAW_MARGIN_MS: u64 = 800;
+
+/// The same behind a narrow link, where requests are not sent for longer, and word of the naming
+/// comes late.
+const WITHDRAW_NARROW_MARGIN_MS: u64 = 2_500;
+
 /// Since when an engine should change, on one clock of the caller.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Since {
@@ -44,6 +52,14 @@
         };
         has_come(self.named_ms, BEGIN_MS) || has_come(self.superseded_ms, OVERDUE_BEGIN_MS)
     }
+
+    /// Whether an engine that cannot change in time must stop to serve. Requests that were sent in
+    /// time can reach it seconds late, and whoever sent them cannot take them back.
+    pub fn must_withdraw(&self, narrow: bool, bound_ms: u64, now_ms: i64) -> bool {
+        let margin_ms = if narrow { WITHDRAW_NARROW_MARGIN_MS } else { WITHDRAW_MARGIN_MS };
+        let within_ms = bound_ms.saturating_sub(margin_ms) as i64;
+        self.superseded_ms.is_some_and(|since_ms| now_ms >= since_ms + within_ms)
+    }
 }
 
 /// An instance whose engine changes.
--- a/ragwortdeal_core/tests/directory.rs
+++ b/ragwortdeal_core/tests/directory.rs
@@ -13,6 +13,7 @@
         standing,
         slots: 16,
         held: Vec::new(),
+        layers: None,
     }
 }
 
--- a/ragwortdeal_core/tests/figures/mod.rs
+++ b/ragwortdeal_core/tests/figures/mod.rs
@@ -15,6 +15,7 @@
         read_chunk_tokens: 2_048,
         memory_tokens: 1_640_000,
         usual: document::Usual { prompt_tokens: 964.0, answer_tokens: 119.0 },
+        layers: 16,
         chunks: 48,
         chunk_bytes: 49_152,
     }
--- a/ragwortdeal_core/tests/overload/main.rs
+++ b/ragwortdeal_core/tests/overload/main.rs
@@ -90,6 +90,7 @@
         read_chunk_tokens: 2_048,
         memory_tokens: 317_000,
         usual: document::Usual { prompt_tokens: 964.0, answer_tokens: 92.0 },
+        layers: 16,
         chunks: 48,
         chunk_bytes: 49_152,
     };
--- a/ragwortdeal_node/src/fleet/agent/engine.rs
+++ b/ragwortdeal_node/src/fleet/agent/engine.rs
@@ -1,6 +1,7 @@
 //! Calls to the engine on this instance.
 
 use bytes::Bytes;
+use ragwortdeal_core::directory;
 
 use super::{Agent, origin, peers};
 use crate::{fleet::dialect, http};
@@ -11,6 +12,16 @@
 /// Largest report.
 const REPORT_MAX_BYTES: usize = 256 << 10;
 
+/// An order to load weights.
+pub(super) struct Load<'o> {
+    pub(super) weights: &'o origin::Weights,
+    /// The layers to hold, all where none are named.
+    pub(super) layers: Option<directory::Layers>,
+    pub(super) cutover: dialect::Cutover,
+    /// Orders that the engine has accepted before.
+    pub(super) orders: u64,
+}
+
 impl Agent {
     /// Calls an HTTP server.
     pub(super) async fn call(
@@ -86,14 +97,10 @@
 
     /// Orders the engine to load what is staged. Returns the status, none where no answer came: the
     /// order may have been accepted all the same.
-    pub(super) async fn order_load(
-        &self,
-        weights: &origin::Weights,
-        cutover: dialect::Cutover,
-        orders: u64,
-    ) -> Option<u16> {
+    pub(super) async fn order_load(&self, load: &Load<'_>) -> Option<u16> {
+        let Load { weights, layers, cutover, orders } = *load;
         let origin::Weights { model, version } = weights;
-        let call = self.spoken.load_call(model, *version, cutover, Some(orders));
+        let call = self.spoken.load_call(model, *version, layers, cutover, Some(orders));
         let (status, _) = self.call_engine("order load", call, REPORT_MAX_BYTES).await?;
         Some(status)
     }
--- a/ragwortdeal_node/src/fleet/agent/keeper.rs
+++ b/ragwortdeal_node/src/fleet/agent/keeper.rs
@@ -6,9 +6,9 @@
 use std::{sync, time};
 
 use bytes::Bytes;
-use ragwortdeal_core::{orders::turns, spread::manifest};
+use ragwortdeal_core::{directory, orders::turns, spread::manifest};
 
-use super::{Agent, origin, spread};
+use super::{Agent, engine, origin, spread};
 use crate::fleet::dialect;
 
 /// Pause between two looks while there is nothing to do.
@@ -31,6 +31,9 @@
 /// Times that a staged chunk is staged anew before the order is put off.
 const STAGE_TRIES: u32 = 3;
 
+/// Layers of an engine that must not serve. A request needs all of them.
+const WITHDRAWN: directory::Layers = directory::Layers { from: 0, to: 1 };
+
 /// Version that engines hold before any is named.
 const FIRST_VERSION: u64 = 1;
 
@@ -68,7 +71,7 @@
         let Some(report) = self.report().await else {
             return;
         };
-        let serving = held(&report, &weights.model);
+        let serving = self.serving(&report, &weights.model);
         if report.busy {
             return;
         }
@@ -79,7 +82,55 @@
         self.tell_overdue(&weights, serving, overdue);
         if let Some(whole) = self.due(&weights, serving) {
             self.switch(&whole, &report).await;
+        } else if self.must_withdraw(&weights, serving) {
+            self.withdraw(&weights, serving, &report).await;
+        }
+    }
+
+    /// Version that the engine serves, 0 where it holds a part of the layers alone.
+    fn serving(&self, report: &dialect::EngineReport, model: &str) -> u64 {
+        let told = self.told.borrow();
+        let document = told.document.as_ref();
+        let engine = document.and_then(|it| it.service(&self.service)?.engine.as_ref());
+        let layers = engine.map_or(0, |engine| engine.layers);
+        if report.layers.is_some_and(|held| !held.is_all(layers)) {
+            return 0;
         }
+        let versions = report.held.iter().filter(|held| *held.model == *model);
+        versions.map(|held| held.version).max().unwrap_or(0)
+    }
+
+    /// Whether the engine serves weights that must not be served any more soon, and cannot change.
+    fn must_withdraw(&self, weights: &origin::Weights, serving: u64) -> bool {
+        let superseded_ms = self.told.borrow().named.superseded_at_ms(&weights.model, serving);
+        let since = turns::Since { named_ms: None, superseded_ms };
+        let narrow = self.spread.flow().is_narrow();
+        let now_ms = self.clock.now_ms() as i64;
+        serving > 0 && since.must_withdraw(narrow, self.settings.bounds.weights_ms, now_ms)
+    }
+
+    /// Orders the engine to hold a part of the layers alone. It ends the answers in progress and
+    /// rejects whatever still arrives, until it is ordered to load weights that may be served.
+    async fn withdraw(
+        &self,
+        newest: &origin::Weights,
+        serving: u64,
+        report: &dialect::EngineReport,
+    ) {
+        self.say(serving, false);
+        let weights = origin::Weights { model: newest.model.clone(), version: serving };
+        let load = engine::Load {
+            weights: &weights,
+            layers: Some(WITHDRAWN),
+            cutover: dialect::Cutover::Wait,
+            orders: report.orders,
+        };
+        let status = self.order_load(&load).await;
+        log::warn!(
+            model = &*weights.model, version = serving, newest = newest.version, status:?;
+            "agent: the engine is ordered to stop serving superseded weights"
+        );
+        self.telemetry.count("agent.withdrawals", 1);
     }
 
     /// Tells once for each pair of versions that the engine does not serve the newer one in time.
@@ -128,6 +179,9 @@
         let now_ms = self.clock.now_ms() as i64;
         let whole = self.spread.whole(weights).or_else(|| self.spread.whole_below(weights));
         let whole = whole.filter(|whole| whole.weights.version > serving)?;
+        if self.must_withdraw(weights, whole.weights.version) {
+            return None;
+        }
         let since = {
             let named = &self.told.borrow().named;
             turns::Since {
@@ -182,21 +236,30 @@
             log::warn!("agent: {weights:?} is not whole where it is staged, tried again");
             return;
         }
-        let serving = held(report, &weights.model);
+        let serving = self.serving(report, &weights.model);
         self.say(serving, false);
         if serving > 0 {
-            self.let_requests_end().await;
+            let model = weights.model.clone();
+            self.let_requests_end(&origin::Weights { model, version: serving }).await;
         }
-        let status = self.order_load(weights, dialect::Cutover::BreakOff, report.orders).await;
+        let load = engine::Load {
+            weights,
+            layers: None,
+            cutover: dialect::Cutover::BreakOff,
+            orders: report.orders,
+        };
+        let status = self.order_load(&load).await;
         log::info!("agent: ordered {weights:?}, status={status:?}");
         let begun = time::Instant::now();
         self.await_load(weights, report.orders).await;
         self.telemetry.took("agent.load_ms", begun.elapsed().as_millis() as u64);
     }
 
-    async fn let_requests_end(&self) {
+    /// Waits until running requests have ended, for a while. Where the time of the weights is nearly
+    /// up, a late request would begin meanwhile, so nothing is waited for.
+    async fn let_requests_end(&self, weights: &origin::Weights) {
         let begun = time::Instant::now();
-        while begun.elapsed() < QUIET {
+        while begun.elapsed() < QUIET && !self.must_withdraw(weights, weights.version) {
             tokio::time::sleep(QUIET_PAUSE).await;
             let report = self.report().await;
             if report.is_some_and(|report| report.running + report.waiting == 0) {
@@ -233,7 +296,7 @@
         let begun = time::Instant::now();
         while begun.elapsed() < LOAD {
             if let Some(report) = self.report().await {
-                let serving = held(&report, &weights.model);
+                let serving = self.serving(&report, &weights.model);
                 if !report.busy && serving >= weights.version {
                     return self.say(serving, true);
                 }
@@ -247,8 +310,3 @@
         log::warn!("agent: the engine did not load {weights:?} in time");
     }
 }
-
-fn held(report: &dialect::EngineReport, model: &str) -> u64 {
-    let versions = report.held.iter().filter(|held| *held.model == *model);
-    versions.map(|held| held.version).max().unwrap_or(0)
-}
--- a/ragwortdeal_node/src/fleet/dialect.rs
+++ b/ragwortdeal_node/src/fleet/dialect.rs
@@ -115,6 +115,8 @@
 pub struct EngineReport {
     /// Models that it serves.
     pub held: Vec<directory::Held>,
+    /// Layers that it holds of them, none where it does not tell.
+    pub layers: Option<directory::Layers>,
     /// Whether an order is being carried out.
     pub busy: bool,
     /// Orders accepted so far.
@@ -176,11 +178,12 @@
     /// Reads an engine's report.
     fn report(&self, body: &[u8]) -> Result<EngineReport, Unreadable>;
 
-    /// Orders an engine to load what is staged.
+    /// Orders an engine to load what is staged: all layers, or these alone.
     fn load_call(
         &self,
         model: &str,
         version: u64,
+        layers: Option<directory::Layers>,
         cutover: Cutover,
         expected_orders: Option<u64>,
     ) -> Call;
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -33,6 +33,8 @@
     gates: collections::HashMap<directory::Text, gate::Gate>,
     /// What callers of each route have.
     patience: collections::HashMap<directory::Text, patience::Patience>,
+    /// Layers of the models of each service of engines.
+    layers: collections::HashMap<directory::Text, u32>,
 }
 
 impl Fleet {
@@ -49,6 +51,7 @@
             spending: collections::HashMap::new(),
             gates: collections::HashMap::new(),
             patience: collections::HashMap::new(),
+            layers: collections::HashMap::new(),
         }
     }
 
@@ -130,7 +133,9 @@
     /// Version that an engine serves: none where it loads or has nothing. The word of the agent
     /// beside it counts where it speaks of the same life of the engine.
     fn version_of(&self, said: &directory::Announcement) -> Option<u64> {
-        let announced = said.held.iter().map(|held| held.version).max();
+        let layers = self.layers.get(&said.service).copied().unwrap_or(0);
+        let whole = said.layers.is_none_or(|held| held.is_all(layers));
+        let announced = said.held.iter().filter(|_| whole).map(|held| held.version).max();
         let agent = self.serves.get(&said.address);
         match agent.filter(|it| it.born_ms == said.age.born_ms) {
             Some(agent) if !agent.accepts => None,
@@ -328,11 +333,14 @@
         backlog::Others { near, all: entries - 1.0 }
     }
 
-    /// Forgets routes and services that the document no longer names.
+    /// Takes what a document tells of services, and forgets routes and services that it no longer
+    /// names.
     pub(super) fn retain(&mut self, document: &document::Document) {
         let has_route = |name: &directory::Text| document.routes.iter().any(|it| it.name == *name);
         self.patience.retain(|name, _| has_route(name));
         self.gates.retain(|name, _| document.service(name).is_some());
+        let layers = |it: &document::Service| Some((it.name.clone(), it.engine.as_ref()?.layers));
+        self.layers = document.services.iter().filter_map(layers).collect();
     }
 
     /// What is left of the time of a caller of a route that goes on waiting for so long.
--- a/ragwortdeal_node/tests/fleet_weights.rs
+++ b/ragwortdeal_node/tests/fleet_weights.rs
@@ -14,6 +14,9 @@
 
 const ENTRY: u8 = 10;
 
+/// Time after a naming within which older weights may be served.
+const WEIGHTS_BOUND: time::Duration = time::Duration::from_secs(8);
+
 struct Fleet {
     world: World,
     origin: sync::Arc<Origin>,
@@ -223,3 +226,27 @@
     let _agent = world.agent(20).await;
     world::until("the entry serves again", async || ask().await == 200).await;
 }
+
+/// A request that was sent in time reaches its engine late, after the time of its weights is up.
+#[googletest::test]
+#[tokio::test]
+async fn an_engine_that_cannot_change_in_time_rejects_what_arrives_late() {
+    let fleet = fleet(1).await;
+    let engine = &fleet.engines[0];
+    engine.stream(3, time::Duration::from_millis(5));
+    fleet.origin.lose(true);
+    fleet.name(2).await;
+    let named = time::Instant::now();
+    let late = async |number: u32| {
+        let ask = Ask::new("POST", "/stream/one", &format!("late-{number}"));
+        ask.answer(engine.address).await.status
+    };
+    expect_that!(late(1).await, eq(200));
+    tokio::time::sleep_until((named + WEIGHTS_BOUND).into()).await;
+    expect_that!(late(2).await, eq(421));
+    expect_that!(engine.arrivals()[1].ran_on, none());
+    fleet.origin.lose(false);
+    fleet.until_all_serve(2).await;
+    expect_that!(fleet.loaded_whole(2), eq(true));
+    expect_that!(engine.is_whole(), eq(true));
+}
--- a/ragwortdeal_standins/src/fleet/engine.rs
+++ b/ragwortdeal_standins/src/fleet/engine.rs
@@ -14,6 +14,9 @@
     task,
 };
 
+/// Layers of the model.
+pub const LAYERS: u64 = 3;
+
 type Body = UnsyncBoxBody<Bytes, io::Error>;
 
 /// What the engine does with requests.
@@ -73,6 +76,8 @@
     running: u64,
     staged: collections::BTreeMap<u32, Bytes>,
     version: u64,
+    /// Layers that it holds: the first, and the one behind the last.
+    layers: (u64, u64),
     orders: u64,
     loaded: Vec<Vec<[u8; 32]>>,
     events: u64,
@@ -101,6 +106,13 @@
     }
 }
 
+impl State {
+    fn held_layers(&self) -> serde_json::Value {
+        let (from, to) = self.layers;
+        serde_json::json!({"from": from, "to": to, "version": self.version})
+    }
+}
+
 impl Engine {
     /// Starts an engine that serves this version of weights, 0 for none.
     pub async fn start(
@@ -116,6 +128,7 @@
             running: 0,
             staged: collections::BTreeMap::new(),
             version,
+            layers: (0, LAYERS),
             orders: 0,
             loaded: Vec::new(),
             events: 5,
@@ -181,6 +194,11 @@
         self.state().version
     }
 
+    /// Whether it holds all layers, which a request needs.
+    pub fn is_whole(&self) -> bool {
+        self.state().layers == (0, LAYERS)
+    }
+
     /// Stages chunks beforehand, as an engine that was there at the start has them.
     pub fn stage_all(&self, chunks: &[Bytes]) {
         let numbered = (0..).zip(chunks.iter().cloned());
@@ -209,6 +227,7 @@
             "service": service, "address": self.address.to_string(), "zone": zone, "version": "v1",
             "slots": 8, "state": standing, "cold-remaining-ms": 0, "stage": "combined",
             "models": models, "sequence": number, "born": 1_000,
+            "layers": self.state().held_layers(),
         })
         .to_string()
     }
@@ -291,7 +310,7 @@
             expected("x-expected-instance").is_some_and(|it| *it != *self.instance);
         let version = self.version().to_string();
         let other_version = expected("x-expected-version").is_some_and(|it| *it != *version);
-        if other_instance || other_version {
+        if other_instance || other_version || !self.is_whole() {
             return Ok(self.signed(plain(421, ""), id, &version));
         }
         if behaviour == Behaviour::Shed {
@@ -399,6 +418,7 @@
         let report = serde_json::json!({
             "stage": "combined", "models": models, "busy": false, "sequence": state.orders,
             "waiting-requests": 0, "running-requests": state.running,
+            "layers": state.held_layers(),
         });
         plain(200, report.to_string())
     }
@@ -415,6 +435,8 @@
             return plain(409, "");
         }
         state.orders += 1;
+        let layer = |name: &str, usual: u64| order[name].as_u64().unwrap_or(usual);
+        state.layers = (layer("from", 0), layer("to", LAYERS));
         let hash = |bytes: &Bytes| <[u8; 32]>::from(sha2::Sha256::digest(bytes));
         let hashes = state.staged.values().map(hash).collect();
         state.loaded.push(hashes);
--- a/ragwortdeal_standins/src/fleet/world.rs
+++ b/ragwortdeal_standins/src/fleet/world.rs
@@ -349,7 +349,7 @@
                     "models": [{"name": "model-a", "pace": 1.0, "load-s": 4.0, "warm-s": 0.3}],
                     "step_ms": 6.0, "per_seq_ms": 0.02, "context_per_k": 0.01,
                     "read_per_s": 30_000.0, "pairs_per_m": 0.6, "chunk": 2048,
-                    "usual": {"prompt": 900, "answer": 100},
+                    "usual": {"prompt": 900, "answer": 100}, "layers": engine::LAYERS,
                     "chunks": origin::CHUNKS, "chunk-bytes": origin::CHUNK_BYTES}},
                 {"name": "ledger", "health-path": "/health", "connection-limit": 64,
                  "protocol": "h1", "tls": false},
