Log when a document is received and how long its answer took

A configuration that is not acknowledged for seconds could not be told from one that no voter received: only the acknowledgement was logged. The receipt has a line now, and both outcomes have the time that they took.

--- a/ragwortdeal_node/src/voter/fleet/control.rs
+++ b/ragwortdeal_node/src/voter/fleet/control.rs
@@ -115,6 +115,8 @@
             return text(400, &format!("{invalid}\n"));
         }
         let version = document.version;
+        let begun = time::Instant::now();
+        log::info!("voter: document version={version} received");
         // What is applied here is on the disks of a quorum, so an older or repeated version is
         // acknowledged without asking the group.
         if self.documents.borrow().version() >= version {
@@ -124,11 +126,15 @@
         let sealed = store::Sealed { version, body: packing::pack(body).into() };
         match steps::decide(&self.events, store::Step::Install(sealed)).await {
             Ok(()) => {
-                log::info!("voter: document version={version} acknowledged");
+                let took_ms = begun.elapsed().as_millis() as u64;
+                log::info!(took_ms; "voter: document version={version} acknowledged");
                 text(200, "in force\n")
             }
             Err(reason) => {
-                log::warn!("voter: document version={version} not acknowledged: {reason}");
+                let took_ms = begun.elapsed().as_millis() as u64;
+                log::warn!(
+                    took_ms; "voter: document version={version} not acknowledged: {reason}"
+                );
                 text(503, &format!("{reason}\n"))
             }
         }
