Name the health of upstreams and the state of paths

`Way`, `Voice`, `echo`, `gone_quiet`, `reborn`, `forgive` and `look` asked a reader to learn a picture first. They are `Health`, `Activity`, `probe`, `stalled`, `after_restart`, `reset_failures` and `check_progress` or `reconcile` now, in the files that handle weights and their delivery. Names and comments alone; log lines stay as they are. The names in `dispatch::silence`, `fleet::words` and `dispatch::patience` are left for another time.

--- a/ragwortdeal_core/src/dispatch.rs
+++ b/ragwortdeal_core/src/dispatch.rs
@@ -5,11 +5,11 @@
 pub mod backlog;
 pub mod choice;
 pub mod cutoff;
-pub mod echo;
 pub mod elsewhere;
 pub mod forecast;
 pub mod gate;
 pub mod patience;
 pub mod pressure;
+pub mod probe;
 pub mod share;
 pub mod silence;
--- a/ragwortdeal_core/src/dispatch/backlog.rs
+++ b/ragwortdeal_core/src/dispatch/backlog.rs
@@ -45,7 +45,7 @@
 
 impl Backlog {
     /// The backlog at a new life of the upstream: of the life before only what is still open counts.
-    pub fn reborn(&self) -> Self {
+    pub fn after_restart(&self) -> Self {
         Self { open: self.open, ..Self::default() }
     }
 
--- a/ragwortdeal_core/tests/dispatch_echo.rs
+++ b/ragwortdeal_core/tests/dispatch_probe.rs
@@ -1,27 +1,27 @@
-//! What questions tell of the way to an instance, and what words tell of its load.
+//! What questions tell of the path to an instance, and what words tell of its load.
 
 use googletest::prelude::*;
 use ragwortdeal_core::dispatch::{
     backlog::{Backlog, Others, Place},
     choice,
-    echo::{Echo, Way},
     elsewhere::Requests,
+    probe::{PathState, Probe},
 };
 
 /// Asks every 100 ms up to a moment; each question is answered after its round trip, if at all.
-fn asked(until_ms: u64, round_trip_ms: impl Fn(u64) -> Option<u64>) -> Echo {
-    let mut echo = Echo::default();
+fn asked(until_ms: u64, round_trip_ms: impl Fn(u64) -> Option<u64>) -> Probe {
+    let mut probe = Probe::default();
     let mut answers = Vec::new();
     for now_ms in 0..=until_ms {
         if now_ms % 100 == 0 {
-            echo.asked(now_ms);
+            probe.asked(now_ms);
             answers.extend(round_trip_ms(now_ms).map(|round_ms| (now_ms + round_ms, now_ms)));
         }
         for (_, asked_at_ms) in answers.extract_if(.., |(at_ms, _)| *at_ms == now_ms) {
-            echo.answered(asked_at_ms, now_ms);
+            probe.answered(asked_at_ms, now_ms);
         }
     }
-    echo
+    probe
 }
 
 macro_rules! way_is {
@@ -30,45 +30,48 @@
             $(#[$guards])*
             #[googletest::test]
             fn $name() {
-                expect_that!(asked(2_000, $answers).way(2_000), eq($way));
+                expect_that!(asked(2_000, $answers).path_state(2_000), eq($way));
             }
         )*
     };
 }
 
 way_is! {
-    a_way_with_prompt_answers_is_free: |_| Some(6) => Way::Free;
+    a_path_with_prompt_answers_is_free: |_| Some(6) => PathState::Free;
     /// Guards against an instance without an agent that is passed over for good.
-    a_way_that_was_never_answered_is_unknown: |_| None => Way::Unknown;
+    a_path_that_was_never_answered_is_unknown: |_| None => PathState::Unknown;
     /// Guards against a lost datagram that shuts an engine out.
-    a_way_with_one_lost_answer_is_free: |at| (at != 1_900).then_some(6) => Way::Free;
+    a_path_with_one_lost_answer_is_free: |at| (at != 1_900).then_some(6) => PathState::Free;
     /// Guards against requests to a machine that stands still.
-    a_way_that_gives_no_answers_is_silent: |at| (at < 1_500).then_some(6) => Way::Silent;
+    a_path_that_gives_no_answers_is_silent: |at| (at < 1_500).then_some(6) => PathState::Silent;
     /// Guards against requests that wait for seconds behind a narrow link.
-    a_way_with_a_queue_is_slow: |at| Some(if at < 1_500 { 6 } else { 300 }) => Way::Slow;
+    a_path_with_a_queue_is_slow: |at| Some(if at < 1_500 { 6 } else { 300 }) => PathState::Slow;
     /// Guards against a queue that grows faster than answers come, and looks like a dead agent.
-    a_way_with_a_growing_queue_is_slow: |at| Some(6 + (at.max(1_400) - 1_400) * 2) => Way::Slow;
+    a_path_with_a_growing_queue_is_slow: |at| Some(6 + (at.max(1_400) - 1_400) * 2) => PathState::Slow;
 }
 
-/// Guards against requests to superseded weights over a way of which nothing is known any more.
+/// Guards against requests to superseded weights over a path of which nothing is known any more.
 #[googletest::test]
 fn only_a_way_that_was_free_just_now_is_sure() {
     let free = asked(2_000, |_| Some(6));
-    expect_that!([free.is_sure(2_010), free.is_sure(2_600)], elements_are![eq(true), eq(false)]);
-    expect_that!(asked(2_000, |at| (at < 1_500).then_some(6)).is_sure(2_000), eq(false));
-    expect_that!(asked(2_000, |_| Some(200)).is_sure(2_000), eq(false));
-    expect_that!(asked(2_000, |_| None).is_sure(2_000), eq(true));
+    expect_that!(
+        [free.is_confirmed(2_010), free.is_confirmed(2_600)],
+        elements_are![eq(true), eq(false)]
+    );
+    expect_that!(asked(2_000, |at| (at < 1_500).then_some(6)).is_confirmed(2_000), eq(false));
+    expect_that!(asked(2_000, |_| Some(200)).is_confirmed(2_000), eq(false));
+    expect_that!(asked(2_000, |_| None).is_confirmed(2_000), eq(true));
 }
 
 /// Guards against an old answer that shows a blocked way as free.
 #[googletest::test]
 fn an_answer_that_was_overtaken_says_nothing() {
-    let mut echo = Echo::default();
-    echo.asked(0);
-    echo.asked(100);
-    expect_that!(echo.answered(100, 400), eq(true));
-    expect_that!(echo.answered(0, 405), eq(false));
-    expect_that!(echo.way(410), eq(Way::Slow));
+    let mut probe = Probe::default();
+    probe.asked(0);
+    probe.asked(100);
+    expect_that!(probe.answered(100, 400), eq(true));
+    expect_that!(probe.answered(0, 405), eq(false));
+    expect_that!(probe.path_state(410), eq(PathState::Slow));
 }
 
 /// Guards against entries that take an engine for idle because its answers are late: they send it
@@ -96,9 +99,9 @@
     backlog.opened(40.0);
     backlog.shed(16, 0);
     backlog.answered(100.0, 900.0, 0);
-    let reborn = backlog.reborn().candidate(&place, &Others::default(), 0);
-    expect_that!(reborn.open, eq(1));
-    expect_that!(reborn.elsewhere + reborn.excess_ms + reborn.reading_ms, eq(0.0));
+    let restarted = backlog.after_restart().candidate(&place, &Others::default(), 0);
+    expect_that!(restarted.open, eq(1));
+    expect_that!(restarted.elsewhere + restarted.excess_ms + restarted.reading_ms, eq(0.0));
 }
 
 /// A deployment comes back and all entries see idle engines. Guards against a flood of prompts that
--- a/ragwortdeal_node/src/fleet/agent/keeper.rs
+++ b/ragwortdeal_node/src/fleet/agent/keeper.rs
@@ -42,7 +42,7 @@
     let mut told = agent.told.subscribe();
     let mut overdue = None;
     loop {
-        agent.look(&mut overdue).await;
+        agent.reconcile(&mut overdue).await;
         tokio::select! {
             () = tokio::time::sleep(PAUSE) => (),
             () = agent.spread.wait() => (),
@@ -64,7 +64,7 @@
 
     /// Takes the next step. `overdue` holds for which versions it was told last that the engine does
     /// not serve the newer one in time.
-    async fn look(self: &sync::Arc<Self>, overdue: &mut Option<(u64, u64)>) {
+    async fn reconcile(self: &sync::Arc<Self>, overdue: &mut Option<(u64, u64)>) {
         let Some(weights) = self.intended() else {
             return;
         };
--- a/ragwortdeal_node/src/fleet/entry.rs
+++ b/ragwortdeal_node/src/fleet/entry.rs
@@ -2,6 +2,7 @@
 
 mod events;
 mod exchange;
+mod health;
 mod learn;
 mod pool;
 mod questions;
@@ -9,7 +10,6 @@
 mod request;
 mod serve;
 mod upstreams;
-mod way;
 
 use std::{
     sync::{self, atomic},
@@ -163,7 +163,7 @@
         follow::start(settings.clone(), identity, "entry", entry.held_version.clone(), seeds);
     tokio::spawn(learn::follow(entry.clone(), voters.clone(), told));
     tokio::spawn(sweep(entry.clone()));
-    tokio::spawn(look(entry.clone()));
+    tokio::spawn(watch_progress(entry.clone()));
     tokio::spawn(questions::run(entry.clone(), settings.clone()));
     let (stopper, unready) = stop::pair();
     let (readiness_stopper, readiness_stop) = stop::pair();
@@ -208,10 +208,10 @@
 
 /// Looks for upstreams that have gone quiet. After a standstill of this process one look is made, and
 /// not all that were missed: what came meanwhile is not read yet.
-async fn look(entry: sync::Arc<Entry>) {
+async fn watch_progress(entry: sync::Arc<Entry>) {
     loop {
         tokio::time::sleep(LOOK).await;
         let now_ms = entry.clock.now_ms();
-        entry.fleet().look(now_ms);
+        entry.fleet().check_progress(now_ms);
     }
 }
--- a/ragwortdeal_node/src/fleet/entry/exchange.rs
+++ b/ragwortdeal_node/src/fleet/entry/exchange.rs
@@ -63,7 +63,7 @@
         let left = chosen.left_to_begin().map_or(asked.left(), |left| left.min(asked.left()));
         let answered = tokio::select! {
             answered = tokio::time::timeout(left, sent) => answered,
-            () = chosen.gone_quiet() => {
+            () = chosen.stalled() => {
                 return Outcome::Lost("its upstream has gone quiet".to_owned());
             }
         };
--- a/ragwortdeal_node/src/fleet/entry/way.rs
+++ b/ragwortdeal_node/src/fleet/entry/health.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{self, atomic};
 
-use ragwortdeal_core::dispatch::{backlog, choice, echo, elsewhere, silence};
+use ragwortdeal_core::dispatch::{backlog, choice, elsewhere, probe, silence};
 use tokio::sync as tokio_sync;
 
 use crate::fleet::{dialect, words};
@@ -17,11 +17,11 @@
 /// Part of an upstream's failing that is left after one good answer.
 const FAILING_KEPT: f64 = 0.8;
 
-/// A head that takes longer shows a slow way to an upstream; with the engine at work it takes a
+/// A head that takes longer shows a slow path to an upstream; with the engine at work it takes a
 /// third of that.
 const SLOW_HEAD_MS: u64 = 800;
 
-/// A head that takes no longer shows a free way to an upstream.
+/// A head that takes no longer shows a free path to an upstream.
 const PROMPT_HEAD_MS: u64 = 500;
 
 /// For how long it shows that.
@@ -38,26 +38,26 @@
 
 /// What the requests at an upstream and the looks at it tell each other.
 #[derive(Debug, Default)]
-pub(super) struct Voice {
+pub(super) struct Activity {
     spoke: atomic::AtomicBool,
     quiet: tokio_sync::Notify,
 }
 
-impl Voice {
+impl Activity {
     /// Something came from the upstream.
     pub(super) fn spoke(&self) {
         self.spoke.store(true, atomic::Ordering::Relaxed);
     }
 
     /// Waits until the upstream has gone quiet.
-    pub(super) async fn gone_quiet(&self) {
+    pub(super) async fn stalled(&self) {
         self.quiet.notified().await;
     }
 }
 
 /// How this entry fared with an upstream.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Way {
+pub(super) struct Health {
     backlog: backlog::Backlog,
     failing: f64,
     failures: u32,
@@ -65,9 +65,9 @@
     slow_until_ms: u64,
     /// When a first event came in good time last.
     prompt_at_ms: Option<u64>,
-    voice: sync::Arc<Voice>,
+    activity: sync::Arc<Activity>,
     silence: silence::Silence,
-    echo: echo::Echo,
+    probe: probe::Probe,
     /// When it was seen last that it had sent something.
     spoke_at_ms: Option<u64>,
 }
@@ -83,32 +83,40 @@
     pub(super) forecast_ms: Option<f64>,
 }
 
-impl Way {
+impl Health {
     /// A new life of the upstream, which has none of the faults of the one before.
-    pub(super) fn reborn(&self) -> Self {
-        Self { backlog: self.backlog.reborn(), voice: self.voice.clone(), ..Self::default() }
+    pub(super) fn after_restart(&self) -> Self {
+        Self {
+            backlog: self.backlog.after_restart(),
+            activity: self.activity.clone(),
+            ..Self::default()
+        }
     }
 
     /// What failed before says nothing of how it works now.
-    pub(super) fn forgive(&mut self) {
+    pub(super) fn reset_failures(&mut self) {
         (self.failing, self.failures, self.suspended_until_ms) = (0.0, 0, 0);
         self.silence = silence::Silence::default();
     }
 
     /// What is heard of it, for a request there.
-    pub(super) fn voice(&self) -> sync::Arc<Voice> {
-        self.voice.clone()
+    pub(super) fn activity(&self) -> sync::Arc<Activity> {
+        self.activity.clone()
     }
 
     /// Whether it sent something since the last look.
-    pub(super) fn has_spoken(&self) -> bool {
-        self.voice.spoke.load(atomic::Ordering::Relaxed)
+    pub(super) fn was_active(&self) -> bool {
+        self.activity.spoke.load(atomic::Ordering::Relaxed)
     }
 
     /// Looks whether it goes on with what it owes. Where it has gone quiet, all requests there are
     /// told.
-    pub(super) fn look(&mut self, others_spoke: bool, now_ms: u64) -> Option<silence::Change> {
-        let spoke = self.voice.spoke.swap(false, atomic::Ordering::Relaxed);
+    pub(super) fn check_progress(
+        &mut self,
+        others_spoke: bool,
+        now_ms: u64,
+    ) -> Option<silence::Change> {
+        let spoke = self.activity.spoke.swap(false, atomic::Ordering::Relaxed);
         if spoke {
             self.spoke_at_ms = Some(now_ms);
         }
@@ -117,10 +125,10 @@
         let owes = begun || self.backlog.has_unread() || awaited;
         let change = self.silence.look(silence::Look { spoke, others_spoke, owes, begun })?;
         match change {
-            silence::Change::Heard => self.forgive(),
+            silence::Change::Heard => self.reset_failures(),
             silence::Change::Quiet => {
                 self.failed(now_ms);
-                self.voice.quiet.notify_waiters();
+                self.activity.quiet.notify_waiters();
             }
         }
         Some(change)
@@ -131,15 +139,15 @@
         self.backlog.open()
     }
 
-    /// Whether one more request may be sent there. Where it has gone quiet or the way is blocked,
+    /// Whether one more request may be sent there. Where it has gone quiet or the path is blocked,
     /// one at a time shows whether it is back, and only one that may be sent elsewhere afterwards.
-    /// To `superseded` weights nothing is sent unless the way is sure: it could arrive after their
-    /// time. That the engine speaks shows the way back alone.
+    /// To `superseded` weights nothing is sent unless the path is confirmed: it could arrive after their
+    /// time. That the engine answers shows the path back alone.
     pub(super) fn may_take(&self, repeatable: bool, superseded: bool, now_ms: u64) -> bool {
         let doubted = self.silence.is_quiet() || self.is_blocked(now_ms);
         let tries = repeatable && self.open() == 0;
-        let sure = !superseded || self.echo.is_sure(now_ms);
-        sure && (!doubted || tries) && !self.is_suspended(now_ms)
+        let confirmed = !superseded || self.probe.is_confirmed(now_ms);
+        confirmed && (!doubted || tries) && !self.is_suspended(now_ms)
     }
 
     /// The work that it has.
@@ -149,12 +157,12 @@
 
     /// Notes a question to the agent beside it.
     pub(super) fn asked(&mut self, now_ms: u64) {
-        self.echo.asked(now_ms);
+        self.probe.asked(now_ms);
     }
 
     /// Notes a word of the agent beside it. A word that was overtaken says nothing.
     pub(super) fn heard(&mut self, word: &words::Word, now_ms: u64) {
-        if !self.echo.answered(word.asked_at_ms, now_ms) {
+        if !self.probe.answered(word.asked_at_ms, now_ms) {
             return;
         }
         if let Some(load) = word.load {
@@ -171,16 +179,16 @@
 
     /// Whether questions come back late, or not any more.
     pub(super) fn is_delayed(&self, now_ms: u64) -> bool {
-        matches!(self.echo.way(now_ms), echo::Way::Slow | echo::Way::Silent)
+        matches!(self.probe.path_state(now_ms), probe::PathState::Slow | probe::PathState::Silent)
     }
 
-    /// Whether a request would wait on its way. Where the engine speaks, silence is its agent's.
+    /// Whether a request would wait on its path. Where the engine speaks, silence is its agent's.
     fn is_blocked(&self, now_ms: u64) -> bool {
         let speaks = self.spoke_at_ms.is_some_and(|at_ms| now_ms <= at_ms + SPEAKS_MS);
-        match self.echo.way(now_ms) {
-            echo::Way::Slow => true,
-            echo::Way::Silent => !speaks,
-            echo::Way::Free | echo::Way::Unknown => false,
+        match self.probe.path_state(now_ms) {
+            probe::PathState::Slow => true,
+            probe::PathState::Silent => !speaks,
+            probe::PathState::Free | probe::PathState::Unknown => false,
         }
     }
 
--- a/ragwortdeal_node/src/fleet/entry/questions.rs
+++ b/ragwortdeal_node/src/fleet/entry/questions.rs
@@ -1,4 +1,4 @@
-//! Asks agents what their engines have to do, and whether the way there is free.
+//! Asks agents what their engines have to do, and whether the path there is free.
 //!
 //! An upstream tells its load with its answers alone, and under load answers are late: the word that
 //! an entry needs most would be the oldest.
--- a/ragwortdeal_node/src/fleet/entry/relay.rs
+++ b/ragwortdeal_node/src/fleet/entry/relay.rs
@@ -102,7 +102,7 @@
         let bound = to_begin.map_or(left, |to_begin| to_begin.min(left));
         let next = tokio::select! {
             next = tokio::time::timeout(bound, self.source.answer.body.frame()) => next,
-            () = self.source.chosen.gone_quiet() => return Read::Quiet,
+            () = self.source.chosen.stalled() => return Read::Quiet,
         };
         if let Ok(Some(Ok(_))) = &next {
             self.source.chosen.spoke();
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -12,10 +12,9 @@
 use super::{
     Entry,
     exchange::{self, Outcome},
-    pool, relay, request,
+    health, pool, relay, request,
     request::{Asked, Refusal},
     upstreams::chosen,
-    way,
 };
 use crate::http;
 
@@ -188,11 +187,11 @@
             tried: &progress.tried,
             repeatable,
         };
-        let chosen = self.choose(&wanted).map_err(|no_way| match no_way {
+        let chosen = self.choose(&wanted).map_err(|unavailable| match unavailable {
             _ if progress.may_have_run => failed("no other upstream takes it"),
-            chosen::NoWay::None => self.after_outage("no upstream takes work"),
-            chosen::NoWay::Full => self.come_back(asked, "all upstreams are full"),
-            chosen::NoWay::StandsBack => {
+            chosen::Unavailable::None => self.after_outage("no upstream takes work"),
+            chosen::Unavailable::Full => self.come_back(asked, "all upstreams are full"),
+            chosen::Unavailable::StandsBack => {
                 self.come_back(asked, "it would be late and others would wait for it")
             }
         })?;
@@ -276,7 +275,7 @@
                 let load = answer.head.headers.get(&names.load);
                 let load = load.and_then(|value| value.to_str().ok());
                 let load = load.and_then(|value| self.spoken.load(value));
-                let answered = way::Answered {
+                let answered = health::Answered {
                     load,
                     took_ms: answer.took.as_millis() as u64,
                     forecast_ms: chosen.forecast_ms,
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -10,7 +10,7 @@
     document::{self, naming},
 };
 
-use super::{pool, way};
+use super::{health, pool};
 use crate::fleet::{notice, words};
 
 /// A request that has no first event so long before that time is up is taken back from an engine on
@@ -24,7 +24,7 @@
     zones: usize,
     weights_ms: u64,
     directory: directory::Directory,
-    ways: collections::HashMap<directory::Text, way::Way>,
+    health: collections::HashMap<directory::Text, health::Health>,
     serves: collections::HashMap<net::SocketAddrV4, notice::Serves>,
     named: naming::Namings,
     entries: collections::HashMap<net::Ipv4Addr, u32>,
@@ -44,7 +44,7 @@
             zones,
             weights_ms,
             directory: directory::Directory::default(),
-            ways: collections::HashMap::new(),
+            health: collections::HashMap::new(),
             serves: collections::HashMap::new(),
             named: naming::Namings::default(),
             entries: collections::HashMap::new(),
@@ -63,7 +63,7 @@
             log::info!("entry: upstream {instance} at {address} is {standing:?}");
         }
         if lives.is_some_and(|held_ms| held_ms < born_ms) {
-            self.ways.entry(instance).and_modify(|way| *way = way.reborn());
+            self.health.entry(instance).and_modify(|health| *health = health.after_restart());
         }
     }
 
@@ -82,8 +82,8 @@
             // What failed while the engine loaded says nothing of how it works now.
             let here = self.directory.all().filter(|it| it.said.address == serves.address);
             for upstream in here {
-                if let Some(way) = self.ways.get_mut(&upstream.said.instance) {
-                    way.forgive();
+                if let Some(health) = self.health.get_mut(&upstream.said.instance) {
+                    health.reset_failures();
                 }
             }
         }
@@ -114,7 +114,7 @@
     /// Forgets upstreams that left long ago, and how this entry fared with them.
     pub(super) fn forget_gone(&mut self, now_ms: u64) {
         for instance in self.directory.forget_gone(now_ms) {
-            self.ways.remove(&instance);
+            self.health.remove(&instance);
         }
     }
 
@@ -179,28 +179,28 @@
         superseded: bool,
         now_ms: u64,
     ) -> Option<choice::Candidate> {
-        let unknown = way::Way::default();
-        let way = self.ways.get(&said.instance).unwrap_or(&unknown);
-        if !way.may_take(repeatable, superseded, now_ms) {
+        let unknown = health::Health::default();
+        let health = self.health.get(&said.instance).unwrap_or(&unknown);
+        if !health.may_take(repeatable, superseded, now_ms) {
             return None;
         }
         let place = backlog::Place { near: said.zone == self.zone, slots: said.slots };
-        Some(way.candidate(&place, &self.others(), self.is_narrow(said), now_ms))
+        Some(health.candidate(&place, &self.others(), self.is_narrow(said), now_ms))
     }
 
-    /// What is known of the way to an engine. `newer` is the version that it should go to.
+    /// What is known of the path to an engine. `newer` is the version that it should go to.
     fn knowledge(
         &self,
         said: &directory::Announcement,
         newer: u64,
         now_ms: u64,
     ) -> cutoff::Knowledge {
-        let way = self.ways.get(&said.instance);
+        let health = self.health.get(&said.instance);
         cutoff::Knowledge {
             slow: self.is_narrow(said)
-                || way.is_some_and(|way| way.is_slow(now_ms))
-                || way.is_some_and(|way| way.is_delayed(now_ms)),
-            prompt: way.is_some_and(|way| way.is_prompt(now_ms)),
+                || health.is_some_and(|health| health.is_slow(now_ms))
+                || health.is_some_and(|health| health.is_delayed(now_ms)),
+            prompt: health.is_some_and(|health| health.is_prompt(now_ms)),
             holds_newer: newer > 0 && self.whole_at(said) >= newer,
         }
     }
@@ -221,18 +221,18 @@
     }
 
     /// Looks at all upstreams for those that have gone quiet, or are heard again.
-    pub(super) fn look(&mut self, now_ms: u64) {
-        let speaking = self.ways.values().filter(|way| way.has_spoken()).count();
-        for (instance, way) in &mut self.ways {
-            let others_spoke = speaking > usize::from(way.has_spoken());
-            let Some(change) = way.look(others_spoke, now_ms) else {
+    pub(super) fn check_progress(&mut self, now_ms: u64) {
+        let speaking = self.health.values().filter(|health| health.was_active()).count();
+        for (instance, health) in &mut self.health {
+            let others_spoke = speaking > usize::from(health.was_active());
+            let Some(change) = health.check_progress(others_spoke, now_ms) else {
                 continue;
             };
             let message = match change {
                 silence::Change::Quiet => "has gone quiet",
                 silence::Change::Heard => "is heard again",
             };
-            log::info!(upstream = &**instance, open = way.open(); "entry: upstream {message}");
+            log::info!(upstream = &**instance, open = health.open(); "entry: upstream {message}");
         }
     }
 
@@ -252,9 +252,9 @@
             if said.standing == directory::Standing::Gone || !is_engine(&said.service) {
                 continue;
             }
-            let way = self.ways.entry(said.instance.clone()).or_default();
-            if all || said.zone == self.zone || way.open() > 0 {
-                way.asked(now_ms);
+            let health = self.health.entry(said.instance.clone()).or_default();
+            if all || said.zone == self.zone || health.open() > 0 {
+                health.asked(now_ms);
                 addresses.push(*said.address.ip());
             }
         }
@@ -266,35 +266,39 @@
         let there = self.directory.all().filter(|it| *it.said.address.ip() == address);
         let there = there.filter(|it| it.said.standing != directory::Standing::Gone);
         for upstream in there {
-            if let Some(way) = self.ways.get_mut(&upstream.said.instance) {
-                way.heard(word, now_ms);
+            if let Some(health) = self.health.get_mut(&upstream.said.instance) {
+                health.heard(word, now_ms);
             }
         }
     }
 
     /// Notes a request as open at an upstream.
-    fn opened(&mut self, instance: &directory::Text, reading_ms: f64) -> sync::Arc<way::Voice> {
-        let way = self.ways.entry(instance.clone()).or_default();
-        way.backlog_mut().opened(reading_ms);
-        way.voice()
+    fn opened(
+        &mut self,
+        instance: &directory::Text,
+        reading_ms: f64,
+    ) -> sync::Arc<health::Activity> {
+        let health = self.health.entry(instance.clone()).or_default();
+        health.backlog_mut().opened(reading_ms);
+        health.activity()
     }
 
     fn read(&mut self, instance: &str, reading_ms: f64) {
-        if let Some(way) = self.ways.get_mut(instance) {
-            way.backlog_mut().read(reading_ms);
+        if let Some(health) = self.health.get_mut(instance) {
+            health.backlog_mut().read(reading_ms);
         }
     }
 
     fn closed(&mut self, instance: &str) {
-        if let Some(way) = self.ways.get_mut(instance) {
-            way.backlog_mut().closed();
+        if let Some(health) = self.health.get_mut(instance) {
+            health.backlog_mut().closed();
         }
     }
 
     /// Notes that an upstream answered.
-    pub(super) fn answered(&mut self, instance: &str, answer: &way::Answered, now_ms: u64) {
-        if let Some(way) = self.ways.get_mut(instance) {
-            way.answered(answer, now_ms);
+    pub(super) fn answered(&mut self, instance: &str, answer: &health::Answered, now_ms: u64) {
+        if let Some(health) = self.health.get_mut(instance) {
+            health.answered(answer, now_ms);
         }
         let service = self.directory.get(instance).map(|upstream| &upstream.said.service);
         let gate = service.and_then(|service| self.gates.get_mut(service));
@@ -305,14 +309,14 @@
 
     /// Notes that an upstream failed.
     pub(super) fn failed(&mut self, instance: &directory::Text, now_ms: u64) {
-        self.ways.entry(instance.clone()).or_default().failed(now_ms);
+        self.health.entry(instance.clone()).or_default().failed(now_ms);
     }
 
     /// Notes that an upstream is full.
     pub(super) fn shed(&mut self, instance: &str, now_ms: u64) {
         let slots = self.directory.get(instance).map_or(0, |upstream| upstream.said.slots);
-        if let Some(way) = self.ways.get_mut(instance) {
-            way.backlog_mut().shed(slots, now_ms);
+        if let Some(health) = self.health.get_mut(instance) {
+            health.backlog_mut().shed(slots, now_ms);
         }
     }
 
--- a/ragwortdeal_node/src/fleet/entry/upstreams/chosen.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/chosen.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{
-    super::{Entry, pool, way},
+    super::{Entry, health, pool},
     Fleet,
 };
 
@@ -27,7 +27,7 @@
     superseded_at_ms: Option<i64>,
     /// Time at which the request must have begun there, as the weights are superseded.
     begin_by_ms: Option<i64>,
-    voice: sync::Arc<way::Voice>,
+    activity: sync::Arc<health::Activity>,
     /// Whether the request may be sent to more than one upstream.
     repeatable: bool,
     entry: sync::Arc<Entry>,
@@ -49,14 +49,14 @@
 
     /// Something came from the upstream.
     pub(in super::super) fn spoke(&self) {
-        self.voice.spoke();
+        self.activity.spoke();
     }
 
     /// Waits until the upstream has gone quiet. A request that may run only once waits on: nobody
     /// else can answer it.
-    pub(in super::super) async fn gone_quiet(&self) {
+    pub(in super::super) async fn stalled(&self) {
         match self.repeatable {
-            true => self.voice.gone_quiet().await,
+            true => self.activity.stalled().await,
             false => std::future::pending().await,
         }
     }
@@ -82,7 +82,7 @@
 
 /// Why no upstream was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(in super::super) enum NoWay {
+pub(in super::super) enum Unavailable {
     /// There is none that takes work.
     None,
     /// All that take work are full.
@@ -153,7 +153,7 @@
         wanted: &Wanted<'_>,
         now_ms: u64,
         draw: u64,
-    ) -> Result<(usize, Option<f64>), NoWay> {
+    ) -> Result<(usize, Option<f64>), Unavailable> {
         let seen: Vec<_> = offers.iter().map(|offer| offer.seen).collect();
         let best = match &wanted.work {
             Some(work) => {
@@ -164,9 +164,9 @@
             None => choice::best(&seen, draw).ok_or(gate::Turned::Full).map(|it| (it, None)),
         };
         best.map_err(|turned| match turned {
-            _ if offers.is_empty() => NoWay::None,
-            gate::Turned::Full => NoWay::Full,
-            gate::Turned::StandsBack => NoWay::StandsBack,
+            _ if offers.is_empty() => Unavailable::None,
+            gate::Turned::Full => Unavailable::Full,
+            gate::Turned::StandsBack => Unavailable::StandsBack,
         })
     }
 }
@@ -176,7 +176,7 @@
     pub(in super::super) fn choose(
         self: &sync::Arc<Self>,
         wanted: &Wanted<'_>,
-    ) -> Result<Chosen, NoWay> {
+    ) -> Result<Chosen, Unavailable> {
         let now_ms = self.clock.now_ms();
         let draw = self.draw();
         let mut fleet = self.fleet();
@@ -184,7 +184,7 @@
         let (index, forecast_ms) = fleet.best_of(&offers, wanted, now_ms, draw)?;
         let Offer { peer, version, superseded_at_ms, seen } = offers.swap_remove(index);
         let reading_ms = wanted.work.map_or(0.0, |work| work.reading_ms);
-        let voice = fleet.opened(&peer.instance, reading_ms);
+        let activity = fleet.opened(&peer.instance, reading_ms);
         Ok(Chosen {
             peer,
             version,
@@ -193,7 +193,7 @@
             seen,
             superseded_at_ms,
             begin_by_ms: superseded_at_ms.map(|at_ms| fleet.begin_by_ms(at_ms)),
-            voice,
+            activity,
             repeatable: wanted.repeatable,
             entry: self.clone(),
         })
