Tell agents of the engine beside them alone

Agents behind narrow links were told of every announcement of every engine: some 230 in the three seconds in which 76 engines change their weights, 250 bytes each from the voter that took it, and the list of all upstreams (16 KB) from each of eight voters whenever they connect. They use what concerns the engine beside them, and nothing else.

A voter tells other voters and entries as before, and of all agents the one beside the engine.

The test failed before: both agents had heard of both engines.

--- a/ragwortdeal_node/src/voter/fleet/hub.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -5,6 +5,7 @@
 use ragwortdeal_core::{
     directory,
     document::{naming, store},
+    name,
 };
 use ragwortdeal_wire::link as wire;
 
@@ -65,7 +66,7 @@
         self.state.lock().expect("no panic under lock")
     }
 
-    fn published(&self, documents: store::Store, voters: &[ragwortdeal_core::name::InstanceName]) {
+    fn published(&self, documents: store::Store, voters: &[name::InstanceName]) {
         let mut state = self.state();
         state.directory.forget_silent(SILENT_MS, self.clock.now_ms());
         state.documents = documents;
@@ -96,7 +97,7 @@
                 said.age.sequence,
                 said.held
             );
-            state.tell_all(&notice::seal(&notice::Notice::Upstreams(vec![said])));
+            state.tell_of(said);
         }
         effect
     }
@@ -212,6 +213,19 @@
         }
     }
 
+    /// Tells followers of an upstream. Of all agents only the one beside it needs to know.
+    fn tell_of(&self, said: directory::Announcement) {
+        let agent = name::InstanceName::new(&said.address.ip().to_string());
+        let notice = notice::seal(&notice::Notice::Upstreams(vec![said]));
+        for follower in self.followers.values() {
+            let hello = &follower.session.hello;
+            let beside = agent.as_ref().is_ok_and(|name| *hello.name == **name);
+            if hello.role != "agent" || beside {
+                follower.session.push(notice.clone());
+            }
+        }
+    }
+
     /// Tells agents that a link to one of them has closed. A process that was started again there may
     /// have opened another one before.
     fn tell_agent_closed(&self, address: net::Ipv4Addr) {
@@ -297,9 +311,8 @@
         if said.standing == directory::Standing::Ready {
             return;
         }
-        let told = notice::seal(&notice::Notice::Upstreams(vec![said.clone()]));
-        if self.directory.announced(said, now_ms) == directory::Effect::Changed {
-            self.tell_all(&told);
+        if self.directory.announced(said.clone(), now_ms) == directory::Effect::Changed {
+            self.tell_of(said);
         }
     }
 
@@ -313,8 +326,13 @@
         let push = |notice: &notice::Notice| _ = follower.session.push(notice::seal(notice));
         push(&notice::Notice::Named(self.named.told(now_ms)));
         push(&notice::Notice::Voters(self.voters.clone()));
-        let said = self.directory.all().map(|upstream| upstream.said.clone()).collect();
-        push(&notice::Notice::Upstreams(said));
+        let is_agent = follower.session.hello.role == "agent";
+        let address = follower.session.hello.name.parse::<net::Ipv4Addr>();
+        let concerns = |said: &&directory::Announcement| {
+            !is_agent || address.as_ref().is_ok_and(|address| address == said.address.ip())
+        };
+        let said = self.directory.all().map(|upstream| &upstream.said);
+        push(&notice::Notice::Upstreams(said.filter(concerns).cloned().collect()));
         match follower.session.hello.role.as_str() {
             "agent" => {
                 push(&notice::Notice::Agents(self.agents.values().cloned().collect()));
--- a/ragwortdeal_node/tests/fleet_roster.rs
+++ b/ragwortdeal_node/tests/fleet_roster.rs
@@ -23,6 +23,8 @@
     link: link::Link,
     events: mpsc::Receiver<link::LinkEvent>,
     seats: collections::BTreeMap<net::Ipv4Addr, bool>,
+    /// Engines that it was told of.
+    engines: collections::BTreeSet<net::Ipv4Addr>,
 }
 
 impl Agent {
@@ -31,7 +33,8 @@
         let follow = notice::seal(&Notice::Follow { version: 0 });
         link.push("follow", follow).expect("the link is up");
         let address = world.address(number);
-        Self { address, link, events, seats: collections::BTreeMap::new() }
+        let (seats, engines) = (collections::BTreeMap::new(), collections::BTreeSet::new());
+        Self { address, link, events, seats, engines }
     }
 
     fn tell_narrow(&self, number: u64, narrow: bool) {
@@ -66,6 +69,9 @@
                 }
                 Some(Notice::Agent(seat)) => _ = self.seats.insert(seat.address, seat.narrow),
                 Some(Notice::AgentLeft(address)) => _ = self.seats.remove(&address),
+                Some(Notice::Upstreams(said)) => {
+                    self.engines.extend(said.iter().map(|said| *said.address.ip()));
+                }
                 _ => (),
             }
         }
@@ -124,3 +130,23 @@
     drop(again);
     agents[0].hear_until(|seats| !seats.contains_key(&address)).await;
 }
+
+/// Engines announce each change of their weights, all within a few seconds. Told to all agents, these
+/// announcements would fill narrow links with what only the agent beside the engine needs.
+#[googletest::test]
+#[tokio::test]
+async fn an_agent_hears_of_the_engine_beside_it_alone() {
+    let world = World::new(&DIALECT, 1);
+    let _voter = world.voter(1, true).await;
+    let mut agents = agents(&world, 2).await;
+    for number in [FIRST, FIRST + 1] {
+        world.engine(number, "models", 1).await;
+    }
+    let mut later = Agent::connect(&world, FIRST + 2).await;
+    later.hear_until(|seats| seats.len() == 3).await;
+    for agent in &mut agents {
+        agent.hear_until(|seats| seats.len() == 3).await;
+        expect_that!(agent.engines, eq(&[agent.address].into()));
+    }
+    expect_that!(later.engines, is_empty());
+}
