Send operators on from voters that stand by

No voter was in election, disks and links were well.

Cause: eight voters run there and five vote. The other three stand by and have no log. One that was asked kept the call for 2 s, waiting for a leader that it never hears of, and refused it then; a read was refused after 0.9 s. An operator gives a voter one second and then pauses ever longer; three of eight picks end so, and several in a row take over 5 s. Deployments of three voters have none that stands by, and never showed it.

Change: the leader says in its announcements that it leads, and a voter that is no member of the group answers configuration, reads and namings of weights with 307 and the leader's address. Where no leader is heard it waits and refuses as before. Announcements of upstreams are taken as before.

--- a/ragwortdeal_node/src/voter/driver.rs
+++ b/ragwortdeal_node/src/voter/driver.rs
@@ -55,6 +55,8 @@
     pub(super) documents: watch::Sender<document::store::Store>,
     /// Voters heard lately.
     pub(super) voters: watch::Sender<Vec<name::InstanceName>>,
+    /// The leader, where this voter stands by and operators are to ask there.
+    pub(super) redirect: watch::Sender<Option<name::InstanceName>>,
 }
 
 impl Driver {
@@ -104,6 +106,24 @@
         }
     }
 
+    /// A voter that stands by has no log to propose to or read from, so it sends operators on.
+    fn publish_redirect(&self, now_ms: u64) {
+        let Some(publisher) = &self.publisher else {
+            return;
+        };
+        let stands_by =
+            !self.replica.status().membership.members().any(|id| id == self.replica.id());
+        let to = if stands_by { self.peers.leader(now_ms).cloned() } else { None };
+        publisher.redirect.send_if_modified(|held| {
+            let differs = *held != to;
+            if differs {
+                log::info!("voter: sends operators to {to:?}");
+            }
+            *held = to;
+            differs
+        });
+    }
+
     /// A state that was read back after a restart may be older than what this process published
     /// before, so only what is newer is taken over.
     fn publish_documents(&self) {
@@ -142,8 +162,10 @@
     }
 
     fn housekeep(&mut self, now_ms: u64) {
-        self.peers.announce(self.replica.is_empty(), now_ms);
+        let (empty, leads) = (self.replica.is_empty(), self.replica.is_leader());
+        self.peers.announce(peers::Role { empty, leads }, now_ms);
         self.publish_voters(now_ms);
+        self.publish_redirect(now_ms);
         if self.replica.is_empty() {
             if let Some(membership) = self.peers.founding(now_ms) {
                 log::info!("voter: founding a group of {}", membership.voters.len());
@@ -287,10 +309,10 @@
 
     fn receive(&mut self, letter: Letter) {
         match letter {
-            Letter::Announce { id, empty, zone, known } => {
+            Letter::Announce { id, empty, zone, leads, known } => {
                 let now_ms = self.clock.now_ms();
                 self.peers.introduced(&id, zone, &known);
-                self.peers.heard(id, empty, now_ms);
+                self.peers.heard(id, peers::Role { empty, leads }, now_ms);
             }
             Letter::Replication { from, to, message } => {
                 // A letter to the replica that this instance was before its disk was emptied asks
--- a/ragwortdeal_node/src/voter/fleet.rs
+++ b/ragwortdeal_node/src/voter/fleet.rs
@@ -111,6 +111,7 @@
     let publisher = driver::Publisher {
         documents: watch::Sender::new(store::Store::default()),
         voters: watch::Sender::new(Vec::new()),
+        redirect: watch::Sender::new(None),
     };
     let hub = sync::Arc::new(hub::Hub::new(settings.bounds.weights_ms));
     let credential = link::Credential::new(&settings.credentials.cluster);
@@ -132,8 +133,12 @@
     identity.name = name::InstanceName::new(&settings.fleet.address.to_string())?;
     tokio::spawn(fellows::follow(settings.clone(), identity, fellow_seeds, hub.clone()));
     let (telemetry, _) = metrics::start(settings.listen.metrics, stop.clone()).await;
-    let documents = publisher.documents.subscribe();
-    let api = control::Control::new(spoken, hub, events.clone(), documents, telemetry);
+    let published = control::Published {
+        documents: publisher.documents.subscribe(),
+        redirect: publisher.redirect.subscribe(),
+        port: listeners.control.local_addr().map_or(0, |address| address.port()),
+    };
+    let api = control::Control::new(spoken, hub, events.clone(), published, telemetry);
     let api = sync::Arc::new(api);
     let handler = http::route(api, control::answer);
     let bounds = http::Bounds::default();
--- a/ragwortdeal_node/src/voter/fleet/control.rs
+++ b/ragwortdeal_node/src/voter/fleet/control.rs
@@ -2,7 +2,8 @@
 
 use std::{sync, time};
 
-use ragwortdeal_core::{document, document::store};
+use hyper::header;
+use ragwortdeal_core::{document, document::store, name};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::{hub, steps};
@@ -29,19 +30,43 @@
     spoken: dialect::Spoken,
     hub: sync::Arc<hub::Hub>,
     events: mpsc::Sender<Event>,
-    documents: watch::Receiver<store::Store>,
+    published: Published,
     telemetry: telemetry::Telemetry,
 }
 
+/// What the driver tells this part.
+pub(super) struct Published {
+    /// What is in force, as far as it is applied here.
+    pub(super) documents: watch::Receiver<store::Store>,
+    /// The leader, where this voter stands by.
+    pub(super) redirect: watch::Receiver<Option<name::InstanceName>>,
+    /// Port on which all voters take calls.
+    pub(super) port: u16,
+}
+
 impl Control {
     pub(super) fn new(
         spoken: dialect::Spoken,
         hub: sync::Arc<hub::Hub>,
         events: mpsc::Sender<Event>,
-        documents: watch::Receiver<store::Store>,
+        published: Published,
         telemetry: telemetry::Telemetry,
     ) -> Self {
-        Self { spoken, hub, events, documents, telemetry }
+        Self { spoken, hub, events, published, telemetry }
+    }
+
+    /// Where a call goes that a voter which stands by cannot answer.
+    fn redirect(&self, call: &dialect::ControlCall, uri: &hyper::Uri) -> Option<String> {
+        match call {
+            dialect::ControlCall::Announce { .. } | dialect::ControlCall::Leave { .. } => None,
+            dialect::ControlCall::Install
+            | dialect::ControlCall::Read
+            | dialect::ControlCall::NameWeights => {
+                let leader = self.published.redirect.borrow().clone()?;
+                let path = uri.path_and_query().map_or("/", |path| path.as_str());
+                Some(format!("http://{leader}:{}{path}", self.published.port))
+            }
+        }
     }
 }
 
@@ -50,6 +75,7 @@
     let Some(call) = control.spoken.control_call(&request.method, &request.uri) else {
         return text(404, "there is no such call\n");
     };
+    let redirect = control.redirect(&call, &request.uri);
     let max_bytes = match call {
         dialect::ControlCall::Install => DOCUMENT_MAX_BYTES,
         _ => ANNOUNCEMENT_MAX_BYTES,
@@ -57,6 +83,10 @@
     let Ok(body) = http::read(request.body, max_bytes, BODY_MS).await else {
         return text(400, "the body is too large, cut or too slow\n");
     };
+    if let Some(location) = redirect {
+        control.telemetry.count("voter.redirects", 1);
+        return redirect_to(&location);
+    }
     let begun = time::Instant::now();
     let counted = match call {
         dialect::ControlCall::Announce { .. } => "voter.announcements",
@@ -119,7 +149,7 @@
         log::info!("voter: document version={version} received");
         // What is applied here is on the disks of a quorum, so an older or repeated version is
         // acknowledged without asking the group.
-        if self.documents.borrow().version() >= version {
+        if self.published.documents.borrow().version() >= version {
             log::info!("voter: document version={version} acknowledged, overtaken");
             return text(200, "overtaken\n");
         }
@@ -149,7 +179,14 @@
             }
         };
         let store::Weights { model, version } = weights.clone();
-        if self.documents.borrow().weights.get(&model).is_some_and(|held| *held >= version) {
+        if self
+            .published
+            .documents
+            .borrow()
+            .weights
+            .get(&model)
+            .is_some_and(|held| *held >= version)
+        {
             return text(200, "overtaken\n");
         }
         match steps::decide(&self.events, store::Step::Name(weights)).await {
@@ -193,6 +230,14 @@
     }
 }
 
+fn redirect_to(location: &str) -> http::Response {
+    let mut response = text(307, "this voter stands by\n");
+    if let Ok(value) = header::HeaderValue::from_str(location) {
+        response.headers_mut().insert(header::LOCATION, value);
+    }
+    response
+}
+
 fn text(status: u16, detail: &str) -> http::Response {
     http::respond(status, "text/plain", http::full(detail.to_owned()))
 }
--- a/ragwortdeal_node/src/voter/letter.rs
+++ b/ragwortdeal_node/src/voter/letter.rs
@@ -19,6 +19,9 @@
         /// Its availability zone, where voters are chosen by it.
         #[serde(default)]
         zone: String,
+        /// Whether it leads the group.
+        #[serde(default)]
+        leads: bool,
         /// Other voters that it knows, so that two which do not know each other get to.
         #[serde(default)]
         known: Vec<name::InstanceName>,
--- a/ragwortdeal_node/src/voter/peers.rs
+++ b/ragwortdeal_node/src/voter/peers.rs
@@ -57,9 +57,19 @@
 struct Announced {
     id: entry::ReplicaId,
     empty: bool,
+    leads: bool,
     at_ms: u64,
 }
 
+/// What a voter says of its replica.
+#[derive(Clone, Copy)]
+pub(super) struct Role {
+    /// Whether it has never been part of a group.
+    pub(super) empty: bool,
+    /// Whether it leads the group.
+    pub(super) leads: bool,
+}
+
 impl Peers {
     pub(super) fn new(own: entry::ReplicaId, initial: &[settings::voter::Member]) -> Self {
         let named = |member: &settings::voter::Member| {
@@ -164,13 +174,14 @@
     }
 
     /// Tells all reachable voters which replica this is.
-    pub(super) fn announce(&self, empty: bool, now_ms: u64) {
+    pub(super) fn announce(&self, role: Role, now_ms: u64) {
+        let Role { empty, leads } = role;
         let zone = self.discovery.as_ref().map_or_else(String::new, |it| it.zone.clone());
         let known = match self.discovery {
             Some(_) => self.heard_lately(now_ms),
             None => Vec::new(),
         };
-        let letter = Letter::Announce { id: self.own.clone(), empty, zone, known };
+        let letter = Letter::Announce { id: self.own.clone(), empty, zone, leads, known };
         let sessions = self.sessions.values().map(|session| session.hello.name.as_str());
         let accepted = sessions.filter_map(|name| name::InstanceName::new(name).ok());
         let names: collections::BTreeSet<_> = self.links.keys().cloned().chain(accepted).collect();
@@ -193,11 +204,18 @@
         self.get_to_know(known);
     }
 
-    pub(super) fn heard(&mut self, id: entry::ReplicaId, empty: bool, now_ms: u64) {
-        let announced = Announced { id: id.clone(), empty, at_ms: now_ms };
+    pub(super) fn heard(&mut self, id: entry::ReplicaId, role: Role, now_ms: u64) {
+        let Role { empty, leads } = role;
+        let announced = Announced { id: id.clone(), empty, leads, at_ms: now_ms };
         self.announced.insert(id.instance, announced);
     }
 
+    /// The voter that said last that it leads the group.
+    pub(super) fn leader(&self, now_ms: u64) -> Option<&name::InstanceName> {
+        let leaders = self.fresh(now_ms).filter(|it| it.leads);
+        leaders.max_by_key(|it| it.at_ms).map(|it| &it.id.instance)
+    }
+
     fn fresh(&self, now_ms: u64) -> impl Iterator<Item = &Announced> {
         let is_fresh = move |it: &&Announced| now_ms.saturating_sub(it.at_ms) <= ANNOUNCED_MS;
         self.announced.values().filter(is_fresh)
--- a/ragwortdeal_standins/src/fleet/operator.rs
+++ b/ragwortdeal_standins/src/fleet/operator.rs
@@ -2,6 +2,7 @@
 
 use std::{net, time};
 
+use hyper::http::response;
 use ragwortdeal_node::http;
 
 /// How long one voter may take to answer.
@@ -10,6 +11,9 @@
 /// Largest answer.
 const ANSWER_MAX_BYTES: usize = 4 << 20;
 
+/// Answers to one call at the most, those that send it on included.
+const REDIRECTS_MAX: u32 = 3;
+
 /// Pause before the next voter is asked.
 const AGAIN: time::Duration = time::Duration::from_millis(50);
 
@@ -30,7 +34,7 @@
         Self { http: http::Client::new(500), voters }
     }
 
-    /// Calls one voter.
+    /// Calls one voter, and those to which it sends the call on.
     pub async fn call(
         &self,
         voter: net::SocketAddrV4,
@@ -38,6 +42,26 @@
         path: &str,
         body: &str,
     ) -> Option<(u16, String)> {
+        let mut voter = voter;
+        for _ in 0..REDIRECTS_MAX {
+            let (head, text) = self.call_once(voter, method, path, body).await?;
+            let Some(location) = head.headers.get("location").filter(|_| head.status == 307) else {
+                return Some((head.status.as_u16(), text));
+            };
+            let uri: hyper::Uri = location.to_str().ok()?.parse().ok()?;
+            assert_eq!(uri.path(), path, "a call is sent on with its path");
+            voter = uri.authority()?.as_str().parse().ok()?;
+        }
+        None
+    }
+
+    async fn call_once(
+        &self,
+        voter: net::SocketAddrV4,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Option<(response::Parts, String)> {
         let request = hyper::Request::builder()
             .method(method)
             .uri(format!("http://{voter}{path}"))
@@ -46,7 +70,7 @@
         let peer = voter.to_string();
         let fetched = self.http.fetch("operate", &peer, request, ANSWER_MAX_BYTES, CALL_MS);
         let (head, bytes) = fetched.await.ok()?;
-        Some((head.status.as_u16(), String::from_utf8_lossy(&bytes).into_owned()))
+        Some((head, String::from_utf8_lossy(&bytes).into_owned()))
     }
 
     /// Sends an order to one voter after the other until one gives a clear answer.
