Name what the bench of calls sends to, and why announcements wait

`Way` and `way` in the bench stand for an address and its client; they are `Target` and `target`. The first sentence on the outbox of announcements could not be understood, and says now which queue the bound prevents. No change of what runs.

--- a/ragwortdeal_core/src/spread/outbox.rs
+++ b/ragwortdeal_core/src/spread/outbox.rs
@@ -1,8 +1,7 @@
 //! Announcements of chunks on their way to peers, one at a time to each.
 //!
-//! A message that waits on a slow link is joined by the next one only if nothing holds that back.
-//! Behind a link that has just turned narrow nobody knows it yet, and the messages of all neighbours
-//! would queue up there in front of callers' requests.
+//! When a link has just turned narrow, its neighbours do not know it yet. Without a bound their
+//! messages would queue up there in front of callers' requests. See `docs/design/weights.md`.
 
 use std::collections;
 
--- a/ragwortdeal_node/benches/calls.rs
+++ b/ragwortdeal_node/benches/calls.rs
@@ -62,29 +62,29 @@
         Self { runtime, deployment, version }
     }
 
-    /// The way through entry and agent, and the way straight to the engine.
-    fn ways(&self) -> [(&'static str, Way); 2] {
+    /// Calls through entry and agent, and calls straight to the engine.
+    fn targets(&self) -> [(&'static str, Target); 2] {
         let engine = self.deployment.engines[0].engine.as_ref().expect("the engine runs");
-        let way = |address: std::net::SocketAddr, version| Way {
+        let target = |address: std::net::SocketAddr, version| Target {
             address: address.to_string(),
             version,
             http: http::Client::new(1_000),
         };
         [
-            ("direct", way(engine.address(), Some(self.version.clone()))),
-            ("entry", way(self.deployment.entries[0].callers, None)),
+            ("direct", target(engine.address(), Some(self.version.clone()))),
+            ("entry", target(self.deployment.entries[0].callers, None)),
         ]
     }
 }
 
 #[derive(Clone)]
-struct Way {
+struct Target {
     address: String,
     version: Option<String>,
     http: http::Client,
 }
 
-impl Way {
+impl Target {
     async fn send(&self, tokens: u64, stream: bool) -> hyper::Response<http::RequestBody> {
         let call = serde_json::json!({
             "model": deployment::MODEL, "prompt": "p", "max_tokens": tokens, "stream": stream,
@@ -140,11 +140,11 @@
 
 fn percentiles(bench: &Bench) {
     println!("| us | p50 | p95 | p99 |");
-    for (name, way) in bench.ways() {
+    for (name, target) in bench.targets() {
         let (mut first, mut gaps) = (histogram(), histogram());
         bench.runtime.block_on(async {
             for _ in 0..STREAMS {
-                way.stream(&mut first, &mut gaps).await;
+                target.stream(&mut first, &mut gaps).await;
             }
         });
         row(&format!("{name}, first byte"), &first);
@@ -153,15 +153,15 @@
 }
 
 fn throughput(bench: &Bench) {
-    for (name, way) in bench.ways() {
+    for (name, target) in bench.targets() {
         let start = time::Instant::now();
         bench.runtime.block_on(async {
             let mut callers = task::JoinSet::new();
             for _ in 0..CONCURRENT {
-                let way = way.clone();
+                let target = target.clone();
                 callers.spawn(async move {
                     for _ in 0..CALLS / CONCURRENT {
-                        way.whole().await;
+                        target.whole().await;
                     }
                 });
             }
@@ -178,12 +178,12 @@
 fn memory() {
     let behaviour = engine::Behaviour { token_ms: 120_000, slots: 10_000, ..instant() };
     let bench = Bench::start(behaviour);
-    for (name, way) in bench.ways() {
+    for (name, target) in bench.targets() {
         let before = resident_bytes();
         let open = bench.runtime.block_on(async {
             let mut open = Vec::new();
             for _ in 0..OPEN {
-                let mut body = way.send(TOKENS, true).await.into_body();
+                let mut body = target.send(TOKENS, true).await.into_body();
                 body.frame().await;
                 open.push(body);
             }
@@ -213,9 +213,9 @@
 fn calls(criterion: &mut Criterion) {
     let bench = Bench::start(instant());
     let mut group = criterion.benchmark_group("call");
-    for (name, way) in bench.ways() {
+    for (name, target) in bench.targets() {
         group.bench_function(name, |bencher| {
-            bencher.iter(|| bench.runtime.block_on(way.whole()));
+            bencher.iter(|| bench.runtime.block_on(target.whole()));
         });
     }
     group.finish();
