Test when an engine is withdrawn

The margin behind a narrow link had no test: only the usual one was reached by the test of an engine that cannot change in time. Both bounds and an engine that is not superseded are held now.

--- a/ragwortdeal_core/tests/orders_turns.rs
+++ b/ragwortdeal_core/tests/orders_turns.rs
@@ -81,3 +81,13 @@
     expect_that!(since.is_due(1.0, 8_000, 6_600), eq(true));
     expect_that!(Since::default().is_due(1.0, 8_000, 0), eq(true));
 }
+
+/// An engine that gets no newer weights serves on, and requests that arrive late begin on old ones.
+#[googletest::test]
+fn an_engine_is_withdrawn_before_the_bound_and_sooner_behind_a_narrow_link() {
+    let since = Since { named_ms: None, superseded_ms: Some(1_000) };
+    let at = |narrow, now_ms| since.must_withdraw(narrow, 8_000, now_ms);
+    expect_that!((at(false, 8_199), at(false, 8_200)), eq((false, true)));
+    expect_that!((at(true, 6_499), at(true, 6_500)), eq((false, true)));
+    expect_that!(Since::default().must_withdraw(true, 8_000, 1_000_000), eq(false));
+}
