Stop sending to an upstream whose probe is overdue

What callers saw: requests that were sent into a link which had just become narrow, or to a machine that had just frozen. They arrived after their callers had left, or callers waited 0.8 s until the engine counted as silent.

Cause: a path counted as free until a probe had been unanswered for 400 ms, though a round trip of 150 ms already counted as slow. And a path whose probes were not answered at all counted as free while the engine sent events. Events of earlier requests go the other way: they go on while the link towards the engine is congested.

Change: an unanswered probe makes the path overdue after 150 ms. An overdue or silent path is blocked unless a request sent since then was answered, within the last second. Each change of a path is logged.

Result: the new test of the entry failed before (2 requests sent to the engine that nothing reaches, 0 allowed), and so did the state of the path in the core.

--- a/ragwortdeal_core/src/dispatch/probe.rs
+++ b/ragwortdeal_core/src/dispatch/probe.rs
@@ -9,6 +9,7 @@
 const ANSWER_MAX_AGE_MS: u64 = 400;
 
 /// Round trip beyond which data is queued on the path. Without a queue it takes a few milliseconds.
+/// A lost datagram is made good by the next probe before that.
 const ROUND_TRIP_MAX_MS: u64 = 150;
 
 /// State of a path.
@@ -21,6 +22,9 @@
     Free,
     /// Probes are answered late: data is queued on the path.
     Slow,
+    /// A probe has been unanswered for longer than a clear path takes. It is not known yet whether
+    /// the answer is late or lost.
+    Overdue,
     /// Probes are no longer answered: the path is broken, or the agent is gone.
     Silent,
 }
@@ -58,6 +62,16 @@
         self.answered_sent_at_ms.is_none() || self.path_state(now_ms) == PathState::Free
     }
 
+    /// Round trip of the newest answered probe in milliseconds, 0 before any.
+    pub fn round_trip_ms(&self) -> u64 {
+        self.round_trip_ms
+    }
+
+    /// When the oldest probe was sent that is newer than the last answered one.
+    pub fn unanswered_since_ms(&self) -> Option<u64> {
+        self.unanswered_since_ms
+    }
+
     /// Current state of the path. An instance that never answered may have no agent, which says
     /// nothing about its path.
     pub fn path_state(&self, now_ms: u64) -> PathState {
@@ -70,6 +84,9 @@
         if unanswered_ms > ANSWER_MAX_AGE_MS {
             return PathState::Silent;
         }
+        if unanswered_ms > ROUND_TRIP_MAX_MS {
+            return PathState::Overdue;
+        }
         let is_recent = now_ms.saturating_sub(sent_at_ms) <= ANSWER_MAX_AGE_MS;
         if is_recent { PathState::Free } else { PathState::Unknown }
     }
--- a/ragwortdeal_core/tests/dispatch_probe.rs
+++ b/ragwortdeal_core/tests/dispatch_probe.rs
@@ -46,6 +46,9 @@
     a_path_with_one_lost_answer_is_free: |at| (at != 1_900).then_some(6) => PathState::Free;
     /// Guards against sending requests to a hung machine.
     a_path_without_answers_is_silent: |at| (at < 1_500).then_some(6) => PathState::Silent;
+    /// Guards against sending for half a second more into a link that became narrow: the late
+    /// answer itself comes only after that.
+    a_path_whose_answer_is_overdue_is_not_free: |at| (at < 1_800).then_some(6) => PathState::Overdue;
     /// Guards against requests that wait for seconds on a congested link.
     a_path_with_a_queue_is_slow: |at| Some(if at < 1_500 { 6 } else { 300 }) => PathState::Slow;
     /// Guards against taking a queue that grows faster than answers arrive for a dead agent.
--- a/ragwortdeal_node/src/fleet/entry/health.rs
+++ b/ragwortdeal_node/src/fleet/entry/health.rs
@@ -27,8 +27,8 @@
 /// How long it indicates that.
 const RESPONSIVE_MS: u64 = 1_200;
 
-/// How long a received piece of an answer counts as activity of the upstream.
-const ACTIVE_MS: u64 = 400;
+/// How long ago a request may have been sent whose answer shows that requests still arrive.
+const REACHED_MAX_AGE_MS: u64 = 1_000;
 
 /// How long an upstream counts as slow after a slow head. Each further one restarts the time.
 const SLOW_MS: u64 = 4_000;
@@ -68,8 +68,21 @@
     activity: sync::Arc<Activity>,
     silence: silence::SilenceDetector,
     probe: probe::Probe,
-    /// When activity of the upstream was last observed.
-    active_at_ms: Option<u64>,
+    /// When the newest answered request was sent.
+    reached_sent_at_ms: Option<u64>,
+    /// State of the path at the last check.
+    logged_path: probe::PathState,
+}
+
+/// A change of the path to an upstream.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PathChange {
+    /// The state from now on.
+    pub(super) state: probe::PathState,
+    /// Round trip of the newest answered probe in milliseconds.
+    pub(super) round_trip_ms: u64,
+    /// Whether requests would be delayed, so that at most one at a time is sent.
+    pub(super) blocked: bool,
 }
 
 /// What an answer tells about the upstream.
@@ -117,9 +130,6 @@
         now_ms: u64,
     ) -> Option<silence::Change> {
         let spoke = self.activity.was_active.swap(false, atomic::Ordering::Relaxed);
-        if spoke {
-            self.active_at_ms = Some(now_ms);
-        }
         let begun = self.backlog.has_started();
         let awaited = self.silence.is_silent() && self.open() > 0;
         let owes = begun || self.backlog.has_pending_prefill() || awaited;
@@ -139,6 +149,20 @@
         Some(change)
     }
 
+    /// Checks the path for a change of its state since the last check. The first reply of an agent
+    /// counts as none.
+    pub(super) fn check_path(&mut self, now_ms: u64) -> Option<PathChange> {
+        let before = std::mem::replace(&mut self.logged_path, self.probe.path_state(now_ms));
+        let is_clear = |state| matches!(state, probe::PathState::Free | probe::PathState::Unknown);
+        let changed =
+            before != self.logged_path && !(is_clear(before) && is_clear(self.logged_path));
+        changed.then(|| PathChange {
+            state: self.logged_path,
+            round_trip_ms: self.probe.round_trip_ms(),
+            blocked: self.is_blocked(now_ms),
+        })
+    }
+
     /// Number of open requests.
     pub(super) fn open(&self) -> u32 {
         self.backlog.open()
@@ -185,22 +209,33 @@
 
     /// Whether replies to probes come late, or no longer come.
     pub(super) fn is_delayed(&self, now_ms: u64) -> bool {
-        matches!(self.probe.path_state(now_ms), probe::PathState::Slow | probe::PathState::Silent)
+        !matches!(self.probe.path_state(now_ms), probe::PathState::Free | probe::PathState::Unknown)
     }
 
-    /// Whether a request would be delayed on the path. If the engine itself is active, missing
-    /// replies are the agent's fault.
+    /// Whether a request would be delayed on the path. Events of earlier requests tell nothing
+    /// about that: they go on while the link towards the engine is congested.
     fn is_blocked(&self, now_ms: u64) -> bool {
-        let active = self.active_at_ms.is_some_and(|at_ms| now_ms <= at_ms + ACTIVE_MS);
         match self.probe.path_state(now_ms) {
             probe::PathState::Slow => true,
-            probe::PathState::Silent => !active,
+            probe::PathState::Overdue | probe::PathState::Silent => !self.is_reached(now_ms),
             probe::PathState::Free | probe::PathState::Unknown => false,
         }
     }
 
+    /// Whether requests arrive although probes are not answered: one that was sent after the oldest
+    /// unanswered probe was answered. Then the missing replies are the agent's fault.
+    fn is_reached(&self, now_ms: u64) -> bool {
+        let unanswered_since_ms = self.probe.unanswered_since_ms();
+        self.reached_sent_at_ms.is_some_and(|sent_at_ms| {
+            unanswered_since_ms.is_none_or(|since_ms| since_ms <= sent_at_ms)
+                && now_ms <= sent_at_ms + REACHED_MAX_AGE_MS
+        })
+    }
+
     /// Records an answer.
     pub(super) fn record_answer(&mut self, answer: &AnswerReport, now_ms: u64) {
+        let sent_at_ms = now_ms.saturating_sub(answer.took_ms);
+        self.reached_sent_at_ms = self.reached_sent_at_ms.max(Some(sent_at_ms));
         if answer.took_ms >= SLOW_HEAD_MS {
             self.slow_until_ms = now_ms + SLOW_MS;
         } else if answer.took_ms <= RESPONSIVE_HEAD_MS {
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -246,6 +246,13 @@
     pub(super) fn check_progress(&mut self, now_ms: u64) {
         let active = self.health.values().filter(|health| health.was_active()).count();
         for (instance, health) in &mut self.health {
+            if let Some(path) = health.check_path(now_ms) {
+                log::info!(
+                    upstream = &**instance, state:? = path.state, blocked = path.blocked,
+                    round_trip_ms = path.round_trip_ms, open = health.open();
+                    "entry: the path to an upstream changed"
+                );
+            }
             let others_spoke = active > usize::from(health.was_active());
             let Some(change) = health.check_progress(others_spoke, now_ms) else {
                 continue;
--- a/ragwortdeal_node/tests/fleet_load_probe.rs
+++ b/ragwortdeal_node/tests/fleet_load_probe.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use ragwortdeal_node::fleet::load_probe;
 use ragwortdeal_platform::DIALECT;
-use ragwortdeal_standins::fleet::{caller, world};
+use ragwortdeal_standins::fleet::{caller, engine, world};
 use tokio::{net, task};
 
 /// Longest time to wait for one reply.
@@ -63,8 +63,12 @@
     expect_that!(probe(&world, "another secret").await.is_none(), eq(true));
 }
 
-/// Stands in for the agent beside an engine: replies to probes after a delay.
-async fn reply_after(world: &world::World, number: u8, delay: time::Duration) {
+/// Stands in for the agent beside an engine: replies to probes after a delay, until it is aborted.
+async fn reply_after(
+    world: &world::World,
+    number: u8,
+    delay: time::Duration,
+) -> task::JoinHandle<()> {
     let key = load_probe::Key::new("a-secret-for-the-fleet");
     let socket = net::UdpSocket::bind((world.address(number), 7700)).await.unwrap();
     let socket = std::sync::Arc::new(socket);
@@ -81,7 +85,7 @@
                 let _ = socket.send_to(&reply, from).await;
             });
         }
-    });
+    })
 }
 
 /// Guards against requests that wait for seconds behind a link that became narrow, and reach their
@@ -107,3 +111,43 @@
     let sent = |index: usize| engines[index].arrivals().len() - before[index];
     expect_that!([sent(0), sent(1)], elements_are![eq(12), eq(0)]);
 }
+
+/// Guards against requests that are sent into a link which has just become narrow. Requests wait on
+/// the way to the engine while events of earlier ones go on the other way, so that the engine seems
+/// to be well; only the replies to probes are missing.
+#[googletest::test]
+#[tokio::test]
+async fn an_engine_that_no_request_reaches_gets_no_more_while_its_streams_go_on() {
+    let world = world::World::new(&DIALECT, 1);
+    let _voter = world.voter(1, true).await;
+    world.install(&world.document(1, None)).await;
+    let engines = [world.engine(30, "models", 1).await, world.engine(33, "models", 1).await];
+    let _free = reply_after(&world, 30, time::Duration::from_millis(1)).await;
+    let narrow = reply_after(&world, 33, time::Duration::from_millis(1)).await;
+    let _entry = world.entry(12).await;
+    world.ready(12).await;
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    for engine in &engines {
+        engine.stream(200, time::Duration::from_millis(10));
+    }
+    let callers = world.callers(12);
+    for stream in 0..6 {
+        let ask = caller::Ask::new("POST", "/stream/x", &format!("running-{stream}"));
+        task::spawn(async move { ask.answer(callers).await });
+    }
+    world::until("both engines work", async || {
+        engines.iter().all(|engine| !engine.arrivals().is_empty())
+    })
+    .await;
+    narrow.abort();
+    engines[1].behave(engine::Behaviour::Hang);
+    tokio::time::sleep(time::Duration::from_millis(400)).await;
+    let before = engines[1].arrivals().len();
+    engines[0].stream(2, time::Duration::from_millis(1));
+    for request in 0..12 {
+        let ask = caller::Ask::new("POST", "/stream/x", &format!("later-{request}"));
+        task::spawn(async move { ask.answer(callers).await });
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+    expect_that!(engines[1].arrivals().len() - before, eq(0));
+}
