--- a/ragwortdeal_node/tests/fleet_load_probe.rs
+++ b/ragwortdeal_node/tests/fleet_load_probe.rs
@@ -151,3 +151,33 @@
     }
     expect_that!(engines[1].arrivals().len() - before, eq(0));
 }
+
+/// Guards against an engine that is left idle because the agent beside it is gone: its requests
+/// arrive and are answered, only probes are not.
+#[googletest::test]
+#[tokio::test]
+async fn an_engine_whose_agent_is_gone_still_gets_requests() {
+    let world = world::World::new(&DIALECT, 1);
+    let _voter = world.voter(1, true).await;
+    world.install(&world.document(1, None)).await;
+    let engine = world.engine(33, "models", 1).await;
+    let agent = reply_after(&world, 33, time::Duration::from_millis(1)).await;
+    let _entry = world.entry(12).await;
+    world.ready(12).await;
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    engine.stream(5, time::Duration::from_millis(10));
+    agent.abort();
+    let callers = world.callers(12);
+    let mut refused = 0;
+    for round in 0..10 {
+        let asks = (0..4).map(|stream| {
+            let ask = caller::Ask::new("POST", "/stream/x", &format!("round-{round}-{stream}"));
+            async move { ask.answer(callers).await.status }
+        });
+        let statuses = futures_util::future::join_all(asks).await;
+        refused += statuses.iter().filter(|status| **status != 200).count();
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+    }
+    // Those of one round at most, until the first answer shows that requests arrive.
+    expect_that!(refused, le(4));
+}
--- a/ragwortdeal_node/tests/fleet_requests.rs
+++ b/ragwortdeal_node/tests/fleet_requests.rs
@@ -423,3 +423,34 @@
         expect_that!(answer.body, eq(&engine::whole_stream(LONG_EVENTS)));
     }
 }
+
+/// Reads sent at the same time, enough that some go to each of two upstreams.
+const READS: usize = 8;
+
+/// The machine of a plain service freezes. It has no agent whose replies would be missing, and its
+/// connections stay open, so a read there waits until its caller gives up and runs when the machine
+/// resumes. It must be answered by the other upstream while its caller still waits.
+#[googletest::test]
+#[tokio::test]
+async fn a_read_at_a_frozen_service_is_answered_by_the_other_upstream() {
+    let fleet = fleet().await;
+    fleet.ledgers[0].freeze(true);
+    let reads = (0..READS).map(|number| {
+        let id = format!("frozen-{number}");
+        let fleet = &fleet;
+        async move {
+            let ask = Ask::new("GET", "/read/one", &id);
+            fleet.ask(&Ask { deadline_ms: 2_500, ..ask }).await.status
+        }
+    });
+    // Answers of the other upstream show that the entry itself is not cut off.
+    let others = async {
+        for number in 0..100 {
+            fleet.ask(&Ask::new("POST", "/stream/one", &format!("beside-{number}"))).await;
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+    };
+    let (statuses, ()) =
+        futures_util::future::join(futures_util::future::join_all(reads), others).await;
+    expect_that!(statuses, each(eq(&200)));
+}
