--- a/ragwortdeal_node/src/fleet/entry/health.rs
+++ b/ragwortdeal_node/src/fleet/entry/health.rs
@@ -149,8 +149,8 @@
         Some(change)
     }
 
-    /// Checks the path for a change of its state since the last check. The first reply of an agent
-    /// counts as none.
+    /// Checks the path for a change of its state since the last check. A path that is free and one
+    /// that is not probed are not told apart, or each idle engine would be logged again and again.
     pub(super) fn check_path(&mut self, now_ms: u64) -> Option<PathChange> {
         let before = std::mem::replace(&mut self.logged_path, self.probe.path_state(now_ms));
         let is_clear = |state| matches!(state, probe::PathState::Free | probe::PathState::Unknown);
