Answer reads at a frozen plain service elsewhere

Cause: an entry counts an upstream as silent only where events or prompts are due. A plain service has neither, nor an agent whose replies would be missing, so nothing was ever due from it.

Change: a whole answer is due once a request is open there. Repeatable requests are then taken back within the retry budget; operations stay where they are. The upstream is probed by one request at a time, by an operation only after two seconds without a read. A request on its last attempt waits on.

Ruled out: a probe of the service's health (it waits for a slot like any request), and a timer for each request (under load it repeats slow reads of an upstream that works).

--- a/ragwortdeal_core/src/dispatch/silence.rs
+++ b/ragwortdeal_core/src/dispatch/silence.rs
@@ -13,6 +13,30 @@
 /// that time.
 pub const SILENT_CHECKS_BEFORE_FIRST_EVENT_MAX: u32 = 8;
 
+/// What an upstream is to send next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Due {
+    /// The next event of a stream.
+    NextEvent,
+    /// The first event of a stream.
+    FirstEvent,
+    /// A whole answer, which takes up to so many checks ([`super::answer_time`]).
+    Answer {
+        /// Consecutive silent checks after which the upstream counts as silent.
+        silent_checks_max: u32,
+    },
+}
+
+impl Due {
+    fn silent_checks_max(self) -> u32 {
+        match self {
+            Due::NextEvent => SILENT_CHECKS_MAX,
+            Due::FirstEvent => SILENT_CHECKS_BEFORE_FIRST_EVENT_MAX,
+            Due::Answer { silent_checks_max } => silent_checks_max,
+        }
+    }
+}
+
 /// What one check of an upstream found since the previous one.
 #[derive(Clone, Copy, Debug)]
 pub struct Observation {
@@ -20,10 +44,8 @@
     pub sent_data: bool,
     /// Another upstream sent something.
     pub others_sent_data: bool,
-    /// Data is due: part of an answer, or any sign of life after the upstream became silent.
-    pub owes_data: bool,
-    /// An answer has started.
-    pub has_started: bool,
+    /// Data that is due: part of an answer, or any sign of life after the upstream became silent.
+    pub due: Option<Due>,
 }
 
 /// Change of state found by a check.
@@ -49,17 +71,12 @@
             self.silent_checks = 0;
             return std::mem::take(&mut self.silent).then_some(Change::Recovered);
         }
-        if !observation.owes_data {
+        let Some(due) = observation.due else {
             self.silent_checks = 0;
             return None;
-        }
-        self.silent_checks += u32::from(observation.others_sent_data);
-        let needed = if observation.has_started {
-            SILENT_CHECKS_MAX
-        } else {
-            SILENT_CHECKS_BEFORE_FIRST_EVENT_MAX
         };
-        if self.silent_checks < needed {
+        self.silent_checks += u32::from(observation.others_sent_data);
+        if self.silent_checks < due.silent_checks_max() {
             return None;
         }
         self.silent_checks = 0;
--- a/ragwortdeal_core/tests/dispatch_silence.rs
+++ b/ragwortdeal_core/tests/dispatch_silence.rs
@@ -2,11 +2,12 @@
 
 use googletest::prelude::*;
 use ragwortdeal_core::dispatch::silence::{
-    Change, Observation, SILENT_CHECKS_BEFORE_FIRST_EVENT_MAX, SILENT_CHECKS_MAX, SilenceDetector,
+    Change, Due, Observation, SILENT_CHECKS_BEFORE_FIRST_EVENT_MAX, SILENT_CHECKS_MAX,
+    SilenceDetector,
 };
 
 const SILENT: Observation =
-    Observation { sent_data: false, others_sent_data: true, owes_data: true, has_started: true };
+    Observation { sent_data: false, others_sent_data: true, due: Some(Due::NextEvent) };
 
 fn observe(silence: &mut SilenceDetector, observation: Observation, count: u32) -> Vec<Change> {
     (0..count).filter_map(|_| silence.observe(observation)).collect()
@@ -57,7 +58,7 @@
 #[googletest::test]
 fn the_limit_is_higher_before_the_first_event() {
     let mut silence = SilenceDetector::default();
-    let not_started = Observation { has_started: false, ..SILENT };
+    let not_started = Observation { due: Some(Due::FirstEvent), ..SILENT };
     expect_that!(
         observe(&mut silence, not_started, SILENT_CHECKS_BEFORE_FIRST_EVENT_MAX - 1),
         is_empty()
@@ -68,9 +69,20 @@
 #[googletest::test]
 fn an_upstream_that_owes_nothing_is_not_silent() {
     let mut silence = SilenceDetector::default();
-    let idle = Observation { owes_data: false, has_started: false, ..SILENT };
+    let idle = Observation { due: None, ..SILENT };
     expect_that!(observe(&mut silence, idle, 100), is_empty());
     observe(&mut silence, SILENT, SILENT_CHECKS_MAX - 1);
     expect_that!(silence.observe(idle), none());
     expect_that!(observe(&mut silence, SILENT, SILENT_CHECKS_MAX - 1), is_empty());
 }
+
+/// The machine of a plain service hangs. Its answers have no events, so only a whole answer that is
+/// overdue shows it.
+#[googletest::test]
+fn an_upstream_without_a_due_answer_becomes_silent() {
+    let mut silence = SilenceDetector::default();
+    let due = Some(Due::Answer { silent_checks_max: 6 });
+    let waiting = Observation { due, ..SILENT };
+    expect_that!(observe(&mut silence, waiting, 5), is_empty());
+    expect_that!(silence.observe(waiting), some(eq(Change::Silent)));
+}
--- a/ragwortdeal_node/src/fleet/entry.rs
+++ b/ragwortdeal_node/src/fleet/entry.rs
@@ -213,6 +213,7 @@
     loop {
         tokio::time::sleep(PROGRESS_CHECK_INTERVAL).await;
         let now_ms = entry.clock.now_ms();
-        entry.upstreams().check_progress(now_ms);
+        let interval_ms = PROGRESS_CHECK_INTERVAL.as_millis() as u64;
+        entry.upstreams().check_progress(interval_ms, now_ms);
     }
 }
--- a/ragwortdeal_node/src/fleet/entry/health.rs
+++ b/ragwortdeal_node/src/fleet/entry/health.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{self, atomic};
 
-use ragwortdeal_core::dispatch::{backlog, choice, peer_load, probe, silence};
+use ragwortdeal_core::dispatch::{answer_time, backlog, choice, peer_load, probe, silence};
 use tokio::sync as tokio_sync;
 
 use crate::fleet::{dialect, load_probe};
@@ -36,6 +36,20 @@
 /// Failure rate that is assumed for a slow upstream.
 const SLOW_FAILURE_RATE: f64 = 0.4;
 
+/// How long a plain service's upstream must have been silent before a request that must run only
+/// once may probe it. Until then it is left to requests that can be answered elsewhere.
+const PROBE_ONCE_AFTER_MS: u64 = 2_000;
+
+/// Whole answers that are due from an upstream of a plain service.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct WholeAnswers {
+    /// Milliseconds between two checks.
+    pub(super) check_interval_ms: u64,
+    /// Whether another upstream of the service takes work. Without one, waiting is better than
+    /// refusing.
+    pub(super) has_alternative: bool,
+}
+
 /// Shared state between the requests at an upstream and the progress check.
 #[derive(Debug, Default)]
 pub(super) struct Activity {
@@ -67,6 +81,9 @@
     responsive_at_ms: Option<u64>,
     activity: sync::Arc<Activity>,
     silence: silence::SilenceDetector,
+    /// When it last counted as silent.
+    silent_at_ms: u64,
+    answer_time: answer_time::AnswerTime,
     probe: probe::Probe,
     /// When the newest answered request was sent.
     reached_sent_at_ms: Option<u64>,
@@ -123,25 +140,26 @@
     }
 
     /// Checks whether the upstream makes progress on the data that it owes. If it fell silent, all
-    /// requests there are notified.
+    /// requests there are notified. `answers` is set for a plain service.
     pub(super) fn check_progress(
         &mut self,
         others_spoke: bool,
+        answers: Option<WholeAnswers>,
         now_ms: u64,
     ) -> Option<silence::Change> {
         let spoke = self.activity.was_active.swap(false, atomic::Ordering::Relaxed);
-        let begun = self.backlog.has_started();
-        let awaited = self.silence.is_silent() && self.open() > 0;
-        let owes = begun || self.backlog.has_pending_prefill() || awaited;
         let change = self.silence.observe(silence::Observation {
             sent_data: spoke,
             others_sent_data: others_spoke,
-            owes_data: owes,
-            has_started: begun,
+            due: match answers {
+                Some(answers) => self.due_answer(answers),
+                None => self.due_event(),
+            },
         })?;
         match change {
             silence::Change::Recovered => self.reset_failures(),
             silence::Change::Silent => {
+                self.silent_at_ms = now_ms;
                 self.record_failure(now_ms);
                 self.activity.silent.notify_waiters();
             }
@@ -149,6 +167,23 @@
         Some(change)
     }
 
+    fn due_event(&self) -> Option<silence::Due> {
+        let awaited = self.silence.is_silent() && self.open() > 0;
+        match self.backlog.has_started() {
+            true => Some(silence::Due::NextEvent),
+            false if self.backlog.has_pending_prefill() || awaited => {
+                Some(silence::Due::FirstEvent)
+            }
+            false => None,
+        }
+    }
+
+    fn due_answer(&self, answers: WholeAnswers) -> Option<silence::Due> {
+        let silent_checks_max = self.answer_time.silent_checks_max(answers.check_interval_ms);
+        let awaited = self.open() > 0 && answers.has_alternative;
+        awaited.then_some(silence::Due::Answer { silent_checks_max })
+    }
+
     /// Checks the path for a change of its state since the last check. A path that is free and one
     /// that is not probed are not told apart, or each idle engine would be logged again and again.
     pub(super) fn check_path(&mut self, now_ms: u64) -> Option<PathChange> {
@@ -163,6 +198,11 @@
         })
     }
 
+    /// Whether the upstream fell silent.
+    pub(super) fn is_silent(&self) -> bool {
+        self.silence.is_silent()
+    }
+
     /// Number of open requests.
     pub(super) fn open(&self) -> u32 {
         self.backlog.open()
@@ -170,16 +210,23 @@
 
     /// Whether one more request may be sent. To an upstream that fell silent or whose path is
     /// blocked, one request at a time is sent as a probe, and only one that can be retried
-    /// elsewhere. Nothing is sent to `superseded` weights unless the path is confirmed: it could
+    /// elsewhere, unless no such request comes to a silent plain service for a while. Nothing is sent to `superseded` weights unless the path is confirmed: it could
     /// arrive after their time is up. Only a reply of the engine itself shows that the path works
     /// again.
     pub(super) fn may_take(&self, repeatable: bool, superseded: bool, now_ms: u64) -> bool {
         let doubted = self.silence.is_silent() || self.is_blocked(now_ms);
-        let probes = repeatable && self.open() == 0;
+        let probes = self.open() == 0 && (repeatable || self.awaits_probe(now_ms));
         let confirmed = !superseded || self.probe.is_confirmed(now_ms);
         confirmed && (!doubted || probes) && !self.is_suspended(now_ms)
     }
 
+    /// Whether any request may probe the upstream: engines and blocked paths have agents that show
+    /// when they work again, and requests that can be repeated.
+    fn awaits_probe(&self, now_ms: u64) -> bool {
+        let is_plain = self.probe.path_state(now_ms) == probe::PathState::Unknown;
+        is_plain && now_ms >= self.silent_at_ms + PROBE_ONCE_AFTER_MS
+    }
+
     /// The open work at the upstream.
     pub(super) fn backlog_mut(&mut self) -> &mut backlog::Backlog {
         &mut self.backlog
@@ -241,8 +288,11 @@
         } else if answer.took_ms <= RESPONSIVE_HEAD_MS {
             self.responsive_at_ms = Some(now_ms);
         }
-        if let Some(forecast_ms) = answer.forecast_ms {
-            self.backlog.record_first_event(forecast_ms, answer.took_ms as f64, now_ms);
+        match answer.forecast_ms {
+            Some(forecast_ms) => {
+                self.backlog.record_first_event(forecast_ms, answer.took_ms as f64, now_ms);
+            }
+            None => self.answer_time.record(answer.took_ms),
         }
         self.failures = 0;
         self.failure_rate *= FAILURE_RATE_DECAY;
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -190,6 +190,7 @@
             work: request.work(progress.sent > 0),
             tried: &progress.tried,
             repeatable,
+            last_attempt: progress.sent + 1 >= request.route.attempts_max,
         };
         let selected = self.choose(&criteria).map_err(|unavailable| match unavailable {
             _ if progress.may_have_run => failed("no other upstream takes it"),
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -242,8 +242,34 @@
         lowest(cutoff::margin_ms(self.path_knowledge(announcement, newer, now_ms)))
     }
 
-    /// Checks all upstreams for those that fell silent or recovered.
-    pub(super) fn check_progress(&mut self, now_ms: u64) {
+    /// Whole answers that are due from the upstreams with open requests of plain services.
+    fn whole_answers(
+        &self,
+        check_interval_ms: u64,
+    ) -> collections::HashMap<directory::Text, health::WholeAnswers> {
+        let is_busy = |instance: &str| self.health.get(instance).is_some_and(|it| it.open() > 0);
+        let announcements = self.directory.all().map(|upstream| &upstream.announcement);
+        let plain: Vec<_> =
+            announcements.filter(|it| !self.layers.contains_key(&it.service)).collect();
+        let takes_work = |other: &directory::Announcement| {
+            let silent = self.health.get(&other.instance).is_some_and(health::Health::is_silent);
+            other.status == directory::Status::Ready && !silent
+        };
+        let busy = plain.iter().filter(|it| is_busy(&it.instance));
+        busy.map(|it| {
+            let others = plain
+                .iter()
+                .filter(|other| other.service == it.service && other.instance != it.instance);
+            let has_alternative = others.into_iter().any(|other| takes_work(other));
+            let answers = health::WholeAnswers { check_interval_ms, has_alternative };
+            (it.instance.clone(), answers)
+        })
+        .collect()
+    }
+
+    /// Checks all upstreams for those that fell silent or recovered, once in `interval_ms`.
+    pub(super) fn check_progress(&mut self, interval_ms: u64, now_ms: u64) {
+        let answers = self.whole_answers(interval_ms);
         let active = self.health.values().filter(|health| health.was_active()).count();
         for (instance, health) in &mut self.health {
             if let Some(path) = health.check_path(now_ms) {
@@ -254,7 +280,9 @@
                 );
             }
             let others_spoke = active > usize::from(health.was_active());
-            let Some(change) = health.check_progress(others_spoke, now_ms) else {
+            let Some(change) =
+                health.check_progress(others_spoke, answers.get(instance).copied(), now_ms)
+            else {
                 continue;
             };
             let message = match change {
--- a/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
@@ -29,8 +29,8 @@
     /// Time by which the request must have started there, if the weights are superseded.
     start_by_ms: Option<i64>,
     activity: sync::Arc<health::Activity>,
-    /// Whether the request may be sent to more than one upstream.
-    repeatable: bool,
+    /// Whether the request is taken back from the upstream if it falls silent.
+    leaves_silent: bool,
     entry: sync::Arc<Entry>,
 }
 
@@ -54,9 +54,9 @@
     }
 
     /// Waits until the upstream is found to be silent. Never ends for a request that must run only
-    /// once: no other upstream could answer it.
+    /// once, or that is on its last attempt at a plain service: no other upstream could answer it.
     pub(in super::super) async fn stalled(&self) {
-        match self.repeatable {
+        match self.leaves_silent {
             true => self.activity.stalled().await,
             false => std::future::pending().await,
         }
@@ -103,6 +103,8 @@
     pub(in super::super) tried: &'w [directory::Text],
     /// Whether the request may be sent to more than one upstream.
     pub(in super::super) repeatable: bool,
+    /// Whether this is the last attempt.
+    pub(in super::super) last_attempt: bool,
 }
 
 /// An upstream that may be selected.
@@ -200,7 +202,8 @@
             superseded_at_ms,
             start_by_ms: superseded_at_ms.map(|at_ms| upstreams.start_by_ms(at_ms)),
             activity,
-            repeatable: criteria.repeatable,
+            leaves_silent: criteria.repeatable
+                && (criteria.models.is_some() || !criteria.last_attempt),
             entry: self.clone(),
         })
     }
--- a/ragwortdeal_node/tests/fleet_requests.rs
+++ b/ragwortdeal_node/tests/fleet_requests.rs
@@ -454,3 +454,35 @@
         futures_util::future::join(futures_util::future::join_all(reads), others).await;
     expect_that!(statuses, each(eq(&200)));
 }
+
+/// The machine of a plain service freezes with transfers on it. They may run when it resumes, so
+/// they must not be sent to the other upstream while their callers wait.
+#[googletest::test]
+#[tokio::test]
+async fn a_transfer_at_a_frozen_service_is_not_moved() {
+    let fleet = fleet().await;
+    fleet.ledgers[0].freeze(true);
+    let id = |number: usize| format!("frozen-transfer-{number}");
+    let transfers = (0..READS).map(|number| {
+        let (fleet, id) = (&fleet, id(number));
+        async move {
+            let ask = Ask::new("POST", "/transfer/one", &id);
+            fleet.ask(&Ask { deadline_ms: 1_500, ..ask }).await.status
+        }
+    });
+    // Answers of another upstream show that the entry itself is not cut off.
+    let others = async {
+        for number in 0..60 {
+            fleet.ask(&Ask::new("POST", "/stream/one", &format!("beside-{number}"))).await;
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+    };
+    let (statuses, ()) =
+        futures_util::future::join(futures_util::future::join_all(transfers), others).await;
+    fleet.ledgers[0].freeze(false);
+    tokio::time::sleep(time::Duration::from_millis(300)).await;
+    for (number, status) in statuses.into_iter().enumerate() {
+        expect_that!(fleet.arrivals(&id(number)).len(), le(1));
+        expect_that!(status, any![eq(200), eq(504)]);
+    }
+}
