Fetch a chunk elsewhere when its owner does not bring it in

Cause, by arrivals of chunks logged in a scratch copy: the naming is at 18.0 s, 46 of 48 chunks left the origin by 19.9 s. The owners of the other two hung from 19.3 s on, when 22 machines freeze. Only timeouts of peers found that, and the origin was lost at 20.5 s; both chunks came at 27.2 s, 0.7 s after it was back. Manifests took the origin's link until 18.45 s: 184 agents asked it at once.

Ruled out: the notice (all agents within 80 ms), the turns (one chunk each 30 ms), the connections (no reset).

Change: chunks have standbys by score and time, in the other regions for the origin and in each region for the link between regions; whoever got a chunk from the origin tells all regions; a first request to another region ends after 1.2 s; two agents of a zone fetch a manifest for the others.

The model of links gets this deployment.

--- a/ragwortdeal_core/src/spread/announcer.rs
+++ b/ragwortdeal_core/src/spread/announcer.rs
@@ -1,7 +1,8 @@
 //! Decides which peers receive announcements of the chunks held here, and when.
 //!
 //! Neighbours in the zone are told of every chunk. Owners in the other zones and regions are told
-//! only of the chunks they own, because only they may fetch these over those links.
+//! only of the chunks they own, because only they may fetch these over those links. So are those
+//! that act for the owners while these hang.
 
 use std::collections;
 
@@ -19,6 +20,8 @@
 #[derive(Clone, Debug)]
 pub struct Announcer {
     pending: Vec<u32>,
+    /// Pending chunks that the origin sent to this instance.
+    pending_from_origin: Vec<u32>,
     /// Chunks that were not announced to neighbours behind narrow links yet.
     narrow_pending: Vec<u32>,
     narrow_due_ms: u64,
@@ -38,6 +41,7 @@
     pub fn new(kept: Vec<u32>, limits: &limits::Limits) -> Self {
         Self {
             pending: kept,
+            pending_from_origin: Vec::new(),
             narrow_pending: Vec::new(),
             narrow_due_ms: 0,
             neighbours: Vec::new(),
@@ -50,8 +54,11 @@
     }
 
     /// Queues a newly verified chunk.
-    pub fn chunk_verified(&mut self, chunk: u32) {
+    pub fn chunk_verified(&mut self, chunk: u32, from_origin: bool) {
         self.pending.push(chunk);
+        if from_origin {
+            self.pending_from_origin.push(chunk);
+        }
     }
 
     /// Records that a peer joined, restarted or left, and has received no announcement.
@@ -79,8 +86,9 @@
             return messages;
         }
         let fresh = std::mem::take(&mut self.pending);
+        let from_origin = std::mem::take(&mut self.pending_from_origin);
         self.narrow_pending.extend_from_slice(&fresh);
-        messages.extend(owner_messages(&fresh, peers, owners));
+        messages.extend(owner_messages(&fresh, &from_origin, peers, owners));
         let to = self.incomplete(peers, false);
         if !to.is_empty() {
             messages.push((to, fresh));
@@ -142,25 +150,34 @@
 /// Announcements to the owners in other zones and regions.
 fn owner_messages(
     fresh: &[u32],
+    from_origin: &[u32],
     peers: &peers::Peers,
     owners: &owners::Owners,
 ) -> impl Iterator<Item = Message> + use<> {
     let me = peers.get(owners::SELF);
     let mut by_peer = collections::BTreeMap::<owners::PeerIndex, Vec<u32>>::new();
     for &chunk in fresh {
-        if owners.in_region(me.region, chunk) != Some(owners::SELF) {
+        let is_owner = owners.in_region(me.region, chunk) == Some(owners::SELF);
+        let is_from_origin = from_origin.contains(&chunk);
+        if !is_owner && !is_from_origin {
             continue;
         }
+        let standby = owners.standby_in_region(me.region, chunk);
         let zones = owners.zones().filter(|&(zone, region)| region == me.region && zone != me.zone);
         let zone_owners = zones.filter_map(|(zone, _)| owners.in_zone(zone, chunk));
         let mut regions: Vec<_> = owners.zones().map(|(_, region)| region).collect();
         regions.sort_unstable();
         regions.dedup();
-        // Only the global owner announces to other regions, so that one region serves each chunk.
-        let is_global_owner = owners.overall(chunk) == Some(owners::SELF);
-        let others = regions.into_iter().filter(|&region| is_global_owner && region != me.region);
-        let region_owners = others.filter_map(|region| owners.in_region(region, chunk));
-        zone_owners.chain(region_owners).for_each(|p| by_peer.entry(p).or_default().push(chunk));
+        // Others announce nothing to other regions, so that few regions serve each chunk.
+        let is_source = is_from_origin || owners.overall(chunk) == Some(owners::SELF);
+        let others = regions.into_iter().filter(|&region| is_source && region != me.region);
+        let region_owners = others.flat_map(|region| {
+            let owner = owners.in_region(region, chunk);
+            owner.into_iter().chain(owners.standby_in_region(region, chunk))
+        });
+        let receivers = zone_owners.chain(standby).chain(region_owners);
+        let receivers = receivers.filter(|&peer| peer != owners::SELF);
+        receivers.for_each(|p| by_peer.entry(p).or_default().push(chunk));
     }
     by_peer.into_iter().map(|(peer, chunks)| (vec![peer], chunks))
 }
--- a/ragwortdeal_core/src/spread/download/responses.rs
+++ b/ragwortdeal_core/src/spread/download/responses.rs
@@ -32,7 +32,7 @@
         if !self.held.insert(chunk) {
             return;
         }
-        self.announcer.chunk_verified(chunk);
+        self.announcer.chunk_verified(chunk, *source == event::Source::Origin);
         // The chunk arrived late, and was requested again elsewhere.
         if let Some(other) = self.close_any(chunk) {
             actions.push(event::Action::Cancel { source: self.source(other.sender), chunk });
--- a/ragwortdeal_core/src/spread/download/selection.rs
+++ b/ragwortdeal_core/src/spread/download/selection.rs
@@ -13,6 +13,8 @@
     zone: chunk_set::ChunkSet,
     /// Chunks that this instance fetches into its region.
     region: chunk_set::ChunkSet,
+    /// Chunks that this instance fetches into its region if the owner does not.
+    region_standby: Vec<u32>,
     /// Chunks that this instance fetches from the origin, the most urgent last.
     origin_fetches: Vec<OriginFetch>,
 }
@@ -20,6 +22,8 @@
 /// A scheduled fetch from the origin, ordered by urgency.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct OriginFetch {
+    /// Whether it is made only if no instance is known to hold the chunk by then.
+    standby: bool,
     /// Rank among the instances that fetch the chunk.
     rank: usize,
     /// Earliest start, counted from the end of the settling time.
@@ -32,6 +36,17 @@
 /// one keeps the link busy if an owner is late; the queue grows by five chunks over 48.
 const SCHEDULE_INTERVAL_SHARE: f64 = 0.9;
 
+/// Chunk times after which the next in rank fetches a chunk from the origin that its owner should
+/// have announced: the queue at the origin, the chunk's way to the owner and the announcement. An
+/// owner that hangs with the chunk would otherwise be found only by timeouts of its peers, and the
+/// origin may be gone by then.
+const STANDBY_CHUNK_TIMES: f64 = 6.0;
+
+/// Chunk times after which a chunk that should have left the origin is fetched into a region by the
+/// one that acts for its owner there. The chunk has to cross a link between regions meanwhile, and
+/// a second copy over such a link is expensive.
+const REGION_STANDBY_CHUNK_TIMES: f64 = 18.0;
+
 /// Chunk times by which an owner may be late before it is probed. Its request waits in the queue at
 /// the origin and behind its other chunks.
 const LATE_CHUNK_TIMES: f64 = 8.0;
@@ -40,7 +55,13 @@
     /// Assignments to be computed when they are next needed, once for many changes of members.
     pub(super) fn stale() -> Self {
         let none = chunk_set::ChunkSet::default();
-        Self { fresh: false, zone: none.clone(), region: none, origin_fetches: Vec::new() }
+        Self {
+            fresh: false,
+            zone: none.clone(),
+            region: none,
+            region_standby: Vec::new(),
+            origin_fetches: Vec::new(),
+        }
     }
 }
 
@@ -107,8 +128,12 @@
         let open = self.requests.chunks();
         let since_ms = now_ms.saturating_sub(self.settled_at_ms.unwrap_or(now_ms));
         let wanted = |fetch: &&OriginFetch| {
-            let requested = open.contains(fetch.chunk);
-            fetch.not_before_ms <= since_ms && !requested && !self.region_holds(fetch.chunk)
+            let due = fetch.not_before_ms <= since_ms && !open.contains(fetch.chunk);
+            let held = match fetch.standby {
+                true => self.anyone_holds(fetch.chunk),
+                false => self.region_holds(fetch.chunk),
+            };
+            due && !held
         };
         let chunk = self.assignments.origin_fetches.iter().rev().find(wanted)?.chunk;
         let (sender, link) = (requests::Sender::Origin, requests::LinkKind::Origin);
@@ -122,6 +147,18 @@
         (position as f64 * self.limits.origin_chunk_ms * SCHEDULE_INTERVAL_SHARE) as u64
     }
 
+    /// Start of a fetch by the instance of this rank, if nobody of a lower rank was heard of by then.
+    fn standby_ms(&self, rank: usize, chunk: u32) -> u64 {
+        let one_ms = self.late_ms(chunk, STANDBY_CHUNK_TIMES) - self.scheduled_ms(0, chunk);
+        self.scheduled_ms(0, chunk) + rank as u64 * one_ms
+    }
+
+    /// Time at which a chunk is late, where queues and links may take so many chunk times.
+    fn late_ms(&self, chunk: u32, chunk_times: f64) -> u64 {
+        let queued_ms = (self.limits.origin_chunk_ms * chunk_times) as u64;
+        self.scheduled_ms(0, chunk) + self.limits.standby_ms + queued_ms
+    }
+
     /// Whether the last scheduled fetch from the origin is due. After it the origin only gets
     /// requests for what an owner could not fetch, which is little next to another version.
     pub fn origin_schedule_is_over(&self, now_ms: u64) -> bool {
@@ -136,6 +173,11 @@
         now_ms >= settled_at_ms + self.scheduled_ms(0, chunk) + late_ms
     }
 
+    fn anyone_holds(&self, chunk: u32) -> bool {
+        self.peers.availability[chunk as usize] > 0
+            && self.peers.holders().any(|(_, peer)| peer.holds.contains(chunk))
+    }
+
     fn region_holds(&self, chunk: u32) -> bool {
         if self.peers.availability[chunk as usize] == 0 {
             return false;
@@ -158,10 +200,11 @@
         let rarity = |chunk: &u32| {
             (self.peers.availability[*chunk as usize], self.tie_breaks[*chunk as usize])
         };
-        let chunk = self.reachable(&holders).min_by_key(rarity)?;
-        let holding = holders
-            .iter()
-            .filter(|(_, peer)| peer.holds.contains(chunk) && self.may_fetch(peer.scope, chunk));
+        let standby = self.due_standby(now_ms);
+        let chunk = self.reachable(&holders, &standby).min_by_key(rarity)?;
+        let holding = holders.iter().filter(|(_, peer)| {
+            peer.holds.contains(chunk) && self.may_fetch(peer.scope, chunk, &standby)
+        });
         let tie_break = self.tie_breaks[chunk as usize];
         let order = |peer: &peers::Peer| {
             let hash = owners::mix(peer.key ^ u64::from(tie_break));
@@ -176,32 +219,56 @@
     fn reachable<'s>(
         &'s self,
         holders: &'s [(owners::PeerIndex, &peers::Peer)],
+        standby: &'s chunk_set::ChunkSet,
     ) -> impl Iterator<Item = u32> + 's {
         (0..self.held.words()).flat_map(move |index| {
             let offered = holders.iter().fold(0, |all, (_, peer)| {
-                all | (peer.holds.word(index) & self.fetchable_word(peer.scope, index))
+                all | (peer.holds.word(index) & self.fetchable_word(peer.scope, index, standby))
             });
             let excluded = self.held.word(index) | self.requests.chunks().word(index);
             chunk_set::bits(index, offered & !excluded)
         })
     }
 
-    fn fetchable_word(&self, scope: peers::Scope, index: usize) -> u64 {
+    /// Chunks of one word that may be fetched over such a distance. `standby` are those for whose
+    /// owner this instance acts.
+    fn fetchable_word(
+        &self,
+        scope: peers::Scope,
+        index: usize,
+        standby: &chunk_set::ChunkSet,
+    ) -> u64 {
         match scope {
             peers::Scope::Zone => u64::MAX,
-            peers::Scope::Region => self.assignments.zone.word(index),
-            peers::Scope::Remote => self.assignments.region.word(index),
+            peers::Scope::Region => self.assignments.zone.word(index) | standby.word(index),
+            peers::Scope::Remote => self.assignments.region.word(index) | standby.word(index),
         }
     }
 
-    fn may_fetch(&self, scope: peers::Scope, chunk: u32) -> bool {
+    fn may_fetch(&self, scope: peers::Scope, chunk: u32, standby: &chunk_set::ChunkSet) -> bool {
         match scope {
             peers::Scope::Zone => true,
-            peers::Scope::Region => self.assignments.zone.contains(chunk),
-            peers::Scope::Remote => self.assignments.region.contains(chunk),
+            peers::Scope::Region => {
+                self.assignments.zone.contains(chunk) || standby.contains(chunk)
+            }
+            peers::Scope::Remote => {
+                self.assignments.region.contains(chunk) || standby.contains(chunk)
+            }
         }
     }
 
+    /// Chunks that the owner in the region should have brought in by now, and nobody there holds.
+    fn due_standby(&self, now_ms: u64) -> chunk_set::ChunkSet {
+        let mut due = chunk_set::ChunkSet::new(self.held.capacity());
+        let settled_at_ms = self.settled_at_ms.unwrap_or(now_ms);
+        let overdue = |chunk: &u32| {
+            now_ms >= settled_at_ms + self.late_ms(*chunk, REGION_STANDBY_CHUNK_TIMES)
+        };
+        let missing = self.assignments.region_standby.iter().copied().filter(overdue);
+        missing.filter(|chunk| !self.region_holds(*chunk)).for_each(|chunk| _ = due.insert(chunk));
+        due
+    }
+
     /// Probes the owner of a chunk that nobody has announced. Only this detects an owner that died
     /// or stalled; without it the last chunks would stay missing forever.
     fn select_probe(&mut self, now_ms: u64) -> Option<Selection> {
@@ -210,8 +277,9 @@
         }
         self.next_probe_ms = now_ms + self.limits.probe_interval_ms;
         let holders: Vec<_> = self.peers.holders().collect();
+        let standby = self.due_standby(now_ms);
         let mut unknown = chunk_set::ChunkSet::full(self.held.words() * u64::BITS as usize);
-        self.reachable(&holders).for_each(|chunk| _ = unknown.remove(chunk));
+        self.reachable(&holders, &standby).for_each(|chunk| _ = unknown.remove(chunk));
         let open = self.requests.chunks();
         let missing = |chunk: &u32| {
             let missing = !self.held.contains(*chunk) && !open.contains(*chunk);
@@ -250,6 +318,12 @@
         let mut zone = chunk_set::ChunkSet::new(chunks);
         let mut region = chunk_set::ChunkSet::new(chunks);
         let mut origin_fetches = Vec::new();
+        let stands_by =
+            |chunk: &u32| self.owners.standby_in_region(me.region, *chunk) == Some(owners::SELF);
+        // Without a known rate of the origin there is no time by which an owner is late.
+        let is_scheduled = self.limits.origin_chunk_ms > 0.0;
+        let region_standby =
+            (0..chunks as u32).filter(|_| is_scheduled).filter(stands_by).collect();
         let copies =
             self.limits.origin_fetch_copies(self.owners.regions(), self.owners.populated_zones());
         let mine = |chunk: &u32| self.owners.in_zone(me.zone, *chunk) == Some(owners::SELF);
@@ -258,15 +332,23 @@
             if self.owners.in_region(me.region, chunk) == Some(owners::SELF) {
                 region.insert(chunk);
             }
-            let rank = self.owners.origin_fetch_rank(chunk, copies);
-            origin_fetches.extend(rank.map(|rank| OriginFetch {
-                rank,
-                not_before_ms: self.scheduled_ms(rank, chunk),
-                tie_break: self.tie_breaks[chunk as usize],
-                chunk,
-            }));
+            let Some(rank) = self.owners.origin_fetch_rank(chunk) else {
+                continue;
+            };
+            let tie_break = self.tie_breaks[chunk as usize];
+            if rank < self.owners.copies_of(chunk, copies) {
+                let not_before_ms = self.scheduled_ms(rank, chunk);
+                let standby = false;
+                origin_fetches.push(OriginFetch { standby, rank, not_before_ms, tie_break, chunk });
+            }
+            if rank > 0 && is_scheduled {
+                let not_before_ms = self.standby_ms(rank, chunk);
+                let standby = true;
+                origin_fetches.push(OriginFetch { standby, rank, not_before_ms, tie_break, chunk });
+            }
         }
         origin_fetches.sort_unstable_by(|a, b| b.cmp(a));
-        self.assignments = Assignments { fresh: true, zone, region, origin_fetches };
+        self.assignments =
+            Assignments { fresh: true, zone, region, region_standby, origin_fetches };
     }
 }
--- a/ragwortdeal_core/src/spread/limits.rs
+++ b/ragwortdeal_core/src/spread/limits.rs
@@ -22,6 +22,9 @@
     /// Transfer time of one chunk on the origin's link, 0 if unknown. If it is known, fetches from
     /// the origin are scheduled one after the other, so that each chunk can be passed on early.
     pub origin_chunk_ms: f64,
+    /// Time for which an owner may be late for other reasons than queues, such as ticks, batched
+    /// announcements or a busy processor, before the next in rank fetches its chunks.
+    pub standby_ms: u64,
     /// Maximum doublings of the backoff after failures of the origin.
     pub origin_backoff_doublings_max: u32,
     /// Maximum number of requests that all instances of a region together should keep open at other
@@ -47,8 +50,10 @@
     /// Shortest deadline of a request to the origin or another region. All instances add to the
     /// queues there, and a repeated transfer over these links costs the most.
     pub deadline_far_min_ms: u64,
-    /// Longest deadline of a request, and the first one to the origin or another region.
+    /// Longest deadline of a request, and the first one to the origin.
     pub deadline_max_ms: u64,
+    /// Deadline of a request to another region before any was answered.
+    pub deadline_first_far_ms: u64,
     /// Deadline of a request to a peer before any was answered.
     pub deadline_first_ms: u64,
     /// Time without any new chunk after which an owner that still answers loses its ownership.
@@ -67,6 +72,7 @@
             downloads_max: 8,
             origin_requests_max: 64,
             origin_chunk_ms: 0.0,
+            standby_ms: 2_000,
             origin_backoff_doublings_max: 6,
             remote_requests_max: 32,
             uploads_max: 6,
@@ -79,6 +85,7 @@
             deadline_min_ms: 1_000,
             deadline_far_min_ms: 20_000,
             deadline_max_ms: 60_000,
+            deadline_first_far_ms: 60_000,
             deadline_first_ms: 5_000,
             stall_ms: 20_000,
             ban_ms: 30_000,
--- a/ragwortdeal_core/src/spread/owners.rs
+++ b/ragwortdeal_core/src/spread/owners.rs
@@ -112,11 +112,21 @@
         owners.max_by_key(|&owner| self.score(owner, chunk as usize))
     }
 
-    /// Rank of this instance among those that fetch a chunk from the origin, if it is one of them.
-    ///
-    /// The `copies` highest-scoring region owners (zone owners if there is only one region) fetch
-    /// it; the fractional part is the share of chunks that are fetched once more.
-    pub fn origin_fetch_rank(&self, chunk: u32, copies: f64) -> Option<usize> {
+    /// The instance that acts for the owner of a chunk in a region while that one does not: the one
+    /// with the second-highest score.
+    pub fn standby_in_region(&self, region: usize, chunk: u32) -> Option<PeerIndex> {
+        let owner = self.in_region(region, chunk)?;
+        let in_region = |index: &usize| {
+            self.members[*index].is_some_and(|member| self.zones[member.zone].region == region)
+        };
+        let members = (0..self.members.len()).filter(in_region).map(|index| index as PeerIndex);
+        let others = members.filter(|&index| index != owner);
+        others.max_by_key(|&index| self.score(index, chunk as usize))
+    }
+
+    /// Rank of this instance among those that may fetch a chunk from the origin, if it is one of
+    /// them: the region owners by their scores (zone owners if there is only one region).
+    pub fn origin_fetch_rank(&self, chunk: u32) -> Option<usize> {
         let zone = self.members.first().copied().flatten()?.zone;
         let own_score = self.score(SELF, chunk as usize);
         if self.in_zone(zone, chunk) != Some(SELF) {
@@ -137,7 +147,15 @@
             groups.sort_unstable();
             groups.dedup();
         }
-        (groups.len() < self.copies_of(chunk, copies)).then_some(groups.len())
+        Some(groups.len())
+    }
+
+    /// Number of instances that fetch a chunk from the origin. The fractional part of `copies` is
+    /// the share of chunks that are fetched once more.
+    pub fn copies_of(&self, chunk: u32, copies: f64) -> usize {
+        let whole = copies.floor();
+        let fraction = (mix(self.chunk_keys[chunk as usize]) >> 32) as f64 / 4_294_967_296.0;
+        whole as usize + usize::from(fraction < copies - whole)
     }
 
     /// Regions with at least one member.
@@ -162,12 +180,6 @@
         self.zones.iter().filter(|zone| zone.members > 0)
     }
 
-    fn copies_of(&self, chunk: u32, copies: f64) -> usize {
-        let whole = copies.floor();
-        let fraction = (mix(self.chunk_keys[chunk as usize]) >> 32) as f64 / 4_294_967_296.0;
-        whole as usize + usize::from(fraction < copies - whole)
-    }
-
     fn score(&self, peer: PeerIndex, chunk: usize) -> u64 {
         let key = self.members[peer as usize].map_or(0, |member| member.key);
         mix(key ^ self.chunk_keys[chunk])
--- a/ragwortdeal_core/src/spread/requests.rs
+++ b/ragwortdeal_core/src/spread/requests.rs
@@ -72,6 +72,7 @@
     deadline_far_min_ms: u64,
     deadline_max_ms: u64,
     deadline_first_ms: u64,
+    deadline_first_far_ms: u64,
 }
 
 impl Requests {
@@ -89,6 +90,7 @@
             deadline_far_min_ms: limits.deadline_far_min_ms,
             deadline_max_ms: limits.deadline_max_ms,
             deadline_first_ms: limits.deadline_first_ms,
+            deadline_first_far_ms: limits.deadline_first_far_ms,
         }
     }
 
@@ -191,7 +193,8 @@
     fn limit_ms(&self, link: LinkKind) -> u64 {
         let (min_ms, first_ms) = match link {
             LinkKind::Local => (self.deadline_min_ms, self.deadline_first_ms),
-            LinkKind::Origin | LinkKind::Remote => (self.deadline_far_min_ms, self.deadline_max_ms),
+            LinkKind::Origin => (self.deadline_far_min_ms, self.deadline_max_ms),
+            LinkKind::Remote => (self.deadline_far_min_ms, self.deadline_first_far_ms),
         };
         let usual_ms = self.durations_ms[link as usize];
         let scaled_ms = usual_ms.map_or(first_ms, |ms| ms * DEADLINE_FACTOR);
--- a/ragwortdeal_core/tests/spread.rs
+++ b/ragwortdeal_core/tests/spread.rs
@@ -266,3 +266,79 @@
     expect_that!(topologies::tree(&setup, 1, Some(24)).time_ms, gt(3.0 * swarm));
     expect_that!(topologies::all_from_origin(&setup).origin_copies, eq(48.0));
 }
+
+/// The large deployment: 184 instances in five regions, an origin of 15 Mbit/s with 48 connections.
+fn large() -> model::Setup {
+    let mut setup = model::Setup::new(184, 48);
+    (setup.zones, setup.regions, setup.chunk_ms, setup.tick_ms) = (5, 5, 42, 40);
+    setup.start_within_ms = Some(150);
+    setup.faults.origin_connections_max = 48;
+    setup.limits = limits::Limits {
+        origin_copies: 3.2,
+        region_copies: 6.8,
+        origin_chunk_ms: 26.2,
+        standby_ms: 300,
+        downloads_max: 2,
+        uploads_max: 2,
+        remote_requests_max: 3,
+        uploads_per_peer_max: 1,
+        announce_interval_ms: 60,
+        probe_interval_ms: 150,
+        busy_backoff_ms: 25,
+        settle_ms: 60,
+        origin_requests_max: 20,
+        origin_backoff_doublings_max: 3,
+        deadline_min_ms: 400,
+        deadline_far_min_ms: 700,
+        deadline_first_ms: 600,
+        deadline_max_ms: 3_000,
+        deadline_first_far_ms: 700,
+        stall_ms: 800,
+        ban_ms: 3_000,
+        ..limits::Limits::default()
+    };
+    setup
+}
+
+/// One machine in eight hangs while the origin sends the version, and stays so for four seconds.
+fn frozen_eighth(seed: u64) -> Option<((u64, u64), Vec<usize>)> {
+    let frozen = (0..184).filter(|index| (index + seed as usize).is_multiple_of(8));
+    Some(((1_300, 5_300), frozen.collect()))
+}
+
+/// Every chunk leaves the origin once before any leaves it twice, and crosses each link between
+/// regions once, also among many instances that act for owners who do not.
+#[googletest::test]
+fn many_instances_in_five_regions_fetch_one_copy() {
+    for seed in 1..=3 {
+        let mut setup = large();
+        setup.seed = seed;
+        let outcome = model::run(setup.clone());
+        expect_that!(origin_copies(&setup, &outcome), le(1.1), "seed {seed}");
+        let region_copies = outcome.region_chunks as f64 / f64::from(setup.chunks);
+        expect_that!(region_copies, le(1.05 * (setup.regions - 1) as f64), "seed {seed}");
+    }
+}
+
+/// Machines hang in the middle of a distribution and the origin is lost a second later. If the
+/// chunks that it was sending to them were missing then, no instance could complete the version
+/// before the origin is back, and none would serve once the time of the old weights is up.
+#[googletest::test]
+fn an_origin_that_is_lost_after_two_seconds_has_sent_every_chunk_to_a_machine_that_works() {
+    const ORIGIN_LOST_MS: u64 = 2_200;
+    /// When the last engine begins to switch, 1.4 s before the end of a bound of 8 s.
+    const LAST_SWITCH_MS: u64 = 6_600;
+    for seed in 1..=3 {
+        let mut setup = large();
+        setup.seed = seed;
+        setup.faults.origin_lost_ms = Some((ORIGIN_LOST_MS, 8_000));
+        setup.faults.frozen = frozen_eighth(seed);
+        let outcome = model::run(setup.clone());
+        let held = outcome.first_held_ms.values().filter(|&&at_ms| at_ms < ORIGIN_LOST_MS);
+        expect_that!(held.count(), eq(setup.chunks as usize), "seed {seed}");
+        expect_that!(origin_copies(&setup, &outcome), le(1.2), "seed {seed}");
+        let (_, frozen) = setup.faults.frozen.clone().unwrap();
+        let time_ms = outcome.time_ms(&frozen).expect("an instance never got the version");
+        expect_that!(time_ms, lt(LAST_SWITCH_MS), "seed {seed}");
+    }
+}
--- a/ragwortdeal_core/tests/spread/model.rs
+++ b/ragwortdeal_core/tests/spread/model.rs
@@ -18,11 +18,12 @@
 
 /// Bytes of a chunk that are hashed. The simulated links use the transfer time per chunk instead.
 const CONTENT_BYTES: u32 = 16;
-const TICK_MS: u64 = 100;
 /// Bytes of the HTTP headers of an announcement and its response, as the agent sends it.
 const MESSAGE_BYTES: u64 = 350;
 const LATENCY_MS: u64 = 1;
 const REGION_LATENCY_MS: u64 = 2;
+/// Timeout of a connect.
+const CONNECT_TIMEOUT_MS: u64 = 500;
 /// A run counts as stuck after this multiple of the time for one copy on a machine's link.
 const RUN_MAX_COPIES: u64 = 60;
 
@@ -85,6 +86,8 @@
     down: Link,
     incarnation: u32,
     download: Option<download::Download>,
+    /// Announcements that arrived before it started.
+    early: Vec<event::Event>,
 }
 
 pub struct Model {
@@ -134,6 +137,7 @@
             down: Link::default(),
             incarnation: 0,
             download: None,
+            early: Vec::new(),
         };
         let machines: Vec<_> = (0..setup.instances).map(machine).collect();
         let names = machines.iter().enumerate();
@@ -164,7 +168,10 @@
                 break;
             }
             self.now_ms = next.at_ms;
-            self.process(next.instance, next.event_kind);
+            match self.frozen_until_ms(next.instance) {
+                Some(until_ms) => self.schedule(until_ms as f64, next.instance, next.event_kind),
+                None => self.process(next.instance, next.event_kind),
+            }
         }
         self.outcome.region_chunks = self.region_links.values().map(|(_, count)| count).sum();
         let busiest = self.region_links.values().map(|(_, count)| *count).max();
@@ -172,6 +179,12 @@
         self.outcome
     }
 
+    fn frozen_until_ms(&self, instance: usize) -> Option<u64> {
+        let ((from_ms, until_ms), instances) = self.setup.faults.frozen.as_ref()?;
+        let frozen = (*from_ms as f64..*until_ms as f64).contains(&self.now_ms);
+        (frozen && instances.contains(&instance)).then_some(*until_ms)
+    }
+
     fn all_done(&self) -> bool {
         let faults = &self.setup.faults;
         let waits_for = |index: usize| {
@@ -185,7 +198,9 @@
         let faults = self.setup.faults.clone();
         for index in 0..self.machines.len() {
             let join = faults.late_joins.iter().find(|(_, late)| *late == index);
-            self.schedule(join.map_or(0.0, |&(at_ms, _)| at_ms as f64), index, SimEvent::Start);
+            let hears_ms = self.setup.start_within_ms.map(|ms| self.random.random_range(0..=ms));
+            let at_ms = join.map(|&(at_ms, _)| at_ms).or(hears_ms).unwrap_or(0);
+            self.schedule(at_ms as f64, index, SimEvent::Start);
         }
         for (at_ms, index) in faults.crashes {
             self.schedule(at_ms as f64, index, SimEvent::Crash);
@@ -212,7 +227,7 @@
             SimEvent::Tick => {
                 self.deliver(index, event::Event::Tick);
                 if self.machines[index].download.is_some() {
-                    self.schedule(self.now_ms + TICK_MS as f64, index, SimEvent::Tick);
+                    self.schedule(self.now_ms + self.setup.tick_ms as f64, index, SimEvent::Tick);
                 }
             }
             SimEvent::PeerRequest { from, incarnation, chunk } => {
@@ -237,7 +252,9 @@
             SimEvent::EnterDownlink(transfer) => self.enter_downlink(index, transfer),
             SimEvent::OriginSent(transfer) => {
                 self.origin_open -= 1;
-                self.enter_downlink(index, transfer);
+                if !self.is_origin_lost() {
+                    self.enter_downlink(index, transfer);
+                }
             }
             SimEvent::ChunkArrived(transfer) => {
                 if transfer.incarnation == self.machines[index].incarnation {
@@ -253,16 +270,23 @@
         let download = download::Download::new(me.clone(), self.manifest.clone(), limits, kept);
         self.machines[index].download = Some(download);
         let others = 0..self.machines.len();
-        let alive: Vec<_> = others.filter(|&i| self.machines[i].download.is_some()).collect();
-        for other in alive.into_iter().filter(|&other| other != index) {
+        let knows_all = self.setup.start_within_ms.is_some();
+        let is_known = |&i: &usize| knows_all || self.machines[i].download.is_some();
+        let known: Vec<_> = others.filter(is_known).filter(|&other| other != index).collect();
+        for other in known {
             let location = self.machines[other].location.clone();
             self.deliver(index, event::Event::Joined(location));
-            self.deliver(other, event::Event::Joined(me.clone()));
+            if !knows_all {
+                self.deliver(other, event::Event::Joined(me.clone()));
+            }
+        }
+        for event in std::mem::take(&mut self.machines[index].early) {
+            self.deliver(index, event);
         }
         if self.setup.faults.false_announcers.contains(&index) {
             self.announce_everything(index);
         }
-        let stagger_ms = (index as u64 * 7) % TICK_MS;
+        let stagger_ms = (index as u64 * 7) % self.setup.tick_ms;
         self.schedule(self.now_ms + stagger_ms as f64, index, SimEvent::Tick);
     }
 
@@ -301,6 +325,7 @@
     fn deliver(&mut self, index: usize, event: event::Event) {
         let now_ms = self.now_ms as u64;
         let Some(download) = &mut self.machines[index].download else {
+            self.machines[index].early.push(event);
             return;
         };
         self.outcome.decisions += 1;
@@ -467,7 +492,21 @@
         self.schedule(arrival_ms, to, SimEvent::ChunkArrived(transfer));
     }
 
+    fn is_origin_lost(&self) -> bool {
+        let lost = self.setup.faults.origin_lost_ms;
+        lost.is_some_and(|(from_ms, until_ms)| {
+            (from_ms as f64..until_ms as f64).contains(&self.now_ms)
+        })
+    }
+
     fn origin_request(&mut self, from: usize, incarnation: u32, chunk: u32) {
+        if self.is_origin_lost() {
+            let (source, version) = (event::Source::Origin, self.manifest.version());
+            let failure = event::Failure::Error;
+            let event = event::Event::Failed { source, version, chunk, failure };
+            let at_ms = self.now_ms + CONNECT_TIMEOUT_MS as f64;
+            return self.schedule(at_ms, from, SimEvent::Deliver { incarnation, event });
+        }
         let takes_ms = self.setup.origin_chunk_ms();
         let start_ms = self.now_ms.max(self.setup.faults.origin_silent_until_ms as f64);
         if self.occurs(self.setup.faults.origin_error_permille) {
@@ -500,7 +539,10 @@
 
     fn arrive(&mut self, index: usize, source: event::Source, chunk: u32, bytes: &[u8]) {
         let event = match self.manifest.verify_chunk(chunk, bytes) {
-            Ok(chunk) => event::Event::Arrived { source, chunk },
+            Ok(verified) => {
+                self.outcome.first_held_ms.entry(chunk).or_insert(self.now_ms as u64);
+                event::Event::Arrived { source, chunk: verified }
+            }
             Err(fault) => event::Event::InvalidChunk {
                 source,
                 version: self.manifest.version(),
--- a/ragwortdeal_core/tests/spread/setup.rs
+++ b/ragwortdeal_core/tests/spread/setup.rs
@@ -21,11 +21,16 @@
     pub origin_truncated_permille: u32,
     /// The origin does not answer before this time.
     pub origin_silent_until_ms: u64,
+    /// `(from, until)`: the origin is gone. What it was sending is lost, and connects to it time
+    /// out.
+    pub origin_lost_ms: Option<(u64, u64)>,
     /// Maximum connections that the origin accepts; more are refused. They share its link, so each
     /// is slower the more there are. 0 if it sends one chunk after the other instead.
     pub origin_connections_max: usize,
     /// Instances that accept every request and never send anything.
     pub stalled: Vec<usize>,
+    /// `(from, until)` and instances whose machines hang: they do nothing, and what arrives waits.
+    pub frozen: Option<((u64, u64), Vec<usize>)>,
     /// Instances that announce every chunk at the start.
     pub false_announcers: Vec<usize>,
     /// Instances that corrupt every chunk that they send.
@@ -50,6 +55,11 @@
     pub limits: limits::Limits,
     pub faults: Faults,
     pub seed: u64,
+    /// Time between two ticks of an instance.
+    pub tick_ms: u64,
+    /// Instances that know each other before the version is named start at random times within
+    /// this one: they hear of it, and get its manifest, one after the other.
+    pub start_within_ms: Option<u64>,
 }
 
 impl Setup {
@@ -63,6 +73,8 @@
             limits: limits::Limits::default(),
             faults: Faults::default(),
             seed: 4,
+            tick_ms: 100,
+            start_within_ms: None,
         }
     }
 
@@ -87,6 +99,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
     pub done_ms: Vec<Option<u64>>,
+    /// When the first instance held each chunk.
+    pub first_held_ms: collections::BTreeMap<u32, u64>,
     pub origin_chunks: usize,
     /// Maximum requests that were open at the origin at once.
     pub origin_open_max: usize,
--- a/ragwortdeal_node/src/fleet/agent/manifests.rs
+++ b/ragwortdeal_node/src/fleet/agent/manifests.rs
@@ -1,14 +1,30 @@
 //! Fetches manifests from peers or from the origin.
 
+use std::time;
+
 use bytes::Bytes;
-use ragwortdeal_core::{digest, spread::manifest};
+use ragwortdeal_core::{digest, spread, spread::manifest};
 
 use super::{Agent, peers};
 use crate::fleet::dialect;
 
-/// Timeout of a request for a manifest.
+/// Timeout of a request for a manifest to the origin.
 const MANIFEST_TIMEOUT_MS: u64 = 2_000;
 
+/// The same to a peer. One that hangs must not delay a whole distribution.
+const PEER_MANIFEST_TIMEOUT_MS: u64 = 250;
+
+/// Agents of each zone that fetch a manifest from the origin at once. If all did, hundreds of
+/// manifests would take as long on the origin's link as a third of the chunks, and more connections
+/// than it accepts.
+const FIRST_FETCHERS: usize = 2;
+
+/// How long other agents wait for those to have the manifest.
+const FETCHERS_WAIT: time::Duration = time::Duration::from_millis(400);
+
+/// Interval between two requests to them.
+const FETCHERS_POLL_INTERVAL: time::Duration = time::Duration::from_millis(30);
+
 /// Largest manifest as sent.
 const MANIFEST_MAX_BYTES: usize = 8 << 20;
 
@@ -35,7 +51,8 @@
 }
 
 impl Agent {
-    /// Asks some peers, then the origin. A manifest is small, but bytes of the origin are the most
+    /// Asks some peers, which have it unless it was named just now; then those of its zone that
+    /// fetch it first; then the origin. A manifest is small, but bytes of the origin are the most
     /// expensive, and its link is busy when all agents ask at once.
     pub(super) async fn fetch_manifest(
         &self,
@@ -48,10 +65,35 @@
                     return Some(file);
                 }
             }
+            if let Some(file) = self.await_first_fetchers(weights).await {
+                return Some(file);
+            }
         }
         let origin = self.voter_state.borrow().document.as_ref()?.origin()?.address.to_string();
         let call = self.dialect.manifest_call(&weights.model, weights.version);
-        self.request_manifest(weights, &origin, call).await
+        self.request_manifest(weights, &origin, call, MANIFEST_TIMEOUT_MS).await
+    }
+
+    /// Waits for the agents that fetch the manifest first, unless this agent is one of them.
+    async fn await_first_fetchers(&self, weights: &Weights) -> Option<ManifestFile> {
+        let zone = self.zone_agents();
+        let names: Vec<_> = zone.iter().map(|(name, _)| name.as_str()).collect();
+        let first = spread::fetchers::first(&names, weights.version, FIRST_FETCHERS);
+        if first.contains(&self.identity.name.as_str()) {
+            return None;
+        }
+        let addresses: Vec<_> =
+            zone.iter().filter(|(name, _)| first.contains(&name.as_str())).collect();
+        let begun = time::Instant::now();
+        while begun.elapsed() < FETCHERS_WAIT {
+            tokio::time::sleep(FETCHERS_POLL_INTERVAL).await;
+            for (_, address) in &addresses {
+                if let Some(file) = self.fetch_manifest_from_peer(weights, address).await {
+                    return Some(file);
+                }
+            }
+        }
+        None
     }
 
     async fn fetch_manifest_from_peer(
@@ -64,7 +106,7 @@
             path: peers::manifest_path(weights),
             body: Bytes::new(),
         };
-        self.request_manifest(weights, address, call).await
+        self.request_manifest(weights, address, call, PEER_MANIFEST_TIMEOUT_MS).await
     }
 
     async fn request_manifest(
@@ -72,9 +114,9 @@
         weights: &Weights,
         peer: &str,
         call: dialect::Call,
+        deadline_ms: u64,
     ) -> Option<ManifestFile> {
-        let answer =
-            self.call("fetch manifest", peer, call, MANIFEST_MAX_BYTES, MANIFEST_TIMEOUT_MS);
+        let answer = self.call("fetch manifest", peer, call, MANIFEST_MAX_BYTES, deadline_ms);
         let (status, source) = match answer.await {
             Ok(answer) => answer,
             Err(error) => {
--- a/ragwortdeal_node/src/fleet/agent/peers.rs
+++ b/ragwortdeal_node/src/fleet/agent/peers.rs
@@ -178,6 +178,16 @@
         self.settings.link_address(&address.to_string())
     }
 
+    /// All agents of the own zone, this one included, with their names and addresses.
+    pub(super) fn zone_agents(&self) -> Vec<(String, String)> {
+        let own_zone = &self.settings.process.availability_zone;
+        let others = self.other_agents().into_values().filter(|agent| agent.zone == *own_zone);
+        let own = (self.identity.name.to_string(), String::new());
+        let others =
+            others.map(|agent| (agent.address.to_string(), self.peer_address(agent.address)));
+        others.chain([own]).collect()
+    }
+
     /// Some peers to ask for a manifest, those in the same zone first.
     pub(super) fn manifest_peers(&self) -> Vec<String> {
         let own_zone = &self.settings.process.availability_zone;
--- a/ragwortdeal_node/src/fleet/agent/spread.rs
+++ b/ragwortdeal_node/src/fleet/agent/spread.rs
@@ -96,6 +96,8 @@
         // Below the number of connections that an origin accepts, of which some are still closing.
         origin_requests_max: 20,
         origin_chunk_ms,
+        // Several ticks and announcements.
+        standby_ms: 300,
         // At most 200 ms: an origin that is back is noticed soon, and hundreds of agents that ask
         // so often are a few connections for it.
         origin_backoff_doublings_max: 3,
@@ -103,6 +105,8 @@
         deadline_far_min_ms: 1_000,
         deadline_first_ms: 600,
         deadline_max_ms: 3_000,
+        // A peer that hangs must be found while the origin can still send the chunk to another one.
+        deadline_first_far_ms: 1_200,
         stall_ms: 800,
         ban_ms: 3_000,
         ..limits::Limits::default()
