Spread the first connects over voters, tell changes together

Cause: 184 agents and 39 entries connect to the same three voters in the same moment, at 0.15 of a core each, and each agent that connects is told to each other one by one: 60 notices to one agent where 60 join. Entries had the document 1.3 s after their start, agents 1.3 s as well.

Ruled out: the election (entries and agents need no leader), reading the data folder (open 0.1 s after the start), the engines' loads (0.3 s).

Change: a process begins at a voter by its address and connects to the next one 0.3 s later; voters collect changes of agents for 0.1 s and reports of engines for 20 ms. Voters still follow each other at once.

agents_that_join_together_are_told_together failed before (60 notices where 3 are allowed).

--- a/ragwortdeal_node/src/fleet/agent.rs
+++ b/ragwortdeal_node/src/fleet/agent.rs
@@ -172,17 +172,11 @@
                     .voter_state
                     .send_modify(|voter_state| _ = voter_state.agents.insert(voter, agents));
             }
-            voter_links::Event::Notice(voter, notice::Notice::Agent(info)) => {
+            voter_links::Event::Notice(voter, notice::Notice::AgentChanges { changed, left }) => {
                 agent.voter_state.send_modify(|voter_state| {
                     let agents = voter_state.agents.entry(voter).or_default();
-                    agents.insert(info.address, info);
-                });
-            }
-            voter_links::Event::Notice(voter, notice::Notice::AgentLeft(address)) => {
-                agent.voter_state.send_modify(|voter_state| {
-                    if let Some(agents) = voter_state.agents.get_mut(&voter) {
-                        agents.remove(&address);
-                    }
+                    agents.extend(changed.into_iter().map(|info| (info.address, info)));
+                    left.iter().for_each(|address| _ = agents.remove(address));
                 });
             }
             voter_links::Event::Notice(_, notice::Notice::Upstreams(announcements)) => {
--- a/ragwortdeal_node/src/fleet/notice.rs
+++ b/ragwortdeal_node/src/fleet/notice.rs
@@ -37,17 +37,20 @@
     },
     /// All running agents as known to this voter, for an agent that has just subscribed.
     Agents(Vec<AgentInfo>),
-    /// An agent that joined or changed. Each change goes to all agents from all voters, so it
-    /// contains this agent alone.
-    Agent(AgentInfo),
-    /// An agent that is no longer connected.
-    AgentLeft(net::Ipv4Addr),
+    /// Agents that joined, changed or left since the last such notice. Changes go to all agents
+    /// from all voters, so it contains these agents alone, and one notice all that come together.
+    AgentChanges {
+        /// Those that joined or changed.
+        changed: Vec<AgentInfo>,
+        /// Those that are no longer connected.
+        left: Vec<net::Ipv4Addr>,
+    },
     /// An agent reports which weights its engine serves. A voter sends an agent that subscribes the
     /// last report from its address.
     #[serde(rename = "Serves")]
     EngineStatus(EngineStatus),
-    /// The reports of all agents, for an entry that has just subscribed. Sent one by one they would
-    /// not fit into the queue of its link.
+    /// The reports of many agents: of all for an entry that has just subscribed, later of those that
+    /// came together. Sent one by one they would not fit into the queue of its link.
     #[serde(rename = "AllServe")]
     EngineStatuses(Vec<EngineStatus>),
     /// Number of running entries. An entry counts as long as it is connected.
--- a/ragwortdeal_node/src/fleet/voter_links.rs
+++ b/ragwortdeal_node/src/fleet/voter_links.rs
@@ -29,6 +29,15 @@
 /// Largest number of voters that are followed.
 const VOTERS_MAX: usize = 32;
 
+/// Time between the first connects to two voters. When all machines come back at once, hundreds of
+/// processes would otherwise connect to the same few voters in the same moment, and each of these
+/// would take all that time for the first of them.
+const CONNECT_SPACING_MS: u64 = 300;
+
+/// Role by which a voter follows another one. Messages of the replicated log have links of their
+/// own.
+pub const VOTER_ROLE: &str = "fellow";
+
 /// Addresses of voters' listeners for operators, as given by the current settings.
 pub type Seeds = watch::Receiver<Vec<std::net::SocketAddrV4>>;
 
@@ -58,6 +67,8 @@
     settings: sync::Arc<settings::fleet::Settings>,
     identity: common::Identity,
     role: &'static str,
+    /// Time between the first connects to two voters.
+    spacing_ms: u64,
     held_version: sync::Arc<atomic::AtomicU64>,
     events: mpsc::Sender<Event>,
     voters: sync::Mutex<collections::BTreeMap<Ipv4Addr, VoterLink>>,
@@ -73,8 +84,16 @@
     seeds: Seeds,
 ) -> (Voters, mpsc::Receiver<Event>) {
     let (events, receiver) = mpsc::channel(QUEUED_NOTICES_MAX);
-    let shared =
-        Shared { settings, identity, role, held_version, events, voters: sync::Mutex::default() };
+    let shared = Shared {
+        settings,
+        identity,
+        role,
+        // Voters are few, and need each other first of all.
+        spacing_ms: if role == VOTER_ROLE { 0 } else { CONNECT_SPACING_MS },
+        held_version,
+        events,
+        voters: sync::Mutex::default(),
+    };
     let voters = Voters { shared: sync::Arc::new(shared) };
     tokio::spawn(voters.clone().sweep(seeds));
     (voters, receiver)
@@ -84,12 +103,13 @@
     /// Follows the given voters, including those named before.
     pub fn follow(&self, addresses: &[Ipv4Addr]) {
         let mut voters = self.voters();
-        for &address in addresses {
+        let own = self.shared.settings.fleet.address;
+        for address in connect_order(own, addresses) {
             if let Some(known) = voters.get_mut(&address) {
                 known.last_named = time::Instant::now();
-            } else if voters.len() < VOTERS_MAX && address != self.shared.settings.fleet.address {
+            } else if voters.len() < VOTERS_MAX && address != own {
                 log::info!("{}: following voter {address}", self.shared.role);
-                let link = self.open(address);
+                let link = self.open(address, self.shared.spacing_ms * voters.len() as u64);
                 voters.insert(address, VoterLink { link, last_named: time::Instant::now() });
             }
         }
@@ -120,13 +140,14 @@
         self.shared.voters.lock().expect("no panic under lock")
     }
 
-    fn open(&self, address: Ipv4Addr) -> link::Link {
+    fn open(&self, address: Ipv4Addr, open_after_ms: u64) -> link::Link {
         let shared = &self.shared;
         let (link_events, received) = mpsc::channel(QUEUED_NOTICES_MAX);
         let credential = link::Credential::new(&shared.settings.credentials.cluster);
         let hello = shared.identity.hello(shared.role);
         let peer = shared.settings.link_address(&address.to_string());
-        let link = link::open(&peer, credential, hello, link::LinkLimits::default(), link_events);
+        let limits = link::LinkLimits { open_after_ms, ..link::LinkLimits::default() };
+        let link = link::open(&peer, credential, hello, limits, link_events);
         tokio::spawn(self.clone().listen(address, link.clone(), received));
         link
     }
@@ -181,3 +202,11 @@
         }
     }
 }
+
+/// The order in which a process connects to voters. Processes begin at different ones, so that each
+/// voter gets an even part of them first.
+fn connect_order(own: Ipv4Addr, voters: &[Ipv4Addr]) -> impl Iterator<Item = Ipv4Addr> {
+    let count = voters.len();
+    let first = (own.to_bits() as usize).checked_rem(count).unwrap_or(0);
+    (0..count).map(move |step| voters[(first + step) % count])
+}
--- a/ragwortdeal_node/src/link.rs
+++ b/ragwortdeal_node/src/link.rs
@@ -26,6 +26,8 @@
     pub heartbeat_ms: u64,
     /// After how much silence a link is given up.
     pub silence_ms: u64,
+    /// Pause before the first connect.
+    pub open_after_ms: u64,
     /// How long a connect with its handshake may take.
     pub connect_ms: u64,
     /// Largest frame that is read.
@@ -42,6 +44,7 @@
             heartbeat_ms: 500,
             // Four heartbeats: three may be lost before a working link is given up.
             silence_ms: 2_000,
+            open_after_ms: 0,
             connect_ms: 1_000,
             frame_max_bytes: 4 << 20,
             queue_frames: 1_024,
--- a/ragwortdeal_node/src/link/client.rs
+++ b/ragwortdeal_node/src/link/client.rs
@@ -141,6 +141,7 @@
 
 impl Opener {
     async fn keep_open(self) {
+        time::sleep(millis(self.limits.open_after_ms)).await;
         loop {
             match time::timeout(millis(self.limits.connect_ms), self.connect()).await {
                 Ok(Ok(socket)) => self.run(socket).await,
--- a/ragwortdeal_node/src/voter/fleet.rs
+++ b/ragwortdeal_node/src/voter/fleet.rs
@@ -128,6 +128,8 @@
     tokio::spawn(serving);
     tokio::spawn(pass_on_seeds(events.clone(), seeds));
     tokio::spawn(hub::publish(hub.clone(), publisher.clone()));
+    tokio::spawn(hub::tell_agent_changes(hub.clone()));
+    tokio::spawn(hub::tell_statuses(hub.clone()));
     tokio::spawn(due::record(hub.clone(), events.clone()));
     let mut identity = settings.process.identity()?;
     identity.name = name::InstanceName::new(&settings.fleet.address.to_string())?;
--- a/ragwortdeal_node/src/voter/fleet/fellows.rs
+++ b/ragwortdeal_node/src/voter/fleet/fellows.rs
@@ -11,9 +11,6 @@
     settings::{self, common},
 };
 
-/// Role by which a voter follows another one. Letters of the replicated log have links of their own.
-pub(super) const ROLE: &str = "fellow";
-
 /// Follows the other voters for as long as the process runs.
 pub(super) async fn follow(
     settings: sync::Arc<settings::fleet::Settings>,
@@ -23,7 +20,8 @@
 ) {
     // Documents come by the log, so none is asked for.
     let held_version = sync::Arc::new(atomic::AtomicU64::new(u64::MAX));
-    let (_voters, mut told) = voter_links::start(settings, identity, ROLE, held_version, seeds);
+    let (_voters, mut told) =
+        voter_links::start(settings, identity, voter_links::VOTER_ROLE, held_version, seeds);
     while let Some(told) = told.recv().await {
         if let voter_links::Event::Notice(voter, notice) = told {
             hub.told_by_voter(voter, notice);
--- a/ragwortdeal_node/src/voter/fleet/hub.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -1,6 +1,6 @@
 //! Tells followers what changed: documents, weights, upstreams, agents, voters.
 
-use std::{collections, net, sync};
+use std::{collections, net, sync, time};
 
 use ragwortdeal_core::{
     directory,
@@ -11,6 +11,14 @@
 
 use crate::{clock, fleet::notice, link, voter::driver};
 
+/// Time within which changes of agents are collected for one notice. When all machines come back
+/// at once, each agent would otherwise be told of each other one by one.
+const AGENT_CHANGES_INTERVAL: time::Duration = time::Duration::from_millis(100);
+
+/// The same for reports of agents, of which entries need to know soon: they send nothing to an
+/// engine that is about to switch.
+const STATUSES_INTERVAL: time::Duration = time::Duration::from_millis(20);
+
 /// How long an upstream that fell silent is kept. Engines behind a cut come back within it.
 const SILENT_MS: u64 = 120_000;
 
@@ -29,6 +37,10 @@
     documents: store::Store,
     named: naming::Namings,
     voters: Vec<net::Ipv4Addr>,
+    /// Agents that joined, changed or left, by their address, which agents are not told of yet.
+    changed_agents: collections::BTreeSet<net::Ipv4Addr>,
+    /// Engines whose status changed, which entries are not told of yet.
+    changed_statuses: collections::BTreeSet<net::SocketAddrV4>,
 }
 
 /// What this voter knows first hand, and who wants to know it.
@@ -37,6 +49,26 @@
     /// Time after a naming in which older weights may be served.
     weights_ms: u64,
     state: sync::Mutex<State>,
+    agents_changed: tokio::sync::Notify,
+    statuses_changed: tokio::sync::Notify,
+}
+
+/// Tells agents of changes among them, as long as the process runs.
+pub(super) async fn tell_agent_changes(hub: sync::Arc<Hub>) {
+    loop {
+        hub.agents_changed.notified().await;
+        tokio::time::sleep(AGENT_CHANGES_INTERVAL).await;
+        hub.state().tell_agent_changes();
+    }
+}
+
+/// Tells entries of changes of engines' statuses, as long as the process runs.
+pub(super) async fn tell_statuses(hub: sync::Arc<Hub>) {
+    loop {
+        hub.statuses_changed.notified().await;
+        tokio::time::sleep(STATUSES_INTERVAL).await;
+        hub.state().tell_statuses();
+    }
 }
 
 /// Passes on what the driver publishes.
@@ -59,7 +91,13 @@
 
 impl Hub {
     pub(super) fn new(weights_ms: u64) -> Self {
-        Self { clock: clock::Clock::start(), weights_ms, state: sync::Mutex::default() }
+        Self {
+            clock: clock::Clock::start(),
+            weights_ms,
+            state: sync::Mutex::default(),
+            agents_changed: tokio::sync::Notify::new(),
+            statuses_changed: tokio::sync::Notify::new(),
+        }
     }
 
     fn state(&self) -> sync::MutexGuard<'_, State> {
@@ -134,8 +172,9 @@
             let zone = session.hello.zone.clone();
             let incarnation = session.hello.incarnation;
             let seat = notice::AgentInfo { address, zone, incarnation, narrow: false };
-            state.agents.insert(session.id, seat.clone());
-            state.tell_role("agent", &notice::encode(&notice::Notice::Agent(seat)));
+            state.agents.insert(session.id, seat);
+            state.changed_agents.insert(address);
+            self.agents_changed.notify_one();
         }
         if session.hello.role == "entry" {
             state.tell_entries();
@@ -146,7 +185,8 @@
         let mut state = self.state();
         let closed = state.followers.remove(&session);
         if let Some(seat) = state.agents.remove(&session) {
-            state.tell_agent_closed(seat.address);
+            state.changed_agents.insert(seat.address);
+            self.agents_changed.notify_one();
         }
         if closed.is_some_and(|it| it.session.hello.role == "entry") {
             state.tell_entries();
@@ -184,14 +224,15 @@
                 if let Some(seat) = state.agents.get_mut(&session.id)
                     && std::mem::replace(&mut seat.narrow, serves.narrow) != serves.narrow
                 {
-                    let changed = notice::encode(&notice::Notice::Agent(seat.clone()));
-                    state.tell_role("agent", &changed);
+                    let address = seat.address;
+                    state.changed_agents.insert(address);
+                    self.agents_changed.notify_one();
                 }
                 let newer = |held: &notice::EngineStatus| held.sequence < serves.sequence;
                 if state.serves.get(&serves.address).is_none_or(newer) {
-                    state.serves.insert(serves.address, serves.clone());
-                    let message = notice::encode(&notice::Notice::EngineStatus(serves));
-                    state.tell_role("entry", &message);
+                    state.changed_statuses.insert(serves.address);
+                    state.serves.insert(serves.address, serves);
+                    self.statuses_changed.notify_one();
                 }
             }
             _ => log::warn!("voter: {} sent what is no notice", session.hello.name),
@@ -226,17 +267,28 @@
         }
     }
 
-    /// Tells agents that a link to one of them has closed. A process that was started again there may
-    /// have opened another one before.
-    fn tell_agent_closed(&self, address: net::Ipv4Addr) {
-        let others = self.agents.values().filter(|seat| seat.address == address);
-        let notice = match others.max_by_key(|seat| seat.incarnation) {
-            Some(seat) => notice::Notice::Agent(seat.clone()),
-            None => notice::Notice::AgentLeft(address),
-        };
+    /// Tells agents which of them joined, changed or left. A process that was started again at an
+    /// address may have opened a link before the earlier one closed.
+    fn tell_agent_changes(&mut self) {
+        let (mut changed, mut left) = (Vec::new(), Vec::new());
+        for address in std::mem::take(&mut self.changed_agents) {
+            let there = self.agents.values().filter(|seat| seat.address == address);
+            match there.max_by_key(|seat| seat.incarnation) {
+                Some(seat) => changed.push(seat.clone()),
+                None => left.push(address),
+            }
+        }
+        let notice = notice::Notice::AgentChanges { changed, left };
         self.tell_role("agent", &notice::encode(&notice));
     }
 
+    fn tell_statuses(&mut self) {
+        let changed = std::mem::take(&mut self.changed_statuses);
+        let statuses = changed.iter().filter_map(|address| self.serves.get(address)).cloned();
+        let notice = notice::Notice::EngineStatuses(statuses.collect());
+        self.tell_role("entry", &notice::encode(&notice));
+    }
+
     fn tell_entries(&self) {
         let entries = self.followers.values().filter(|it| it.session.hello.role == "entry");
         let entries = entries.count() as u32;
--- a/ragwortdeal_node/tests/fleet_roster.rs
+++ b/ragwortdeal_node/tests/fleet_roster.rs
@@ -1,6 +1,6 @@
 //! What agents are told about each other.
 
-use std::{collections, net};
+use std::{collections, net, time};
 
 use googletest::prelude::*;
 use ragwortdeal_node::{
@@ -23,6 +23,8 @@
     link: link::Link,
     events: mpsc::Receiver<link::LinkEvent>,
     agents: collections::BTreeMap<net::Ipv4Addr, bool>,
+    /// Notices of changes that it got.
+    change_notices: usize,
     /// Engines that it was told about.
     engines: collections::BTreeSet<net::Ipv4Addr>,
 }
@@ -34,7 +36,7 @@
         link.push("follow", follow).expect("the link is up");
         let address = world.address(number);
         let (agents, engines) = (collections::BTreeMap::new(), collections::BTreeSet::new());
-        Self { address, link, events, agents, engines }
+        Self { address, link, events, agents, change_notices: 0, engines }
     }
 
     fn report_narrow(&self, number: u64, narrow: bool) {
@@ -67,8 +69,12 @@
                 Some(Notice::Agents(agents)) => {
                     self.agents = agents.iter().map(|info| (info.address, info.narrow)).collect();
                 }
-                Some(Notice::Agent(info)) => _ = self.agents.insert(info.address, info.narrow),
-                Some(Notice::AgentLeft(address)) => _ = self.agents.remove(&address),
+                Some(Notice::AgentChanges { changed, left }) => {
+                    self.change_notices += 1;
+                    let changed = changed.iter().map(|info| (info.address, info.narrow));
+                    self.agents.extend(changed);
+                    left.iter().for_each(|address| _ = self.agents.remove(address));
+                }
                 Some(Notice::Upstreams(announcements)) => {
                     self.engines.extend(announcements.iter().map(|it| *it.address.ip()));
                 }
@@ -111,6 +117,23 @@
     expect_that!(many, le(few + NUMBERS_BYTES));
 }
 
+/// Least time between two notices of changes.
+const CHANGES_INTERVAL_MS: u128 = 100;
+
+/// Hundreds of agents connect within a second after all machines lost power. If a voter told each
+/// of them of each other one by one, it would be busy with that for seconds, and entries and agents
+/// would learn neither document nor weights meanwhile.
+#[googletest::test]
+#[tokio::test]
+async fn agents_that_join_together_are_told_together() {
+    let world = World::new(&DIALECT, 1);
+    let _voter = world.voter(1, true).await;
+    let begun = time::Instant::now();
+    let agents = agents(&world, 60).await;
+    let intervals = begun.elapsed().as_millis() / CHANGES_INTERVAL_MS;
+    expect_that!(agents[0].change_notices as u128, le(intervals + 2));
+}
+
 /// An agent restarts and connects before its earlier connection ends. The others must still know
 /// it, and forget it once it is gone.
 #[googletest::test]
