Give instances that do not differ one line of the status

Operators of two hundred instances got as many lines from `ragwortctl status`, several screens, in which the one that is behind was lost.

Change: the instances of a zone and target in the state of most of them share a line with their number and the sum of their calls; each other one has a line of its own. `--all` shows all, JSON is whole as before.

--- a/extra/completions/ragwortctl.bash
+++ b/extra/completions/ragwortctl.bash
@@ -691,7 +691,7 @@
             return 0
             ;;
         ragwortctl__subcmd__status)
-            opts="-h --entry --token --output --help"
+            opts="-h --all --entry --token --output --help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
--- a/extra/completions/ragwortctl.fish
+++ b/extra/completions/ragwortctl.fish
@@ -33,7 +33,7 @@
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "label" -d 'Labels of instances, models, services and accounts'
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "selector" -d 'Selectors: placements and routes'
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "version" -d 'Versions of weights'
-complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "status" -d 'What is intended, what serves, and what is behind and why, by availability zone'
+complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "status" -d 'What is intended, what serves, and what is behind and why, by availability zone. Instances in the state of most of their zone share a line'
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "spread" -d 'Progress of the rollout of each version'
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "operations" -d 'Operations that may not be repeated'
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "settle" -d 'Settles an operation in doubt after a look at the ledger'
@@ -155,6 +155,7 @@
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand status" -l token -d 'The operator\'s secret' -r
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand status" -l output -d 'How to print' -r -f -a "table\t'For people'
 json\t'For programs'"
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand status" -l all -d 'Shows each instance on a line of its own'
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand status" -s h -l help -d 'Print help (see more with \'--help\')'
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand spread" -l entry -d 'Address of an entry\'s listener for operators. With several, the next is asked when one does not answer; a change keeps its identifier, so it is never made twice' -r
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand spread" -l token -d 'The operator\'s secret' -r
--- a/ragwortctl/src/cli.rs
+++ b/ragwortctl/src/cli.rs
@@ -54,8 +54,13 @@
     /// Versions of weights.
     #[command(subcommand)]
     Version(Version),
-    /// What is intended, what serves, and what is behind and why, by availability zone.
-    Status,
+    /// What is intended, what serves, and what is behind and why, by availability zone. Instances
+    /// in the state of most of their zone share a line.
+    Status {
+        /// Shows each instance on a line of its own.
+        #[arg(long)]
+        all: bool,
+    },
     /// Progress of the rollout of each version.
     Spread {
         /// Redraws until all replicas serve what is intended.
--- a/ragwortctl/src/commands.rs
+++ b/ragwortctl/src/commands.rs
@@ -4,6 +4,7 @@
 mod explain;
 mod generate;
 mod spread;
+mod status;
 mod views;
 
 use std::{io, process};
@@ -65,7 +66,7 @@
         cli::Command::Label(command) => changes::label(&client, output, command).await,
         cli::Command::Selector(command) => changes::selector(&client, output, command).await,
         cli::Command::Version(command) => changes::version(&client, output, command).await,
-        cli::Command::Status => views::status(&client, output).await,
+        cli::Command::Status { all } => status::run(&client, output, all).await,
         cli::Command::Spread { watch } => spread::spread(&client, output, watch).await,
         cli::Command::Operations { in_doubt } => views::operations(&client, output, in_doubt).await,
         cli::Command::Settle { operation, ran } => {
--- a/ragwortctl/src/commands/views.rs
+++ b/ragwortctl/src/commands/views.rs
@@ -72,52 +72,6 @@
     }
 }
 
-pub(super) async fn status(
-    client: &client::Client,
-    output: cli::Output,
-) -> Result<process::ExitCode, CommandError> {
-    let mut status: wire::Status = client.get("/api/status").await?;
-    status.instances.sort_by(|a, b| (&a.zone, &a.instance).cmp(&(&b.zone, &b.instance)));
-    if output == cli::Output::Table {
-        let wire::Status { revision, control, entry, .. } = &status;
-        println!("revision {revision} at {entry}, voters {control}");
-    }
-    output::print(output, &status, status_table)?;
-    Ok(process::ExitCode::SUCCESS)
-}
-
-fn status_table(status: &wire::Status) -> output::Table {
-    let heading =
-        ["ZONE", "INSTANCE", "TARGET", "PHASE", "INTENDED", "SERVING", "REVISION", "CALLS", "NOTE"];
-    let mut table = output::Table::new(&heading);
-    for one in &status.instances {
-        table.row(vec![
-            one.zone.clone(),
-            one.instance.clone(),
-            one.target.clone(),
-            one.phase.clone(),
-            output::short(one.intended.as_deref()),
-            output::short(one.serving.as_deref()),
-            one.applied_revision.to_string(),
-            one.running.to_string(),
-            note(status, one),
-        ]);
-    }
-    table
-}
-
-fn note(status: &wire::Status, one: &wire::InstanceStatus) -> String {
-    let mut notes = Vec::new();
-    if one.leaving {
-        notes.push("leaving".to_owned());
-    }
-    notes.extend(one.behind.clone());
-    if one.applied_revision < status.revision {
-        notes.push(format!("behind by {} changes", status.revision - one.applied_revision));
-    }
-    notes.join("; ")
-}
-
 pub(super) async fn operations(
     client: &client::Client,
     output: cli::Output,
