--- a/ragwortdeal_node/src/fleet/entry/health.rs
+++ b/ragwortdeal_node/src/fleet/entry/health.rs
@@ -210,9 +210,9 @@
 
     /// Whether one more request may be sent. To an upstream that fell silent or whose path is
     /// blocked, one request at a time is sent as a probe, and only one that can be retried
-    /// elsewhere, unless no such request comes to a silent plain service for a while. Nothing is sent to `superseded` weights unless the path is confirmed: it could
-    /// arrive after their time is up. Only a reply of the engine itself shows that the path works
-    /// again.
+    /// elsewhere, unless no such request comes to a silent plain service for a while. Nothing is
+    /// sent to `superseded` weights unless the path is confirmed: it could arrive after their time
+    /// is up. Only a reply of the engine itself shows that the path works again.
     pub(super) fn may_take(&self, repeatable: bool, superseded: bool, now_ms: u64) -> bool {
         let doubted = self.silence.is_silent() || self.is_blocked(now_ms);
         let probes = self.open() == 0 && (repeatable || self.awaits_probe(now_ms));
