Tell single changes of agents in the notices that earlier agents know

Since changes of agents are told together, the notices of one agent were gone from the messages, though names that leave a process stay: during an upgrade an agent of an earlier version would have heard of no change at all from a new voter, and a new agent of none from an old one.

Change: both notices are back and read; a voter uses them where one agent changed or left, and the notice of several only where several came together. Earlier agents miss those until their link opens anew and brings the whole list.

The test of the list reads the two notices as before.

--- a/ragwortdeal_node/src/fleet/agent.rs
+++ b/ragwortdeal_node/src/fleet/agent.rs
@@ -172,12 +172,14 @@
                     .voter_state
                     .send_modify(|voter_state| _ = voter_state.agents.insert(voter, agents));
             }
+            voter_links::Event::Notice(voter, notice::Notice::Agent(info)) => {
+                agent.change_agents(voter, vec![info], &[]);
+            }
+            voter_links::Event::Notice(voter, notice::Notice::AgentLeft(address)) => {
+                agent.change_agents(voter, Vec::new(), &[address]);
+            }
             voter_links::Event::Notice(voter, notice::Notice::AgentChanges { changed, left }) => {
-                agent.voter_state.send_modify(|voter_state| {
-                    let agents = voter_state.agents.entry(voter).or_default();
-                    agents.extend(changed.into_iter().map(|info| (info.address, info)));
-                    left.iter().for_each(|address| _ = agents.remove(address));
-                });
+                agent.change_agents(voter, changed, &left);
             }
             voter_links::Event::Notice(_, notice::Notice::Upstreams(announcements)) => {
                 let own = announcements.iter().filter(|it| it.address == agent.engine);
@@ -196,6 +198,20 @@
 }
 
 impl Agent {
+    /// Applies what a voter tells of other agents.
+    fn change_agents(
+        &self,
+        voter: std_net::Ipv4Addr,
+        changed: Vec<notice::AgentInfo>,
+        left: &[std_net::Ipv4Addr],
+    ) {
+        self.voter_state.send_modify(|voter_state| {
+            let agents = voter_state.agents.entry(voter).or_default();
+            agents.extend(changed.into_iter().map(|info| (info.address, info)));
+            left.iter().for_each(|address| _ = agents.remove(address));
+        });
+    }
+
     fn install_document(&self, documents: &store::Store) {
         let newer = documents
             .document
--- a/ragwortdeal_node/src/fleet/entry/voter_updates.rs
+++ b/ragwortdeal_node/src/fleet/entry/voter_updates.rs
@@ -49,6 +49,8 @@
             notice::Notice::Subscribe { .. }
             | notice::Notice::Voters(_)
             | notice::Notice::Agents(_)
+            | notice::Notice::Agent(_)
+            | notice::Notice::AgentLeft(_)
             | notice::Notice::AgentChanges { .. } => (),
         }
     }
--- a/ragwortdeal_node/src/fleet/notice.rs
+++ b/ragwortdeal_node/src/fleet/notice.rs
@@ -37,8 +37,12 @@
     },
     /// All running agents as known to this voter, for an agent that has just subscribed.
     Agents(Vec<AgentInfo>),
-    /// Agents that joined, changed or left since the last such notice. Changes go to all agents
-    /// from all voters, so it contains these agents alone, and one notice all that come together.
+    /// An agent that joined or changed. Each change goes to all agents from all voters, so it
+    /// contains this agent alone.
+    Agent(AgentInfo),
+    /// An agent that is no longer connected.
+    AgentLeft(net::Ipv4Addr),
+    /// Several agents that joined, changed or left together.
     AgentChanges {
         /// Those that joined or changed.
         changed: Vec<AgentInfo>,
--- a/ragwortdeal_node/src/voter/fleet/hub.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -278,7 +278,12 @@
                 None => left.push(address),
             }
         }
-        let notice = notice::Notice::AgentChanges { changed, left };
+        // Agents of earlier versions know the notices of single changes alone.
+        let notice = match (changed.as_slice(), left.as_slice()) {
+            ([seat], []) => notice::Notice::Agent(seat.clone()),
+            ([], [address]) => notice::Notice::AgentLeft(*address),
+            _ => notice::Notice::AgentChanges { changed, left },
+        };
         self.tell_role("agent", &notice::encode(&notice));
     }
 
--- a/ragwortdeal_node/tests/fleet_roster.rs
+++ b/ragwortdeal_node/tests/fleet_roster.rs
@@ -69,6 +69,14 @@
                 Some(Notice::Agents(agents)) => {
                     self.agents = agents.iter().map(|info| (info.address, info.narrow)).collect();
                 }
+                Some(Notice::Agent(info)) => {
+                    self.change_notices += 1;
+                    self.agents.insert(info.address, info.narrow);
+                }
+                Some(Notice::AgentLeft(address)) => {
+                    self.change_notices += 1;
+                    self.agents.remove(&address);
+                }
                 Some(Notice::AgentChanges { changed, left }) => {
                     self.change_notices += 1;
                     let changed = changed.iter().map(|info| (info.address, info.narrow));
