Hold the turns of fetches from the origin while it fails

Cause: turns ran on while the origin was away. At its return every chunk was due at its owner and at all that stand in for owners, in three regions at once: 2.8 copies left the origin where two were needed, each chunk shared the link with all others, and new weights came 6 s after the return of an origin whose link needs 2.6 s for a copy. An earlier version whose turns were over used the link beside the newest, however much of it was missing.

Change: a clock of fetches that goes back to the last chunk known to have left and nearly stands still until one leaves again. Stand-ins fetch a chunk only once what was due about its turn has left. An earlier version uses the origin for its last quarter alone.

Weighed: the time of day as it was; the clock with stand-ins by time alone (1.7 copies in the model); stand-ins six turns behind also without an outage (47 of 48 chunks in the model of machines that hang, its test fails); both as taken (1.2 to 1.3 copies).

--- a/ragwortdeal_core/src/spread.rs
+++ b/ragwortdeal_core/src/spread.rs
@@ -11,6 +11,7 @@
 pub mod congestion;
 pub mod download;
 pub mod event;
+pub mod fetch_clock;
 pub mod fetchers;
 pub mod limits;
 pub mod manifest;
--- a/ragwortdeal_core/src/spread/download.rs
+++ b/ragwortdeal_core/src/spread/download.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     digest, name,
-    spread::{announcer, chunk_set, event, limits, manifest, owners, peers, requests, uploads},
+    spread::{
+        announcer, chunk_set, event, fetch_clock, limits, manifest, owners, peers, requests,
+        uploads,
+    },
 };
 
 mod responses;
@@ -26,7 +29,10 @@
     tie_breaks: Vec<u32>,
     probe_counts: Vec<u8>,
     next_probe_ms: u64,
-    settled_at_ms: Option<u64>,
+    /// Starts at the end of the settling time.
+    clock: fetch_clock::FetchClock,
+    /// Whether this version may use the origin's link.
+    origin_allowed: bool,
     origin_retry_at_ms: u64,
     origin_failures: u32,
     complete_reported: bool,
@@ -58,7 +64,8 @@
             tie_breaks: (0..chunks as u64).map(|c| owners::mix(key ^ c) as u32).collect(),
             probe_counts: vec![0; chunks],
             next_probe_ms: 0,
-            settled_at_ms: None,
+            clock: fetch_clock::FetchClock::default(),
+            origin_allowed: true,
             origin_retry_at_ms: 0,
             origin_failures: 0,
             complete_reported: false,
@@ -78,7 +85,7 @@
             event::Event::Left(instance) => self.remove_peer(&instance, &mut actions),
             event::Event::LinkChanged { instance, narrow } => self.set_link(&instance, narrow),
             event::Event::Holds { instance, version, chunks } => {
-                self.record_holdings(&instance, version, &chunks);
+                self.record_holdings(now_ms, &instance, version, &chunks);
             }
             event::Event::Arrived { source, chunk } => {
                 self.chunk_received(now_ms, &source, chunk, &mut actions);
@@ -137,6 +144,17 @@
         self.uploads.set_total_max(chunks.max(1));
     }
 
+    /// Sets whether this version may use the origin's link, which carries little at a time.
+    pub fn set_origin_allowed(&mut self, allowed: bool, now_ms: u64) {
+        if std::mem::replace(&mut self.origin_allowed, allowed) == allowed {
+            return;
+        }
+        match allowed {
+            true => self.clock.resume(self.frontier_ms(), now_ms),
+            false => self.clock.hold(self.frontier_ms(), now_ms),
+        }
+    }
+
     /// Cancels all transfers of this version.
     pub fn cancel(mut self) -> Vec<event::Action> {
         self.cancel_transfers()
--- a/ragwortdeal_core/src/spread/download/responses.rs
+++ b/ragwortdeal_core/src/spread/download/responses.rs
@@ -23,7 +23,7 @@
         let sender = self.sender(source);
         if let Some(request) = sender.and_then(|sender| self.close(chunk, sender)) {
             self.requests.record_response(now_ms, &request);
-            self.record_success(request.sender);
+            self.record_success(request.sender, now_ms);
             if request.probe {
                 // The owner holds more that it never announced here, likely after a takeover.
                 self.next_probe_ms = now_ms;
@@ -41,6 +41,7 @@
 
     pub(super) fn record_holdings(
         &mut self,
+        now_ms: u64,
         instance: &name::InstanceName,
         version: digest::Digest,
         chunks: &[u32],
@@ -49,7 +50,15 @@
             return;
         }
         if let Some(index) = self.peers.find(instance).filter(|&index| index != owners::SELF) {
+            let unheard = |chunk: &u32| {
+                let availability = self.peers.availability.get(*chunk as usize);
+                availability == Some(&0) && !self.held.contains(*chunk)
+            };
+            let has_news = chunks.iter().any(unheard);
             self.peers.add_chunks(index, chunks);
+            if has_news && self.origin_allowed {
+                self.clock.resume(self.frontier_ms(), now_ms);
+            }
         }
     }
 
@@ -154,7 +163,12 @@
     ) {
         actions.push(event::Action::ReportFault { source: self.source(sender), chunk, fault });
         match sender {
-            requests::Sender::Origin => self.back_off_origin(now_ms),
+            requests::Sender::Origin => {
+                self.back_off_origin(now_ms);
+                if !matches!(fault, event::Fault::BadChunk(_)) {
+                    self.clock.hold(self.frontier_ms(), now_ms);
+                }
+            }
             requests::Sender::Peer(index) => self.penalise(now_ms, index, fault, actions),
         }
     }
@@ -190,9 +204,12 @@
         self.origin_retry_at_ms = now_ms + (self.limits.busy_backoff_ms << doublings);
     }
 
-    fn record_success(&mut self, sender: requests::Sender) {
+    fn record_success(&mut self, sender: requests::Sender, now_ms: u64) {
         match sender {
-            requests::Sender::Origin => self.origin_failures = 0,
+            requests::Sender::Origin => {
+                self.origin_failures = 0;
+                self.clock.resume(self.frontier_ms(), now_ms);
+            }
             requests::Sender::Peer(index) => self.peers.get_mut(index).record_success(),
         }
     }
--- a/ragwortdeal_core/src/spread/download/selection.rs
+++ b/ragwortdeal_core/src/spread/download/selection.rs
@@ -42,6 +42,17 @@
 /// origin may be gone by then.
 const STANDBY_CHUNK_TIMES: f64 = 6.0;
 
+/// Turns for which a chunk from the origin and word of it are on their way.
+const ON_WAY_TURNS: f64 = 2.0;
+
+/// Turns that the origin must be ahead of a chunk once it has failed: after its return many wait for
+/// their chunks at the same time, and none of them is to be given up.
+const RETURN_QUEUE_TURNS: f64 = 6.0;
+
+/// Multiple of the time of a stand-in after which it fetches a chunk although nothing shows that the
+/// origin has sent what was due before it.
+const PATIENCE: u64 = 3;
+
 /// Chunk times after which a chunk that should have left the origin is fetched into a region by the
 /// one that acts for its owner there. The chunk has to cross a link between regions meanwhile, and
 /// a second copy over such a link is expensive.
@@ -99,8 +110,8 @@
     }
 
     fn select_next(&mut self, now_ms: u64) -> Option<Selection> {
-        let settled_at_ms = self.settled_at_ms.get_or_insert(now_ms + self.limits.settle_ms);
-        if now_ms < *settled_at_ms {
+        self.clock.start(now_ms + self.limits.settle_ms);
+        if !self.clock.is_started(now_ms) {
             return self.select_rarest(now_ms).filter(|_| self.has_slot());
         }
         if self.has_slot() {
@@ -120,20 +131,21 @@
     fn select_origin_fetch(&mut self, now_ms: u64) -> Option<Selection> {
         let most = self.limits.origin_requests(self.peers.len());
         let full = self.requests.at_origin() >= most;
-        if full || now_ms < self.origin_retry_at_ms {
+        if full || !self.origin_allowed || now_ms < self.origin_retry_at_ms {
             return None;
         }
         let held = &self.held;
         self.assignments.origin_fetches.retain(|fetch| !held.contains(fetch.chunk));
         let open = self.requests.chunks();
-        let since_ms = now_ms.saturating_sub(self.settled_at_ms.unwrap_or(now_ms));
+        let since_ms = self.clock.elapsed_ms(now_ms);
         let wanted = |fetch: &&OriginFetch| {
             let due = fetch.not_before_ms <= since_ms && !open.contains(fetch.chunk);
-            let held = match fetch.standby {
-                true => self.anyone_holds(fetch.chunk),
-                false => self.region_holds(fetch.chunk),
-            };
-            due && !held
+            match fetch.standby {
+                true => {
+                    due && self.is_passed_over(fetch, since_ms) && !self.anyone_holds(fetch.chunk)
+                }
+                false => due && !self.region_holds(fetch.chunk),
+            }
         };
         let chunk = self.assignments.origin_fetches.iter().rev().find(wanted)?.chunk;
         let (sender, link) = (requests::Sender::Origin, requests::LinkKind::Origin);
@@ -159,18 +171,36 @@
         self.scheduled_ms(0, chunk) + self.limits.standby_ms + queued_ms
     }
 
-    /// Whether the last scheduled fetch from the origin is due. After it the origin only gets
-    /// requests for what an owner could not fetch, which is little next to another version.
-    pub fn origin_schedule_is_over(&self, now_ms: u64) -> bool {
-        let last = self.manifest.chunks().len() as u32 - 1;
-        self.is_due(now_ms, last)
+    /// Whether at most this share of the version is still to leave the origin by schedule.
+    pub fn origin_needs_at_most(&self, share: f64, now_ms: u64) -> bool {
+        let whole_ms = self.scheduled_ms(1, 0) as f64;
+        self.clock.elapsed_ms(now_ms) as f64 >= whole_ms * (1.0 - share)
+    }
+
+    /// Whether the origin is known to have sent what was due about this chunk's turn, or has had the
+    /// time several times over. Where its queue is long all chunks are late, and a second request for
+    /// each would make it longer.
+    fn is_passed_over(&self, fetch: &OriginFetch, since_ms: u64) -> bool {
+        let scheduled_ms = self.scheduled_ms(0, fetch.chunk);
+        let late_ms = fetch.not_before_ms - scheduled_ms;
+        let turns = if self.clock.was_held() { RETURN_QUEUE_TURNS } else { -ON_WAY_TURNS };
+        let passed_ms = scheduled_ms as f64 + turns * self.limits.origin_chunk_ms;
+        self.frontier_ms() as f64 >= passed_ms || since_ms >= scheduled_ms + late_ms * PATIENCE
+    }
+
+    /// Time by schedule of the first chunk after all that are known to have left the origin.
+    pub(super) fn frontier_ms(&self) -> u64 {
+        let known = |chunk: &u32| {
+            self.held.contains(*chunk) || self.peers.availability[*chunk as usize] > 0
+        };
+        let last = (0..self.manifest.chunks().len() as u32).rev().find(known);
+        last.map_or(0, |chunk| self.scheduled_ms(0, chunk + 1))
     }
 
     /// Whether the owner of a chunk should hold it by now.
     fn is_due(&self, now_ms: u64, chunk: u32) -> bool {
         let late_ms = (LATE_CHUNK_TIMES * self.limits.origin_chunk_ms) as u64;
-        let settled_at_ms = self.settled_at_ms.unwrap_or(now_ms);
-        now_ms >= settled_at_ms + self.scheduled_ms(0, chunk) + late_ms
+        self.clock.elapsed_ms(now_ms) >= self.scheduled_ms(0, chunk) + late_ms
     }
 
     fn anyone_holds(&self, chunk: u32) -> bool {
@@ -260,10 +290,8 @@
     /// Chunks that the owner in the region should have brought in by now, and nobody there holds.
     fn due_standby(&self, now_ms: u64) -> chunk_set::ChunkSet {
         let mut due = chunk_set::ChunkSet::new(self.held.capacity());
-        let settled_at_ms = self.settled_at_ms.unwrap_or(now_ms);
-        let overdue = |chunk: &u32| {
-            now_ms >= settled_at_ms + self.late_ms(*chunk, REGION_STANDBY_CHUNK_TIMES)
-        };
+        let elapsed_ms = self.clock.elapsed_ms(now_ms);
+        let overdue = |chunk: &u32| elapsed_ms >= self.late_ms(*chunk, REGION_STANDBY_CHUNK_TIMES);
         let missing = self.assignments.region_standby.iter().copied().filter(overdue);
         missing.filter(|chunk| !self.region_holds(*chunk)).for_each(|chunk| _ = due.insert(chunk));
         due
--- /dev/null
+++ b/ragwortdeal_core/tests/spread_origin_returns.rs
@@ -0,0 +1,80 @@
+//! An origin that is lost while versions are distributed, and returns.
+
+#[path = "spread/model.rs"]
+mod model;
+
+use googletest::prelude::*;
+use ragwortdeal_core::spread::limits;
+
+use model::setup;
+
+/// 99 instances in three regions, an origin as slow as each machine's link, chunks of half a usual
+/// size.
+fn small_chunks(seed: u64) -> model::Setup {
+    let mut setup = model::Setup::new(99, 96);
+    (setup.regions, setup.chunk_ms, setup.tick_ms, setup.seed) = (3, 27, 40, seed);
+    setup.start_within_ms = Some(150);
+    setup.faults.origin_connections_max = 48;
+    setup.limits = limits::Limits {
+        origin_copies: 2.0,
+        region_copies: 7.1,
+        origin_chunk_ms: 26.9,
+        standby_ms: 300,
+        downloads_max: 2,
+        uploads_max: 2,
+        remote_requests_max: 3,
+        uploads_per_peer_max: 1,
+        announce_interval_ms: 60,
+        probe_interval_ms: 150,
+        busy_backoff_ms: 25,
+        settle_ms: 60,
+        origin_requests_max: 20,
+        origin_backoff_doublings_max: 3,
+        deadline_min_ms: 400,
+        deadline_far_min_ms: 1_000,
+        deadline_first_ms: 600,
+        deadline_max_ms: 3_000,
+        deadline_first_far_ms: 1_200,
+        stall_ms: 800,
+        ban_ms: 3_000,
+        ..limits::Limits::default()
+    };
+    setup
+}
+
+fn origin_copies(setup: &model::Setup, outcome: &model::Outcome) -> f64 {
+    outcome.origin_chunks as f64 / f64::from(setup.chunks)
+}
+
+macro_rules! lost_origin {
+    ($($(#[$doc:meta])* $case:ident: from $from_ms:expr;)*) => {$(
+        $(#[$doc])*
+        #[googletest::test]
+        fn $case() {
+            const RETURN_MS: u64 = 5_500;
+            for seed in 1..=3 {
+                let mut setup = small_chunks(seed);
+                setup.faults.origin_lost_ms = Some(($from_ms, RETURN_MS));
+                let outcome = model::run(setup.clone());
+                let time_ms = outcome.time_ms(&[]).expect("an instance never got the version");
+                let last_first_ms = outcome.first_held_ms.values().max().copied().unwrap_or(u64::MAX);
+                // What was left when the origin was lost, over its link, a connect that times out,
+                // and a quarter of a copy.
+                let copy_ms = f64::from(setup.chunks) * setup.origin_chunk_ms();
+                let left_ms = copy_ms - $from_ms as f64;
+                let by_ms = RETURN_MS as f64 + left_ms.max(0.0) + 700.0 + copy_ms / 4.0;
+                expect_that!(last_first_ms as f64, le(by_ms), "seed {seed}");
+                expect_that!(origin_copies(&setup, &outcome), le(1.5), "seed {seed}");
+                expect_that!(time_ms as f64, le(by_ms + copy_ms / 2.0), "seed {seed}");
+            }
+        }
+    )*};
+}
+
+lost_origin! {
+    /// Guards against an origin whose link carries three copies at once when it returns, because by
+    /// then each chunk's owner and all that act for it are due.
+    an_origin_that_is_lost_at_the_naming_sends_each_chunk_once_first: from 100;
+    /// Guards against a version that lacks its last chunks for longer than the origin was away.
+    an_origin_that_is_lost_before_the_last_chunks_sends_them_at_once: from 2_400;
+}
--- a/ragwortdeal_node/src/fleet/agent/fetch.rs
+++ b/ragwortdeal_node/src/fleet/agent/fetch.rs
@@ -24,8 +24,6 @@
     pub(super) source: event::Source,
     pub(super) chunk: u32,
     pub(super) deadline_ms: u64,
-    /// Whether it may be sent to the origin.
-    pub(super) origin_allowed: bool,
 }
 
 impl Agent {
@@ -64,11 +62,9 @@
     }
 
     async fn fetch_bytes(&self, chunk_request: &ChunkRequest) -> Result<Bytes, event::Failure> {
-        let ChunkRequest { weights, manifest, source, chunk, deadline_ms, origin_allowed } =
-            chunk_request;
+        let ChunkRequest { weights, manifest, source, chunk, deadline_ms } = chunk_request;
         let (chunk, deadline_ms) = (*chunk, *deadline_ms);
         let (peer, call) = match source {
-            event::Source::Origin if !origin_allowed => return Err(event::Failure::Error),
             event::Source::Origin => {
                 let document = self.voter_state.borrow().document.clone();
                 let origin = document.as_ref().and_then(|document| document.origin());
--- a/ragwortdeal_node/src/fleet/agent/spread.rs
+++ b/ragwortdeal_node/src/fleet/agent/spread.rs
@@ -22,6 +22,10 @@
 /// Size of a chunk that is assumed for detecting slow transfers before a document tells the size.
 const CHUNK_DEFAULT_BYTES: f64 = 49_152.0;
 
+/// Largest share of a version before the newest that may still be fetched from the origin: as the
+/// next best it is at hand soon, and it hardly delays the newest.
+const EARLIER_ORIGIN_SHARE_MAX: f64 = 0.25;
+
 /// Consecutive bad chunks from the origin after which the manifest itself is suspected: it also
 /// comes from there, and may have been corrupted in transit.
 const ORIGIN_FAULTS_MAX: u32 = 6;
@@ -57,9 +61,6 @@
     /// Instances that were reported to the policy as behind narrow links.
     narrow: collections::BTreeSet<net::Ipv4Addr>,
     origin_faults: u32,
-    /// Whether the origin may be used: its link is for the newest version, and for the few chunks
-    /// that an earlier one still lacks.
-    origin_allowed: bool,
 }
 
 impl Transfer {
@@ -264,7 +265,6 @@
             reported_agents: collections::BTreeMap::new(),
             narrow: collections::BTreeSet::new(),
             origin_faults: 0,
-            origin_allowed: true,
         };
         let mut transfers = self.spread.transfers();
         transfers.retain(|it| it.weights != transfer.weights);
@@ -327,8 +327,9 @@
         agents: &collections::BTreeMap<net::Ipv4Addr, notice::AgentInfo>,
         newest: bool,
     ) {
-        transfer.origin_allowed =
-            newest || transfer.download.origin_schedule_is_over(self.clock.now_ms());
+        let now_ms = self.clock.now_ms();
+        let nearly_out = transfer.download.origin_needs_at_most(EARLIER_ORIGIN_SHARE_MAX, now_ms);
+        transfer.download.set_origin_allowed(newest || nearly_out, now_ms);
         let mut events = Vec::new();
         let gone: Vec<_> = transfer
             .reported_agents
@@ -413,7 +414,6 @@
                     source: source.clone(),
                     chunk,
                     deadline_ms: deadline_ms.saturating_sub(self.clock.now_ms()),
-                    origin_allowed: transfer.origin_allowed,
                 };
                 let fetch = self.clone().fetch(request);
                 let handle = tokio::spawn(fetch).abort_handle();
