Use superseded weights until a second before their bound

Change: where a probe of the agent beside the engine was answered in time just now, the margin is the agent's own and 0.1 s. A request goes there only if its forecast and a mean error fit before the time at which it would be withdrawn. Late heads make a path slow only if its probes do not say otherwise.

--- a/ragwortdeal_core/src/dispatch/backlog.rs
+++ b/ragwortdeal_core/src/dispatch/backlog.rs
@@ -124,6 +124,7 @@
             prefill_ms: self.prefill_ms,
             peer_prefill_ms: peers.unstarted * PEER_PREFILL_MS,
             excess_delay_ms: self.excess.current_ms(now_ms),
+            start_within_ms: None,
         }
     }
 
--- a/ragwortdeal_core/src/dispatch/choice.rs
+++ b/ragwortdeal_core/src/dispatch/choice.rs
@@ -22,6 +22,9 @@
     pub peer_prefill_ms: f64,
     /// Recent mean delay of first events beyond their forecast, in milliseconds.
     pub excess_delay_ms: f64,
+    /// Time within which the first event must come, in milliseconds, if the engine's weights are
+    /// superseded.
+    pub start_within_ms: Option<f64>,
 }
 
 /// Load difference, in requests, up to which an upstream in the same zone is preferred to one in
@@ -87,6 +90,9 @@
     /// Longest pause that the prefill may cause in the streams of other requests at the engine, in
     /// milliseconds.
     pub pause_max_ms: f64,
+    /// By how much a forecast must stay below the time within which an engine may start, in
+    /// milliseconds.
+    pub start_margin_ms: f64,
     /// Whether a free slot is required. Late requests must not delay others.
     pub needs_slot: bool,
 }
@@ -112,7 +118,11 @@
         let candidate = &candidates[index];
         (index, candidate, latency_model.first_event_ms(candidate, prompt.prefill_ms))
     });
-    let in_time = forecasts.filter(|(_, _, first_ms)| *first_ms <= prompt.first_event_max_ms);
+    let in_time = forecasts.filter(|(_, candidate, first_ms)| {
+        let latest_ms = first_ms + prompt.start_margin_ms;
+        *first_ms <= prompt.first_event_max_ms
+            && candidate.start_within_ms.is_none_or(|within_ms| latest_ms <= within_ms)
+    });
     let cost = |candidate: &Candidate, first_ms: f64| {
         let zone_ms = if candidate.same_zone { 0.0 } else { OTHER_ZONE_MS };
         first_ms
--- a/ragwortdeal_core/src/dispatch/gate.rs
+++ b/ragwortdeal_core/src/dispatch/gate.rs
@@ -87,6 +87,7 @@
                 }
                 _ => f64::INFINITY,
             },
+            start_margin_ms: error_ms,
             needs_slot: urgency == Urgency::Late,
         };
         let excess_max_ms = objective_ms as f64 * EXCESS_FRACTION_MAX;
--- a/ragwortdeal_core/src/dispatch/probe.rs
+++ b/ragwortdeal_core/src/dispatch/probe.rs
@@ -62,6 +62,11 @@
         self.answered_sent_at_ms.is_none() || self.path_state(now_ms) == PathState::Free
     }
 
+    /// Whether the agent answered just now, in time.
+    pub fn is_answered(&self, now_ms: u64) -> bool {
+        self.path_state(now_ms) == PathState::Free
+    }
+
     /// Round trip of the newest answered probe in milliseconds, 0 before any.
     pub fn round_trip_ms(&self) -> u64 {
         self.round_trip_ms
--- a/ragwortdeal_core/src/orders/switch_schedule.rs
+++ b/ragwortdeal_core/src/orders/switch_schedule.rs
@@ -23,7 +23,7 @@
 
 /// Time before the bound at which an engine that cannot switch in time stops serving. Requests that
 /// it has by then begin within some hundred milliseconds.
-const WITHDRAW_MARGIN_MS: u64 = 800;
+pub const WITHDRAW_MARGIN_MS: u64 = 800;
 
 /// The same behind a narrow link: requests to it stop earlier, and it learns late that weights were
 /// named.
--- a/ragwortdeal_core/tests/dispatch_forecast.rs
+++ b/ragwortdeal_core/tests/dispatch_forecast.rs
@@ -26,6 +26,7 @@
         prefill_ms: latency_model().mean_prefill_ms(),
         first_event_max_ms: OBJECTIVE_MS,
         pause_max_ms: f64::INFINITY,
+        start_margin_ms: 0.0,
         needs_slot: false,
     }
 }
--- a/ragwortdeal_core/tests/overload/main.rs
+++ b/ragwortdeal_core/tests/overload/main.rs
@@ -63,6 +63,7 @@
             prefill_ms,
             first_event_max_ms,
             pause_max_ms: f64::INFINITY,
+            start_margin_ms: 0.0,
             needs_slot: false,
         };
         let engine = choice::fastest_engine(question.engines, &latency_model, &prompt, draw)
--- a/ragwortdeal_node/src/fleet/entry/health.rs
+++ b/ragwortdeal_node/src/fleet/entry/health.rs
@@ -259,6 +259,11 @@
         !matches!(self.probe.path_state(now_ms), probe::PathState::Free | probe::PathState::Unknown)
     }
 
+    /// Whether the agent beside the engine answered a probe in time just now.
+    pub(super) fn is_confirmed(&self, now_ms: u64) -> bool {
+        self.probe.is_answered(now_ms)
+    }
+
     /// Whether a request would be delayed on the path. Events of earlier requests tell nothing
     /// about that: they go on while the link towards the engine is congested.
     fn is_blocked(&self, now_ms: u64) -> bool {
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -218,9 +218,12 @@
         now_ms: u64,
     ) -> cutoff::PathKnowledge {
         let health = self.health.get(&announcement.instance);
+        let confirmed = health.is_some_and(|health| health.is_confirmed(now_ms));
         cutoff::PathKnowledge {
+            confirmed,
+            // Answers that are late although probes are not wait at the engine.
             slow: self.is_narrow(announcement)
-                || health.is_some_and(|health| health.is_slow(now_ms))
+                || health.is_some_and(|health| health.is_slow(now_ms) && !confirmed)
                 || health.is_some_and(|health| health.is_delayed(now_ms)),
             responsive: health.is_some_and(|health| health.is_responsive(now_ms)),
             has_newer_weights: newer > 0 && self.complete_version_at(announcement) >= newer,
--- a/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
@@ -146,7 +146,10 @@
             }
         };
         let superseded = superseded_at_ms.is_some();
-        let candidate = self.candidate(announcement, criteria.repeatable, superseded, now_ms)?;
+        let mut candidate =
+            self.candidate(announcement, criteria.repeatable, superseded, now_ms)?;
+        candidate.start_within_ms =
+            superseded_at_ms.map(|at_ms| (self.start_by_ms(at_ms) - now_ms as i64) as f64);
         let peer =
             pool::Peer { instance: announcement.instance.clone(), address: announcement.address };
         Some(Eligible { peer, version, superseded_at_ms, candidate })
