Take turns from when weights are whole, and chunks under way from links

Cause: turns began 3.2 s after a naming, in figures of an 8 s bound and faster links. Where weights are whole later, all engines whose turn had passed switched together. Two chunks were under way whatever their size, so that links were idle between chunks of half the size, and second copies were planned for an origin four times as fast as what it is.

Change: an engine's turn lies between the time at which its weights are whole and the end of the span. The chunks under way keep a link busy for the same time as before (3 of 24 KB at 7.3 Mbit/s, 2 of 48 KB at 9.4). Copies follow from the links that document and settings tell. The limits of agents move to the core, where the models use them.

--- a/ragwortdeal_core/src/orders/switch_schedule.rs
+++ b/ragwortdeal_core/src/orders/switch_schedule.rs
@@ -36,6 +36,8 @@
     pub named_ms: Option<i64>,
     /// When the weights that it serves were superseded, by these or others.
     pub superseded_ms: Option<i64>,
+    /// When all chunks of the weights that it would switch to were at hand.
+    pub complete_ms: Option<i64>,
 }
 
 impl VersionTimes {
@@ -46,9 +48,14 @@
     /// waited for the newest weights, all would switch at once within one remaining second.
     pub fn is_due(&self, position: f64, bound_ms: u64, now_ms: i64) -> bool {
         let is_past = |since_ms: Option<i64>, begin_ms: u64| {
-            let span_ms = bound_ms.saturating_sub(begin_ms + SWITCH_END_MARGIN_MS);
-            let delay_ms = begin_ms as i64 + (span_ms as f64 * position) as i64;
-            since_ms.is_none_or(|since_ms| now_ms >= since_ms + delay_ms)
+            since_ms.is_none_or(|since_ms| {
+                let begin_ms = since_ms + begin_ms as i64;
+                // Those whose turn had passed before they could take it would all switch together.
+                let begin_ms = self.complete_ms.map_or(begin_ms, |at_ms| at_ms.max(begin_ms));
+                let end_ms = since_ms + bound_ms as i64 - SWITCH_END_MARGIN_MS as i64;
+                let span_ms = (end_ms - begin_ms).max(0);
+                now_ms >= begin_ms + (span_ms as f64 * position) as i64
+            })
         };
         is_past(self.named_ms, SWITCH_BEGIN_MS)
             || is_past(self.superseded_ms, SUPERSEDED_SWITCH_BEGIN_MS)
--- a/ragwortdeal_core/src/spread/congestion.rs
+++ b/ragwortdeal_core/src/spread/congestion.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// Sets how many chunks are requested at once over an uncongested link.
+    pub fn set_window_max(&mut self, chunks: usize) {
+        self.window_max = chunks;
+    }
+
     /// Records a chunk that was sent, or aborted, after the link delayed it for so long.
     pub fn on_sent(&mut self, delay_ms: u64) {
         if delay_ms as f64 <= self.slow_ms {
--- a/ragwortdeal_core/src/spread/limits.rs
+++ b/ragwortdeal_core/src/spread/limits.rs
@@ -62,6 +62,41 @@
     pub ban_ms: u64,
 }
 
+/// Transfer times of one chunk on the links of a deployment, 0 where they are unknown.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ChunkTimes {
+    /// On the origin's link, in milliseconds.
+    pub origin_ms: f64,
+    /// On the link of a machine, in milliseconds.
+    pub machine_ms: f64,
+}
+
+/// Time for which chunks under way may keep a machine's link busy, in milliseconds. Callers'
+/// requests share the link and wait behind them, while a first event may take some hundred.
+const LINK_BUSY_MS: f64 = 84.0;
+
+/// Fewest chunks under way: with one the link would be idle between two chunks.
+const WINDOW_MIN: f64 = 2.0;
+
+/// Most chunks under way, however small they are.
+const WINDOW_MAX: f64 = 6.0;
+
+impl ChunkTimes {
+    /// Chunks that may be under way to or from a machine at once.
+    pub fn window(&self) -> usize {
+        match self.machine_ms > 0.0 {
+            true => (LINK_BUSY_MS / self.machine_ms).round().clamp(WINDOW_MIN, WINDOW_MAX) as usize,
+            false => WINDOW_MIN as usize,
+        }
+    }
+
+    /// Copies that the origin's link carries while a machine's link carries `machine_copies`.
+    fn origin_copies(&self, machine_copies: f64) -> Option<f64> {
+        let known = self.origin_ms > 0.0 && self.machine_ms > 0.0;
+        known.then(|| machine_copies * self.machine_ms / self.origin_ms)
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
@@ -94,6 +129,43 @@
 }
 
 impl Limits {
+    /// Limits for versions of a few megabytes that have to be everywhere within seconds.
+    /// `settle_ms` is the time that members take to become known.
+    pub fn for_bursts(times: &ChunkTimes, settle_ms: u64) -> Self {
+        let usual = Self::default();
+        Self {
+            origin_weight_percent: 50,
+            origin_copies: times.origin_copies(usual.machine_copies).unwrap_or(usual.origin_copies),
+            downloads_max: times.window(),
+            uploads_max: times.window(),
+            remote_requests_max: 3,
+            uploads_per_peer_max: 1,
+            announce_interval_ms: 60,
+            probe_interval_ms: 150,
+            busy_backoff_ms: 25,
+            settle_ms,
+            // Below the number of connections that an origin accepts, of which some are still
+            // closing.
+            origin_requests_max: 20,
+            origin_chunk_ms: times.origin_ms,
+            // Several ticks and announcements.
+            standby_ms: 300,
+            // At most 200 ms: an origin that is back is noticed soon, and hundreds of agents that
+            // ask so often are a few connections for it.
+            origin_backoff_doublings_max: 3,
+            deadline_min_ms: 400,
+            deadline_far_min_ms: 1_000,
+            deadline_first_ms: 600,
+            deadline_max_ms: 3_000,
+            // A peer that hangs must be found while the origin can still send the chunk to another
+            // one.
+            deadline_first_far_ms: 1_200,
+            stall_ms: 800,
+            ban_ms: 3_000,
+            ..usual
+        }
+    }
+
     /// Number of copies that all owners together fetch from the origin.
     ///
     /// With an `origin_weight_percent` of 100 it is one. With 0 it balances the origin's link with
@@ -144,6 +216,27 @@
         limits.origin_fetch_copies(regions, 3)
     }
 
+    /// Guards against links that are idle between small chunks, and against callers' requests that
+    /// wait behind many large ones.
+    #[googletest::test]
+    fn as_many_chunks_are_under_way_as_keep_a_link_busy_for_the_same_time() {
+        let window = |machine_ms| ChunkTimes { origin_ms: 27.0, machine_ms }.window();
+        expect_that!(window(42.0), eq(2));
+        expect_that!(window(27.0), eq(3));
+        expect_that!((window(0.0), window(400.0), window(1.0)), eq((2, 2, 6)));
+    }
+
+    /// Guards against second copies from an origin that is no faster than any machine.
+    #[googletest::test]
+    fn a_slow_origin_sends_one_copy() {
+        let copies = |origin_ms| {
+            let limits = Limits::for_bursts(&ChunkTimes { origin_ms, machine_ms: 40.0 }, 60);
+            limits.origin_fetch_copies(3, 3)
+        };
+        expect_that!(copies(40.0), le(1.15));
+        expect_that!(copies(20.0), ge(1.4));
+    }
+
     #[googletest::test]
     fn weighing_only_bytes_fetches_one_copy() {
         expect_that!(fetch_copies(100, 1.0, 4), eq(1.0));
--- a/ragwortdeal_node/src/fleet/agent/reconciler.rs
+++ b/ragwortdeal_node/src/fleet/agent/reconciler.rs
@@ -104,7 +104,7 @@
     fn must_withdraw(&self, weights: &manifests::Weights, serving: u64) -> bool {
         let superseded_ms =
             self.voter_state.borrow().namings.superseded_at_ms(&weights.model, serving);
-        let since = switch_schedule::VersionTimes { named_ms: None, superseded_ms };
+        let since = switch_schedule::VersionTimes { superseded_ms, ..Default::default() };
         let narrow = self.spread.congestion().is_narrow();
         let now_ms = self.clock.now_ms() as i64;
         serving > 0 && since.must_withdraw(narrow, self.settings.bounds.weights_ms, now_ms)
@@ -193,6 +193,7 @@
         let since = {
             let namings = &self.voter_state.borrow().namings;
             switch_schedule::VersionTimes {
+                complete_ms: Some(complete.at_ms as i64),
                 named_ms: namings.named_at_ms(&weights.model, complete.weights.version),
                 superseded_ms: namings.superseded_at_ms(&weights.model, serving),
             }
@@ -279,7 +280,7 @@
 
     /// Reads all staged chunks back, and stages those again that are missing or corrupt.
     async fn verify_staged(&self, complete: &spread::CompleteVersion) -> bool {
-        let spread::CompleteVersion { weights, manifest, bytes } = complete;
+        let spread::CompleteVersion { weights, manifest, bytes, .. } = complete;
         let max_bytes = manifest.chunk_bytes() as usize + 1;
         for (&chunk, bytes) in bytes {
             let mut tries = 0;
--- a/ragwortdeal_node/src/fleet/agent/spread.rs
+++ b/ragwortdeal_node/src/fleet/agent/spread.rs
@@ -15,10 +15,6 @@
 /// How often deadlines, announcements and the list of agents are checked.
 const TICK: time::Duration = time::Duration::from_millis(40);
 
-/// Concurrent downloads of chunks. Callers' requests share the link and wait behind each chunk: 42
-/// ms at 9.4 Mbit/s, while a first event may take 300.
-const DOWNLOADS_MAX: usize = 2;
-
 /// Size of a chunk that is assumed for detecting slow transfers before a document tells the size.
 const CHUNK_DEFAULT_BYTES: f64 = 49_152.0;
 
@@ -48,6 +44,8 @@
     pub(super) weights: manifests::Weights,
     pub(super) manifest: manifest::Manifest,
     pub(super) bytes: collections::BTreeMap<u32, Bytes>,
+    /// When its last chunk arrived.
+    pub(super) at_ms: u64,
 }
 
 /// The transfer of one version, in progress or complete.
@@ -61,6 +59,8 @@
     /// Instances that were reported to the policy as behind narrow links.
     narrow: collections::BTreeSet<net::Ipv4Addr>,
     origin_faults: u32,
+    /// When the last chunk arrived.
+    complete_at_ms: u64,
 }
 
 impl Transfer {
@@ -69,6 +69,7 @@
             weights: self.weights.clone(),
             manifest: self.manifest_file.manifest.clone(),
             bytes: self.bytes.clone(),
+            at_ms: self.complete_at_ms,
         })
     }
 }
@@ -82,42 +83,11 @@
 /// interval, and these have arrived over a busy link.
 const SETTLE_EMPTY_MS: u64 = 250;
 
-/// Limits for versions of a few megabytes that have to be everywhere within seconds.
-fn limits(serving: u64, origin_chunk_ms: f64) -> limits::Limits {
-    limits::Limits {
-        origin_weight_percent: 50,
-        downloads_max: DOWNLOADS_MAX,
-        uploads_max: 2,
-        remote_requests_max: 3,
-        uploads_per_peer_max: 1,
-        announce_interval_ms: 60,
-        probe_interval_ms: 150,
-        busy_backoff_ms: 25,
-        settle_ms: if serving > 0 { SETTLE_MS } else { SETTLE_EMPTY_MS },
-        // Below the number of connections that an origin accepts, of which some are still closing.
-        origin_requests_max: 20,
-        origin_chunk_ms,
-        // Several ticks and announcements.
-        standby_ms: 300,
-        // At most 200 ms: an origin that is back is noticed soon, and hundreds of agents that ask
-        // so often are a few connections for it.
-        origin_backoff_doublings_max: 3,
-        deadline_min_ms: 400,
-        deadline_far_min_ms: 1_000,
-        deadline_first_ms: 600,
-        deadline_max_ms: 3_000,
-        // A peer that hangs must be found while the origin can still send the chunk to another one.
-        deadline_first_far_ms: 1_200,
-        stall_ms: 800,
-        ban_ms: 3_000,
-        ..limits::Limits::default()
-    }
-}
-
 impl Spread {
     /// Starts without transfers, on a link on which a chunk takes `chunk_ms`.
     pub(super) fn new(chunk_ms: f64) -> Self {
-        let congestion = congestion::CongestionControl::new(chunk_ms, DOWNLOADS_MAX);
+        let congestion =
+            congestion::CongestionControl::new(chunk_ms, limits::ChunkTimes::default().window());
         Self {
             transfers: sync::Mutex::default(),
             complete: Notify::new(),
@@ -227,7 +197,12 @@
 
 /// Milliseconds that a chunk of the default size takes on a link, 0 if its rate is unknown.
 pub(super) fn chunk_ms(link_mbps: f64) -> f64 {
-    if link_mbps > 0.0 { CHUNK_DEFAULT_BYTES * 8.0 / (link_mbps * 1_000.0) } else { 0.0 }
+    transfer_ms(CHUNK_DEFAULT_BYTES, link_mbps)
+}
+
+/// Milliseconds that so many bytes take on a link, 0 if its rate is unknown.
+fn transfer_ms(bytes: f64, link_mbps: f64) -> f64 {
+    if link_mbps > 0.0 { bytes * 8.0 / (link_mbps * 1_000.0) } else { 0.0 }
 }
 
 /// Ticks for as long as the process runs.
@@ -253,7 +228,10 @@
         log::info!("agent: fetching {weights:?}, kept={} chunks", staged.len());
         let proofs: Vec<_> = staged.iter().map(|(proof, _)| *proof).collect();
         let manifest = manifest_file.manifest.clone();
-        let limits = limits(serving, self.origin_chunk_ms(&manifest));
+        let settle_ms = if serving > 0 { SETTLE_MS } else { SETTLE_EMPTY_MS };
+        let times = self.chunk_times(&manifest);
+        self.spread.congestion().set_window_max(times.window());
+        let limits = limits::Limits::for_bursts(&times, settle_ms);
         let download = download::Download::new(self.place(), manifest, limits, &proofs);
         let bytes = staged.into_iter().map(|(proof, bytes)| (proof.chunk(), bytes)).collect();
         let transfer = Transfer {
@@ -265,6 +243,7 @@
             reported_agents: collections::BTreeMap::new(),
             narrow: collections::BTreeSet::new(),
             origin_faults: 0,
+            complete_at_ms: 0,
         };
         let mut transfers = self.spread.transfers();
         transfers.retain(|it| it.weights != transfer.weights);
@@ -283,14 +262,15 @@
         self.tick_spread();
     }
 
-    /// Milliseconds that one chunk takes on the origin's link, 0 if the document does not tell its
-    /// rate.
-    fn origin_chunk_ms(&self, manifest: &manifest::Manifest) -> f64 {
+    /// Times of one chunk on the links that the document and the settings tell.
+    fn chunk_times(&self, manifest: &manifest::Manifest) -> limits::ChunkTimes {
         let voter_state = self.voter_state.borrow();
         let origin = voter_state.document.as_ref().and_then(|document| document.origin());
-        let link_mbps = origin.map_or(0.0, |origin| origin.link_mbps);
-        let bits = f64::from(manifest.chunk_bytes()) * 8.0;
-        if link_mbps > 0.0 { bits / (link_mbps * 1_000.0) } else { 0.0 }
+        let chunk_bytes = f64::from(manifest.chunk_bytes());
+        limits::ChunkTimes {
+            origin_ms: transfer_ms(chunk_bytes, origin.map_or(0.0, |origin| origin.link_mbps)),
+            machine_ms: transfer_ms(chunk_bytes, self.settings.fleet.link_mbps),
+        }
     }
 
     fn place(&self) -> event::Location {
@@ -442,6 +422,7 @@
             }
             event::Action::AbortUpload { .. } => (),
             event::Action::Complete => {
+                transfer.complete_at_ms = self.clock.now_ms();
                 log::info!("agent: received all chunks of {:?}", transfer.weights);
                 self.spread.complete.notify_one();
             }
