Ramp up engines that come back, one entry after the other

Cause: late answers in every change of weights, and as empty engines are added. All 13 entries hear of it in the same moment, to each it is idle, and within 0.1 s it gets seven to ten prompts of 44 ms each: 0.35 to 0.75 s to the first event where 0.1 s was forecast. It then counts as silent (150 requests moved elsewhere) and gets nothing for 1.4 s.

Change: an engine that begins to accept ranks behind all others that would answer in time until the entry's own moment: drawn over the time in which the engine prefills one mean prompt of each entry, those of its zone first. Where no other engine would do, it is taken at once.

--- a/ragwortdeal_core/src/dispatch.rs
+++ b/ragwortdeal_core/src/dispatch.rs
@@ -11,6 +11,7 @@
 pub mod peer_load;
 pub mod pressure;
 pub mod probe;
+pub mod ramp_up;
 pub mod retry_budget;
 pub mod retry_detection;
 pub mod silence;
--- a/ragwortdeal_core/src/dispatch/backlog.rs
+++ b/ragwortdeal_core/src/dispatch/backlog.rs
@@ -125,6 +125,7 @@
             peer_prefill_ms: peers.unstarted * PEER_PREFILL_MS,
             excess_delay_ms: self.excess.current_ms(now_ms),
             start_within_ms: None,
+            ramping_up: false,
         }
     }
 
--- a/ragwortdeal_core/src/dispatch/choice.rs
+++ b/ragwortdeal_core/src/dispatch/choice.rs
@@ -25,6 +25,8 @@
     /// Time within which the first event must come, in milliseconds, if the engine's weights are
     /// superseded.
     pub start_within_ms: Option<f64>,
+    /// Whether it has just come back and others are to use it first.
+    pub ramping_up: bool,
 }
 
 /// Load difference, in requests, up to which an upstream in the same zone is preferred to one in
@@ -50,6 +52,10 @@
 /// once, so that their slots fill evenly.
 const MS_PER_OPEN_REQUEST: f64 = 6.0;
 
+/// Delay penalty of an engine that others are to use first. It is taken only if no other engine would
+/// answer in time.
+const RAMP_UP_MS: f64 = 10_000.0;
+
 /// Delay penalty of an engine that always fails.
 const FAILING_MS: f64 = 800.0;
 
@@ -125,8 +131,10 @@
     });
     let cost = |candidate: &Candidate, first_ms: f64| {
         let zone_ms = if candidate.same_zone { 0.0 } else { OTHER_ZONE_MS };
+        let ramp_up_ms = if candidate.ramping_up { RAMP_UP_MS } else { 0.0 };
         first_ms
             + zone_ms
+            + ramp_up_ms
             + load(candidate) * MS_PER_OPEN_REQUEST
             + candidate.failure_rate * FAILING_MS
     };
--- a/ragwortdeal_node/src/fleet/entry.rs
+++ b/ragwortdeal_node/src/fleet/entry.rs
@@ -119,6 +119,7 @@
             settings.process.availability_zone.as_str().into(),
             settings.fleet.regions.len(),
             bounds.weights_ms,
+            rand::rng().random(),
         );
         Self {
             dialect,
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -6,8 +6,11 @@
 
 use ragwortdeal_core::{
     directory,
-    dispatch::{backlog, choice, cutoff, gate, retry_budget, retry_detection, silence},
+    dispatch::{
+        backlog, choice, cutoff, forecast, gate, ramp_up, retry_budget, retry_detection, silence,
+    },
     document::{self, naming},
+    spread::owners,
 };
 
 use super::{health, pool};
@@ -26,6 +29,10 @@
     directory: directory::Directory,
     health: collections::HashMap<directory::Text, health::Health>,
     engine_statuses: collections::HashMap<net::SocketAddrV4, notice::EngineStatus>,
+    /// When each engine began to accept requests.
+    accepting_since_ms: collections::HashMap<net::SocketAddrV4, u64>,
+    /// Differs by entry.
+    seed: u64,
     namings: naming::Namings,
     entry_counts: collections::HashMap<net::Ipv4Addr, u32>,
     retry_usage: collections::HashMap<directory::Text, retry_budget::Usage>,
@@ -38,7 +45,7 @@
 }
 
 impl Upstreams {
-    pub(super) fn new(zone: directory::Text, zones: usize, weights_ms: u64) -> Self {
+    pub(super) fn new(zone: directory::Text, zones: usize, weights_ms: u64, seed: u64) -> Self {
         Self {
             zone,
             zones,
@@ -46,6 +53,8 @@
             directory: directory::Directory::default(),
             health: collections::HashMap::new(),
             engine_statuses: collections::HashMap::new(),
+            accepting_since_ms: collections::HashMap::new(),
+            seed,
             namings: naming::Namings::default(),
             entry_counts: collections::HashMap::new(),
             retry_usage: collections::HashMap::new(),
@@ -84,7 +93,7 @@
         }
     }
 
-    pub(super) fn record_engine_status(&mut self, status: notice::EngineStatus) {
+    pub(super) fn record_engine_status(&mut self, status: notice::EngineStatus, now_ms: u64) {
         let newer = |held: &notice::EngineStatus| held.sequence < status.sequence;
         if !self.engine_statuses.get(&status.address).is_none_or(newer) {
             return;
@@ -98,7 +107,12 @@
                 }
             }
         }
-        self.engine_statuses.insert(status.address, status);
+        let address = status.address;
+        let accepts = status.accepts;
+        let previous = self.engine_statuses.insert(address, status);
+        if accepts && !previous.is_some_and(|held| held.accepts) {
+            self.accepting_since_ms.insert(address, now_ms);
+        }
     }
 
     pub(super) fn record_namings(
@@ -400,6 +414,29 @@
         self.entry_counts.values().copied().max().unwrap_or(1).max(1)
     }
 
+    /// Whether an engine has just come back and other entries are to use it first.
+    fn is_ramping_up(
+        &self,
+        announcement: &directory::Announcement,
+        latency_model: &forecast::LatencyModel,
+        now_ms: u64,
+    ) -> bool {
+        let Some(since_ms) = self.accepting_since_ms.get(&announcement.address) else {
+            return false;
+        };
+        let peers = self.peer_entries();
+        let entries = ramp_up::Entries {
+            same_zone: peers.same_zone + 1.0,
+            all: f64::from(self.entry_count()),
+        };
+        let same_zone = announcement.zone == self.zone;
+        let engine = u64::from(u32::from(*announcement.address.ip()));
+        let seed = owners::mix(self.seed ^ engine) ^ since_ms;
+        let delay_ms =
+            ramp_up::delay_ms(&entries, latency_model.mean_prefill_ms(), same_zone, seed);
+        (now_ms.saturating_sub(*since_ms) as f64) < delay_ms
+    }
+
     /// The other entries, assumed to be evenly spread over all zones.
     fn peer_entries(&self) -> backlog::PeerEntries {
         let entries = f64::from(self.entry_count());
--- a/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
@@ -150,6 +150,9 @@
             self.candidate(announcement, criteria.repeatable, superseded, now_ms)?;
         candidate.start_within_ms =
             superseded_at_ms.map(|at_ms| (self.start_by_ms(at_ms) - now_ms as i64) as f64);
+        candidate.ramping_up = criteria
+            .work
+            .is_some_and(|work| self.is_ramping_up(announcement, &work.latency_model, now_ms));
         let peer =
             pool::Peer { instance: announcement.instance.clone(), address: announcement.address };
         Some(Eligible { peer, version, superseded_at_ms, candidate })
