--- a/ragwortdeal_node/src/fleet/entry/voter_updates.rs
+++ b/ragwortdeal_node/src/fleet/entry/voter_updates.rs
@@ -40,11 +40,11 @@
                 entry.upstreams().record_departure(&instance, age, now_ms);
             }
             notice::Notice::EngineStatus(status) => {
-                entry.upstreams().record_engine_status(status, entry.clock.now_ms())
+                entry.upstreams().record_engine_status(status, entry.clock.now_ms());
             }
             notice::Notice::EngineStatuses(statuses) => {
                 statuses.into_iter().for_each(|status| {
-                    entry.upstreams().record_engine_status(status, entry.clock.now_ms())
+                    entry.upstreams().record_engine_status(status, entry.clock.now_ms());
                 });
             }
             notice::Notice::EntryCount(count) => entry.upstreams().record_entry_count(voter, count),
