--- a/ragwortdeal_core/src/dispatch/cutoff.rs
+++ b/ragwortdeal_core/src/dispatch/cutoff.rs
@@ -16,7 +16,7 @@
     /// The agent has the newer weights: their chunks arrived over the same link in time, and the
     /// engine will switch in its turn.
     pub has_newer_weights: bool,
-    /// The agent beside the engine answered a probe in time just now. It takes the engine off in
+    /// The agent beside the engine answered a probe in time just now. It withdraws the engine in
     /// time, whatever is then still on its way there.
     pub confirmed: bool,
 }
@@ -36,7 +36,7 @@
 /// data still queued on it.
 const HAS_NEWER_WEIGHTS_MS: u64 = 1_200;
 
-/// Margin where the agent is known to be reached: the one with which it takes the engine off, and
+/// Margin where the agent is known to be reached: the one with which it withdraws the engine, and
 /// the time in which it decides that.
 const CONFIRMED_MS: u64 = switch_schedule::WITHDRAW_MARGIN_MS + 100;
 
--- a/ragwortdeal_core/src/spread/download/selection.rs
+++ b/ragwortdeal_core/src/spread/download/selection.rs
@@ -49,7 +49,7 @@
 /// their chunks at the same time, and none of them is to be given up.
 const RETURN_QUEUE_TURNS: f64 = 6.0;
 
-/// Multiple of the time of a stand-in after which it fetches a chunk although nothing shows that the
+/// Multiple of a standby's time after which it fetches a chunk although nothing shows that the
 /// origin has sent what was due before it.
 const PATIENCE: u64 = 3;
 
--- a/ragwortdeal_core/src/spread/fetch_clock.rs
+++ b/ragwortdeal_core/src/spread/fetch_clock.rs
@@ -2,7 +2,7 @@
 //!
 //! Each chunk has its time on it. While the origin delivers, the clock runs with the time of day;
 //! while it does not, it nearly stands still. Otherwise every fetch would be due at once when the
-//! origin returns, those of all stand-ins included, and the origin's link would carry each chunk
+//! origin returns, those of all standbys included, and the origin's link would carry each chunk
 //! several times before it has carried each once. `docs/design/weights.md` has the measurements.
 
 /// Share of its speed at which the clock goes on while the origin does not deliver. It lets others
