Split outcomes, weights and probing from the modules of entries

Cause: what an upstream asks for has to be recorded beside the outcome of an attempt and consulted beside the choice of an upstream; both modules held several jobs already. Change: outcome.rs takes the recording of outcomes from serve.rs, upstreams/weights.rs and upstreams/probing.rs take the versions of weights and the probes from upstreams.rs. Moved lines alone, five functions are visible one module further.

--- a/ragwortdeal_node/src/fleet/entry.rs
+++ b/ragwortdeal_node/src/fleet/entry.rs
@@ -3,6 +3,7 @@
 mod events;
 mod exchange;
 mod health;
+mod outcome;
 mod pool;
 mod probes;
 mod relay;
--- /dev/null
+++ b/ragwortdeal_node/src/fleet/entry/outcome.rs
@@ -0,0 +1,103 @@
+//! Records what came of an attempt at an upstream.
+
+use super::{
+    Entry, exchange, exchange::Outcome, health, request::CallerRequest, serve::Progress,
+    upstreams::selection,
+};
+
+impl Entry {
+    /// Records the outcome of an attempt. Returns the answer if there is one.
+    pub(super) fn record_outcome(
+        &self,
+        request: &CallerRequest,
+        selected: &selection::Selected,
+        outcome: Outcome,
+        progress: &mut Progress,
+    ) -> Option<Box<exchange::Answer>> {
+        let now_ms = self.clock.now_ms();
+        let instance = &selected.peer.instance;
+        let names = self.dialect.headers();
+        progress.tried.push(instance.clone());
+        let held_ms = request.started.elapsed().as_millis() as u64;
+        match outcome {
+            Outcome::NotSent(reason) => {
+                log::info!(
+                    request = request.id(), upstream = &**instance, held_ms, reason:%;
+                    "entry: not sent"
+                );
+                self.telemetry.count("entry.not_sent", 1);
+                self.upstreams().record_failure(instance, now_ms);
+                None
+            }
+            Outcome::NotExecuted(head) => {
+                log::info!(
+                    request = request.id(), upstream = &**instance, held_ms,
+                    status = head.status.as_u16();
+                    "entry: not run by its upstream"
+                );
+                self.telemetry.count("entry.not_run", 1);
+                progress.sent += 1;
+                let other = head.headers.get(&names.instance);
+                let other = other.is_some_and(|it| it.as_bytes() != instance.as_bytes());
+                match head.status.as_u16() {
+                    421 if other => self.upstreams().record_displaced(instance, now_ms),
+                    421 => self.upstreams().record_failure(instance, now_ms),
+                    _ => self.upstreams().record_shed(instance, now_ms),
+                }
+                None
+            }
+            Outcome::Lost(reason) => {
+                log::info!(
+                    request = request.id(), upstream = &**instance, held_ms, reason:%;
+                    "entry: lost, it may have run"
+                );
+                self.telemetry.count("entry.lost", 1);
+                progress.sent += 1;
+                progress.may_have_run = true;
+                self.upstreams().record_failure(instance, now_ms);
+                None
+            }
+            Outcome::Answer(answer) => {
+                progress.sent += 1;
+                progress.may_have_run = true;
+                self.telemetry.took("entry.head_ms", held_ms);
+                log::info!(
+                    request = request.id(), upstream = &**instance, route = &*request.route.name,
+                    forecast_ms = selected.forecast_ms.map_or(0, |ms| ms as u64),
+                    took_ms = answer.took.as_millis() as u64, open = selected.candidate.open,
+                    elsewhere = selected.candidate.peer_open as u64,
+                    attempt = progress.sent, version = selected.version.unwrap_or(0),
+                    superseded_ms = selected.superseded_ms(), held_ms,
+                    status = answer.head.status.as_u16();
+                    "entry: answered by its upstream"
+                );
+                let load = answer.head.headers.get(&names.load);
+                let load = load.and_then(|value| value.to_str().ok());
+                let load = load.and_then(|value| self.dialect.load(value));
+                let report = health::AnswerReport {
+                    load,
+                    took_ms: answer.took.as_millis() as u64,
+                    forecast_ms: selected.forecast_ms,
+                };
+                self.upstreams().record_answer(instance, &report, now_ms);
+                Some(answer)
+            }
+        }
+    }
+
+    /// Records that an upstream cut an answer short.
+    pub(super) fn record_broken_answer(
+        &self,
+        request: &CallerRequest,
+        selected: &selection::Selected,
+        reason: &str,
+    ) {
+        let instance = &selected.peer.instance;
+        log::info!(
+            request = request.id(), upstream = &**instance, reason;
+            "entry: the answer broke off"
+        );
+        self.telemetry.count("entry.broke_off", 1);
+        self.upstreams().record_failure(instance, self.clock.now_ms());
+    }
+}
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -1,24 +1,20 @@
 //! State of all upstreams as this entry knows it: announcements, open requests, health.
 
+mod probing;
 pub(super) mod selection;
+mod weights;
 
 use std::{collections, net, sync};
 
 use ragwortdeal_core::{
     directory,
-    dispatch::{
-        backlog, choice, cutoff, forecast, gate, ramp_up, retry_budget, retry_detection, silence,
-    },
+    dispatch::{backlog, choice, forecast, gate, ramp_up, retry_budget, retry_detection},
     document::{self, naming},
     spread::owners,
 };
 
 use super::{health, pool};
-use crate::fleet::{load_probe, notice};
-
-/// A request without a first event is withdrawn from an engine on superseded weights so long before
-/// their time is up: on a slow link it may still be on its way, and would start too late.
-const START_MARGIN_MS: u64 = 500;
+use crate::fleet::notice;
 
 /// All upstreams.
 pub(super) struct Upstreams {
@@ -161,50 +157,6 @@
         upstream.is_some_and(|it| it.announcement.status != directory::Status::Gone)
     }
 
-    /// Version that an engine serves, or none if it is loading or holds none. The status reported
-    /// by the agent beside it counts if it is about the same process of the engine.
-    fn version_of(&self, announcement: &directory::Announcement) -> Option<u64> {
-        let layers = self.layers.get(&announcement.service).copied().unwrap_or(0);
-        let whole = announcement.layers.is_none_or(|held| held.covers_all(layers));
-        let announced = announcement.models.iter().filter(|_| whole).map(|held| held.version).max();
-        let agent = self.engine_statuses.get(&announcement.address);
-        match agent.filter(|it| it.born_ms == announcement.order.born_ms) {
-            Some(agent) if !agent.accepts => None,
-            Some(agent) => Some(agent.version.max(announced.unwrap_or(0))),
-            None => announced,
-        }
-        .filter(|version| *version > 0)
-    }
-
-    /// Highest version of which the agent beside an engine holds all chunks.
-    fn complete_version_at(&self, announcement: &directory::Announcement) -> u64 {
-        let agent = self.engine_statuses.get(&announcement.address);
-        agent
-            .filter(|it| it.born_ms == announcement.order.born_ms)
-            .map_or(0, |it| it.complete_version)
-    }
-
-    fn is_narrow(&self, announcement: &directory::Announcement) -> bool {
-        let agent = self.engine_statuses.get(&announcement.address);
-        agent.is_some_and(|it| it.born_ms == announcement.order.born_ms && it.narrow)
-    }
-
-    /// Lowest version of a model that requests may be sent to now.
-    fn min_version(&self, model: &str, margin_ms: u64, now_ms: u64) -> u64 {
-        self.namings.min_servable_version(model, self.weights_ms.saturating_sub(margin_ms), now_ms)
-    }
-
-    /// When the first version above this one was named.
-    fn superseded_at_ms(&self, models: &[directory::Text], version: u64) -> Option<i64> {
-        let superseded = |model: &directory::Text| self.namings.superseded_at_ms(model, version);
-        models.iter().filter_map(superseded).min()
-    }
-
-    /// Latest time at which a request must start on weights superseded at that time.
-    fn start_by_ms(&self, superseded_at_ms: i64) -> i64 {
-        superseded_at_ms + self.weights_ms.saturating_sub(START_MARGIN_MS) as i64
-    }
-
     fn candidate(
         &self,
         announcement: &directory::Announcement,
@@ -224,133 +176,6 @@
         Some(health.candidate(&place, &self.peer_entries(), self.is_narrow(announcement), now_ms))
     }
 
-    /// What is known of the path to an engine. `newer` is the version that it should switch to.
-    fn path_knowledge(
-        &self,
-        announcement: &directory::Announcement,
-        newer: u64,
-        now_ms: u64,
-    ) -> cutoff::PathKnowledge {
-        let health = self.health.get(&announcement.instance);
-        let confirmed = health.is_some_and(|health| health.is_confirmed(now_ms));
-        cutoff::PathKnowledge {
-            confirmed,
-            // Answers that are late although probes are not wait at the engine.
-            slow: self.is_narrow(announcement)
-                || health.is_some_and(|health| health.is_slow(now_ms) && !confirmed)
-                || health.is_some_and(|health| health.is_delayed(now_ms)),
-            responsive: health.is_some_and(|health| health.is_responsive(now_ms)),
-            has_newer_weights: newer > 0 && self.complete_version_at(announcement) >= newer,
-        }
-    }
-
-    /// Lowest version that an engine must serve to get a request now.
-    fn min_version_at(
-        &self,
-        announcement: &directory::Announcement,
-        models: &[directory::Text],
-        now_ms: u64,
-    ) -> u64 {
-        let lowest = |margin_ms: u64| {
-            let versions = models.iter().map(|model| self.min_version(model, margin_ms, now_ms));
-            versions.max().unwrap_or(0)
-        };
-        let newer = lowest(cutoff::margin_ms(cutoff::PathKnowledge::default()));
-        lowest(cutoff::margin_ms(self.path_knowledge(announcement, newer, now_ms)))
-    }
-
-    /// Whole answers that are due from the upstreams with open requests of plain services.
-    fn whole_answers(
-        &self,
-        check_interval_ms: u64,
-    ) -> collections::HashMap<directory::Text, health::WholeAnswers> {
-        let is_busy = |instance: &str| self.health.get(instance).is_some_and(|it| it.open() > 0);
-        let announcements = self.directory.all().map(|upstream| &upstream.announcement);
-        let plain: Vec<_> =
-            announcements.filter(|it| !self.layers.contains_key(&it.service)).collect();
-        let takes_work = |other: &directory::Announcement| {
-            let silent = self.health.get(&other.instance).is_some_and(health::Health::is_silent);
-            other.status == directory::Status::Ready && !silent
-        };
-        let busy = plain.iter().filter(|it| is_busy(&it.instance));
-        busy.map(|it| {
-            let others = plain
-                .iter()
-                .filter(|other| other.service == it.service && other.instance != it.instance);
-            let has_alternative = others.into_iter().any(|other| takes_work(other));
-            let answers = health::WholeAnswers { check_interval_ms, has_alternative };
-            (it.instance.clone(), answers)
-        })
-        .collect()
-    }
-
-    /// Checks all upstreams for those that fell silent or recovered, once in `interval_ms`.
-    pub(super) fn check_progress(&mut self, interval_ms: u64, now_ms: u64) {
-        let answers = self.whole_answers(interval_ms);
-        let active = self.health.values().filter(|health| health.was_active()).count();
-        for (instance, health) in &mut self.health {
-            if let Some(path) = health.check_path(now_ms) {
-                log::info!(
-                    upstream = &**instance, state:? = path.state, blocked = path.blocked,
-                    round_trip_ms = path.round_trip_ms, open = health.open();
-                    "entry: the path to an upstream changed"
-                );
-            }
-            let others_spoke = active > usize::from(health.was_active());
-            let Some(change) =
-                health.check_progress(others_spoke, answers.get(instance).copied(), now_ms)
-            else {
-                continue;
-            };
-            let message = match change {
-                silence::Change::Silent => "has gone quiet",
-                silence::Change::Recovered => "is heard again",
-            };
-            log::info!(upstream = &**instance, open = health.open(); "entry: upstream {message}");
-        }
-    }
-
-    /// Addresses of the instances with engines that are to be probed now. Engines in other zones
-    /// that get no requests from here are included only if `all` is set, or while weights change.
-    pub(super) fn probe_targets(
-        &mut self,
-        is_engine: impl Fn(&str) -> bool,
-        all: bool,
-        now_ms: u64,
-    ) -> Vec<net::Ipv4Addr> {
-        let mut addresses = Vec::new();
-        let namings = self.namings.export_open(self.weights_ms, now_ms);
-        let all = all || namings.iter().any(|naming| naming.age_ms < self.weights_ms);
-        for upstream in self.directory.all() {
-            let announcement = &upstream.announcement;
-            if announcement.status == directory::Status::Gone || !is_engine(&announcement.service) {
-                continue;
-            }
-            let health = self.health.entry(announcement.instance.clone()).or_default();
-            if all || announcement.zone == self.zone || health.open() > 0 {
-                health.record_probe_sent(now_ms);
-                addresses.push(*announcement.address.ip());
-            }
-        }
-        addresses
-    }
-
-    /// Records a reply of the agent on an instance.
-    pub(super) fn record_probe_reply(
-        &mut self,
-        address: net::Ipv4Addr,
-        reply: &load_probe::Reply,
-        now_ms: u64,
-    ) {
-        let there = self.directory.all().filter(|it| *it.announcement.address.ip() == address);
-        let there = there.filter(|it| it.announcement.status != directory::Status::Gone);
-        for upstream in there {
-            if let Some(health) = self.health.get_mut(&upstream.announcement.instance) {
-                health.record_probe_reply(reply, now_ms);
-            }
-        }
-    }
-
     /// Records a request as open at an upstream.
     fn open_request(
         &mut self,
