Log and count the rate limits that upstreams name

Cause: two engines that had named a rate got more than that from entries that they had told, and no line says which answers named one, or what the entry took from it. Entries that do not know a rate, and entries that know it and count wrongly, look alike. Change: dispatch::flow_control keeps what an upstream asks; entries read the header of each answer of the upstream itself, log when a rate is named, changes or ends, and write the rate that they hold beside each answer (limit_per_s). What is not of the upstream itself (421 of another one at its address) is left aside. No decision consults it.

--- a/ragwortdeal_core/src/dispatch.rs
+++ b/ragwortdeal_core/src/dispatch.rs
@@ -6,6 +6,7 @@
 pub mod backlog;
 pub mod choice;
 pub mod cutoff;
+pub mod flow_control;
 pub mod forecast;
 pub mod gate;
 pub mod peer_load;
--- a/ragwortdeal_node/src/fleet/dialect.rs
+++ b/ragwortdeal_node/src/fleet/dialect.rs
@@ -41,6 +41,8 @@
     pub not_executed: header::HeaderName,
     /// Load of an upstream.
     pub load: header::HeaderName,
+    /// Requests a second that an upstream takes from all entries together.
+    pub rate_limit: header::HeaderName,
     /// Last event of a stream that the caller has received.
     pub last_event: header::HeaderName,
     /// Size of a request in tokens.
@@ -169,6 +171,9 @@
     /// Parses an upstream's load.
     fn load(&self, value: &str) -> Option<Load>;
 
+    /// Parses the requests a second that an upstream takes.
+    fn rate_limit(&self, value: &str) -> Option<f64>;
+
     /// Parses the size of a request.
     fn tokens(&self, value: &str) -> Option<Tokens>;
 
--- a/ragwortdeal_node/src/fleet/entry.rs
+++ b/ragwortdeal_node/src/fleet/entry.rs
@@ -9,6 +9,7 @@
 mod relay;
 mod request;
 mod serve;
+mod signals;
 mod upstreams;
 mod voter_updates;
 
--- a/ragwortdeal_node/src/fleet/entry/outcome.rs
+++ b/ragwortdeal_node/src/fleet/entry/outcome.rs
@@ -18,6 +18,7 @@
         let instance = &selected.peer.instance;
         let names = self.dialect.headers();
         progress.tried.push(instance.clone());
+        self.record_signals(request, selected, &outcome);
         let held_ms = request.started.elapsed().as_millis() as u64;
         match outcome {
             Outcome::NotSent(reason) => {
@@ -37,8 +38,7 @@
                 );
                 self.telemetry.count("entry.not_run", 1);
                 progress.sent += 1;
-                let other = head.headers.get(&names.instance);
-                let other = other.is_some_and(|it| it.as_bytes() != instance.as_bytes());
+                let other = self.is_of_another(&head, instance);
                 match head.status.as_u16() {
                     421 if other => self.upstreams().record_displaced(instance, now_ms),
                     421 => self.upstreams().record_failure(instance, now_ms),
@@ -61,6 +61,7 @@
                 progress.sent += 1;
                 progress.may_have_run = true;
                 self.telemetry.took("entry.head_ms", held_ms);
+                let limit_per_s = self.upstreams().limit_per_s(instance).unwrap_or(0.0);
                 log::info!(
                     request = request.id(), upstream = &**instance, route = &*request.route.name,
                     forecast_ms = selected.forecast_ms.map_or(0, |ms| ms as u64),
@@ -68,6 +69,7 @@
                     elsewhere = selected.candidate.peer_open as u64,
                     attempt = progress.sent, version = selected.version.unwrap_or(0),
                     superseded_ms = selected.superseded_ms(), held_ms,
+                    limit_per_s,
                     status = answer.head.status.as_u16();
                     "entry: answered by its upstream"
                 );
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -1,5 +1,6 @@
 //! State of all upstreams as this entry knows it: announcements, open requests, health.
 
+mod flow;
 mod probing;
 pub(super) mod selection;
 mod weights;
@@ -8,7 +9,9 @@
 
 use ragwortdeal_core::{
     directory,
-    dispatch::{backlog, choice, forecast, gate, ramp_up, retry_budget, retry_detection},
+    dispatch::{
+        backlog, choice, flow_control, forecast, gate, ramp_up, retry_budget, retry_detection,
+    },
     document::{self, naming},
     spread::owners,
 };
@@ -24,6 +27,8 @@
     weights_ms: u64,
     directory: directory::Directory,
     health: collections::HashMap<directory::Text, health::Health>,
+    /// What the upstreams ask that asked for something.
+    flow: collections::HashMap<directory::Text, flow_control::FlowControl>,
     engine_statuses: collections::HashMap<net::SocketAddrV4, notice::EngineStatus>,
     /// When each engine began to accept requests.
     accepting_since_ms: collections::HashMap<net::SocketAddrV4, u64>,
@@ -48,6 +53,7 @@
             weights_ms,
             directory: directory::Directory::default(),
             health: collections::HashMap::new(),
+            flow: collections::HashMap::new(),
             engine_statuses: collections::HashMap::new(),
             accepting_since_ms: collections::HashMap::new(),
             seed,
@@ -74,6 +80,7 @@
             log::info!("entry: upstream {instance} at {address} is {standing:?}");
         }
         if held_born_ms.is_some_and(|held_ms| held_ms < born_ms) {
+            self.flow.remove(&instance);
             self.health.entry(instance).and_modify(|health| *health = health.after_restart());
         }
     }
@@ -141,6 +148,7 @@
     pub(super) fn forget_gone(&mut self, now_ms: u64) {
         for instance in self.directory.forget_gone(now_ms) {
             self.health.remove(&instance);
+            self.flow.remove(&instance);
         }
     }
 
--- a/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
@@ -24,6 +24,8 @@
     pub(in super::super) forecast_ms: Option<f64>,
     /// State of the upstream when it was selected.
     pub(in super::super) candidate: choice::Candidate,
+    /// When it was selected, by the entry's clock.
+    pub(in super::super) sent_at_ms: u64,
     /// When its weights were superseded, by the entry's clock.
     superseded_at_ms: Option<i64>,
     /// Time by which the request must have started there, if the weights are superseded.
@@ -205,6 +207,7 @@
             reading_ms: Some(reading_ms),
             forecast_ms,
             candidate,
+            sent_at_ms: now_ms,
             superseded_at_ms,
             start_by_ms: superseded_at_ms.map(|at_ms| upstreams.start_by_ms(at_ms)),
             activity,
