Test the rates that upstreams name, red on this code

What callers see: nothing at first; an engine in need goes on to get all that it got before, and more than it can serve.

--- a/ragwortdeal_standins/src/fleet/engine.rs
+++ b/ragwortdeal_standins/src/fleet/engine.rs
@@ -84,6 +84,7 @@
     event_gap: time::Duration,
     work: time::Duration,
     frozen: watch::Sender<bool>,
+    limit_per_s: Option<f64>,
 }
 
 /// Counts a request as running until it ends or its connection is closed.
@@ -135,6 +136,7 @@
             event_gap: time::Duration::from_millis(5),
             work: time::Duration::ZERO,
             frozen: watch::Sender::new(false),
+            limit_per_s: None,
         };
         let state = sync::Mutex::new(state);
         let engine = sync::Arc::new(Self { instance: instance.to_owned(), address, state });
@@ -157,6 +159,11 @@
         self.state().frozen.send_replace(frozen);
     }
 
+    /// Names a rate in each answer from now on: requests a second that it takes from all entries.
+    pub fn name_limit(&self, limit_per_s: Option<f64>) {
+        self.state().limit_per_s = limit_per_s;
+    }
+
     async fn awake(&self) {
         let mut frozen = self.state().frozen.subscribe();
         // The sender lives as long as the engine.
@@ -361,6 +368,10 @@
             let name = header::HeaderName::from_static(name);
             headers.insert(name, value.parse().expect("a value"));
         }
+        if let Some(limit_per_s) = self.state().limit_per_s {
+            let value = limit_per_s.to_string().parse().expect("a value");
+            headers.insert("server-limit", value);
+        }
         response
     }
 
