Keep to the rate that an upstream names, over all entries

What callers saw: nothing; an engine in need that named 2.4 requests a second went on to get what it had got before (24 in four seconds, 19 allowed), so that what it did take was slow. Cause: what an answer asks for was dropped at the border; entries chose the engine as if it had said nothing. Class: a word of the peer that no part of the system reads. Change: entries know from voters who else there is (addresses and zones, told together), and order all entries alike at each upstream. Few entries hold a share of the rate, the others send a trial one after the other. Each attempt counts when its upstream is chosen. Why it works: 4 L + k requests in four seconds with k = 2 + L / 4 holders, and one trial, are within 6 L + 5, also with one entry that knows no other.

--- a/ragwortdeal_core/src/dispatch.rs
+++ b/ragwortdeal_core/src/dispatch.rs
@@ -6,6 +6,7 @@
 pub mod backlog;
 pub mod choice;
 pub mod cutoff;
+pub mod entry_roster;
 pub mod flow_control;
 pub mod forecast;
 pub mod gate;
--- a/ragwortdeal_core/src/dispatch/flow_control.rs
+++ b/ragwortdeal_core/src/dispatch/flow_control.rs
@@ -1,5 +1,7 @@
 //! What an upstream asks of the entries that use it, as its answers tell.
 
+pub mod rate_limit;
+
 /// What the head of one answer asks.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Signals {
@@ -30,30 +32,34 @@
     LimitEnded,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Limit {
-    per_s: f64,
-    named_at_ms: u64,
-}
-
 /// What one upstream asks of this entry.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FlowControl {
-    limit: Option<Limit>,
+    limit: Option<rate_limit::RateLimit>,
 }
 
 impl FlowControl {
-    /// Records an answer. Returns what changes by it.
-    pub fn record_answer(&mut self, answer: &Answer, now_ms: u64) -> Option<Change> {
-        match (self.limit, answer.signals.limit_per_s) {
-            (held, Some(per_s)) => {
-                self.limit = Some(Limit { per_s, named_at_ms: now_ms });
-                let same = held.is_some_and(|held| held.per_s == per_s);
-                (!same).then_some(Change::LimitNamed { per_s })
+    /// Records an answer. Returns what changes by it. `seat` is this entry's place among those that
+    /// use the upstream.
+    pub fn record_answer(
+        &mut self,
+        answer: &Answer,
+        seat: rate_limit::Seat,
+        now_ms: u64,
+    ) -> Option<Change> {
+        match (&mut self.limit, answer.signals.limit_per_s) {
+            (Some(held), Some(per_s)) => {
+                let changed = held.per_s() != per_s;
+                held.record_named(per_s, now_ms);
+                changed.then_some(Change::LimitNamed { per_s })
+            }
+            (None, Some(per_s)) => {
+                self.limit = Some(rate_limit::RateLimit::new(per_s, seat, now_ms));
+                Some(Change::LimitNamed { per_s })
             }
             // An answer whose request was sent before the rate was named may have been made
             // before it, and what was not executed may have been turned away on other grounds.
-            (Some(held), None) if answer.executed && answer.sent_at_ms >= held.named_at_ms => {
+            (Some(held), None) if answer.executed && answer.sent_at_ms >= held.named_at_ms() => {
                 self.limit = None;
                 Some(Change::LimitEnded)
             }
@@ -61,8 +67,32 @@
         }
     }
 
+    /// Takes another place among the entries that use the upstream.
+    pub fn set_seat(&mut self, seat: rate_limit::Seat) {
+        if let Some(limit) = &mut self.limit {
+            limit.set_seat(seat);
+        }
+    }
+
+    /// Counts a request when it is sent, be it a first attempt, a retry or a resumed stream.
+    pub fn record_sent(&mut self, now_ms: u64) {
+        if let Some(limit) = &mut self.limit {
+            limit.record_sent(now_ms);
+        }
+    }
+
+    /// Whether a request may be sent now.
+    pub fn may_send(&self, now_ms: u64) -> bool {
+        self.limit.is_none_or(|limit| limit.next_send_ms() <= now_ms)
+    }
+
+    /// Milliseconds until the upstream takes a request, from this entry or another one.
+    pub fn takes_work_in_ms(&self, now_ms: u64) -> u64 {
+        self.limit.map_or(0, |limit| limit.takes_work_in_ms(now_ms))
+    }
+
     /// Requests a second that the upstream takes from all entries together, if it names them.
     pub fn limit_per_s(&self) -> Option<f64> {
-        self.limit.map(|limit| limit.per_s)
+        self.limit.map(|limit| limit.per_s())
     }
 }
--- a/ragwortdeal_core/tests/dispatch_flow_control.rs
+++ b/ragwortdeal_core/tests/dispatch_flow_control.rs
@@ -1,7 +1,11 @@
 //! What upstreams ask of entries in their answers.
 
 use googletest::prelude::*;
-use ragwortdeal_core::dispatch::flow_control::{Answer, Change, FlowControl, Signals};
+use ragwortdeal_core::dispatch::flow_control::{
+    Answer, Change, FlowControl, Signals, rate_limit::Seat,
+};
+
+const SEAT: Seat = Seat { rank: 0, entries: Some(1) };
 
 fn answer(limit_per_s: Option<f64>, sent_at_ms: u64) -> Answer {
     Answer { signals: Signals { limit_per_s }, sent_at_ms, executed: true }
@@ -15,7 +19,7 @@
             let mut control = FlowControl::default();
             let mut change = None;
             for (number, answer) in $answers.iter().enumerate() {
-                change = control.record_answer(answer, 1_000 + number as u64 * 100);
+                change = control.record_answer(answer, SEAT, 1_000 + number as u64 * 100);
             }
             expect_that!(control.limit_per_s(), eq($held));
             expect_that!(change, eq($change));
--- a/ragwortdeal_node/src/fleet/entry.rs
+++ b/ragwortdeal_node/src/fleet/entry.rs
@@ -118,6 +118,7 @@
             window_ms: (bounds.budget_window_s * 1_000.0) as u64,
         };
         let upstreams = upstreams::Upstreams::new(
+            settings.fleet.address,
             settings.process.availability_zone.as_str().into(),
             settings.fleet.regions.len(),
             bounds.weights_ms,
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -153,6 +153,14 @@
         Refusal::retry_after(503, reason, time::Duration::from_millis(after_ms))
     }
 
+    /// Refuses a request until an upstream that asked for less work takes some. Callers are spread,
+    /// because it takes them one after the other.
+    fn refuse_held_back(&self, retry_after_ms: u64) -> Refusal {
+        let after_ms = retry_after_ms + self.random_u64() % OUTAGE_RETRY_JITTER_MS;
+        let reason = "all upstreams asked for less work";
+        Refusal::retry_after(503, reason, time::Duration::from_millis(after_ms))
+    }
+
     /// Refuses a request that may be retried once.
     fn refuse_retryable(&self, request: &CallerRequest, reason: &'static str) -> Refusal {
         let after_ms = request.remaining_time.retry_after_ms(self.random_u64());
@@ -196,6 +204,9 @@
             selection::Unavailable::AllFull => {
                 self.refuse_retryable(request, "all upstreams are full")
             }
+            selection::Unavailable::HeldBack { retry_after_ms } => {
+                self.refuse_held_back(retry_after_ms)
+            }
             selection::Unavailable::LateWorkShed => {
                 self.refuse_retryable(request, "it would be late and others would wait for it")
             }
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -10,7 +10,8 @@
 use ragwortdeal_core::{
     directory,
     dispatch::{
-        backlog, choice, flow_control, forecast, gate, ramp_up, retry_budget, retry_detection,
+        backlog, choice, entry_roster, flow_control, forecast, gate, ramp_up, retry_budget,
+        retry_detection,
     },
     document::{self, naming},
     spread::owners,
@@ -21,6 +22,8 @@
 
 /// All upstreams.
 pub(super) struct Upstreams {
+    /// Address of this entry.
+    address: net::Ipv4Addr,
     zone: directory::Text,
     /// Number of availability zones in the deployment.
     zones: usize,
@@ -35,6 +38,7 @@
     /// Differs by entry.
     seed: u64,
     namings: naming::Namings,
+    roster: entry_roster::EntryRoster,
     entry_counts: collections::HashMap<net::Ipv4Addr, u32>,
     retry_usage: collections::HashMap<directory::Text, retry_budget::Usage>,
     /// Admission gates of the services of engines.
@@ -46,8 +50,15 @@
 }
 
 impl Upstreams {
-    pub(super) fn new(zone: directory::Text, zones: usize, weights_ms: u64, seed: u64) -> Self {
+    pub(super) fn new(
+        address: net::Ipv4Addr,
+        zone: directory::Text,
+        zones: usize,
+        weights_ms: u64,
+        seed: u64,
+    ) -> Self {
         Self {
+            address,
             zone,
             zones,
             weights_ms,
@@ -58,6 +69,7 @@
             accepting_since_ms: collections::HashMap::new(),
             seed,
             namings: naming::Namings::default(),
+            roster: entry_roster::EntryRoster::default(),
             entry_counts: collections::HashMap::new(),
             retry_usage: collections::HashMap::new(),
             gates: collections::HashMap::new(),
--- a/ragwortdeal_node/src/fleet/entry/upstreams/flow.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/flow.rs
@@ -1,6 +1,11 @@
-//! What upstreams ask of this entry.
+//! What upstreams ask of this entry, and its place among all entries at each of them.
 
-use ragwortdeal_core::{directory, dispatch::flow_control};
+use std::net;
+
+use ragwortdeal_core::{
+    directory,
+    dispatch::{entry_roster, flow_control, flow_control::rate_limit},
+};
 
 use super::Upstreams;
 
@@ -16,7 +21,64 @@
         if !asks && !self.flow.contains_key(instance) {
             return None;
         }
-        self.flow.entry(instance.clone()).or_default().record_answer(answer, now_ms)
+        let seat = self.seat(instance);
+        self.flow.entry(instance.clone()).or_default().record_answer(answer, seat, now_ms)
+    }
+
+    /// Records all entries that a voter lists.
+    pub(in super::super) fn record_entries(
+        &mut self,
+        voter: net::Ipv4Addr,
+        entries: Vec<entry_roster::EntryInfo>,
+        now_ms: u64,
+    ) {
+        self.roster.record_all(voter, entries, now_ms);
+        self.take_seats();
+    }
+
+    /// Records the entries that joined and left by the account of a voter.
+    pub(in super::super) fn record_entry_changes(
+        &mut self,
+        voter: net::Ipv4Addr,
+        joined: Vec<entry_roster::EntryInfo>,
+        left: Vec<net::Ipv4Addr>,
+        now_ms: u64,
+    ) {
+        self.roster.record_changes(voter, joined, left, now_ms);
+        self.take_seats();
+    }
+
+    fn take_seats(&mut self) {
+        let instances: Vec<_> = self.flow.keys().cloned().collect();
+        for instance in instances {
+            let seat = self.seat(&instance);
+            if let Some(flow) = self.flow.get_mut(&instance) {
+                flow.set_seat(seat);
+            }
+        }
+    }
+
+    fn seat(&self, instance: &str) -> rate_limit::Seat {
+        let upstream = self.directory.get(instance);
+        let zone = upstream.map_or("", |upstream| &upstream.announcement.zone);
+        self.roster.seat(self.address, instance, zone)
+    }
+
+    /// Counts a request to an upstream when it is sent.
+    pub(super) fn record_sent(&mut self, instance: &str, now_ms: u64) {
+        if let Some(flow) = self.flow.get_mut(instance) {
+            flow.record_sent(now_ms);
+        }
+    }
+
+    /// Whether an upstream lets this entry send a request now.
+    pub(super) fn may_send(&self, instance: &str, now_ms: u64) -> bool {
+        self.flow.get(instance).is_none_or(|flow| flow.may_send(now_ms))
+    }
+
+    /// Milliseconds until an upstream takes a request, from this entry or another one.
+    pub(super) fn takes_work_in_ms(&self, instance: &str, now_ms: u64) -> u64 {
+        self.flow.get(instance).map_or(0, |flow| flow.takes_work_in_ms(now_ms))
     }
 
     /// Requests a second that an upstream takes from all entries together, if it names them.
--- a/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
@@ -90,6 +90,11 @@
     NoneEligible,
     /// All upstreams that accept work are full.
     AllFull,
+    /// All upstreams that accept work have asked for less of it than there is.
+    HeldBack {
+        /// Milliseconds until one of them takes a request.
+        retry_after_ms: u64,
+    },
     /// The request would be late and would take capacity from others.
     LateWorkShed,
 }
@@ -119,8 +124,8 @@
 }
 
 impl Upstreams {
-    /// Upstreams that may take a request now.
-    fn eligible(&self, criteria: &Criteria<'_>, now_ms: u64) -> Vec<Eligible> {
+    /// Upstreams that may take a request now. Fails if all of them asked for less work.
+    fn eligible(&self, criteria: &Criteria<'_>, now_ms: u64) -> Result<Vec<Eligible>, Unavailable> {
         let takes_work = |announcement: &directory::Announcement| {
             announcement.status == directory::Status::Ready
                 && announcement.service == *criteria.service
@@ -128,9 +133,20 @@
         };
         let upstreams = self.directory.all().map(|upstream| &upstream.announcement);
         let upstreams = upstreams.filter(|announcement| takes_work(announcement));
-        upstreams
-            .filter_map(|announcement| self.check_eligible(announcement, criteria, now_ms))
-            .collect()
+        let fit = upstreams
+            .filter_map(|announcement| self.check_eligible(announcement, criteria, now_ms));
+        let (open, held_back): (Vec<_>, Vec<_>) =
+            fit.partition(|upstream| self.may_send(&upstream.peer.instance, now_ms));
+        let takes_work_in_ms = held_back
+            .iter()
+            .map(|upstream| self.takes_work_in_ms(&upstream.peer.instance, now_ms))
+            .min();
+        match takes_work_in_ms {
+            Some(retry_after_ms) if open.is_empty() => {
+                Err(Unavailable::HeldBack { retry_after_ms })
+            }
+            _ => Ok(open),
+        }
     }
 
     fn check_eligible(
@@ -196,11 +212,12 @@
         let now_ms = self.clock.now_ms();
         let draw = self.random_u64();
         let mut upstreams = self.upstreams();
-        let mut eligible = upstreams.eligible(criteria, now_ms);
+        let mut eligible = upstreams.eligible(criteria, now_ms)?;
         let (index, forecast_ms) = upstreams.best_of(&eligible, criteria, now_ms, draw)?;
         let Eligible { peer, version, superseded_at_ms, candidate } = eligible.swap_remove(index);
         let reading_ms = criteria.work.map_or(0.0, |work| work.prefill_ms);
         let activity = upstreams.open_request(&peer.instance, reading_ms);
+        upstreams.record_sent(&peer.instance, now_ms);
         Ok(Selected {
             peer,
             version,
--- a/ragwortdeal_node/src/fleet/entry/voter_updates.rs
+++ b/ragwortdeal_node/src/fleet/entry/voter_updates.rs
@@ -48,6 +48,12 @@
                 });
             }
             notice::Notice::EntryCount(count) => entry.upstreams().record_entry_count(voter, count),
+            notice::Notice::Entries(entries) => {
+                entry.upstreams().record_entries(voter, entries, now_ms);
+            }
+            notice::Notice::EntryChanges { joined, left } => {
+                entry.upstreams().record_entry_changes(voter, joined, left, now_ms);
+            }
             notice::Notice::Subscribe { .. }
             | notice::Notice::Voters(_)
             | notice::Notice::Agents(_)
--- a/ragwortdeal_node/src/fleet/notice.rs
+++ b/ragwortdeal_node/src/fleet/notice.rs
@@ -4,6 +4,7 @@
 
 use ragwortdeal_core::{
     directory,
+    dispatch::entry_roster,
     document::{naming, store},
 };
 use ragwortdeal_wire::link as wire;
@@ -60,6 +61,16 @@
     /// Number of running entries. An entry counts as long as it is connected.
     #[serde(rename = "Entries")]
     EntryCount(u32),
+    /// All entries that are connected to this voter, for an entry that has just subscribed.
+    #[serde(rename = "AllEntries")]
+    Entries(Vec<entry_roster::EntryInfo>),
+    /// Entries that joined or left together.
+    EntryChanges {
+        /// Those that joined.
+        joined: Vec<entry_roster::EntryInfo>,
+        /// Those that are no longer connected.
+        left: Vec<net::Ipv4Addr>,
+    },
 }
 
 /// An agent, its location and its link.
--- a/ragwortdeal_node/src/voter/fleet.rs
+++ b/ragwortdeal_node/src/voter/fleet.rs
@@ -129,6 +129,7 @@
     tokio::spawn(pass_on_seeds(events.clone(), seeds));
     tokio::spawn(hub::publish(hub.clone(), publisher.clone()));
     tokio::spawn(hub::tell_agent_changes(hub.clone()));
+    tokio::spawn(hub::tell_entry_changes(hub.clone()));
     tokio::spawn(hub::tell_statuses(hub.clone()));
     tokio::spawn(due::record(hub.clone(), events.clone()));
     let mut identity = settings.process.identity()?;
--- a/ragwortdeal_node/src/voter/fleet/hub.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -4,6 +4,7 @@
 
 use ragwortdeal_core::{
     directory,
+    dispatch::entry_roster,
     document::{naming, store},
     name,
 };
@@ -15,6 +16,9 @@
 /// at once, each agent would otherwise be told of each other one by one.
 const AGENT_CHANGES_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
+/// The same for changes of entries.
+const ENTRY_CHANGES_INTERVAL: time::Duration = time::Duration::from_millis(100);
+
 /// The same for reports of agents, of which entries need to know soon: they send nothing to an
 /// engine that is about to switch.
 const STATUSES_INTERVAL: time::Duration = time::Duration::from_millis(20);
@@ -39,6 +43,8 @@
     voters: Vec<net::Ipv4Addr>,
     /// Agents that joined, changed or left, by their address, which agents are not told of yet.
     changed_agents: collections::BTreeSet<net::Ipv4Addr>,
+    /// Entries that joined or left, by their address, which the others are not told of yet.
+    changed_entries: collections::BTreeSet<net::Ipv4Addr>,
     /// Engines whose status changed, which entries are not told of yet.
     changed_statuses: collections::BTreeSet<net::SocketAddrV4>,
 }
@@ -50,6 +56,7 @@
     weights_ms: u64,
     state: sync::Mutex<State>,
     agents_changed: tokio::sync::Notify,
+    entries_changed: tokio::sync::Notify,
     statuses_changed: tokio::sync::Notify,
 }
 
@@ -62,6 +69,15 @@
     }
 }
 
+/// Tells entries of changes among them, as long as the process runs.
+pub(super) async fn tell_entry_changes(hub: sync::Arc<Hub>) {
+    loop {
+        hub.entries_changed.notified().await;
+        tokio::time::sleep(ENTRY_CHANGES_INTERVAL).await;
+        hub.state().tell_entry_changes();
+    }
+}
+
 /// Tells entries of changes of engines' statuses, as long as the process runs.
 pub(super) async fn tell_statuses(hub: sync::Arc<Hub>) {
     loop {
@@ -96,6 +112,7 @@
             weights_ms,
             state: sync::Mutex::default(),
             agents_changed: tokio::sync::Notify::new(),
+            entries_changed: tokio::sync::Notify::new(),
             statuses_changed: tokio::sync::Notify::new(),
         }
     }
@@ -177,7 +194,8 @@
             self.agents_changed.notify_one();
         }
         if session.hello.role == "entry" {
-            state.tell_entries();
+            state.tell_entry_count();
+            self.entry_changed(&mut state, &session.hello);
         }
     }
 
@@ -188,8 +206,16 @@
             state.changed_agents.insert(seat.address);
             self.agents_changed.notify_one();
         }
-        if closed.is_some_and(|it| it.session.hello.role == "entry") {
-            state.tell_entries();
+        if let Some(closed) = closed.filter(|it| it.session.hello.role == "entry") {
+            state.tell_entry_count();
+            self.entry_changed(&mut state, &closed.session.hello);
+        }
+    }
+
+    fn entry_changed(&self, state: &mut State, hello: &wire::Hello) {
+        if let Ok(address) = hello.name.parse() {
+            state.changed_entries.insert(address);
+            self.entries_changed.notify_one();
         }
     }
 
@@ -294,7 +320,26 @@
         self.tell_role("entry", &notice::encode(&notice));
     }
 
-    fn tell_entries(&self) {
+    /// Connected entries with their addresses.
+    fn entries(&self) -> impl Iterator<Item = entry_roster::EntryInfo> {
+        let hellos = self.followers.values().map(|it| &it.session.hello);
+        let entries = hellos.filter(|hello| hello.role == "entry");
+        entries.filter_map(|hello| {
+            let address = hello.name.parse().ok()?;
+            Some(entry_roster::EntryInfo { address, zone: hello.zone.as_str().into() })
+        })
+    }
+
+    /// Tells entries which of them joined or left.
+    fn tell_entry_changes(&mut self) {
+        let changed = std::mem::take(&mut self.changed_entries);
+        let joined: Vec<_> = self.entries().filter(|it| changed.contains(&it.address)).collect();
+        let here = |address: &net::Ipv4Addr| joined.iter().any(|it| it.address == *address);
+        let left = changed.into_iter().filter(|address| !here(address)).collect();
+        self.tell_role("entry", &notice::encode(&notice::Notice::EntryChanges { joined, left }));
+    }
+
+    fn tell_entry_count(&self) {
         let entries = self.followers.values().filter(|it| it.session.hello.role == "entry");
         let entries = entries.count() as u32;
         self.tell_role("entry", &notice::encode(&notice::Notice::EntryCount(entries)));
@@ -380,6 +425,7 @@
 
     /// Sends a follower all that it may lack.
     fn follow(&mut self, session: link::SessionId, version: u64, now_ms: u64) {
+        let entries: Vec<_> = self.entries().collect();
         let Some(follower) = self.followers.get_mut(&session) else {
             return;
         };
@@ -406,6 +452,7 @@
                 said.for_each(|it| push(&notice::Notice::EngineStatus(it.clone())));
             }
             "entry" => {
+                push(&notice::Notice::Entries(entries));
                 push(&notice::Notice::EngineStatuses(self.serves.values().cloned().collect()));
             }
             _ => (),
