--- a/ragwortdeal_core/tests/dispatch_rate_limit.rs
+++ b/ragwortdeal_core/tests/dispatch_rate_limit.rs
@@ -73,7 +73,7 @@
         let told_ms = rng.random_range(0..2_000);
         let mut limit = RateLimit::new(play.rates[0].1, seat(play, number), told_ms);
         for now_ms in (told_ms..LASTS_MS).step_by(5) {
-            let known = play.rates.iter().filter(|(from_ms, _)| from_ms + 200 <= now_ms);
+            let mut known = play.rates.iter().filter(|(from_ms, _)| from_ms + 200 <= now_ms);
             if let Some((_, per_s)) = known.next_back() {
                 limit.record_named(*per_s, now_ms);
             }
