Log and count the pauses that upstreams ask for

Cause: an engine that had asked an entry for three seconds of rest got 24 to 28 requests from it, and no line says whether a refusal named a time, nor what the entry held of it when it chose the engine again. An entry that does not read it, one that forgets it, and retries that pass by it look alike. Change: dispatch::flow_control::pause keeps the pause; entries read Retry-After of 503 and 429, log when a pause begins and ends, and write what is left of it beside each refusal (pause_ms). No decision consults it. Result: tests of the knowledge alone pass (refusals with and without a time, shorter and longer ones, answers that were overtaken).

--- a/ragwortdeal_core/src/dispatch/flow_control.rs
+++ b/ragwortdeal_core/src/dispatch/flow_control.rs
@@ -1,5 +1,6 @@
 //! What an upstream asks of the entries that use it, as its answers tell.
 
+pub mod pause;
 pub mod rate_limit;
 
 /// What the head of one answer asks.
@@ -7,6 +8,8 @@
 pub struct Signals {
     /// Requests a second that the upstream takes from all entries together.
     pub limit_per_s: Option<f64>,
+    /// Milliseconds for which it wants nothing from this entry.
+    pub pause_ms: Option<u64>,
 }
 
 /// The answer to a request, as far as it tells of the upstream.
@@ -30,22 +33,41 @@
     },
     /// It no longer names a rate.
     LimitEnded,
+    /// It wants nothing from this entry for a while.
+    PauseBegan {
+        /// For how long in milliseconds.
+        pause_ms: u64,
+    },
+    /// It takes work again after a pause.
+    PauseEnded,
 }
 
 /// What one upstream asks of this entry.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FlowControl {
     limit: Option<rate_limit::RateLimit>,
+    pause: Option<pause::Pause>,
 }
 
 impl FlowControl {
-    /// Records an answer. Returns what changes by it. `seat` is this entry's place among those that
+    /// Records an answer. Returns the changes by it. `seat` is this entry's place among those that
     /// use the upstream.
     pub fn record_answer(
         &mut self,
         answer: &Answer,
         seat: rate_limit::Seat,
         now_ms: u64,
+    ) -> Vec<Change> {
+        let limit = self.record_limit(answer, seat, now_ms);
+        let pause = self.record_pause(answer, now_ms);
+        limit.into_iter().chain(pause).collect()
+    }
+
+    fn record_limit(
+        &mut self,
+        answer: &Answer,
+        seat: rate_limit::Seat,
+        now_ms: u64,
     ) -> Option<Change> {
         match (&mut self.limit, answer.signals.limit_per_s) {
             (Some(held), Some(per_s)) => {
@@ -67,6 +89,25 @@
         }
     }
 
+    fn record_pause(&mut self, answer: &Answer, now_ms: u64) -> Option<Change> {
+        match (&mut self.pause, answer.signals.pause_ms) {
+            (Some(held), Some(pause_ms)) => {
+                let lasts = held.is_lasting(now_ms);
+                held.record_asked(pause_ms, now_ms);
+                (!lasts).then_some(Change::PauseBegan { pause_ms })
+            }
+            (None, Some(pause_ms)) => {
+                self.pause = Some(pause::Pause::new(pause_ms, now_ms));
+                Some(Change::PauseBegan { pause_ms })
+            }
+            (Some(held), None) if answer.executed && held.ends_by(answer.sent_at_ms) => {
+                self.pause = None;
+                Some(Change::PauseEnded)
+            }
+            _ => None,
+        }
+    }
+
     /// Takes another place among the entries that use the upstream.
     pub fn set_seat(&mut self, seat: rate_limit::Seat) {
         if let Some(limit) = &mut self.limit {
@@ -91,6 +132,11 @@
         self.limit.map_or(0, |limit| limit.takes_work_in_ms(now_ms))
     }
 
+    /// Milliseconds until the end of a pause that the upstream asked for, 0 where there is none.
+    pub fn pause_left_ms(&self, now_ms: u64) -> u64 {
+        self.pause.map_or(0, |pause| pause.until_ms().saturating_sub(now_ms))
+    }
+
     /// Requests a second that the upstream takes from all entries together, if it names them.
     pub fn limit_per_s(&self) -> Option<f64> {
         self.limit.map(|limit| limit.per_s())
--- a/ragwortdeal_core/tests/dispatch_flow_control.rs
+++ b/ragwortdeal_core/tests/dispatch_flow_control.rs
@@ -8,42 +8,87 @@
 const SEAT: Seat = Seat { rank: 0, entries: Some(1) };
 
 fn answer(limit_per_s: Option<f64>, sent_at_ms: u64) -> Answer {
-    Answer { signals: Signals { limit_per_s }, sent_at_ms, executed: true }
+    let signals = Signals { limit_per_s, ..Signals::default() };
+    Answer { signals, sent_at_ms, executed: true }
 }
 
 macro_rules! limits {
-    ($($(#[$doc:meta])* $case:ident: $answers:expr => $held:expr, $change:expr;)*) => {$(
+    ($($(#[$doc:meta])* $case:ident: $answers:expr => $held:expr, $changes:expr;)*) => {$(
         $(#[$doc])*
         #[googletest::test]
         fn $case() {
             let mut control = FlowControl::default();
-            let mut change = None;
+            let mut changes = Vec::new();
             for (number, answer) in $answers.iter().enumerate() {
-                change = control.record_answer(answer, SEAT, 1_000 + number as u64 * 100);
+                changes = control.record_answer(answer, SEAT, 1_000 + number as u64 * 100);
             }
             expect_that!(control.limit_per_s(), eq($held));
-            expect_that!(change, eq($change));
+            expect_that!(changes, eq(&$changes));
         }
     )*};
 }
 
 limits! {
     no_rate_is_held_before_one_is_named:
-        [answer(None, 900)] => None, None;
+        [answer(None, 900)] => None, [];
     a_rate_is_held_once_it_is_named:
-        [answer(Some(2.4), 900)] => Some(2.4), Some(Change::LimitNamed { per_s: 2.4 });
+        [answer(Some(2.4), 900)] => Some(2.4), [Change::LimitNamed { per_s: 2.4 }];
     a_rate_named_again_changes_nothing:
-        [answer(Some(2.4), 900), answer(Some(2.4), 950)] => Some(2.4), None;
+        [answer(Some(2.4), 900), answer(Some(2.4), 950)] => Some(2.4), [];
     a_rate_that_falls_is_taken:
         [answer(Some(2.4), 900), answer(Some(0.5), 950)]
-        => Some(0.5), Some(Change::LimitNamed { per_s: 0.5 });
+        => Some(0.5), [Change::LimitNamed { per_s: 0.5 }];
     a_rate_ends_with_an_answer_that_names_none:
-        [answer(Some(2.4), 900), answer(None, 1_050)] => None, Some(Change::LimitEnded);
+        [answer(Some(2.4), 900), answer(None, 1_050)] => None, [Change::LimitEnded];
     /// Guards against a rate that is forgotten over an answer that was made before it was named.
     an_overtaken_answer_does_not_end_a_rate:
-        [answer(Some(2.4), 900), answer(None, 950)] => Some(2.4), None;
+        [answer(Some(2.4), 900), answer(None, 950)] => Some(2.4), [];
     /// Guards against a rate that is forgotten over a refusal, which need not name it.
     a_refusal_does_not_end_a_rate:
         [answer(Some(2.4), 900), Answer { executed: false, ..answer(None, 1_050) }]
-        => Some(2.4), None;
+        => Some(2.4), [];
+}
+
+fn refusal(pause_ms: u64, sent_at_ms: u64) -> Answer {
+    let signals = Signals { pause_ms: Some(pause_ms), ..Signals::default() };
+    Answer { signals, sent_at_ms, executed: false }
+}
+
+macro_rules! pauses {
+    ($($(#[$doc:meta])* $case:ident: $answers:expr => $left_ms:expr, $changes:expr;)*) => {$(
+        $(#[$doc])*
+        #[googletest::test]
+        fn $case() {
+            let mut control = FlowControl::default();
+            let mut changes = Vec::new();
+            let answers: Vec<(u64, Answer)> = $answers;
+            for (now_ms, answer) in &answers {
+                changes = control.record_answer(answer, SEAT, *now_ms);
+            }
+            let now_ms = answers.last().map_or(0, |(now_ms, _)| *now_ms);
+            expect_that!(control.pause_left_ms(now_ms), eq($left_ms));
+            expect_that!(changes, eq(&$changes));
+        }
+    )*};
+}
+
+pauses! {
+    a_refusal_without_a_time_begins_no_pause:
+        vec![(1_000, Answer { executed: false, ..answer(None, 900) })] => 0, [];
+    a_refusal_with_a_time_begins_a_pause:
+        vec![(1_000, refusal(3_000, 900))] => 3_000, [Change::PauseBegan { pause_ms: 3_000 }];
+    a_second_refusal_prolongs_the_pause:
+        vec![(1_000, refusal(3_000, 900)), (1_500, refusal(3_000, 950))] => 3_000, [];
+    /// Guards against a pause that ends early because a later refusal asks for a shorter one.
+    a_shorter_pause_does_not_end_a_longer_one:
+        vec![(1_000, refusal(3_000, 900)), (1_500, refusal(100, 950))] => 2_500, [];
+    /// Guards against a pause that ends with an answer that was on its way.
+    an_answer_to_an_earlier_request_does_not_end_a_pause:
+        vec![(1_000, refusal(3_000, 900)), (1_500, answer(None, 950))] => 2_500, [];
+    a_request_that_is_executed_after_the_pause_ends_it:
+        vec![(1_000, refusal(3_000, 900)), (4_200, answer(None, 4_100))]
+        => 0, [Change::PauseEnded];
+    a_new_refusal_after_the_pause_begins_another_one:
+        vec![(1_000, refusal(3_000, 900)), (4_200, refusal(2_000, 4_100))]
+        => 2_000, [Change::PauseBegan { pause_ms: 2_000 }];
 }
--- a/ragwortdeal_node/src/fleet/entry/outcome.rs
+++ b/ragwortdeal_node/src/fleet/entry/outcome.rs
@@ -31,8 +31,9 @@
                 None
             }
             Outcome::NotExecuted(head) => {
+                let pause_ms = self.upstreams().pause_left_ms(instance, now_ms);
                 log::info!(
-                    request = request.id(), upstream = &**instance, held_ms,
+                    request = request.id(), upstream = &**instance, held_ms, pause_ms,
                     status = head.status.as_u16();
                     "entry: not run by its upstream"
                 );
--- a/ragwortdeal_node/src/fleet/entry/signals.rs
+++ b/ragwortdeal_node/src/fleet/entry/signals.rs
@@ -1,10 +1,13 @@
 //! Reads what the answers of upstreams ask of this entry, and logs what changes by it.
 
-use hyper::http::response;
+use hyper::{StatusCode, header, http::response};
 use ragwortdeal_core::dispatch::flow_control;
 
 use super::{Entry, exchange, request::CallerRequest, upstreams::selection};
 
+/// Longest pause that an upstream can ask for, in seconds.
+const PAUSE_MAX_S: f64 = 86_400.0;
+
 impl Entry {
     /// Records what the answer to an attempt asks. The head is one of the upstream itself.
     pub(super) fn record_signals(
@@ -27,22 +30,40 @@
             sent_at_ms: selected.sent_at_ms,
             executed,
         };
-        let change = self.upstreams().record_signals(instance, &answer, self.clock.now_ms());
+        let changes = self.upstreams().record_signals(instance, &answer, self.clock.now_ms());
+        for change in changes {
+            self.log_change(request, instance, change);
+        }
+    }
+
+    fn log_change(&self, request: &CallerRequest, instance: &str, change: flow_control::Change) {
         match change {
-            Some(flow_control::Change::LimitNamed { per_s }) => {
+            flow_control::Change::LimitNamed { per_s } => {
                 log::info!(
-                    request = request.id(), upstream = &**instance, limit_per_s = per_s;
+                    request = request.id(), upstream = instance, limit_per_s = per_s;
                     "entry: an upstream names a rate limit"
                 );
                 self.telemetry.count("entry.limits_named", 1);
             }
-            Some(flow_control::Change::LimitEnded) => {
+            flow_control::Change::LimitEnded => {
                 log::info!(
-                    request = request.id(), upstream = &**instance;
+                    request = request.id(), upstream = instance;
                     "entry: an upstream no longer names a rate limit"
                 );
             }
-            None => (),
+            flow_control::Change::PauseBegan { pause_ms } => {
+                log::info!(
+                    request = request.id(), upstream = instance, pause_ms;
+                    "entry: an upstream asks for a pause"
+                );
+                self.telemetry.count("entry.pauses_asked", 1);
+            }
+            flow_control::Change::PauseEnded => {
+                log::info!(
+                    request = request.id(), upstream = instance;
+                    "entry: an upstream takes work again after a pause"
+                );
+            }
         }
     }
 
@@ -57,6 +78,20 @@
         let text = |name| head.headers.get(name).and_then(|value| value.to_str().ok());
         flow_control::Signals {
             limit_per_s: text(&names.rate_limit).and_then(|value| self.dialect.rate_limit(value)),
+            pause_ms: is_refusal(head.status).then(|| retry_after_ms(&head.headers)).flatten(),
         }
     }
 }
+
+/// Whether an upstream turns a request away because it has too many.
+fn is_refusal(status: StatusCode) -> bool {
+    matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)
+}
+
+/// The pause in milliseconds that `Retry-After` asks for, in seconds with fractions.
+fn retry_after_ms(headers: &header::HeaderMap) -> Option<u64> {
+    let value = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
+    let pause_s: f64 = value.trim().parse().ok()?;
+    let pause_s = (pause_s > 0.0).then_some(pause_s.min(PAUSE_MAX_S))?;
+    Some((pause_s * 1_000.0).ceil() as u64)
+}
--- a/ragwortdeal_node/src/fleet/entry/upstreams/flow.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/flow.rs
@@ -10,16 +10,16 @@
 use super::Upstreams;
 
 impl Upstreams {
-    /// Records what an answer of an upstream asks. Returns what changes by it.
+    /// Records what an answer of an upstream asks. Returns the changes by it.
     pub(in super::super) fn record_signals(
         &mut self,
         instance: &directory::Text,
         answer: &flow_control::Answer,
         now_ms: u64,
-    ) -> Option<flow_control::Change> {
+    ) -> Vec<flow_control::Change> {
         let asks = answer.signals != flow_control::Signals::default();
         if !asks && !self.flow.contains_key(instance) {
-            return None;
+            return Vec::new();
         }
         let seat = self.seat(instance);
         self.flow.entry(instance.clone()).or_default().record_answer(answer, seat, now_ms)
@@ -81,6 +81,11 @@
         self.flow.get(instance).map_or(0, |flow| flow.takes_work_in_ms(now_ms))
     }
 
+    /// Milliseconds until the end of a pause that an upstream asked for, 0 where there is none.
+    pub(in super::super) fn pause_left_ms(&self, instance: &str, now_ms: u64) -> u64 {
+        self.flow.get(instance).map_or(0, |flow| flow.pause_left_ms(now_ms))
+    }
+
     /// Requests a second that an upstream takes from all entries together, if it names them.
     pub(in super::super) fn limit_per_s(&self, instance: &str) -> Option<f64> {
         self.flow.get(instance)?.limit_per_s()
