Test the pauses that upstreams ask for, red on this code

What callers see: requests are sent to engines that turn everything away, and after two of them they are refused although others take work; those that get through are late. Evidence: stand-ins that turn requests away with Retry-After 3 and six callers at one entry: 14 requests in the pause of one engine beside another, 23 at each where both pause, 3 to 6 at plain services that all pause (two allowed). Engines have agents beside them, whose reports call an engine that turns everything away idle; without agents the estimate of a full engine holds for two seconds and the tests passed for engines.

--- a/ragwortdeal_standins/src/fleet/engine.rs
+++ b/ragwortdeal_standins/src/fleet/engine.rs
@@ -85,6 +85,7 @@
     work: time::Duration,
     frozen: watch::Sender<bool>,
     limit_per_s: Option<f64>,
+    pause_s: Option<f64>,
 }
 
 /// Counts a request as running until it ends or its connection is closed.
@@ -137,6 +138,7 @@
             work: time::Duration::ZERO,
             frozen: watch::Sender::new(false),
             limit_per_s: None,
+            pause_s: None,
         };
         let state = sync::Mutex::new(state);
         let engine = sync::Arc::new(Self { instance: instance.to_owned(), address, state });
@@ -164,6 +166,12 @@
         self.state().limit_per_s = limit_per_s;
     }
 
+    /// Turns each request away from now on and asks for so many seconds of pause, or takes requests
+    /// again.
+    pub fn ask_pause(&self, pause_s: Option<f64>) {
+        self.state().pause_s = pause_s;
+    }
+
     async fn awake(&self) {
         let mut frozen = self.state().frozen.subscribe();
         // The sender lives as long as the engine.
@@ -320,10 +328,9 @@
         if other_instance || other_version || !self.is_whole() {
             return Ok(self.signed(plain(421, ""), id, &version));
         }
-        if behaviour == Behaviour::Shed {
-            let mut response = self.signed(plain(503, ""), id, &version);
-            response.headers_mut().insert("x-not-executed", "1".parse().expect("a value"));
-            return Ok(response);
+        let pause_s = self.state().pause_s;
+        if behaviour == Behaviour::Shed || pause_s.is_some() {
+            return Ok(self.turned_away(id, &version, pause_s));
         }
         let mut running = self.begin(index);
         match behaviour {
@@ -356,6 +363,16 @@
         Ok(self.signed(plain(status, body), id, &version))
     }
 
+    fn turned_away(&self, id: &str, version: &str, pause_s: Option<f64>) -> Response<Body> {
+        let mut response = self.signed(plain(503, ""), id, version);
+        let headers = response.headers_mut();
+        headers.insert("x-not-executed", "1".parse().expect("a value"));
+        if let Some(pause_s) = pause_s {
+            headers.insert(header::RETRY_AFTER, pause_s.to_string().parse().expect("a value"));
+        }
+        response
+    }
+
     fn signed(&self, mut response: Response<Body>, id: &str, version: &str) -> Response<Body> {
         let headers = response.headers_mut();
         let fields = [
