Send nothing to an upstream in the pause that it asked for

Cause: Retry-After of an upstream was read nowhere. Change: no request is sent until the pause is over, then one at a time until one has been executed.

--- a/ragwortdeal_core/src/dispatch/flow_control.rs
+++ b/ragwortdeal_core/src/dispatch/flow_control.rs
@@ -120,16 +120,23 @@
         if let Some(limit) = &mut self.limit {
             limit.record_sent(now_ms);
         }
+        if let Some(pause) = &mut self.pause {
+            pause.record_sent(now_ms);
+        }
     }
 
     /// Whether a request may be sent now.
     pub fn may_send(&self, now_ms: u64) -> bool {
-        self.limit.is_none_or(|limit| limit.next_send_ms() <= now_ms)
+        let limited = self.limit.is_some_and(|limit| now_ms < limit.next_send_ms());
+        let paused = self.pause.is_some_and(|pause| now_ms < pause.next_send_ms());
+        !limited && !paused
     }
 
-    /// Milliseconds until the upstream takes a request, from this entry or another one.
+    /// Milliseconds until the upstream takes a request, as far as it is known: from any entry where
+    /// it names a rate, from this one where it asked for a pause.
     pub fn takes_work_in_ms(&self, now_ms: u64) -> u64 {
-        self.limit.map_or(0, |limit| limit.takes_work_in_ms(now_ms))
+        let limited_ms = self.limit.map_or(0, |limit| limit.takes_work_in_ms(now_ms));
+        limited_ms.max(self.pause_left_ms(now_ms))
     }
 
     /// Milliseconds until the end of a pause that the upstream asked for, 0 where there is none.
--- a/ragwortdeal_core/tests/dispatch_flow_control.rs
+++ b/ragwortdeal_core/tests/dispatch_flow_control.rs
@@ -92,3 +92,42 @@
         vec![(1_000, refusal(3_000, 900)), (4_200, refusal(2_000, 4_100))]
         => 2_000, [Change::PauseBegan { pause_ms: 2_000 }];
 }
+
+/// Times at which requests may be sent, of those in steps of 100 ms.
+fn sendable(control: &mut FlowControl, from_ms: u64, until_ms: u64) -> Vec<u64> {
+    let mut sent = Vec::new();
+    for now_ms in (from_ms..until_ms).step_by(100) {
+        if control.may_send(now_ms) {
+            control.record_sent(now_ms);
+            sent.push(now_ms);
+        }
+    }
+    sent
+}
+
+/// Guards against a flood of an upstream whose pause is over while it still has too much.
+#[googletest::test]
+fn after_a_pause_one_request_at_a_time_is_sent_until_one_is_executed() {
+    let mut control = FlowControl::default();
+    control.record_answer(&refusal(3_000, 900), SEAT, 1_000);
+    expect_that!(sendable(&mut control, 1_000, 5_500), eq(&[4_000, 5_000]));
+    control.record_answer(&refusal(500, 5_000), SEAT, 5_500);
+    expect_that!(sendable(&mut control, 5_500, 6_100), eq(&[6_000]));
+    control.record_answer(&answer(None, 6_000), SEAT, 6_100);
+    expect_that!(sendable(&mut control, 6_100, 6_400), eq(&[6_100, 6_200, 6_300]));
+}
+
+/// Guards against a rate that hides a pause, or the other way round.
+#[googletest::test]
+fn the_later_of_a_rate_and_a_pause_decides() {
+    let mut control = FlowControl::default();
+    let signals = Signals { limit_per_s: Some(0.5), pause_ms: Some(1_000) };
+    let both = Answer { signals, sent_at_ms: 900, executed: false };
+    control.record_answer(&both, SEAT, 1_000);
+    expect_that!(control.may_send(2_000), eq(false));
+    let mut paused = FlowControl::default();
+    let signals = Signals { limit_per_s: Some(10.0), pause_ms: Some(9_000) };
+    paused.record_answer(&Answer { signals, ..both }, SEAT, 1_000);
+    expect_that!(paused.may_send(9_900), eq(false));
+    expect_that!(paused.takes_work_in_ms(1_000), eq(9_000));
+}
