Send nothing to an upstream that says in an answer that it leaves

What callers would see: requests go to an upstream that is about to end, by an entry that no voter reaches or that the word of the voters has not reached yet, and are cut there. Cause: the header was dropped at the border, as the rate and the pause were; only what voters tell made an upstream one that leaves. Evidence: tests against stand-ins, on the code before: 36 requests over three seconds from half a second after the first such answer to streams, 34 with the only voter dead, 31 from an entry that starts later, 7,147 reads of a plain service, 1 to an engine that turns requests away; none is allowed but the first. Change: the first such answer, of whatever kind, takes the upstream out at that entry until it restarts. Later announcements and answers do not bring it back: they may have been under way before.

--- a/ragwortdeal_core/src/dispatch/flow_control.rs
+++ b/ragwortdeal_core/src/dispatch/flow_control.rs
@@ -10,6 +10,8 @@
     pub limit_per_s: Option<f64>,
     /// Milliseconds for which it wants nothing from this entry.
     pub pause_ms: Option<u64>,
+    /// Whether it leaves.
+    pub leaving: bool,
 }
 
 /// The answer to a request, as far as it tells of the upstream.
@@ -40,6 +42,8 @@
     },
     /// It takes work again after a pause.
     PauseEnded,
+    /// It leaves.
+    Leaving,
 }
 
 /// What one upstream asks of this entry.
@@ -47,6 +51,7 @@
 pub struct FlowControl {
     limit: Option<rate_limit::RateLimit>,
     pause: Option<pause::Pause>,
+    leaving: bool,
 }
 
 impl FlowControl {
@@ -60,7 +65,14 @@
     ) -> Vec<Change> {
         let limit = self.record_limit(answer, seat, now_ms);
         let pause = self.record_pause(answer, now_ms);
-        limit.into_iter().chain(pause).collect()
+        let leaving = self.record_leaving(answer);
+        limit.into_iter().chain(pause).chain(leaving).collect()
+    }
+
+    fn record_leaving(&mut self, answer: &Answer) -> Option<Change> {
+        let began = answer.signals.leaving && !self.leaving;
+        self.leaving |= answer.signals.leaving;
+        began.then_some(Change::Leaving)
     }
 
     fn record_limit(
@@ -125,7 +137,13 @@
         }
     }
 
-    /// Whether a request may be sent now.
+    /// Whether the upstream said that it leaves. It does so until it restarts, whatever later answers
+    /// and announcements say: they may have been under way before.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Whether a request may be sent now, unless the upstream leaves.
     pub fn may_send(&self, now_ms: u64) -> bool {
         let limited = self.limit.is_some_and(|limit| now_ms < limit.next_send_ms());
         let paused = self.pause.is_some_and(|pause| now_ms < pause.next_send_ms());
--- a/ragwortdeal_core/tests/dispatch_flow_control.rs
+++ b/ragwortdeal_core/tests/dispatch_flow_control.rs
@@ -121,13 +121,25 @@
 #[googletest::test]
 fn the_later_of_a_rate_and_a_pause_decides() {
     let mut control = FlowControl::default();
-    let signals = Signals { limit_per_s: Some(0.5), pause_ms: Some(1_000) };
+    let signals = Signals { limit_per_s: Some(0.5), pause_ms: Some(1_000), leaving: false };
     let both = Answer { signals, sent_at_ms: 900, executed: false };
     control.record_answer(&both, SEAT, 1_000);
     expect_that!(control.may_send(2_000), eq(false));
     let mut paused = FlowControl::default();
-    let signals = Signals { limit_per_s: Some(10.0), pause_ms: Some(9_000) };
+    let signals = Signals { limit_per_s: Some(10.0), pause_ms: Some(9_000), leaving: false };
     paused.record_answer(&Answer { signals, ..both }, SEAT, 1_000);
     expect_that!(paused.may_send(9_900), eq(false));
     expect_that!(paused.takes_work_in_ms(1_000), eq(9_000));
 }
+
+/// Guards against an upstream that gets requests again over an answer without the word.
+#[googletest::test]
+fn an_upstream_that_leaves_does_so_whatever_later_answers_say() {
+    let mut control = FlowControl::default();
+    let signals = Signals { leaving: true, ..Signals::default() };
+    let leaves = Answer { signals, sent_at_ms: 900, executed: false };
+    expect_that!(control.record_answer(&leaves, SEAT, 1_000), eq(&[Change::Leaving]));
+    expect_that!(control.record_answer(&leaves, SEAT, 1_100), is_empty());
+    control.record_answer(&answer(None, 1_200), SEAT, 1_300);
+    expect_that!(control.is_leaving(), eq(true));
+}
--- a/ragwortdeal_node/src/fleet/dialect.rs
+++ b/ragwortdeal_node/src/fleet/dialect.rs
@@ -43,6 +43,8 @@
     pub load: header::HeaderName,
     /// Requests a second that an upstream takes from all entries together.
     pub rate_limit: header::HeaderName,
+    /// Set to a number other than 0 if an upstream leaves.
+    pub leaving: header::HeaderName,
     /// Last event of a stream that the caller has received.
     pub last_event: header::HeaderName,
     /// Size of a request in tokens.
--- a/ragwortdeal_node/src/fleet/entry/signals.rs
+++ b/ragwortdeal_node/src/fleet/entry/signals.rs
@@ -58,6 +58,13 @@
                 );
                 self.telemetry.count("entry.pauses_asked", 1);
             }
+            flow_control::Change::Leaving => {
+                log::info!(
+                    request = request.id(), upstream = instance;
+                    "entry: an upstream says in an answer that it leaves"
+                );
+                self.telemetry.count("entry.leaving_told", 1);
+            }
             flow_control::Change::PauseEnded => {
                 log::info!(
                     request = request.id(), upstream = instance;
@@ -78,6 +85,7 @@
         let text = |name| head.headers.get(name).and_then(|value| value.to_str().ok());
         flow_control::Signals {
             limit_per_s: text(&names.rate_limit).and_then(|value| self.dialect.rate_limit(value)),
+            leaving: text(&names.leaving).is_some_and(|value| value.trim() != "0"),
             pause_ms: is_refusal(head.status).then(|| retry_after_ms(&head.headers)).flatten(),
         }
     }
--- a/ragwortdeal_node/src/fleet/entry/upstreams/flow.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/flow.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Whether an upstream said in an answer that it leaves.
+    pub(super) fn is_leaving(&self, instance: &str) -> bool {
+        self.flow.get(instance).is_some_and(flow_control::FlowControl::is_leaving)
+    }
+
     /// Whether an upstream lets this entry send a request now.
     pub(super) fn may_send(&self, instance: &str, now_ms: u64) -> bool {
         self.flow.get(instance).is_none_or(|flow| flow.may_send(now_ms))
--- a/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
@@ -130,6 +130,7 @@
             announcement.status == directory::Status::Ready
                 && announcement.service == *criteria.service
                 && !criteria.tried.contains(&announcement.instance)
+                && !self.is_leaving(&announcement.instance)
         };
         let upstreams = self.directory.all().map(|upstream| &upstream.announcement);
         let upstreams = upstreams.filter(|announcement| takes_work(announcement));
--- a/ragwortdeal_standins/src/fleet/engine.rs
+++ b/ragwortdeal_standins/src/fleet/engine.rs
@@ -86,6 +86,7 @@
     frozen: watch::Sender<bool>,
     limit_per_s: Option<f64>,
     pause_s: Option<f64>,
+    leaving: bool,
 }
 
 /// Counts a request as running until it ends or its connection is closed.
@@ -139,6 +140,7 @@
             frozen: watch::Sender::new(false),
             limit_per_s: None,
             pause_s: None,
+            leaving: false,
         };
         let state = sync::Mutex::new(state);
         let engine = sync::Arc::new(Self { instance: instance.to_owned(), address, state });
@@ -172,6 +174,11 @@
         self.state().pause_s = pause_s;
     }
 
+    /// Says in each answer from now on that it leaves, and goes on serving.
+    pub fn leave(&self, leaving: bool) {
+        self.state().leaving = leaving;
+    }
+
     async fn awake(&self) {
         let mut frozen = self.state().frozen.subscribe();
         // The sender lives as long as the engine.
@@ -385,10 +392,15 @@
             let name = header::HeaderName::from_static(name);
             headers.insert(name, value.parse().expect("a value"));
         }
-        if let Some(limit_per_s) = self.state().limit_per_s {
+        let state = self.state();
+        if let Some(limit_per_s) = state.limit_per_s {
             let value = limit_per_s.to_string().parse().expect("a value");
             headers.insert("server-limit", value);
         }
+        if state.leaving {
+            headers.insert("server-leaving", "1".parse().expect("a value"));
+        }
+        drop(state);
         response
     }
 
