--- a/ragwortdeal_node/src/fleet/entry.rs
+++ b/ragwortdeal_node/src/fleet/entry.rs
@@ -205,9 +205,15 @@
 async fn sweep(entry: sync::Arc<Entry>) {
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
+        let now_ms = entry.clock.now_ms();
         let mut upstreams = entry.upstreams();
-        upstreams.forget_gone(entry.clock.now_ms());
+        upstreams.forget_gone(now_ms);
+        let counts = upstreams.flow_counts(now_ms);
         entry.pool.sweep(|peer| upstreams.is_routable(peer));
+        drop(upstreams);
+        entry.telemetry.gauge("entry.upstreams_limited", counts.limited);
+        entry.telemetry.gauge("entry.upstreams_paused", counts.paused);
+        entry.telemetry.gauge("entry.upstreams_leaving", counts.leaving);
     }
 }
 
--- a/ragwortdeal_node/src/fleet/entry/upstreams/flow.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/flow.rs
@@ -9,6 +9,17 @@
 
 use super::Upstreams;
 
+/// Upstreams that ask for less work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in super::super) struct FlowCounts {
+    /// Those that name a rate.
+    pub(in super::super) limited: u64,
+    /// Those that asked for a pause that still lasts.
+    pub(in super::super) paused: u64,
+    /// Those that said that they leave.
+    pub(in super::super) leaving: u64,
+}
+
 impl Upstreams {
     /// Records what an answer of an upstream asks. Returns the changes by it.
     pub(in super::super) fn record_signals(
@@ -48,6 +59,18 @@
         self.take_seats();
     }
 
+    /// How many upstreams ask for less work now.
+    pub(in super::super) fn flow_counts(&self, now_ms: u64) -> FlowCounts {
+        let count = |asks: &dyn Fn(&flow_control::FlowControl) -> bool| {
+            self.flow.values().filter(|flow| asks(flow)).count() as u64
+        };
+        FlowCounts {
+            limited: count(&|flow| flow.limit_per_s().is_some()),
+            paused: count(&|flow| flow.pause_left_ms(now_ms) > 0),
+            leaving: count(&|flow| flow.is_leaving()),
+        }
+    }
+
     fn take_seats(&mut self) {
         let instances: Vec<_> = self.flow.keys().cloned().collect();
         for instance in instances {
