Let engines of the soak name rates, ask for pauses and leave

Change: stand-in engines ask for all three; the schedule lets engines name rates and ask for pauses amid faults and in the calm after them, one engine says that it leaves and tells no voter, another one before it tells them. Three checks: what an engine that names a rate gets, what comes in a pause, what comes after it said that it leaves.

--- a/ragwortdeal_soak/src/checks.rs
+++ b/ragwortdeal_soak/src/checks.rs
@@ -1,5 +1,7 @@
 //! One check for each promise, over the history of a run.
 
+mod asks;
+
 use std::collections;
 
 use ragwortdeal_standins::fleet::engine;
@@ -36,7 +38,7 @@
 pub type Check = (&'static str, fn(&History) -> Vec<String>);
 
 /// All checks.
-pub const CHECKS: [Check; 11] = [
+pub const CHECKS: [Check; 14] = [
     ("a request that must not repeat never runs twice", twice),
     ("what was refused as not run has not run", refused_ran),
     ("an answer belongs to its request and is whole", mixed),
@@ -48,6 +50,9 @@
     ("what documents allow is not denied", denied),
     ("a request that was passed on is answered", lost),
     ("requests are served again after the last disturbance", recovered),
+    ("an engine that names a rate gets little more", asks::limited),
+    ("an engine that asked for a pause gets next to nothing", asks::paused),
+    ("an engine that says that it leaves gets nothing after the bound", asks::left),
 ];
 
 /// Runs all checks.
--- a/ragwortdeal_soak/src/engines.rs
+++ b/ragwortdeal_soak/src/engines.rs
@@ -141,6 +141,8 @@
                     engine: self.engine.instance.clone(),
                     service: self.service.to_owned(),
                     ran_on: it.ran_on,
+                    place: self.number,
+                    asked: it.asked,
                 }
             }));
         });
--- a/ragwortdeal_soak/src/history.rs
+++ b/ragwortdeal_soak/src/history.rs
@@ -4,6 +4,7 @@
 use std::collections;
 
 use bytes::Bytes;
+use ragwortdeal_standins::fleet::engine;
 
 /// How long after a disturbance bounds of time are not judged yet.
 pub const WINDOW_MS: u64 = 3_000;
@@ -68,6 +69,10 @@
     pub at_ms: u64,
     /// Weights on which it began to run, none where the engine refused it.
     pub ran_on: Option<u64>,
+    /// Number of the engine's address.
+    pub place: u8,
+    /// What the engine asks in its answer.
+    pub asked: engine::Asks,
 }
 
 /// A document that was sent.
@@ -211,6 +216,26 @@
         ends.max().unwrap_or(0)
     }
 
+    /// Since when an entry has worked and reached an engine without a disturbance of either, of the
+    /// way between them, or of the machine.
+    pub fn reached_since(&self, entry: u8, place: u8, at_ms: u64) -> u64 {
+        let concerns = |who: Who| match who {
+            Who::Entry(number) | Who::Callers(number) => number == entry,
+            Who::Engine(number) => number == place,
+            Who::Machine => true,
+            _ => false,
+        };
+        let before = self.disturbances.iter();
+        let before = before.filter(|it| concerns(it.who) && it.from_ms <= at_ms);
+        let ends = before.map(|it| it.to_ms.map_or(at_ms, |to_ms| to_ms.min(at_ms)) + WINDOW_MS);
+        ends.max().unwrap_or(0)
+    }
+
+    /// Requests at engines with the entry that sent them.
+    pub fn arrivals(&self) -> impl Iterator<Item = (&Arrived, &Sent)> {
+        self.arrived.iter().filter_map(|it| Some((it, self.sent.get(&it.id)?)))
+    }
+
     /// Whether a bound is over at a moment that began when something was acknowledged. Only time
     /// counts in which the entry was in touch.
     pub fn is_over(&self, acked_ms: u64, bound_ms: u64, entry: u8, at_ms: u64) -> bool {
--- a/ragwortdeal_soak/src/run.rs
+++ b/ragwortdeal_soak/src/run.rs
@@ -279,6 +279,10 @@
             schedule::Step::Way(who, condition) => self.way(who, condition),
             schedule::Step::Reset(who) => self.reset(who),
             schedule::Step::Behave(number, behaviour) => self.behave(number, &behaviour),
+            schedule::Step::Ask(number, asks) => {
+                self.each_engine(number, |it| it.engine.ask(asks));
+                Ok(())
+            }
             schedule::Step::Drain(number) => self.drain(number),
             schedule::Step::Replace(number) => self.replace(number).await,
             schedule::Step::Heal => self.heal().await,
@@ -381,11 +385,7 @@
         if *behaviour != engine::Behaviour::Good {
             self.record.disturb(who);
         }
-        let engines = self.engines();
-        engines.iter().filter(|it| it.number == number).for_each(|it| {
-            it.engine.behave(behaviour.clone());
-        });
-        drop(engines);
+        self.each_engine(number, |it| it.engine.behave(behaviour.clone()));
         if *behaviour == engine::Behaviour::Good {
             self.record.calm(who);
         }
@@ -393,11 +393,16 @@
     }
 
     fn drain(&self, number: u8) -> io::Result<()> {
-        let engines = self.engines();
-        engines.iter().filter(|it| it.number == number).for_each(|it| it.drain());
+        self.each_engine(number, engines::Engine::drain);
         Ok(())
     }
 
+    /// Tells each engine that was started at an address.
+    fn each_engine(&self, number: u8, tell: impl Fn(&engines::Engine)) {
+        let engines = self.engines();
+        engines.iter().filter(|it| it.number == number).for_each(|it| tell(it));
+    }
+
     /// One engine crashes, and one of another service starts at its address. Callers' requests for
     /// the first must not run at the second.
     async fn replace(&self, number: u8) -> io::Result<()> {
--- a/ragwortdeal_soak/src/schedule.rs
+++ b/ragwortdeal_soak/src/schedule.rs
@@ -17,6 +17,12 @@
 const FAULT_GAP_MS: u64 = 450;
 /// Longest fault.
 const FAULT_MAX_MS: u64 = 4_000;
+/// Milliseconds between two times at which an engine asks for less work, on average.
+const ASKS_GAP_MS: u64 = 1_500;
+/// Longest time for which an engine asks for less work.
+const ASKS_MAX_MS: u64 = 9_000;
+/// Sets the draws of what engines ask apart from those of faults.
+const ASKS_SEED: u64 = 0x5eed_a5c5;
 /// Milliseconds around the loss of a folder in which no other voter is disturbed. One that was
 /// disturbed before counts as lost until it has caught up.
 const LOSS_APART_MS: u64 = 6_000;
@@ -64,6 +70,8 @@
     Reset(Who),
     /// An engine behaves otherwise.
     Behave(u8, engine::Behaviour),
+    /// An engine asks something else in its answers.
+    Ask(u8, engine::Asks),
     /// A document is sent.
     Document,
     /// An invalid document is sent.
@@ -102,6 +110,9 @@
     maker.changes();
     maker.loss_of_a_folder();
     maker.calm();
+    // The schedules of earlier seeds stay as they were.
+    maker.rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed ^ ASKS_SEED);
+    maker.asks();
     maker.events.sort_by_key(|event| event.at_ms);
     maker.events
 }
@@ -263,6 +274,42 @@
         self.push(back_ms, Step::Start(Who::Voter(voter)));
     }
 
+    /// Engines ask for less work, in the time of faults and in the calm after it.
+    fn asks(&mut self) {
+        let mut at_ms = QUIET_MS;
+        while at_ms < self.end_ms + CALM_MS / 2 {
+            let place = match self.rng.random_bool(0.6) {
+                true => self.some(20, self.size.agents),
+                false => self.some(30, 3),
+            };
+            let asks = self.asked();
+            let until_ms = at_ms + self.rng.random_range(1_000..ASKS_MAX_MS);
+            self.push(at_ms, Step::Ask(place, asks));
+            self.push(until_ms, Step::Ask(place, engine::Asks::default()));
+            at_ms += self.rng.random_range(1..2 * ASKS_GAP_MS);
+        }
+        // One engine says that it leaves and tells no voter, another one before it tells them.
+        let settled_ms = self.end_ms + WINDOW_MS + 1_000;
+        let leaving = engine::Asks { leaving: true, ..engine::Asks::default() };
+        self.events.retain(|event| !matches!(event.step, Step::Ask(20 | 32, _)));
+        self.push(settled_ms, Step::Ask(20, leaving));
+        self.push(settled_ms + 2_500, Step::Ask(32, leaving));
+    }
+
+    fn asked(&mut self) -> engine::Asks {
+        let none = engine::Asks::default();
+        match self.rng.random_bool(0.5) {
+            true => {
+                let limit_per_s = Some(self.rng.random_range(0.5..6.0));
+                engine::Asks { limit_per_s, ..none }
+            }
+            false => {
+                let pause_s = Some(self.rng.random_range(1.0..4.0));
+                engine::Asks { pause_s, ..none }
+            }
+        }
+    }
+
     /// All faults end; what is planned goes on, under which bounds of time are judged.
     fn calm(&mut self) {
         let heal_ms = self.end_ms;
--- a/ragwortdeal_soak/tests/checks.rs
+++ b/ragwortdeal_soak/tests/checks.rs
@@ -10,6 +10,7 @@
 use ragwortdeal_standins::fleet::engine;
 
 const ENTRY: u8 = 10;
+const PLACE: u8 = 20;
 
 /// A request that is answered as it should be.
 fn request(history: &mut History, id: &str, kind: Kind, at_ms: u64) {
@@ -43,6 +44,8 @@
         service: service.to_owned(),
         at_ms,
         ran_on: Some(1),
+        place: PLACE,
+        asked: engine::Asks::default(),
     });
 }
 
@@ -192,6 +195,75 @@
     expect_that!(found(just), is_empty());
 }
 
+/// A stream that arrives at an engine while that asks for something.
+fn asked(history: &mut History, at_ms: u64, asked: engine::Asks, ran: bool) {
+    let id = format!("asked-{at_ms}");
+    request(history, &id, Kind::Stream, at_ms);
+    let arrived = history.arrived.last_mut().unwrap();
+    arrived.engine = "models-9".to_owned();
+    arrived.asked = asked;
+    arrived.ran_on = ran.then_some(1);
+    let end = end(history, &id);
+    end.signer = Some("models-9".to_owned());
+    end.status = if ran { 200 } else { 502 };
+}
+
+#[googletest::test]
+fn requests_beyond_a_rate_are_found() {
+    let asks = engine::Asks { limit_per_s: Some(2.0), ..engine::Asks::default() };
+    let sent = |each_ms: u64| {
+        move |history: &mut History| {
+            let times = (10_000..20_000).step_by(each_ms as usize);
+            times.for_each(|at_ms| asked(history, at_ms, asks, true));
+        }
+    };
+    expect_that!(found(sent(200)), eq(&promise(11)));
+    expect_that!(found(sent(250)), is_empty());
+    let cut = |history: &mut History| {
+        sent(200)(history);
+        history.disturb(Who::Engine(PLACE), 10_000);
+    };
+    expect_that!(found(cut), is_empty());
+}
+
+#[googletest::test]
+fn requests_in_a_pause_are_found() {
+    let asks = engine::Asks { pause_s: Some(3.0), ..engine::Asks::default() };
+    let sent = |from_ms: u64| {
+        move |history: &mut History| {
+            asked(history, 10_000, asks, false);
+            let times = [from_ms, from_ms + 10, from_ms + 20];
+            times.iter().for_each(|at_ms| asked(history, *at_ms, asks, false));
+        }
+    };
+    expect_that!(found(sent(11_000)), eq(&promise(12)));
+    expect_that!(found(sent(10_100)), is_empty());
+    expect_that!(found(sent(13_100)), is_empty());
+    let restarted = |history: &mut History| {
+        sent(11_000)(history);
+        history.disturb(Who::Entry(ENTRY), 10_500);
+    };
+    expect_that!(found(restarted), is_empty());
+}
+
+#[googletest::test]
+fn requests_to_an_engine_that_said_that_it_leaves_are_found() {
+    let asks = engine::Asks { leaving: true, ..engine::Asks::default() };
+    let sent = |after_ms: u64| {
+        move |history: &mut History| {
+            asked(history, 10_000, asks, true);
+            asked(history, 10_000 + after_ms, asks, true);
+        }
+    };
+    expect_that!(found(sent(checks::DRAIN_MS + 10)), eq(&promise(13)));
+    expect_that!(found(sent(checks::DRAIN_MS - 10)), is_empty());
+    let frozen = |history: &mut History| {
+        sent(checks::DRAIN_MS + 10)(history);
+        history.disturb(Who::Entry(ENTRY), 11_000);
+    };
+    expect_that!(found(frozen), is_empty());
+}
+
 #[googletest::test]
 fn documents_that_are_lost_or_changed_are_found() {
     let read = |version, as_sent| {
--- a/ragwortdeal_standins/src/fleet/engine.rs
+++ b/ragwortdeal_standins/src/fleet/engine.rs
@@ -38,6 +38,17 @@
     Fail(u16),
 }
 
+/// What an engine asks in its answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Asks {
+    /// Requests a second that it takes from all entries together.
+    pub limit_per_s: Option<f64>,
+    /// Seconds of pause that it asks for; it then turns each request away.
+    pub pause_s: Option<f64>,
+    /// Whether it says that it leaves.
+    pub leaving: bool,
+}
+
 /// A request as it arrived.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -55,6 +66,8 @@
     pub at: time::Instant,
     /// Version on which it began to run, none where the engine refused it.
     pub ran_on: Option<u64>,
+    /// What the engine asks in its answer.
+    pub asked: Asks,
 }
 
 /// State of an engine, shared with the test.
@@ -84,9 +97,7 @@
     event_gap: time::Duration,
     work: time::Duration,
     frozen: watch::Sender<bool>,
-    limit_per_s: Option<f64>,
-    pause_s: Option<f64>,
-    leaving: bool,
+    asks: Asks,
 }
 
 /// Counts a request as running until it ends or its connection is closed.
@@ -138,9 +149,7 @@
             event_gap: time::Duration::from_millis(5),
             work: time::Duration::ZERO,
             frozen: watch::Sender::new(false),
-            limit_per_s: None,
-            pause_s: None,
-            leaving: false,
+            asks: Asks::default(),
         };
         let state = sync::Mutex::new(state);
         let engine = sync::Arc::new(Self { instance: instance.to_owned(), address, state });
@@ -163,20 +172,25 @@
         self.state().frozen.send_replace(frozen);
     }
 
+    /// Sets all that it asks in its answers from now on.
+    pub fn ask(&self, asks: Asks) {
+        self.state().asks = asks;
+    }
+
     /// Names a rate in each answer from now on: requests a second that it takes from all entries.
     pub fn name_limit(&self, limit_per_s: Option<f64>) {
-        self.state().limit_per_s = limit_per_s;
+        self.state().asks.limit_per_s = limit_per_s;
     }
 
     /// Turns each request away from now on and asks for so many seconds of pause, or takes requests
     /// again.
     pub fn ask_pause(&self, pause_s: Option<f64>) {
-        self.state().pause_s = pause_s;
+        self.state().asks.pause_s = pause_s;
     }
 
     /// Says in each answer from now on that it leaves, and goes on serving.
     pub fn leave(&self, leaving: bool) {
-        self.state().leaving = leaving;
+        self.state().asks.leaving = leaving;
     }
 
     async fn awake(&self) {
@@ -296,6 +310,7 @@
         body,
         at: time::Instant::now(),
         ran_on: None,
+        asked: engine.state().asks,
     };
     let index = engine.note(arrival);
     engine.awake().await;
@@ -335,7 +350,7 @@
         if other_instance || other_version || !self.is_whole() {
             return Ok(self.signed(plain(421, ""), id, &version));
         }
-        let pause_s = self.state().pause_s;
+        let pause_s = self.state().asks.pause_s;
         if behaviour == Behaviour::Shed || pause_s.is_some() {
             return Ok(self.turned_away(id, &version, pause_s));
         }
@@ -392,15 +407,14 @@
             let name = header::HeaderName::from_static(name);
             headers.insert(name, value.parse().expect("a value"));
         }
-        let state = self.state();
-        if let Some(limit_per_s) = state.limit_per_s {
+        let asks = self.state().asks;
+        if let Some(limit_per_s) = asks.limit_per_s {
             let value = limit_per_s.to_string().parse().expect("a value");
             headers.insert("server-limit", value);
         }
-        if state.leaving {
+        if asks.leaving {
             headers.insert("server-leaving", "1".parse().expect("a value"));
         }
-        drop(state);
         response
     }
 
