--- a/ragwortdeal_node/tests/fleet_leaving.rs
+++ b/ragwortdeal_node/tests/fleet_leaving.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use ragwortdeal_platform::DIALECT;
 use ragwortdeal_standins::fleet::{
-    caller::Ask,
+    caller::Target,
     engine,
     world::{self, World},
 };
@@ -19,16 +19,6 @@
 const LATER_ENTRY: u8 = 11;
 const VOTER: u8 = 1;
 
-#[derive(Clone, Copy)]
-struct Load {
-    service: &'static str,
-    method: &'static str,
-    path: &'static str,
-}
-
-const STREAMS: Load = Load { service: "models", method: "POST", path: "/stream/x" };
-const READS: Load = Load { service: "ledger", method: "GET", path: "/read/x" };
-
 /// How the upstream answers when it says that it leaves.
 #[derive(Clone, Copy, PartialEq)]
 enum Answers {
@@ -44,13 +34,13 @@
     processes: Vec<world::Process>,
 }
 
-async fn fleet(service: &str) -> Fleet {
+async fn fleet(target: Target) -> Fleet {
     let world = World::new(&DIALECT, 1);
     let mut processes = vec![world.voter(VOTER, true).await];
     world.install(&world.document(1, None)).await;
     let mut upstreams = Vec::new();
     for number in [20, 23] {
-        upstreams.push(world.engine(number, service, u64::from(service == "models")).await);
+        upstreams.push(world.engine(number, target.service, target.weights()).await);
     }
     processes.push(world.entry(ENTRY).await);
     world.ready(ENTRY).await;
@@ -59,20 +49,19 @@
 
 impl Fleet {
     /// Sends requests for a while. Returns the statuses of the answers.
-    async fn load(&self, load: Load, entry: u8) -> Vec<u16> {
+    async fn load(&self, target: Target, entry: u8) -> Vec<u16> {
         let begun = time::Instant::now();
         let mut statuses = Vec::new();
         while begun.elapsed() < LASTS {
             let id = format!("{entry}-{}", statuses.len());
-            let ask = Ask::new(load.method, load.path, &id);
-            statuses.push(ask.answer(self.world.callers(entry)).await.status);
+            statuses.push(target.ask(&id).answer(self.world.callers(entry)).await.status);
         }
         statuses
     }
 }
 
-async fn nothing_is_sent_to_an_upstream_that_leaves(load: Load, answers: Answers) {
-    let mut fleet = fleet(load.service).await;
+async fn nothing_is_sent_to_an_upstream_that_leaves(target: Target, answers: Answers) {
+    let mut fleet = fleet(target).await;
     let leaving = fleet.upstreams[0].clone();
     if answers == Answers::OutOfTouch {
         fleet.processes.remove(0).kill().await;
@@ -81,7 +70,7 @@
         leaving.behave(engine::Behaviour::Shed);
     }
     leaving.leave(true);
-    let statuses = fleet.load(load, ENTRY).await;
+    let statuses = fleet.load(target, ENTRY).await;
     let arrivals = leaving.arrivals();
     let first = arrivals.first().expect("it is used").at;
     expect_that!(arrivals.iter().filter(|it| it.at > first + DRAIN).count(), eq(0));
@@ -89,31 +78,31 @@
 }
 
 macro_rules! nothing_is_sent {
-    ($($case:ident: $load:expr, $answers:expr;)*) => {$(
+    ($($case:ident: $target:expr, $answers:expr;)*) => {$(
         /// Guards against requests to an upstream that has said that it leaves.
         #[googletest::test]
         #[tokio::test]
         async fn $case() {
-            nothing_is_sent_to_an_upstream_that_leaves($load, $answers).await;
+            nothing_is_sent_to_an_upstream_that_leaves($target, $answers).await;
         }
     )*};
 }
 
 nothing_is_sent! {
-    an_engine_that_says_so_in_its_streams: STREAMS, Answers::Serving;
-    an_engine_that_says_so_in_its_refusals: STREAMS, Answers::TurningAway;
-    an_engine_that_says_so_while_no_voter_is_in_reach: STREAMS, Answers::OutOfTouch;
-    a_plain_service_that_says_so_in_its_answers: READS, Answers::Serving;
+    an_engine_that_says_so_in_its_streams: Target::STREAMS, Answers::Serving;
+    an_engine_that_says_so_in_its_refusals: Target::STREAMS, Answers::TurningAway;
+    an_engine_that_says_so_while_no_voter_is_in_reach: Target::STREAMS, Answers::OutOfTouch;
+    a_plain_service_that_says_so_in_its_answers: Target::READS, Answers::Serving;
 }
 
 /// Guards against an upstream that is never used again after a restart.
 #[googletest::test]
 #[tokio::test]
 async fn an_upstream_that_left_is_used_again_after_a_restart() {
-    let fleet = fleet("models").await;
+    let fleet = fleet(Target::STREAMS).await;
     let leaving = &fleet.upstreams[0];
     leaving.leave(true);
-    fleet.load(STREAMS, ENTRY).await;
+    fleet.load(Target::STREAMS, ENTRY).await;
     leaving.leave(false);
     let before = leaving.arrivals().len();
     let text = leaving.announcement("models", "zone-2", "ready", 1);
@@ -122,7 +111,7 @@
     let path = format!("/instances/{}", leaving.instance);
     let (status, _) = fleet.world.operator().order("PUT", &path, &said.to_string()).await;
     expect_that!(status, eq(200));
-    fleet.load(STREAMS, ENTRY).await;
+    fleet.load(Target::STREAMS, ENTRY).await;
     expect_that!(leaving.arrivals().len(), gt(before));
 }
 
@@ -130,11 +119,11 @@
 #[googletest::test]
 #[tokio::test]
 async fn an_entry_that_starts_later_sends_one_request_at_most_before_it_knows() {
-    let fleet = fleet("models").await;
+    let fleet = fleet(Target::STREAMS).await;
     let leaving = &fleet.upstreams[0];
     leaving.leave(true);
     let _later = fleet.world.entry(LATER_ENTRY).await;
     fleet.world.ready(LATER_ENTRY).await;
-    fleet.load(STREAMS, LATER_ENTRY).await;
+    fleet.load(Target::STREAMS, LATER_ENTRY).await;
     expect_that!(leaving.arrivals().len(), le(1));
 }
--- a/ragwortdeal_node/tests/fleet_rate_limits.rs
+++ b/ragwortdeal_node/tests/fleet_rate_limits.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use ragwortdeal_platform::DIALECT;
 use ragwortdeal_standins::fleet::{
-    caller::Ask,
+    caller::Target,
     engine,
     world::{self, World},
 };
@@ -20,18 +20,6 @@
 const LIMITED: u8 = 20;
 const OTHER: u8 = 23;
 
-/// Which requests are sent to which upstreams.
-#[derive(Clone, Copy)]
-struct Load {
-    service: &'static str,
-    method: &'static str,
-    path: &'static str,
-}
-
-const STREAMS: Load = Load { service: "models", method: "POST", path: "/stream/x" };
-const READS: Load = Load { service: "ledger", method: "GET", path: "/read/x" };
-const TRANSFERS: Load = Load { service: "ledger", method: "POST", path: "/transfer/x" };
-
 struct Fleet {
     world: World,
     limited: sync::Arc<engine::Engine>,
@@ -40,13 +28,12 @@
     _processes: Vec<world::Process>,
 }
 
-async fn fleet(entries: u8, service: &str) -> Fleet {
+async fn fleet(entries: u8, target: Target) -> Fleet {
     let world = World::new(&DIALECT, 1);
     let mut processes = vec![world.voter(1, true).await];
     world.install(&world.document(1, None)).await;
-    let version = u64::from(service == "models");
-    let limited = world.engine(LIMITED, service, version).await;
-    let other = world.engine(OTHER, service, version).await;
+    let limited = world.engine(LIMITED, target.service, target.weights()).await;
+    let other = world.engine(OTHER, target.service, target.weights()).await;
     let entries: Vec<_> = (10..10 + entries).collect();
     for entry in &entries {
         processes.push(world.entry(*entry).await);
@@ -57,14 +44,13 @@
 
 impl Fleet {
     /// Sends requests through all entries for so long. Returns the statuses of the answers.
-    async fn load(&self, load: Load, lasts: time::Duration) -> Vec<u16> {
+    async fn load(&self, target: Target, lasts: time::Duration) -> Vec<u16> {
         let begun = time::Instant::now();
         let caller = async |entry: u8| {
             let mut statuses = Vec::new();
             while begun.elapsed() < lasts {
                 let id = format!("{entry}-{}", begun.elapsed().as_micros());
-                let answer = Ask::new(load.method, load.path, &id);
-                statuses.push(answer.answer(self.world.callers(entry)).await.status);
+                statuses.push(target.ask(&id).answer(self.world.callers(entry)).await.status);
                 tokio::time::sleep(PAUSE).await;
             }
             statuses
@@ -90,11 +76,11 @@
 }
 
 /// Sends requests while an upstream names a rate.
-async fn the_rate_is_kept(entries: u8, load: Load, limit_per_s: f64) {
-    let fleet = fleet(entries, load.service).await;
+async fn the_rate_is_kept(entries: u8, target: Target, limit_per_s: f64) {
+    let fleet = fleet(entries, target).await;
     fleet.limited.name_limit(Some(limit_per_s));
     let begun = time::Instant::now();
-    let statuses = fleet.load(load, SETTLED + WINDOW * 2).await;
+    let statuses = fleet.load(target, SETTLED + WINDOW * 2).await;
     expect_that!(fleet.most_in_a_window(begun + SETTLED), le(allowed(limit_per_s)));
     expect_that!(fleet.limited.arrivals(), not(is_empty()));
     expect_that!(fleet.other.arrivals(), not(is_empty()));
@@ -102,21 +88,21 @@
 }
 
 macro_rules! a_rate_is_kept {
-    ($($case:ident: $entries:expr, $load:expr, $limit_per_s:expr;)*) => {$(
+    ($($case:ident: $entries:expr, $target:expr, $limit_per_s:expr;)*) => {$(
         /// Guards against an upstream that gets more requests than the rate that it names.
         #[googletest::test]
         #[tokio::test]
         async fn $case() {
-            the_rate_is_kept($entries, $load, $limit_per_s).await;
+            the_rate_is_kept($entries, $target, $limit_per_s).await;
         }
     )*};
 }
 
 a_rate_is_kept! {
-    an_engine_gets_the_rate_that_it_names_from_one_entry: 1, STREAMS, 2.0;
-    an_engine_gets_the_rate_that_it_names_from_many_entries: 6, STREAMS, 2.4;
-    an_engine_gets_a_rate_below_one_a_second: 3, STREAMS, 0.4;
-    an_engine_that_takes_nothing_gets_next_to_nothing: 3, STREAMS, 0.0;
-    a_plain_service_gets_the_rate_that_it_names_of_reads: 4, READS, 2.0;
-    a_plain_service_gets_the_rate_that_it_names_of_transfers: 4, TRANSFERS, 2.0;
+    an_engine_gets_the_rate_that_it_names_from_one_entry: 1, Target::STREAMS, 2.0;
+    an_engine_gets_the_rate_that_it_names_from_many_entries: 6, Target::STREAMS, 2.4;
+    an_engine_gets_a_rate_below_one_a_second: 3, Target::STREAMS, 0.4;
+    an_engine_that_takes_nothing_gets_next_to_nothing: 3, Target::STREAMS, 0.0;
+    a_plain_service_gets_the_rate_that_it_names_of_reads: 4, Target::READS, 2.0;
+    a_plain_service_gets_the_rate_that_it_names_of_transfers: 4, Target::TRANSFERS, 2.0;
 }
--- a/ragwortdeal_standins/src/fleet/caller.rs
+++ b/ragwortdeal_standins/src/fleet/caller.rs
@@ -10,6 +10,34 @@
 /// Longest time for which an answer is waited for.
 const ANSWER: time::Duration = time::Duration::from_secs(20);
 
+/// A kind of request, with the service to which the document of a [`super::world::World`] leads it.
+#[derive(Clone, Copy, Debug)]
+pub struct Target {
+    /// Service that takes it.
+    pub service: &'static str,
+    method: &'static str,
+    path: &'static str,
+}
+
+impl Target {
+    /// Streams of engines.
+    pub const STREAMS: Self = Self { service: "models", method: "POST", path: "/stream/x" };
+    /// Reads of a plain service.
+    pub const READS: Self = Self { service: "ledger", method: "GET", path: "/read/x" };
+    /// Operations of a plain service that must run only once.
+    pub const TRANSFERS: Self = Self { service: "ledger", method: "POST", path: "/transfer/x" };
+
+    /// Version of the weights that an upstream needs for it, 0 for none.
+    pub fn weights(self) -> u64 {
+        u64::from(self.service == Self::STREAMS.service)
+    }
+
+    /// A request of this kind.
+    pub fn ask(self, id: &str) -> Ask {
+        Ask::new(self.method, self.path, id)
+    }
+}
+
 /// What a caller sends.
 #[derive(Clone, Debug)]
 pub struct Ask {
