Print violations of each promise of the soak

Cause: twenty violations were printed of a run, in the order of promises, so that one promise broken often hid all others. Change: five of each promise, and how many there were.

--- a/ragwortdeal_soak/src/main.rs
+++ b/ragwortdeal_soak/src/main.rs
@@ -2,14 +2,14 @@
 
 mod cli;
 
-use std::{env, fs, io, process};
+use std::{collections, env, fs, io, process};
 
 use clap::Parser as _;
 use ragwortdeal_node::stop;
 use ragwortdeal_soak::run;
 
-/// Violations that are printed of each run.
-const PRINTED: usize = 20;
+/// Violations of each promise that are printed of a run.
+const PRINTED_OF_EACH: usize = 5;
 
 fn main() -> process::ExitCode {
     let options = cli::Options::parse();
@@ -62,8 +62,16 @@
 
 fn print(plan: &run::Plan, verdict: &run::Verdict) {
     let broken = verdict.violations.len();
-    for violation in verdict.violations.iter().take(PRINTED) {
-        println!("violation: {}: {}", violation.promise, violation.seen);
+    let mut printed = collections::BTreeMap::<&str, usize>::new();
+    for violation in &verdict.violations {
+        let of_promise = printed.entry(violation.promise).or_default();
+        *of_promise += 1;
+        if *of_promise <= PRINTED_OF_EACH {
+            println!("violation: {}: {}", violation.promise, violation.seen);
+        }
+    }
+    for (promise, count) in printed.iter().filter(|(_, count)| **count > PRINTED_OF_EACH) {
+        println!("violations of this promise in all: {promise}: {count}");
     }
     if broken > 0 {
         println!("schedule of seed {}:\n{}", plan.seed, verdict.schedule);
