--- a/ragwortdeal_node/src/voter/fleet/hub.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -1,10 +1,11 @@
 //! Tells followers what changed: documents, weights, upstreams, agents, voters.
 
+mod entries;
+
 use std::{collections, net, sync, time};
 
 use ragwortdeal_core::{
     directory,
-    dispatch::entry_roster,
     document::{naming, store},
     name,
 };
@@ -320,31 +321,6 @@
         self.tell_role("entry", &notice::encode(&notice));
     }
 
-    /// Connected entries with their addresses.
-    fn entries(&self) -> impl Iterator<Item = entry_roster::EntryInfo> {
-        let hellos = self.followers.values().map(|it| &it.session.hello);
-        let entries = hellos.filter(|hello| hello.role == "entry");
-        entries.filter_map(|hello| {
-            let address = hello.name.parse().ok()?;
-            Some(entry_roster::EntryInfo { address, zone: hello.zone.as_str().into() })
-        })
-    }
-
-    /// Tells entries which of them joined or left.
-    fn tell_entry_changes(&mut self) {
-        let changed = std::mem::take(&mut self.changed_entries);
-        let joined: Vec<_> = self.entries().filter(|it| changed.contains(&it.address)).collect();
-        let here = |address: &net::Ipv4Addr| joined.iter().any(|it| it.address == *address);
-        let left = changed.into_iter().filter(|address| !here(address)).collect();
-        self.tell_role("entry", &notice::encode(&notice::Notice::EntryChanges { joined, left }));
-    }
-
-    fn tell_entry_count(&self) {
-        let entries = self.followers.values().filter(|it| it.session.hello.role == "entry");
-        let entries = entries.count() as u32;
-        self.tell_role("entry", &notice::encode(&notice::Notice::EntryCount(entries)));
-    }
-
     /// Notes weights that the log has named, and tells followers of what is new. What the log calls
     /// due was named longer ago than older weights may be served.
     fn name_weights(&mut self, weights_ms: u64, now_ms: u64) {
