Tell ended upstreams from ended connections, and log the parts of prompts

Logs could not tell whether something in the requests ends engines, or load, or the retries of entries: no line said what requests share with each other, how far their answers were, and whether the process ended or a connection was cut.

The parts of a prompt are read at the border. No decision changes, and nobody reads the parts yet. Lists that cannot be read are counted and served as before.

--- a/ragwortdeal_core/src/dispatch.rs
+++ b/ragwortdeal_core/src/dispatch.rs
@@ -13,6 +13,7 @@
 pub mod peer_load;
 pub mod pressure;
 pub mod probe;
+pub mod prompt;
 pub mod ramp_up;
 pub mod retry_budget;
 pub mod retry_detection;
--- a/ragwortdeal_node/src/fleet/dialect.rs
+++ b/ragwortdeal_node/src/fleet/dialect.rs
@@ -49,6 +49,8 @@
     pub last_event: header::HeaderName,
     /// Size of a request in tokens.
     pub tokens: header::HeaderName,
+    /// Parts of a request's prompt.
+    pub prompt_parts: header::HeaderName,
     /// The upstream that answered.
     pub instance: header::HeaderName,
 }
@@ -179,6 +181,9 @@
     /// Parses the size of a request.
     fn tokens(&self, value: &str) -> Option<Tokens>;
 
+    /// Parses the names of the parts of a prompt, in their order. Empty if the request names none.
+    fn prompt_parts<'r>(&self, headers: &'r header::HeaderMap) -> Result<Vec<&'r str>, ParseError>;
+
     /// Requests an engine's report.
     fn report_call(&self) -> Call;
 
--- a/ragwortdeal_node/src/fleet/entry.rs
+++ b/ragwortdeal_node/src/fleet/entry.rs
@@ -1,5 +1,6 @@
 //! The entry of a fleet: takes callers' requests and sends them straight to upstreams.
 
+mod endings;
 mod events;
 mod exchange;
 mod health;
@@ -101,6 +102,7 @@
     held_version: sync::Arc<atomic::AtomicU64>,
     upstreams: sync::Mutex<upstreams::Upstreams>,
     pool: pool::Pool,
+    endings: endings::Endings,
     telemetry: telemetry::Telemetry,
     stopping: atomic::AtomicBool,
 }
@@ -132,6 +134,7 @@
             held_version: sync::Arc::default(),
             upstreams: sync::Mutex::new(upstreams),
             pool: pool::Pool::default(),
+            endings: endings::Endings::default(),
             telemetry,
             stopping: atomic::AtomicBool::new(false),
         }
--- /dev/null
+++ b/ragwortdeal_node/src/fleet/entry/endings.rs
@@ -0,0 +1,96 @@
+//! Finds out whether an upstream ended where connections to it did.
+
+use std::{collections, io, sync, time};
+
+use ragwortdeal_core::{directory, dispatch::prompt};
+
+use super::{Entry, pool, request::CallerRequest, upstreams::selection};
+
+/// Time within which the connections to an upstream that ended break off one after the other.
+const COLLECT: time::Duration = time::Duration::from_millis(10);
+
+/// A request whose connection ended before its answer was whole.
+struct BrokenRequest {
+    request: String,
+    parts: Vec<prompt::Part>,
+}
+
+/// Requests whose connections ended a moment ago, by upstream.
+#[derive(Default)]
+pub(super) struct Endings {
+    broken: sync::Mutex<collections::HashMap<directory::Text, Vec<BrokenRequest>>>,
+}
+
+impl Endings {
+    fn broken(
+        &self,
+    ) -> sync::MutexGuard<'_, collections::HashMap<directory::Text, Vec<BrokenRequest>>> {
+        self.broken.lock().expect("no panic under lock")
+    }
+}
+
+impl Entry {
+    /// Records that the connection of a request ended before its answer was whole. The upstream may
+    /// have ended, or only the connection.
+    pub(super) fn record_connection_end(
+        self: &sync::Arc<Self>,
+        request: &CallerRequest,
+        selected: &selection::Selected,
+    ) {
+        let writing = selected.writing(self.clock.now_ms());
+        log::info!(
+            request = request.id(), upstream = &*selected.peer.instance,
+            parts = prompt::names(&request.parts).as_str(), events = writing.pieces,
+            writing_ms = writing.since_ms;
+            "entry: its connection ended"
+        );
+        let broken =
+            BrokenRequest { request: request.id().to_owned(), parts: request.parts.clone() };
+        let instance = selected.peer.instance.clone();
+        let mut endings = self.endings.broken();
+        let together = endings.entry(instance).or_default();
+        together.push(broken);
+        if together.len() == 1 {
+            tokio::spawn(self.clone().find_out(selected.peer.clone()));
+        }
+    }
+
+    /// Tells an upstream that ended, which refuses connects, from one whose connections ended.
+    async fn find_out(self: sync::Arc<Self>, peer: pool::Peer) {
+        tokio::time::sleep(COLLECT).await;
+        let connected = pool::connect(&peer).await;
+        let broken = self.endings.broken().remove(&peer.instance).unwrap_or_default();
+        let requests: Vec<&str> = broken.iter().map(|it| it.request.as_str()).collect();
+        let parts: Vec<_> = broken.iter().flat_map(|it| it.parts.iter().cloned()).collect();
+        let (upstream, open) = (&*peer.instance, broken.len());
+        match connected {
+            Err(pool::ConnectError::Refused { .. }) => {
+                log::info!(
+                    upstream, open, requests = requests.join(",").as_str(),
+                    parts = prompt::names(&parts).as_str();
+                    "entry: an upstream ended under requests"
+                );
+                self.telemetry.count("entry.upstreams_ended", 1);
+            }
+            Err(error @ pool::ConnectError::Failed { .. }) => {
+                log::info!(upstream, open, reason:% = error; "entry: it is unknown whether an upstream ended");
+            }
+            Ok(connection) => {
+                log::info!(upstream, open; "entry: an upstream goes on whose connections ended");
+                self.pool.put(&peer, connection, pool::IDLE_DEFAULT);
+            }
+        }
+    }
+}
+
+/// Whether an error says that the connection ended, by its upstream or by its machine.
+pub(super) fn is_connection_end(error: &(dyn std::error::Error + 'static)) -> bool {
+    let by_hyper = error
+        .downcast_ref::<hyper::Error>()
+        .is_some_and(|error| error.is_incomplete_message() || error.is_closed());
+    let by_socket = error.downcast_ref::<io::Error>().is_some_and(|error| {
+        use io::ErrorKind::{BrokenPipe, ConnectionAborted, ConnectionReset, UnexpectedEof};
+        matches!(error.kind(), BrokenPipe | ConnectionAborted | ConnectionReset | UnexpectedEof)
+    });
+    by_hyper || by_socket || error.source().is_some_and(is_connection_end)
+}
--- a/ragwortdeal_node/src/fleet/entry/exchange.rs
+++ b/ragwortdeal_node/src/fleet/entry/exchange.rs
@@ -4,7 +4,7 @@
 
 use hyper::{body::Incoming, header, http::response};
 
-use super::{Entry, pool, request::CallerRequest, upstreams::selection};
+use super::{Entry, endings, pool, request::CallerRequest, upstreams::selection};
 
 /// Longest idle time of a connection that is used for a request which must not be repeated. If the
 /// connection died meanwhile, it would be unknown whether the request ran.
@@ -20,11 +20,32 @@
     /// The upstream reports that it did not execute the request.
     NotExecuted(response::Parts),
     /// The request may have been executed, and there is no answer.
-    Lost(String),
+    Lost(Loss),
     /// The head of the answer to this request.
     Answer(Box<Answer>),
 }
 
+/// Why there is no answer, or only a part of one.
+#[derive(Debug)]
+pub(super) struct Loss {
+    pub(super) reason: String,
+    /// Whether the connection ended.
+    pub(super) connection_ended: bool,
+}
+
+impl Loss {
+    /// A loss on a connection that did not end.
+    pub(super) fn new(reason: impl Into<String>) -> Self {
+        Self { reason: reason.into(), connection_ended: false }
+    }
+
+    /// A loss for which the connection is to blame.
+    pub(super) fn of_error(step: &str, error: &hyper::Error) -> Self {
+        let connection_ended = endings::is_connection_end(error);
+        Self { reason: format!("{step}: {error}"), connection_ended }
+    }
+}
+
 /// An answer whose body is still to be read.
 pub(super) struct Answer {
     pub(super) head: response::Parts,
@@ -54,7 +75,7 @@
             Some(connection) => connection,
             None => match pool::connect(&selected.peer).await {
                 Ok(connection) => connection,
-                Err(reason) => return Outcome::NotSent(reason),
+                Err(error) => return Outcome::NotSent(error.to_string()),
             },
         };
         let outgoing = self.outgoing(request, selected, last_event);
@@ -66,15 +87,15 @@
         let answered = tokio::select! {
             answered = tokio::time::timeout(bound, sent) => answered,
             () = selected.stalled() => {
-                return Outcome::Lost("the upstream fell silent".to_owned());
+                return Outcome::Lost(Loss::new("the upstream fell silent"));
             }
         };
         let response = match answered {
-            Err(_) => return Outcome::Lost("no answer in time".to_owned()),
+            Err(_) => return Outcome::Lost(Loss::new("no answer in time")),
             Ok(Err(mut error)) => {
                 return match error.take_message() {
                     Some(_) => Outcome::NotSent(error.error().to_string()),
-                    None => Outcome::Lost(error.error().to_string()),
+                    None => Outcome::Lost(Loss::of_error("await the answer", error.error())),
                 };
             }
             Ok(Ok(response)) => response,
@@ -94,10 +115,10 @@
         let not_executed = headers.contains_key(&names.not_executed) || answer.head.status == 421;
         match echoed {
             Some(id) if *id != request.id => {
-                Outcome::Lost("the answer belongs to another request".to_owned())
+                Outcome::Lost(Loss::new("the answer belongs to another request"))
             }
             None if !not_executed || answer.connection.reused => {
-                Outcome::Lost("the answer names no request".to_owned())
+                Outcome::Lost(Loss::new("the answer names no request"))
             }
             _ if not_executed => Outcome::NotExecuted(answer.head),
             _ => Outcome::Answer(Box::new(answer)),
--- a/ragwortdeal_node/src/fleet/entry/outcome.rs
+++ b/ragwortdeal_node/src/fleet/entry/outcome.rs
@@ -1,5 +1,7 @@
 //! Records what came of an attempt at an upstream.
 
+use std::sync;
+
 use super::{
     Entry, exchange, exchange::Outcome, health, request::CallerRequest, serve::Progress,
     upstreams::selection,
@@ -8,7 +10,7 @@
 impl Entry {
     /// Records the outcome of an attempt. Returns the answer if there is one.
     pub(super) fn record_outcome(
-        &self,
+        self: &sync::Arc<Self>,
         request: &CallerRequest,
         selected: &selection::Selected,
         outcome: Outcome,
@@ -47,15 +49,19 @@
                 }
                 None
             }
-            Outcome::Lost(reason) => {
+            Outcome::Lost(loss) => {
                 log::info!(
-                    request = request.id(), upstream = &**instance, held_ms, reason:%;
+                    request = request.id(), upstream = &**instance, held_ms,
+                    reason = loss.reason.as_str();
                     "entry: lost, it may have run"
                 );
                 self.telemetry.count("entry.lost", 1);
                 progress.sent += 1;
                 progress.may_have_run = true;
                 self.upstreams().record_failure(instance, now_ms);
+                if loss.connection_ended {
+                    self.record_connection_end(request, selected);
+                }
                 None
             }
             Outcome::Answer(answer) => {
@@ -90,16 +96,19 @@
 
     /// Records that an upstream cut an answer short.
     pub(super) fn record_broken_answer(
-        &self,
+        self: &sync::Arc<Self>,
         request: &CallerRequest,
         selected: &selection::Selected,
-        reason: &str,
+        loss: &exchange::Loss,
     ) {
         let instance = &selected.peer.instance;
         log::info!(
-            request = request.id(), upstream = &**instance, reason;
+            request = request.id(), upstream = &**instance, reason = loss.reason.as_str();
             "entry: the answer broke off"
         );
+        if loss.connection_ended {
+            self.record_connection_end(request, selected);
+        }
         self.telemetry.count("entry.broke_off", 1);
         self.upstreams().record_failure(instance, self.clock.now_ms());
     }
--- a/ragwortdeal_node/src/fleet/entry/pool.rs
+++ b/ragwortdeal_node/src/fleet/entry/pool.rs
@@ -4,12 +4,13 @@
 //! valid answer. If it is dropped before, it is closed, which also tells the upstream that nobody
 //! waits for its answer any more.
 
-use std::{collections, net, sync, time};
+use std::{collections, io, net, sync, time};
 
 use bytes::Bytes;
 use hyper::{client::conn::http1, header};
 use hyper_util::rt;
 use ragwortdeal_core::directory;
+use snafu::Snafu;
 use tokio::{net as tokio_net, task};
 
 /// Body of requests to upstreams.
@@ -24,7 +25,7 @@
 const UNACKNOWLEDGED_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
 /// Idle timeout for upstreams that announce none.
-const IDLE_DEFAULT: time::Duration = time::Duration::from_secs(3);
+pub(super) const IDLE_DEFAULT: time::Duration = time::Duration::from_secs(3);
 
 /// Subtracted from the idle timeout that an upstream announces, for the network delay and for a
 /// busy machine. A request that crosses the close would be lost.
@@ -106,19 +107,41 @@
     }
 }
 
+/// Why no connection was opened.
+#[derive(Debug, Snafu)]
+pub(super) enum ConnectError {
+    /// Nothing listens at the address: the upstream has ended.
+    #[snafu(display("the connect to {address} was refused"))]
+    Refused {
+        /// Address of the upstream.
+        address: net::SocketAddrV4,
+    },
+    /// The upstream or the path to it does not work.
+    #[snafu(display("connect to {address}: {reason}"))]
+    Failed {
+        /// Address of the upstream.
+        address: net::SocketAddrV4,
+        /// Why.
+        reason: String,
+    },
+}
+
 /// Opens a connection. On an error nothing was sent.
-pub(super) async fn connect(peer: &Peer) -> Result<Connection, String> {
+pub(super) async fn connect(peer: &Peer) -> Result<Connection, ConnectError> {
+    let address = peer.address;
+    let failed = |reason: String| ConnectError::Failed { address, reason };
     let connecting = async {
-        let socket = tokio_net::TcpSocket::new_v4().map_err(|error| error.to_string())?;
-        let stream = socket.connect(peer.address.into()).await;
-        let stream = stream.map_err(|error| error.to_string())?;
+        let socket = tokio_net::TcpSocket::new_v4().map_err(|error| failed(error.to_string()))?;
+        let stream = socket.connect(address.into()).await.map_err(|error| match error.kind() {
+            io::ErrorKind::ConnectionRefused => ConnectError::Refused { address },
+            _ => failed(error.to_string()),
+        })?;
         configure_socket(&stream);
         let handshake = http1::Builder::new().handshake(rt::TokioIo::new(stream)).await;
-        handshake.map_err(|error| error.to_string())
+        handshake.map_err(|error| failed(error.to_string()))
     };
     let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
-    let (sender, connection) = connected.map_err(|_| "the connect timed out".to_owned())??;
-    let address = peer.address;
+    let (sender, connection) = connected.map_err(|_| failed("it timed out".to_owned()))??;
     let task = tokio::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!("entry: connection to {address} closed: {error}");
--- a/ragwortdeal_node/src/fleet/entry/relay.rs
+++ b/ragwortdeal_node/src/fleet/entry/relay.rs
@@ -24,7 +24,7 @@
     /// The end of the stream.
     End,
     /// The upstream broke off.
-    Lost(String),
+    Lost(exchange::Loss),
     /// The upstream fell silent. The data that it owes may still come.
     Silent,
     /// The deadline of the request has passed.
@@ -70,13 +70,13 @@
                 return Some(response);
             }
             Read::Silent => {
-                let reason = "the upstream fell silent before its first event";
-                relay.entry.record_broken_answer(&relay.request, &relay.source.selected, reason);
+                let loss = exchange::Loss::new("the upstream fell silent before its first event");
+                relay.entry.record_broken_answer(&relay.request, &relay.source.selected, &loss);
                 *progress = relay.progress;
                 return None;
             }
-            Read::Lost(reason) => {
-                relay.entry.record_broken_answer(&relay.request, &relay.source.selected, &reason);
+            Read::Lost(loss) => {
+                relay.entry.record_broken_answer(&relay.request, &relay.source.selected, &loss);
                 *progress = relay.progress;
                 return None;
             }
@@ -109,24 +109,32 @@
         }
         match next {
             Err(_) if to_start.is_some_and(|to_start| to_start < remaining) => {
-                Read::Lost("its weights are superseded and its first event has not come".to_owned())
+                let reason = "its weights are superseded and its first event has not come";
+                Read::Lost(exchange::Loss::new(reason))
             }
             Err(_) => Read::DeadlineExceeded,
             Ok(None) if self.events.is_at_event_boundary() => Read::End,
-            Ok(None) => Read::Lost("the stream ended within an event".to_owned()),
-            Ok(Some(Err(error))) => Read::Lost(format!("the stream was cut: {error}")),
+            Ok(None) => Read::Lost(exchange::Loss {
+                reason: "the stream ended within an event".to_owned(),
+                connection_ended: true,
+            }),
+            Ok(Some(Err(error))) => {
+                Read::Lost(exchange::Loss::of_error("the stream was cut", &error))
+            }
             Ok(Some(Ok(frame))) => match frame.into_data() {
                 Err(_) => Read::Events(Bytes::new()),
                 Ok(piece) => match self.events.push(&piece) {
                     Ok(events) => Read::Events(events),
-                    Err(error) => Read::Lost(format!("invalid stream: {error:?}")),
+                    Err(error) => {
+                        Read::Lost(exchange::Loss::new(format!("invalid stream: {error:?}")))
+                    }
                 },
             },
         }
     }
 
     fn start(mut self, first: Bytes) -> http::Response {
-        self.source.selected.record_first_event();
+        self.source.selected.record_events();
         let (sender, receiver) = mpsc::channel(QUEUED_PIECES_MAX);
         // The queue is empty and holds more than one piece.
         let _ = sender.try_send(Ok(Frame::data(first)));
@@ -160,8 +168,8 @@
                     continue;
                 }
                 Read::DeadlineExceeded => "no time is left".to_owned(),
-                Read::Lost(reason) => {
-                    self.entry.record_broken_answer(&self.request, &self.source.selected, &reason);
+                Read::Lost(loss) => {
+                    self.entry.record_broken_answer(&self.request, &self.source.selected, &loss);
                     match self.resume(&sender).await {
                         Ok(()) => continue,
                         Err(reason) => reason,
@@ -184,7 +192,7 @@
 
     /// Forwards events. Returns whether the caller is still connected.
     async fn forward(&mut self, sender: &mpsc::Sender<Piece>, events: Bytes) -> bool {
-        self.source.selected.record_first_event();
+        self.source.selected.record_events();
         sender.send(Ok(Frame::data(events))).await.is_ok()
     }
 
--- a/ragwortdeal_node/src/fleet/entry/request.rs
+++ b/ragwortdeal_node/src/fleet/entry/request.rs
@@ -5,7 +5,7 @@
 use hyper::header;
 use ragwortdeal_core::{
     directory,
-    dispatch::{forecast, gate, retry_detection},
+    dispatch::{forecast, gate, prompt, retry_detection},
     document,
     document::table,
 };
@@ -64,6 +64,8 @@
     pub(super) deadline: time::Instant,
     /// Number of the last event that the caller has.
     pub(super) last_event: Option<u64>,
+    /// Parts of its prompt that other requests may hold too.
+    pub(super) parts: Vec<prompt::Part>,
 }
 
 impl CallerRequest {
@@ -142,6 +144,24 @@
         self.upstreams().remaining_time(route, left_ms, self.clock.now_ms())
     }
 
+    /// The parts of a request's prompt that others may hold too. None are taken from a list that
+    /// cannot be read: the request is served all the same.
+    fn shared_parts(
+        &self,
+        headers: &header::HeaderMap,
+        id: &header::HeaderValue,
+    ) -> Vec<prompt::Part> {
+        match self.dialect.prompt_parts(headers) {
+            Ok(names) => prompt::shared_parts(&names),
+            Err(error) => {
+                let request = id.to_str().unwrap_or("?");
+                log::info!(request, reason:% = error; "entry: the parts of a prompt are unreadable");
+                self.telemetry.count("entry.prompts_unreadable", 1);
+                Vec::new()
+            }
+        }
+    }
+
     /// Reads a request and determines its route, account and service.
     pub(super) async fn read_request(
         &self,
@@ -191,6 +211,7 @@
         let waits_ms = number(&names.deadline_ms).unwrap_or(u64::MAX).min(route.timeout_ms);
         let deadline = started + time::Duration::from_millis(waits_ms);
         let last_event = number(&names.last_event);
+        let parts = self.shared_parts(&request.headers, &id);
         let body_max_bytes = table.document().limits.body_max_bytes;
         let caller_request = CallerRequest {
             id,
@@ -207,6 +228,7 @@
             started,
             deadline,
             last_event,
+            parts,
         };
         let body = http::read(request.body, body_max_bytes, waits_ms.min(BODY_MS)).await;
         match body {
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -10,7 +10,7 @@
 use ragwortdeal_core::{directory, document};
 
 use super::{
-    Entry, exchange, pool, relay, request,
+    Entry, endings, exchange, pool, relay, request,
     request::{CallerRequest, Refusal},
     upstreams::selection,
 };
@@ -241,12 +241,16 @@
     let bytes = match read {
         Ok(Ok(collected)) => collected.to_bytes(),
         Ok(Err(error)) => {
-            let reason = format!("the answer was cut: {error}");
-            entry.record_broken_answer(request, selected, &reason);
+            let loss = exchange::Loss {
+                reason: format!("the answer was cut: {error}"),
+                connection_ended: endings::is_connection_end(&*error),
+            };
+            entry.record_broken_answer(request, selected, &loss);
             return None;
         }
         Err(_) => {
-            entry.record_broken_answer(request, selected, "the answer did not end in time");
+            let loss = exchange::Loss::new("the answer did not end in time");
+            entry.record_broken_answer(request, selected, &loss);
             return None;
         }
     };
--- a/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
@@ -30,12 +30,25 @@
     superseded_at_ms: Option<i64>,
     /// Time by which the request must have started there, if the weights are superseded.
     start_by_ms: Option<i64>,
+    /// When the first event came, by the entry's clock.
+    first_event_at_ms: Option<u64>,
+    /// Pieces of one or more events that came.
+    pieces: u32,
     activity: sync::Arc<health::Activity>,
     /// Whether the request is taken back from the upstream if it falls silent.
     leaves_silent: bool,
     entry: sync::Arc<Entry>,
 }
 
+/// How far an answer is.
+#[derive(Clone, Copy, Debug)]
+pub(in super::super) struct Writing {
+    /// Pieces of one or more events that came.
+    pub(in super::super) pieces: u32,
+    /// Milliseconds since the first one, 0 before it.
+    pub(in super::super) since_ms: u64,
+}
+
 impl Selected {
     /// Remaining time for the request to start there, if it is bounded.
     pub(in super::super) fn time_to_start(&self) -> Option<time::Duration> {
@@ -64,8 +77,18 @@
         }
     }
 
-    /// Records the first event: the prompt has been read.
-    pub(in super::super) fn record_first_event(&mut self) {
+    /// How far the answer is.
+    pub(in super::super) fn writing(&self, now_ms: u64) -> Writing {
+        let since_ms = self.first_event_at_ms.map_or(0, |at_ms| now_ms.saturating_sub(at_ms));
+        Writing { pieces: self.pieces, since_ms }
+    }
+
+    /// Records events. With the first ones the prompt has been read.
+    pub(in super::super) fn record_events(&mut self) {
+        self.pieces += 1;
+        if self.first_event_at_ms.is_none() {
+            self.first_event_at_ms = Some(self.entry.clock.now_ms());
+        }
         self.start_by_ms = None;
         if let Some(reading_ms) = self.reading_ms.take() {
             self.entry.upstreams().prefill_done(&self.peer.instance, reading_ms);
@@ -228,6 +251,8 @@
             sent_at_ms: now_ms,
             superseded_at_ms,
             start_by_ms: superseded_at_ms.map(|at_ms| upstreams.start_by_ms(at_ms)),
+            first_event_at_ms: None,
+            pieces: 0,
             activity,
             leaves_silent: criteria.repeatable
                 && (criteria.models.is_some() || !criteria.last_attempt),
