--- a/ragwortdeal_standins/src/fleet/caller.rs
+++ b/ragwortdeal_standins/src/fleet/caller.rs
@@ -53,26 +53,36 @@
     pub deadline_ms: u64,
     /// Body.
     pub body: &'static str,
+    /// Parts of its prompt as they are written, if any.
+    pub prompt: Option<String>,
 }
 
 impl Ask {
     /// A request with usual fields.
     pub fn new(method: &'static str, path: &str, id: &str) -> Self {
         let (path, id) = (path.to_owned(), id.to_owned());
-        Self { method, path, id, key: Some("key-a"), deadline_ms: 5_000, body: "" }
+        Self { method, path, id, key: Some("key-a"), deadline_ms: 5_000, body: "", prompt: None }
+    }
+
+    /// The same request with a prompt of parts with these names, the last its own.
+    pub fn with_parts(self, names: &[&str]) -> Self {
+        let parts: Vec<_> = names.iter().map(|name| format!("{name}:100")).collect();
+        Self { prompt: Some(parts.join(",")), ..self }
     }
 
     /// The request as it is written.
     pub fn text(&self) -> String {
         let key = self.key.map(|key| format!("Authorization: Bearer {key}\r\n"));
+        let prompt = self.prompt.as_ref().map(|parts| format!("X-Prompt-Prefix: {parts}\r\n"));
         format!(
             "{} {} HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: {}\r\nX-Request-Deadline: {}\r\n\
-             {}Content-Length: {}\r\n\r\n{}",
+             {}{}Content-Length: {}\r\n\r\n{}",
             self.method,
             self.path,
             self.id,
             self.deadline_ms,
             key.unwrap_or_default(),
+            prompt.unwrap_or_default(),
             self.body.len(),
             self.body
         )
--- a/ragwortdeal_standins/src/fleet/engine.rs
+++ b/ragwortdeal_standins/src/fleet/engine.rs
@@ -70,6 +70,15 @@
     pub asked: Asks,
 }
 
+/// When an engine ends by what it is asked, and for how long.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fatal {
+    /// Name of the part of prompts on which it ends when it begins to answer.
+    pub part: String,
+    /// How long it is down.
+    pub down: time::Duration,
+}
+
 /// State of an engine, shared with the test.
 #[derive(Debug)]
 pub struct Engine {
@@ -98,6 +107,15 @@
     work: time::Duration,
     frozen: watch::Sender<bool>,
     asks: Asks,
+    fatal: Option<Fatal>,
+    /// When the engine ended.
+    ended_at: Vec<time::Instant>,
+    /// How long it is down from its last end on.
+    down: time::Duration,
+    /// Number of its ends.
+    ends: watch::Sender<u64>,
+    /// Number of its starts.
+    starts: u64,
 }
 
 /// Counts a request as running until it ends or its connection is closed.
@@ -150,6 +168,11 @@
             work: time::Duration::ZERO,
             frozen: watch::Sender::new(false),
             asks: Asks::default(),
+            fatal: None,
+            ended_at: Vec::new(),
+            down: time::Duration::ZERO,
+            ends: watch::Sender::new(0),
+            starts: 1,
         };
         let state = sync::Mutex::new(state);
         let engine = sync::Arc::new(Self { instance: instance.to_owned(), address, state });
@@ -193,6 +216,38 @@
         self.state().asks.leaving = leaving;
     }
 
+    /// Sets on what the engine ends, if on anything.
+    pub fn end_on(&self, fatal: Option<Fatal>) {
+        self.state().fatal = fatal;
+    }
+
+    /// Ends the engine at once, with all its connections. It is back after a time.
+    pub fn end(&self, down: time::Duration) {
+        let mut state = self.state();
+        state.down = down;
+        state.ended_at.push(time::Instant::now());
+        state.ends.send_modify(|ends| *ends += 1);
+    }
+
+    /// When the engine ended.
+    pub fn ended_at(&self) -> Vec<time::Instant> {
+        self.state().ended_at.clone()
+    }
+
+    /// Number of its starts.
+    pub fn starts(&self) -> u64 {
+        self.state().starts
+    }
+
+    /// What the engine ends on, if the request holds it.
+    fn fatal_to(&self, headers: &header::HeaderMap) -> Option<Fatal> {
+        let fatal = self.state().fatal.clone()?;
+        let list = headers.get("x-prompt-prefix")?.to_str().ok()?;
+        let (shared, _own) = list.rsplit_once(',')?;
+        let mut names = shared.split(',').map(|entry| entry.split(':').next().unwrap_or_default());
+        names.any(|name| *name == *fatal.part).then_some(fatal)
+    }
+
     async fn awake(&self) {
         let mut frozen = self.state().frozen.subscribe();
         // The sender lives as long as the engine.
@@ -262,27 +317,45 @@
         serde_json::json!({
             "service": service, "address": self.address.to_string(), "zone": zone, "version": "v1",
             "slots": 8, "state": standing, "cold-remaining-ms": 0, "stage": "combined",
-            "models": models, "sequence": number, "born": 1_000,
+            "models": models, "sequence": number, "born": 999 + self.starts(),
             "layers": self.state().held_layers(),
         })
         .to_string()
     }
 }
 
+/// Accepts connections until the engine ends, and again when it is back.
 async fn accept(engine: sync::Arc<Engine>, listener: tokio_net::TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            return;
-        };
-        let engine = engine.clone();
-        task::spawn(async move {
-            let service = service::service_fn(move |request| answer(engine.clone(), request));
-            // A connection that breaks is what some tests are about.
-            let _ = http1::Builder::new().serve_connection(rt::TokioIo::new(stream), service).await;
-        });
+    let mut ends = engine.state().ends.subscribe();
+    let mut listener = Some(listener);
+    while let Some(listening) = listener.take() {
+        // Dropping the set ends the connections with the engine.
+        let mut connections = task::JoinSet::new();
+        loop {
+            let accepted = tokio::select! {
+                accepted = listening.accept() => accepted,
+                _ = ends.changed() => break,
+            };
+            let Ok((stream, _)) = accepted else {
+                return;
+            };
+            connections.spawn(serve_connection(engine.clone(), stream));
+        }
+        drop((listening, connections));
+        let down = engine.state().down;
+        tokio::time::sleep(down).await;
+        ends.mark_unchanged();
+        engine.state().starts += 1;
+        listener = tokio_net::TcpListener::bind(engine.address).await.ok();
     }
 }
 
+async fn serve_connection(engine: sync::Arc<Engine>, stream: tokio_net::TcpStream) {
+    let service = service::service_fn(move |request| answer(engine.clone(), request));
+    // A connection that breaks is what some tests are about.
+    let _ = http1::Builder::new().serve_connection(rt::TokioIo::new(stream), service).await;
+}
+
 async fn answer(
     engine: sync::Arc<Engine>,
     request: Request<body::Incoming>,
@@ -365,7 +438,8 @@
         }
         if head.uri.path().starts_with("/stream/") && !matches!(behaviour, Behaviour::Fail(_)) {
             let after = expected("last-event-id").and_then(|last| last.parse().ok()).unwrap_or(0);
-            let body = self.events(after, running, &behaviour);
+            let fatal = self.fatal_to(&head.headers);
+            let body = self.events(after, running, &behaviour, fatal);
             return Ok(self.signed(Response::new(body), id, &version));
         }
         let work = self.state().work;
@@ -423,6 +497,7 @@
         after: u64,
         mut running: Running,
         behaviour: &Behaviour,
+        fatal: Option<Fatal>,
     ) -> Body {
         let (events, gap) = {
             let state = self.state();
@@ -449,6 +524,11 @@
                 if sender.send(Ok(body::Frame::data(sent))).await.is_err() {
                     return;
                 }
+                if let Some(fatal) = fatal {
+                    running.end();
+                    running.engine.end(fatal.down);
+                    return;
+                }
                 if cut == Some(number) {
                     running.end();
                     let _ = sender.send(Err(io::Error::other("cut"))).await;
--- a/ragwortdeal_standins/src/fleet/world.rs
+++ b/ragwortdeal_standins/src/fleet/world.rs
@@ -309,6 +309,25 @@
         engine
     }
 
+    /// Announces an engine anew after each of its restarts, for as long as it is wanted.
+    pub fn announce_restarts(
+        &self,
+        engine: &sync::Arc<engine::Engine>,
+        service: &'static str,
+    ) -> task::JoinHandle<()> {
+        let (operator, engine) = (self.operator(), engine.clone());
+        task::spawn(async move {
+            let mut announced = engine.starts();
+            loop {
+                tokio::time::sleep(time::Duration::from_millis(20)).await;
+                if engine.starts() > announced {
+                    announced = engine.starts();
+                    announce(&operator, &engine, service, "ready", 1).await;
+                }
+            }
+        })
+    }
+
     /// Announces an engine until a voter acknowledges it.
     pub async fn announce(
         &self,
@@ -317,10 +336,7 @@
         standing: &str,
         number: u64,
     ) {
-        let zone = format!("zone-{}", engine.address.ip().octets()[3] % 3);
-        let body = engine.announcement(service, &zone, standing, number);
-        let path = format!("/instances/{}", engine.instance);
-        let (status, text) = self.operator().order("PUT", &path, &body).await;
+        let (status, text) = announce(&self.operator(), engine, service, standing, number).await;
         assert_eq!(status, 200, "{text}");
     }
 
@@ -379,6 +395,20 @@
     }
 }
 
+/// Announces an engine. Returns the status and the body of the answer.
+async fn announce(
+    operator: &operator::Operator,
+    engine: &engine::Engine,
+    service: &str,
+    standing: &str,
+    number: u64,
+) -> (u16, String) {
+    let zone = format!("zone-{}", engine.address.ip().octets()[3] % 3);
+    let body = engine.announcement(service, &zone, standing, number);
+    let path = format!("/instances/{}", engine.instance);
+    operator.order("PUT", &path, &body).await
+}
+
 fn seeds(settings: &settings::fleet::Settings) -> watch::Receiver<Vec<net::SocketAddrV4>> {
     watch::Sender::new(settings.fleet.seeds.clone()).subscribe()
 }
