Isolate parts of prompts that end engines

The cause: nothing that an entry sees of an end reaches the requests that come after it. The class is known as a query of death, or a poison pill. Ruled out: retries of entries as the cause (374 of 400 answers were to first attempts) and load (engines end with one or two requests).

Entries tell voters what ran on an engine that ended and had just begun, and which parts engines have borne since. Voters weigh each part by how unlikely it would have been there by chance, isolate the one that leads, and tell entries; their log keeps it. An entry that reaches no voter judges by what it saw itself. Requests with an isolated part are refused at once, and those under way without an event are withdrawn.

The stand-in engine now keeps the body of an answer open until its connections have ended: it ended some bodies as whole ones, which no engine does that has crashed.

--- a/ragwortdeal_core/src/dispatch.rs
+++ b/ragwortdeal_core/src/dispatch.rs
@@ -10,6 +10,7 @@
 pub mod flow_control;
 pub mod forecast;
 pub mod gate;
+pub mod isolation;
 pub mod peer_load;
 pub mod pressure;
 pub mod probe;
--- a/ragwortdeal_core/src/document/store.rs
+++ b/ragwortdeal_core/src/document/store.rs
@@ -3,6 +3,7 @@
 use std::{collections, sync};
 
 use super::Version;
+use crate::dispatch::isolation::verdicts;
 
 /// A document as it was received, opaque to the log.
 ///
@@ -73,6 +74,8 @@
     Name(ModelVersion),
     /// Records that the deadline has passed up to which older weights may be served.
     Due(ModelVersion),
+    /// Records that a part of prompts is isolated or released.
+    Isolate(verdicts::Verdict),
 }
 
 /// The configuration in force.
@@ -86,6 +89,10 @@
     /// processes that know them restart; this is not. Absent in older snapshots.
     #[serde(default)]
     pub due: collections::BTreeMap<String, u64>,
+    /// Parts of prompts that end engines, which outlast a restart of all processes. Absent in older
+    /// snapshots.
+    #[serde(default)]
+    pub verdicts: verdicts::Verdicts,
 }
 
 impl Store {
@@ -100,6 +107,7 @@
             }
             Step::Name(weights) => _ = raise(&mut self.weights, &weights.model, weights.version),
             Step::Due(weights) => _ = raise(&mut self.due, &weights.model, weights.version),
+            Step::Isolate(verdict) => _ = self.verdicts.merge([verdict.clone()]),
         }
     }
 
@@ -121,6 +129,7 @@
         for (model, version) in &other.due {
             newer |= raise(&mut self.due, model, *version);
         }
+        newer |= !self.verdicts.merge(other.verdicts.all().cloned()).is_empty();
         newer
     }
 }
--- a/ragwortdeal_node/src/fleet/entry.rs
+++ b/ragwortdeal_node/src/fleet/entry.rs
@@ -4,6 +4,7 @@
 mod events;
 mod exchange;
 mod health;
+mod isolation;
 mod outcome;
 mod pool;
 mod probes;
@@ -103,6 +104,7 @@
     upstreams: sync::Mutex<upstreams::Upstreams>,
     pool: pool::Pool,
     endings: endings::Endings,
+    isolation: isolation::Isolation,
     telemetry: telemetry::Telemetry,
     stopping: atomic::AtomicBool,
 }
@@ -112,6 +114,7 @@
         settings: &settings::fleet::Settings,
         dialect: dialect::DialectRef,
         telemetry: telemetry::Telemetry,
+        isolation: isolation::Isolation,
     ) -> Self {
         let bounds = &settings.bounds;
         let budget = retry_budget::Budget {
@@ -135,6 +138,7 @@
             upstreams: sync::Mutex::new(upstreams),
             pool: pool::Pool::default(),
             endings: endings::Endings::default(),
+            isolation,
             telemetry,
             stopping: atomic::AtomicBool::new(false),
         }
@@ -166,10 +170,12 @@
     let mut identity = settings.process.identity()?;
     identity.name = ragwortdeal_core::name::InstanceName::new(&settings.fleet.address.to_string())?;
     let (telemetry, _) = metrics::start(settings.listen.metrics, stop.clone()).await;
-    let entry = sync::Arc::new(Entry::new(&settings, dialect, telemetry));
+    let (isolation, to_tell) = isolation::Isolation::new(settings.fleet.address);
+    let entry = sync::Arc::new(Entry::new(&settings, dialect, telemetry, isolation));
     let (voters, events) =
         voter_links::start(settings.clone(), identity, "entry", entry.held_version.clone(), seeds);
     tokio::spawn(voter_updates::apply(entry.clone(), voters.clone(), events));
+    tokio::spawn(isolation::run(entry.clone(), voters.clone(), to_tell));
     tokio::spawn(sweep(entry.clone()));
     tokio::spawn(watch_progress(entry.clone()));
     tokio::spawn(probes::run(entry.clone(), settings.clone()));
@@ -217,6 +223,7 @@
         entry.telemetry.gauge("entry.upstreams_limited", counts.limited);
         entry.telemetry.gauge("entry.upstreams_paused", counts.paused);
         entry.telemetry.gauge("entry.upstreams_leaving", counts.leaving);
+        entry.telemetry.gauge("entry.parts_isolated", entry.isolation.isolated_count());
     }
 }
 
--- a/ragwortdeal_node/src/fleet/entry/endings.rs
+++ b/ragwortdeal_node/src/fleet/entry/endings.rs
@@ -2,9 +2,12 @@
 
 use std::{collections, io, sync, time};
 
-use ragwortdeal_core::{directory, dispatch::prompt};
+use ragwortdeal_core::{
+    directory,
+    dispatch::{isolation::evidence, prompt},
+};
 
-use super::{Entry, pool, request::CallerRequest, upstreams::selection};
+use super::{Entry, isolation, pool, request::CallerRequest, upstreams::selection};
 
 /// Time within which the connections to an upstream that ended break off one after the other.
 const COLLECT: time::Duration = time::Duration::from_millis(10);
@@ -13,19 +16,27 @@
 struct BrokenRequest {
     request: String,
     parts: Vec<prompt::Part>,
+    /// Whether it may have ended the upstream.
+    suspect: bool,
 }
 
+/// What broke at one start of an upstream.
+struct Ending {
+    boot: evidence::Boot,
+    broken: Vec<BrokenRequest>,
+}
+
+type ByUpstream = collections::HashMap<directory::Text, Ending>;
+
 /// Requests whose connections ended a moment ago, by upstream.
 #[derive(Default)]
 pub(super) struct Endings {
-    broken: sync::Mutex<collections::HashMap<directory::Text, Vec<BrokenRequest>>>,
+    endings: sync::Mutex<ByUpstream>,
 }
 
 impl Endings {
-    fn broken(
-        &self,
-    ) -> sync::MutexGuard<'_, collections::HashMap<directory::Text, Vec<BrokenRequest>>> {
-        self.broken.lock().expect("no panic under lock")
+    fn lock(&self) -> sync::MutexGuard<'_, ByUpstream> {
+        self.endings.lock().expect("no panic under lock")
     }
 }
 
@@ -44,13 +55,18 @@
             writing_ms = writing.since_ms;
             "entry: its connection ended"
         );
-        let broken =
-            BrokenRequest { request: request.id().to_owned(), parts: request.parts.clone() };
-        let instance = selected.peer.instance.clone();
-        let mut endings = self.endings.broken();
-        let together = endings.entry(instance).or_default();
-        together.push(broken);
-        if together.len() == 1 {
+        let broken = BrokenRequest {
+            request: request.id().to_owned(),
+            parts: request.parts.clone(),
+            suspect: isolation::is_suspect(writing) && !request.parts.is_empty(),
+        };
+        let boot = self.upstreams().boot(&selected.peer.instance);
+        let mut endings = self.endings.lock();
+        let ending = endings
+            .entry(selected.peer.instance.clone())
+            .or_insert(Ending { boot, broken: Vec::new() });
+        ending.broken.push(broken);
+        if ending.broken.len() == 1 {
             tokio::spawn(self.clone().find_out(selected.peer.clone()));
         }
     }
@@ -59,18 +75,24 @@
     async fn find_out(self: sync::Arc<Self>, peer: pool::Peer) {
         tokio::time::sleep(COLLECT).await;
         let connected = pool::connect(&peer).await;
-        let broken = self.endings.broken().remove(&peer.instance).unwrap_or_default();
+        let Some(Ending { boot, broken }) = self.endings.lock().remove(&peer.instance) else {
+            return;
+        };
         let requests: Vec<&str> = broken.iter().map(|it| it.request.as_str()).collect();
-        let parts: Vec<_> = broken.iter().flat_map(|it| it.parts.iter().cloned()).collect();
+        let suspects = broken.iter().filter(|it| it.suspect).map(|it| it.parts.clone());
+        let suspects: Vec<_> = suspects.collect();
         let (upstream, open) = (&*peer.instance, broken.len());
         match connected {
             Err(pool::ConnectError::Refused { .. }) => {
                 log::info!(
-                    upstream, open, requests = requests.join(",").as_str(),
-                    parts = prompt::names(&parts).as_str();
+                    upstream, open, suspects = suspects.len(),
+                    requests = requests.join(",").as_str();
                     "entry: an upstream ended under requests"
                 );
                 self.telemetry.count("entry.upstreams_ended", 1);
+                if !suspects.is_empty() {
+                    self.isolation.record_end(boot, &suspects, self.clock.now_ms());
+                }
             }
             Err(error @ pool::ConnectError::Failed { .. }) => {
                 log::info!(upstream, open, reason:% = error; "entry: it is unknown whether an upstream ended");
--- a/ragwortdeal_node/src/fleet/entry/exchange.rs
+++ b/ragwortdeal_node/src/fleet/entry/exchange.rs
@@ -4,7 +4,7 @@
 
 use hyper::{body::Incoming, header, http::response};
 
-use super::{Entry, endings, pool, request::CallerRequest, upstreams::selection};
+use super::{Entry, endings, isolation, pool, request::CallerRequest, upstreams::selection};
 
 /// Longest idle time of a connection that is used for a request which must not be repeated. If the
 /// connection died meanwhile, it would be unknown whether the request ran.
@@ -21,6 +21,8 @@
     NotExecuted(response::Parts),
     /// The request may have been executed, and there is no answer.
     Lost(Loss),
+    /// It was withdrawn from the upstream, which may have executed it.
+    Withdrawn(&'static str),
     /// The head of the answer to this request.
     Answer(Box<Answer>),
 }
@@ -89,6 +91,9 @@
             () = selected.stalled() => {
                 return Outcome::Lost(Loss::new("the upstream fell silent"));
             }
+            () = self.isolation.becomes_isolated(&request.parts) => {
+                return Outcome::Withdrawn(isolation::REASON);
+            }
         };
         let response = match answered {
             Err(_) => return Outcome::Lost(Loss::new("no answer in time")),
--- a/ragwortdeal_node/src/fleet/entry/outcome.rs
+++ b/ragwortdeal_node/src/fleet/entry/outcome.rs
@@ -64,6 +64,12 @@
                 }
                 None
             }
+            Outcome::Withdrawn(reason) => {
+                self.record_withdrawn(request, selected, reason);
+                progress.sent += 1;
+                progress.may_have_run = true;
+                None
+            }
             Outcome::Answer(answer) => {
                 progress.sent += 1;
                 progress.may_have_run = true;
@@ -94,6 +100,20 @@
         }
     }
 
+    /// Records that a request was withdrawn from its upstream, which is not to blame.
+    pub(super) fn record_withdrawn(
+        &self,
+        request: &CallerRequest,
+        selected: &selection::Selected,
+        reason: &str,
+    ) {
+        log::info!(
+            request = request.id(), upstream = &*selected.peer.instance, reason;
+            "entry: withdrawn from its upstream"
+        );
+        self.telemetry.count("entry.withdrawn", 1);
+    }
+
     /// Records that an upstream cut an answer short.
     pub(super) fn record_broken_answer(
         self: &sync::Arc<Self>,
--- a/ragwortdeal_node/src/fleet/entry/relay.rs
+++ b/ragwortdeal_node/src/fleet/entry/relay.rs
@@ -9,7 +9,9 @@
 use ragwortdeal_core::document;
 use tokio::sync::mpsc;
 
-use super::{Entry, events, exchange, request::CallerRequest, serve, upstreams::selection};
+use super::{
+    Entry, events, exchange, isolation, request::CallerRequest, serve, upstreams::selection,
+};
 use crate::http;
 
 /// Pieces that may be queued for a slow caller. A full queue stops reading from the upstream.
@@ -27,6 +29,8 @@
     Lost(exchange::Loss),
     /// The upstream fell silent. The data that it owes may still come.
     Silent,
+    /// A part of the prompt was isolated before the first event.
+    Withdrawn,
     /// The deadline of the request has passed.
     DeadlineExceeded,
 }
@@ -61,7 +65,13 @@
     let (entry, request) = (entry.clone(), request.clone());
     let mut relay = StreamRelay { entry, request, events, source, progress: progress_so_far };
     loop {
-        match relay.read().await {
+        let isolation = relay.entry.clone();
+        let request = relay.request.clone();
+        let read = tokio::select! {
+            read = relay.read() => read,
+            () = isolation.isolation.becomes_isolated(&request.parts) => Read::Withdrawn,
+        };
+        match read {
             Read::Events(bytes) if bytes.is_empty() => (),
             Read::Events(bytes) => return Some(relay.start(bytes)),
             Read::End => {
@@ -69,6 +79,12 @@
                 relay.source.return_connection(&relay.entry);
                 return Some(response);
             }
+            Read::Withdrawn => {
+                let reason = isolation::REASON;
+                relay.entry.record_withdrawn(&relay.request, &relay.source.selected, reason);
+                *progress = relay.progress;
+                return None;
+            }
             Read::Silent => {
                 let loss = exchange::Loss::new("the upstream fell silent before its first event");
                 relay.entry.record_broken_answer(&relay.request, &relay.source.selected, &loss);
@@ -162,11 +178,12 @@
                     true => continue,
                     false => return self.log_caller_left(),
                 },
-                Read::End => return self.source.return_connection(&self.entry),
+                Read::End => return self.finish(),
                 Read::Silent => {
                     self.leave_silent(&sender).await;
                     continue;
                 }
+                Read::Withdrawn => isolation::REASON.to_owned(),
                 Read::DeadlineExceeded => "no time is left".to_owned(),
                 Read::Lost(loss) => {
                     self.entry.record_broken_answer(&self.request, &self.source.selected, &loss);
@@ -193,9 +210,29 @@
     /// Forwards events. Returns whether the caller is still connected.
     async fn forward(&mut self, sender: &mpsc::Sender<Piece>, events: Bytes) -> bool {
         self.source.selected.record_events();
+        self.record_proof_once();
         sender.send(Ok(Frame::data(events))).await.is_ok()
     }
 
+    /// Records that the engine bears the parts of the prompt, once it has written for long enough.
+    fn record_proof_once(&mut self) {
+        let now_ms = self.entry.clock.now_ms();
+        let selected = &mut self.source.selected;
+        if !selected.proved && isolation::is_proved(selected.writing(now_ms)) {
+            selected.proved = true;
+            self.entry.isolation.record_proof(&self.request.parts, now_ms);
+        }
+    }
+
+    /// Ends a stream that is whole.
+    fn finish(self) {
+        if !self.source.selected.proved {
+            let now_ms = self.entry.clock.now_ms();
+            self.entry.isolation.record_proof(&self.request.parts, now_ms);
+        }
+        self.source.return_connection(&self.entry);
+    }
+
     fn log_caller_left(self) {
         log::info!(
             request = self.request.id(), upstream = &*self.source.selected.peer.instance,
--- a/ragwortdeal_node/src/fleet/entry/request.rs
+++ b/ragwortdeal_node/src/fleet/entry/request.rs
@@ -152,7 +152,11 @@
         id: &header::HeaderValue,
     ) -> Vec<prompt::Part> {
         match self.dialect.prompt_parts(headers) {
-            Ok(names) => prompt::shared_parts(&names),
+            Ok(names) => {
+                let parts = prompt::shared_parts(&names);
+                self.isolation.record_request(&parts, self.clock.now_ms());
+                parts
+            }
             Err(error) => {
                 let request = id.to_str().unwrap_or("?");
                 log::info!(request, reason:% = error; "entry: the parts of a prompt are unreadable");
@@ -211,7 +215,7 @@
         let waits_ms = number(&names.deadline_ms).unwrap_or(u64::MAX).min(route.timeout_ms);
         let deadline = started + time::Duration::from_millis(waits_ms);
         let last_event = number(&names.last_event);
-        let parts = self.shared_parts(&request.headers, &id);
+        let parts = engine.map_or(Vec::new(), |_| self.shared_parts(&request.headers, &id));
         let body_max_bytes = table.document().limits.body_max_bytes;
         let caller_request = CallerRequest {
             id,
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -173,6 +173,9 @@
         request: &CallerRequest,
         progress: &mut Progress,
     ) -> Result<selection::Selected, Refusal> {
+        if let Some(refusal) = self.refuse_isolated(request, progress.may_have_run) {
+            return Err(refusal);
+        }
         let now_ms = self.clock.now_ms();
         let failed = |reason| match progress.may_have_run {
             true => Refusal::new(if request.remaining().is_zero() { 504 } else { 502 }, reason),
--- a/ragwortdeal_node/src/fleet/entry/signals.rs
+++ b/ragwortdeal_node/src/fleet/entry/signals.rs
@@ -19,7 +19,9 @@
         let (head, executed) = match outcome {
             exchange::Outcome::NotExecuted(head) => (head, false),
             exchange::Outcome::Answer(answer) => (&answer.head, true),
-            exchange::Outcome::NotSent(_) | exchange::Outcome::Lost(_) => return,
+            exchange::Outcome::NotSent(_)
+            | exchange::Outcome::Lost(_)
+            | exchange::Outcome::Withdrawn(_) => return,
         };
         let instance = &selected.peer.instance;
         if self.is_of_another(head, instance) {
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -10,8 +10,8 @@
 use ragwortdeal_core::{
     directory,
     dispatch::{
-        backlog, choice, entry_roster, flow_control, forecast, gate, ramp_up, retry_budget,
-        retry_detection,
+        backlog, choice, entry_roster, flow_control, forecast, gate, isolation::evidence, ramp_up,
+        retry_budget, retry_detection,
     },
     document::{self, naming},
     spread::owners,
@@ -249,6 +249,13 @@
         }
     }
 
+    /// The start of an upstream that this entry knows of.
+    pub(super) fn boot(&self, instance: &directory::Text) -> evidence::Boot {
+        let upstream = self.directory.get(instance);
+        let born_ms = upstream.map_or(0, |upstream| upstream.announcement.order.born_ms);
+        evidence::Boot { instance: instance.clone(), born_ms }
+    }
+
     /// Records that another upstream answers at the address.
     pub(super) fn record_displaced(&mut self, instance: &str, now_ms: u64) {
         self.directory.apply_departure(instance, None, now_ms);
--- a/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
@@ -34,6 +34,8 @@
     first_event_at_ms: Option<u64>,
     /// Pieces of one or more events that came.
     pieces: u32,
+    /// Whether the answer has shown that the upstream bears the parts of the prompt.
+    pub(in super::super) proved: bool,
     activity: sync::Arc<health::Activity>,
     /// Whether the request is taken back from the upstream if it falls silent.
     leaves_silent: bool,
@@ -253,6 +255,7 @@
             start_by_ms: superseded_at_ms.map(|at_ms| upstreams.start_by_ms(at_ms)),
             first_event_at_ms: None,
             pieces: 0,
+            proved: false,
             activity,
             leaves_silent: criteria.repeatable
                 && (criteria.models.is_some() || !criteria.last_attempt),
--- a/ragwortdeal_node/src/fleet/entry/voter_updates.rs
+++ b/ragwortdeal_node/src/fleet/entry/voter_updates.rs
@@ -22,6 +22,8 @@
                 let (named, leaving) = entry.upstreams().state_for_voter(now_ms);
                 voters.send_to(voter, &notice::Notice::Namings(named));
                 voters.send_to(voter, &notice::Notice::Upstreams(leaving));
+                let ended = entry.isolation.state_for_voter(now_ms);
+                ended.iter().for_each(|notice| voters.send_to(voter, notice));
                 continue;
             }
             voter_links::Event::Down(_) => continue,
@@ -54,7 +56,13 @@
             notice::Notice::EntryChanges { joined, left } => {
                 entry.upstreams().record_entry_changes(voter, joined, left, now_ms);
             }
-            notice::Notice::Subscribe { .. }
+            notice::Notice::ChargedParts(parts) => entry.isolation.watch(parts),
+            notice::Notice::Verdicts(told) => {
+                entry.isolation.merge(&voter.to_string(), told, now_ms);
+            }
+            notice::Notice::EngineEnded(_)
+            | notice::Notice::PartsProved(_)
+            | notice::Notice::Subscribe { .. }
             | notice::Notice::Voters(_)
             | notice::Notice::Agents(_)
             | notice::Notice::Agent(_)
--- a/ragwortdeal_node/src/fleet/notice.rs
+++ b/ragwortdeal_node/src/fleet/notice.rs
@@ -4,7 +4,11 @@
 
 use ragwortdeal_core::{
     directory,
-    dispatch::entry_roster,
+    dispatch::{
+        entry_roster,
+        isolation::{evidence, verdicts},
+        prompt,
+    },
     document::{naming, store},
 };
 use ragwortdeal_wire::link as wire;
@@ -71,6 +75,15 @@
         /// Those that are no longer connected.
         left: Vec<net::Ipv4Addr>,
     },
+    /// An entry tells of the end of an engine, with what ran there.
+    EngineEnded(evidence::EndReport),
+    /// Parts of prompts that ended engines are charged with. Entries tell when an engine bears one.
+    ChargedParts(Vec<prompt::PartId>),
+    /// An entry tells that engines have just borne these parts.
+    PartsProved(Vec<prompt::PartId>),
+    /// Parts of prompts that were isolated or released. Whoever holds a verdict tells it to a process
+    /// that comes into reach.
+    Verdicts(Vec<verdicts::Verdict>),
 }
 
 /// An agent, its location and its link.
@@ -131,3 +144,12 @@
         "{process}: weights are named"
     );
 }
+
+/// Logs what a process learns of a part of prompts.
+pub fn log_verdict(process: &str, teller: &str, verdict: &verdicts::Verdict) {
+    let what = if verdict.isolated { "isolated" } else { "released" };
+    log::warn!(
+        part = &*verdict.part.name, revision = verdict.revision, ends = verdict.ends, teller;
+        "{process}: a part of prompts is {what}"
+    );
+}
--- a/ragwortdeal_node/src/voter/fleet.rs
+++ b/ragwortdeal_node/src/voter/fleet.rs
@@ -131,6 +131,7 @@
     tokio::spawn(hub::tell_agent_changes(hub.clone()));
     tokio::spawn(hub::tell_entry_changes(hub.clone()));
     tokio::spawn(hub::tell_statuses(hub.clone()));
+    tokio::spawn(hub::isolation::judge(hub.clone()));
     tokio::spawn(due::record(hub.clone(), events.clone()));
     let mut identity = settings.process.identity()?;
     identity.name = name::InstanceName::new(&settings.fleet.address.to_string())?;
--- a/ragwortdeal_node/src/voter/fleet/due.rs
+++ b/ragwortdeal_node/src/voter/fleet/due.rs
@@ -26,6 +26,7 @@
         let drawn_ms = rand::rng().random_range(0..=DRAWN_MAX_MS);
         tokio::time::sleep(LOOK + time::Duration::from_millis(drawn_ms)).await;
         hub.repeat_open_namings();
+        record_verdicts(&hub, &events).await;
         for weights in hub.due_unrecorded() {
             let store::ModelVersion { model, version } = weights.clone();
             match steps::decide(&events, store::Step::Due(weights)).await {
@@ -39,3 +40,13 @@
         }
     }
 }
+
+/// Brings verdicts into the log that it does not tell yet.
+async fn record_verdicts(hub: &hub::Hub, events: &mpsc::Sender<Event>) {
+    for verdict in hub.unrecorded_verdicts() {
+        let part = verdict.part.name.clone();
+        if let Err(reason) = steps::decide(events, store::Step::Isolate(verdict)).await {
+            log::warn!(part = &*part; "voter: the verdict on a part is not noted: {reason}");
+        }
+    }
+}
--- a/ragwortdeal_node/src/voter/fleet/hub.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -1,6 +1,7 @@
 //! Tells followers what changed: documents, weights, upstreams, agents, voters.
 
 mod entries;
+pub(super) mod isolation;
 
 use std::{collections, net, sync, time};
 
@@ -48,6 +49,7 @@
     changed_entries: collections::BTreeSet<net::Ipv4Addr>,
     /// Engines whose status changed, which entries are not told of yet.
     changed_statuses: collections::BTreeSet<net::SocketAddrV4>,
+    isolation: isolation::Isolation,
 }
 
 /// What this voter knows first hand, and who wants to know it.
@@ -126,6 +128,8 @@
         let mut state = self.state();
         state.directory.forget_silent(SILENT_MS, self.clock.now_ms());
         state.documents = documents;
+        let recorded: Vec<_> = state.documents.verdicts.all().cloned().collect();
+        state.merge_verdicts("the log", recorded, self.clock.now_ms());
         state.name_weights(self.weights_ms, self.clock.now_ms());
         let voters: Vec<_> = voters.iter().filter_map(|name| name.parse().ok()).collect();
         if voters != state.voters {
@@ -245,8 +249,19 @@
             Some(
                 told @ (notice::Notice::Namings(_)
                 | notice::Notice::Upstreams(_)
+                | notice::Notice::Verdicts(_)
                 | notice::Notice::UpstreamLeft { .. }),
             ) => state.learn(&session.hello.name, told, self.clock.now_ms()),
+            Some(notice::Notice::EngineEnded(report)) => {
+                if let Ok(teller) = session.hello.name.parse() {
+                    state.record_end(teller, &report, self.clock.now_ms());
+                }
+            }
+            Some(notice::Notice::PartsProved(parts)) => {
+                let now_ms = self.clock.now_ms();
+                let collector = &mut state.isolation.collector;
+                parts.into_iter().for_each(|part| collector.record_proof(part, 0, now_ms));
+            }
             Some(notice::Notice::EngineStatus(serves)) => {
                 if let Some(seat) = state.agents.get_mut(&session.id)
                     && std::mem::replace(&mut seat.narrow, serves.narrow) != serves.narrow
@@ -354,6 +369,7 @@
                 said.into_iter().for_each(|said| self.leaves(said, now_ms));
             }
             notice::Notice::UpstreamLeft { instance, age } => self.is_gone(instance, age, now_ms),
+            notice::Notice::Verdicts(verdicts) => self.merge_verdicts(teller, verdicts, now_ms),
             _ => (),
         }
     }
@@ -406,8 +422,16 @@
             return;
         };
         follower.version = Some(version);
+        let push = |session: &link::Session, notice: &notice::Notice| {
+            _ = session.push(notice::encode(notice))
+        };
+        // An entry takes requests once it has the document, and must know these by then.
+        let verdicts = self.isolation.collector.verdicts().all().cloned().collect();
+        if follower.session.hello.role != "agent" {
+            push(&follower.session, &notice::Notice::Verdicts(verdicts));
+        }
         follower.send_documents(&self.documents);
-        let push = |notice: &notice::Notice| _ = follower.session.push(notice::encode(notice));
+        let push = |notice: &notice::Notice| push(&follower.session, notice);
         push(&notice::Notice::Namings(self.named.export(now_ms)));
         push(&notice::Notice::Voters(self.voters.clone()));
         let is_agent = follower.session.hello.role == "agent";
--- a/ragwortdeal_node/tests/fleet_fatal_parts.rs
+++ b/ragwortdeal_node/tests/fleet_fatal_parts.rs
@@ -239,6 +239,9 @@
         voter.kill().await;
     }
     let _voters = [fleet.world.voter(1, false).await, fleet.world.voter(2, false).await];
+    for engine in &fleet.engines {
+        fleet.world.announce(engine, "models", "ready", 2).await;
+    }
     let _entry = fleet.start_entry(ENTRY).await;
     let before = fleet.fatal_arrivals().len();
     fleet.send_fatal(&[ENTRY], time::Duration::from_millis(100), 2.0).await;
--- a/ragwortdeal_standins/src/fleet/engine.rs
+++ b/ragwortdeal_standins/src/fleet/engine.rs
@@ -527,7 +527,8 @@
                 if let Some(fatal) = fatal {
                     running.end();
                     running.engine.end(fatal.down);
-                    return;
+                    // Else the body would end as a whole one before its connection does.
+                    return sender.closed().await;
                 }
                 if cut == Some(number) {
                     running.end();
