Begin streams elsewhere that end with their connection before an event

An answer may come with neither a length nor chunks and end with its connection. Callers of a stream got 200 with an empty body where the engine ended before its first event: the end of the connection was taken for the end of the answer. Such a stream now counts as broken off and is begun at another upstream.

A connection that ends with its answer is no longer offered for another request, and a short stream that ends so does not show that the engine bears its prompt. A whole answer without a framing stays whole: a closed connection is how the protocol ends it.

--- a/ragwortdeal_core/src/dispatch/prompt.rs
+++ b/ragwortdeal_core/src/dispatch/prompt.rs
@@ -37,8 +37,11 @@
 impl Part {
     /// The part with this name.
     pub fn new(name: &str) -> Self {
-        let end = name.floor_char_boundary(NAME_MAX_BYTES);
-        Self { id: PartId::of(name), name: name[..end].into() }
+        let kept = name.chars().scan(0, |end, char| {
+            *end += char.len_utf8();
+            (*end <= NAME_MAX_BYTES).then_some(char)
+        });
+        Self { id: PartId::of(name), name: kept.collect::<String>().into() }
     }
 }
 
--- a/ragwortdeal_node/src/fleet/entry/exchange.rs
+++ b/ragwortdeal_node/src/fleet/entry/exchange.rs
@@ -2,7 +2,11 @@
 
 use std::time;
 
-use hyper::{body::Incoming, header, http::response};
+use hyper::{
+    body::{Body as _, Incoming},
+    header,
+    http::response,
+};
 
 use super::{Entry, endings, isolation, pool, request::CallerRequest, upstreams::selection};
 
@@ -53,6 +57,9 @@
     pub(super) head: response::Parts,
     pub(super) body: Incoming,
     pub(super) connection: pool::Connection,
+    /// Whether the framing tells where the body ends. Else it ends with the connection, as it also
+    /// does where the upstream ends.
+    pub(super) framed: bool,
     /// How long the connection may be kept idle afterwards.
     pub(super) keep_alive: Option<time::Duration>,
     /// Time from sending the request to the head.
@@ -107,8 +114,10 @@
         };
         selected.record_activity();
         let (head, body) = response.into_parts();
-        let keep_alive = pool::keep_alive(&head.headers);
-        self.classify(request, Answer { keep_alive, head, body, connection, took: begun.elapsed() })
+        let framed = is_framed(&head, &body);
+        let keep_alive = pool::keep_alive(&head.headers).filter(|_| framed);
+        let took = begun.elapsed();
+        self.classify(request, Answer { framed, keep_alive, head, body, connection, took })
     }
 
     /// Tells the answer to this request from a late answer to another one, which can arrive on a
@@ -157,3 +166,9 @@
         outgoing
     }
 }
+
+/// Whether an answer tells where its body ends.
+fn is_framed(head: &response::Parts, body: &Incoming) -> bool {
+    let is_chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
+    is_chunked || body.is_end_stream() || body.size_hint().exact().is_some()
+}
--- a/ragwortdeal_node/src/fleet/entry/relay.rs
+++ b/ragwortdeal_node/src/fleet/entry/relay.rs
@@ -74,6 +74,15 @@
         match read {
             Read::Events(bytes) if bytes.is_empty() => (),
             Read::Events(bytes) => return Some(relay.start(bytes)),
+            Read::End if !relay.source.answer.framed => {
+                let loss = exchange::Loss {
+                    reason: "the connection ended before the first event".to_owned(),
+                    connection_ended: true,
+                };
+                relay.entry.record_broken_answer(&relay.request, &relay.source.selected, &loss);
+                *progress = relay.progress;
+                return None;
+            }
             Read::End => {
                 let response = serve::caller_response(&relay.source.answer.head, http::full(""));
                 relay.source.return_connection(&relay.entry);
@@ -226,7 +235,7 @@
 
     /// Ends a stream that is whole.
     fn finish(self) {
-        if !self.source.selected.proved {
+        if !self.source.selected.proved && self.source.answer.framed {
             let now_ms = self.entry.clock.now_ms();
             self.entry.isolation.record_proof(&self.request.parts, now_ms);
         }
--- a/ragwortdeal_standins/src/fleet.rs
+++ b/ragwortdeal_standins/src/fleet.rs
@@ -5,4 +5,5 @@
 pub mod engine;
 pub mod operator;
 pub mod origin;
+pub mod raw;
 pub mod world;
--- /dev/null
+++ b/ragwortdeal_standins/src/fleet/raw.rs
@@ -0,0 +1,89 @@
+//! A stand-in for an upstream that writes given bytes and ends the connection in a given way.
+
+use std::{net, sync, sync::atomic, time};
+
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net as tokio_net, task,
+};
+
+/// Largest head of a request.
+const HEAD_MAX_BYTES: usize = 16 << 10;
+
+/// Time in which a peer takes in what was written before the connection is reset.
+const TAKEN_IN: time::Duration = time::Duration::from_millis(30);
+
+/// How the connection ends after the bytes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Ends {
+    /// Closed, as at the end of an answer or of a process.
+    Closed,
+    /// Reset, as by the end of a process that had not read all.
+    Reset,
+}
+
+/// An upstream that answers each request with the same bytes.
+#[derive(Debug)]
+pub struct RawUpstream {
+    /// Its identifier.
+    pub instance: String,
+    /// Its address.
+    pub address: net::SocketAddrV4,
+    requests: atomic::AtomicUsize,
+}
+
+impl RawUpstream {
+    /// Starts an upstream. In the bytes of its answer, `{id}` stands for the request's identifier.
+    pub async fn start(
+        instance: &str,
+        address: net::SocketAddrV4,
+        answer: &str,
+        ends: Ends,
+    ) -> sync::Arc<Self> {
+        let listener = tokio_net::TcpListener::bind(address).await.expect("a free address");
+        let requests = atomic::AtomicUsize::new(0);
+        let upstream = sync::Arc::new(Self { instance: instance.to_owned(), address, requests });
+        let (accepting, answer) = (upstream.clone(), answer.to_owned());
+        task::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                task::spawn(accepting.clone().serve(stream, answer.clone(), ends));
+            }
+        });
+        upstream
+    }
+
+    /// Requests that came.
+    pub fn requests(&self) -> usize {
+        self.requests.load(atomic::Ordering::Relaxed)
+    }
+
+    async fn serve(
+        self: sync::Arc<Self>,
+        mut stream: tokio_net::TcpStream,
+        answer: String,
+        ends: Ends,
+    ) {
+        let Some(id) = read_request(&mut stream).await else {
+            return;
+        };
+        self.requests.fetch_add(1, atomic::Ordering::Relaxed);
+        // A caller that left is no matter of this upstream.
+        let _ = stream.write_all(answer.replace("{id}", &id).as_bytes()).await;
+        if ends == Ends::Reset {
+            tokio::time::sleep(TAKEN_IN).await;
+            let socket = socket2::SockRef::from(&stream);
+            socket.set_linger(Some(time::Duration::ZERO)).expect("a socket option");
+        }
+    }
+}
+
+/// Reads the head of a request and returns the request's identifier. Requests have no bodies here.
+async fn read_request(stream: &mut tokio_net::TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") && head.len() < HEAD_MAX_BYTES {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    let head = String::from_utf8(head).ok()?.to_ascii_lowercase();
+    let id = head.lines().find_map(|line| line.strip_prefix("x-request-id: "))?;
+    Some(id.to_owned())
+}
--- a/ragwortdeal_standins/src/fleet/world.rs
+++ b/ragwortdeal_standins/src/fleet/world.rs
@@ -15,7 +15,7 @@
     task,
 };
 
-use super::{engine, operator, origin};
+use super::{caller, engine, operator, origin, raw};
 
 /// Port of links, the same at all addresses of a fleet.
 const LINK_PORT: u16 = 7_700;
@@ -309,6 +309,33 @@
         engine
     }
 
+    /// Starts an upstream that answers with given bytes, and announces it.
+    pub async fn raw_upstream(
+        &self,
+        number: u8,
+        target: caller::Target,
+        answer: &str,
+        ends: raw::Ends,
+    ) -> sync::Arc<raw::RawUpstream> {
+        let instance = format!("engine-{number}");
+        let upstream =
+            raw::RawUpstream::start(&instance, self.upstream(number), answer, ends).await;
+        let models = match target.weights() {
+            0 => serde_json::json!([]),
+            version => serde_json::json!([{"name": "model-a", "version": version, "adapters": []}]),
+        };
+        let body = serde_json::json!({
+            "service": target.service, "address": upstream.address.to_string(),
+            "zone": format!("zone-{}", number % 3), "version": "v1", "slots": 8, "state": "ready",
+            "cold-remaining-ms": 0, "stage": "combined", "models": models, "sequence": 1,
+            "born": 1_000,
+        });
+        let path = format!("/instances/{instance}");
+        let (status, text) = self.operator().order("PUT", &path, &body.to_string()).await;
+        assert_eq!(status, 200, "{text}");
+        upstream
+    }
+
     /// Announces an engine anew after each of its restarts, for as long as it is wanted.
     pub fn announce_restarts(
         &self,
