Let operators list, isolate and release parts of prompts

A part stays isolated until somebody says otherwise, as each trial costs an engine. New weights may bear it. ragwortctl parts asks a voter, over the links of the fleet; a release has a higher revision than what it ends, so that no process that was away brings the part back. It is in force at once and answered when the log has it.

--- a/extra/completions/ragwortctl.bash
+++ b/extra/completions/ragwortctl.bash
@@ -34,6 +34,9 @@
             ragwortctl,operations)
                 cmd="ragwortctl__subcmd__operations"
                 ;;
+            ragwortctl,parts)
+                cmd="ragwortctl__subcmd__parts"
+                ;;
             ragwortctl,replace-voter)
                 cmd="ragwortctl__subcmd__replace__subcmd__voter"
                 ;;
@@ -64,6 +67,15 @@
             ragwortctl__subcmd__label,set)
                 cmd="ragwortctl__subcmd__label__subcmd__set"
                 ;;
+            ragwortctl__subcmd__parts,isolate)
+                cmd="ragwortctl__subcmd__parts__subcmd__isolate"
+                ;;
+            ragwortctl__subcmd__parts,list)
+                cmd="ragwortctl__subcmd__parts__subcmd__list"
+                ;;
+            ragwortctl__subcmd__parts,release)
+                cmd="ragwortctl__subcmd__parts__subcmd__release"
+                ;;
             ragwortctl__subcmd__selector,get)
                 cmd="ragwortctl__subcmd__selector__subcmd__get"
                 ;;
@@ -95,7 +107,7 @@
 
     case "${cmd}" in
         ragwortctl)
-            opts="-h -V --entry --token --output --help --version label selector version status spread operations settle explain members replace-voter check-config generate"
+            opts="-h -V --entry --token --output --help --version label selector version status spread operations settle explain parts members replace-voter check-config generate"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 1 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -400,6 +412,118 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        ragwortctl__subcmd__parts)
+            opts="-h --voter --secret --entry --token --output --help list isolate release"
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                --voter)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --secret)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --entry)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --token)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --output)
+                    COMPREPLY=($(compgen -W "table json" -- "${cur}"))
+                    return 0
+                    ;;
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
+        ragwortctl__subcmd__parts__subcmd__isolate)
+            opts="-h --entry --token --output --help"
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                --entry)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --token)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --output)
+                    COMPREPLY=($(compgen -W "table json" -- "${cur}"))
+                    return 0
+                    ;;
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
+        ragwortctl__subcmd__parts__subcmd__list)
+            opts="-h --entry --token --output --help"
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                --entry)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --token)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --output)
+                    COMPREPLY=($(compgen -W "table json" -- "${cur}"))
+                    return 0
+                    ;;
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
+        ragwortctl__subcmd__parts__subcmd__release)
+            opts="-h --entry --token --output --help"
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                --entry)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --token)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --output)
+                    COMPREPLY=($(compgen -W "table json" -- "${cur}"))
+                    return 0
+                    ;;
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         ragwortctl__subcmd__replace__subcmd__voter)
             opts="-h --lost --new --entry --token --output --help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
--- a/extra/completions/ragwortctl.fish
+++ b/extra/completions/ragwortctl.fish
@@ -38,6 +38,7 @@
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "operations" -d 'Operations that may not be repeated'
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "settle" -d 'Settles an operation in doubt after a look at the ledger'
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "explain" -d 'Prints the story of one request from log files of a fleet\'s processes, and its cause'
+complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "parts" -d 'Parts of prompts that end engines, at the voters of a fleet'
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "members" -d 'The voters'
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "replace-voter" -d 'Replaces a voter that is lost for good, brings a new one in, or both'
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "check-config" -d 'Checks a settings file'
@@ -181,6 +182,31 @@
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand explain" -l output -d 'How to print' -r -f -a "table\t'For people'
 json\t'For programs'"
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand explain" -s h -l help -d 'Print help (see more with \'--help\')'
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand parts; and not __fish_seen_subcommand_from list isolate release" -l voter -d 'Address of a voter\'s listener for links. With several, the next is asked when one does not answer' -r
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand parts; and not __fish_seen_subcommand_from list isolate release" -l secret -d 'The secret of the fleet\'s processes' -r
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand parts; and not __fish_seen_subcommand_from list isolate release" -l entry -d 'Address of an entry\'s listener for operators. With several, the next is asked when one does not answer; a change keeps its identifier, so it is never made twice' -r
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand parts; and not __fish_seen_subcommand_from list isolate release" -l token -d 'The operator\'s secret' -r
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand parts; and not __fish_seen_subcommand_from list isolate release" -l output -d 'How to print' -r -f -a "table\t'For people'
+json\t'For programs'"
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand parts; and not __fish_seen_subcommand_from list isolate release" -s h -l help -d 'Print help (see more with \'--help\')'
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand parts; and not __fish_seen_subcommand_from list isolate release" -f -a "list" -d 'Lists the parts that are isolated or were released, and what speaks against others'
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand parts; and not __fish_seen_subcommand_from list isolate release" -f -a "isolate" -d 'Refuses requests with a part from now on'
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand parts; and not __fish_seen_subcommand_from list isolate release" -f -a "release" -d 'Serves requests with a part again, as after new weights that bear it'
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand parts; and __fish_seen_subcommand_from list" -l entry -d 'Address of an entry\'s listener for operators. With several, the next is asked when one does not answer; a change keeps its identifier, so it is never made twice' -r
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand parts; and __fish_seen_subcommand_from list" -l token -d 'The operator\'s secret' -r
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand parts; and __fish_seen_subcommand_from list" -l output -d 'How to print' -r -f -a "table\t'For people'
+json\t'For programs'"
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand parts; and __fish_seen_subcommand_from list" -s h -l help -d 'Print help (see more with \'--help\')'
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand parts; and __fish_seen_subcommand_from isolate" -l entry -d 'Address of an entry\'s listener for operators. With several, the next is asked when one does not answer; a change keeps its identifier, so it is never made twice' -r
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand parts; and __fish_seen_subcommand_from isolate" -l token -d 'The operator\'s secret' -r
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand parts; and __fish_seen_subcommand_from isolate" -l output -d 'How to print' -r -f -a "table\t'For people'
+json\t'For programs'"
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand parts; and __fish_seen_subcommand_from isolate" -s h -l help -d 'Print help (see more with \'--help\')'
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand parts; and __fish_seen_subcommand_from release" -l entry -d 'Address of an entry\'s listener for operators. With several, the next is asked when one does not answer; a change keeps its identifier, so it is never made twice' -r
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand parts; and __fish_seen_subcommand_from release" -l token -d 'The operator\'s secret' -r
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand parts; and __fish_seen_subcommand_from release" -l output -d 'How to print' -r -f -a "table\t'For people'
+json\t'For programs'"
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand parts; and __fish_seen_subcommand_from release" -s h -l help -d 'Print help (see more with \'--help\')'
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand members" -l entry -d 'Address of an entry\'s listener for operators. With several, the next is asked when one does not answer; a change keeps its identifier, so it is never made twice' -r
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand members" -l token -d 'The operator\'s secret' -r
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand members" -l output -d 'How to print' -r -f -a "table\t'For people'
--- a/ragwortctl/src/cli.rs
+++ b/ragwortctl/src/cli.rs
@@ -89,6 +89,19 @@
         #[arg(required = true)]
         files: Vec<path::PathBuf>,
     },
+    /// Parts of prompts that end engines, at the voters of a fleet.
+    Parts {
+        /// Address of a voter's listener for links. With several, the next is asked when one does
+        /// not answer.
+        #[arg(long, env = "RAGWORTCTL_VOTER", value_delimiter = ',', required = true)]
+        voter: Vec<net::SocketAddr>,
+        /// The secret of the fleet's processes.
+        #[arg(long, env = "RAGWORTCTL_SECRET", hide_env_values = true, default_value = "")]
+        secret: String,
+        /// What to do.
+        #[command(subcommand)]
+        command: Parts,
+    },
     /// The voters.
     Members,
     /// Replaces a voter that is lost for good, brings a new one in, or both.
@@ -116,6 +129,23 @@
     },
 }
 
+/// Parts of prompts that end engines.
+#[derive(clap::Subcommand, Debug)]
+pub enum Parts {
+    /// Lists the parts that are isolated or were released, and what speaks against others.
+    List,
+    /// Refuses requests with a part from now on.
+    Isolate {
+        /// Name of the part.
+        name: String,
+    },
+    /// Serves requests with a part again, as after new weights that bear it.
+    Release {
+        /// Name of the part.
+        name: String,
+    },
+}
+
 /// Programs that read settings.
 #[derive(clap::ValueEnum, Clone, Copy, Debug)]
 pub enum Program {
--- a/ragwortctl/src/commands.rs
+++ b/ragwortctl/src/commands.rs
@@ -3,6 +3,7 @@
 mod changes;
 mod explain;
 mod generate;
+mod parts;
 mod spread;
 mod status;
 mod views;
@@ -73,6 +74,9 @@
             views::settle(&client, output, operation, ran).await
         }
         cli::Command::Explain { request, files } => explain::explain(&request, &files),
+        cli::Command::Parts { voter, secret, command } => {
+            parts::run(&voter, &secret, output, command).await
+        }
         cli::Command::Members => views::members(&client, output).await,
         cli::Command::ReplaceVoter { lost, new } => {
             let replacement = wire::VoterReplacement { lost, new };
--- /dev/null
+++ b/ragwortctl/src/commands/parts.rs
@@ -0,0 +1,93 @@
+//! Lists, isolates and releases parts of prompts that end engines.
+
+use std::{net, process, time};
+
+use ragwortdeal_node::{
+    link,
+    settings::common,
+    voter::operate::parts::{self, PartsReply, PartsRequest},
+};
+use tokio::sync::mpsc;
+
+use super::CommandError;
+use crate::{cli, output};
+
+/// How long a voter may take to accept the link, and to answer.
+const LINK: time::Duration = time::Duration::from_secs(3);
+const ANSWER_MS: u64 = 5_000;
+
+/// Charges that are listed at most.
+const CHARGES_LISTED_MAX: usize = 20;
+
+/// Runs the command at the first voter that answers.
+pub(super) async fn run(
+    voters: &[net::SocketAddr],
+    secret: &str,
+    output: cli::Output,
+    command: cli::Parts,
+) -> Result<process::ExitCode, CommandError> {
+    let request = match command {
+        cli::Parts::List => PartsRequest::ListParts,
+        cli::Parts::Isolate { name } => PartsRequest::SetPart { name, isolated: true },
+        cli::Parts::Release { name } => PartsRequest::SetPart { name, isolated: false },
+    };
+    for voter in voters {
+        match ask(*voter, secret, &request).await {
+            Ok(reply) => return print(output, reply),
+            Err(reason) => eprintln!("ragwortctl: voter {voter}: {reason}"),
+        }
+    }
+    Ok(process::ExitCode::FAILURE)
+}
+
+async fn ask(
+    voter: net::SocketAddr,
+    secret: &str,
+    request: &PartsRequest,
+) -> Result<PartsReply, String> {
+    let tool = || "ragwortctl".to_owned();
+    let process = common::Process { name: tool(), availability_zone: tool(), region: tool() };
+    let identity = process.identity().map_err(|error| error.to_string())?;
+    let (events, mut opened) = mpsc::channel(8);
+    let credential = link::Credential::new(secret);
+    let hello = identity.hello("operator");
+    let limits = link::LinkLimits::default();
+    let link = link::open(&voter.to_string(), credential, hello, limits, events);
+    let up = tokio::time::timeout(LINK, opened.recv()).await;
+    if !matches!(up, Ok(Some(link::LinkEvent::Up))) {
+        return Err("the link was not accepted".to_owned());
+    }
+    parts::ask(&link, request, ANSWER_MS).await.map_err(|error| error.to_string())
+}
+
+fn print(output: cli::Output, reply: PartsReply) -> Result<process::ExitCode, CommandError> {
+    match reply {
+        PartsReply::Parts(listed) => {
+            output::print(output, &listed, table)?;
+            Ok(process::ExitCode::SUCCESS)
+        }
+        PartsReply::Recorded(verdict) => {
+            let state = if verdict.isolated { "isolated" } else { "released" };
+            println!("{} is {state}, revision {}", verdict.part.name, verdict.revision);
+            Ok(process::ExitCode::SUCCESS)
+        }
+        PartsReply::NotRecorded { reason } => {
+            eprintln!("ragwortctl: in force, but not recorded by the voters: {reason}");
+            Ok(process::ExitCode::FAILURE)
+        }
+    }
+}
+
+fn table(listed: &parts::ListedParts) -> output::Table {
+    let mut table = output::Table::new(&["PART", "STATE", "ENDS", "WEIGHT"]);
+    for verdict in &listed.verdicts {
+        let state = if verdict.isolated { "isolated" } else { "released" };
+        let (name, ends) = (verdict.part.name.to_string(), verdict.ends.to_string());
+        table.row(vec![name, state.to_owned(), ends, "-".to_owned()]);
+    }
+    for charge in listed.charges.iter().take(CHARGES_LISTED_MAX) {
+        let (name, ends) = (charge.part.name.to_string(), charge.ends.to_string());
+        table.row(vec![name, "charged".to_owned(), ends, format!("{:.1}", charge.weight)]);
+    }
+    table
+}
--- a/ragwortdeal_core/src/dispatch/isolation/evidence.rs
+++ b/ragwortdeal_core/src/dispatch/isolation/evidence.rs
@@ -137,7 +137,7 @@
 }
 
 /// What speaks against a part.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Charge {
     /// The part.
     pub part: prompt::Part,
--- a/ragwortdeal_core/src/dispatch/isolation/verdicts.rs
+++ b/ragwortdeal_core/src/dispatch/isolation/verdicts.rs
@@ -73,6 +73,11 @@
         Verdict { part, revision: held + 1, isolated, ends }
     }
 
+    /// What is held of a part.
+    pub fn get(&self, part: prompt::PartId) -> Option<&Verdict> {
+        self.by_part.get(&part)
+    }
+
     /// Whether requests with a part are refused.
     pub fn is_isolated(&self, part: prompt::PartId) -> bool {
         self.by_part.get(&part).is_some_and(|verdict| verdict.isolated)
--- a/ragwortdeal_node/src/voter/fleet.rs
+++ b/ragwortdeal_node/src/voter/fleet.rs
@@ -61,6 +61,24 @@
     }
 }
 
+impl Service {
+    async fn answer_on_parts(
+        &self,
+        request: operate::parts::PartsRequest,
+    ) -> operate::parts::PartsReply {
+        use operate::parts::{PartsReply, PartsRequest};
+        let (name, isolated) = match request {
+            PartsRequest::ListParts => return PartsReply::Parts(self.hub.listed_parts()),
+            PartsRequest::SetPart { name, isolated } => (name, isolated),
+        };
+        let verdict = self.hub.set_part(&name, isolated);
+        match steps::decide(&self.events, store::Step::Isolate(verdict.clone())).await {
+            Ok(()) => PartsReply::Recorded(verdict),
+            Err(reason) => PartsReply::NotRecorded { reason },
+        }
+    }
+}
+
 impl link::Service for Service {
     fn opened(&self, session: &link::Session) {
         if session.hello.role == "voter" {
@@ -82,6 +100,9 @@
     }
 
     async fn requested(&self, _session: &link::Session, message: wire::Message) -> wire::Message {
+        if let Some(request) = operate::open::<operate::parts::PartsRequest>(&message) {
+            return operate::seal(&self.answer_on_parts(request).await);
+        }
         let Some(request) = operate::open::<operate::Request>(&message) else {
             return link::refused("voter", "not a request for a voter");
         };
--- a/ragwortdeal_node/src/voter/fleet/hub/isolation.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub/isolation.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{Hub, State};
-use crate::fleet::notice;
+use crate::{fleet::notice, voter::operate::parts};
 
 /// How often evidence is judged, and entries are asked to tell of the parts that it charges.
 const JUDGE_INTERVAL: time::Duration = time::Duration::from_millis(50);
@@ -37,6 +37,30 @@
     }
 }
 
+impl Hub {
+    /// What this voter knows of parts, for an operator.
+    pub(in super::super) fn listed_parts(&self) -> parts::ListedParts {
+        let state = self.state();
+        let collector = &state.isolation.collector;
+        let verdicts = collector.verdicts().all().cloned().collect();
+        parts::ListedParts { verdicts, charges: collector.charges(self.clock.now_ms()) }
+    }
+
+    /// Isolates or releases a part for an operator. Returns the verdict, the one that is held where
+    /// it says so already.
+    pub(in super::super) fn set_part(&self, name: &str, isolated: bool) -> verdicts::Verdict {
+        let mut state = self.state();
+        let part = prompt::Part::new(name);
+        let verdicts = state.isolation.collector.verdicts();
+        if let Some(held) = verdicts.get(part.id).filter(|held| held.isolated == isolated) {
+            return held.clone();
+        }
+        let verdict = verdicts.change(part, isolated, 0);
+        state.merge_verdicts("an operator", [verdict.clone()], self.clock.now_ms());
+        verdict
+    }
+}
+
 impl State {
     /// Takes an entry's report on the end of an engine.
     pub(super) fn record_end(
--- a/ragwortdeal_node/src/voter/operate.rs
+++ b/ragwortdeal_node/src/voter/operate.rs
@@ -1,5 +1,7 @@
 //! What an operator's tool asks a voter: its status, and the replacement of a lost voter.
 
+pub mod parts;
+
 use ragwortdeal_core::{name, replication::replica};
 use ragwortdeal_wire::link as wire;
 use snafu::Snafu;
--- /dev/null
+++ b/ragwortdeal_node/src/voter/operate/parts.rs
@@ -0,0 +1,53 @@
+//! What an operator's tool asks a voter of a fleet about parts of prompts that end engines.
+
+use ragwortdeal_core::dispatch::isolation::{evidence, verdicts};
+
+use super::{OperateError, open, seal};
+use crate::link;
+
+/// An operator's request, inside a link's replication message.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum PartsRequest {
+    /// Asks which parts are isolated, and what speaks against others.
+    ListParts,
+    /// Isolates or releases a part. It may be given again.
+    SetPart {
+        /// Name of the part.
+        name: String,
+        /// Whether requests with it are refused.
+        isolated: bool,
+    },
+}
+
+/// What a voter knows of parts.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct ListedParts {
+    /// Parts that are isolated or were released.
+    pub verdicts: Vec<verdicts::Verdict>,
+    /// What speaks against parts that are not isolated, the heaviest first.
+    pub charges: Vec<evidence::Charge>,
+}
+
+/// A voter's answer.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub enum PartsReply {
+    /// What the voter knows.
+    Parts(ListedParts),
+    /// The voters have recorded it.
+    Recorded(verdicts::Verdict),
+    /// It is in force at those who know it, and may be lost with all processes.
+    NotRecorded {
+        /// Why the voters have not recorded it.
+        reason: String,
+    },
+}
+
+/// Sends a request over a link to a voter of a fleet.
+pub async fn ask(
+    link: &link::Link,
+    request: &PartsRequest,
+    deadline_ms: u64,
+) -> Result<PartsReply, OperateError> {
+    let answer = link.request("operate voter", seal(request), deadline_ms).await?;
+    open(&answer).ok_or(OperateError::Unreadable { peer: link.peer().to_string() })
+}
--- a/ragwortdeal_node/tests/fleet_fatal_parts.rs
+++ b/ragwortdeal_node/tests/fleet_fatal_parts.rs
@@ -3,6 +3,7 @@
 use std::{sync, time};
 
 use googletest::prelude::*;
+use ragwortdeal_node::voter::operate::parts::{self, PartsReply, PartsRequest};
 use ragwortdeal_platform::DIALECT;
 use ragwortdeal_standins::fleet::{
     caller::{Answer, Target},
@@ -314,3 +315,36 @@
     let own = Target::STREAMS.ask("own").with_parts(&[COMMON, "b0", FATAL]);
     expect_that!(own.answer(fleet.world.callers(ENTRY)).await.status, eq(200));
 }
+
+/// Guards against a part that stays held back though engines bear it again.
+#[googletest::test]
+#[tokio::test]
+async fn an_operator_releases_a_part_and_isolates_it_again() {
+    let mut fleet = fleet(1).await;
+    let _voter = fleet.world.voter(1, true).await;
+    fleet.world.install(&fleet.world.document(1, None)).await;
+    fleet.start_engines().await;
+    let _entry = fleet.start_entry(ENTRY).await;
+    fleet.send_sound(ENTRY);
+    until_held_back(&fleet, ENTRY).await;
+    fleet.engines.iter().for_each(|engine| engine.end_on(None));
+    let (link, _events) = fleet.world.link(1, 99, "operator").await;
+    let set = async |isolated: bool| {
+        let request = PartsRequest::SetPart { name: FATAL.to_uppercase(), isolated };
+        let reply = parts::ask(&link, &request, 2_000).await.unwrap();
+        expect_that!(reply, matches_pattern!(PartsReply::Recorded(_)));
+    };
+    let listed = parts::ask(&link, &PartsRequest::ListParts, 2_000).await.unwrap();
+    let PartsReply::Parts(listed) = listed else { panic!("parts are listed") };
+    let names: Vec<&str> = listed.verdicts.iter().map(|it| &*it.part.name).collect();
+    expect_that!(names, elements_are![eq(&FATAL)]);
+    set(false).await;
+    let ask = Target::STREAMS.ask("released").with_parts(&[COMMON, FATAL, "e5"]);
+    world::until("requests with the part are served", async || {
+        ask.answer(fleet.world.callers(ENTRY)).await.status == 200
+    })
+    .await;
+    set(true).await;
+    world::until("requests with the part are held back", async || fleet.is_held_back(ENTRY).await)
+        .await;
+}
