Tell losses before the first event in one place, split what an answer's head records

No decision changes; the whole streams without events and the withdrawn ones have names of their own now.

--- a/ragwortctl/src/commands/parts.rs
+++ b/ragwortctl/src/commands/parts.rs
@@ -2,11 +2,7 @@
 
 use std::{net, process, time};
 
-use ragwortdeal_node::{
-    link,
-    settings::common,
-    voter::operate::parts::{self, PartsReply, PartsRequest},
-};
+use ragwortdeal_node::{link, settings::common, voter::operate::parts};
 use tokio::sync::mpsc;
 
 use super::CommandError;
@@ -27,9 +23,9 @@
     command: cli::Parts,
 ) -> Result<process::ExitCode, CommandError> {
     let request = match command {
-        cli::Parts::List => PartsRequest::ListParts,
-        cli::Parts::Isolate { name } => PartsRequest::SetPart { name, isolated: true },
-        cli::Parts::Release { name } => PartsRequest::SetPart { name, isolated: false },
+        cli::Parts::List => parts::PartsRequest::ListParts,
+        cli::Parts::Isolate { name } => parts::PartsRequest::SetPart { name, isolated: true },
+        cli::Parts::Release { name } => parts::PartsRequest::SetPart { name, isolated: false },
     };
     for voter in voters {
         match ask(*voter, secret, &request).await {
@@ -43,8 +39,8 @@
 async fn ask(
     voter: net::SocketAddr,
     secret: &str,
-    request: &PartsRequest,
-) -> Result<PartsReply, String> {
+    request: &parts::PartsRequest,
+) -> Result<parts::PartsReply, String> {
     let tool = || "ragwortctl".to_owned();
     let process = common::Process { name: tool(), availability_zone: tool(), region: tool() };
     let identity = process.identity().map_err(|error| error.to_string())?;
@@ -60,18 +56,18 @@
     parts::ask(&link, request, ANSWER_MS).await.map_err(|error| error.to_string())
 }
 
-fn print(output: cli::Output, reply: PartsReply) -> Result<process::ExitCode, CommandError> {
+fn print(output: cli::Output, reply: parts::PartsReply) -> Result<process::ExitCode, CommandError> {
     match reply {
-        PartsReply::Parts(listed) => {
+        parts::PartsReply::Parts(listed) => {
             output::print(output, &listed, table)?;
             Ok(process::ExitCode::SUCCESS)
         }
-        PartsReply::Recorded(verdict) => {
+        parts::PartsReply::Recorded(verdict) => {
             let state = if verdict.isolated { "isolated" } else { "released" };
             println!("{} is {state}, revision {}", verdict.part.name, verdict.revision);
             Ok(process::ExitCode::SUCCESS)
         }
-        PartsReply::NotRecorded { reason } => {
+        parts::PartsReply::NotRecorded { reason } => {
             eprintln!("ragwortctl: in force, but not recorded by the voters: {reason}");
             Ok(process::ExitCode::FAILURE)
         }
--- a/ragwortdeal_node/src/fleet/entry/endings.rs
+++ b/ragwortdeal_node/src/fleet/entry/endings.rs
@@ -111,8 +111,13 @@
         .downcast_ref::<hyper::Error>()
         .is_some_and(|error| error.is_incomplete_message() || error.is_closed());
     let by_socket = error.downcast_ref::<io::Error>().is_some_and(|error| {
-        use io::ErrorKind::{BrokenPipe, ConnectionAborted, ConnectionReset, UnexpectedEof};
-        matches!(error.kind(), BrokenPipe | ConnectionAborted | ConnectionReset | UnexpectedEof)
+        matches!(
+            error.kind(),
+            io::ErrorKind::BrokenPipe
+                | io::ErrorKind::ConnectionAborted
+                | io::ErrorKind::ConnectionReset
+                | io::ErrorKind::UnexpectedEof
+        )
     });
     by_hyper || by_socket || error.source().is_some_and(is_connection_end)
 }
--- a/ragwortdeal_node/src/fleet/entry/exchange.rs
+++ b/ragwortdeal_node/src/fleet/entry/exchange.rs
@@ -8,7 +8,7 @@
     http::response,
 };
 
-use super::{Entry, endings, isolation, pool, request::CallerRequest, upstreams::selection};
+use super::{Entry, endings, pool, request::CallerRequest, upstreams::selection};
 
 /// Longest idle time of a connection that is used for a request which must not be repeated. If the
 /// connection died meanwhile, it would be unknown whether the request ran.
@@ -25,8 +25,9 @@
     NotExecuted(response::Parts),
     /// The request may have been executed, and there is no answer.
     Lost(Loss),
-    /// It was withdrawn from the upstream, which may have executed it.
-    Withdrawn(&'static str),
+    /// It was withdrawn from the upstream, which may have executed it, as a part of its prompt was
+    /// isolated.
+    Withdrawn,
     /// The head of the answer to this request.
     Answer(Box<Answer>),
 }
@@ -45,7 +46,12 @@
         Self { reason: reason.into(), connection_ended: false }
     }
 
-    /// A loss for which the connection is to blame.
+    /// A loss by the end of the connection.
+    pub(super) fn connection_end(reason: impl Into<String>) -> Self {
+        Self { reason: reason.into(), connection_ended: true }
+    }
+
+    /// A loss by an error on the connection.
     pub(super) fn of_error(step: &str, error: &hyper::Error) -> Self {
         let connection_ended = endings::is_connection_end(error);
         Self { reason: format!("{step}: {error}"), connection_ended }
@@ -99,7 +105,7 @@
                 return Outcome::Lost(Loss::new("the upstream fell silent"));
             }
             () = self.isolation.becomes_isolated(&request.parts) => {
-                return Outcome::Withdrawn(isolation::REASON);
+                return Outcome::Withdrawn;
             }
         };
         let response = match answered {
--- a/ragwortdeal_node/src/fleet/entry/isolation.rs
+++ b/ragwortdeal_node/src/fleet/entry/isolation.rs
@@ -8,7 +8,11 @@
 };
 use tokio::sync::{mpsc, watch};
 
-use super::{Entry, request::Refusal, upstreams::selection};
+use super::{
+    Entry,
+    request::{CallerRequest, Refusal},
+    upstreams::selection,
+};
 use crate::fleet::{notice, voter_links};
 
 /// Notices that may wait for the links to voters.
@@ -150,7 +154,7 @@
     /// The refusal of a request with a part that ends engines, if it has one.
     pub(super) fn refuse_isolated(
         &self,
-        request: &super::request::CallerRequest,
+        request: &CallerRequest,
         may_have_run: bool,
     ) -> Option<Refusal> {
         let part = self.isolation.isolated_of(&request.parts)?;
--- a/ragwortdeal_node/src/fleet/entry/outcome.rs
+++ b/ragwortdeal_node/src/fleet/entry/outcome.rs
@@ -3,7 +3,7 @@
 use std::sync;
 
 use super::{
-    Entry, exchange, exchange::Outcome, health, request::CallerRequest, serve::Progress,
+    Entry, exchange, exchange::Outcome, health, isolation, request::CallerRequest, serve::Progress,
     upstreams::selection,
 };
 
@@ -18,7 +18,6 @@
     ) -> Option<Box<exchange::Answer>> {
         let now_ms = self.clock.now_ms();
         let instance = &selected.peer.instance;
-        let names = self.dialect.headers();
         progress.tried.push(instance.clone());
         self.record_signals(request, selected, &outcome);
         let held_ms = request.started.elapsed().as_millis() as u64;
@@ -64,8 +63,8 @@
                 }
                 None
             }
-            Outcome::Withdrawn(reason) => {
-                self.record_withdrawn(request, selected, reason);
+            Outcome::Withdrawn => {
+                self.record_withdrawn(request, selected);
                 progress.sent += 1;
                 progress.may_have_run = true;
                 None
@@ -73,42 +72,46 @@
             Outcome::Answer(answer) => {
                 progress.sent += 1;
                 progress.may_have_run = true;
-                self.telemetry.took("entry.head_ms", held_ms);
-                let limit_per_s = self.upstreams().limit_per_s(instance).unwrap_or(0.0);
-                log::info!(
-                    request = request.id(), upstream = &**instance, route = &*request.route.name,
-                    forecast_ms = selected.forecast_ms.map_or(0, |ms| ms as u64),
-                    took_ms = answer.took.as_millis() as u64, open = selected.candidate.open,
-                    elsewhere = selected.candidate.peer_open as u64,
-                    attempt = progress.sent, version = selected.version.unwrap_or(0),
-                    superseded_ms = selected.superseded_ms(), held_ms,
-                    limit_per_s,
-                    status = answer.head.status.as_u16();
-                    "entry: answered by its upstream"
-                );
-                let load = answer.head.headers.get(&names.load);
-                let load = load.and_then(|value| value.to_str().ok());
-                let load = load.and_then(|value| self.dialect.load(value));
-                let report = health::AnswerReport {
-                    load,
-                    took_ms: answer.took.as_millis() as u64,
-                    forecast_ms: selected.forecast_ms,
-                };
-                self.upstreams().record_answer(instance, &report, now_ms);
+                self.record_answer_head(request, selected, &answer, progress.sent);
                 Some(answer)
             }
         }
     }
 
-    /// Records that a request was withdrawn from its upstream, which is not to blame.
-    pub(super) fn record_withdrawn(
+    /// Records the head of an answer to an attempt with this number.
+    fn record_answer_head(
         &self,
         request: &CallerRequest,
         selected: &selection::Selected,
-        reason: &str,
+        answer: &exchange::Answer,
+        attempt: u32,
     ) {
+        let instance = &selected.peer.instance;
+        let held_ms = request.started.elapsed().as_millis() as u64;
+        let took_ms = answer.took.as_millis() as u64;
+        self.telemetry.took("entry.head_ms", held_ms);
+        let limit_per_s = self.upstreams().limit_per_s(instance).unwrap_or(0.0);
+        log::info!(
+            request = request.id(), upstream = &**instance, route = &*request.route.name,
+            forecast_ms = selected.forecast_ms.map_or(0, |ms| ms as u64), took_ms,
+            open = selected.candidate.open, elsewhere = selected.candidate.peer_open as u64,
+            attempt, version = selected.version.unwrap_or(0),
+            superseded_ms = selected.superseded_ms(), held_ms, limit_per_s,
+            status = answer.head.status.as_u16();
+            "entry: answered by its upstream"
+        );
+        let load = answer.head.headers.get(&self.dialect.headers().load);
+        let load = load.and_then(|value| value.to_str().ok());
+        let load = load.and_then(|value| self.dialect.load(value));
+        let report = health::AnswerReport { load, took_ms, forecast_ms: selected.forecast_ms };
+        self.upstreams().record_answer(instance, &report, self.clock.now_ms());
+    }
+
+    /// Records that a request was withdrawn for a part of its prompt. The upstream is not to blame.
+    pub(super) fn record_withdrawn(&self, request: &CallerRequest, selected: &selection::Selected) {
         log::info!(
-            request = request.id(), upstream = &*selected.peer.instance, reason;
+            request = request.id(), upstream = &*selected.peer.instance,
+            reason = isolation::REASON;
             "entry: withdrawn from its upstream"
         );
         self.telemetry.count("entry.withdrawn", 1);
--- a/ragwortdeal_node/src/fleet/entry/relay.rs
+++ b/ragwortdeal_node/src/fleet/entry/relay.rs
@@ -64,53 +64,30 @@
     let progress_so_far = std::mem::take(progress);
     let (entry, request) = (entry.clone(), request.clone());
     let mut relay = StreamRelay { entry, request, events, source, progress: progress_so_far };
-    loop {
-        let isolation = relay.entry.clone();
-        let request = relay.request.clone();
-        let read = tokio::select! {
-            read = relay.read() => read,
-            () = isolation.isolation.becomes_isolated(&request.parts) => Read::Withdrawn,
-        };
-        match read {
+    let loss = loop {
+        match relay.read_until_isolated().await {
             Read::Events(bytes) if bytes.is_empty() => (),
             Read::Events(bytes) => return Some(relay.start(bytes)),
-            Read::End if !relay.source.answer.framed => {
-                let loss = exchange::Loss {
-                    reason: "the connection ended before the first event".to_owned(),
-                    connection_ended: true,
-                };
-                relay.entry.record_broken_answer(&relay.request, &relay.source.selected, &loss);
-                *progress = relay.progress;
-                return None;
-            }
+            Read::End if relay.source.answer.framed => return Some(relay.whole_without_events()),
             Read::End => {
-                let response = serve::caller_response(&relay.source.answer.head, http::full(""));
-                relay.source.return_connection(&relay.entry);
-                return Some(response);
-            }
-            Read::Withdrawn => {
-                let reason = isolation::REASON;
-                relay.entry.record_withdrawn(&relay.request, &relay.source.selected, reason);
-                *progress = relay.progress;
-                return None;
+                break Some(exchange::Loss::connection_end("no event before the connection ended"));
             }
             Read::Silent => {
-                let loss = exchange::Loss::new("the upstream fell silent before its first event");
-                relay.entry.record_broken_answer(&relay.request, &relay.source.selected, &loss);
-                *progress = relay.progress;
-                return None;
+                break Some(exchange::Loss::new("the upstream fell silent before its first event"));
             }
-            Read::Lost(loss) => {
-                relay.entry.record_broken_answer(&relay.request, &relay.source.selected, &loss);
-                *progress = relay.progress;
-                return None;
-            }
-            Read::DeadlineExceeded => {
-                *progress = relay.progress;
-                return None;
+            Read::Lost(loss) => break Some(loss),
+            Read::Withdrawn => {
+                relay.entry.record_withdrawn(&relay.request, &relay.source.selected);
+                break None;
             }
+            Read::DeadlineExceeded => break None,
         }
+    };
+    if let Some(loss) = loss {
+        relay.entry.record_broken_answer(&relay.request, &relay.source.selected, &loss);
     }
+    *progress = relay.progress;
+    None
 }
 
 impl Source {
@@ -139,10 +116,9 @@
             }
             Err(_) => Read::DeadlineExceeded,
             Ok(None) if self.events.is_at_event_boundary() => Read::End,
-            Ok(None) => Read::Lost(exchange::Loss {
-                reason: "the stream ended within an event".to_owned(),
-                connection_ended: true,
-            }),
+            Ok(None) => {
+                Read::Lost(exchange::Loss::connection_end("the stream ended within an event"))
+            }
             Ok(Some(Err(error))) => {
                 Read::Lost(exchange::Loss::of_error("the stream was cut", &error))
             }
@@ -158,6 +134,22 @@
         }
     }
 
+    /// Reads before the first event, when the engine has not begun to write.
+    async fn read_until_isolated(&mut self) -> Read {
+        let (entry, request) = (self.entry.clone(), self.request.clone());
+        tokio::select! {
+            read = self.read() => read,
+            () = entry.isolation.becomes_isolated(&request.parts) => Read::Withdrawn,
+        }
+    }
+
+    /// Answers with the whole answer of an upstream that holds no event.
+    fn whole_without_events(self) -> http::Response {
+        let response = serve::caller_response(&self.source.answer.head, http::full(""));
+        self.source.return_connection(&self.entry);
+        response
+    }
+
     fn start(mut self, first: Bytes) -> http::Response {
         self.source.selected.record_events();
         let (sender, receiver) = mpsc::channel(QUEUED_PIECES_MAX);
--- a/ragwortdeal_node/src/fleet/entry/signals.rs
+++ b/ragwortdeal_node/src/fleet/entry/signals.rs
@@ -21,7 +21,7 @@
             exchange::Outcome::Answer(answer) => (&answer.head, true),
             exchange::Outcome::NotSent(_)
             | exchange::Outcome::Lost(_)
-            | exchange::Outcome::Withdrawn(_) => return,
+            | exchange::Outcome::Withdrawn => return,
         };
         let instance = &selected.peer.instance;
         if self.is_of_another(head, instance) {
--- a/ragwortdeal_node/src/voter/fleet.rs
+++ b/ragwortdeal_node/src/voter/fleet.rs
@@ -24,7 +24,11 @@
     sync::{mpsc, watch},
 };
 
-use super::{Event, VoterError, driver, letter, operate, peers};
+use super::{
+    Event, VoterError, driver, letter,
+    operate::{self, parts},
+    peers,
+};
 use crate::{
     clock,
     fleet::{dialect, metrics, voter_links},
@@ -62,19 +66,17 @@
 }
 
 impl Service {
-    async fn answer_on_parts(
-        &self,
-        request: operate::parts::PartsRequest,
-    ) -> operate::parts::PartsReply {
-        use operate::parts::{PartsReply, PartsRequest};
+    async fn answer_on_parts(&self, request: parts::PartsRequest) -> parts::PartsReply {
         let (name, isolated) = match request {
-            PartsRequest::ListParts => return PartsReply::Parts(self.hub.listed_parts()),
-            PartsRequest::SetPart { name, isolated } => (name, isolated),
+            parts::PartsRequest::ListParts => {
+                return parts::PartsReply::Parts(self.hub.listed_parts());
+            }
+            parts::PartsRequest::SetPart { name, isolated } => (name, isolated),
         };
         let verdict = self.hub.set_part(&name, isolated);
         match steps::decide(&self.events, store::Step::Isolate(verdict.clone())).await {
-            Ok(()) => PartsReply::Recorded(verdict),
-            Err(reason) => PartsReply::NotRecorded { reason },
+            Ok(()) => parts::PartsReply::Recorded(verdict),
+            Err(reason) => parts::PartsReply::NotRecorded { reason },
         }
     }
 }
@@ -100,7 +102,7 @@
     }
 
     async fn requested(&self, _session: &link::Session, message: wire::Message) -> wire::Message {
-        if let Some(request) = operate::open::<operate::parts::PartsRequest>(&message) {
+        if let Some(request) = operate::open::<parts::PartsRequest>(&message) {
             return operate::seal(&self.answer_on_parts(request).await);
         }
         let Some(request) = operate::open::<operate::Request>(&message) else {
--- a/ragwortdeal_node/src/voter/fleet/hub.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -422,16 +422,13 @@
             return;
         };
         follower.version = Some(version);
-        let push = |session: &link::Session, notice: &notice::Notice| {
-            _ = session.push(notice::encode(notice))
-        };
-        // An entry takes requests once it has the document, and must know these by then.
-        let verdicts = self.isolation.collector.verdicts().all().cloned().collect();
         if follower.session.hello.role != "agent" {
-            push(&follower.session, &notice::Notice::Verdicts(verdicts));
+            // Before the document: an entry takes requests as soon as it has that.
+            let verdicts = self.isolation.collector.verdicts().all().cloned().collect();
+            follower.session.push(notice::encode(&notice::Notice::Verdicts(verdicts)));
         }
         follower.send_documents(&self.documents);
-        let push = |notice: &notice::Notice| push(&follower.session, notice);
+        let push = |notice: &notice::Notice| _ = follower.session.push(notice::encode(notice));
         push(&notice::Notice::Namings(self.named.export(now_ms)));
         push(&notice::Notice::Voters(self.voters.clone()));
         let is_agent = follower.session.hello.role == "agent";
--- a/ragwortdeal_node/src/voter/fleet/hub/isolation.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub/isolation.rs
@@ -8,7 +8,10 @@
 };
 
 use super::{Hub, State};
-use crate::{fleet::notice, voter::operate::parts};
+use crate::{
+    fleet::{notice, voter_links},
+    voter::operate::parts,
+};
 
 /// How often evidence is judged, and entries are asked to tell of the parts that it charges.
 const JUDGE_INTERVAL: time::Duration = time::Duration::from_millis(50);
@@ -106,6 +109,6 @@
         news.iter().for_each(|verdict| notice::log_verdict("voter", teller, verdict));
         let notice = notice::encode(&notice::Notice::Verdicts(news));
         self.tell_role("entry", &notice);
-        self.tell_role(crate::fleet::voter_links::VOTER_ROLE, &notice);
+        self.tell_role(voter_links::VOTER_ROLE, &notice);
     }
 }
