Record verdicts on parts apart from namings

Found by reading: where no quorum takes a verdict, each one held up the loop that tells open namings again by 2.5 s, and entries that restart meanwhile would count their time from anew.

--- a/ragwortdeal_node/src/voter/fleet/due.rs
+++ b/ragwortdeal_node/src/voter/fleet/due.rs
@@ -26,7 +26,6 @@
         let drawn_ms = rand::rng().random_range(0..=DRAWN_MAX_MS);
         tokio::time::sleep(LOOK + time::Duration::from_millis(drawn_ms)).await;
         hub.repeat_open_namings();
-        record_verdicts(&hub, &events).await;
         for weights in hub.due_unrecorded() {
             let store::ModelVersion { model, version } = weights.clone();
             match steps::decide(&events, store::Step::Due(weights)).await {
@@ -41,12 +40,17 @@
     }
 }
 
-/// Brings verdicts into the log that it does not tell yet.
-async fn record_verdicts(hub: &hub::Hub, events: &mpsc::Sender<Event>) {
-    for verdict in hub.unrecorded_verdicts() {
-        let part = verdict.part.name.clone();
-        if let Err(reason) = steps::decide(events, store::Step::Isolate(verdict)).await {
-            log::warn!(part = &*part; "voter: the verdict on a part is not noted: {reason}");
+/// Brings verdicts on parts of prompts into the log, for as long as the process runs. Apart from the
+/// namings, which must not wait where no quorum takes a verdict.
+pub(super) async fn record_verdicts(hub: sync::Arc<hub::Hub>, events: mpsc::Sender<Event>) {
+    while !events.is_closed() {
+        let drawn_ms = rand::rng().random_range(0..=DRAWN_MAX_MS);
+        tokio::time::sleep(LOOK + time::Duration::from_millis(drawn_ms)).await;
+        for verdict in hub.unrecorded_verdicts() {
+            let part = verdict.part.name.clone();
+            if let Err(reason) = steps::decide(&events, store::Step::Isolate(verdict)).await {
+                log::warn!(part = &*part; "voter: the verdict on a part is not noted: {reason}");
+            }
         }
     }
 }
