--- a/ragwortdeal_node/tests/fleet_fatal_parts.rs
+++ b/ragwortdeal_node/tests/fleet_fatal_parts.rs
@@ -36,8 +36,12 @@
 
 struct Fleet {
     world: World,
+    voters: Vec<world::Process>,
+    entries: Vec<world::Process>,
     engines: Vec<sync::Arc<engine::Engine>>,
     tasks: Vec<task::JoinHandle<()>>,
+    /// Sound requests to the first entry and their answers.
+    sound: sync::Arc<sync::Mutex<Vec<(time::Instant, Answer)>>>,
     begun: time::Instant,
 }
 
@@ -47,23 +51,38 @@
     }
 }
 
-/// A fleet whose engines end on the part, without voters and entries.
-async fn fleet(voters: u8) -> Fleet {
+/// A fleet whose engines end on the part, with so many voters and these entries, to which sound
+/// requests come.
+async fn fleet(voters: u8, entries: &[u8]) -> Fleet {
     let world = World::new(&DIALECT, voters);
-    Fleet { world, engines: Vec::new(), tasks: Vec::new(), begun: time::Instant::now() }
+    let voters = world.first_voters().await.into_values().collect();
+    world.install(&world.document(1, None)).await;
+    let mut fleet = Fleet {
+        world,
+        voters,
+        entries: Vec::new(),
+        engines: Vec::new(),
+        tasks: Vec::new(),
+        sound: sync::Arc::default(),
+        begun: time::Instant::now(),
+    };
+    for number in ENGINES {
+        let engine = fleet.world.engine(number, "models", 1).await;
+        engine.stream(12, time::Duration::from_millis(10));
+        engine.end_on(Some(engine::Fatal { part: FATAL.to_owned(), down: DOWN }));
+        fleet.tasks.push(fleet.world.announce_restarts(&engine, "models"));
+        fleet.engines.push(engine);
+    }
+    for entry in entries {
+        let process = fleet.start_entry(*entry).await;
+        fleet.entries.push(process);
+        let answers = if *entry == entries[0] { fleet.sound.clone() } else { Default::default() };
+        fleet.send_sound(*entry, &answers);
+    }
+    fleet
 }
 
 impl Fleet {
-    async fn start_engines(&mut self) {
-        for number in ENGINES {
-            let engine = self.world.engine(number, "models", 1).await;
-            engine.stream(12, time::Duration::from_millis(10));
-            engine.end_on(Some(engine::Fatal { part: FATAL.to_owned(), down: DOWN }));
-            self.tasks.push(self.world.announce_restarts(&engine, "models"));
-            self.engines.push(engine);
-        }
-    }
-
     /// Starts an entry and waits until it serves.
     async fn start_entry(&self, number: u8) -> world::Process {
         let entry = self.world.entry(number).await;
@@ -76,8 +95,11 @@
     }
 
     /// Sends sound requests to an entry, which share each part with others but their last one.
-    fn send_sound(&mut self, entry: u8) -> sync::Arc<sync::Mutex<Vec<(time::Instant, Answer)>>> {
-        let answers = sync::Arc::new(sync::Mutex::new(Vec::new()));
+    fn send_sound(
+        &mut self,
+        entry: u8,
+        answers: &sync::Arc<sync::Mutex<Vec<(time::Instant, Answer)>>>,
+    ) {
         for caller in 0..SOUND_CALLERS {
             let (callers, answers) = (self.world.callers(entry), answers.clone());
             self.tasks.push(task::spawn(async move {
@@ -91,7 +113,13 @@
                 }
             }));
         }
-        answers
+    }
+
+    /// Statuses of the answers to the sound requests of the last second.
+    fn late_sound_statuses(&self) -> Vec<u16> {
+        let last = time::Instant::now() - time::Duration::from_secs(1);
+        let sound = self.sound.lock().unwrap();
+        sound.iter().filter(|(sent, _)| *sent > last).map(|(_, answer)| answer.status).collect()
     }
 
     /// Sends a request with the part to each of some entries in turn, for so long.
@@ -157,22 +185,13 @@
 
 /// Requests with the part come for so long, one after each interval.
 async fn few_requests_reach_engines(interval: time::Duration, for_s: f64) {
-    let mut fleet = fleet(1).await;
-    let _voter = fleet.world.voter(1, true).await;
-    fleet.world.install(&fleet.world.document(1, None)).await;
-    fleet.start_engines().await;
-    let _entries = [fleet.start_entry(ENTRY).await, fleet.start_entry(OTHER_ENTRY).await];
-    let sound = fleet.send_sound(ENTRY);
-    fleet.send_sound(OTHER_ENTRY);
+    let fleet = fleet(1, &[ENTRY, OTHER_ENTRY]).await;
     fleet.send_fatal(&[ENTRY, OTHER_ENTRY], interval, for_s).await;
     expect_that!(fleet.ends().len(), ge(3));
     expect_that!(fleet.beyond_bound(), le(ALLOWED));
-    let last = time::Instant::now() - time::Duration::from_secs(1);
-    let sound = sound.lock().unwrap();
-    let late: Vec<_> = sound.iter().filter(|(sent, _)| *sent > last).collect();
-    expect_that!(late.len(), gt(0));
-    let served = late.iter().filter(|(_, answer)| answer.status == 200).count();
-    expect_that!(served, eq(late.len()));
+    let sound = fleet.late_sound_statuses();
+    expect_that!(sound.len(), gt(0));
+    expect_that!(sound, each(eq(&200)));
 }
 
 macro_rules! a_part_that_ends_engines {
@@ -208,14 +227,9 @@
 #[googletest::test]
 #[tokio::test]
 async fn an_entry_that_starts_later_sends_no_engine_the_part() {
-    let mut fleet = fleet(1).await;
-    let _voter = fleet.world.voter(1, true).await;
-    fleet.world.install(&fleet.world.document(1, None)).await;
-    fleet.start_engines().await;
-    let first = fleet.start_entry(ENTRY).await;
-    fleet.send_sound(ENTRY);
+    let mut fleet = fleet(1, &[ENTRY]).await;
     until_held_back(&fleet, ENTRY).await;
-    first.kill().await;
+    fleet.entries.remove(0).kill().await;
     let _second = fleet.start_entry(OTHER_ENTRY).await;
     let before = fleet.fatal_arrivals().len();
     fleet.send_fatal(&[OTHER_ENTRY], time::Duration::from_millis(100), 2.0).await;
@@ -226,18 +240,12 @@
 #[googletest::test]
 #[tokio::test]
 async fn the_part_is_known_after_all_processes_have_restarted() {
-    let mut fleet = fleet(3).await;
-    let voters = fleet.world.first_voters().await;
-    fleet.world.install(&fleet.world.document(1, None)).await;
-    fleet.start_engines().await;
-    let entry = fleet.start_entry(ENTRY).await;
-    fleet.send_sound(ENTRY);
+    let mut fleet = fleet(3, &[ENTRY]).await;
     until_held_back(&fleet, ENTRY).await;
     // Voters bring it into their log meanwhile.
     tokio::time::sleep(LEARNT).await;
-    entry.kill().await;
-    for voter in voters.into_values() {
-        voter.kill().await;
+    for process in fleet.entries.drain(..).chain(fleet.voters.drain(..)) {
+        process.kill().await;
     }
     let _voters = [fleet.world.voter(1, false).await, fleet.world.voter(2, false).await];
     for engine in &fleet.engines {
@@ -253,13 +261,8 @@
 #[googletest::test]
 #[tokio::test]
 async fn an_entry_without_voters_holds_the_part_back_by_what_it_saw() {
-    let mut fleet = fleet(1).await;
-    let voter = fleet.world.voter(1, true).await;
-    fleet.world.install(&fleet.world.document(1, None)).await;
-    fleet.start_engines().await;
-    let _entry = fleet.start_entry(ENTRY).await;
-    fleet.send_sound(ENTRY);
-    voter.kill().await;
+    let mut fleet = fleet(1, &[ENTRY]).await;
+    fleet.voters.remove(0).kill().await;
     fleet.send_fatal(&[ENTRY], time::Duration::from_millis(250), 7.0).await;
     expect_that!(fleet.ends().len(), ge(3));
     expect_that!(fleet.beyond_bound(), le(ALLOWED));
@@ -269,12 +272,7 @@
 #[googletest::test]
 #[tokio::test]
 async fn engines_that_end_by_themselves_hold_nothing_back() {
-    let mut fleet = fleet(1).await;
-    let _voter = fleet.world.voter(1, true).await;
-    fleet.world.install(&fleet.world.document(1, None)).await;
-    fleet.start_engines().await;
-    let _entry = fleet.start_entry(ENTRY).await;
-    let sound = fleet.send_sound(ENTRY);
+    let fleet = fleet(1, &[ENTRY]).await;
     for round in 0..12 {
         tokio::time::sleep(time::Duration::from_millis(250)).await;
         // In every fourth round all of them end, else one.
@@ -284,24 +282,16 @@
         ending.for_each(|(_, engine)| engine.end(time::Duration::from_millis(200)));
     }
     tokio::time::sleep(time::Duration::from_secs(2)).await;
-    let last = time::Instant::now() - time::Duration::from_secs(1);
-    let sound = sound.lock().unwrap();
-    let statuses: Vec<_> =
-        sound.iter().filter(|(sent, _)| *sent > last).map(|(_, answer)| answer.status).collect();
-    expect_that!(statuses.len(), gt(0));
-    expect_that!(statuses, each(eq(&200)));
+    let sound = fleet.late_sound_statuses();
+    expect_that!(sound.len(), gt(0));
+    expect_that!(sound, each(eq(&200)));
 }
 
 /// Guards against a caller that takes a held back request for one that ran, or asks again at once.
 #[googletest::test]
 #[tokio::test]
 async fn a_request_that_is_held_back_did_not_run_and_is_not_asked_for_again_soon() {
-    let mut fleet = fleet(1).await;
-    let _voter = fleet.world.voter(1, true).await;
-    fleet.world.install(&fleet.world.document(1, None)).await;
-    fleet.start_engines().await;
-    let _entry = fleet.start_entry(ENTRY).await;
-    fleet.send_sound(ENTRY);
+    let fleet = fleet(1, &[ENTRY]).await;
     until_held_back(&fleet, ENTRY).await;
     let parts = [COMMON, FATAL, "e4"];
     let ask = Target::STREAMS.ask("held-back").with_parts(&parts);
@@ -320,12 +310,7 @@
 #[googletest::test]
 #[tokio::test]
 async fn an_operator_releases_a_part_and_isolates_it_again() {
-    let mut fleet = fleet(1).await;
-    let _voter = fleet.world.voter(1, true).await;
-    fleet.world.install(&fleet.world.document(1, None)).await;
-    fleet.start_engines().await;
-    let _entry = fleet.start_entry(ENTRY).await;
-    fleet.send_sound(ENTRY);
+    let fleet = fleet(1, &[ENTRY]).await;
     until_held_back(&fleet, ENTRY).await;
     fleet.engines.iter().for_each(|engine| engine.end_on(None));
     let (link, _events) = fleet.world.link(1, 99, "operator").await;
