--- a/ragwortdeal_core/src/dispatch/isolation.rs
+++ b/ragwortdeal_core/src/dispatch/isolation.rs
@@ -14,10 +14,10 @@
 /// Time from the first event of an answer on after which its engine bears the parts of the prompt.
 pub const PROVED_AFTER_MS: u64 = 800;
 
-/// Pieces of an answer that have to come before its engine is taken to bear the parts: an engine that
-/// stands still after the first piece has not shown that.
+/// Pieces of an answer that have to come before its engine is taken to bear the parts: an engine
+/// that stands still after the first piece has not shown that.
 pub const PROVED_PIECES_MIN: u32 = 4;
 
-/// Time from the first event of an answer on in which the end of its engine speaks against the parts
-/// of the prompt: such a part ends the engine as it begins to write.
+/// Time from the first event of an answer on in which the end of its engine speaks against the
+/// parts of the prompt: such a part ends the engine as it begins to write.
 pub const SUSPECTED_UNTIL_MS: u64 = 500;
--- a/ragwortdeal_core/src/dispatch/isolation/collector.rs
+++ b/ragwortdeal_core/src/dispatch/isolation/collector.rs
@@ -1,5 +1,5 @@
-//! Evidence of many entries and the verdicts by it, as a voter holds them, or an entry that no voter
-//! is in reach of.
+//! Evidence of many entries and the verdicts by it, as a voter holds them, or an entry that no
+//! voter is in reach of.
 
 use std::net;
 
@@ -19,8 +19,8 @@
 }
 
 impl Collector {
-    /// Records an entry's report on the end of an engine. Returns the parts that it charges: entries
-    /// are asked to tell when an engine bears one of them.
+    /// Records an entry's report on the end of an engine. Returns the parts that it charges:
+    /// entries are asked to tell when an engine bears one of them.
     pub fn record_end(
         &mut self,
         teller: net::Ipv4Addr,
--- a/ragwortdeal_core/src/dispatch/isolation/evidence.rs
+++ b/ragwortdeal_core/src/dispatch/isolation/evidence.rs
@@ -2,11 +2,11 @@
 //!
 //! A dozen requests may end with an engine, each with several parts, and engines end for other
 //! reasons too. So each end weighs against a part by how unlikely the part would have been there by
-//! chance: much for one that few requests hold, next to nothing for one that whole routes share.
-//! A part has to be there at ends that are apart in time, since one loss of power ends many engines
-//! with whatever ran there. A part that an engine has borne since is cleared. Of several parts that were there each
-//! time, the one that is hardest to explain by chance is isolated alone; its ends then count against
-//! no other part.
+//! chance: much for one that few requests hold, next to nothing for one that whole routes share. A
+//! part has to be there at ends that are apart in time, since one loss of power ends many engines
+//! with whatever ran there. A part that an engine has borne since is cleared. Of several parts that
+//! were there each time, the one that is hardest to explain by chance is isolated alone; its ends
+//! then count against no other part.
 
 use std::{collections, net};
 
--- a/ragwortdeal_core/src/dispatch/prompt.rs
+++ b/ragwortdeal_core/src/dispatch/prompt.rs
@@ -45,8 +45,8 @@
     }
 }
 
-/// The parts that other requests may hold too: all but the last, which belongs to the request or its
-/// session. Each part comes once.
+/// The parts that other requests may hold too: all but the last, which belongs to the request or
+/// its session. Each part comes once.
 pub fn shared_parts(names: &[&str]) -> Vec<Part> {
     let shared = names.split_last().map_or(&[][..], |(_, shared)| shared);
     let mut seen = collections::HashSet::with_capacity(shared.len());
--- a/ragwortdeal_core/tests/dispatch_isolation.rs
+++ b/ragwortdeal_core/tests/dispatch_isolation.rs
@@ -1,4 +1,5 @@
-//! Which part of prompts is isolated, in a model of engines that end on parts and for other reasons.
+//! Which part of prompts is isolated, in a model of engines that end on parts and for other
+//! reasons.
 
 use std::{collections, net};
 
--- a/ragwortdeal_node/src/fleet/entry/endings.rs
+++ b/ragwortdeal_node/src/fleet/entry/endings.rs
@@ -95,7 +95,10 @@
                 }
             }
             Err(error @ pool::ConnectError::Failed { .. }) => {
-                log::info!(upstream, open, reason:% = error; "entry: it is unknown whether an upstream ended");
+                log::info!(
+                    upstream, open, reason:% = error;
+                    "entry: it is unknown whether an upstream ended"
+                );
             }
             Ok(connection) => {
                 log::info!(upstream, open; "entry: an upstream goes on whose connections ended");
--- a/ragwortdeal_node/src/fleet/entry/isolation.rs
+++ b/ragwortdeal_node/src/fleet/entry/isolation.rs
@@ -21,8 +21,9 @@
 /// How often this entry judges by itself while no voter is in reach.
 const JUDGE_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
-/// When the caller of a request that is held back may retry. A part is isolated until it is released
-/// by an operator, which no caller waits for: a shorter time would bring the request back at once.
+/// When the caller of a request that is held back may retry. A part is isolated until it is
+/// released by an operator, which no caller waits for: a shorter time would bring the request back
+/// at once.
 const RETRY_AFTER: time::Duration = time::Duration::from_secs(60);
 
 /// Why requests are held back.
--- a/ragwortdeal_node/src/fleet/notice.rs
+++ b/ragwortdeal_node/src/fleet/notice.rs
@@ -58,8 +58,8 @@
     /// last report from its address.
     #[serde(rename = "Serves")]
     EngineStatus(EngineStatus),
-    /// The reports of many agents: of all for an entry that has just subscribed, later of those that
-    /// came together. Sent one by one they would not fit into the queue of its link.
+    /// The reports of many agents: of all for an entry that has just subscribed, later of those
+    /// that came together. Sent one by one they would not fit into the queue of its link.
     #[serde(rename = "AllServe")]
     EngineStatuses(Vec<EngineStatus>),
     /// Number of running entries. An entry counts as long as it is connected.
@@ -81,8 +81,8 @@
     ChargedParts(Vec<prompt::PartId>),
     /// An entry tells that engines have just borne these parts.
     PartsProved(Vec<prompt::PartId>),
-    /// Parts of prompts that were isolated or released. Whoever holds a verdict tells it to a process
-    /// that comes into reach.
+    /// Parts of prompts that were isolated or released. Whoever holds a verdict tells it to a
+    /// process that comes into reach.
     Verdicts(Vec<verdicts::Verdict>),
 }
 
--- a/ragwortdeal_node/src/voter/fleet/due.rs
+++ b/ragwortdeal_node/src/voter/fleet/due.rs
@@ -40,8 +40,8 @@
     }
 }
 
-/// Brings verdicts on parts of prompts into the log, for as long as the process runs. Apart from the
-/// namings, which must not wait where no quorum takes a verdict.
+/// Brings verdicts on parts of prompts into the log, for as long as the process runs. Apart from
+/// the namings, which must not wait where no quorum takes a verdict.
 pub(super) async fn record_verdicts(hub: sync::Arc<hub::Hub>, events: mpsc::Sender<Event>) {
     while !events.is_closed() {
         let drawn_ms = rand::rng().random_range(0..=DRAWN_MAX_MS);
--- a/ragwortdeal_node/src/voter/fleet/hub.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -403,9 +403,9 @@
         }
     }
 
-    /// Takes what another process knows of an upstream that leaves. The upstream told one voter only
-    /// and may say nothing more: were that voter lost, an entry that starts later would hear from the
-    /// others that the upstream takes work.
+    /// Takes what another process knows of an upstream that leaves. The upstream told one voter
+    /// only and may say nothing more: were that voter lost, an entry that starts later would hear
+    /// from the others that the upstream takes work.
     fn leaves(&mut self, said: directory::Announcement, now_ms: u64) {
         if said.status == directory::Status::Ready {
             return;
--- a/ragwortdeal_standins/src/fleet/world.rs
+++ b/ragwortdeal_standins/src/fleet/world.rs
@@ -281,7 +281,8 @@
         Process { address: self.address(number), stopper: Some(stopper), task }
     }
 
-    /// Whether an agent lists a version. From then on it holds the chunks that its engine had staged.
+    /// Whether an agent lists a version. From then on it holds the chunks that its engine had
+    /// staged.
     pub async fn lists(&self, number: u8, version: u64) -> bool {
         let settings = self.settings(number, false);
         let peer = settings.link_address(&settings.fleet.address.to_string());
