Log what the budget of repeats decides

No line told what the budget of a service was, what was used of it and by how many entries it was divided, so an allowance that is renewed by a start could not be told from one that is divided by too few. Each decision has a line now and one of two counters. What is granted does not change.

--- a/ragwortdeal_core/src/dispatch/retry_budget.rs
+++ b/ragwortdeal_core/src/dispatch/retry_budget.rs
@@ -31,6 +31,21 @@
     retries: SlidingCount,
 }
 
+/// What decided on a retry, for the log.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Decision {
+    /// Whether it may be sent.
+    pub is_granted: bool,
+    /// Retries granted in the window before it.
+    pub granted_before: u64,
+    /// Retries that first attempts of the window allow.
+    pub earned: f64,
+    /// Retries allowed regardless of traffic.
+    pub allowance: f64,
+    /// Entries by which the fixed allowance was divided.
+    pub entries: usize,
+}
+
 /// Counts over a sliding window.
 #[derive(Clone, Debug, Default)]
 struct SlidingCount {
@@ -65,19 +80,20 @@
 
     /// Asks for a retry and counts it if it is granted. `entries` is the number of entries that
     /// share the budget, this one included.
-    pub fn try_retry(&mut self, budget: &Budget, entries: usize, now_ms: u64) -> bool {
+    pub fn try_retry(&mut self, budget: &Budget, entries: usize, now_ms: u64) -> Decision {
         let slice = slice(budget, now_ms);
         // One slice more than the window, because a retry late in the oldest slice still counts.
         let oldest = slice.saturating_sub(SLICES);
         self.first_attempts.drop_before(oldest);
         self.retries.drop_before(oldest);
         let earned = budget.ratio * RATIO_FRACTION_USED * self.first_attempts.total as f64;
-        let allowed = earned + budget.allowance / entries.max(1) as f64;
-        let granted = self.retries.total as f64 + 1.0 <= allowed;
-        if granted {
+        let allowance = budget.allowance / entries.max(1) as f64;
+        let granted_before = self.retries.total;
+        let is_granted = granted_before as f64 + 1.0 <= earned + allowance;
+        if is_granted {
             self.retries.add(slice);
         }
-        granted
+        Decision { is_granted, granted_before, earned, allowance, entries }
     }
 }
 
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -214,17 +214,34 @@
                 self.refuse_retryable(request, "it would be late and others would wait for it")
             }
         })?;
-        let mut upstreams = self.upstreams();
         if progress.sent == 0 {
             if progress.tried.is_empty() {
-                upstreams.record_first_attempt(&request.service, &self.budget, now_ms);
+                self.upstreams().record_first_attempt(&request.service, &self.budget, now_ms);
             }
-        } else if !upstreams.try_retry(&request.service, &self.budget, now_ms) {
-            drop(upstreams);
+        } else if !self.try_retry(request, now_ms) {
             return Err(failed("the budget of repeats is used up"));
         }
         Ok(selected)
     }
+
+    /// Asks the retry budget for one more attempt.
+    fn try_retry(&self, request: &CallerRequest, now_ms: u64) -> bool {
+        let service = &request.service;
+        let decision = self.upstreams().try_retry(service, &self.budget, now_ms);
+        log::info!(
+            request = request.id(), service = &**service, granted = decision.is_granted,
+            granted_before = decision.granted_before, earned = decision.earned,
+            allowance = decision.allowance, entries = decision.entries as u64,
+            running_ms = now_ms;
+            "entry: asked the budget of repeats"
+        );
+        let counter = match decision.is_granted {
+            true => "entry.repeats_granted",
+            false => "entry.repeats_refused",
+        };
+        self.telemetry.count(counter, 1);
+        decision.is_granted
+    }
 }
 
 /// Buffers an answer and forwards it. None if it was cut and the request may be retried.
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -326,13 +326,13 @@
         self.retry_usage.entry(service.clone()).or_default().record_first_attempt(budget, now_ms);
     }
 
-    /// Whether the retry budget allows one more attempt at a service.
+    /// Asks the retry budget for one more attempt at a service.
     pub(super) fn try_retry(
         &mut self,
         service: &directory::Text,
         budget: &retry_budget::Budget,
         now_ms: u64,
-    ) -> bool {
+    ) -> retry_budget::Decision {
         // One more than are known, for an entry that has just started.
         let entries = self.entry_count() as usize + 1;
         self.retry_usage.entry(service.clone()).or_default().try_retry(budget, entries, now_ms)
