End processes of the test fleet with all their tasks

A kill aborted the first task of a process alone: its links, listeners and probes went on in the runtime of the test, so that voters still counted entries that were killed, and no test saw what a start without a predecessor does. Each process has a runtime of its own now, which a kill shuts down. Entries wait for addresses that a process which just ended may still hold.

--- a/ragwortdeal_standins/src/fleet/world.rs
+++ b/ragwortdeal_standins/src/fleet/world.rs
@@ -10,7 +10,7 @@
     stop, voter,
 };
 use tokio::{
-    net as tokio_net,
+    net as tokio_net, runtime,
     sync::{mpsc, watch},
     task,
 };
@@ -43,6 +43,14 @@
     pub address: net::Ipv4Addr,
     stopper: Option<stop::Stopper>,
     task: task::JoinHandle<()>,
+    /// A runtime of its own, so that none of its tasks and sockets outlive a kill.
+    runtime: Option<runtime::Runtime>,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.runtime.take().into_iter().for_each(runtime::Runtime::shutdown_background);
+    }
 }
 
 impl Process {
@@ -53,9 +61,9 @@
     }
 
     /// Ends it at once. Files stay as they are.
-    pub async fn kill(self) {
-        self.task.abort();
-        let _ = self.task.await;
+    pub async fn kill(mut self) {
+        self.runtime.take().into_iter().for_each(runtime::Runtime::shutdown_background);
+        let _ = (&mut self.task).await;
     }
 }
 
@@ -229,7 +237,7 @@
     /// Starts an entry.
     pub async fn entry(&self, number: u8) -> Process {
         let settings = self.settings(number, false);
-        let listeners = fleet::entry::Listeners::bind(&settings).await.expect("free addresses");
+        let listeners = entry_listeners(&settings).await;
         let spoken = self.spoken.0;
         let seeds = seeds(&settings);
         self.process(number, move |stop| async move {
@@ -277,8 +285,11 @@
         R: Future<Output = ()> + Send + 'static,
     {
         let (stopper, stop) = stop::pair();
-        let task = task::spawn(run(stop));
-        Process { address: self.address(number), stopper: Some(stopper), task }
+        let runtime = runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build();
+        let runtime = runtime.expect("a runtime for the process");
+        let task = runtime.spawn(run(stop));
+        let address = self.address(number);
+        Process { address, stopper: Some(stopper), task, runtime: Some(runtime) }
     }
 
     /// Whether an agent lists a version. From then on it holds the chunks that its engine had
@@ -452,6 +463,17 @@
     panic!("{address} stays in use");
 }
 
+/// Binds the listeners of an entry, whose addresses a process that just ended may still hold.
+async fn entry_listeners(settings: &settings::fleet::Settings) -> fleet::entry::Listeners {
+    for _ in 0..100 {
+        if let Ok(listeners) = fleet::entry::Listeners::bind(settings).await {
+            return listeners;
+        }
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+    }
+    panic!("{} stays in use", settings.fleet.address);
+}
+
 /// Waits until something holds.
 ///
 /// # Panics
