Let an entry's part of the retry allowance start empty

Callers' requests were sent again more often than the budget allows where entries start again: what an entry has used is known to its process alone, and each start had the whole part anew. Evidence: refusals for the budget stopped at each start and came back 1.5 to 2.3 s later; the second processes of two seconds granted 16 to 27 repeats each, their part being 21; without starts nothing breaks. Ruled out: repeats that arrive late (no path was disturbed), repeats that are not counted (the same failures without starts keep the budget).

The part is a token bucket that starts empty: half of it may be saved, the other half flows in over a window and a slice. Whatever starts again can only lose what it had, so any number of starts within a window is granted no more than one process. An entry that was told of no number of entries has no part. The division by one entry more than are known, meant for entries that have just started, goes: they have nothing saved.

--- a/ragwortdeal_core/src/dispatch/retry_budget.rs
+++ b/ragwortdeal_core/src/dispatch/retry_budget.rs
@@ -3,6 +3,10 @@
 //! Entries may be partitioned from each other and still must not exceed the budget together. So
 //! each uses at most its own part: retries in proportion to the requests that it saw itself, and an
 //! equal part of the fixed allowance.
+//!
+//! What an entry has used is known to its process alone. Its part of the allowance therefore starts
+//! empty and fills with time: a start can only lose what was saved, and any number of them within a
+//! window is granted no more than one process. `docs/design/retry-budget.md` has the arithmetic.
 
 use std::collections;
 
@@ -21,14 +25,51 @@
 /// retries fall into the next one.
 const RATIO_FRACTION_USED: f64 = 0.75;
 
-/// Number of slices in a window. Events of one slice are counted together.
+/// Number of slices in a window. Events of one slice are counted together, and a retry that arrives
+/// one slice late still arrives within the budget.
 const SLICES: u64 = 20;
 
-/// First attempts and retries of one service at one entry.
+/// Fraction of an entry's part of the allowance that it may save. The rest flows in over a window.
+const SAVED_FRACTION: f64 = 0.5;
+
+/// Least that may be saved, because less than one retry cannot be sent.
+const SAVED_MIN: f64 = 1.0;
+
+/// First attempts and retries of one service at one entry. Times are milliseconds since the start
+/// of its process.
 #[derive(Clone, Debug, Default)]
 pub struct Usage {
     first_attempts: SlidingCount,
-    retries: SlidingCount,
+    earned_retries: SlidingCount,
+    reserve: Reserve,
+}
+
+/// The entry's part of the allowance, as a token bucket.
+#[derive(Clone, Copy, Debug, Default)]
+struct Reserve {
+    saved: f64,
+    filled_at_ms: u64,
+}
+
+impl Reserve {
+    /// Adds what has flowed in since the last time.
+    fn fill(&mut self, budget: &Budget, entries: usize, now_ms: u64) {
+        let part = budget.allowance / entries as f64;
+        let saved_max = (part * SAVED_FRACTION).max(SAVED_MIN).min(part);
+        let fill_ms = budget.window_ms + budget.window_ms / SLICES;
+        let per_ms = (part - saved_max) / fill_ms as f64;
+        let elapsed_ms = now_ms.saturating_sub(self.filled_at_ms);
+        self.saved = (self.saved + per_ms * elapsed_ms as f64).min(saved_max);
+        self.filled_at_ms = now_ms;
+    }
+
+    fn try_take(&mut self) -> bool {
+        let is_enough = self.saved >= 1.0;
+        if is_enough {
+            self.saved -= 1.0;
+        }
+        is_enough
+    }
 }
 
 /// What decided on a retry, for the log.
@@ -36,14 +77,14 @@
 pub struct Decision {
     /// Whether it may be sent.
     pub is_granted: bool,
-    /// Retries granted in the window before it.
+    /// Retries of the window before it that were granted for first attempts.
     pub granted_before: u64,
     /// Retries that first attempts of the window allow.
     pub earned: f64,
-    /// Retries allowed regardless of traffic.
-    pub allowance: f64,
-    /// Entries by which the fixed allowance was divided.
-    pub entries: usize,
+    /// Retries that were saved of the allowance.
+    pub saved: f64,
+    /// Entries by which the allowance is divided, if known.
+    pub entries: Option<usize>,
 }
 
 /// Counts over a sliding window.
@@ -78,22 +119,26 @@
         self.first_attempts.add(slice(budget, now_ms));
     }
 
-    /// Asks for a retry and counts it if it is granted. `entries` is the number of entries that
-    /// share the budget, this one included.
-    pub fn try_retry(&mut self, budget: &Budget, entries: usize, now_ms: u64) -> Decision {
+    /// Asks for a retry and counts it if it is granted. `entries` is the highest number of entries
+    /// that share the budget, this one included. While it is unknown, the allowance is not used.
+    pub fn try_retry(&mut self, budget: &Budget, entries: Option<usize>, now_ms: u64) -> Decision {
         let slice = slice(budget, now_ms);
         // One slice more than the window, because a retry late in the oldest slice still counts.
         let oldest = slice.saturating_sub(SLICES);
         self.first_attempts.drop_before(oldest);
-        self.retries.drop_before(oldest);
+        self.earned_retries.drop_before(oldest);
+        if let Some(entries) = entries {
+            self.reserve.fill(budget, entries.max(1), now_ms);
+        }
         let earned = budget.ratio * RATIO_FRACTION_USED * self.first_attempts.total as f64;
-        let allowance = budget.allowance / entries.max(1) as f64;
-        let granted_before = self.retries.total;
-        let is_granted = granted_before as f64 + 1.0 <= earned + allowance;
-        if is_granted {
-            self.retries.add(slice);
+        let granted_before = self.earned_retries.total;
+        let saved = self.reserve.saved;
+        let is_earned = granted_before as f64 + 1.0 <= earned;
+        if is_earned {
+            self.earned_retries.add(slice);
         }
-        Decision { is_granted, granted_before, earned, allowance, entries }
+        let is_granted = is_earned || self.reserve.try_take();
+        Decision { is_granted, granted_before, earned, saved, entries }
     }
 }
 
--- a/ragwortdeal_core/tests/dispatch.rs
+++ b/ragwortdeal_core/tests/dispatch.rs
@@ -27,7 +27,7 @@
             usage[entry].record_first_attempt(&BUDGET, now_ms);
             first_attempts.push(now_ms);
             // An entry may see fewer entries than there are for a while, but never more.
-            if usage[entry].try_retry(&BUDGET, entries, now_ms).is_granted {
+            if usage[entry].try_retry(&BUDGET, Some(entries), now_ms).is_granted {
                 retries.push(now_ms);
             }
         }
--- a/ragwortdeal_core/tests/dispatch_retry_budget.rs
+++ b/ragwortdeal_core/tests/dispatch_retry_budget.rs
@@ -91,7 +91,7 @@
         let process_ms = now_ms - process.start_ms;
         self.requests_ms.push(now_ms);
         process.usage.record_first_attempt(budget, process_ms);
-        if process.usage.try_retry(budget, entries, process_ms).is_granted {
+        if process.usage.try_retry(budget, Some(entries), process_ms).is_granted {
             self.repeats_ms.push(now_ms + late_ms);
         }
     }
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -231,7 +231,7 @@
         log::info!(
             request = request.id(), service = &**service, granted = decision.is_granted,
             granted_before = decision.granted_before, earned = decision.earned,
-            allowance = decision.allowance, entries = decision.entries as u64,
+            saved = decision.saved, entries = decision.entries.unwrap_or_default() as u64,
             running_ms = now_ms;
             "entry: asked the budget of repeats"
         );
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -261,6 +261,12 @@
         self.directory.apply_departure(instance, None, now_ms);
     }
 
+    /// Highest number of entries that this one was told of, none where it was told nothing.
+    fn budget_sharers(&self) -> Option<usize> {
+        let counted = self.entry_counts.values().copied().max().unwrap_or_default();
+        Some(counted as usize).filter(|count| *count > 0)
+    }
+
     /// Number of running entries, including this one.
     fn entry_count(&self) -> u32 {
         self.entry_counts.values().copied().max().unwrap_or(1).max(1)
@@ -333,8 +339,7 @@
         budget: &retry_budget::Budget,
         now_ms: u64,
     ) -> retry_budget::Decision {
-        // One more than are known, for an entry that has just started.
-        let entries = self.entry_count() as usize + 1;
+        let entries = self.budget_sharers();
         self.retry_usage.entry(service.clone()).or_default().try_retry(budget, entries, now_ms)
     }
 }
--- a/ragwortdeal_node/tests/fleet_retry_budget.rs
+++ b/ragwortdeal_node/tests/fleet_retry_budget.rs
@@ -22,7 +22,7 @@
 const ROUNDS: usize = 6;
 const REQUESTS: usize = 30;
 /// Requests at one entry while it is alone.
-const REQUESTS_ALONE: usize = 150;
+const REQUESTS_ALONE: usize = 300;
 /// Time within which voters note how many entries there are.
 const KNOWN: time::Duration = time::Duration::from_secs(3);
 /// Pause between two requests at an entry.
