Keep the number of entries that share a budget in the voters' log

Voters write the highest number of connected entries into their log, and entries get it with the document, without which they serve nothing. An entry whose former link is still open counts once. Ruled out: that the allowance, now empty at a start, makes the count harmless (the test stayed red with it). Absent in older logs and from older voters: then what is told counts, as before.

--- a/ragwortdeal_core/src/document/store.rs
+++ b/ragwortdeal_core/src/document/store.rs
@@ -76,6 +76,8 @@
     Due(ModelVersion),
     /// Records that a part of prompts is isolated or released.
     Isolate(verdicts::Verdict),
+    /// Records that so many entries were connected at once.
+    Entries(u32),
 }
 
 /// The configuration in force.
@@ -93,6 +95,11 @@
     /// snapshots.
     #[serde(default)]
     pub verdicts: verdicts::Verdicts,
+    /// The highest number of entries that were connected to a voter at once. Limits that all
+    /// entries share are divided by it, so it must not be low while all processes start. Absent in
+    /// older snapshots.
+    #[serde(default)]
+    pub entries: u32,
 }
 
 impl Store {
@@ -108,6 +115,7 @@
             Step::Name(weights) => _ = raise(&mut self.weights, &weights.model, weights.version),
             Step::Due(weights) => _ = raise(&mut self.due, &weights.model, weights.version),
             Step::Isolate(verdict) => _ = self.verdicts.merge([verdict.clone()]),
+            Step::Entries(count) => self.entries = self.entries.max(*count),
         }
     }
 
@@ -130,6 +138,8 @@
             newer |= raise(&mut self.due, model, *version);
         }
         newer |= !self.verdicts.merge(other.verdicts.all().cloned()).is_empty();
+        newer |= other.entries > self.entries;
+        self.entries = self.entries.max(other.entries);
         newer
     }
 }
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -40,6 +40,8 @@
     namings: naming::Namings,
     roster: entry_roster::EntryRoster,
     entry_counts: collections::HashMap<net::Ipv4Addr, u32>,
+    /// Highest number of entries in the voters' log, 0 before it is known.
+    entries_recorded: u32,
     retry_usage: collections::HashMap<directory::Text, retry_budget::Usage>,
     /// Admission gates of the services of engines.
     gates: collections::HashMap<directory::Text, gate::Gate>,
@@ -71,6 +73,7 @@
             namings: naming::Namings::default(),
             roster: entry_roster::EntryRoster::default(),
             entry_counts: collections::HashMap::new(),
+            entries_recorded: 0,
             retry_usage: collections::HashMap::new(),
             gates: collections::HashMap::new(),
             retry_detectors: collections::HashMap::new(),
@@ -261,10 +264,16 @@
         self.directory.apply_departure(instance, None, now_ms);
     }
 
-    /// Highest number of entries that this one was told of, none where it was told nothing.
+    /// Takes the highest number of entries that the voters' log tells.
+    pub(super) fn record_entries_recorded(&mut self, count: u32) {
+        self.entries_recorded = count.max(self.entries_recorded);
+    }
+
+    /// Highest number of entries that this one was told of, none where it was told nothing. What
+    /// voters count of their connections is too low while all processes start.
     fn budget_sharers(&self) -> Option<usize> {
         let counted = self.entry_counts.values().copied().max().unwrap_or_default();
-        Some(counted as usize).filter(|count| *count > 0)
+        Some(counted.max(self.entries_recorded) as usize).filter(|count| *count > 0)
     }
 
     /// Number of running entries, including this one.
--- a/ragwortdeal_node/src/fleet/entry/voter_updates.rs
+++ b/ragwortdeal_node/src/fleet/entry/voter_updates.rs
@@ -29,7 +29,10 @@
             voter_links::Event::Down(_) => continue,
         };
         match notice {
-            notice::Notice::Documents(documents) => entry.install_document(&documents),
+            notice::Notice::Documents(documents) => {
+                entry.upstreams().record_entries_recorded(documents.entries);
+                entry.install_document(&documents);
+            }
             notice::Notice::Namings(named) => {
                 entry.upstreams().record_namings(voter, &named, now_ms);
             }
--- a/ragwortdeal_node/src/voter/fleet.rs
+++ b/ragwortdeal_node/src/voter/fleet.rs
@@ -157,6 +157,7 @@
     tokio::spawn(hub::isolation::judge(hub.clone()));
     tokio::spawn(due::record(hub.clone(), events.clone()));
     tokio::spawn(due::record_verdicts(hub.clone(), events.clone()));
+    tokio::spawn(due::record_entry_count(hub.clone(), events.clone()));
     let mut identity = settings.process.identity()?;
     identity.name = name::InstanceName::new(&settings.fleet.address.to_string())?;
     tokio::spawn(fellows::follow(settings.clone(), identity, fellow_seeds, hub.clone()));
--- a/ragwortdeal_node/src/voter/fleet/due.rs
+++ b/ragwortdeal_node/src/voter/fleet/due.rs
@@ -40,6 +40,21 @@
     }
 }
 
+/// Brings the highest number of connected entries into the log, for as long as the process runs.
+pub(super) async fn record_entry_count(hub: sync::Arc<hub::Hub>, events: mpsc::Sender<Event>) {
+    while !events.is_closed() {
+        let drawn_ms = rand::rng().random_range(0..=DRAWN_MAX_MS);
+        tokio::time::sleep(LOOK + time::Duration::from_millis(drawn_ms)).await;
+        let Some(count) = hub.unrecorded_entry_count() else {
+            continue;
+        };
+        match steps::decide(&events, store::Step::Entries(count)).await {
+            Ok(()) => log::info!("voter: {count} entries are connected, which is noted"),
+            Err(reason) => log::warn!("voter: {count} connected entries are not noted: {reason}"),
+        }
+    }
+}
+
 /// Brings verdicts on parts of prompts into the log, for as long as the process runs. Apart from
 /// the namings, which must not wait where no quorum takes a verdict.
 pub(super) async fn record_verdicts(hub: sync::Arc<hub::Hub>, events: mpsc::Sender<Event>) {
--- a/ragwortdeal_node/src/voter/fleet/hub.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -184,6 +184,11 @@
         due.filter(|it| it.version > recorded(&it.model)).collect()
     }
 
+    /// Number of connected entries, if the log tells a lower one.
+    pub(super) fn unrecorded_entry_count(&self) -> Option<u32> {
+        self.state().unrecorded_entry_count()
+    }
+
     pub(super) fn opened(&self, session: &link::Session) {
         let mut state = self.state();
         let follower = Follower { session: session.clone(), version: None };
@@ -466,8 +471,8 @@
             return;
         }
         self.version = Some(documents.version());
-        let document = documents.document.clone();
-        let news = store::Store { document, ..store::Store::default() };
+        let (document, entries) = (documents.document.clone(), documents.entries);
+        let news = store::Store { document, entries, ..store::Store::default() };
         self.session.push(notice::encode(&notice::Notice::Documents(news)));
     }
 }
--- a/ragwortdeal_node/src/voter/fleet/hub/entries.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub/entries.rs
@@ -1,6 +1,6 @@
 //! Tells entries of each other.
 
-use std::net;
+use std::{collections, net};
 
 use ragwortdeal_core::dispatch::entry_roster;
 
@@ -29,8 +29,18 @@
 
     /// Tells entries how many of them are connected.
     pub(super) fn tell_entry_count(&self) {
-        let entries = self.followers.values().filter(|it| it.session.hello.role == "entry");
-        let entries = entries.count() as u32;
-        self.tell_role("entry", &notice::encode(&notice::Notice::EntryCount(entries)));
+        let count = notice::Notice::EntryCount(self.entry_count());
+        self.tell_role("entry", &notice::encode(&count));
+    }
+
+    /// Number of connected entries, if the log tells a lower one.
+    pub(super) fn unrecorded_entry_count(&self) -> Option<u32> {
+        Some(self.entry_count()).filter(|count| *count > self.documents.entries)
+    }
+
+    /// Number of connected entries. One that comes back may have its former link still open.
+    fn entry_count(&self) -> u32 {
+        let addresses: collections::HashSet<_> = self.entries().map(|it| it.address).collect();
+        addresses.len() as u32
     }
 }
