Check the budget of repeats in the soak

The soak had no check of it. All engines fail every second request for up to five seconds while entries are killed one after the other, in a time of its own in each run (earlier draws stay as they were), under a budget of 0.05 a request and 30 in ten seconds; arrivals beyond the first of each request are counted in every window by service. A unit test shows that the check finds one repeat too many.

--- a/ragwortdeal_soak/src/checks.rs
+++ b/ragwortdeal_soak/src/checks.rs
@@ -1,6 +1,7 @@
 //! One check for each promise, over the history of a run.
 
 mod asks;
+pub mod budget;
 
 use std::collections;
 
@@ -38,7 +39,7 @@
 pub type Check = (&'static str, fn(&History) -> Vec<String>);
 
 /// All checks.
-pub const CHECKS: [Check; 14] = [
+pub const CHECKS: [Check; 15] = [
     ("a request that must not repeat never runs twice", twice),
     ("what was refused as not run has not run", refused_ran),
     ("an answer belongs to its request and is whole", mixed),
@@ -53,6 +54,7 @@
     ("an engine that names a rate gets little more", asks::limited),
     ("an engine that asked for a pause gets next to nothing", asks::paused),
     ("an engine that says that it leaves gets nothing after the bound", asks::left),
+    ("requests are sent again no more often than the budget allows", budget::repeated),
 ];
 
 /// Runs all checks.
--- a/ragwortdeal_soak/src/fleet.rs
+++ b/ragwortdeal_soak/src/fleet.rs
@@ -7,7 +7,7 @@
 use ragwortdeal_standins::fleet::world;
 use rustix::process as signals;
 
-use crate::history::Who;
+use crate::{checks::budget, history::Who};
 
 /// Time between the request to stop and the kill.
 const GRACE: time::Duration = time::Duration::from_secs(8);
@@ -134,12 +134,18 @@
             }
             _ => String::new(),
         };
+        let bounds = format!(
+            "[bounds]\nbudget_ratio = {}\nbudget_allowance = {:.1}\nbudget_window_s = {:.1}\n",
+            budget::RATIO,
+            budget::ALLOWANCE,
+            budget::WINDOW_MS as f64 / 1_000.0
+        );
         let text = format!(
             "[process]\nname = \"{role}-{number}\"\navailability_zone = \"zone-{zone}\"\n\
              region = \"zone-{zone}\"\n[fleet]\naddress = \"{address}\"\nlink_port = {LINK_PORT}\n\
              seeds = [{seeds}]\nfirst_start = {first_start}\nlosses_borne = 1\n{engine}\
              [fleet.regions]\nzone-0 = \"zone-0\"\nzone-1 = \"zone-1\"\nzone-2 = \"zone-2\"\n\
-             [credentials]\ncluster = \"a-secret-for-the-soak\"\n[log]\nlevel = \"info\"\n{own}"
+             [credentials]\ncluster = \"a-secret-for-the-soak\"\n[log]\nlevel = \"info\"\n{bounds}{own}"
         );
         let _alone = self.writing.lock().expect("no panic under lock");
         // The programs read the file at any moment, so it is replaced as a whole.
--- a/ragwortdeal_soak/src/schedule.rs
+++ b/ragwortdeal_soak/src/schedule.rs
@@ -23,6 +23,14 @@
 const ASKS_MAX_MS: u64 = 9_000;
 /// Sets the draws of what engines ask apart from those of faults.
 const ASKS_SEED: u64 = 0x5eed_a5c5;
+/// Longest time for which all engines fail while entries are killed one after the other.
+const REPEATS_MS: u64 = 5_000;
+/// Longest time from one of these kills to the next.
+const REPEATS_KILL_GAP_MS: u64 = 700;
+/// Longest time from such a kill to the start.
+const REPEATS_DOWN_MS: u64 = 400;
+/// Sets the draws of these kills apart from those of faults.
+const REPEATS_SEED: u64 = 0x5eed_b0d9;
 /// Milliseconds around the loss of a folder in which no other voter is disturbed. One that was
 /// disturbed before counts as lost until it has caught up.
 const LOSS_APART_MS: u64 = 6_000;
@@ -113,6 +121,8 @@
     // The schedules of earlier seeds stay as they were.
     maker.rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed ^ ASKS_SEED);
     maker.asks();
+    maker.rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed ^ REPEATS_SEED);
+    maker.repeats();
     maker.events.sort_by_key(|event| event.at_ms);
     maker.events
 }
@@ -296,6 +306,26 @@
         self.push(settled_ms + 2_500, Step::Ask(32, leaving));
     }
 
+    /// All engines fail every second request while entries are killed one after the other.
+    fn repeats(&mut self) {
+        let latest_ms = self.end_ms.saturating_sub(REPEATS_MS).max(QUIET_MS + 1);
+        let from_ms = self.rng.random_range(QUIET_MS..latest_ms);
+        let until_ms = (from_ms + REPEATS_MS).min(self.end_ms);
+        let engines: Vec<u8> = (20..20 + self.size.agents).chain(30..33).collect();
+        for engine in engines {
+            self.push(from_ms, Step::Behave(engine, engine::Behaviour::FailEverySecond(500)));
+            self.push(until_ms, Step::Behave(engine, engine::Behaviour::Good));
+        }
+        let mut at_ms = from_ms;
+        while at_ms < until_ms {
+            let entry = Who::Entry(self.some(10, self.size.entries));
+            let back_ms = at_ms + self.rng.random_range(100..REPEATS_DOWN_MS);
+            self.push(at_ms, Step::Signal(entry, Signal::Kill));
+            self.push(back_ms, Step::Start(entry));
+            at_ms += self.rng.random_range(100..REPEATS_KILL_GAP_MS);
+        }
+    }
+
     fn asked(&mut self) -> engine::Asks {
         let none = engine::Asks::default();
         match self.rng.random_bool(0.5) {
--- a/ragwortdeal_soak/tests/checks.rs
+++ b/ragwortdeal_soak/tests/checks.rs
@@ -264,6 +264,22 @@
     expect_that!(found(frozen), is_empty());
 }
 
+/// Guards against a check that cannot fail.
+#[googletest::test]
+fn repeats_beyond_the_budget_are_found() {
+    let repeats = |count: usize| {
+        found(|history| {
+            for number in 0..count {
+                let id = format!("read-{number}");
+                run(history, &id, "ledger-1", "ledger", 9_000);
+            }
+        })
+    };
+    // 30 and a twentieth of 80 reads and transfers.
+    expect_that!(repeats(34), is_empty());
+    expect_that!(repeats(35), eq(&promise(14)));
+}
+
 #[googletest::test]
 fn documents_that_are_lost_or_changed_are_found() {
     let read = |version, as_sent| {
