Let what first attempts earn start empty too

On the shifted deployment 966 repeats arrived in ten seconds where 940 were allowed, with the allowance mended: engines begin to fail after a calm, entries grant 510 repeats within 1.5 s for first attempts of the ten seconds before, are killed, and earn anew while what they granted is forgotten. Ruled out by the logs: repeats that are not counted (960 granted, 960 arrived in a second play) and late arrivals. The account of the sliding window was lost at a start, as the allowance's was.

One token bucket now holds both: 0.7 of the ratio flows in with each first attempt, a quarter of the ratio for each one of the last window may be saved, so that a window holds at most 0.95 of what the rule allows for requests, and the allowance, for any number of starts.

--- a/ragwortdeal_core/src/dispatch/retry_budget.rs
+++ b/ragwortdeal_core/src/dispatch/retry_budget.rs
@@ -4,9 +4,10 @@
 //! each uses at most its own part: retries in proportion to the requests that it saw itself, and an
 //! equal part of the fixed allowance.
 //!
-//! What an entry has used is known to its process alone. Its part of the allowance therefore starts
-//! empty and fills with time: a start can only lose what was saved, and any number of them within a
-//! window is granted no more than one process. `docs/design/retry-budget.md` has the arithmetic.
+//! What an entry has used is known to its process alone. Its part is therefore a token bucket that
+//! starts empty and fills with time and first attempts: a start can only lose what was saved, and any
+//! number of them within a window is granted no more than one process.
+//! `docs/design/retry-budget.md` has the arithmetic.
 
 use std::collections;
 
@@ -21,72 +22,61 @@
     pub window_ms: u64,
 }
 
-/// Fraction of the ratio that is used. The rest covers first attempts at the end of a window whose
-/// retries fall into the next one.
-const RATIO_FRACTION_USED: f64 = 0.75;
+/// Fraction of the ratio that a first attempt earns at once.
+const EARNED_FRACTION: f64 = 0.7;
 
-/// Number of slices in a window. Events of one slice are counted together, and a retry that arrives
-/// one slice late still arrives within the budget.
-const SLICES: u64 = 20;
+/// Fraction of the ratio that may be saved for the first attempts of the last window. It leaves a
+/// rest for first attempts at the end of a window whose retries arrive in the next one.
+const EARNED_SAVED_FRACTION: f64 = 0.25;
 
-/// Fraction of an entry's part of the allowance that it may save. The rest flows in over a window.
+/// Fraction of an entry's part of the allowance that may be saved. The rest flows in over a window.
 const SAVED_FRACTION: f64 = 0.5;
 
-/// Least that may be saved, because less than one retry cannot be sent.
+/// Least that may be saved of it, because less than one retry cannot be sent.
 const SAVED_MIN: f64 = 1.0;
 
-/// First attempts and retries of one service at one entry. Times are milliseconds since the start
-/// of its process.
+/// Number of slices in a window. Events of one slice are counted together, and a retry that arrives
+/// one slice late still arrives within the budget.
+const SLICES: u64 = 20;
+
+/// First attempts of one service at one entry, and the retries that it has saved. Times are
+/// milliseconds since the start of its process.
 #[derive(Clone, Debug, Default)]
 pub struct Usage {
     first_attempts: SlidingCount,
-    earned_retries: SlidingCount,
-    reserve: Reserve,
-}
-
-/// The entry's part of the allowance, as a token bucket.
-#[derive(Clone, Copy, Debug, Default)]
-struct Reserve {
     saved: f64,
     filled_at_ms: u64,
 }
 
-impl Reserve {
-    /// Adds what has flowed in since the last time.
-    fn fill(&mut self, budget: &Budget, entries: usize, now_ms: u64) {
-        let part = budget.allowance / entries as f64;
-        let saved_max = (part * SAVED_FRACTION).max(SAVED_MIN).min(part);
-        let fill_ms = budget.window_ms + budget.window_ms / SLICES;
-        let per_ms = (part - saved_max) / fill_ms as f64;
-        let elapsed_ms = now_ms.saturating_sub(self.filled_at_ms);
-        self.saved = (self.saved + per_ms * elapsed_ms as f64).min(saved_max);
-        self.filled_at_ms = now_ms;
-    }
-
-    fn try_take(&mut self) -> bool {
-        let is_enough = self.saved >= 1.0;
-        if is_enough {
-            self.saved -= 1.0;
-        }
-        is_enough
-    }
-}
-
 /// What decided on a retry, for the log.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Decision {
     /// Whether it may be sent.
     pub is_granted: bool,
-    /// Retries of the window before it that were granted for first attempts.
-    pub granted_before: u64,
-    /// Retries that first attempts of the window allow.
-    pub earned: f64,
-    /// Retries that were saved of the allowance.
+    /// Retries that were saved.
     pub saved: f64,
+    /// Retries that may be saved.
+    pub saved_max: f64,
     /// Entries by which the allowance is divided, if known.
     pub entries: Option<usize>,
 }
 
+/// An entry's part of the allowance.
+#[derive(Clone, Copy, Debug, Default)]
+struct Part {
+    saved_max: f64,
+    inflow_per_ms: f64,
+}
+
+impl Part {
+    fn new(budget: &Budget, entries: usize) -> Self {
+        let part = budget.allowance / entries.max(1) as f64;
+        let saved_max = (part * SAVED_FRACTION).max(SAVED_MIN).min(part);
+        let inflow_ms = budget.window_ms + budget.window_ms / SLICES;
+        Self { saved_max, inflow_per_ms: (part - saved_max) / inflow_ms as f64 }
+    }
+}
+
 /// Counts over a sliding window.
 #[derive(Clone, Debug, Default)]
 struct SlidingCount {
@@ -117,28 +107,28 @@
     /// Counts a first attempt.
     pub fn record_first_attempt(&mut self, budget: &Budget, now_ms: u64) {
         self.first_attempts.add(slice(budget, now_ms));
+        self.saved += budget.ratio * EARNED_FRACTION;
     }
 
     /// Asks for a retry and counts it if it is granted. `entries` is the highest number of entries
     /// that share the budget, this one included. While it is unknown, the allowance is not used.
     pub fn try_retry(&mut self, budget: &Budget, entries: Option<usize>, now_ms: u64) -> Decision {
-        let slice = slice(budget, now_ms);
-        // One slice more than the window, because a retry late in the oldest slice still counts.
-        let oldest = slice.saturating_sub(SLICES);
+        let part = entries.map(|entries| Part::new(budget, entries)).unwrap_or_default();
+        let saved_max = part.saved_max + self.earned_saved_max(budget, now_ms);
+        let elapsed_ms = now_ms.saturating_sub(self.filled_at_ms);
+        let saved = (self.saved + part.inflow_per_ms * elapsed_ms as f64).min(saved_max);
+        self.filled_at_ms = now_ms;
+        let is_granted = saved >= 1.0;
+        self.saved = if is_granted { saved - 1.0 } else { saved };
+        Decision { is_granted, saved, saved_max, entries }
+    }
+
+    /// What may be saved for the first attempts of the last window. Only whole slices within the
+    /// window count.
+    fn earned_saved_max(&mut self, budget: &Budget, now_ms: u64) -> f64 {
+        let oldest = (slice(budget, now_ms) + 1).saturating_sub(SLICES);
         self.first_attempts.drop_before(oldest);
-        self.earned_retries.drop_before(oldest);
-        if let Some(entries) = entries {
-            self.reserve.fill(budget, entries.max(1), now_ms);
-        }
-        let earned = budget.ratio * RATIO_FRACTION_USED * self.first_attempts.total as f64;
-        let granted_before = self.earned_retries.total;
-        let saved = self.reserve.saved;
-        let is_earned = granted_before as f64 + 1.0 <= earned;
-        if is_earned {
-            self.earned_retries.add(slice);
-        }
-        let is_granted = is_earned || self.reserve.try_take();
-        Decision { is_granted, granted_before, earned, saved, entries }
+        budget.ratio * EARNED_SAVED_FRACTION * self.first_attempts.total as f64
     }
 }
 
--- a/ragwortdeal_core/tests/dispatch_retry_budget.rs
+++ b/ragwortdeal_core/tests/dispatch_retry_budget.rs
@@ -25,10 +25,31 @@
     All { every_ms: u64 },
 }
 
+/// When requests want a repeat.
+#[derive(Clone, Copy, Debug)]
+enum Failures {
+    Always,
+    /// From `calm_ms` on in each turn of `turn_ms`.
+    InTurns {
+        calm_ms: u64,
+        turn_ms: u64,
+    },
+}
+
+impl Failures {
+    fn fails(self, now_ms: u64) -> bool {
+        match self {
+            Self::Always => true,
+            Self::InTurns { calm_ms, turn_ms } => now_ms % turn_ms >= calm_ms,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Play {
     entries: usize,
     starts: Starts,
+    failures: Failures,
     /// Chance in a thousand that an entry gets a request in a step.
     requests_per_mille: u32,
 }
@@ -59,7 +80,7 @@
 }
 
 impl Service {
-    /// Plays entries of which each request wants a repeat at once.
+    /// Plays entries of which each request that fails wants a repeat at once.
     fn play(play: Play, budget: &Budget, seed: u64) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let mut service = Self::default();
@@ -72,7 +93,7 @@
                 }
                 if random.random_range(0..1_000) < play.requests_per_mille {
                     let late_ms = random.random_range(0..=UNDER_WAY_MS);
-                    service.request(process, play.entries, budget, now_ms, late_ms);
+                    service.request(process, &play, budget, now_ms, late_ms);
                 }
             }
         }
@@ -83,7 +104,7 @@
     fn request(
         &mut self,
         process: &mut Process,
-        entries: usize,
+        play: &Play,
         budget: &Budget,
         now_ms: u64,
         late_ms: u64,
@@ -91,7 +112,9 @@
         let process_ms = now_ms - process.start_ms;
         self.requests_ms.push(now_ms);
         process.usage.record_first_attempt(budget, process_ms);
-        if process.usage.try_retry(budget, Some(entries), process_ms).is_granted {
+        let wants_repeat = play.failures.fails(now_ms);
+        let entries = Some(play.entries);
+        if wants_repeat && process.usage.try_retry(budget, entries, process_ms).is_granted {
             self.repeats_ms.push(now_ms + late_ms);
         }
     }
@@ -117,13 +140,17 @@
 }
 
 macro_rules! the_budget_holds {
-    ($($case:ident: $entries:expr, $starts:expr, $requests_per_mille:expr, $allowance:expr;)*) => {$(
+    ($($case:ident: $entries:expr, $starts:expr, $failures:expr, $requests_per_mille:expr,
+       $allowance:expr;)*) => {$(
         /// Guards against repeats beyond the budget of all entries in any window.
         #[googletest::test]
         fn $case() {
             let budget = Budget { ratio: 0.2, allowance: $allowance, window_ms: 10_000 };
             let play = Play {
-                entries: $entries, starts: $starts, requests_per_mille: $requests_per_mille,
+                entries: $entries,
+                starts: $starts,
+                failures: $failures,
+                requests_per_mille: $requests_per_mille,
             };
             for seed in 0..SEEDS {
                 let service = Service::play(play, &budget, seed);
@@ -136,17 +163,23 @@
 }
 
 the_budget_holds! {
-    one_entry_that_never_starts_again: 1, Starts::Never, 150, 100.0;
-    one_entry_in_short_lives: 1, Starts::Each { longest_ms: 3_000 }, 150, 100.0;
-    one_entry_in_lives_of_a_window: 1, Starts::Each { longest_ms: 20_000 }, 150, 100.0;
-    few_entries_that_never_start_again: 4, Starts::Never, 100, 106.0;
-    few_entries_in_short_lives: 4, Starts::Each { longest_ms: 3_000 }, 100, 106.0;
-    few_entries_in_lives_of_a_window: 4, Starts::Each { longest_ms: 20_000 }, 100, 106.0;
-    few_entries_killed_together_often: 4, Starts::All { every_ms: 2_500 }, 100, 106.0;
-    few_entries_killed_together_once_a_window: 4, Starts::All { every_ms: 9_900 }, 100, 106.0;
-    few_entries_under_load: 4, Starts::All { every_ms: 2_500 }, 400, 106.0;
-    many_entries_in_short_lives: 39, Starts::Each { longest_ms: 3_000 }, 30, 454.0;
-    many_entries_killed_together_often: 39, Starts::All { every_ms: 2_500 }, 30, 454.0;
-    hundreds_of_entries_in_short_lives: 180, Starts::Each { longest_ms: 3_000 }, 20, 2_000.0;
-    hundreds_of_entries_killed_together_often: 180, Starts::All { every_ms: 2_500 }, 20, 2_000.0;
+    one_entry_that_never_starts_again: 1, Starts::Never, Failures::Always, 150, 100.0;
+    one_entry_in_short_lives: 1, Starts::Each { longest_ms: 3_000 }, Failures::Always, 150, 100.0;
+    one_entry_in_lives_of_a_window: 1, Starts::Each { longest_ms: 20_000 }, Failures::Always, 150, 100.0;
+    few_entries_that_never_start_again: 4, Starts::Never, Failures::Always, 100, 106.0;
+    few_entries_in_short_lives: 4, Starts::Each { longest_ms: 3_000 }, Failures::Always, 100, 106.0;
+    few_entries_in_lives_of_a_window: 4, Starts::Each { longest_ms: 20_000 }, Failures::Always, 100, 106.0;
+    few_entries_killed_together_often: 4, Starts::All { every_ms: 2_500 }, Failures::Always, 100, 106.0;
+    few_entries_killed_together_once_a_window: 4, Starts::All { every_ms: 9_900 }, Failures::Always, 100, 106.0;
+    few_entries_under_load: 4, Starts::All { every_ms: 2_500 }, Failures::Always, 400, 106.0;
+    many_entries_in_short_lives: 39, Starts::Each { longest_ms: 3_000 }, Failures::Always, 30, 454.0;
+    many_entries_killed_together_often: 39, Starts::All { every_ms: 2_500 }, Failures::Always, 30, 454.0;
+    entries_killed_once_failures_have_begun: 4, Starts::All { every_ms: 11_000 },
+        Failures::InTurns { calm_ms: 10_000, turn_ms: 11_000 }, 300, 106.0;
+    entries_killed_amid_failures: 13, Starts::All { every_ms: 3_300 },
+        Failures::InTurns { calm_ms: 9_000, turn_ms: 21_000 }, 500, 212.0;
+    entries_killed_one_by_one_amid_failures: 13, Starts::Each { longest_ms: 15_000 },
+        Failures::InTurns { calm_ms: 9_000, turn_ms: 21_000 }, 500, 212.0;
+    hundreds_of_entries_in_short_lives: 180, Starts::Each { longest_ms: 3_000 }, Failures::Always, 20, 2_000.0;
+    hundreds_of_entries_killed_together_often: 180, Starts::All { every_ms: 2_500 }, Failures::Always, 20, 2_000.0;
 }
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -230,8 +230,7 @@
         let decision = self.upstreams().try_retry(service, &self.budget, now_ms);
         log::info!(
             request = request.id(), service = &**service, granted = decision.is_granted,
-            granted_before = decision.granted_before, earned = decision.earned,
-            saved = decision.saved, entries = decision.entries.unwrap_or_default() as u64,
+            saved = decision.saved, saved_max = decision.saved_max, entries = decision.entries.unwrap_or_default() as u64,
             running_ms = now_ms;
             "entry: asked the budget of repeats"
         );
