--- a/ragwortdeal_soak/src/checks/budget.rs
+++ b/ragwortdeal_soak/src/checks/budget.rs
@@ -5,9 +5,9 @@
 use crate::history::{Arrived, History, Sent};
 
 /// Repeats that a window may hold for each request of a service.
-pub const RATIO: f64 = 0.05;
+pub const RATIO: f64 = 0.02;
 /// Repeats that a window may hold beside these.
-pub const ALLOWANCE: f64 = 30.0;
+pub const ALLOWANCE: f64 = 9.0;
 /// Length of a window in milliseconds.
 pub const WINDOW_MS: u64 = 10_000;
 
--- a/ragwortdeal_soak/tests/checks.rs
+++ b/ragwortdeal_soak/tests/checks.rs
@@ -275,9 +275,9 @@
             }
         })
     };
-    // 30 and a twentieth of 80 reads and transfers.
-    expect_that!(repeats(34), is_empty());
-    expect_that!(repeats(35), eq(&promise(14)));
+    // Nine, and one in fifty of 80 reads and transfers.
+    expect_that!(repeats(10), is_empty());
+    expect_that!(repeats(11), eq(&promise(14)));
 }
 
 #[googletest::test]
