Start an entry's budget of repeats with one repeat

A process starts with one repeat now where a quarter of its part covers it; half of the part flows in over a window as before, and a quarter in place of a half may be saved, so that p/4 starts of each entry within a window are covered.

--- a/ragwortdeal_core/src/dispatch/retry_budget.rs
+++ b/ragwortdeal_core/src/dispatch/retry_budget.rs
@@ -5,8 +5,8 @@
 //! equal part of the fixed allowance.
 //!
 //! What an entry has used is known to its process alone. Its part is therefore a token bucket that
-//! starts empty and fills with time and first attempts: a start can only lose what was saved, and any
-//! number of them within a window is granted no more than one process.
+//! starts with one retry and fills with time and first attempts: a start can only lose what was saved,
+//! and several of them within a window are granted no more than the part.
 //! `docs/design/retry-budget.md` has the arithmetic.
 
 use std::collections;
@@ -29,8 +29,15 @@
 /// rest for first attempts at the end of a window whose retries arrive in the next one.
 const EARNED_SAVED_FRACTION: f64 = 0.25;
 
-/// Fraction of an entry's part of the allowance that may be saved. The rest flows in over a window.
-const SAVED_FRACTION: f64 = 0.5;
+/// Fraction of an entry's part of the allowance that flows in over a window.
+const INFLOW_FRACTION: f64 = 0.5;
+
+/// Fraction of an entry's part of the allowance that may be saved. The rest is left for starts.
+const SAVED_FRACTION: f64 = 0.25;
+
+/// Retries of a process that has just started, so that its first failure is no failure of a caller.
+/// Granted only where a quarter of the part covers it.
+const SAVED_AT_START: f64 = 1.0;
 
 /// Least that may be saved of it, because less than one retry cannot be sent.
 const SAVED_MIN: f64 = 1.0;
@@ -46,6 +53,7 @@
     first_attempts: SlidingCount,
     saved: f64,
     filled_at_ms: u64,
+    has_begun: bool,
 }
 
 /// What decided on a retry, for the log.
@@ -65,6 +73,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Part {
     saved_max: f64,
+    saved_at_start: f64,
     inflow_per_ms: f64,
 }
 
@@ -72,8 +81,11 @@
     fn new(budget: &Budget, entries: usize) -> Self {
         let part = budget.allowance / entries.max(1) as f64;
         let saved_max = (part * SAVED_FRACTION).max(SAVED_MIN).min(part);
+        let is_covered = part * (1.0 - INFLOW_FRACTION - SAVED_FRACTION) >= SAVED_AT_START;
+        let saved_at_start = if is_covered { SAVED_AT_START } else { 0.0 };
+        let inflow = (part * INFLOW_FRACTION).min(part - saved_max);
         let inflow_ms = budget.window_ms + budget.window_ms / SLICES;
-        Self { saved_max, inflow_per_ms: (part - saved_max) / inflow_ms as f64 }
+        Self { saved_max, saved_at_start, inflow_per_ms: inflow / inflow_ms as f64 }
     }
 }
 
@@ -115,6 +127,9 @@
     pub fn try_retry(&mut self, budget: &Budget, entries: Option<usize>, now_ms: u64) -> Decision {
         let part = entries.map(|entries| Part::new(budget, entries)).unwrap_or_default();
         let saved_max = part.saved_max + self.earned_saved_max(budget, now_ms);
+        if entries.is_some() && !std::mem::replace(&mut self.has_begun, true) {
+            self.saved += part.saved_at_start;
+        }
         let elapsed_ms = now_ms.saturating_sub(self.filled_at_ms);
         let saved = (self.saved + part.inflow_per_ms * elapsed_ms as f64).min(saved_max);
         self.filled_at_ms = now_ms;
