Read priorities, regions, cold starts, paces and evacuations at the border

No decision uses any of it yet; calls for an evacuation are refused. An announcement whose upstream only cools down is no change, so that voters tell nobody. Result: decode, document and directory tests pass.

--- a/ragwortdeal_core/src/directory.rs
+++ b/ragwortdeal_core/src/directory.rs
@@ -102,6 +102,10 @@
     /// Layers of these models that it holds, or `None` if it does not report them.
     #[serde(default)]
     pub layers: Option<Layers>,
+    /// How much longer it is cold, in milliseconds, 0 if it is warm. Absent in announcements of
+    /// earlier versions of this program.
+    #[serde(default)]
+    pub cold_remaining_ms: u64,
 }
 
 impl Announcement {
@@ -117,8 +121,15 @@
             slots: 0,
             models: Vec::new(),
             layers: None,
+            cold_remaining_ms: 0,
         }
     }
+
+    /// Whether this tells nothing new of how long the upstream is cold: time passes by itself.
+    fn cools_on_as(&self, earlier: &Self) -> bool {
+        let (left_ms, earlier_ms) = (self.cold_remaining_ms, earlier.cold_remaining_ms);
+        left_ms <= earlier_ms && (left_ms == 0) == (earlier_ms == 0)
+    }
 }
 
 /// A known upstream.
@@ -182,6 +193,9 @@
         let mut previous = std::mem::replace(&mut known.announcement, announcement);
         known.last_heard_ms = now_ms;
         previous.order = known.announcement.order;
+        if known.announcement.cools_on_as(&previous) {
+            previous.cold_remaining_ms = known.announcement.cold_remaining_ms;
+        }
         if previous == known.announcement && same_incarnation {
             Effect::Refreshed
         } else {
--- a/ragwortdeal_core/src/document.rs
+++ b/ragwortdeal_core/src/document.rs
@@ -73,6 +73,8 @@
     pub public: bool,
     /// Whether requests carry the parts of a prompt, for session affinity.
     pub affinity: bool,
+    /// Regions in which its requests may be served. Empty: everywhere.
+    pub allowed_regions: Vec<Text>,
 }
 
 /// A service that a route leads to.
@@ -95,6 +97,17 @@
     pub engine: Option<Engine>,
     /// Set where the service is an origin of weights.
     pub origin: Option<Origin>,
+    /// Set where upstreams take few requests for some time after a start.
+    pub cold_start: Option<ColdStart>,
+}
+
+/// How upstreams that have just started are to be spared.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// How long an upstream is cold after its start, in milliseconds.
+    pub cold_ms: u64,
+    /// Requests a second that a cold upstream takes from all entries together.
+    pub requests_per_s: f64,
 }
 
 /// Origin of weights.
@@ -155,8 +168,10 @@
     pub name: Text,
     /// Secrets that its callers present.
     pub keys: Vec<Text>,
-    /// Priority that overrides a route's.
+    /// Priority, which goes before that of a route; 0 is the highest.
     pub priority: Option<u8>,
+    /// Regions in which its requests may be served. Empty: everywhere.
+    pub allowed_regions: Vec<Text>,
 }
 
 /// Limits on requests and connections.
--- a/ragwortdeal_core/tests/directory.rs
+++ b/ragwortdeal_core/tests/directory.rs
@@ -14,6 +14,7 @@
         slots: 16,
         models: Vec::new(),
         layers: None,
+        cold_remaining_ms: 0,
     }
 }
 
--- a/ragwortdeal_core/tests/document.rs
+++ b/ragwortdeal_core/tests/document.rs
@@ -28,9 +28,14 @@
         attempts_max: 2,
         public: false,
         affinity: false,
+        allowed_regions: Vec::new(),
     }
 }
 
+fn account(name: &str, keys: Vec<sync::Arc<str>>) -> Account {
+    Account { name: name.into(), keys, priority: None, allowed_regions: Vec::new() }
+}
+
 fn document(version: u64) -> Document {
     Document {
         version,
@@ -40,8 +45,9 @@
             connections_max: 8,
             engine: None,
             origin: None,
+            cold_start: None,
         }],
-        accounts: vec![Account { name: "one".into(), keys: vec!["key-1".into()], priority: None }],
+        accounts: vec![account("one", vec!["key-1".into()])],
         limits: Limits::default(),
     }
 }
@@ -78,7 +84,7 @@
         => Invalid::DuplicateService { .. },
     one_key_for_two_accounts: |document| {
         let keys = document.accounts[0].keys.clone();
-        document.accounts.push(Account { name: "two".into(), keys, priority: None });
+        document.accounts.push(account("two", keys));
     } => Invalid::SharedKey { .. },
 }
 
--- a/ragwortdeal_node/src/fleet/dialect.rs
+++ b/ragwortdeal_node/src/fleet/dialect.rs
@@ -51,6 +51,8 @@
     pub tokens: header::HeaderName,
     /// Parts of a request's prompt.
     pub prompt_parts: header::HeaderName,
+    /// Milliseconds for which an upstream stays cold, in answers to health checks.
+    pub cold_remaining: header::HeaderName,
     /// The upstream that answered.
     pub instance: header::HeaderName,
 }
@@ -74,6 +76,16 @@
     Read,
     /// Names new weights.
     NameWeights,
+    /// Sends nothing more to the upstreams of an availability zone.
+    StartEvacuation {
+        /// Its name.
+        zone: String,
+    },
+    /// Ends the evacuation of an availability zone.
+    EndEvacuation {
+        /// Its name.
+        zone: String,
+    },
 }
 
 /// Load that an upstream reports.
@@ -85,6 +97,8 @@
     pub waiting: u32,
     /// Requests that can run at the same time.
     pub slots: u32,
+    /// How long work takes at this moment in percent of the usual time, if it tells.
+    pub pace_percent: Option<u32>,
 }
 
 /// Size of a request in tokens.
@@ -131,6 +145,8 @@
     pub running: u32,
     /// Waiting requests.
     pub waiting: u32,
+    /// How long work takes at this moment, as a multiple of the usual time, if it tells.
+    pub pace: Option<f64>,
 }
 
 /// Hashes of the chunks of a version.
--- a/ragwortdeal_node/src/settings/fleet.rs
+++ b/ragwortdeal_node/src/settings/fleet.rs
@@ -110,6 +110,12 @@
     pub budget_allowance: f64,
     /// Milliseconds between two announcements of an upstream.
     pub heartbeat_ms: u64,
+    /// A cold upstream gets at most so many times its rate, beside `cold_slack`, in any second.
+    pub cold_overrun: f64,
+    /// Requests that a cold upstream may get beside its rate in any second.
+    pub cold_slack: f64,
+    /// Milliseconds within which an evacuation is in force everywhere.
+    pub evacuation_ms: u64,
 }
 
 impl Default for Bounds {
@@ -123,6 +129,9 @@
             budget_window_s: 10.0,
             budget_allowance: 100.0,
             heartbeat_ms: 1_200,
+            cold_overrun: 1.5,
+            cold_slack: 5.0,
+            evacuation_ms: 5_000,
         }
     }
 }
--- a/ragwortdeal_node/src/voter/fleet/control.rs
+++ b/ragwortdeal_node/src/voter/fleet/control.rs
@@ -61,7 +61,9 @@
             dialect::ControlCall::Announce { .. } | dialect::ControlCall::Leave { .. } => None,
             dialect::ControlCall::Install
             | dialect::ControlCall::Read
-            | dialect::ControlCall::NameWeights => {
+            | dialect::ControlCall::NameWeights
+            | dialect::ControlCall::StartEvacuation { .. }
+            | dialect::ControlCall::EndEvacuation { .. } => {
                 let leader = self.published.redirect.borrow().clone()?;
                 let path = uri.path_and_query().map_or("/", |path| path.as_str());
                 Some(format!("http://{leader}:{}{path}", self.published.port))
@@ -94,6 +96,8 @@
         dialect::ControlCall::Install => "voter.documents",
         dialect::ControlCall::Read => "voter.reads",
         dialect::ControlCall::NameWeights => "voter.weights",
+        dialect::ControlCall::StartEvacuation { .. }
+        | dialect::ControlCall::EndEvacuation { .. } => "voter.evacuations",
     };
     control.telemetry.count(counted, 1);
     let response = match call {
@@ -102,6 +106,10 @@
         dialect::ControlCall::Install => control.install(&body).await,
         dialect::ControlCall::Read => control.read().await,
         dialect::ControlCall::NameWeights => control.name_weights(&body).await,
+        dialect::ControlCall::StartEvacuation { zone }
+        | dialect::ControlCall::EndEvacuation { zone } => {
+            text(404, &format!("zone {zone} cannot be evacuated yet\n"))
+        }
     };
     if !response.status().is_success() {
         control.telemetry.count("voter.refusals", 1);
