Keep requests in the regions that routes and accounts allow

Change: an upstream is selected only with a permit for its region, which dispatch::residency alone makes; where route and account both name regions, both bind. Requests for which no allowed region has an upstream are refused at once. Nothing changes where no regions are named.

--- a/ragwortdeal_core/src/dispatch.rs
+++ b/ragwortdeal_core/src/dispatch.rs
@@ -16,6 +16,7 @@
 pub mod probe;
 pub mod prompt;
 pub mod ramp_up;
+pub mod residency;
 pub mod retry_budget;
 pub mod retry_detection;
 pub mod silence;
--- a/ragwortdeal_core/src/document/table.rs
+++ b/ragwortdeal_core/src/document/table.rs
@@ -24,6 +24,16 @@
     Unknown,
 }
 
+impl<'t> Caller<'t> {
+    /// The account on whose behalf the request is sent, if there is one.
+    pub fn account(&self) -> Option<&'t Account> {
+        match self {
+            Self::Account(account) => Some(account),
+            Self::Anonymous | Self::Unknown => None,
+        }
+    }
+}
+
 impl Table {
     /// Builds the indices.
     pub fn new(document: sync::Arc<Document>) -> Self {
--- a/ragwortdeal_node/src/fleet/entry.rs
+++ b/ragwortdeal_node/src/fleet/entry.rs
@@ -125,7 +125,7 @@
         let upstreams = upstreams::Upstreams::new(
             settings.fleet.address,
             settings.process.availability_zone.as_str().into(),
-            settings.fleet.regions.len(),
+            regions(&settings.fleet),
             bounds.weights_ms,
             rand::rng().random(),
         );
@@ -158,6 +158,13 @@
     }
 }
 
+/// Region of each availability zone.
+fn regions(fleet: &settings::fleet::Fleet) -> upstreams::Regions {
+    let region =
+        |(zone, region): (&String, &String)| (zone.as_str().into(), region.as_str().into());
+    fleet.regions.iter().map(region).collect()
+}
+
 /// Runs an entry until it is told to stop, then lets the requests in progress end.
 pub async fn run(
     settings: settings::fleet::Settings,
--- a/ragwortdeal_node/src/fleet/entry/request.rs
+++ b/ragwortdeal_node/src/fleet/entry/request.rs
@@ -5,7 +5,7 @@
 use hyper::header;
 use ragwortdeal_core::{
     directory,
-    dispatch::{forecast, gate, prompt, retry_detection},
+    dispatch::{forecast, gate, prompt, residency, retry_detection},
     document,
     document::table,
 };
@@ -64,6 +64,8 @@
     pub(super) deadline: time::Instant,
     /// Number of the last event that the caller has.
     pub(super) last_event: Option<u64>,
+    /// Regions in which it may be served.
+    pub(super) residency: residency::Residency,
     /// Parts of its prompt that other requests may hold too.
     pub(super) parts: Vec<prompt::Part>,
 }
@@ -198,6 +200,7 @@
                 headers.insert(names.account.clone(), value);
             }
         }
+        let residency = residency::Residency::new(route, caller.account());
         let service = document::table::pick_target(route, self.random_u64()).cloned();
         let service = service.ok_or(Refusal::new(503, "the route leads nowhere"))?;
         let engine = table.engine(&service);
@@ -232,6 +235,7 @@
             started,
             deadline,
             last_event,
+            residency,
             parts,
         };
         let body = http::read(request.body, body_max_bytes, waits_ms.min(BODY_MS)).await;
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -196,6 +196,7 @@
         let criteria = selection::Criteria {
             service: &request.service,
             models: request.models.as_deref(),
+            residency: &request.residency,
             work: request.work(progress.sent > 0),
             tried: &progress.tried,
             repeatable,
@@ -204,6 +205,10 @@
         let selected = self.choose(&criteria).map_err(|unavailable| match unavailable {
             _ if progress.may_have_run => failed("no other upstream takes it"),
             selection::Unavailable::NoneEligible => self.refuse_outage("no upstream takes work"),
+            selection::Unavailable::OutsideAllowedRegions => {
+                self.telemetry.count("entry.refused_outside_regions", 1);
+                self.refuse_outage("no upstream in the regions where it may be served")
+            }
             selection::Unavailable::AllFull => {
                 self.refuse_retryable(request, "all upstreams are full")
             }
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -20,13 +20,16 @@
 use super::{health, pool};
 use crate::fleet::notice;
 
+/// Region of each availability zone.
+pub(super) type Regions = collections::HashMap<directory::Text, directory::Text>;
+
 /// All upstreams.
 pub(super) struct Upstreams {
     /// Address of this entry.
     address: net::Ipv4Addr,
     zone: directory::Text,
-    /// Number of availability zones in the deployment.
-    zones: usize,
+    /// All availability zones of the deployment.
+    regions: Regions,
     weights_ms: u64,
     directory: directory::Directory,
     health: collections::HashMap<directory::Text, health::Health>,
@@ -55,14 +58,14 @@
     pub(super) fn new(
         address: net::Ipv4Addr,
         zone: directory::Text,
-        zones: usize,
+        regions: Regions,
         weights_ms: u64,
         seed: u64,
     ) -> Self {
         Self {
             address,
             zone,
-            zones,
+            regions,
             weights_ms,
             directory: directory::Directory::default(),
             health: collections::HashMap::new(),
@@ -307,7 +310,7 @@
     /// The other entries, assumed to be evenly spread over all zones.
     fn peer_entries(&self) -> backlog::PeerEntries {
         let entries = f64::from(self.entry_count());
-        let near = (entries / self.zones.max(1) as f64 - 1.0).max(0.0);
+        let near = (entries / self.regions.len().max(1) as f64 - 1.0).max(0.0);
         backlog::PeerEntries { same_zone: near, all: entries - 1.0 }
     }
 
--- a/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
@@ -4,7 +4,7 @@
 
 use ragwortdeal_core::{
     directory,
-    dispatch::{choice, gate},
+    dispatch::{choice, gate, residency},
 };
 
 use super::{
@@ -36,6 +36,8 @@
     pieces: u32,
     /// Whether the answer has shown that the upstream bears the parts of the prompt.
     pub(in super::super) proved: bool,
+    /// Shows that the request may be sent to the upstream's region.
+    _permit: residency::Permit,
     activity: sync::Arc<health::Activity>,
     /// Whether the request is taken back from the upstream if it falls silent.
     leaves_silent: bool,
@@ -113,6 +115,8 @@
 pub(in super::super) enum Unavailable {
     /// No upstream accepts work.
     NoneEligible,
+    /// No upstream that accepts work is in a region where the request may be served.
+    OutsideAllowedRegions,
     /// All upstreams that accept work are full.
     AllFull,
     /// All upstreams that accept work have asked for less of it than there is.
@@ -129,6 +133,8 @@
     pub(in super::super) service: &'w directory::Text,
     /// Models of the service, if it is a service of engines.
     pub(in super::super) models: Option<&'w [directory::Text]>,
+    /// Regions in which the request may be served.
+    pub(in super::super) residency: &'w residency::Residency,
     /// The work for an engine, if it is a service of engines.
     pub(in super::super) work: Option<gate::Work>,
     /// Upstreams that were tried before.
@@ -146,6 +152,7 @@
     /// When its weights were superseded.
     superseded_at_ms: Option<i64>,
     candidate: choice::Candidate,
+    permit: residency::Permit,
 }
 
 impl Upstreams {
@@ -158,9 +165,18 @@
                 && !self.is_leaving(&announcement.instance)
         };
         let upstreams = self.directory.all().map(|upstream| &upstream.announcement);
-        let upstreams = upstreams.filter(|announcement| takes_work(announcement));
-        let fit = upstreams
-            .filter_map(|announcement| self.check_eligible(announcement, criteria, now_ms));
+        let upstreams: Vec<_> = upstreams.filter(|it| takes_work(it)).collect();
+        let permitted = upstreams.iter().filter_map(|announcement| {
+            let region = || self.regions.get(&announcement.zone).map(|region| &**region);
+            Some((announcement, criteria.residency.permit(region)?))
+        });
+        let permitted: Vec<_> = permitted.collect();
+        if permitted.is_empty() && !upstreams.is_empty() {
+            return Err(Unavailable::OutsideAllowedRegions);
+        }
+        let fit = permitted.into_iter().filter_map(|(announcement, permit)| {
+            self.check_eligible(announcement, permit, criteria, now_ms)
+        });
         let (open, held_back): (Vec<_>, Vec<_>) =
             fit.partition(|upstream| self.may_send(&upstream.peer.instance, now_ms));
         let takes_work_in_ms = held_back
@@ -178,6 +194,7 @@
     fn check_eligible(
         &self,
         announcement: &directory::Announcement,
+        permit: residency::Permit,
         criteria: &Criteria<'_>,
         now_ms: u64,
     ) -> Option<Eligible> {
@@ -199,7 +216,7 @@
             .is_some_and(|work| self.is_ramping_up(announcement, &work.latency_model, now_ms));
         let peer =
             pool::Peer { instance: announcement.instance.clone(), address: announcement.address };
-        Some(Eligible { peer, version, superseded_at_ms, candidate })
+        Some(Eligible { peer, version, superseded_at_ms, candidate, permit })
     }
 
     /// Index of the best upstream, and the forecast of its first event if it is an engine.
@@ -240,7 +257,8 @@
         let mut upstreams = self.upstreams();
         let mut eligible = upstreams.eligible(criteria, now_ms)?;
         let (index, forecast_ms) = upstreams.best_of(&eligible, criteria, now_ms, draw)?;
-        let Eligible { peer, version, superseded_at_ms, candidate } = eligible.swap_remove(index);
+        let Eligible { peer, version, superseded_at_ms, candidate, permit } =
+            eligible.swap_remove(index);
         let reading_ms = criteria.work.map_or(0.0, |work| work.prefill_ms);
         let activity = upstreams.open_request(&peer.instance, reading_ms);
         upstreams.record_sent(&peer.instance, now_ms);
@@ -256,6 +274,7 @@
             first_event_at_ms: None,
             pieces: 0,
             proved: false,
+            _permit: permit,
             activity,
             leaves_silent: criteria.repeatable
                 && (criteria.models.is_some() || !criteria.last_attempt),
