Give up superseded weights that cannot be served in time

An earlier version went on at peers and, for its last quarter, at the origin until a third one replaced it, although entries send nothing to it once its bound has passed. After an origin's return it shared all links with the newest, and an engine was away for 1.2 s for weights that it could serve for a fraction of that.

Its requests now end once it could not be whole, loaded and in use for as long as the engine is away for it before it is withdrawn; whole ones are not loaded any more by the same rule. Chunks at hand are served on.

--- a/ragwortdeal_core/src/orders/switch_schedule.rs
+++ b/ragwortdeal_core/src/orders/switch_schedule.rs
@@ -29,6 +29,12 @@
 /// named.
 const WITHDRAW_NARROW_MARGIN_MS: u64 = 2_500;
 
+/// Time for which an engine that serves is away when it switches: its requests end, then it loads.
+const SWITCH_MS: u64 = 1_200;
+
+/// The same of an engine that serves nothing and only loads.
+const LOAD_MS: u64 = 300;
+
 /// Times that determine when an engine should switch, on one clock of the caller.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct VersionTimes {
@@ -68,6 +74,20 @@
         let within_ms = bound_ms.saturating_sub(margin_ms) as i64;
         self.superseded_ms.is_some_and(|since_ms| now_ms >= since_ms + within_ms)
     }
+
+    /// Whether the weights whose times these are can still be served for as long as the engine is
+    /// away for them, if all chunks are at hand at `ready_ms`. `serves` tells whether the engine
+    /// serves other weights until then.
+    pub fn is_worth_loading(
+        &self,
+        serves: bool,
+        narrow: bool,
+        bound_ms: u64,
+        ready_ms: i64,
+    ) -> bool {
+        let away_ms = if serves { SWITCH_MS } else { LOAD_MS } as i64;
+        !self.must_withdraw(narrow, bound_ms, ready_ms + 2 * away_ms)
+    }
 }
 
 /// An engine that switches.
--- a/ragwortdeal_core/src/spread/download.rs
+++ b/ragwortdeal_core/src/spread/download.rs
@@ -36,6 +36,8 @@
     origin_retry_at_ms: u64,
     origin_failures: u32,
     complete_reported: bool,
+    /// Whether this version is of no use any more and requests nothing.
+    abandoned: bool,
 }
 
 impl Download {
@@ -69,6 +71,7 @@
             origin_retry_at_ms: 0,
             origin_failures: 0,
             complete_reported: false,
+            abandoned: false,
             manifest,
             limits,
             held,
@@ -155,6 +158,23 @@
         }
     }
 
+    /// Ends all requests of this version for good, because it could not be used in time. The chunks
+    /// at hand are served on to peers that can still use them.
+    pub fn abandon(&mut self) -> Vec<event::Action> {
+        self.abandoned = true;
+        self.cancel_requests()
+    }
+
+    /// Whether all its requests were ended for good.
+    pub fn is_abandoned(&self) -> bool {
+        self.abandoned
+    }
+
+    /// Number of chunks that are missing here.
+    pub fn missing(&self) -> usize {
+        self.held.capacity() - self.held.len()
+    }
+
     /// Cancels all transfers of this version.
     pub fn cancel(mut self) -> Vec<event::Action> {
         self.cancel_transfers()
@@ -298,13 +318,18 @@
         }
     }
 
-    fn cancel_transfers(&mut self) -> Vec<event::Action> {
+    fn cancel_requests(&mut self) -> Vec<event::Action> {
         let mut actions = Vec::new();
         let open: Vec<_> = self.requests.iter().map(|(chunk, r)| (chunk, r.sender)).collect();
         for (chunk, sender) in open {
-            self.requests.close_any(chunk);
+            self.close_any(chunk);
             actions.push(event::Action::Cancel { source: self.source(sender), chunk });
         }
+        actions
+    }
+
+    fn cancel_transfers(&mut self) -> Vec<event::Action> {
+        let mut actions = self.cancel_requests();
         let uploads = self.uploads.drain();
         actions.extend(
             uploads.into_iter().map(|(to, chunk)| event::Action::AbortUpload { to, chunk }),
--- a/ragwortdeal_core/src/spread/download/responses.rs
+++ b/ragwortdeal_core/src/spread/download/responses.rs
@@ -220,7 +220,7 @@
         Some(request)
     }
 
-    fn close_any(&mut self, chunk: u32) -> Option<requests::Request> {
+    pub(super) fn close_any(&mut self, chunk: u32) -> Option<requests::Request> {
         let request = self.requests.close_any(chunk)?;
         self.release(&request);
         Some(request)
--- a/ragwortdeal_core/src/spread/download/selection.rs
+++ b/ragwortdeal_core/src/spread/download/selection.rs
@@ -86,7 +86,7 @@
 impl Download {
     /// Opens requests up to the limits.
     pub(super) fn open_new_requests(&mut self, now_ms: u64, actions: &mut Vec<event::Action>) {
-        if self.held.is_full() {
+        if self.held.is_full() || self.abandoned {
             return;
         }
         self.refresh_assignments();
--- a/ragwortdeal_core/tests/orders_switch_schedule.rs
+++ b/ragwortdeal_core/tests/orders_switch_schedule.rs
@@ -124,3 +124,19 @@
     expect_that!((at(true, 6_499), at(true, 6_500)), eq((false, true)));
     expect_that!(VersionTimes::default().must_withdraw(true, 8_000, 1_000_000), eq(false));
 }
+
+/// Guards against engines that are away for longer than they then serve, and against giving up
+/// weights that nothing newer replaces.
+#[googletest::test]
+fn superseded_weights_are_loaded_only_if_they_serve_longer_than_the_engine_is_away() {
+    const BOUND_MS: u64 = 8_000;
+    let since = VersionTimes { superseded_ms: Some(0), ..Default::default() };
+    let end_ms = (BOUND_MS - switch_schedule::WITHDRAW_MARGIN_MS) as f64;
+    let last_ms = (end_ms - 2.0 * UNAVAILABLE_MS) as i64;
+    let worth = |serves, at_ms| since.is_worth_loading(serves, false, BOUND_MS, at_ms);
+    expect_that!((worth(true, last_ms - 1), worth(true, last_ms)), eq((true, false)));
+    // An engine that serves nothing has nothing to lose.
+    expect_that!((worth(false, last_ms), worth(false, end_ms as i64)), eq((true, false)));
+    let newest = VersionTimes::default();
+    expect_that!(newest.is_worth_loading(true, false, BOUND_MS, i64::MAX / 2), eq(true));
+}
--- a/ragwortdeal_core/tests/spread_download.rs
+++ b/ragwortdeal_core/tests/spread_download.rs
@@ -125,6 +125,22 @@
     expect_that!(resumed.held().is_empty(), eq(true));
 }
 
+/// Guards against a superseded version whose requests hold up the newest on every link.
+#[googletest::test]
+fn an_abandoned_version_requests_nothing_and_serves_on() {
+    let bytes = content(1, 8);
+    let mut download = download_of(&bytes, &["a", "b"]);
+    download.handle(1, holds("a", &download.clone(), &[0, 1, 2, 3, 4]));
+    let arrived = event::Event::Arrived { source: source("a"), chunk: verified(&bytes, 0) };
+    download.handle(2, arrived);
+    let open = download.open_requests();
+    expect_that!(cancelled(&download.abandon()), all!(gt(0), eq(open)));
+    let actions = download.handle(3, holds("b", &download.clone(), &[5, 6, 7]));
+    expect_that!(requested(&actions), is_empty());
+    let answer = download.serve(4, &instance("b"), download.version(), 0);
+    expect_that!(answer, eq(event::Answer::Send));
+}
+
 /// A peer answers after its deadline, when the chunk was requested again elsewhere.
 #[googletest::test]
 fn a_late_chunk_is_accepted_and_the_second_request_cancelled() {
--- a/ragwortdeal_node/src/fleet/agent.rs
+++ b/ragwortdeal_node/src/fleet/agent.rs
@@ -11,6 +11,7 @@
 mod probe_responder;
 mod reconciler;
 mod spread;
+mod superseded;
 
 use std::{
     collections, net as std_net,
--- a/ragwortdeal_node/src/fleet/agent/reconciler.rs
+++ b/ragwortdeal_node/src/fleet/agent/reconciler.rs
@@ -187,7 +187,7 @@
         let complete =
             self.spread.complete(weights).or_else(|| self.spread.complete_below(weights));
         let complete = complete.filter(|complete| complete.weights.version > serving)?;
-        if self.must_withdraw(weights, complete.weights.version) {
+        if !self.is_worth_loading(&complete.weights, serving > 0, now_ms) {
             return None;
         }
         let since = {
--- a/ragwortdeal_node/src/fleet/agent/spread.rs
+++ b/ragwortdeal_node/src/fleet/agent/spread.rs
@@ -308,6 +308,7 @@
         newest: bool,
     ) {
         let now_ms = self.clock.now_ms();
+        self.abandon_if_useless(transfer);
         let nearly_out = transfer.download.origin_needs_at_most(EARLIER_ORIGIN_SHARE_MAX, now_ms);
         transfer.download.set_origin_allowed(newest || nearly_out, now_ms);
         let mut events = Vec::new();
@@ -341,6 +342,19 @@
         events.into_iter().for_each(|event| self.handle_transfer_event(transfer, event));
     }
 
+    /// Ends the requests of a version that cannot be complete here in time to be served.
+    fn abandon_if_useless(self: &sync::Arc<Self>, transfer: &mut Transfer) {
+        let chunk_ms = self.chunk_times(&transfer.manifest_file.manifest).machine_ms;
+        let missing = transfer.download.missing();
+        let can_be_used = self.can_be_used(&transfer.weights, missing as f64 * chunk_ms);
+        if can_be_used || missing == 0 || transfer.download.is_abandoned() {
+            return;
+        }
+        log::info!("agent: gave up {:?}, missing={missing} chunks", transfer.weights);
+        let actions = transfer.download.abandon();
+        actions.into_iter().for_each(|action| self.perform(transfer, action));
+    }
+
     /// Changes of which links are narrow. If more than half are, none are reported: no agent is
     /// better placed then, and some have to bring the chunks in.
     fn link_changes(
