Keep three small chunks under way on a link

Agents were bound by their exchange: two chunks of 34.5 ms under way leave an upload slot idle for the time of a message and a turn, one of two slots is kept for other zones, and uploads use four fifths of the link.

The chunks under way now keep a link busy for 90 ms, three of 32 KiB at 7.6 Mbit/s as before of 24 KiB at 7.3; two of 48 KiB at 9.4 Mbit/s stay two. The model of links has the share of uploads and a delay of messages.

--- a/ragwortdeal_core/src/spread/limits.rs
+++ b/ragwortdeal_core/src/spread/limits.rs
@@ -72,8 +72,9 @@
 }
 
 /// Time for which chunks under way may keep a machine's link busy, in milliseconds. Callers'
-/// requests share the link and wait behind them, while a first event may take some hundred.
-const LINK_BUSY_MS: f64 = 84.0;
+/// requests share the link and wait behind them, while a first event may take some hundred. With
+/// less, links are idle between a chunk and the request for the next one.
+const LINK_BUSY_MS: f64 = 90.0;
 
 /// Fewest chunks under way: with one the link would be idle between two chunks.
 const WINDOW_MIN: f64 = 2.0;
@@ -222,6 +223,7 @@
     fn as_many_chunks_are_under_way_as_keep_a_link_busy_for_the_same_time() {
         let window = |machine_ms| ChunkTimes { origin_ms: 27.0, machine_ms }.window();
         expect_that!(window(42.0), eq(2));
+        expect_that!(window(34.5), eq(3));
         expect_that!(window(27.0), eq(3));
         expect_that!((window(0.0), window(400.0), window(1.0)), eq((2, 2, 6)));
     }
--- a/ragwortdeal_core/tests/spread/model.rs
+++ b/ragwortdeal_core/tests/spread/model.rs
@@ -402,7 +402,8 @@
 
     fn latency_ms(&self, a: usize, b: usize) -> f64 {
         let same = self.machines[a].region == self.machines[b].region;
-        if same { LATENCY_MS as f64 } else { REGION_LATENCY_MS as f64 }
+        let latency_ms = if same { LATENCY_MS } else { REGION_LATENCY_MS };
+        latency_ms as f64 + self.setup.delay_ms
     }
 
     fn peer_request(&mut self, sender: usize, from: usize, incarnation: u32, chunk: u32) {
@@ -445,7 +446,7 @@
 
     fn send(&mut self, sender: usize, to: usize, incarnation: u32, chunk: u32) {
         self.outcome.peer_chunks += 1;
-        let takes_ms = self.setup.chunk_ms as f64;
+        let takes_ms = self.setup.chunk_ms as f64 / self.setup.upload_share;
         let sent_ms = self.machines[sender].up.pass(self.now_ms, takes_ms);
         let receiver = self.machines[to].location.instance.clone();
         self.schedule(sent_ms, sender, SimEvent::UploadEnded { to: receiver, chunk });
--- a/ragwortdeal_core/tests/spread/setup.rs
+++ b/ragwortdeal_core/tests/spread/setup.rs
@@ -52,6 +52,10 @@
     pub chunks: u32,
     /// Time of one chunk on a machine's link.
     pub chunk_ms: u64,
+    /// Share of a machine's link that its uploads may use.
+    pub upload_share: f64,
+    /// Time that a message takes beyond that on the link.
+    pub delay_ms: f64,
     pub limits: limits::Limits,
     pub faults: Faults,
     pub seed: u64,
@@ -70,6 +74,8 @@
             regions: 1,
             chunks,
             chunk_ms: 60,
+            upload_share: 1.0,
+            delay_ms: 0.0,
             limits: limits::Limits::default(),
             faults: Faults::default(),
             seed: 4,
--- a/ragwortdeal_core/tests/spread_origin_returns.rs
+++ b/ragwortdeal_core/tests/spread_origin_returns.rs
@@ -56,3 +56,53 @@
     /// Guards against a version that lacks its last chunks for longer than the origin was away.
     an_origin_that_is_lost_before_the_last_chunks_sends_them_at_once: from 2_400;
 }
+
+/// Chunks of 32 KiB over links of 7.6 Mbit/s, of which uploads may use four fifths, with the delays
+/// of processes that are busy with calls.
+fn busy_links(instances: usize, origin_ms: f64, seed: u64) -> model::Setup {
+    let mut setup = small_chunks(seed);
+    (setup.instances, setup.chunks, setup.chunk_ms) = (instances, 64, 34);
+    (setup.upload_share, setup.delay_ms) = (0.8, 5.0);
+    let times = limits::ChunkTimes { origin_ms, machine_ms: 34.5 };
+    let limits = limits::Limits::for_bursts(&times, 60);
+    setup.limits = limits::Limits { region_copies: 6.6, ..limits };
+    setup
+}
+
+/// A copy over the slower of the origin's link and an instance's uploads, and the doublings of the
+/// first chunk.
+fn floor_ms(setup: &model::Setup) -> f64 {
+    let upload_ms = setup.chunk_ms as f64 / setup.upload_share;
+    let doublings = (setup.instances as f64).log2().ceil() + 1.0;
+    f64::from(setup.chunks) * setup.origin_chunk_ms().max(upload_ms) + doublings * upload_ms
+}
+
+macro_rules! busy_links {
+    ($($(#[$doc:meta])* $case:ident: $instances:expr, origin $origin_ms:expr,
+        manifests within $within_ms:expr, lost $lost:expr, back at $back_ms:expr;)*) => {$(
+        $(#[$doc])*
+        #[googletest::test]
+        fn $case() {
+            for seed in 1..=3 {
+                let mut setup = busy_links($instances, $origin_ms, seed);
+                setup.start_within_ms = Some($within_ms);
+                setup.faults.origin_lost_ms = $lost;
+                let outcome = model::run(setup.clone());
+                let time_ms = outcome.time_ms(&[]).expect("an instance never got the version");
+                let by_ms = ($back_ms + setup.limits.settle_ms) as f64 + 1.3 * floor_ms(&setup);
+                expect_that!(time_ms as f64, le(by_ms), "seed {seed}");
+                expect_that!(origin_copies(&setup, &outcome), le(1.5), "seed {seed}");
+            }
+        }
+    )*};
+}
+
+busy_links! {
+    /// Guards against uploads that are idle between two chunks: an upload slot waits for the next
+    /// request for as long as a message and a turn of the receiver take.
+    a_version_whose_manifest_comes_with_the_origin_is_soon_everywhere:
+        58, origin 26.5, manifests within 300, lost None, back at 300;
+    /// Guards against the same where the first chunks left the origin before it was lost.
+    a_version_named_before_the_loss_is_soon_everywhere_after_it:
+        98, origin 44.1, manifests within 150, lost Some((500, 6_500)), back at 6_500;
+}
