Offer manifests to others once a failed origin has sent them

An agent that fetches first and got the manifest after a failure now sends an announcement without chunks to its zone and to those that fetch first in other zones, which forward it. An agent that waits for a manifest takes it as an offer and asks that peer at once, also in place of a connect to the origin that is still to time out. Without a failure of the origin nothing changes.

The effect on copies was not measured.

--- a/ragwortdeal_node/src/fleet/agent.rs
+++ b/ragwortdeal_node/src/fleet/agent.rs
@@ -6,6 +6,7 @@
 mod early_holdings;
 mod engine;
 mod fetch;
+mod manifest_offers;
 mod manifests;
 mod peers;
 mod probe_responder;
