--- a/ragwortdeal_node/src/fleet/agent.rs
+++ b/ragwortdeal_node/src/fleet/agent.rs
@@ -6,11 +6,13 @@
 mod early_holdings;
 mod engine;
 mod fetch;
+mod manifest_offers;
 mod manifests;
 mod peers;
 mod probe_responder;
 mod reconciler;
 mod spread;
+mod superseded;
 
 use std::{
     collections, net as std_net,
--- a/ragwortdeal_node/src/fleet/agent/reconciler.rs
+++ b/ragwortdeal_node/src/fleet/agent/reconciler.rs
@@ -169,9 +169,17 @@
             return;
         };
         let from_origin = self.spread.suspects_manifest();
+        let origin_failed = self.origin_failed();
         if let Some(file) = self.fetch_manifest(&weights, from_origin).await {
-            let staged = self.staged_chunks(&weights, &file.manifest).await;
-            self.begin_fetch(serving, weights, file, staged);
+            let kept = match self.spread.shared_chunks(&file.manifest) {
+                Some(shared) => shared,
+                None => self.staged_chunks(&weights, &file.manifest).await,
+            };
+            let version = file.manifest.version();
+            self.begin_fetch(serving, weights.clone(), file, kept);
+            if origin_failed {
+                self.offer_manifest(&weights, version);
+            }
         }
     }
 
@@ -187,7 +195,7 @@
         let complete =
             self.spread.complete(weights).or_else(|| self.spread.complete_below(weights));
         let complete = complete.filter(|complete| complete.weights.version > serving)?;
-        if self.must_withdraw(weights, complete.weights.version) {
+        if !self.is_worth_loading(&complete.weights, serving > 0, now_ms) {
             return None;
         }
         let since = {
--- a/ragwortdeal_node/src/fleet/agent/spread.rs
+++ b/ragwortdeal_node/src/fleet/agent/spread.rs
@@ -9,7 +9,7 @@
 };
 use tokio::{sync::Notify, task};
 
-use super::{Agent, early_holdings, fetch, manifests};
+use super::{Agent, early_holdings, fetch, manifest_offers, manifests};
 use crate::fleet::notice;
 
 /// How often deadlines, announcements and the list of agents are checked.
@@ -36,6 +36,7 @@
     congestion: sync::Mutex<congestion::CongestionControl>,
     early_holdings: sync::Mutex<early_holdings::EarlyHoldings>,
     outbox: sync::Mutex<outbox::Outbox>,
+    manifest_offers: manifest_offers::ManifestOffers,
 }
 
 /// A version with all its chunks.
@@ -64,6 +65,11 @@
 }
 
 impl Transfer {
+    fn chunks_by_digest(&self) -> impl Iterator<Item = (digest::Digest, &Bytes)> {
+        let chunks = self.manifest_file.manifest.chunks();
+        self.bytes.iter().filter_map(|(&chunk, bytes)| Some((*chunks.get(chunk as usize)?, bytes)))
+    }
+
     fn complete(&self) -> Option<CompleteVersion> {
         self.download.is_complete().then(|| CompleteVersion {
             weights: self.weights.clone(),
@@ -94,6 +100,7 @@
             congestion: sync::Mutex::new(congestion),
             early_holdings: sync::Mutex::default(),
             outbox: sync::Mutex::default(),
+            manifest_offers: manifest_offers::ManifestOffers::default(),
         }
     }
 
@@ -102,6 +109,11 @@
         self.early_holdings.lock().expect("no panic under lock")
     }
 
+    /// Offers of manifests by peers.
+    pub(super) fn manifest_offers(&self) -> &manifest_offers::ManifestOffers {
+        &self.manifest_offers
+    }
+
     /// Announcements that wait to be sent to peers.
     pub(super) fn outbox(&self) -> sync::MutexGuard<'_, outbox::Outbox> {
         self.outbox.lock().expect("no panic under lock")
@@ -147,6 +159,27 @@
         Some(transfer.manifest_file.manifest.chunks().len().saturating_sub(transfer.bytes.len()))
     }
 
+    /// Chunks of a version that others at hand have too, or none if there are no others. What this
+    /// agent has staged it still holds in memory, which is sooner read than the engine's staging
+    /// area.
+    pub(super) fn shared_chunks(
+        &self,
+        manifest: &manifest::Manifest,
+    ) -> Option<Vec<(manifest::VerifiedChunk, Bytes)>> {
+        let transfers = self.transfers();
+        if transfers.is_empty() {
+            return None;
+        }
+        let by_digest: collections::BTreeMap<_, _> =
+            transfers.iter().flat_map(Transfer::chunks_by_digest).collect();
+        let shared = |(chunk, digest): (usize, &digest::Digest)| {
+            let bytes: &Bytes = by_digest.get(digest)?;
+            let proof = manifest.verify_chunk(chunk as u32, bytes).ok()?;
+            Some((proof, bytes.clone()))
+        };
+        Some(manifest.chunks().iter().enumerate().filter_map(shared).collect())
+    }
+
     /// Highest version that is complete, 0 if there is none.
     pub(super) fn complete_version(&self) -> u64 {
         let transfers = self.transfers();
@@ -308,6 +341,7 @@
         newest: bool,
     ) {
         let now_ms = self.clock.now_ms();
+        self.abandon_if_useless(transfer);
         let nearly_out = transfer.download.origin_needs_at_most(EARLIER_ORIGIN_SHARE_MAX, now_ms);
         transfer.download.set_origin_allowed(newest || nearly_out, now_ms);
         let mut events = Vec::new();
@@ -341,6 +375,19 @@
         events.into_iter().for_each(|event| self.handle_transfer_event(transfer, event));
     }
 
+    /// Ends the requests of a version that cannot be complete here in time to be served.
+    fn abandon_if_useless(self: &sync::Arc<Self>, transfer: &mut Transfer) {
+        let chunk_ms = self.chunk_times(&transfer.manifest_file.manifest).machine_ms;
+        let missing = transfer.download.missing();
+        let can_be_used = self.can_be_used(&transfer.weights, missing as f64 * chunk_ms);
+        if can_be_used || missing == 0 || transfer.download.is_abandoned() {
+            return;
+        }
+        log::info!("agent: gave up {:?}, missing={missing} chunks", transfer.weights);
+        let actions = transfer.download.abandon();
+        actions.into_iter().for_each(|action| self.perform(transfer, action));
+    }
+
     /// Changes of which links are narrow. If more than half are, none are reported: no agent is
     /// better placed then, and some have to bring the chunks in.
     fn link_changes(
