Limit cold upstreams in the core as one more reason for a rate

Cause: an upstream that has just started takes few requests from all entries together, and more than that ends it. Change: a share of a rate by rank is a module of its own, used by named rates and by cold upstreams. An entry that no voter has listed holds no share, and one that begins to hold a share waits for one interval. Seat is named Place.

--- a/ragwortdeal_core/src/dispatch/entry_roster.rs
+++ b/ragwortdeal_core/src/dispatch/entry_roster.rs
@@ -5,7 +5,7 @@
 
 use std::{collections, net};
 
-use super::flow_control::rate_limit;
+use super::flow_control::share;
 use crate::{digest, directory, spread::owners};
 
 /// Time after which an entry that no voter lists is forgotten. One that is cut off from the voters
@@ -73,18 +73,18 @@
 
     /// The place of an entry among those that use an upstream. Entries of the upstream's own zone
     /// come first, because they are the ones that send most to it.
-    pub fn seat(&self, own: net::Ipv4Addr, instance: &str, zone: &str) -> rate_limit::Seat {
+    pub fn place(&self, own: net::Ipv4Addr, instance: &str, zone: &str) -> share::Place {
         let upstream = owners::key_of(digest::Digest::of(instance.as_bytes()).as_bytes());
         let order = |address: net::Ipv4Addr, entry_zone: &str| {
             let score = owners::mix(upstream ^ owners::mix(u64::from(address.to_bits())));
             (entry_zone != zone, score, address)
         };
         let Some(member) = self.members.get(&own) else {
-            return rate_limit::Seat { rank: 0, entries: None };
+            return share::Place { rank: 0, entries: None };
         };
         let own_place = order(own, &member.zone);
         let places = self.members.iter().map(|(address, it)| order(*address, &it.zone));
-        rate_limit::Seat {
+        share::Place {
             rank: places.filter(|place| *place < own_place).count() as u32,
             entries: Some(self.members.len() as u32),
         }
--- a/ragwortdeal_core/src/dispatch/flow_control.rs
+++ b/ragwortdeal_core/src/dispatch/flow_control.rs
@@ -1,7 +1,10 @@
-//! What an upstream asks of the entries that use it, as its answers tell.
+//! What an upstream asks of the entries that use it, as its answers and announcements tell.
 
+pub mod cold;
+pub mod cold_changes;
 pub mod pause;
 pub mod rate_limit;
+pub mod share;
 
 /// What the head of one answer asks.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -44,6 +47,18 @@
     PauseEnded,
     /// It leaves.
     Leaving,
+    /// It counts as cold.
+    ColdBegan {
+        /// For how long in milliseconds, as far as it is known.
+        remaining_ms: u64,
+        /// Why.
+        reason: cold::Reason,
+    },
+    /// It no longer counts as cold.
+    ColdEnded {
+        /// Why it counted as cold.
+        reason: cold::Reason,
+    },
 }
 
 /// What one upstream asks of this entry.
@@ -51,19 +66,23 @@
 pub struct FlowControl {
     limit: Option<rate_limit::RateLimit>,
     pause: Option<pause::Pause>,
+    cold: Option<cold::Cold>,
     leaving: bool,
 }
 
 impl FlowControl {
-    /// Records an answer. Returns the changes by it. `seat` is this entry's place among those that
-    /// use the upstream.
+    /// Records an answer. Returns the changes by it. `place` is this entry's among those that use
+    /// the upstream.
     pub fn record_answer(
         &mut self,
         answer: &Answer,
-        seat: rate_limit::Seat,
+        place: share::Place,
         now_ms: u64,
     ) -> Vec<Change> {
-        let limit = self.record_limit(answer, seat, now_ms);
+        if let Some(cold) = &mut self.cold {
+            cold.record_reached(answer.sent_at_ms, now_ms);
+        }
+        let limit = self.record_limit(answer, place, now_ms);
         let pause = self.record_pause(answer, now_ms);
         let leaving = self.record_leaving(answer);
         limit.into_iter().chain(pause).chain(leaving).collect()
@@ -78,7 +97,7 @@
     fn record_limit(
         &mut self,
         answer: &Answer,
-        seat: rate_limit::Seat,
+        place: share::Place,
         now_ms: u64,
     ) -> Option<Change> {
         match (&mut self.limit, answer.signals.limit_per_s) {
@@ -88,7 +107,7 @@
                 changed.then_some(Change::LimitNamed { per_s })
             }
             (None, Some(per_s)) => {
-                self.limit = Some(rate_limit::RateLimit::new(per_s, seat, now_ms));
+                self.limit = Some(rate_limit::RateLimit::new(per_s, place, now_ms));
                 Some(Change::LimitNamed { per_s })
             }
             // An answer whose request was sent before the rate was named may have been made
@@ -121,9 +140,12 @@
     }
 
     /// Takes another place among the entries that use the upstream.
-    pub fn set_seat(&mut self, seat: rate_limit::Seat) {
+    pub fn set_place(&mut self, place: share::Place, now_ms: u64) {
         if let Some(limit) = &mut self.limit {
-            limit.set_seat(seat);
+            limit.set_place(place, now_ms);
+        }
+        if let Some(cold) = &mut self.cold {
+            cold.set_place(place, now_ms);
         }
     }
 
@@ -135,6 +157,9 @@
         if let Some(pause) = &mut self.pause {
             pause.record_sent(now_ms);
         }
+        if let Some(cold) = &mut self.cold {
+            cold.record_sent(now_ms);
+        }
     }
 
     /// Whether the upstream said that it leaves. It does so until it restarts, whatever later answers
@@ -147,14 +172,16 @@
     pub fn may_send(&self, now_ms: u64) -> bool {
         let limited = self.limit.is_some_and(|limit| now_ms < limit.next_send_ms());
         let paused = self.pause.is_some_and(|pause| now_ms < pause.next_send_ms());
-        !limited && !paused
+        let cold = self.cold_at(now_ms).is_some_and(|cold| now_ms < cold.next_send_ms());
+        !limited && !paused && !cold
     }
 
     /// Milliseconds until the upstream takes a request, as far as it is known: from any entry where
-    /// it names a rate, from this one where it asked for a pause.
+    /// it names a rate or is cold, from this one where it asked for a pause.
     pub fn takes_work_in_ms(&self, now_ms: u64) -> u64 {
         let limited_ms = self.limit.map_or(0, |limit| limit.takes_work_in_ms(now_ms));
-        limited_ms.max(self.pause_left_ms(now_ms))
+        let cold_ms = self.cold_at(now_ms).map_or(0, |cold| cold.takes_work_in_ms(now_ms));
+        limited_ms.max(cold_ms).max(self.pause_left_ms(now_ms))
     }
 
     /// Milliseconds until the end of a pause that the upstream asked for, 0 where there is none.
@@ -166,4 +193,12 @@
     pub fn limit_per_s(&self) -> Option<f64> {
         self.limit.map(|limit| limit.per_s())
     }
+
+    /// Takes the rate that another entry was told of, unless this one knows a rate. Returns whether
+    /// it is news.
+    pub fn record_rate_of_others(&mut self, per_s: f64, place: share::Place, now_ms: u64) -> bool {
+        let is_news = self.limit.is_none();
+        self.limit.get_or_insert_with(|| rate_limit::RateLimit::new(per_s, place, now_ms));
+        is_news
+    }
 }
--- a/ragwortdeal_core/tests/dispatch_entry_roster.rs
+++ b/ragwortdeal_core/tests/dispatch_entry_roster.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use ragwortdeal_core::dispatch::{
     entry_roster::{EntryInfo, EntryRoster},
-    flow_control::rate_limit::Seat,
+    flow_control::share::Place,
 };
 
 const VOTER: net::Ipv4Addr = net::Ipv4Addr::new(10, 0, 0, 1);
@@ -33,7 +33,7 @@
 }
 
 fn ranks(roster: &EntryRoster, instance: &str, zone: &str) -> Vec<u32> {
-    (0..ENTRIES).map(|number| roster.seat(address(number), instance, zone).rank).collect()
+    (0..ENTRIES).map(|number| roster.place(address(number), instance, zone).rank).collect()
 }
 
 /// Guards against two entries that take the same share.
@@ -97,8 +97,8 @@
                     roster.record_all(OTHER_VOTER, others, LONG_MS);
                 }
             }
-            let seat = roster.seat(address(1), "engine-1", "zone-1");
-            expect_that!(seat.entries, some(eq($entries)));
+            let place = roster.place(address(1), "engine-1", "zone-1");
+            expect_that!(place.entries, some(eq($entries)));
         }
     )*};
 }
@@ -115,6 +115,6 @@
 /// Guards against an entry that takes all of a rate before it is listed.
 #[googletest::test]
 fn an_entry_that_is_not_listed_knows_no_number_of_entries() {
-    let seat = roster().seat(address(ENTRIES), "engine-1", "zone-1");
-    expect_that!(seat, eq(Seat { rank: 0, entries: None }));
+    let place = roster().place(address(ENTRIES), "engine-1", "zone-1");
+    expect_that!(place, eq(Place { rank: 0, entries: None }));
 }
--- a/ragwortdeal_core/tests/dispatch_flow_control.rs
+++ b/ragwortdeal_core/tests/dispatch_flow_control.rs
@@ -2,10 +2,10 @@
 
 use googletest::prelude::*;
 use ragwortdeal_core::dispatch::flow_control::{
-    Answer, Change, FlowControl, Signals, rate_limit::Seat,
+    Answer, Change, FlowControl, Signals, share::Place,
 };
 
-const SEAT: Seat = Seat { rank: 0, entries: Some(1) };
+const PLACE: Place = Place { rank: 0, entries: Some(1) };
 
 fn answer(limit_per_s: Option<f64>, sent_at_ms: u64) -> Answer {
     let signals = Signals { limit_per_s, ..Signals::default() };
@@ -20,7 +20,7 @@
             let mut control = FlowControl::default();
             let mut changes = Vec::new();
             for (number, answer) in $answers.iter().enumerate() {
-                changes = control.record_answer(answer, SEAT, 1_000 + number as u64 * 100);
+                changes = control.record_answer(answer, PLACE, 1_000 + number as u64 * 100);
             }
             expect_that!(control.limit_per_s(), eq($held));
             expect_that!(changes, eq(&$changes));
@@ -63,7 +63,7 @@
             let mut changes = Vec::new();
             let answers: Vec<(u64, Answer)> = $answers;
             for (now_ms, answer) in &answers {
-                changes = control.record_answer(answer, SEAT, *now_ms);
+                changes = control.record_answer(answer, PLACE, *now_ms);
             }
             let now_ms = answers.last().map_or(0, |(now_ms, _)| *now_ms);
             expect_that!(control.pause_left_ms(now_ms), eq($left_ms));
@@ -109,11 +109,11 @@
 #[googletest::test]
 fn after_a_pause_one_request_at_a_time_is_sent_until_one_is_executed() {
     let mut control = FlowControl::default();
-    control.record_answer(&refusal(3_000, 900), SEAT, 1_000);
+    control.record_answer(&refusal(3_000, 900), PLACE, 1_000);
     expect_that!(sendable(&mut control, 1_000, 5_500), eq(&[4_000, 5_000]));
-    control.record_answer(&refusal(500, 5_000), SEAT, 5_500);
+    control.record_answer(&refusal(500, 5_000), PLACE, 5_500);
     expect_that!(sendable(&mut control, 5_500, 6_100), eq(&[6_000]));
-    control.record_answer(&answer(None, 6_000), SEAT, 6_100);
+    control.record_answer(&answer(None, 6_000), PLACE, 6_100);
     expect_that!(sendable(&mut control, 6_100, 6_400), eq(&[6_100, 6_200, 6_300]));
 }
 
@@ -123,11 +123,11 @@
     let mut control = FlowControl::default();
     let signals = Signals { limit_per_s: Some(0.5), pause_ms: Some(1_000), leaving: false };
     let both = Answer { signals, sent_at_ms: 900, executed: false };
-    control.record_answer(&both, SEAT, 1_000);
+    control.record_answer(&both, PLACE, 1_000);
     expect_that!(control.may_send(2_000), eq(false));
     let mut paused = FlowControl::default();
     let signals = Signals { limit_per_s: Some(10.0), pause_ms: Some(9_000), leaving: false };
-    paused.record_answer(&Answer { signals, ..both }, SEAT, 1_000);
+    paused.record_answer(&Answer { signals, ..both }, PLACE, 1_000);
     expect_that!(paused.may_send(9_900), eq(false));
     expect_that!(paused.takes_work_in_ms(1_000), eq(9_000));
 }
@@ -138,8 +138,8 @@
     let mut control = FlowControl::default();
     let signals = Signals { leaving: true, ..Signals::default() };
     let leaves = Answer { signals, sent_at_ms: 900, executed: false };
-    expect_that!(control.record_answer(&leaves, SEAT, 1_000), eq(&[Change::Leaving]));
-    expect_that!(control.record_answer(&leaves, SEAT, 1_100), is_empty());
-    control.record_answer(&answer(None, 1_200), SEAT, 1_300);
+    expect_that!(control.record_answer(&leaves, PLACE, 1_000), eq(&[Change::Leaving]));
+    expect_that!(control.record_answer(&leaves, PLACE, 1_100), is_empty());
+    control.record_answer(&answer(None, 1_200), PLACE, 1_300);
     expect_that!(control.is_leaving(), eq(true));
 }
--- a/ragwortdeal_core/tests/dispatch_rate_limit.rs
+++ b/ragwortdeal_core/tests/dispatch_rate_limit.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use ragwortdeal_core::dispatch::{
     entry_roster::{EntryInfo, EntryRoster},
-    flow_control::rate_limit::{RateLimit, Seat},
+    flow_control::{rate_limit::RateLimit, share::Place},
 };
 use rand::{RngExt as _, SeedableRng as _};
 
@@ -54,7 +54,7 @@
     EntryInfo { address, zone: format!("zone-{}", number % 3).into() }
 }
 
-fn seat(play: &Play, number: u32) -> Seat {
+fn place(play: &Play, number: u32) -> Place {
     let mut roster = EntryRoster::default();
     let listed = match play.view {
         View::OneAlone if number == 0 => vec![info(0)],
@@ -62,7 +62,7 @@
         _ => (0..play.entries).map(info).collect(),
     };
     roster.record_all(VOTER, listed, 0);
-    roster.seat(info(number).address, "engine-1", "zone-1")
+    roster.place(info(number).address, "engine-1", "zone-1")
 }
 
 /// Times at which requests arrive from entries that send whatever they may.
@@ -71,7 +71,7 @@
     let mut arrivals = Vec::new();
     for number in 0..play.entries {
         let told_ms = rng.random_range(0..2_000);
-        let mut limit = RateLimit::new(play.rates[0].1, seat(play, number), told_ms);
+        let mut limit = RateLimit::new(play.rates[0].1, place(play, number), told_ms);
         for now_ms in (told_ms..LASTS_MS).step_by(5) {
             let mut known = play.rates.iter().filter(|(from_ms, _)| from_ms + 200 <= now_ms);
             if let Some((_, per_s)) = known.next_back() {
@@ -147,7 +147,7 @@
     let entries = 6;
     for number in 0..entries {
         let play = Play { entries, rates: Vec::new(), view: View::Same, seed: 0 };
-        let limit = RateLimit::new(1.0, seat(&play, number), 0);
+        let limit = RateLimit::new(1.0, place(&play, number), 0);
         expect_that!(limit.next_send_ms(), le(LASTS_MS));
     }
 }
