Keep cold upstreams within their bound in entries, and tell rates to entries that start

Cause: an entry that starts knows neither its rank nor the rates that upstreams named, and nothing limited what an upstream gets that has just started. Change: entries count upstreams as cold by announcements, starts that are new to them, failed connects and cut paths. Where that is assumed, they ask voters for the next announcement. Entries report the rates that upstreams name, and voters tell them to entries that connect, before the document.

--- a/ragwortdeal_core/src/dispatch/flow_control/cold.rs
+++ b/ragwortdeal_core/src/dispatch/flow_control/cold.rs
@@ -62,6 +62,18 @@
     EvacuationEnded,
 }
 
+impl Reason {
+    /// The reason in log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Announced => "announced",
+            Self::Started => "started",
+            Self::Unreachable => "unreachable",
+            Self::EvacuationEnded => "evacuation ended",
+        }
+    }
+}
+
 /// A cold upstream, and this entry's share of its rate.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Cold {
--- a/ragwortdeal_node/src/fleet/entry.rs
+++ b/ragwortdeal_node/src/fleet/entry.rs
@@ -23,9 +23,9 @@
 use ragwortdeal_core::{dispatch::retry_budget, document::table};
 use rand::RngExt as _;
 use snafu::{ResultExt as _, Snafu};
-use tokio::net;
+use tokio::{net, sync::mpsc};
 
-use super::{dialect, metrics, voter_links};
+use super::{dialect, metrics, notice, voter_links};
 use crate::{clock, http, settings, stop, telemetry};
 
 /// How long a stopping entry goes on accepting connections after it reported that it is not ready:
@@ -43,6 +43,9 @@
 /// How often idle connections and upstreams that left are cleaned up.
 const SWEEP_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
+/// Queue length for changes of rates that are not reported yet.
+const QUEUED_RATES_MAX: usize = 1_024;
+
 /// How often upstreams are checked for progress. Events of a stream come several times as often,
 /// and a caller counts a pause of three such checks as late.
 const PROGRESS_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
@@ -105,6 +108,8 @@
     pool: pool::Pool,
     endings: endings::Endings,
     isolation: isolation::Isolation,
+    /// Changes of rates that upstreams name, for the voters.
+    rates_to_report: mpsc::Sender<notice::NamedRate>,
     telemetry: telemetry::Telemetry,
     stopping: atomic::AtomicBool,
 }
@@ -115,6 +120,7 @@
         dialect: dialect::DialectRef,
         telemetry: telemetry::Telemetry,
         isolation: isolation::Isolation,
+        rates_to_report: mpsc::Sender<notice::NamedRate>,
     ) -> Self {
         let bounds = &settings.bounds;
         let budget = retry_budget::Budget {
@@ -128,6 +134,7 @@
             settings.fleet.regions.len(),
             bounds.weights_ms,
             rand::rng().random(),
+            upstreams::cold::ColdStarts::new(bounds),
         );
         Self {
             dialect,
@@ -139,6 +146,7 @@
             pool: pool::Pool::default(),
             endings: endings::Endings::default(),
             isolation,
+            rates_to_report,
             telemetry,
             stopping: atomic::AtomicBool::new(false),
         }
@@ -171,12 +179,15 @@
     identity.name = ragwortdeal_core::name::InstanceName::new(&settings.fleet.address.to_string())?;
     let (telemetry, _) = metrics::start(settings.listen.metrics, stop.clone()).await;
     let (isolation, to_tell) = isolation::Isolation::new(settings.fleet.address);
-    let entry = sync::Arc::new(Entry::new(&settings, dialect, telemetry, isolation));
+    let (rates_to_report, rates) = mpsc::channel(QUEUED_RATES_MAX);
+    let entry = Entry::new(&settings, dialect, telemetry, isolation, rates_to_report);
+    let entry = sync::Arc::new(entry);
     let (voters, events) =
         voter_links::start(settings.clone(), identity, "entry", entry.held_version.clone(), seeds);
     tokio::spawn(voter_updates::apply(entry.clone(), voters.clone(), events));
     tokio::spawn(isolation::run(entry.clone(), voters.clone(), to_tell));
-    tokio::spawn(sweep(entry.clone()));
+    tokio::spawn(report_rates(voters.clone(), rates));
+    tokio::spawn(sweep(entry.clone(), voters.clone()));
     tokio::spawn(watch_progress(entry.clone()));
     tokio::spawn(probes::run(entry.clone(), settings.clone()));
     let (stopper, callers_stop) = stop::pair();
@@ -211,19 +222,32 @@
     }
 }
 
-async fn sweep(entry: sync::Arc<Entry>) {
+/// Reports changes of rates that upstreams name, as long as the process runs.
+async fn report_rates(voters: voter_links::Voters, mut rates: mpsc::Receiver<notice::NamedRate>) {
+    while let Some(rate) = rates.recv().await {
+        voters.broadcast(&notice::Notice::NamedRates(vec![rate]));
+    }
+}
+
+async fn sweep(entry: sync::Arc<Entry>, voters: voter_links::Voters) {
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let now_ms = entry.clock.now_ms();
         let mut upstreams = entry.upstreams();
         upstreams.forget_gone(now_ms);
+        upstreams.end_cold(now_ms);
         let counts = upstreams.flow_counts(now_ms);
+        let awaited = upstreams.awaited(now_ms);
         entry.pool.sweep(|peer| upstreams.is_routable(peer));
         drop(upstreams);
         entry.telemetry.gauge("entry.upstreams_limited", counts.limited);
         entry.telemetry.gauge("entry.upstreams_paused", counts.paused);
         entry.telemetry.gauge("entry.upstreams_leaving", counts.leaving);
+        entry.telemetry.gauge("entry.upstreams_cold", counts.cold);
         entry.telemetry.gauge("entry.parts_isolated", entry.isolation.isolated_count());
+        if !awaited.is_empty() {
+            voters.broadcast(&notice::Notice::AwaitedUpstreams(awaited));
+        }
     }
 }
 
--- a/ragwortdeal_node/src/fleet/entry/exchange.rs
+++ b/ragwortdeal_node/src/fleet/entry/exchange.rs
@@ -90,7 +90,11 @@
             Some(connection) => connection,
             None => match pool::connect(&selected.peer).await {
                 Ok(connection) => connection,
-                Err(error) => return Outcome::NotSent(error.to_string()),
+                Err(error) => {
+                    let now_ms = self.clock.now_ms();
+                    self.upstreams().record_unreachable(&selected.peer.instance, now_ms);
+                    return Outcome::NotSent(error.to_string());
+                }
             },
         };
         let outgoing = self.outgoing(request, selected, last_event);
--- a/ragwortdeal_node/src/fleet/entry/health.rs
+++ b/ragwortdeal_node/src/fleet/entry/health.rs
@@ -264,6 +264,11 @@
         self.probe.is_answered(now_ms)
     }
 
+    /// Whether nothing reaches the upstream at present: no probe is answered, and no request.
+    pub(super) fn is_cut(&self, now_ms: u64) -> bool {
+        self.probe.path_state(now_ms) == probe::PathState::Silent && self.is_blocked(now_ms)
+    }
+
     /// Whether a request would be delayed on the path. Events of earlier requests tell nothing
     /// about that: they go on while the link towards the engine is congested.
     fn is_blocked(&self, now_ms: u64) -> bool {
--- a/ragwortdeal_node/src/fleet/entry/signals.rs
+++ b/ragwortdeal_node/src/fleet/entry/signals.rs
@@ -1,7 +1,7 @@
 //! Reads what the answers of upstreams ask of this entry, and logs what changes by it.
 
 use hyper::{StatusCode, header, http::response};
-use ragwortdeal_core::dispatch::flow_control;
+use ragwortdeal_core::{directory, dispatch::flow_control};
 
 use super::{Entry, exchange, request::CallerRequest, upstreams::selection};
 
@@ -32,12 +32,30 @@
             sent_at_ms: selected.sent_at_ms,
             executed,
         };
+        if let Some(remaining_ms) = self.cold_remaining_ms(head) {
+            let now_ms = self.clock.now_ms();
+            self.upstreams().record_cold_answer(instance, remaining_ms, now_ms);
+        }
         let changes = self.upstreams().record_signals(instance, &answer, self.clock.now_ms());
+        self.report_rate(instance, &changes);
         for change in changes {
             self.log_change(request, instance, change);
         }
     }
 
+    /// Reports a rate to voters, for entries that start. Where voters are slower than the reports,
+    /// they learn of it when they come into reach again.
+    fn report_rate(&self, instance: &directory::Text, changes: &[flow_control::Change]) {
+        let of_rate = |change: &flow_control::Change| {
+            use flow_control::Change::{LimitEnded, LimitNamed};
+            matches!(change, LimitNamed { .. } | LimitEnded)
+        };
+        if changes.iter().any(of_rate) {
+            let rate = self.upstreams().named_rate(instance);
+            let _ = self.rates_to_report.try_send(rate);
+        }
+    }
+
     fn log_change(&self, request: &CallerRequest, instance: &str, change: flow_control::Change) {
         match change {
             flow_control::Change::LimitNamed { per_s } => {
@@ -73,9 +91,16 @@
                     "entry: an upstream takes work again after a pause"
                 );
             }
+            // Answers neither begin nor end it.
+            flow_control::Change::ColdBegan { .. } | flow_control::Change::ColdEnded { .. } => (),
         }
     }
 
+    fn cold_remaining_ms(&self, head: &response::Parts) -> Option<u64> {
+        let value = head.headers.get(&self.dialect.headers().cold_remaining)?;
+        value.to_str().ok()?.trim().parse().ok()
+    }
+
     /// Whether another upstream answered, as it does where an address is used again.
     pub(super) fn is_of_another(&self, head: &response::Parts, instance: &str) -> bool {
         let answered = head.headers.get(&self.dialect.headers().instance);
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -1,5 +1,6 @@
 //! State of all upstreams as this entry knows it: announcements, open requests, health.
 
+pub(super) mod cold;
 mod flow;
 mod probing;
 pub(super) mod selection;
@@ -32,6 +33,9 @@
     health: collections::HashMap<directory::Text, health::Health>,
     /// What the upstreams ask that asked for something.
     flow: collections::HashMap<directory::Text, flow_control::FlowControl>,
+    cold_starts: cold::ColdStarts,
+    /// Rates of upstreams that have not announced themselves to this entry yet.
+    rates_of_unknown: Vec<notice::NamedRate>,
     engine_statuses: collections::HashMap<net::SocketAddrV4, notice::EngineStatus>,
     /// When each engine began to accept requests.
     accepting_since_ms: collections::HashMap<net::SocketAddrV4, u64>,
@@ -58,6 +62,7 @@
         zones: usize,
         weights_ms: u64,
         seed: u64,
+        cold_starts: cold::ColdStarts,
     ) -> Self {
         Self {
             address,
@@ -67,6 +72,8 @@
             directory: directory::Directory::default(),
             health: collections::HashMap::new(),
             flow: collections::HashMap::new(),
+            cold_starts,
+            rates_of_unknown: Vec::new(),
             engine_statuses: collections::HashMap::new(),
             accepting_since_ms: collections::HashMap::new(),
             seed,
@@ -91,12 +98,18 @@
             (announcement.status, announcement.address, announcement.order.born_ms);
         let held_born_ms =
             self.directory.get(&instance).map(|upstream| upstream.announcement.order.born_ms);
-        if self.directory.apply_announcement(announcement, now_ms) == directory::Effect::Changed {
+        let effect = self.directory.apply_announcement(announcement, now_ms);
+        if effect == directory::Effect::Changed {
             log::info!("entry: upstream {instance} at {address} is {standing:?}");
         }
         if held_born_ms.is_some_and(|held_ms| held_ms < born_ms) {
             self.flow.remove(&instance);
-            self.health.entry(instance).and_modify(|health| *health = health.after_restart());
+            self.health
+                .entry(instance.clone())
+                .and_modify(|health| *health = health.after_restart());
+        }
+        if effect != directory::Effect::Stale {
+            self.record_announced(&instance, held_born_ms, now_ms);
         }
     }
 
@@ -313,12 +326,13 @@
 
     /// Takes the services' properties from a document, and forgets routes and services that it no
     /// longer names.
-    pub(super) fn retain(&mut self, document: &document::Document) {
+    pub(super) fn retain(&mut self, document: &document::Document, now_ms: u64) {
         let has_route = |name: &directory::Text| document.routes.iter().any(|it| it.name == *name);
         self.retry_detectors.retain(|name, _| has_route(name));
         self.gates.retain(|name, _| document.service(name).is_some());
         let layers = |it: &document::Service| Some((it.name.clone(), it.engine.as_ref()?.layers));
         self.layers = document.services.iter().filter_map(layers).collect();
+        self.set_cold_starts(document, now_ms);
     }
 
     /// Remaining time of a caller of a route that waits for so long.
--- a/ragwortdeal_node/src/fleet/entry/upstreams/probing.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/probing.rs
@@ -35,6 +35,7 @@
 
     /// Checks all upstreams for those that fell silent or recovered, once in `interval_ms`.
     pub(in super::super) fn check_progress(&mut self, interval_ms: u64, now_ms: u64) {
+        self.check_reach(now_ms);
         let answers = self.whole_answers(interval_ms);
         let active = self.health.values().filter(|health| health.was_active()).count();
         for (instance, health) in &mut self.health {
--- a/ragwortdeal_node/src/fleet/entry/voter_updates.rs
+++ b/ragwortdeal_node/src/fleet/entry/voter_updates.rs
@@ -22,6 +22,8 @@
                 let (named, leaving) = entry.upstreams().state_for_voter(now_ms);
                 voters.send_to(voter, &notice::Notice::Namings(named));
                 voters.send_to(voter, &notice::Notice::Upstreams(leaving));
+                let rates = entry.upstreams().named_rates();
+                voters.send_to(voter, &notice::Notice::NamedRates(rates));
                 let ended = entry.isolation.state_for_voter(now_ms);
                 ended.iter().for_each(|notice| voters.send_to(voter, notice));
                 continue;
@@ -36,10 +38,14 @@
             notice::Notice::Namings(named) => {
                 entry.upstreams().record_namings(voter, &named, now_ms);
             }
+            notice::Notice::NamedRates(rates) => {
+                entry.upstreams().record_named_rates(rates, now_ms);
+            }
             notice::Notice::Upstreams(announcements) => {
                 announcements.into_iter().for_each(|announcement| {
                     entry.upstreams().record_announcement(announcement, now_ms);
                 });
+                entry.upstreams().record_upstreams_listed(now_ms);
             }
             notice::Notice::UpstreamLeft { instance, age } => {
                 entry.upstreams().record_departure(&instance, age, now_ms);
@@ -63,7 +69,8 @@
             notice::Notice::Verdicts(told) => {
                 entry.isolation.merge(&voter.to_string(), told, now_ms);
             }
-            notice::Notice::EngineEnded(_)
+            notice::Notice::AwaitedUpstreams(_)
+            | notice::Notice::EngineEnded(_)
             | notice::Notice::PartsProved(_)
             | notice::Notice::Subscribe { .. }
             | notice::Notice::Voters(_)
@@ -94,7 +101,7 @@
                     document.accounts.len()
                 );
                 self.held_version.store(document.version, atomic::Ordering::Relaxed);
-                self.upstreams().retain(&document);
+                self.upstreams().retain(&document, self.clock.now_ms());
                 let table = table::Table::new(sync::Arc::new(document));
                 self.table.store(Some(sync::Arc::new(table)));
             }
--- a/ragwortdeal_node/src/fleet/notice.rs
+++ b/ragwortdeal_node/src/fleet/notice.rs
@@ -75,6 +75,13 @@
         /// Those that are no longer connected.
         left: Vec<net::Ipv4Addr>,
     },
+    /// Rates that upstreams name, or no longer name. An entry reports its changes to all voters, and
+    /// all rates that it knows to a voter that comes into reach. Voters send all to an entry that
+    /// connects.
+    NamedRates(Vec<NamedRate>),
+    /// Upstreams that an entry assumes to be cold. A voter passes on the next announcement of each,
+    /// also if it shows nothing new.
+    AwaitedUpstreams(Vec<directory::Text>),
     /// An entry tells of the end of an engine, with what ran there.
     EngineEnded(evidence::EndReport),
     /// Parts of prompts that ended engines are charged with. Entries tell when an engine bears one.
@@ -86,6 +93,17 @@
     Verdicts(Vec<verdicts::Verdict>),
 }
 
+/// A rate that an upstream named in an answer.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct NamedRate {
+    /// The upstream.
+    pub instance: directory::Text,
+    /// Its start in Unix milliseconds. A restart ends the rate.
+    pub born_ms: u64,
+    /// Requests a second that it takes from all entries together, none where it named none lately.
+    pub per_s: Option<f64>,
+}
+
 /// An agent, its location and its link.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct AgentInfo {
--- a/ragwortdeal_node/src/voter/fleet/hub.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -2,6 +2,7 @@
 
 mod entries;
 pub(super) mod isolation;
+mod rates;
 
 use std::{collections, net, sync, time};
 
@@ -50,6 +51,7 @@
     /// Engines whose status changed, which entries are not told of yet.
     changed_statuses: collections::BTreeSet<net::SocketAddrV4>,
     isolation: isolation::Isolation,
+    told: rates::Told,
 }
 
 /// What this voter knows first hand, and who wants to know it.
@@ -158,6 +160,8 @@
                 said.models
             );
             state.tell_of(said);
+        } else if effect == directory::Effect::Refreshed {
+            state.tell_awaited(said);
         }
         effect
     }
@@ -262,6 +266,10 @@
                     state.record_end(teller, &report, self.clock.now_ms());
                 }
             }
+            Some(notice::Notice::NamedRates(rates)) => state.record_named_rates(rates),
+            Some(notice::Notice::AwaitedUpstreams(instances)) => {
+                state.await_announcements(instances);
+            }
             Some(notice::Notice::PartsProved(parts)) => {
                 let now_ms = self.clock.now_ms();
                 let collector = &mut state.isolation.collector;
@@ -423,6 +431,7 @@
     /// Sends a follower all that it may lack.
     fn follow(&mut self, session: link::SessionId, version: u64, now_ms: u64) {
         let entries: Vec<_> = self.entries().collect();
+        let rates = self.named_rates();
         let Some(follower) = self.followers.get_mut(&session) else {
             return;
         };
@@ -432,6 +441,9 @@
             let verdicts = self.isolation.collector.verdicts().all().cloned().collect();
             follower.session.push(notice::encode(&notice::Notice::Verdicts(verdicts)));
         }
+        if follower.session.hello.role == "entry" {
+            follower.session.push(notice::encode(&notice::Notice::NamedRates(rates)));
+        }
         follower.send_documents(&self.documents);
         let push = |notice: &notice::Notice| _ = follower.session.push(notice::encode(notice));
         push(&notice::Notice::Namings(self.named.export(now_ms)));
