--- a/ragwortdeal_standins/src/fleet/engine.rs
+++ b/ragwortdeal_standins/src/fleet/engine.rs
@@ -120,6 +120,8 @@
     work: time::Duration,
     frozen: watch::Sender<bool>,
     asks: Asks,
+    /// How long it says that it stays cold.
+    cold: time::Duration,
     fatal: Option<Fatal>,
     /// When the engine ended.
     ended_at: Vec<time::Instant>,
@@ -181,6 +183,7 @@
             work: time::Duration::ZERO,
             frozen: watch::Sender::new(false),
             asks: Asks::default(),
+            cold: time::Duration::ZERO,
             fatal: None,
             ended_at: Vec::new(),
             down: time::Duration::ZERO,
@@ -229,6 +232,11 @@
         self.state().asks.leaving = leaving;
     }
 
+    /// Sets for how long it says in its announcements that it stays cold.
+    pub fn cool(&self, cold: time::Duration) {
+        self.state().cold = cold;
+    }
+
     /// Sets on what the engine ends, if on anything.
     pub fn end_on(&self, fatal: Option<Fatal>) {
         self.state().fatal = fatal;
@@ -323,13 +331,14 @@
     /// What the engine announces.
     pub fn announcement(&self, service: &str, zone: &str, standing: &str, number: u64) -> String {
         let version = self.version();
+        let cold_ms = self.state().cold.as_millis() as u64;
         let models = match version {
             0 => serde_json::json!([]),
             _ => serde_json::json!([{"name": "model-a", "version": version, "adapters": []}]),
         };
         serde_json::json!({
             "service": service, "address": self.address.to_string(), "zone": zone, "version": "v1",
-            "slots": 8, "state": standing, "cold-remaining-ms": 0, "stage": "combined",
+            "slots": 8, "state": standing, "cold-remaining-ms": cold_ms, "stage": "combined",
             "models": models, "sequence": number, "born": 999 + self.starts(),
             "layers": self.state().held_layers(),
         })
