Count the present pace of upstreams in forecasts and choices

Engines take two and a half times as long for some hundred milliseconds, and entries learned it only from late answers.

Agents pass the reported pace on in replies to load probes; plain services tell it in their answers. The work until a first event scales with the pace expected over that time, and the excess delay is what comes on top. Malformed figures are dropped and counted (entry.paces_malformed).

--- a/ragwortdeal_core/src/dispatch.rs
+++ b/ragwortdeal_core/src/dispatch.rs
@@ -11,6 +11,7 @@
 pub mod forecast;
 pub mod gate;
 pub mod isolation;
+pub mod pace;
 pub mod peer_load;
 pub mod pressure;
 pub mod probe;
--- a/ragwortdeal_core/src/dispatch/backlog.rs
+++ b/ragwortdeal_core/src/dispatch/backlog.rs
@@ -3,7 +3,7 @@
 //! Requests of this entry are counted. Those of other entries are estimated from the upstream's
 //! last load report. What neither covers shows up as first events that come later than forecast.
 
-use super::{choice, forecast, peer_load};
+use super::{choice, forecast, pace, peer_load};
 
 /// Assumed prefill time of a prompt of another entry, whose length is not reported: about 1,000
 /// tokens at 30 tokens per millisecond.
@@ -123,6 +123,7 @@
             failure_rate: 0.0,
             prefill_ms: self.prefill_ms,
             peer_prefill_ms: peers.unstarted * PEER_PREFILL_MS,
+            pace: pace::Expected::default(),
             excess_delay_ms: self.excess.current_ms(now_ms),
             start_within_ms: None,
             ramping_up: false,
--- a/ragwortdeal_core/src/dispatch/choice.rs
+++ b/ragwortdeal_core/src/dispatch/choice.rs
@@ -1,6 +1,6 @@
 //! Selection of the upstream that serves a request.
 
-use super::forecast;
+use super::{forecast, pace};
 
 /// An upstream that may serve a request, as one entry sees it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -20,6 +20,8 @@
     pub prefill_ms: f64,
     /// The same for the prompts of other entries, estimated.
     pub peer_prefill_ms: f64,
+    /// How much longer than usual its work takes now.
+    pub pace: pace::Expected,
     /// Recent mean delay of first events beyond their forecast, in milliseconds.
     pub excess_delay_ms: f64,
     /// Time within which the first event must come, in milliseconds, if the engine's weights are
@@ -145,5 +147,8 @@
 fn cost(candidate: &Candidate) -> f64 {
     let zone = if candidate.same_zone { 0.0 } else { SAME_ZONE_REQUESTS };
     let prefill = candidate.prefill_ms / PREFILL_MS_PER_REQUEST;
-    load(candidate) + zone + prefill + candidate.failure_rate * FAILING_REQUESTS
+    // The new request takes longer at a slow upstream as well, even if it is the only one there.
+    let pace = candidate.pace.now();
+    let load = load(candidate) * pace + (pace - 1.0);
+    load + zone + prefill + candidate.failure_rate * FAILING_REQUESTS
 }
--- a/ragwortdeal_core/src/dispatch/forecast.rs
+++ b/ragwortdeal_core/src/dispatch/forecast.rs
@@ -124,14 +124,17 @@
     }
 
     /// Time to the next event of the streams at an engine that reads all its queued prompts and
-    /// this one in between, in milliseconds.
+    /// this one in between, in milliseconds at its present pace.
     pub fn pause_ms(&self, engine: &Candidate, prefill_ms: f64) -> f64 {
         let chunks_ms = f64::from(self.steps_per_pass) * self.chunk_ms;
         let unread_ms = engine.prefill_ms + engine.peer_prefill_ms + prefill_ms;
-        self.steps_ms + unread_ms.min(chunks_ms)
+        engine.pace.duration_ms(self.steps_ms + unread_ms.min(chunks_ms))
     }
 
     /// Time to the first event of a request with this prefill time, in milliseconds.
+    ///
+    /// All the engine's work until then scales with its pace. The excess delay does not: it is
+    /// measured beyond forecasts that include the pace.
     pub fn first_event_ms(&self, engine: &Candidate, prefill_ms: f64) -> f64 {
         let load = f64::from(engine.open) + engine.peer_open;
         let queued_ms = engine.prefill_ms + engine.peer_prefill_ms;
@@ -142,8 +145,8 @@
         let interleaved_ms = if slot_wait_ms > 0.0 { prefill_ms } else { queued_ms + prefill_ms };
         let chunks = (interleaved_ms / self.chunk_ms.max(1.0)).ceil();
         let steps_ms = if load >= 1.0 { self.steps_ms * chunks } else { 0.0 };
-        let forecast_ms = PASSES_WAITED * self.steps_ms + wait_ms + prefill_ms + steps_ms;
-        (forecast_ms + engine.excess_delay_ms).max(0.0)
+        let work_ms = PASSES_WAITED * self.steps_ms + wait_ms + prefill_ms + steps_ms;
+        (engine.pace.duration_ms(work_ms) + engine.excess_delay_ms).max(0.0)
     }
 }
 
--- a/ragwortdeal_node/src/fleet/agent/probe_responder.rs
+++ b/ragwortdeal_node/src/fleet/agent/probe_responder.rs
@@ -5,7 +5,7 @@
 use tokio::net;
 
 use super::Agent;
-use crate::fleet::load_probe;
+use crate::fleet::{dialect, load_probe};
 
 /// Age up to which a report of the engine answers further probes.
 const REPORT_MAX_AGE: time::Duration = time::Duration::from_millis(40);
@@ -57,6 +57,7 @@
     async fn engine_load(&self) -> Option<load_probe::EngineLoad> {
         let timeout = time::Duration::from_millis(REPORT_TIMEOUT_MS);
         let report = tokio::time::timeout(timeout, self.report()).await.ok()??;
-        Some(load_probe::EngineLoad { running: report.running, waiting: report.waiting })
+        let dialect::EngineReport { running, waiting, pace, .. } = report;
+        Some(load_probe::EngineLoad { running, waiting, pace })
     }
 }
--- a/ragwortdeal_node/src/fleet/entry/health.rs
+++ b/ragwortdeal_node/src/fleet/entry/health.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{self, atomic};
 
-use ragwortdeal_core::dispatch::{answer_time, backlog, choice, peer_load, probe, silence};
+use ragwortdeal_core::dispatch::{answer_time, backlog, choice, pace, peer_load, probe, silence};
 use tokio::sync as tokio_sync;
 
 use crate::fleet::{dialect, load_probe};
@@ -73,6 +73,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Health {
     backlog: backlog::Backlog,
+    pace: pace::Pace,
     failure_rate: f64,
     failures: u32,
     suspended_until_ms: u64,
@@ -107,6 +108,8 @@
 pub(super) struct AnswerReport {
     /// Load that the upstream reported.
     pub(super) load: Option<dialect::Load>,
+    /// Plausible pace that it reported.
+    pub(super) pace: Option<pace::Factor>,
     /// Milliseconds from sending the request to the head.
     pub(super) took_ms: u64,
     /// Forecast of that time in milliseconds, if the upstream is an engine.
@@ -238,13 +241,23 @@
     }
 
     /// Records a reply of the agent beside the engine. One that a newer reply overtook is ignored.
-    pub(super) fn record_probe_reply(&mut self, reply: &load_probe::Reply, now_ms: u64) {
+    /// The pace is as old as the probe: a reply may take long on its way.
+    pub(super) fn record_probe_reply(
+        &mut self,
+        reply: &load_probe::Reply,
+        pace: Option<pace::Factor>,
+        service_pace: &mut pace::ServiceMean,
+        now_ms: u64,
+    ) {
         if !self.probe.record_reply(reply.asked_at_ms, now_ms) {
             return;
         }
         if let Some(load) = reply.load {
             self.record_load(load.running, load.waiting, now_ms);
         }
+        if let Some(pace) = pace {
+            self.pace.record(pace, reply.asked_at_ms, service_pace);
+        }
     }
 
     /// Records how many requests the engine runs and how many wait there.
@@ -285,7 +298,12 @@
     }
 
     /// Records an answer.
-    pub(super) fn record_answer(&mut self, answer: &AnswerReport, now_ms: u64) {
+    pub(super) fn record_answer(
+        &mut self,
+        answer: &AnswerReport,
+        service_pace: &mut pace::ServiceMean,
+        now_ms: u64,
+    ) {
         let sent_at_ms = now_ms.saturating_sub(answer.took_ms);
         self.reached_sent_at_ms = self.reached_sent_at_ms.max(Some(sent_at_ms));
         if answer.took_ms >= SLOW_HEAD_MS {
@@ -304,6 +322,9 @@
         if let Some(load) = answer.load {
             self.record_load(load.running, load.waiting, now_ms);
         }
+        if let Some(pace) = answer.pace {
+            self.pace.record(pace, now_ms, service_pace);
+        }
     }
 
     /// Records a failure. The upstream is skipped for a while, longer with each failure in a row.
@@ -340,6 +361,7 @@
         place: &backlog::UpstreamInfo,
         others: &backlog::PeerEntries,
         narrow: bool,
+        service_pace: &pace::ServiceMean,
         now_ms: u64,
     ) -> choice::Candidate {
         let slow = match narrow || self.is_slow(now_ms) {
@@ -348,6 +370,10 @@
             false => 0.0,
         };
         let candidate = self.backlog.candidate(place, others, now_ms);
-        choice::Candidate { failure_rate: self.failure_rate.max(slow), ..candidate }
+        choice::Candidate {
+            failure_rate: self.failure_rate.max(slow),
+            pace: self.pace.expected(service_pace, now_ms),
+            ..candidate
+        }
     }
 }
--- a/ragwortdeal_node/src/fleet/entry/outcome.rs
+++ b/ragwortdeal_node/src/fleet/entry/outcome.rs
@@ -2,6 +2,8 @@
 
 use std::sync;
 
+use ragwortdeal_core::dispatch::pace;
+
 use super::{
     Entry, exchange, exchange::Outcome, health, isolation, request::CallerRequest, serve::Progress,
     upstreams::selection,
@@ -91,19 +93,24 @@
         let took_ms = answer.took.as_millis() as u64;
         self.telemetry.took("entry.head_ms", held_ms);
         let limit_per_s = self.upstreams().limit_per_s(instance).unwrap_or(0.0);
+        let pace = (selected.candidate.pace.now() * 100.0).round() / 100.0;
         log::info!(
             request = request.id(), upstream = &**instance, route = &*request.route.name,
             forecast_ms = selected.forecast_ms.map_or(0, |ms| ms as u64), took_ms,
             open = selected.candidate.open, elsewhere = selected.candidate.peer_open as u64,
             attempt, version = selected.version.unwrap_or(0),
             superseded_ms = selected.superseded_ms(), held_ms, limit_per_s,
-            status = answer.head.status.as_u16();
+            pace, status = answer.head.status.as_u16();
             "entry: answered by its upstream"
         );
         let load = answer.head.headers.get(&self.dialect.headers().load);
         let load = load.and_then(|value| value.to_str().ok());
         let load = load.and_then(|value| self.dialect.load(value));
-        let report = health::AnswerReport { load, took_ms, forecast_ms: selected.forecast_ms };
+        let percent = load.and_then(|load| load.pace_percent);
+        let reported = percent.map(pace::Factor::from_percent);
+        let pace = reported.and_then(|reported| self.plausible_pace(instance, reported));
+        let forecast_ms = selected.forecast_ms;
+        let report = health::AnswerReport { load, pace, took_ms, forecast_ms };
         self.upstreams().record_answer(instance, &report, self.clock.now_ms());
     }
 
--- a/ragwortdeal_node/src/fleet/entry/probes.rs
+++ b/ragwortdeal_node/src/fleet/entry/probes.rs
@@ -5,6 +5,7 @@
 
 use std::{sync, time};
 
+use ragwortdeal_core::dispatch::pace;
 use tokio::net;
 
 use super::Entry;
@@ -52,7 +53,33 @@
         let reply = key.decode::<load_probe::Reply>(&datagram[..length]);
         if let (Some(reply), std::net::IpAddr::V4(address)) = (reply, from.ip()) {
             entry.telemetry.count("entry.words", 1);
-            entry.upstreams().record_probe_reply(address, &reply, entry.clock.now_ms());
+            let pace = entry.reported_pace(address, reply.load.as_ref());
+            entry.upstreams().record_probe_reply(address, &reply, pace, entry.clock.now_ms());
         }
     }
 }
+
+impl Entry {
+    /// The pace of the engine in an agent's reply, if there is a plausible one.
+    fn reported_pace(
+        &self,
+        address: std::net::Ipv4Addr,
+        load: Option<&load_probe::EngineLoad>,
+    ) -> Option<pace::Factor> {
+        let factor = load?.pace?;
+        self.plausible_pace(&address, pace::Factor::new(factor))
+    }
+
+    /// A reported pace if it is plausible. Others are counted and dropped.
+    pub(super) fn plausible_pace(
+        &self,
+        upstream: &impl std::fmt::Display,
+        reported: Result<pace::Factor, pace::Malformed>,
+    ) -> Option<pace::Factor> {
+        if reported.is_err() {
+            log::debug!("entry: malformed pace of {upstream} dropped");
+            self.telemetry.count("entry.paces_malformed", 1);
+        }
+        reported.ok()
+    }
+}
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -10,8 +10,8 @@
 use ragwortdeal_core::{
     directory,
     dispatch::{
-        backlog, choice, entry_roster, flow_control, forecast, gate, isolation::evidence, ramp_up,
-        retry_budget, retry_detection,
+        backlog, choice, entry_roster, flow_control, forecast, gate, isolation::evidence, pace,
+        ramp_up, retry_budget, retry_detection,
     },
     document::{self, naming},
     spread::owners,
@@ -45,6 +45,8 @@
     retry_usage: collections::HashMap<directory::Text, retry_budget::Usage>,
     /// Admission gates of the services of engines.
     gates: collections::HashMap<directory::Text, gate::Gate>,
+    /// Mean paces of the services whose upstreams answered.
+    paces: collections::HashMap<directory::Text, pace::ServiceMean>,
     /// Detects retries of callers, by route.
     retry_detectors: collections::HashMap<directory::Text, retry_detection::RetryDetector>,
     /// Number of layers of the models of each service of engines.
@@ -76,6 +78,7 @@
             entries_recorded: 0,
             retry_usage: collections::HashMap::new(),
             gates: collections::HashMap::new(),
+            paces: collections::HashMap::new(),
             retry_detectors: collections::HashMap::new(),
             layers: collections::HashMap::new(),
         }
@@ -196,7 +199,9 @@
             same_zone: announcement.zone == self.zone,
             slots: announcement.slots,
         };
-        Some(health.candidate(&place, &self.peer_entries(), self.is_narrow(announcement), now_ms))
+        let service_pace = self.paces.get(&announcement.service).copied().unwrap_or_default();
+        let narrow = self.is_narrow(announcement);
+        Some(health.candidate(&place, &self.peer_entries(), narrow, &service_pace, now_ms))
     }
 
     /// Records a request as open at an upstream.
@@ -229,10 +234,15 @@
         answer: &health::AnswerReport,
         now_ms: u64,
     ) {
+        let service = self.directory.get(instance).map(|upstream| &upstream.announcement.service);
         if let Some(health) = self.health.get_mut(instance) {
-            health.record_answer(answer, now_ms);
+            let mut unlisted = pace::ServiceMean::default();
+            let service_pace = match service {
+                Some(service) => self.paces.entry(service.clone()).or_default(),
+                None => &mut unlisted,
+            };
+            health.record_answer(answer, service_pace, now_ms);
         }
-        let service = self.directory.get(instance).map(|upstream| &upstream.announcement.service);
         let gate = service.and_then(|service| self.gates.get_mut(service));
         if let (Some(gate), Some(forecast_ms)) = (gate, answer.forecast_ms) {
             gate.record_first_event(forecast_ms, answer.took_ms as f64, now_ms);
@@ -317,6 +327,7 @@
         let has_route = |name: &directory::Text| document.routes.iter().any(|it| it.name == *name);
         self.retry_detectors.retain(|name, _| has_route(name));
         self.gates.retain(|name, _| document.service(name).is_some());
+        self.paces.retain(|name, _| document.service(name).is_some());
         let layers = |it: &document::Service| Some((it.name.clone(), it.engine.as_ref()?.layers));
         self.layers = document.services.iter().filter_map(layers).collect();
     }
--- a/ragwortdeal_node/src/fleet/entry/upstreams/probing.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/probing.rs
@@ -2,7 +2,10 @@
 
 use std::{collections, net};
 
-use ragwortdeal_core::{directory, dispatch::silence};
+use ragwortdeal_core::{
+    directory,
+    dispatch::{pace, silence},
+};
 
 use super::{super::health, Upstreams};
 use crate::fleet::load_probe;
@@ -89,13 +92,16 @@
         &mut self,
         address: net::Ipv4Addr,
         reply: &load_probe::Reply,
+        pace: Option<pace::Factor>,
         now_ms: u64,
     ) {
         let there = self.directory.all().filter(|it| *it.announcement.address.ip() == address);
         let there = there.filter(|it| it.announcement.status != directory::Status::Gone);
         for upstream in there {
             if let Some(health) = self.health.get_mut(&upstream.announcement.instance) {
-                health.record_probe_reply(reply, now_ms);
+                let service = upstream.announcement.service.clone();
+                let service_pace = self.paces.entry(service).or_default();
+                health.record_probe_reply(reply, pace, service_pace, now_ms);
             }
         }
     }
--- a/ragwortdeal_node/src/fleet/load_probe.rs
+++ b/ragwortdeal_node/src/fleet/load_probe.rs
@@ -34,6 +34,10 @@
     pub running: u32,
     /// Waiting requests.
     pub waiting: u32,
+    /// How long work takes at the moment as a multiple of the usual time, if the engine tells.
+    /// Agents of earlier versions do not send it.
+    #[serde(default)]
+    pub pace: Option<f64>,
 }
 
 /// Key of the tags, derived from the shared secret of all processes of the deployment.
