Bound forecasts and draw ties with the paces of engines in mind

Forecasts approach the mean pace while a request waits, and the bound for a request did not. An engine listed after a slow one was selected twice as often as others, since ties went to the first one from a drawn start.

The bound's idle engine approaches the mean as well. Where paces are reported, ties are drawn among all upstreams of equal cost.

--- a/ragwortdeal_core/src/dispatch/choice.rs
+++ b/ragwortdeal_core/src/dispatch/choice.rs
@@ -84,7 +84,29 @@
     let start = usize::try_from(draw).unwrap_or(0).checked_rem(count)?;
     let order = (0..count).map(|step| (start + step) % count);
     let open = order.filter(|&index| !is_full(&candidates[index]));
-    open.min_by(|&a, &b| cost(&candidates[a]).total_cmp(&cost(&candidates[b])))
+    let costs = open.map(|index| (index, cost(&candidates[index])));
+    cheapest(costs, candidates, draw)
+}
+
+/// The candidate with the least cost. `costs` begin at a candidate drawn by `draw`.
+///
+/// The first one of several with equal costs would be selected twice as often if it came after one
+/// that is slow at the moment, so where paces are reported the draw decides among all of them.
+fn cheapest(
+    costs: impl Iterator<Item = (usize, f64)>,
+    candidates: &[Candidate],
+    draw: u64,
+) -> Option<usize> {
+    let costs: Vec<_> = costs.collect();
+    let least = costs.iter().map(|(_, cost)| *cost).min_by(f64::total_cmp)?;
+    let tied = costs.iter().filter(|(_, cost)| cost.total_cmp(&least).is_eq());
+    let tied: Vec<_> = tied.map(|(index, _)| *index).collect();
+    let is_usual = |candidate: &Candidate| candidate.pace == pace::Expected::default();
+    let drawn = match candidates.iter().all(is_usual) {
+        true => 0,
+        false => draw / candidates.len() as u64 % tied.len() as u64,
+    };
+    tied.get(usize::try_from(drawn).unwrap_or(0)).copied()
 }
 
 /// Requirements of a request to an engine.
@@ -141,7 +163,7 @@
             + candidate.failure_rate * FAILING_MS
     };
     let costs = in_time.map(|(index, candidate, first_ms)| (index, cost(candidate, first_ms)));
-    costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(index, _)| index)
+    cheapest(costs, candidates, draw)
 }
 
 fn cost(candidate: &Candidate) -> f64 {
--- a/ragwortdeal_core/src/dispatch/forecast.rs
+++ b/ragwortdeal_core/src/dispatch/forecast.rs
@@ -7,7 +7,7 @@
 
 use crate::document;
 
-use super::choice::Candidate;
+use super::{choice::Candidate, pace};
 
 /// Mean wait of a request until the engine starts its next pass, in passes.
 const PASSES_WAITED: f64 = 0.5;
@@ -57,6 +57,8 @@
     service_ms: f64,
     /// Prefill time of a mean prompt, in milliseconds.
     mean_prefill_ms: f64,
+    /// Mean pace of the engines.
+    mean_pace: f64,
 }
 
 impl LatencyModel {
@@ -74,9 +76,15 @@
             chunk_ms: prefill_ms(engine, f64::from(engine.prefill_chunk_tokens)),
             service_ms: mean_prefill_ms + mean.answer_tokens * step_ms / slots,
             mean_prefill_ms,
+            mean_pace: 1.0,
         }
     }
 
+    /// The model of engines with this mean pace.
+    pub fn with_mean_pace(self, mean_pace: f64) -> Self {
+        Self { mean_pace, ..self }
+    }
+
     /// Prefill time of a mean prompt, in milliseconds.
     pub fn mean_prefill_ms(&self) -> f64 {
         self.mean_prefill_ms
@@ -118,9 +126,12 @@
         }
     }
 
-    /// Time to the first event at an idle engine, in milliseconds.
+    /// Time to the first event at an idle engine of the usual pace, in milliseconds. It includes
+    /// that the pace may change until then, as forecasts do: otherwise large prompts would be the
+    /// first to exceed the bound.
     fn idle_ms(&self, prefill_ms: f64) -> f64 {
-        self.first_event_ms(&Candidate::default(), prefill_ms)
+        let pace = pace::Expected::usual_now(self.mean_pace);
+        self.first_event_ms(&Candidate { pace, ..Candidate::default() }, prefill_ms)
     }
 
     /// Time to the next event of the streams at an engine that reads all its queued prompts and
--- a/ragwortdeal_core/src/dispatch/gate.rs
+++ b/ragwortdeal_core/src/dispatch/gate.rs
@@ -72,6 +72,8 @@
             return Err(Rejection::LateWorkShed);
         }
         let Work { latency_model, objective_ms, gap_objective_ms, prefill_ms, urgency } = *work;
+        let mean_pace = engines.first().map_or(1.0, |engine| engine.pace.mean());
+        let latency_model = latency_model.with_mean_pace(mean_pace);
         let error_ms = self.error.mean_ms();
         let prompt = choice::Prompt {
             prefill_ms,
--- a/ragwortdeal_core/src/dispatch/pace.rs
+++ b/ragwortdeal_core/src/dispatch/pace.rs
@@ -124,16 +124,26 @@
 /// The usual pace, with which forecasts and loads are what they are without any report.
 impl Default for Expected {
     fn default() -> Self {
-        Self { now: 1.0, mean: 1.0 }
+        Self::usual_now(1.0)
     }
 }
 
 impl Expected {
+    /// The usual pace now, in a service with this mean.
+    pub fn usual_now(mean: f64) -> Self {
+        Self { now: 1.0, mean }
+    }
+
     /// The factor at this moment.
     pub fn now(&self) -> f64 {
         self.now
     }
 
+    /// The mean of the service.
+    pub fn mean(&self) -> f64 {
+        self.mean
+    }
+
     /// Time in milliseconds that work takes which takes `work_ms` at the usual pace.
     ///
     /// With t the time from now, the work is done at a speed of 1 / (mean + (now - mean) x
--- a/ragwortdeal_core/tests/overload/engine.rs
+++ b/ragwortdeal_core/tests/overload/engine.rs
@@ -37,12 +37,14 @@
     parameters: document::Engine,
     queue: collections::VecDeque<Work>,
     running: Vec<Work>,
+    /// Factor by which passes that begin take longer than usual.
+    pub pace: f64,
 }
 
 impl Engine {
     pub fn new(parameters: &document::Engine) -> Self {
         let queue = collections::VecDeque::new();
-        Self { parameters: parameters.clone(), queue, running: Vec::new() }
+        Self { parameters: parameters.clone(), queue, running: Vec::new(), pace: 1.0 }
     }
 
     /// Numbers of running and of waiting requests.
@@ -89,8 +91,9 @@
         let started = started.map(|work| work.caller).collect();
         let steps =
             if decoding_requests.is_empty() { 0.0 } else { f64::from(parameters.steps_per_pass) };
-        let took_ms = prefill_ms + steps * step_ms;
-        Some(Pass { took_ms, started, first_event_ms: prefill_ms + step_ms, decoding })
+        let took_ms = (prefill_ms + steps * step_ms) * self.pace;
+        let first_event_ms = (prefill_ms + step_ms) * self.pace;
+        Some(Pass { took_ms, started, first_event_ms, decoding })
     }
 
     /// Reads as many prompt tokens as fit into the chunks. Returns the time it takes in
--- a/ragwortdeal_core/tests/overload/fleet.rs
+++ b/ragwortdeal_core/tests/overload/fleet.rs
@@ -3,7 +3,7 @@
 use std::{cmp, collections};
 
 use ragwortdeal_core::{
-    dispatch::{backlog, choice, forecast, gate, peer_load},
+    dispatch::{backlog, choice, forecast, gate, pace, peer_load},
     document,
 };
 use rand::{RngExt as _, SeedableRng as _};
@@ -52,6 +52,19 @@
     /// Interval in milliseconds at which engines report their load in addition to their answers, if
     /// any.
     pub report_ms: Option<u64>,
+    /// How the pace of engines varies, if it does.
+    pub paces: Option<Paces>,
+}
+
+/// Engines that are slow for some time, each on its own.
+#[derive(Clone, Copy, Debug)]
+pub struct Paces {
+    pub slow_share: f64,
+    pub slow_factor: f64,
+    /// Mean time after which an engine's pace is drawn again, in milliseconds.
+    pub mean_ms: f64,
+    /// Whether reports tell the pace.
+    pub reported: bool,
 }
 
 impl Setup {
@@ -97,13 +110,14 @@
 pub type Load = [(u64, f64)];
 
 /// Results of the requests that count.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Outcome {
     credit_total: f64,
     in_time: f64,
     late: f64,
     requests: u64,
     served: u64,
+    late_answers: u64,
     large: u64,
     large_served: u64,
 }
@@ -114,6 +128,11 @@
         (self.in_time + LATE_CREDIT * self.late) / self.credit_total
     }
 
+    /// Fraction of the answers whose first event or a later one comes too late.
+    pub fn late_fraction(&self) -> f64 {
+        self.late_answers as f64 / self.served as f64
+    }
+
     /// Fraction of large requests that are served, relative to that of all requests.
     pub fn large_share(&self) -> f64 {
         let large = self.large_served as f64 / self.large.max(1) as f64;
@@ -169,6 +188,7 @@
     CallerTimeout { caller: usize, over: bool },
     SendReport { engine: usize },
     ReceiveReport { engine: usize, report: Report },
+    DrawPace { engine: usize },
 }
 
 struct Simulation<'s, R> {
@@ -182,6 +202,11 @@
     engines: Vec<engine::Engine>,
     working: Vec<bool>,
     views: Vec<Vec<backlog::Backlog>>,
+    /// Paces as reported; all entries get the same reports.
+    paces: Vec<pace::Pace>,
+    mean_pace: pace::ServiceMean,
+    /// Draws the paces, so that all else is drawn alike with and without them.
+    pace_random: rand_chacha::ChaCha8Rng,
     callers: Vec<Caller>,
     events: collections::BinaryHeap<cmp::Reverse<(u64, u64, Event)>>,
     number: u64,
@@ -209,6 +234,9 @@
         engines: vec![engine::Engine::new(&setup.engine); setup.engines],
         working: vec![false; setup.engines],
         views: vec![vec![backlog::Backlog::default(); setup.engines]; setup.entries],
+        paces: vec![pace::Pace::default(); setup.engines],
+        mean_pace: pace::ServiceMean::default(),
+        pace_random: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
         callers: Vec::new(),
         events: collections::BinaryHeap::new(),
         number: 0,
@@ -218,6 +246,7 @@
     simulation.after_us(0, Event::Arrive);
     (0..setup.engines)
         .for_each(|engine| simulation.after_ms(engine as u64, Event::SendReport { engine }));
+    (0..setup.engines).for_each(|engine| simulation.draw_pace(engine));
     while let Some(cmp::Reverse((at_us, _, event))) = simulation.events.pop() {
         simulation.now_us = at_us;
         simulation.handle(event);
@@ -250,6 +279,7 @@
             Event::CallerTimeout { caller, over } => self.caller_timeout(caller, over),
             Event::SendReport { engine } => self.send_report(engine),
             Event::ReceiveReport { engine, report } => self.receive_report(engine, report),
+            Event::DrawPace { engine } => self.draw_pace(engine),
         }
     }
 
@@ -345,7 +375,8 @@
         let seen = views.map(|(engine, view)| {
             let near = engine % setup.zones == entry % setup.zones;
             let upstream = backlog::UpstreamInfo { same_zone: near, slots: setup.engine.slots };
-            view.candidate(&upstream, &others, self.now_ms())
+            let pace = self.paces[engine].expected(&self.mean_pace, self.now_ms());
+            choice::Candidate { pace, ..view.candidate(&upstream, &others, self.now_ms()) }
         });
         seen.collect()
     }
@@ -418,6 +449,7 @@
         let earned = if caller.in_time { &mut outcome.in_time } else { &mut outcome.late };
         *earned += caller.credit;
         outcome.served += 1;
+        outcome.late_answers += u64::from(!caller.in_time);
         outcome.large_served += u64::from(caller.is_large);
     }
 
@@ -449,5 +481,20 @@
         self.views
             .iter_mut()
             .for_each(|views| views[engine].record_report(report.requests(), now_ms));
+        if self.setup.paces.is_some_and(|paces| paces.reported) {
+            let told = pace::Factor::new(self.engines[engine].pace).unwrap();
+            let told_at_ms = now_ms - LATENCY_MS;
+            self.paces[engine].record(told, told_at_ms, &mut self.mean_pace);
+        }
+    }
+
+    fn draw_pace(&mut self, engine: usize) {
+        let Some(paces) = self.setup.paces.filter(|_| self.now_ms() < self.until_ms) else {
+            return;
+        };
+        let is_slow = self.pace_random.random_bool(paces.slow_share);
+        self.engines[engine].pace = if is_slow { paces.slow_factor } else { 1.0 };
+        let holds_ms = -(1.0 - self.pace_random.random::<f64>()).ln() * paces.mean_ms;
+        self.after_ms(holds_ms as u64, Event::DrawPace { engine });
     }
 }
--- a/ragwortdeal_core/tests/overload/main.rs
+++ b/ragwortdeal_core/tests/overload/main.rs
@@ -2,6 +2,7 @@
 
 mod engine;
 mod fleet;
+mod paces;
 
 use googletest::prelude::*;
 use ragwortdeal_core::{
@@ -103,7 +104,15 @@
         kind(0.308, (827.0, 101.0), 400, 2.0),
         kind(0.286, (647.0, 70.0), 400, 1.5),
     ];
-    fleet::Setup { engine, engines: 9, zones: 3, entries: 4, kinds, report_ms: Some(100) }
+    fleet::Setup {
+        engine,
+        engines: 9,
+        zones: 3,
+        entries: 4,
+        kinds,
+        report_ms: Some(100),
+        paces: None,
+    }
 }
 
 /// Engines that spend most of their time on decoding, behind many entries.
@@ -125,7 +134,15 @@
         kind(0.272, (827.0, 147.0), 400, 2.2),
         kind(0.334, (647.0, 70.0), 400, 1.3),
     ];
-    fleet::Setup { engine, engines: 40, zones: 3, entries: 18, kinds, report_ms: Some(100) }
+    fleet::Setup {
+        engine,
+        engines: 40,
+        zones: 3,
+        entries: 18,
+        kinds,
+        report_ms: Some(100),
+        paces: None,
+    }
 }
 
 /// Credit earned under a steady load, as a fraction of the credit at full capacity.
--- a/ragwortdeal_node/tests/fleet_load_probe.rs
+++ b/ragwortdeal_node/tests/fleet_load_probe.rs
@@ -63,6 +63,23 @@
     expect_that!(probe(&world, "another secret").await.is_none(), eq(true));
 }
 
+/// Guards against agents of earlier versions whose replies without a pace are not understood.
+#[googletest::test]
+fn a_load_without_a_pace_is_understood() {
+    #[derive(serde::Serialize)]
+    struct EarlierLoad {
+        running: u32,
+        waiting: u32,
+    }
+    let key = load_probe::Key::new("a-secret-for-the-fleet");
+    let datagram = key.encode(&EarlierLoad { running: 3, waiting: 1 });
+    let load = key.decode::<load_probe::EngineLoad>(&datagram).unwrap();
+    expect_that!((load.running, load.waiting, load.pace), eq((3, 1, None)));
+    let datagram = key.encode(&load_probe::EngineLoad { pace: Some(2.5), ..load });
+    let load = key.decode::<load_probe::EngineLoad>(&datagram).unwrap();
+    expect_that!(load.pace, some(eq(2.5)));
+}
+
 /// Stands in for the agent beside an engine: replies to probes after a delay, until it is aborted.
 async fn reply_after(
     world: &world::World,
