--- a/ragwortdeal_core/src/dispatch/forecast.rs
+++ b/ragwortdeal_core/src/dispatch/forecast.rs
@@ -7,7 +7,7 @@
 
 use crate::document;
 
-use super::choice::Candidate;
+use super::{choice::Candidate, pace};
 
 /// Mean wait of a request until the engine starts its next pass, in passes.
 const PASSES_WAITED: f64 = 0.5;
@@ -57,6 +57,8 @@
     service_ms: f64,
     /// Prefill time of a mean prompt, in milliseconds.
     mean_prefill_ms: f64,
+    /// Mean pace of the engines.
+    mean_pace: f64,
 }
 
 impl LatencyModel {
@@ -74,9 +76,15 @@
             chunk_ms: prefill_ms(engine, f64::from(engine.prefill_chunk_tokens)),
             service_ms: mean_prefill_ms + mean.answer_tokens * step_ms / slots,
             mean_prefill_ms,
+            mean_pace: 1.0,
         }
     }
 
+    /// The model of engines with this mean pace.
+    pub fn with_mean_pace(self, mean_pace: f64) -> Self {
+        Self { mean_pace, ..self }
+    }
+
     /// Prefill time of a mean prompt, in milliseconds.
     pub fn mean_prefill_ms(&self) -> f64 {
         self.mean_prefill_ms
@@ -118,20 +126,26 @@
         }
     }
 
-    /// Time to the first event at an idle engine, in milliseconds.
+    /// Time to the first event at an idle engine of the usual pace, in milliseconds. It includes
+    /// that the pace may change until then, as forecasts do: otherwise large prompts would be the
+    /// first to exceed the bound.
     fn idle_ms(&self, prefill_ms: f64) -> f64 {
-        self.first_event_ms(&Candidate::default(), prefill_ms)
+        let pace = pace::Expected::usual_now(self.mean_pace);
+        self.first_event_ms(&Candidate { pace, ..Candidate::default() }, prefill_ms)
     }
 
     /// Time to the next event of the streams at an engine that reads all its queued prompts and
-    /// this one in between, in milliseconds.
+    /// this one in between, in milliseconds at its present pace.
     pub fn pause_ms(&self, engine: &Candidate, prefill_ms: f64) -> f64 {
         let chunks_ms = f64::from(self.steps_per_pass) * self.chunk_ms;
         let unread_ms = engine.prefill_ms + engine.peer_prefill_ms + prefill_ms;
-        self.steps_ms + unread_ms.min(chunks_ms)
+        engine.pace.duration_ms(self.steps_ms + unread_ms.min(chunks_ms))
     }
 
     /// Time to the first event of a request with this prefill time, in milliseconds.
+    ///
+    /// All the engine's work until then scales with its pace. The excess delay does not: it is
+    /// measured beyond forecasts that include the pace.
     pub fn first_event_ms(&self, engine: &Candidate, prefill_ms: f64) -> f64 {
         let load = f64::from(engine.open) + engine.peer_open;
         let queued_ms = engine.prefill_ms + engine.peer_prefill_ms;
@@ -142,8 +156,8 @@
         let interleaved_ms = if slot_wait_ms > 0.0 { prefill_ms } else { queued_ms + prefill_ms };
         let chunks = (interleaved_ms / self.chunk_ms.max(1.0)).ceil();
         let steps_ms = if load >= 1.0 { self.steps_ms * chunks } else { 0.0 };
-        let forecast_ms = PASSES_WAITED * self.steps_ms + wait_ms + prefill_ms + steps_ms;
-        (forecast_ms + engine.excess_delay_ms).max(0.0)
+        let work_ms = PASSES_WAITED * self.steps_ms + wait_ms + prefill_ms + steps_ms;
+        (engine.pace.duration_ms(work_ms) + engine.excess_delay_ms).max(0.0)
     }
 }
 
