Record evacuations of availability zones in the document store

Cause: an evacuation has to be durable and ordered with documents, and a delayed or repeated call must not undo a later one.

--- a/ragwortdeal_core/src/document.rs
+++ b/ragwortdeal_core/src/document.rs
@@ -5,6 +5,7 @@
 //! labels, which [`crate::config`] keeps.
 
 pub mod check;
+pub mod evacuation;
 pub mod naming;
 pub mod store;
 pub mod table;
--- a/ragwortdeal_core/src/document/store.rs
+++ b/ragwortdeal_core/src/document/store.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, sync};
 
-use super::Version;
+use super::{Version, evacuation};
 use crate::dispatch::isolation::verdicts;
 
 /// A document as it was received, opaque to the log.
@@ -78,6 +78,8 @@
     Isolate(verdicts::Verdict),
     /// Records that so many entries were connected at once.
     Entries(u32),
+    /// Evacuates an availability zone, or ends that.
+    Evacuate(evacuation::Evacuation),
 }
 
 /// The configuration in force.
@@ -100,6 +102,9 @@
     /// older snapshots.
     #[serde(default)]
     pub entries: u32,
+    /// Availability zones to which nothing more is sent. Absent in older snapshots.
+    #[serde(default)]
+    pub evacuations: evacuation::Evacuations,
 }
 
 impl Store {
@@ -116,6 +121,7 @@
             Step::Due(weights) => _ = raise(&mut self.due, &weights.model, weights.version),
             Step::Isolate(verdict) => _ = self.verdicts.merge([verdict.clone()]),
             Step::Entries(count) => self.entries = self.entries.max(*count),
+            Step::Evacuate(evacuation) => _ = self.evacuations.record(evacuation),
         }
     }
 
@@ -140,6 +146,9 @@
         newer |= !self.verdicts.merge(other.verdicts.all().cloned()).is_empty();
         newer |= other.entries > self.entries;
         self.entries = self.entries.max(other.entries);
+        for evacuation in other.evacuations.all() {
+            newer |= self.evacuations.record(evacuation);
+        }
         newer
     }
 }
