Keep requests from evacuated availability zones

Cause: operators' calls for an evacuation were refused, and entries knew of none. Change: voters bring evacuations through the log, confirm them by a quorum and tell entries, which send nothing more to upstreams of an evacuated zone. Refusals where nothing else is left name the evacuation. Voters answer operators' tools about evacuations on links.

--- a/ragwortdeal_node/src/fleet/entry.rs
+++ b/ragwortdeal_node/src/fleet/entry.rs
@@ -218,11 +218,13 @@
         let mut upstreams = entry.upstreams();
         upstreams.forget_gone(now_ms);
         let counts = upstreams.flow_counts(now_ms);
+        let evacuated = upstreams.evacuated_count();
         entry.pool.sweep(|peer| upstreams.is_routable(peer));
         drop(upstreams);
         entry.telemetry.gauge("entry.upstreams_limited", counts.limited);
         entry.telemetry.gauge("entry.upstreams_paused", counts.paused);
         entry.telemetry.gauge("entry.upstreams_leaving", counts.leaving);
+        entry.telemetry.gauge("entry.zones_evacuated", evacuated);
         entry.telemetry.gauge("entry.parts_isolated", entry.isolation.isolated_count());
     }
 }
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -203,7 +203,12 @@
         };
         let selected = self.choose(&criteria).map_err(|unavailable| match unavailable {
             _ if progress.may_have_run => failed("no other upstream takes it"),
-            selection::Unavailable::NoneEligible => self.refuse_outage("no upstream takes work"),
+            selection::Unavailable::NoneEligible { evacuated: false } => {
+                self.refuse_outage("no upstream takes work")
+            }
+            selection::Unavailable::NoneEligible { evacuated: true } => {
+                self.refuse_outage("no upstream outside evacuated zones takes work")
+            }
             selection::Unavailable::AllFull => {
                 self.refuse_retryable(request, "all upstreams are full")
             }
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -1,5 +1,6 @@
 //! State of all upstreams as this entry knows it: announcements, open requests, health.
 
+mod evacuations;
 mod flow;
 mod probing;
 pub(super) mod selection;
@@ -13,7 +14,7 @@
         backlog, choice, entry_roster, flow_control, forecast, gate, isolation::evidence, ramp_up,
         retry_budget, retry_detection,
     },
-    document::{self, naming},
+    document::{self, evacuation, naming},
     spread::owners,
 };
 
@@ -49,6 +50,8 @@
     retry_detectors: collections::HashMap<directory::Text, retry_detection::RetryDetector>,
     /// Number of layers of the models of each service of engines.
     layers: collections::HashMap<directory::Text, u32>,
+    /// Availability zones to which nothing more is sent.
+    evacuations: evacuation::Evacuations,
 }
 
 impl Upstreams {
@@ -78,6 +81,7 @@
             gates: collections::HashMap::new(),
             retry_detectors: collections::HashMap::new(),
             layers: collections::HashMap::new(),
+            evacuations: evacuation::Evacuations::default(),
         }
     }
 
--- a/ragwortdeal_node/src/fleet/entry/upstreams/probing.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/probing.rs
@@ -19,7 +19,7 @@
             announcements.filter(|it| !self.layers.contains_key(&it.service)).collect();
         let takes_work = |other: &directory::Announcement| {
             let silent = self.health.get(&other.instance).is_some_and(health::Health::is_silent);
-            other.status == directory::Status::Ready && !silent
+            other.status == directory::Status::Ready && !silent && !self.is_evacuated(other)
         };
         let busy = plain.iter().filter(|it| is_busy(&it.instance));
         busy.map(|it| {
--- a/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
@@ -112,7 +112,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(in super::super) enum Unavailable {
     /// No upstream accepts work.
-    NoneEligible,
+    NoneEligible {
+        /// Whether there are upstreams in evacuated zones.
+        evacuated: bool,
+    },
     /// All upstreams that accept work are full.
     AllFull,
     /// All upstreams that accept work have asked for less of it than there is.
@@ -156,6 +159,7 @@
                 && announcement.service == *criteria.service
                 && !criteria.tried.contains(&announcement.instance)
                 && !self.is_leaving(&announcement.instance)
+                && !self.is_evacuated(announcement)
         };
         let upstreams = self.directory.all().map(|upstream| &upstream.announcement);
         let upstreams = upstreams.filter(|announcement| takes_work(announcement));
@@ -222,7 +226,9 @@
                 .map(|it| (it, None)),
         };
         best.map_err(|turned| match turned {
-            _ if eligible.is_empty() => Unavailable::NoneEligible,
+            _ if eligible.is_empty() => {
+                Unavailable::NoneEligible { evacuated: self.has_evacuated(criteria.service) }
+            }
             gate::Rejection::Full => Unavailable::AllFull,
             gate::Rejection::LateWorkShed => Unavailable::LateWorkShed,
         })
--- a/ragwortdeal_node/src/fleet/entry/voter_updates.rs
+++ b/ragwortdeal_node/src/fleet/entry/voter_updates.rs
@@ -63,6 +63,9 @@
             notice::Notice::Verdicts(told) => {
                 entry.isolation.merge(&voter.to_string(), told, now_ms);
             }
+            notice::Notice::Evacuations(told) => {
+                entry.upstreams().record_evacuations(voter, &told, now_ms);
+            }
             notice::Notice::EngineEnded(_)
             | notice::Notice::PartsProved(_)
             | notice::Notice::Subscribe { .. }
--- a/ragwortdeal_node/src/fleet/notice.rs
+++ b/ragwortdeal_node/src/fleet/notice.rs
@@ -9,7 +9,7 @@
         isolation::{evidence, verdicts},
         prompt,
     },
-    document::{naming, store},
+    document::{evacuation, naming, store},
 };
 use ragwortdeal_wire::link as wire;
 
@@ -84,6 +84,9 @@
     /// Parts of prompts that were isolated or released. Whoever holds a verdict tells it to a
     /// process that comes into reach.
     Verdicts(Vec<verdicts::Verdict>),
+    /// Availability zones that were evacuated, or are no longer. A voter sends all of them to an
+    /// entry that subscribes, and later those that change.
+    Evacuations(Vec<evacuation::Evacuation>),
 }
 
 /// An agent, its location and its link.
@@ -145,6 +148,21 @@
     );
 }
 
+/// Logs what a process learns of an evacuation, with the time since its start: one that has just
+/// started hears of evacuations that are long in force.
+pub fn log_evacuation(
+    process: &str,
+    teller: impl fmt::Display,
+    told: &evacuation::Evacuation,
+    running_ms: u64,
+) {
+    let what = if told.evacuated { "is evacuated" } else { "is no longer evacuated" };
+    log::warn!(
+        zone = &*told.zone, revision = told.revision, teller:%, running_ms;
+        "{process}: an availability zone {what}"
+    );
+}
+
 /// Logs what a process learns of a part of prompts.
 pub fn log_verdict(process: &str, teller: &str, verdict: &verdicts::Verdict) {
     let what = if verdict.isolated { "isolated" } else { "released" };
--- a/ragwortdeal_node/src/voter/fleet.rs
+++ b/ragwortdeal_node/src/voter/fleet.rs
@@ -6,6 +6,7 @@
 
 mod control;
 mod due;
+mod evacuations;
 mod fellows;
 mod hub;
 mod steps;
@@ -26,7 +27,7 @@
 
 use super::{
     Event, VoterError, driver, letter,
-    operate::{self, parts},
+    operate::{self, evacuations as evacuation_requests, parts},
     peers,
 };
 use crate::{
@@ -55,6 +56,7 @@
 struct Service {
     events: mpsc::Sender<Event>,
     hub: sync::Arc<hub::Hub>,
+    evacuations: evacuations::Evacuations,
 }
 
 impl Service {
@@ -105,6 +107,9 @@
         if let Some(request) = operate::open::<parts::PartsRequest>(&message) {
             return operate::seal(&self.answer_on_parts(request).await);
         }
+        if let Some(request) = operate::open::<evacuation_requests::EvacuationsRequest>(&message) {
+            return operate::seal(&self.evacuations.answer(request).await);
+        }
         let Some(request) = operate::open::<operate::Request>(&message) else {
             return link::refused("voter", "not a request for a voter");
         };
@@ -140,7 +145,13 @@
     let credential = link::Credential::new(&settings.credentials.cluster);
     let limits = link::LinkLimits::default();
     let (serve_stopper, serve_stop) = stop::pair();
-    let service = Service { events: events.clone(), hub: hub.clone() };
+    let evacuations = evacuations::Evacuations::new(
+        events.clone(),
+        publisher.documents.subscribe(),
+        settings.fleet.regions.clone(),
+    );
+    let service =
+        Service { events: events.clone(), hub: hub.clone(), evacuations: evacuations.clone() };
     let serving = link::serve(
         listeners.links,
         credential,
@@ -167,7 +178,7 @@
         redirect: publisher.redirect.subscribe(),
         port: listeners.control.local_addr().map_or(0, |address| address.port()),
     };
-    let api = control::Control::new(spoken, hub, events.clone(), published, telemetry);
+    let api = control::Control::new(spoken, hub, events.clone(), published, evacuations, telemetry);
     let api = sync::Arc::new(api);
     let handler = http::route(api, control::answer);
     let bounds = http::Bounds::default();
--- a/ragwortdeal_node/src/voter/fleet/control.rs
+++ b/ragwortdeal_node/src/voter/fleet/control.rs
@@ -3,10 +3,14 @@
 use std::{sync, time};
 
 use hyper::header;
-use ragwortdeal_core::{document, document::store, name};
-use tokio::sync::{mpsc, oneshot, watch};
+use ragwortdeal_core::{
+    document,
+    document::{evacuation, store},
+    name,
+};
+use tokio::sync::{mpsc, watch};
 
-use super::{hub, steps};
+use super::{evacuations, hub, steps};
 use crate::{
     fleet::{compression, dialect},
     http, telemetry,
@@ -22,15 +26,13 @@
 /// How long a body may take to arrive.
 const BODY_MS: u64 = 3_000;
 
-/// How long a read may take.
-const READ: time::Duration = time::Duration::from_millis(900);
-
 /// The part that answers operators and upstreams.
 pub(super) struct Control {
     spoken: dialect::DialectRef,
     hub: sync::Arc<hub::Hub>,
     events: mpsc::Sender<Event>,
     published: Published,
+    evacuations: evacuations::Evacuations,
     telemetry: telemetry::Telemetry,
 }
 
@@ -50,9 +52,10 @@
         hub: sync::Arc<hub::Hub>,
         events: mpsc::Sender<Event>,
         published: Published,
+        evacuations: evacuations::Evacuations,
         telemetry: telemetry::Telemetry,
     ) -> Self {
-        Self { spoken, hub, events, published, telemetry }
+        Self { spoken, hub, events, published, evacuations, telemetry }
     }
 
     /// Where a call goes that a voter which stands by cannot answer.
@@ -106,10 +109,8 @@
         dialect::ControlCall::Install => control.install(&body).await,
         dialect::ControlCall::Read => control.read().await,
         dialect::ControlCall::NameWeights => control.name_weights(&body).await,
-        dialect::ControlCall::StartEvacuation { zone }
-        | dialect::ControlCall::EndEvacuation { zone } => {
-            text(404, &format!("zone {zone} cannot be evacuated yet\n"))
-        }
+        dialect::ControlCall::StartEvacuation { zone } => control.evacuate(zone, true).await,
+        dialect::ControlCall::EndEvacuation { zone } => control.evacuate(zone, false).await,
     };
     if !response.status().is_success() {
         control.telemetry.count("voter.refusals", 1);
@@ -213,18 +214,24 @@
         }
     }
 
+    /// Starts or ends an evacuation.
+    async fn evacuate(&self, zone: String, evacuated: bool) -> http::Response {
+        let request = evacuation::Request { zone: zone.as_str().into(), evacuated };
+        match self.evacuations.set(&request).await {
+            Ok(_) if evacuated => text(200, "evacuated\n"),
+            Ok(_) => text(200, "not evacuated\n"),
+            Err(evacuations::Refusal::UnknownZone) => {
+                text(422, &format!("there is no availability zone {zone}\n"))
+            }
+            Err(evacuations::Refusal::NotConfirmed(reason)) => text(503, &format!("{reason}\n")),
+        }
+    }
+
     /// Gives the newest document, or says that nobody can be sure which one it is.
     async fn read(&self) -> http::Response {
-        let (answer, answered) = oneshot::channel();
-        if self.events.send(Event::Read { answer }).await.is_err() {
-            return text(503, "the voter is stopping\n");
-        }
-        let documents = match tokio::time::timeout(READ, answered).await {
-            Ok(Ok(Some(documents))) => documents,
-            _ => {
-                log::warn!("voter: read refused, no quorum confirmed it");
-                return text(503, "no quorum of the voters confirmed it\n");
-            }
+        let documents = match steps::read(&self.events).await {
+            Ok(documents) => documents,
+            Err(reason) => return text(503, &format!("{reason}\n")),
         };
         let Some(sealed) = documents.document else {
             return text(503, "there is no document yet\n");
--- a/ragwortdeal_node/src/voter/fleet/hub.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -1,6 +1,7 @@
 //! Tells followers what changed: documents, weights, upstreams, agents, voters.
 
 mod entries;
+mod evacuations;
 pub(super) mod isolation;
 
 use std::{collections, net, sync, time};
@@ -127,7 +128,9 @@
     fn published(&self, documents: store::Store, voters: &[name::InstanceName]) {
         let mut state = self.state();
         state.directory.forget_silent(SILENT_MS, self.clock.now_ms());
-        state.documents = documents;
+        let previous = std::mem::replace(&mut state.documents, documents);
+        // Before the document: an entry takes requests as soon as it has that.
+        state.tell_evacuations_since(&previous.evacuations, self.clock.now_ms());
         let recorded: Vec<_> = state.documents.verdicts.all().cloned().collect();
         state.merge_verdicts("the log", recorded, self.clock.now_ms());
         state.name_weights(self.weights_ms, self.clock.now_ms());
@@ -423,6 +426,7 @@
     /// Sends a follower all that it may lack.
     fn follow(&mut self, session: link::SessionId, version: u64, now_ms: u64) {
         let entries: Vec<_> = self.entries().collect();
+        let evacuations = self.evacuations_for(session);
         let Some(follower) = self.followers.get_mut(&session) else {
             return;
         };
@@ -432,6 +436,9 @@
             let verdicts = self.isolation.collector.verdicts().all().cloned().collect();
             follower.session.push(notice::encode(&notice::Notice::Verdicts(verdicts)));
         }
+        if let Some(evacuations) = evacuations {
+            follower.session.push(evacuations);
+        }
         follower.send_documents(&self.documents);
         let push = |notice: &notice::Notice| _ = follower.session.push(notice::encode(notice));
         push(&notice::Notice::Namings(self.named.export(now_ms)));
--- a/ragwortdeal_node/src/voter/fleet/steps.rs
+++ b/ragwortdeal_node/src/voter/fleet/steps.rs
@@ -1,4 +1,4 @@
-//! Brings steps of the document store through the log.
+//! Brings steps of the document store through the log, and reads what a quorum confirms.
 
 use std::time;
 
@@ -11,6 +11,9 @@
 /// more and ask another voter; what is decided later is decided all the same.
 const DECIDE: time::Duration = time::Duration::from_millis(2_500);
 
+/// How long a read may take.
+const READ: time::Duration = time::Duration::from_millis(900);
+
 /// Brings a step through the log. An error says nothing of whether it will be decided later.
 pub(super) async fn decide(events: &mpsc::Sender<Event>, step: store::Step) -> Result<(), String> {
     let mut payload = Vec::new();
@@ -28,3 +31,18 @@
         Err(_) => Err("the group did not decide in time".to_owned()),
     }
 }
+
+/// Reads the store as a quorum of the voters confirms it.
+pub(super) async fn read(events: &mpsc::Sender<Event>) -> Result<store::Store, String> {
+    let (answer, answered) = oneshot::channel();
+    if events.send(Event::Read { answer }).await.is_err() {
+        return Err("the voter is stopping".to_owned());
+    }
+    match tokio::time::timeout(READ, answered).await {
+        Ok(Ok(Some(store))) => Ok(store),
+        _ => {
+            log::warn!("voter: read refused, no quorum confirmed it");
+            Err("no quorum of the voters confirmed it".to_owned())
+        }
+    }
+}
--- a/ragwortdeal_node/src/voter/operate.rs
+++ b/ragwortdeal_node/src/voter/operate.rs
@@ -1,5 +1,6 @@
 //! What an operator's tool asks a voter: its status, and the replacement of a lost voter.
 
+pub mod evacuations;
 pub mod parts;
 
 use ragwortdeal_core::{name, replication::replica};
