--- a/ragwortctl/src/cli.rs
+++ b/ragwortctl/src/cli.rs
@@ -102,6 +102,19 @@
         #[command(subcommand)]
         command: Parts,
     },
+    /// Evacuations of availability zones, at the voters of a fleet.
+    Evacuation {
+        /// Address of a voter's listener for links. With several, the next is asked when one does
+        /// not confirm the state.
+        #[arg(long, env = "RAGWORTCTL_VOTER", value_delimiter = ',', required = true)]
+        voter: Vec<net::SocketAddr>,
+        /// The secret of the fleet's processes.
+        #[arg(long, env = "RAGWORTCTL_SECRET", hide_env_values = true, default_value = "")]
+        secret: String,
+        /// What to do.
+        #[command(subcommand)]
+        command: Evacuation,
+    },
     /// The voters.
     Members,
     /// Replaces a voter that is lost for good, brings a new one in, or both.
@@ -146,6 +159,23 @@
     },
 }
 
+/// Evacuations of availability zones.
+#[derive(clap::Subcommand, Debug)]
+pub enum Evacuation {
+    /// Lists the availability zones and whether they are evacuated.
+    List,
+    /// Sends nothing more to upstreams of a zone. Streams in progress run to their end.
+    Start {
+        /// Name of the availability zone.
+        zone: String,
+    },
+    /// Sends requests to upstreams of a zone again.
+    End {
+        /// Name of the availability zone.
+        zone: String,
+    },
+}
+
 /// Programs that read settings.
 #[derive(clap::ValueEnum, Clone, Copy, Debug)]
 pub enum Program {
--- a/ragwortctl/src/commands.rs
+++ b/ragwortctl/src/commands.rs
@@ -1,12 +1,14 @@
 //! What each command does.
 
 mod changes;
+mod evacuation;
 mod explain;
 mod generate;
 mod parts;
 mod spread;
 mod status;
 mod views;
+mod voter_link;
 
 use std::{io, process};
 
@@ -77,6 +79,9 @@
         cli::Command::Parts { voter, secret, command } => {
             parts::run(&voter, &secret, output, command).await
         }
+        cli::Command::Evacuation { voter, secret, command } => {
+            evacuation::run(&voter, &secret, output, command).await
+        }
         cli::Command::Members => views::members(&client, output).await,
         cli::Command::ReplaceVoter { lost, new } => {
             let replacement = wire::VoterReplacement { lost, new };
--- a/ragwortctl/src/commands/parts.rs
+++ b/ragwortctl/src/commands/parts.rs
@@ -1,15 +1,13 @@
 //! Lists, isolates and releases parts of prompts that end engines.
 
-use std::{net, process, time};
+use std::{net, process};
 
-use ragwortdeal_node::{link, settings::common, voter::operate::parts};
-use tokio::sync::mpsc;
+use ragwortdeal_node::voter::operate::parts;
 
-use super::CommandError;
+use super::{CommandError, voter_link};
 use crate::{cli, output};
 
-/// How long a voter may take to accept the link, and to answer.
-const LINK: time::Duration = time::Duration::from_secs(3);
+/// How long a voter may take to answer.
 const ANSWER_MS: u64 = 5_000;
 
 /// Charges that are listed at most.
@@ -41,18 +39,7 @@
     secret: &str,
     request: &parts::PartsRequest,
 ) -> Result<parts::PartsReply, String> {
-    let tool = || "ragwortctl".to_owned();
-    let process = common::Process { name: tool(), availability_zone: tool(), region: tool() };
-    let identity = process.identity().map_err(|error| error.to_string())?;
-    let (events, mut opened) = mpsc::channel(8);
-    let credential = link::Credential::new(secret);
-    let hello = identity.hello("operator");
-    let limits = link::LinkLimits::default();
-    let link = link::open(&voter.to_string(), credential, hello, limits, events);
-    let up = tokio::time::timeout(LINK, opened.recv()).await;
-    if !matches!(up, Ok(Some(link::LinkEvent::Up))) {
-        return Err("the link was not accepted".to_owned());
-    }
+    let link = voter_link::open(voter, secret).await?;
     parts::ask(&link, request, ANSWER_MS).await.map_err(|error| error.to_string())
 }
 
