--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -204,7 +204,12 @@
         };
         let selected = self.choose(&criteria).map_err(|unavailable| match unavailable {
             _ if progress.may_have_run => failed("no other upstream takes it"),
-            selection::Unavailable::NoneEligible => self.refuse_outage("no upstream takes work"),
+            selection::Unavailable::NoneEligible { evacuated: false } => {
+                self.refuse_outage("no upstream takes work")
+            }
+            selection::Unavailable::NoneEligible { evacuated: true } => {
+                self.refuse_outage("no upstream outside evacuated zones takes work")
+            }
             selection::Unavailable::OutsideAllowedRegions => {
                 self.telemetry.count("entry.refused_outside_regions", 1);
                 self.refuse_outage("no upstream in the regions where it may be served")
--- a/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
@@ -114,7 +114,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(in super::super) enum Unavailable {
     /// No upstream accepts work.
-    NoneEligible,
+    NoneEligible {
+        /// Whether there are upstreams in evacuated zones.
+        evacuated: bool,
+    },
     /// No upstream that accepts work is in a region where the request may be served.
     OutsideAllowedRegions,
     /// All upstreams that accept work are full.
@@ -163,6 +166,7 @@
                 && announcement.service == *criteria.service
                 && !criteria.tried.contains(&announcement.instance)
                 && !self.is_leaving(&announcement.instance)
+                && !self.is_evacuated(announcement)
         };
         let upstreams = self.directory.all().map(|upstream| &upstream.announcement);
         let upstreams: Vec<_> = upstreams.filter(|it| takes_work(it)).collect();
@@ -239,7 +243,9 @@
                 .map(|it| (it, None)),
         };
         best.map_err(|turned| match turned {
-            _ if eligible.is_empty() => Unavailable::NoneEligible,
+            _ if eligible.is_empty() => {
+                Unavailable::NoneEligible { evacuated: self.has_evacuated(criteria.service) }
+            }
             gate::Rejection::Full => Unavailable::AllFull,
             gate::Rejection::LateWorkShed => Unavailable::LateWorkShed,
         })
