--- a/extra/completions/ragwortctl.bash
+++ b/extra/completions/ragwortctl.bash
@@ -19,6 +19,9 @@
             ragwortctl,check-config)
                 cmd="ragwortctl__subcmd__check__subcmd__config"
                 ;;
+            ragwortctl,evacuation)
+                cmd="ragwortctl__subcmd__evacuation"
+                ;;
             ragwortctl,explain)
                 cmd="ragwortctl__subcmd__explain"
                 ;;
@@ -55,6 +58,15 @@
             ragwortctl,version)
                 cmd="ragwortctl__subcmd__version"
                 ;;
+            ragwortctl__subcmd__evacuation,end)
+                cmd="ragwortctl__subcmd__evacuation__subcmd__end"
+                ;;
+            ragwortctl__subcmd__evacuation,list)
+                cmd="ragwortctl__subcmd__evacuation__subcmd__list"
+                ;;
+            ragwortctl__subcmd__evacuation,start)
+                cmd="ragwortctl__subcmd__evacuation__subcmd__start"
+                ;;
             ragwortctl__subcmd__label,get)
                 cmd="ragwortctl__subcmd__label__subcmd__get"
                 ;;
@@ -107,7 +119,7 @@
 
     case "${cmd}" in
         ragwortctl)
-            opts="-h -V --entry --token --output --help --version label selector version status spread operations settle explain parts members replace-voter check-config generate"
+            opts="-h -V --entry --token --output --help --version label selector version status spread operations settle explain parts evacuation members replace-voter check-config generate"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 1 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -162,6 +174,118 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        ragwortctl__subcmd__evacuation)
+            opts="-h --voter --secret --entry --token --output --help list start end"
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                --voter)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --secret)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --entry)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --token)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --output)
+                    COMPREPLY=($(compgen -W "table json" -- "${cur}"))
+                    return 0
+                    ;;
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
+        ragwortctl__subcmd__evacuation__subcmd__end)
+            opts="-h --entry --token --output --help"
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                --entry)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --token)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --output)
+                    COMPREPLY=($(compgen -W "table json" -- "${cur}"))
+                    return 0
+                    ;;
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
+        ragwortctl__subcmd__evacuation__subcmd__list)
+            opts="-h --entry --token --output --help"
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                --entry)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --token)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --output)
+                    COMPREPLY=($(compgen -W "table json" -- "${cur}"))
+                    return 0
+                    ;;
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
+        ragwortctl__subcmd__evacuation__subcmd__start)
+            opts="-h --entry --token --output --help"
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                --entry)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --token)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --output)
+                    COMPREPLY=($(compgen -W "table json" -- "${cur}"))
+                    return 0
+                    ;;
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         ragwortctl__subcmd__explain)
             opts="-h --entry --token --output --help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
--- a/extra/completions/ragwortctl.fish
+++ b/extra/completions/ragwortctl.fish
@@ -39,6 +39,7 @@
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "settle" -d 'Settles an operation in doubt after a look at the ledger'
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "explain" -d 'Prints the story of one request from log files of a fleet\'s processes, and its cause'
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "parts" -d 'Parts of prompts that end engines, at the voters of a fleet'
+complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "evacuation" -d 'Evacuations of availability zones, at the voters of a fleet'
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "members" -d 'The voters'
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "replace-voter" -d 'Replaces a voter that is lost for good, brings a new one in, or both'
 complete -c ragwortctl -n "__fish_ragwortctl_needs_command" -f -a "check-config" -d 'Checks a settings file'
@@ -207,6 +208,31 @@
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand parts; and __fish_seen_subcommand_from release" -l output -d 'How to print' -r -f -a "table\t'For people'
 json\t'For programs'"
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand parts; and __fish_seen_subcommand_from release" -s h -l help -d 'Print help (see more with \'--help\')'
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand evacuation; and not __fish_seen_subcommand_from list start end" -l voter -d 'Address of a voter\'s listener for links. With several, the next is asked when one does not confirm the state' -r
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand evacuation; and not __fish_seen_subcommand_from list start end" -l secret -d 'The secret of the fleet\'s processes' -r
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand evacuation; and not __fish_seen_subcommand_from list start end" -l entry -d 'Address of an entry\'s listener for operators. With several, the next is asked when one does not answer; a change keeps its identifier, so it is never made twice' -r
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand evacuation; and not __fish_seen_subcommand_from list start end" -l token -d 'The operator\'s secret' -r
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand evacuation; and not __fish_seen_subcommand_from list start end" -l output -d 'How to print' -r -f -a "table\t'For people'
+json\t'For programs'"
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand evacuation; and not __fish_seen_subcommand_from list start end" -s h -l help -d 'Print help (see more with \'--help\')'
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand evacuation; and not __fish_seen_subcommand_from list start end" -f -a "list" -d 'Lists the availability zones and whether they are evacuated'
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand evacuation; and not __fish_seen_subcommand_from list start end" -f -a "start" -d 'Sends nothing more to upstreams of a zone. Streams in progress run to their end'
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand evacuation; and not __fish_seen_subcommand_from list start end" -f -a "end" -d 'Sends requests to upstreams of a zone again'
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand evacuation; and __fish_seen_subcommand_from list" -l entry -d 'Address of an entry\'s listener for operators. With several, the next is asked when one does not answer; a change keeps its identifier, so it is never made twice' -r
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand evacuation; and __fish_seen_subcommand_from list" -l token -d 'The operator\'s secret' -r
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand evacuation; and __fish_seen_subcommand_from list" -l output -d 'How to print' -r -f -a "table\t'For people'
+json\t'For programs'"
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand evacuation; and __fish_seen_subcommand_from list" -s h -l help -d 'Print help (see more with \'--help\')'
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand evacuation; and __fish_seen_subcommand_from start" -l entry -d 'Address of an entry\'s listener for operators. With several, the next is asked when one does not answer; a change keeps its identifier, so it is never made twice' -r
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand evacuation; and __fish_seen_subcommand_from start" -l token -d 'The operator\'s secret' -r
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand evacuation; and __fish_seen_subcommand_from start" -l output -d 'How to print' -r -f -a "table\t'For people'
+json\t'For programs'"
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand evacuation; and __fish_seen_subcommand_from start" -s h -l help -d 'Print help (see more with \'--help\')'
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand evacuation; and __fish_seen_subcommand_from end" -l entry -d 'Address of an entry\'s listener for operators. With several, the next is asked when one does not answer; a change keeps its identifier, so it is never made twice' -r
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand evacuation; and __fish_seen_subcommand_from end" -l token -d 'The operator\'s secret' -r
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand evacuation; and __fish_seen_subcommand_from end" -l output -d 'How to print' -r -f -a "table\t'For people'
+json\t'For programs'"
+complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand evacuation; and __fish_seen_subcommand_from end" -s h -l help -d 'Print help (see more with \'--help\')'
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand members" -l entry -d 'Address of an entry\'s listener for operators. With several, the next is asked when one does not answer; a change keeps its identifier, so it is never made twice' -r
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand members" -l token -d 'The operator\'s secret' -r
 complete -c ragwortctl -n "__fish_ragwortctl_using_subcommand members" -l output -d 'How to print' -r -f -a "table\t'For people'
