Order requests to engines by priority

Cause: the gate admits by time alone, so a kind with a wide objective and short prompts fills the engines, and the most urgent kind is refused. Change: requests to a service of engines whose routes have several priorities get a level from the priorities of account and route. Less urgent requests leave room for more urgent levels that were requested lately, pay with refusals for refused ones that are more urgent, and keep a minimum share. Accounts above an equal share of their level are refused first. Late work of a more urgent level goes first. Engines get the level in a header, refusals have it in a field and a counter for each level. Without several priorities the decisions are as before.

--- a/ragwortdeal_core/src/dispatch/forecast.rs
+++ b/ragwortdeal_core/src/dispatch/forecast.rs
@@ -82,6 +82,11 @@
         self.mean_prefill_ms
     }
 
+    /// Engine time of a mean answer after a prompt with this prefill time, in milliseconds.
+    pub fn engine_ms(&self, prefill_ms: f64) -> f64 {
+        self.service_ms - self.mean_prefill_ms + prefill_ms
+    }
+
     /// Urgency of a request that is sent for the first time.
     pub fn urgency(&self, objective_ms: u64, prefill_ms: f64) -> Urgency {
         let is_in_time = self.idle_ms(prefill_ms) <= objective_ms as f64 * IDLE_FRACTION;
--- a/ragwortdeal_core/src/document/table.rs
+++ b/ragwortdeal_core/src/document/table.rs
@@ -3,6 +3,7 @@
 use std::{collections, sync};
 
 use super::{Account, Document, Engine, Route, Service, Text};
+use crate::dispatch::priority;
 
 /// A document with its indices. It is immutable; the next document gets another table.
 #[derive(Clone, Debug, Default)]
@@ -11,6 +12,7 @@
     by_host: collections::HashMap<Text, Vec<usize>>,
     by_key: collections::HashMap<Text, usize>,
     services: collections::HashMap<Text, usize>,
+    levels: collections::HashMap<Text, priority::Levels>,
 }
 
 /// Identity of a caller.
@@ -41,7 +43,12 @@
         }
         let services = document.services.iter().enumerate();
         let services = services.map(|(index, service)| (service.name.clone(), index)).collect();
-        Self { document, by_host, by_key, services }
+        let of_engines = document.services.iter().filter(|service| service.engine.is_some());
+        let levels = of_engines.filter_map(|service| {
+            Some((service.name.clone(), priority::Levels::new(&document, &service.name)?))
+        });
+        let levels = levels.collect();
+        Self { document, by_host, by_key, services, levels }
     }
 
     /// The document.
@@ -75,6 +82,11 @@
         self.services.get(name).map(|&index| &self.document.services[index])
     }
 
+    /// Levels of the requests to a service of engines, or `None` if they are not ordered.
+    pub fn levels(&self, service: &str) -> Option<&priority::Levels> {
+        self.levels.get(service)
+    }
+
     /// Parameters of a service's engines.
     pub fn engine(&self, service: &str) -> Option<&Engine> {
         self.service(service)?.engine.as_ref()
--- a/ragwortdeal_core/tests/dispatch_forecast.rs
+++ b/ragwortdeal_core/tests/dispatch_forecast.rs
@@ -208,6 +208,7 @@
             gap_objective_ms: 300,
             prefill_ms,
             urgency,
+            class: None,
         };
         let chosen = Gate::default().choose(&[idle()], &work, 0, 0);
         expect_that!(chosen.map(|chosen| chosen.engine), eq(Ok(0)));
--- a/ragwortdeal_core/tests/dispatch_gate.rs
+++ b/ragwortdeal_core/tests/dispatch_gate.rs
@@ -10,13 +10,14 @@
     retry_detection::RetryDetector,
 };
 
-fn work(urgency: Urgency) -> Work {
+fn work(urgency: Urgency) -> Work<'static> {
     Work {
         latency_model: LatencyModel::new(&figures::engine()),
         objective_ms: 400,
         gap_objective_ms: 300,
         prefill_ms: 32.0,
         urgency,
+        class: None,
     }
 }
 
--- a/ragwortdeal_core/tests/overload/engine.rs
+++ b/ragwortdeal_core/tests/overload/engine.rs
@@ -9,6 +9,8 @@
 pub struct Work {
     /// Index of the caller.
     pub caller: usize,
+    /// Number of its level. The queue is ordered by it.
+    pub level: usize,
     /// Prompt tokens still to be read.
     pub unread_tokens: f64,
     /// All prompt tokens.
@@ -51,7 +53,8 @@
     }
 
     pub fn offer(&mut self, work: Work) {
-        self.queue.push_back(work);
+        let behind = self.queue.partition_point(|queued| queued.level <= work.level);
+        self.queue.insert(behind, work);
     }
 
     /// Drops the request of a caller that left.
--- a/ragwortdeal_core/tests/overload/fleet.rs
+++ b/ragwortdeal_core/tests/overload/fleet.rs
@@ -39,6 +39,8 @@
     pub answer_tokens: f64,
     pub objective_ms: u64,
     pub credit: f64,
+    /// Number of its level, if requests are ordered.
+    pub level: Option<usize>,
 }
 
 /// A deployment.
@@ -78,6 +80,8 @@
     pub latency_model: forecast::LatencyModel,
     pub prefill_ms: f64,
     pub objective_ms: u64,
+    /// Number of the request's level, if requests are ordered.
+    pub level: Option<usize>,
     /// The caller's remaining time.
     pub remaining_ms: u64,
     pub now_ms: u64,
@@ -96,6 +100,23 @@
 /// Offered load: requests per second from each time in milliseconds on.
 pub type Load = [(u64, f64)];
 
+/// Largest number of kinds.
+const KINDS_MAX: usize = 4;
+
+/// Numbers of requests of one kind.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct KindOutcome {
+    requests: u64,
+    in_time: u64,
+}
+
+impl KindOutcome {
+    /// Fraction of the requests that is answered in time.
+    pub fn in_time_fraction(&self) -> f64 {
+        self.in_time as f64 / self.requests.max(1) as f64
+    }
+}
+
 /// Results of the requests that count.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Outcome {
@@ -106,6 +127,7 @@
     served: u64,
     large: u64,
     large_served: u64,
+    pub by_kind: [KindOutcome; KINDS_MAX],
 }
 
 impl Outcome {
@@ -266,6 +288,7 @@
         if caller.counts {
             self.outcome.credit_total += caller.credit;
             self.outcome.requests += 1;
+            self.outcome.by_kind[caller.kind].requests += 1;
             self.outcome.large += u64::from(caller.is_large);
         }
         self.callers.push(caller);
@@ -312,6 +335,7 @@
             latency_model: self.latency_model,
             prefill_ms: caller.prefill_ms,
             objective_ms: self.setup.kinds[caller.kind].objective_ms,
+            level: self.setup.kinds[caller.kind].level,
             remaining_ms,
             now_ms,
             draw: self.random.random(),
@@ -355,6 +379,7 @@
         let Some(Sent { engine, .. }) = caller.sent else { return };
         self.engines[engine].offer(engine::Work {
             caller: index,
+            level: self.setup.kinds[caller.kind].level.unwrap_or(0),
             unread_tokens: caller.prompt_tokens,
             prompt_tokens: caller.prompt_tokens,
             undecoded_tokens: caller.answer_tokens,
@@ -418,6 +443,7 @@
         let earned = if caller.in_time { &mut outcome.in_time } else { &mut outcome.late };
         *earned += caller.credit;
         outcome.served += 1;
+        outcome.by_kind[caller.kind].in_time += u64::from(caller.in_time);
         outcome.large_served += u64::from(caller.is_large);
     }
 
--- a/ragwortdeal_core/tests/overload/main.rs
+++ b/ragwortdeal_core/tests/overload/main.rs
@@ -9,6 +9,7 @@
         choice::{self, Prompt},
         forecast::Urgency,
         gate::{Choice, Gate, Work},
+        priority::{Class, Level},
         retry_detection::RetryDetector,
     },
     document,
@@ -38,7 +39,10 @@
             true => Urgency::Late,
             false => latency_model.urgency(objective_ms, prefill_ms),
         };
-        let work = Work { latency_model, objective_ms, gap_objective_ms: 400, prefill_ms, urgency };
+        let class = question.level.map(|number| Class { level: Level::new(number), account: None });
+        let gap_objective_ms = 400;
+        let work =
+            Work { latency_model, objective_ms, gap_objective_ms, prefill_ms, urgency, class };
         let chosen = self.gate.choose(question.engines, &work, now_ms, draw);
         chosen.map_err(|_| remaining.retry_after_ms(draw))
     }
@@ -77,7 +81,7 @@
 
 fn kind(share: f64, tokens: (f64, f64), objective_ms: u64, credit: f64) -> fleet::Kind {
     let (prompt_tokens, answer_tokens) = tokens;
-    fleet::Kind { share, prompt_tokens, answer_tokens, objective_ms, credit }
+    fleet::Kind { share, prompt_tokens, answer_tokens, objective_ms, credit, level: None }
 }
 
 /// Engines that spend about as much time on prefill as on decoding.
@@ -202,3 +206,45 @@
         expect_that!(steady::<EntryRule>(&prefill_heavy(), 0.75, seed) / 0.75, ge(0.95));
     }
 }
+
+/// Three kinds, of which the least urgent has short prompts and a wide objective.
+fn three_levels() -> fleet::Setup {
+    let urgent = fleet::Kind { level: Some(0), ..kind(0.37, (1_330.0, 147.0), 400, 2.5) };
+    let middle = fleet::Kind { level: Some(1), ..kind(0.31, (827.0, 147.0), 400, 2.0) };
+    let least = fleet::Kind { level: Some(2), ..kind(0.32, (647.0, 70.0), 800, 1.3) };
+    fleet::Setup { engines: 12, entries: 6, kinds: vec![urgent, middle, least], ..many_entries() }
+}
+
+/// Mean fractions of the requests of each kind that are answered in time, and of the credit earned.
+fn in_time_by_kind(setup: &fleet::Setup, load: f64) -> ([f64; 3], f64) {
+    let rate_per_s = load * setup.capacity_per_s();
+    let seeds = 1..=4;
+    let mut means = ([0.0; 3], 0.0);
+    for seed in seeds.clone() {
+        let outcome =
+            fleet::simulate::<EntryRule>(setup, &[(0, rate_per_s)], 25_000, COUNTED_FROM_MS, seed);
+        let weight = 1.0 / seeds.clone().count() as f64;
+        for (mean, kind) in means.0.iter_mut().zip(&outcome.by_kind) {
+            *mean += weight * kind.in_time_fraction();
+        }
+        means.1 += weight * outcome.goodput();
+    }
+    means
+}
+
+/// Guards against engines that are filled by the least urgent requests, against an order that
+/// starves these, and against one that wastes capacity.
+#[googletest::test]
+fn more_urgent_requests_are_answered_first_in_an_overload() {
+    let ordered = three_levels();
+    let mut unordered = ordered.clone();
+    unordered.kinds.iter_mut().for_each(|kind| kind.level = None);
+    for load in [0.9, 1.1, 1.3, 1.6] {
+        let (with, credit_with) = in_time_by_kind(&ordered, load);
+        let (without, credit_without) = in_time_by_kind(&unordered, load);
+        expect_that!(with[0], gt(without[0]), "load {load}");
+        expect_that!(with[0], gt(with[1].max(with[2])), "load {load}");
+        expect_that!(with[2], ge(0.25 * without[2]), "load {load}");
+        expect_that!(credit_with, ge(0.9 * credit_without), "load {load}");
+    }
+}
--- a/ragwortdeal_node/src/fleet/entry/exchange.rs
+++ b/ragwortdeal_node/src/fleet/entry/exchange.rs
@@ -161,6 +161,9 @@
         if let Some(version) = selected.version {
             headers.insert(names.expected_version.clone(), header::HeaderValue::from(version));
         }
+        if let Some(level) = request.level {
+            headers.insert(names.priority.clone(), header::HeaderValue::from(level.number()));
+        }
         if let Some(last) = last_event {
             headers.insert(names.last_event.clone(), header::HeaderValue::from(last));
         }
--- a/ragwortdeal_node/src/fleet/entry/request.rs
+++ b/ragwortdeal_node/src/fleet/entry/request.rs
@@ -5,7 +5,7 @@
 use hyper::header;
 use ragwortdeal_core::{
     directory,
-    dispatch::{forecast, gate, prompt, retry_detection},
+    dispatch::{forecast, gate, priority, prompt, retry_detection},
     document,
     document::table,
 };
@@ -55,6 +55,10 @@
     pub(super) models: Option<Vec<directory::Text>>,
     /// Latency model of the engines, if it is a service of engines.
     pub(super) pace: Option<forecast::LatencyModel>,
+    /// Level of the request, if those to its service are ordered.
+    pub(super) level: Option<priority::Level>,
+    /// Name of the account that calls.
+    pub(super) account: Option<directory::Text>,
     /// Remaining time of the caller.
     pub(super) remaining_time: retry_detection::RemainingTime,
     /// Milliseconds that an engine takes to read the prompt, 0 if there is none.
@@ -76,7 +80,7 @@
 
     /// The work that it is for an engine, if its service is one of engines. A request that was sent
     /// before is resumed elsewhere.
-    pub(super) fn work(&self, sent_before: bool) -> Option<gate::Work> {
+    pub(super) fn work(&self, sent_before: bool) -> Option<gate::Work<'_>> {
         let pace = self.pace?;
         let (aim_ms, reading_ms) = (self.route.objective_ms, self.reading_ms);
         let urgency = if sent_before || self.last_event.is_some() {
@@ -87,12 +91,14 @@
             pace.urgency(aim_ms, reading_ms)
         };
         let gap_ms = self.route.gap_objective_ms.unwrap_or(0);
+        let class = |level| priority::Class { level, account: self.account.as_ref() };
         Some(gate::Work {
             latency_model: pace,
             objective_ms: aim_ms,
             gap_objective_ms: gap_ms,
             prefill_ms: reading_ms,
             urgency,
+            class: self.level.map(class),
         })
     }
 
@@ -121,16 +127,23 @@
     pub(super) status: u16,
     pub(super) reason: &'static str,
     pub(super) retry_after: Option<time::Duration>,
+    /// Level of the refused request, if those to its service are ordered.
+    pub(super) level: Option<priority::Level>,
 }
 
 impl Refusal {
     pub(super) fn new(status: u16, reason: &'static str) -> Self {
-        Self { status, reason, retry_after: None }
+        Self { status, reason, retry_after: None, level: None }
     }
 
     /// A refusal with a time after which to retry.
     pub(super) fn retry_after(status: u16, reason: &'static str, after: time::Duration) -> Self {
-        Self { status, reason, retry_after: Some(after) }
+        Self { status, reason, retry_after: Some(after), level: None }
+    }
+
+    /// The refusal of a request of this level.
+    pub(super) fn of_level(self, level: Option<priority::Level>) -> Self {
+        Self { level, ..self }
     }
 }
 
@@ -188,18 +201,17 @@
         headers.remove(&names.expected_instance);
         headers.remove(&names.expected_version);
         headers.remove(&names.priority);
-        match caller {
+        let account = match caller {
             table::Caller::Unknown => return Err(Refusal::new(401, "no account holds this key")),
-            table::Caller::Anonymous => (),
+            table::Caller::Anonymous => None,
             table::Caller::Account(account) => {
-                let value = header::HeaderValue::from_str(&account.name);
-                let value =
-                    value.map_err(|_| Refusal::new(503, "the account has no usable name"))?;
-                headers.insert(names.account.clone(), value);
+                headers.insert(names.account.clone(), account_value(account)?);
+                Some(account)
             }
-        }
+        };
         let service = document::table::pick_target(route, self.random_u64()).cloned();
         let service = service.ok_or(Refusal::new(503, "the route leads nowhere"))?;
+        let level = table.levels(&service).map(|levels| levels.level(account, route));
         let engine = table.engine(&service);
         let models = engine.map(|engine| engine.models.clone());
         let pace = engine.map(forecast::LatencyModel::new);
@@ -227,6 +239,8 @@
             service,
             models,
             pace,
+            level,
+            account: account.map(|account| account.name.clone()),
             remaining_time: self.remaining_time(&route.name, waits_ms),
             reading_ms,
             started,
@@ -251,6 +265,12 @@
     }
 }
 
+/// The account as upstreams are told it.
+fn account_value(account: &document::Account) -> Result<header::HeaderValue, Refusal> {
+    header::HeaderValue::from_str(&account.name)
+        .map_err(|_| Refusal::new(503, "the account has no usable name"))
+}
+
 /// Headers without the hop-by-hop ones.
 pub(super) fn forwarded(headers: &header::HeaderMap) -> header::HeaderMap {
     let named: Vec<String> = headers
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -50,12 +50,21 @@
 /// Answers with a refusal or failure of the entry itself.
 fn refused(entry: &Entry, id: Option<&header::HeaderValue>, refusal: &Refusal) -> http::Response {
     let text = id.and_then(|id| id.to_str().ok()).unwrap_or("?");
-    log::info!(
-        request = text, status = refusal.status, reason = refusal.reason,
-        document = entry.held_version.load(atomic::Ordering::Relaxed);
-        "entry: refused: {}", refusal.reason
-    );
+    let document = entry.held_version.load(atomic::Ordering::Relaxed);
+    let Refusal { status, reason, level, .. } = *refusal;
+    match level {
+        Some(level) => log::info!(
+            request = text, status, reason, document, priority_level = level.number() as u64;
+            "entry: refused: {reason}"
+        ),
+        None => log::info!(
+            request = text, status, reason, document; "entry: refused: {reason}"
+        ),
+    }
     entry.telemetry.count("entry.refused", 1);
+    if let Some(level) = level {
+        entry.telemetry.count(&format!("entry.refused_level_{}", level.number()), 1);
+    }
     let body = http::full(format!("{}\n", refusal.reason));
     let mut response = http::respond(refusal.status, "text/plain", body);
     if let Some(id) = id {
@@ -123,12 +132,15 @@
     loop {
         let selected = match entry.next_upstream(request, &mut progress) {
             Ok(selected) => selected,
-            Err(refusal) => return refused(entry, Some(&request.id), &refusal),
+            Err(refusal) => {
+                return refused(entry, Some(&request.id), &refusal.of_level(request.level));
+            }
         };
         if progress.may_have_run && request.is_abandoned_before(selected.forecast_ms.unwrap_or(0.0))
         {
             let reason = "its caller would leave before it begins";
-            return refused(entry, Some(&request.id), &Refusal::new(502, reason));
+            let refusal = Refusal::new(502, reason).of_level(request.level);
+            return refused(entry, Some(&request.id), &refusal);
         }
         pending.upstream = Some(selected.peer.instance.clone());
         let outcome = entry.exchange(request, &selected, request.last_event).await;
@@ -213,6 +225,12 @@
             selection::Unavailable::LateWorkShed => {
                 self.refuse_retryable(request, "it would be late and others would wait for it")
             }
+            selection::Unavailable::MoreUrgentFirst => {
+                self.refuse_retryable(request, "more urgent requests go first")
+            }
+            selection::Unavailable::AboveFairShare => {
+                self.refuse_retryable(request, "its account is above its share")
+            }
         })?;
         if progress.sent == 0 {
             if progress.tried.is_empty() {
--- a/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
@@ -122,6 +122,10 @@
     },
     /// The request would be late and would take capacity from others.
     LateWorkShed,
+    /// The room is kept for more urgent requests.
+    MoreUrgentFirst,
+    /// Its account requests more than its share.
+    AboveFairShare,
 }
 
 /// Criteria for the selection.
@@ -130,7 +134,7 @@
     /// Models of the service, if it is a service of engines.
     pub(in super::super) models: Option<&'w [directory::Text]>,
     /// The work for an engine, if it is a service of engines.
-    pub(in super::super) work: Option<gate::Work>,
+    pub(in super::super) work: Option<gate::Work<'w>>,
     /// Upstreams that were tried before.
     pub(in super::super) tried: &'w [directory::Text],
     /// Whether the request may be sent to more than one upstream.
@@ -225,6 +229,8 @@
             _ if eligible.is_empty() => Unavailable::NoneEligible,
             gate::Rejection::Full => Unavailable::AllFull,
             gate::Rejection::LateWorkShed => Unavailable::LateWorkShed,
+            gate::Rejection::MoreUrgentFirst => Unavailable::MoreUrgentFirst,
+            gate::Rejection::AboveFairShare => Unavailable::AboveFairShare,
         })
     }
 }
