--- a/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
@@ -129,6 +129,10 @@
     },
     /// The request would be late and would take capacity from others.
     LateWorkShed,
+    /// The room is kept for more urgent requests.
+    MoreUrgentFirst,
+    /// Its account requests more than its share.
+    AboveFairShare,
 }
 
 /// Criteria for the selection.
@@ -139,7 +143,7 @@
     /// Regions in which the request may be served.
     pub(in super::super) residency: &'w residency::Residency,
     /// The work for an engine, if it is a service of engines.
-    pub(in super::super) work: Option<gate::Work>,
+    pub(in super::super) work: Option<gate::Work<'w>>,
     /// Upstreams that were tried before.
     pub(in super::super) tried: &'w [directory::Text],
     /// Whether the request may be sent to more than one upstream.
@@ -248,6 +252,8 @@
             }
             gate::Rejection::Full => Unavailable::AllFull,
             gate::Rejection::LateWorkShed => Unavailable::LateWorkShed,
+            gate::Rejection::MoreUrgentFirst => Unavailable::MoreUrgentFirst,
+            gate::Rejection::AboveFairShare => Unavailable::AboveFairShare,
         })
     }
 }
