Use a function in place of a closure in fleet_cold

Cause: clippy reports the closure. Change: the function is passed itself. Result: fleet_cold passes, 4 tests; dispatch_cold, dispatch_rate_limit, dispatch_flow_control, dispatch_entry_roster and directory of the core pass.

--- a/ragwortdeal_node/tests/fleet_cold.rs
+++ b/ragwortdeal_node/tests/fleet_cold.rs
@@ -66,7 +66,7 @@
             }
             statuses
         };
-        let callers = entries.into_iter().map(|entry| caller(entry));
+        let callers = entries.into_iter().map(caller);
         futures_util::future::join_all(callers).await.concat()
     }
 
