--- a/ragwortdeal_node/src/fleet/entry/upstreams/flow.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/flow.rs
@@ -188,7 +188,6 @@
 
     /// Counts all upstreams of an availability zone as cold, because its evacuation has ended.
     // Evacuations are built apart from cold upstreams.
-    #[allow(dead_code)]
     pub(in super::super) fn assume_cold_in_zone(&mut self, zone: &str, now_ms: u64) {
         let there = self.directory.all().map(|upstream| &upstream.announcement);
         let there = there.filter(|it| *it.zone == *zone && it.status != directory::Status::Gone);
