Split the reading of a request, let the tests of paces know levels

Cause: merged parts made a function longer than the linter allows and tests build gates without levels. Change: headers for the upstream are made in a function of their own; a request's latency model has its name.

--- a/ragwortdeal_core/tests/dispatch_pace.rs
+++ b/ragwortdeal_core/tests/dispatch_pace.rs
@@ -133,10 +133,11 @@
         gap_objective_ms: 0,
         prefill_ms: latency_model.mean_prefill_ms(),
         urgency: Urgency::InTime,
+        class: None,
     };
     let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(3);
     let mut sent = [0.0_f64; ENGINES];
-    let mut gates = [gate::Gate::default(); ENTRIES];
+    let mut gates = std::array::from_fn::<_, ENTRIES, _>(|_| gate::Gate::default());
     let mut views = Vec::new();
     let mut idle = backlog::Backlog::default();
     idle.record_report(peer_load::RequestCounts::default(), 20_000);
--- a/ragwortdeal_core/tests/overload/fleet.rs
+++ b/ragwortdeal_core/tests/overload/fleet.rs
@@ -117,7 +117,7 @@
 const KINDS_MAX: usize = 4;
 
 /// Numbers of requests of one kind.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct KindOutcome {
     requests: u64,
     in_time: u64,
--- a/ragwortdeal_node/src/fleet/entry/request.rs
+++ b/ragwortdeal_node/src/fleet/entry/request.rs
@@ -54,7 +54,7 @@
     /// Models of the service, if it is a service of engines.
     pub(super) models: Option<Vec<directory::Text>>,
     /// Latency model of the engines, if it is a service of engines.
-    pub(super) pace: Option<forecast::LatencyModel>,
+    pub(super) latency_model: Option<forecast::LatencyModel>,
     /// Level of the request, if those to its service are ordered.
     pub(super) level: Option<priority::Level>,
     /// Name of the account that calls.
@@ -83,19 +83,19 @@
     /// The work that it is for an engine, if its service is one of engines. A request that was sent
     /// before is resumed elsewhere.
     pub(super) fn work(&self, sent_before: bool) -> Option<gate::Work<'_>> {
-        let pace = self.pace?;
+        let latency_model = self.latency_model?;
         let (aim_ms, reading_ms) = (self.route.objective_ms, self.reading_ms);
         let urgency = if sent_before || self.last_event.is_some() {
             forecast::Urgency::Resumed
         } else if self.remaining_time.is_retry() {
             forecast::Urgency::Late
         } else {
-            pace.urgency(aim_ms, reading_ms)
+            latency_model.urgency(aim_ms, reading_ms)
         };
         let gap_ms = self.route.gap_objective_ms.unwrap_or(0);
         let class = |level| priority::Class { level, account: self.account.as_ref() };
         Some(gate::Work {
-            latency_model: pace,
+            latency_model,
             objective_ms: aim_ms,
             gap_objective_ms: gap_ms,
             prefill_ms: reading_ms,
@@ -181,6 +181,18 @@
         }
     }
 
+    /// Headers for the upstream, without the caller's key and those that the entry sets itself.
+    fn upstream_headers(&self, headers: &header::HeaderMap) -> header::HeaderMap {
+        let names = self.dialect.headers();
+        let mut headers = forwarded(headers);
+        headers.remove(header::AUTHORIZATION);
+        headers.remove(&names.account);
+        headers.remove(&names.expected_instance);
+        headers.remove(&names.expected_version);
+        headers.remove(&names.priority);
+        headers
+    }
+
     /// Reads a request and determines its route, account and service.
     pub(super) async fn read_request(
         &self,
@@ -197,12 +209,7 @@
         let route = table.route(host, request.uri.path());
         let route = route.ok_or(Refusal::new(404, "no route"))?;
         let caller = table.caller(route, self.dialect.api_key(&request.headers));
-        let mut headers = forwarded(&request.headers);
-        headers.remove(header::AUTHORIZATION);
-        headers.remove(&names.account);
-        headers.remove(&names.expected_instance);
-        headers.remove(&names.expected_version);
-        headers.remove(&names.priority);
+        let mut headers = self.upstream_headers(&request.headers);
         let account = match caller {
             table::Caller::Unknown => return Err(Refusal::new(401, "no account holds this key")),
             table::Caller::Anonymous => None,
@@ -217,7 +224,7 @@
         let level = table.levels(&service).map(|levels| levels.level(account, route));
         let engine = table.engine(&service);
         let models = engine.map(|engine| engine.models.clone());
-        let pace = engine.map(forecast::LatencyModel::new);
+        let latency_model = engine.map(forecast::LatencyModel::new);
         let tokens = request.header(names.tokens.as_str());
         let tokens = tokens.and_then(|value| self.dialect.tokens(value));
         let reading_ms = match (engine, tokens) {
@@ -241,7 +248,7 @@
             route: route.clone(),
             service,
             models,
-            pace,
+            latency_model,
             level,
             account: account.map(|account| account.name.clone()),
             remaining_time: self.remaining_time(&route.name, waits_ms),
--- a/ragwortdeal_node/src/fleet/entry/upstreams/flow.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/flow.rs
@@ -187,7 +187,6 @@
     }
 
     /// Counts all upstreams of an availability zone as cold, because its evacuation has ended.
-    // Evacuations are built apart from cold upstreams.
     pub(in super::super) fn assume_cold_in_zone(&mut self, zone: &str, now_ms: u64) {
         let there = self.directory.all().map(|upstream| &upstream.announcement);
         let there = there.filter(|it| *it.zone == *zone && it.status != directory::Status::Gone);
