--- a/ragwortdeal_node/src/fleet/agent.rs
+++ b/ragwortdeal_node/src/fleet/agent.rs
@@ -6,7 +6,6 @@
 mod early_holdings;
 mod engine;
 mod fetch;
-mod manifest_offers;
 mod manifests;
 mod peers;
 mod probe_responder;
--- a/ragwortdeal_node/src/fleet/agent/manifests.rs
+++ b/ragwortdeal_node/src/fleet/agent/manifests.rs
@@ -17,7 +17,7 @@
 /// Agents of each zone that fetch a manifest from the origin at once. If all did, hundreds of
 /// manifests would take as long on the origin's link as a third of the chunks, and more connections
 /// than it accepts.
-pub(super) const FIRST_FETCHERS: usize = 2;
+const FIRST_FETCHERS: usize = 2;
 
 /// How long other agents wait for those to have the manifest.
 const FETCHERS_WAIT: time::Duration = time::Duration::from_millis(400);
@@ -60,31 +60,12 @@
 impl Agent {
     /// Asks some peers, which have it unless it was named just now; then those of its zone that
     /// fetch it first; then the origin. A manifest is small, but bytes of the origin are the most
-    /// expensive, and its link is busy when all agents ask at once. After the origin failed, a peer
-    /// that offers the manifest is asked as soon as it does.
+    /// expensive, and its link is busy when all agents ask at once.
     pub(super) async fn fetch_manifest(
         &self,
         weights: &Weights,
         from_origin: bool,
     ) -> Option<ManifestFile> {
-        if from_origin || !self.origin_failed() {
-            return self.seek_manifest(weights, from_origin).await;
-        }
-        tokio::select! {
-            file = self.seek_manifest(weights, from_origin) => file,
-            file = self.offered_manifest(weights) => {
-                self.origin_failed.store(false, atomic::Ordering::Relaxed);
-                Some(file)
-            }
-        }
-    }
-
-    /// Whether the origin failed when it was last asked for a manifest, and no peer offered one since.
-    pub(super) fn origin_failed(&self) -> bool {
-        self.origin_failed.load(atomic::Ordering::Relaxed)
-    }
-
-    async fn seek_manifest(&self, weights: &Weights, from_origin: bool) -> Option<ManifestFile> {
         if !from_origin {
             for address in self.manifest_peers() {
                 if let Some(file) = self.fetch_manifest_from_peer(weights, &address).await {
@@ -112,7 +93,7 @@
         }
         let addresses: Vec<_> =
             zone.iter().filter(|(name, _)| first.contains(&name.as_str())).collect();
-        let (wait, interval) = match self.origin_failed() {
+        let (wait, interval) = match self.origin_failed.load(atomic::Ordering::Relaxed) {
             true => (FETCHERS_WAIT_FAILED, FETCHERS_POLL_INTERVAL_FAILED),
             false => (FETCHERS_WAIT, FETCHERS_POLL_INTERVAL),
         };
@@ -128,7 +109,7 @@
         None
     }
 
-    pub(super) async fn fetch_manifest_from_peer(
+    async fn fetch_manifest_from_peer(
         &self,
         weights: &Weights,
         address: &str,
--- a/ragwortdeal_node/src/fleet/agent/peers.rs
+++ b/ragwortdeal_node/src/fleet/agent/peers.rs
@@ -125,8 +125,6 @@
         if self.spread.can_use_holdings(&instance, version) {
             let early = self.spread.early_holdings().take(&instance, version);
             early.into_iter().for_each(|event| self.handle_event(event));
-        } else {
-            self.spread.manifest_offers().record(instance);
         }
     }
 
--- a/ragwortdeal_node/src/fleet/agent/reconciler.rs
+++ b/ragwortdeal_node/src/fleet/agent/reconciler.rs
@@ -169,17 +169,12 @@
             return;
         };
         let from_origin = self.spread.suspects_manifest();
-        let origin_failed = self.origin_failed();
         if let Some(file) = self.fetch_manifest(&weights, from_origin).await {
             let kept = match self.spread.shared_chunks(&file.manifest) {
                 Some(shared) => shared,
                 None => self.staged_chunks(&weights, &file.manifest).await,
             };
-            let version = file.manifest.version();
-            self.begin_fetch(serving, weights.clone(), file, kept);
-            if origin_failed {
-                self.offer_manifest(&weights, version);
-            }
+            self.begin_fetch(serving, weights, file, kept);
         }
     }
 
--- a/ragwortdeal_node/src/fleet/agent/spread.rs
+++ b/ragwortdeal_node/src/fleet/agent/spread.rs
@@ -9,7 +9,7 @@
 };
 use tokio::{sync::Notify, task};
 
-use super::{Agent, early_holdings, fetch, manifest_offers, manifests};
+use super::{Agent, early_holdings, fetch, manifests};
 use crate::fleet::notice;
 
 /// How often deadlines, announcements and the list of agents are checked.
@@ -36,7 +36,6 @@
     congestion: sync::Mutex<congestion::CongestionControl>,
     early_holdings: sync::Mutex<early_holdings::EarlyHoldings>,
     outbox: sync::Mutex<outbox::Outbox>,
-    manifest_offers: manifest_offers::ManifestOffers,
 }
 
 /// A version with all its chunks.
@@ -100,7 +99,6 @@
             congestion: sync::Mutex::new(congestion),
             early_holdings: sync::Mutex::default(),
             outbox: sync::Mutex::default(),
-            manifest_offers: manifest_offers::ManifestOffers::default(),
         }
     }
 
@@ -109,11 +107,6 @@
         self.early_holdings.lock().expect("no panic under lock")
     }
 
-    /// Offers of manifests by peers.
-    pub(super) fn manifest_offers(&self) -> &manifest_offers::ManifestOffers {
-        &self.manifest_offers
-    }
-
     /// Announcements that wait to be sent to peers.
     pub(super) fn outbox(&self) -> sync::MutexGuard<'_, outbox::Outbox> {
         self.outbox.lock().expect("no panic under lock")
