--- a/ragwortdeal_node/src/fleet/agent/reconciler.rs
+++ b/ragwortdeal_node/src/fleet/agent/reconciler.rs
@@ -170,11 +170,8 @@
         };
         let from_origin = self.spread.suspects_manifest();
         if let Some(file) = self.fetch_manifest(&weights, from_origin).await {
-            let kept = match self.spread.shared_chunks(&file.manifest) {
-                Some(shared) => shared,
-                None => self.staged_chunks(&weights, &file.manifest).await,
-            };
-            self.begin_fetch(serving, weights, file, kept);
+            let staged = self.staged_chunks(&weights, &file.manifest).await;
+            self.begin_fetch(serving, weights, file, staged);
         }
     }
 
--- a/ragwortdeal_node/src/fleet/agent/spread.rs
+++ b/ragwortdeal_node/src/fleet/agent/spread.rs
@@ -64,11 +64,6 @@
 }
 
 impl Transfer {
-    fn chunks_by_digest(&self) -> impl Iterator<Item = (digest::Digest, &Bytes)> {
-        let chunks = self.manifest_file.manifest.chunks();
-        self.bytes.iter().filter_map(|(&chunk, bytes)| Some((*chunks.get(chunk as usize)?, bytes)))
-    }
-
     fn complete(&self) -> Option<CompleteVersion> {
         self.download.is_complete().then(|| CompleteVersion {
             weights: self.weights.clone(),
@@ -152,27 +147,6 @@
         Some(transfer.manifest_file.manifest.chunks().len().saturating_sub(transfer.bytes.len()))
     }
 
-    /// Chunks of a version that others at hand have too, or none if there are no others. What this
-    /// agent has staged it still holds in memory, which is sooner read than the engine's staging
-    /// area.
-    pub(super) fn shared_chunks(
-        &self,
-        manifest: &manifest::Manifest,
-    ) -> Option<Vec<(manifest::VerifiedChunk, Bytes)>> {
-        let transfers = self.transfers();
-        if transfers.is_empty() {
-            return None;
-        }
-        let by_digest: collections::BTreeMap<_, _> =
-            transfers.iter().flat_map(Transfer::chunks_by_digest).collect();
-        let shared = |(chunk, digest): (usize, &digest::Digest)| {
-            let bytes: &Bytes = by_digest.get(digest)?;
-            let proof = manifest.verify_chunk(chunk as u32, bytes).ok()?;
-            Some((proof, bytes.clone()))
-        };
-        Some(manifest.chunks().iter().enumerate().filter_map(shared).collect())
-    }
-
     /// Highest version that is complete, 0 if there is none.
     pub(super) fn complete_version(&self) -> u64 {
         let transfers = self.transfers();
