Log what the attempts of a request have in common, and the bytes read for an answer

Cause: no line said that two attempts are the same request, nor that an upstream had sent 150 MB before a deadline passed. Change: a keyed fingerprint of method, host, path, account, prompt and body; it is logged where a connection or an upstream ends under a request. Connections to upstreams count what is read from them; losses name it. Result: builds; no decision reads either yet.

--- a/ragwortdeal_core/src/dispatch/isolation.rs
+++ b/ragwortdeal_core/src/dispatch/isolation.rs
@@ -8,6 +8,7 @@
 pub mod collector;
 pub mod entry_view;
 pub mod evidence;
+pub mod fingerprint;
 pub mod popularity;
 pub mod verdicts;
 
--- a/ragwortdeal_core/src/dispatch/prompt.rs
+++ b/ragwortdeal_core/src/dispatch/prompt.rs
@@ -12,7 +12,17 @@
 
 /// Identity of a part: a hash of its name.
 #[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize,
 )]
 pub struct PartId(u64);
 
@@ -26,7 +36,7 @@
 }
 
 /// A part and its name.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Part {
     /// Its identity.
     pub id: PartId,
--- a/ragwortdeal_node/src/fleet/entry.rs
+++ b/ragwortdeal_node/src/fleet/entry.rs
@@ -20,7 +20,10 @@
     time,
 };
 
-use ragwortdeal_core::{dispatch::retry_budget, document::table};
+use ragwortdeal_core::{
+    dispatch::{isolation::fingerprint, retry_budget},
+    document::table,
+};
 use rand::RngExt as _;
 use snafu::{ResultExt as _, Snafu};
 use tokio::{net, sync::mpsc};
@@ -108,6 +111,7 @@
     pool: pool::Pool,
     endings: endings::Endings,
     isolation: isolation::Isolation,
+    fingerprints: fingerprint::Key,
     /// Changes of rates that upstreams name, for the voters.
     rates_to_report: mpsc::Sender<notice::NamedRate>,
     telemetry: telemetry::Telemetry,
@@ -146,6 +150,7 @@
             pool: pool::Pool::default(),
             endings: endings::Endings::default(),
             isolation,
+            fingerprints: fingerprint::Key::new(&settings.credentials.cluster),
             rates_to_report,
             telemetry,
             stopping: atomic::AtomicBool::new(false),
--- a/ragwortdeal_node/src/fleet/entry/endings.rs
+++ b/ragwortdeal_node/src/fleet/entry/endings.rs
@@ -15,6 +15,7 @@
 /// A request whose connection ended before its answer was whole.
 struct BrokenRequest {
     request: String,
+    fingerprint: prompt::Part,
     parts: Vec<prompt::Part>,
     /// Whether it may have ended the upstream.
     suspect: bool,
@@ -51,12 +52,14 @@
         let writing = selected.writing(self.clock.now_ms());
         log::info!(
             request = request.id(), upstream = &*selected.peer.instance,
+            fingerprint = &*request.fingerprint.name,
             parts = prompt::names(&request.parts).as_str(), events = writing.pieces,
             writing_ms = writing.since_ms;
             "entry: its connection ended"
         );
         let broken = BrokenRequest {
             request: request.id().to_owned(),
+            fingerprint: request.fingerprint.clone(),
             parts: request.parts.clone(),
             suspect: isolation::is_suspect(writing) && !request.parts.is_empty(),
         };
@@ -79,6 +82,7 @@
             return;
         };
         let requests: Vec<&str> = broken.iter().map(|it| it.request.as_str()).collect();
+        let fingerprints = broken.iter().map(|it| it.fingerprint.clone()).collect::<Vec<_>>();
         let suspects = broken.iter().filter(|it| it.suspect).map(|it| it.parts.clone());
         let suspects: Vec<_> = suspects.collect();
         let (upstream, open) = (&*peer.instance, broken.len());
@@ -86,7 +90,8 @@
             Err(pool::ConnectError::Refused { .. }) => {
                 log::info!(
                     upstream, open, suspects = suspects.len(),
-                    requests = requests.join(",").as_str();
+                    requests = requests.join(",").as_str(),
+                    fingerprints = prompt::names(&fingerprints).as_str();
                     "entry: an upstream ended under requests"
                 );
                 self.telemetry.count("entry.upstreams_ended", 1);
--- a/ragwortdeal_node/src/fleet/entry/exchange.rs
+++ b/ragwortdeal_node/src/fleet/entry/exchange.rs
@@ -38,23 +38,30 @@
     pub(super) reason: String,
     /// Whether the connection ended.
     pub(super) connection_ended: bool,
+    /// Bytes that were read from the upstream for the answer.
+    pub(super) read_bytes: u64,
 }
 
 impl Loss {
     /// A loss on a connection that did not end.
     pub(super) fn new(reason: impl Into<String>) -> Self {
-        Self { reason: reason.into(), connection_ended: false }
+        Self { reason: reason.into(), connection_ended: false, read_bytes: 0 }
     }
 
     /// A loss by the end of the connection.
     pub(super) fn connection_end(reason: impl Into<String>) -> Self {
-        Self { reason: reason.into(), connection_ended: true }
+        Self { connection_ended: true, ..Self::new(reason) }
     }
 
     /// A loss by an error on the connection.
     pub(super) fn of_error(step: &str, error: &hyper::Error) -> Self {
         let connection_ended = endings::is_connection_end(error);
-        Self { reason: format!("{step}: {error}"), connection_ended }
+        Self { connection_ended, ..Self::new(format!("{step}: {error}")) }
+    }
+
+    /// The same loss, with the bytes that were read on a connection.
+    pub(super) fn on(self, connection: &pool::Connection) -> Self {
+        Self { read_bytes: connection.meter.read_bytes(), ..self }
     }
 }
 
@@ -98,6 +105,7 @@
             },
         };
         let outgoing = self.outgoing(request, selected, last_event);
+        connection.meter.restart(u64::MAX);
         let begun = time::Instant::now();
         let sent = connection.sender.try_send_request(outgoing);
         let bound = selected
@@ -106,18 +114,21 @@
         let answered = tokio::select! {
             answered = tokio::time::timeout(bound, sent) => answered,
             () = selected.stalled() => {
-                return Outcome::Lost(Loss::new("the upstream fell silent"));
+                return Outcome::Lost(Loss::new("the upstream fell silent").on(&connection));
             }
             () = self.isolation.becomes_isolated(&request.parts) => {
                 return Outcome::Withdrawn;
             }
         };
         let response = match answered {
-            Err(_) => return Outcome::Lost(Loss::new("no answer in time")),
+            Err(_) => return Outcome::Lost(Loss::new("no answer in time").on(&connection)),
             Ok(Err(mut error)) => {
                 return match error.take_message() {
                     Some(_) => Outcome::NotSent(error.error().to_string()),
-                    None => Outcome::Lost(Loss::of_error("await the answer", error.error())),
+                    None => {
+                        let loss = Loss::of_error("await the answer", error.error());
+                        Outcome::Lost(loss.on(&connection))
+                    }
                 };
             }
             Ok(Ok(response)) => response,
--- a/ragwortdeal_node/src/fleet/entry/outcome.rs
+++ b/ragwortdeal_node/src/fleet/entry/outcome.rs
@@ -53,7 +53,7 @@
             Outcome::Lost(loss) => {
                 log::info!(
                     request = request.id(), upstream = &**instance, held_ms,
-                    reason = loss.reason.as_str();
+                    reason = loss.reason.as_str(), read_bytes = loss.read_bytes;
                     "entry: lost, it may have run"
                 );
                 self.telemetry.count("entry.lost", 1);
@@ -133,7 +133,8 @@
     ) {
         let instance = &selected.peer.instance;
         log::info!(
-            request = request.id(), upstream = &**instance, reason = loss.reason.as_str();
+            request = request.id(), upstream = &**instance, reason = loss.reason.as_str(),
+            read_bytes = loss.read_bytes;
             "entry: the answer broke off"
         );
         if loss.connection_ended {
--- a/ragwortdeal_node/src/fleet/entry/pool.rs
+++ b/ragwortdeal_node/src/fleet/entry/pool.rs
@@ -13,6 +13,8 @@
 use snafu::Snafu;
 use tokio::{net as tokio_net, task};
 
+use crate::http::metered;
+
 /// Body of requests to upstreams.
 pub(super) type RequestBody = http_body_util::Full<Bytes>;
 
@@ -48,6 +50,8 @@
     pub(super) sender: http1::SendRequest<RequestBody>,
     /// Whether it has carried a request before.
     pub(super) reused: bool,
+    /// Counts what is read from the upstream.
+    pub(super) meter: sync::Arc<metered::Meter>,
     task: task::JoinHandle<()>,
 }
 
@@ -137,17 +141,21 @@
             _ => failed(error.to_string()),
         })?;
         configure_socket(&stream);
+        let meter = metered::Meter::new(u64::MAX);
+        let stream = metered::Metered::new(stream, meter.clone());
         let handshake = http1::Builder::new().handshake(rt::TokioIo::new(stream)).await;
-        handshake.map_err(|error| failed(error.to_string()))
+        let (sender, connection) = handshake.map_err(|error| failed(error.to_string()))?;
+        Ok((sender, connection, meter))
     };
     let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
-    let (sender, connection) = connected.map_err(|_| failed("it timed out".to_owned()))??;
+    let (sender, connection, meter) =
+        connected.map_err(|_| failed("it timed out".to_owned()))??;
     let task = tokio::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!("entry: connection to {address} closed: {error}");
         }
     });
-    Ok(Connection { sender, reused: false, task })
+    Ok(Connection { sender, reused: false, meter, task })
 }
 
 fn configure_socket(stream: &tokio_net::TcpStream) {
--- a/ragwortdeal_node/src/fleet/entry/relay.rs
+++ b/ragwortdeal_node/src/fleet/entry/relay.rs
@@ -84,6 +84,7 @@
         }
     };
     if let Some(loss) = loss {
+        let loss = loss.on(&relay.source.answer.connection);
         relay.entry.record_broken_answer(&relay.request, &relay.source.selected, &loss);
     }
     *progress = relay.progress;
@@ -187,6 +188,7 @@
                 Read::Withdrawn => isolation::REASON.to_owned(),
                 Read::DeadlineExceeded => "no time is left".to_owned(),
                 Read::Lost(loss) => {
+                    let loss = loss.on(&self.source.answer.connection);
                     self.entry.record_broken_answer(&self.request, &self.source.selected, &loss);
                     match self.resume(&sender).await {
                         Ok(()) => continue,
--- a/ragwortdeal_node/src/fleet/entry/request.rs
+++ b/ragwortdeal_node/src/fleet/entry/request.rs
@@ -5,7 +5,9 @@
 use hyper::header;
 use ragwortdeal_core::{
     directory,
-    dispatch::{forecast, gate, priority, prompt, residency, retry_detection},
+    dispatch::{
+        forecast, gate, isolation::fingerprint, priority, prompt, residency, retry_detection,
+    },
     document,
     document::table,
 };
@@ -72,6 +74,8 @@
     pub(super) residency: residency::Residency,
     /// Parts of its prompt that other requests may hold too.
     pub(super) parts: Vec<prompt::Part>,
+    /// What it has in common with the other attempts of its caller.
+    pub(super) fingerprint: prompt::Part,
 }
 
 impl CallerRequest {
@@ -181,6 +185,18 @@
         }
     }
 
+    /// The fingerprint of a request whose body has been read.
+    fn fingerprint(&self, request: &CallerRequest, host: &str, prompt: &[u8]) -> prompt::Part {
+        self.fingerprints.fingerprint(&fingerprint::Identity {
+            method: request.method.as_str(),
+            host,
+            path: request.uri.path_and_query().map_or("", |path| path.as_str()),
+            account: request.account.as_deref().unwrap_or_default(),
+            prompt,
+            body: &request.body,
+        })
+    }
+
     /// Headers for the upstream, without the caller's key and those that the entry sets itself.
     fn upstream_headers(&self, headers: &header::HeaderMap) -> header::HeaderMap {
         let names = self.dialect.headers();
@@ -210,6 +226,7 @@
         let route = route.ok_or(Refusal::new(404, "no route"))?;
         let caller = table.caller(route, self.dialect.api_key(&request.headers));
         let mut headers = self.upstream_headers(&request.headers);
+        let host = host.to_owned();
         let account = match caller {
             table::Caller::Unknown => return Err(Refusal::new(401, "no account holds this key")),
             table::Caller::Anonymous => None,
@@ -238,6 +255,7 @@
         let deadline = started + time::Duration::from_millis(waits_ms);
         let last_event = number(&names.last_event);
         let parts = engine.map_or(Vec::new(), |_| self.shared_parts(&request.headers, &id));
+        let prompt = request.headers.get(&names.prompt_parts).cloned();
         let body_max_bytes = table.document().limits.body_max_bytes;
         let caller_request = CallerRequest {
             id,
@@ -258,10 +276,16 @@
             last_event,
             residency,
             parts,
+            fingerprint: prompt::Part::default(),
         };
         let body = http::read(request.body, body_max_bytes, waits_ms.min(BODY_MS)).await;
         match body {
-            Ok(body) => Ok(CallerRequest { body, ..caller_request }),
+            Ok(body) => {
+                let caller_request = CallerRequest { body, ..caller_request };
+                let prompt = prompt.as_ref().map_or(&[][..], header::HeaderValue::as_bytes);
+                let fingerprint = self.fingerprint(&caller_request, &host, prompt);
+                Ok(CallerRequest { fingerprint, ..caller_request })
+            }
             Err(error) if error.kind() == std::io::ErrorKind::TimedOut => {
                 Err(Refusal::new(408, "the body did not come in time"))
             }
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -280,6 +280,8 @@
     progress: &mut Progress,
 ) -> Option<http::Response> {
     let exchange::Answer { head, body, connection, keep_alive, .. } = answer;
+    let record_loss =
+        |loss: exchange::Loss| entry.record_broken_answer(request, selected, &loss.on(&connection));
     let retryable = request.route.retry_policy != document::RetryPolicy::Never
         && progress.sent < request.route.attempts_max
         && head.status.is_server_error();
@@ -288,16 +290,13 @@
     let bytes = match read {
         Ok(Ok(collected)) => collected.to_bytes(),
         Ok(Err(error)) => {
-            let loss = exchange::Loss {
-                reason: format!("the answer was cut: {error}"),
-                connection_ended: endings::is_connection_end(&*error),
-            };
-            entry.record_broken_answer(request, selected, &loss);
+            let connection_ended = endings::is_connection_end(&*error);
+            let reason = format!("the answer was cut: {error}");
+            record_loss(exchange::Loss { connection_ended, ..exchange::Loss::new(reason) });
             return None;
         }
         Err(_) => {
-            let loss = exchange::Loss::new("the answer did not end in time");
-            entry.record_broken_answer(request, selected, &loss);
+            record_loss(exchange::Loss::new("the answer did not end in time"));
             return None;
         }
     };
--- a/ragwortdeal_node/src/http.rs
+++ b/ragwortdeal_node/src/http.rs
@@ -1,6 +1,7 @@
 //! HTTP by `gotham` towards callers and operators, and by `hyper-util` towards upstreams.
 
 mod client;
+pub mod metered;
 mod problem;
 mod server;
 
