Send a request to no fourth upstream after three ended under it

What callers saw: upstreams that ended one after the other; a request under which three had ended was sent further, by each return of its caller and by each attempt of an entry (13 to 27 ends in nine attempts). Cause: nothing tied the attempts of a caller to one request, an end was charged to shared parts of prompts alone, and an attempt went to the next upstream before anybody knew that the last had ended. Evidence: the red cases, where all attempts carry one fingerprint and nothing else ends upstreams. Ruled out: entries alone (two or three ends for each attempt, and the ends go on with the caller). Change: entries tell voters the fingerprints of all requests at an upstream that ended, whatever they asked and however far their answers were. Three ends isolate a request, by the verdicts, the log and the commands that parts have. Ends of upstreams that ended together count only against what was at most of them, and a whole answer clears the ends before it. Until then copies are bounded: an attempt waits until it is known what the last one ended, and after two ends one copy at a time is tried, in the whole fleet by the grant of a voter. Why it works: what is sent and what is under way never make more than three ends, except for copies that were under way before anybody knew.

--- a/ragwortdeal_core/src/dispatch/isolation.rs
+++ b/ragwortdeal_core/src/dispatch/isolation.rs
@@ -1,15 +1,23 @@
-//! Parts of prompts that end each engine which begins to answer them.
+//! Parts of prompts that end each engine which begins to answer them, and requests that end each
+//! upstream which takes them.
 //!
 //! One input that ends the server which takes it is carried to the next server by each retry, so
 //! requests that hold it are refused everywhere. What tells it from the many parts that are at an
 //! engine as it ends: [`evidence`]. What is known of it afterwards, and handed from process to
-//! process: [`verdicts`]. `docs/design/isolation.md` has the reasons.
+//! process: [`verdicts`].
+//!
+//! A request that shares nothing with others is told by its [`fingerprint`]. The ends under it are
+//! counted by [`request_ends`], and [`copies`] bounds how often it is sent meanwhile.
+//! `docs/design/isolation.md` has the reasons.
 
 pub mod collector;
+pub mod copies;
 pub mod entry_view;
 pub mod evidence;
 pub mod fingerprint;
 pub mod popularity;
+pub mod request_ends;
+pub mod trials;
 pub mod verdicts;
 
 /// Time from the first event of an answer on after which its engine bears the parts of the prompt.
--- a/ragwortdeal_core/src/dispatch/isolation/entry_view.rs
+++ b/ragwortdeal_core/src/dispatch/isolation/entry_view.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, net};
 
-use super::{collector, evidence, popularity, verdicts};
+use super::{collector, copies, evidence, popularity, request_ends, verdicts};
 use crate::dispatch::prompt;
 
 /// Parts at most for which this entry tells when an engine has borne them.
@@ -19,6 +19,7 @@
     popularity: popularity::Popularity,
     /// By the reports of this entry alone.
     collector: collector::Collector,
+    copies: copies::AllCopies,
     watched: collections::HashSet<prompt::PartId>,
     /// Own reports with the times of the ends.
     reports: collections::VecDeque<(u64, evidence::EndReport)>,
@@ -31,6 +32,7 @@
             address,
             popularity: popularity::Popularity::default(),
             collector: collector::Collector::default(),
+            copies: copies::AllCopies::default(),
             watched: collections::HashSet::new(),
             reports: collections::VecDeque::new(),
         }
@@ -46,12 +48,15 @@
         self.collector.verdicts().isolated_of(parts)
     }
 
-    /// Records the end of an engine, with the parts of each request of this entry there that had
-    /// begun a short time before or was about to. Returns what is to be told to voters.
+    /// Records the end of an upstream so long ago, with the parts of each request of this entry there
+    /// that had begun a short time before or was about to, and the fingerprints of all of them.
+    /// Returns what is to be told to voters.
     pub fn record_end(
         &mut self,
         boot: evidence::Boot,
+        age_ms: u64,
         requests: &[Vec<prompt::Part>],
+        fingerprints: Vec<prompt::Part>,
         now_ms: u64,
     ) -> evidence::EndReport {
         let parts: collections::BTreeMap<_, _> =
@@ -65,16 +70,55 @@
         suspects.sort_by_key(|suspect| suspect.share.requests);
         suspects.truncate(evidence::SUSPECTS_MAX);
         let requests = requests.len() as u32;
-        let report = evidence::EndReport { boot, age_ms: 0, requests, suspects };
+        let report = evidence::EndReport { boot, age_ms, requests, suspects, fingerprints };
         let charged = self.collector.record_end(self.address, &report, now_ms);
         self.watch(charged);
-        self.reports.push_back((now_ms, report.clone()));
+        self.reports.push_back((now_ms - age_ms.min(now_ms), report.clone()));
         if self.reports.len() > REPORTS_KEPT_MAX {
             self.reports.pop_front();
         }
         report
     }
 
+    /// Decides whether one more copy of a request may be sent. `alone` tells whether this entry
+    /// reaches no voter.
+    pub fn admit(
+        &mut self,
+        fingerprint: prompt::PartId,
+        alone: bool,
+        now_ms: u64,
+    ) -> copies::Admission {
+        let requests = self.collector.requests_mut();
+        requests.settle(now_ms);
+        let own_ends = requests.charge(fingerprint);
+        self.copies.admission(fingerprint, own_ends, alone, now_ms)
+    }
+
+    /// The copies of requests.
+    pub fn copies_mut(&mut self) -> &mut copies::AllCopies {
+        &mut self.copies
+    }
+
+    /// Records that an upstream has answered a request whole. Returns whether voters are to be told.
+    pub fn record_answered(&mut self, fingerprint: prompt::PartId, now_ms: u64) -> bool {
+        let cleared = self.collector.requests_mut().record_proof(fingerprint, now_ms);
+        self.copies.record_answered(fingerprint) || cleared
+    }
+
+    /// Takes the ends under requests that a voter counts: of `all` requests, or of some.
+    pub fn record_charges(
+        &mut self,
+        voter: net::Ipv4Addr,
+        charges: &[request_ends::RequestCharge],
+        all: bool,
+        now_ms: u64,
+    ) {
+        if all {
+            self.copies.forget_voter(voter, now_ms);
+        }
+        self.copies.record_charges(voter, charges, now_ms);
+    }
+
     /// Records parts of which voters want to know when an engine bears them.
     pub fn watch(&mut self, parts: impl IntoIterator<Item = prompt::PartId>) {
         for part in parts {
--- a/ragwortdeal_core/src/dispatch/isolation/evidence.rs
+++ b/ragwortdeal_core/src/dispatch/isolation/evidence.rs
@@ -70,6 +70,9 @@
     pub requests: u32,
     /// Their parts.
     pub suspects: Vec<Suspect>,
+    /// Fingerprints of all requests of this entry there. Absent in reports of earlier versions.
+    #[serde(default)]
+    pub fingerprints: Vec<prompt::Part>,
 }
 
 /// Requests of one entry at an engine that ended.
@@ -242,6 +245,12 @@
         }
     }
 
+    /// The ends at which a part was.
+    pub fn ends_with(&self, part: prompt::PartId) -> impl Iterator<Item = (&Boot, u64)> {
+        let ends = self.ends.iter().filter(move |end| end.holds(part));
+        ends.map(|end| (&end.boot, end.at_ms))
+    }
+
     /// The part to isolate now, if there is one.
     pub fn verdict(&self, now_ms: u64) -> Option<Charge> {
         let charges = self.charges(now_ms);
--- a/ragwortdeal_core/src/dispatch/isolation/verdicts.rs
+++ b/ragwortdeal_core/src/dispatch/isolation/verdicts.rs
@@ -6,10 +6,11 @@
 
 use std::collections;
 
+use super::fingerprint;
 use crate::dispatch::prompt;
 
-/// Parts kept at most. Beyond it a released one makes room, or the one isolated with the lowest
-/// identity.
+/// Parts kept at most, and requests kept at most. Beyond it a released one of the same kind makes
+/// room, or the one isolated with the lowest identity.
 const VERDICTS_MAX: usize = 1_000;
 
 /// What is held of a part.
@@ -26,6 +27,10 @@
 }
 
 impl Verdict {
+    fn is_of_request(&self) -> bool {
+        fingerprint::is_fingerprint(&self.part.name)
+    }
+
     fn order(&self) -> (u64, bool) {
         (self.revision, self.isolated)
     }
@@ -43,7 +48,7 @@
         let mut news: Vec<_> = told.into_iter().filter(|verdict| self.is_news(verdict)).collect();
         for verdict in &news {
             self.by_part.insert(verdict.part.id, verdict.clone());
-            self.make_room();
+            self.make_room(verdict.is_of_request());
         }
         // Processes that are full would otherwise tell each other of the same ones for ever.
         news.retain(|verdict| self.by_part.contains_key(&verdict.part.id));
@@ -56,12 +61,14 @@
         held.is_none_or(|held| held.order() < verdict.order())
     }
 
-    fn make_room(&mut self) {
-        if self.by_part.len() <= VERDICTS_MAX {
+    /// Makes room among the parts, or among the requests.
+    fn make_room(&mut self, of_request: bool) {
+        let same_kind = || self.all().filter(|verdict| verdict.is_of_request() == of_request);
+        if same_kind().count() <= VERDICTS_MAX {
             return;
         }
-        let released = self.by_part.values().find(|it| !it.isolated).map(|it| it.part.id);
-        let first = self.by_part.keys().next().copied();
+        let released = same_kind().find(|it| !it.isolated).map(|it| it.part.id);
+        let first = same_kind().next().map(|it| it.part.id);
         if let Some(part) = released.or(first) {
             self.by_part.remove(&part);
         }
--- a/ragwortdeal_core/tests/dispatch_isolation.rs
+++ b/ragwortdeal_core/tests/dispatch_isolation.rs
@@ -258,7 +258,9 @@
                 .map(|part| evidence::Suspect { share: share(&part), part })
                 .collect();
             let requests = own.len() as u32;
-            let report = evidence::EndReport { boot: boot.clone(), age_ms: 0, requests, suspects };
+            let boot = boot.clone();
+            let fingerprints = Vec::new();
+            let report = evidence::EndReport { boot, age_ms: 0, requests, suspects, fingerprints };
             self.tell(Told::End(entry, report), now_ms);
         }
     }
--- a/ragwortdeal_node/src/fleet/entry/endings.rs
+++ b/ragwortdeal_node/src/fleet/entry/endings.rs
@@ -24,6 +24,8 @@
 /// What broke at one start of an upstream.
 struct Ending {
     boot: evidence::Boot,
+    /// When the first connection ended.
+    since: time::Instant,
     broken: Vec<BrokenRequest>,
 }
 
@@ -63,11 +65,14 @@
             parts: request.parts.clone(),
             suspect: isolation::is_suspect(writing) && !request.parts.is_empty(),
         };
+        self.isolation.record_doubt(request.fingerprint.id, self.clock.now_ms());
         let boot = self.upstreams().boot(&selected.peer.instance);
         let mut endings = self.endings.lock();
-        let ending = endings
-            .entry(selected.peer.instance.clone())
-            .or_insert(Ending { boot, broken: Vec::new() });
+        let ending = endings.entry(selected.peer.instance.clone()).or_insert_with(|| Ending {
+            boot,
+            since: time::Instant::now(),
+            broken: Vec::new(),
+        });
         ending.broken.push(broken);
         if ending.broken.len() == 1 {
             tokio::spawn(self.clone().find_out(selected.peer.clone()));
@@ -78,7 +83,8 @@
     async fn find_out(self: sync::Arc<Self>, peer: pool::Peer) {
         tokio::time::sleep(COLLECT).await;
         let connected = pool::connect(&peer).await;
-        let Some(Ending { boot, broken }) = self.endings.lock().remove(&peer.instance) else {
+        let Some(Ending { boot, since, broken }) = self.endings.lock().remove(&peer.instance)
+        else {
             return;
         };
         let requests: Vec<&str> = broken.iter().map(|it| it.request.as_str()).collect();
@@ -86,6 +92,8 @@
         let suspects = broken.iter().filter(|it| it.suspect).map(|it| it.parts.clone());
         let suspects: Vec<_> = suspects.collect();
         let (upstream, open) = (&*peer.instance, broken.len());
+        let ended = matches!(connected, Err(pool::ConnectError::Refused { .. }))
+            && !self.upstreams().is_departing(&peer.instance);
         match connected {
             Err(pool::ConnectError::Refused { .. }) => {
                 log::info!(
@@ -95,8 +103,11 @@
                     "entry: an upstream ended under requests"
                 );
                 self.telemetry.count("entry.upstreams_ended", 1);
-                if !suspects.is_empty() {
-                    self.isolation.record_end(boot, &suspects, self.clock.now_ms());
+                let age_ms = since.elapsed().as_millis() as u64;
+                let fingerprints = if ended { fingerprints } else { Vec::new() };
+                if !suspects.is_empty() || !fingerprints.is_empty() {
+                    let now_ms = self.clock.now_ms();
+                    self.isolation.record_end(boot, age_ms, &suspects, fingerprints, now_ms);
                 }
             }
             Err(error @ pool::ConnectError::Failed { .. }) => {
@@ -110,6 +121,9 @@
                 self.pool.put(&peer, connection, pool::IDLE_DEFAULT);
             }
         }
+        for request in broken {
+            self.isolation.record_found(request.fingerprint.id, ended, self.clock.now_ms());
+        }
     }
 }
 
--- a/ragwortdeal_node/src/fleet/entry/exchange.rs
+++ b/ragwortdeal_node/src/fleet/entry/exchange.rs
@@ -25,8 +25,8 @@
     NotExecuted(response::Parts),
     /// The request may have been executed, and there is no answer.
     Lost(Loss),
-    /// It was withdrawn from the upstream, which may have executed it, as a part of its prompt was
-    /// isolated.
+    /// It was withdrawn from the upstream, which may have executed it, as it or a part of its prompt
+    /// was isolated.
     Withdrawn,
     /// The head of the answer to this request.
     Answer(Box<Answer>),
@@ -116,7 +116,7 @@
             () = selected.stalled() => {
                 return Outcome::Lost(Loss::new("the upstream fell silent").on(&connection));
             }
-            () = self.isolation.becomes_isolated(&request.parts) => {
+            () = self.isolation.becomes_isolated(request) => {
                 return Outcome::Withdrawn;
             }
         };
--- a/ragwortdeal_node/src/fleet/entry/isolation.rs
+++ b/ragwortdeal_node/src/fleet/entry/isolation.rs
@@ -1,9 +1,15 @@
 //! Holds back requests with parts of prompts that end engines, and tells voters of ended engines.
 
-use std::{sync, time};
+mod copy;
 
+use std::{
+    sync::{self, atomic},
+    time,
+};
+
+pub(super) use copy::Copy;
 use ragwortdeal_core::dispatch::{
-    isolation::{self, entry_view, evidence, verdicts},
+    isolation::{self, entry_view, evidence, fingerprint, verdicts},
     prompt,
 };
 use tokio::sync::{mpsc, watch};
@@ -26,14 +32,30 @@
 /// at once.
 const RETRY_AFTER: time::Duration = time::Duration::from_secs(60);
 
-/// Why requests are held back.
-pub(super) const REASON: &str = "a part of its prompt ends engines";
+/// Why requests with a part are held back.
+const PART_REASON: &str = "a part of its prompt ends engines";
+
+/// Why a request is held back as a whole.
+const REQUEST_REASON: &str = "upstreams ended under it";
+
+/// Why a request is taken back from its upstream.
+pub(super) const WITHDRAWN: &str = "it or a part of its prompt ends upstreams";
+
+/// Why a request is held back with this part, or this fingerprint.
+fn reason(part: &prompt::Part) -> &'static str {
+    match fingerprint::is_fingerprint(&part.name) {
+        true => REQUEST_REASON,
+        false => PART_REASON,
+    }
+}
 
 /// The state of this entry, and what it tells.
 pub(super) struct Isolation {
     view: sync::Mutex<entry_view::EntryView>,
     /// Number of changes of verdicts.
     changes: watch::Sender<u64>,
+    /// Whether no voter is in reach.
+    alone: atomic::AtomicBool,
     told: mpsc::Sender<notice::Notice>,
 }
 
@@ -42,7 +64,8 @@
     pub(super) fn new(address: std::net::Ipv4Addr) -> (Self, mpsc::Receiver<notice::Notice>) {
         let (told, to_tell) = mpsc::channel(QUEUED_MAX);
         let view = sync::Mutex::new(entry_view::EntryView::new(address));
-        (Self { view, changes: watch::Sender::new(0), told }, to_tell)
+        let alone = atomic::AtomicBool::new(false);
+        (Self { view, changes: watch::Sender::new(0), alone, told }, to_tell)
     }
 
     fn view(&self) -> sync::MutexGuard<'_, entry_view::EntryView> {
@@ -60,32 +83,56 @@
         self.view().record_request(parts, now_ms);
     }
 
-    /// The first of some parts with which requests are held back.
-    pub(super) fn isolated_of<'p>(&self, parts: &'p [prompt::Part]) -> Option<&'p prompt::Part> {
-        self.view().isolated_of(parts)
+    /// What of a request is isolated: a part of its prompt, or the request itself.
+    fn isolated_of<'r>(&self, request: &'r CallerRequest) -> Option<&'r prompt::Part> {
+        let view = self.view();
+        let fingerprint = std::slice::from_ref(&request.fingerprint);
+        view.isolated_of(&request.parts).or_else(|| view.isolated_of(fingerprint))
     }
 
-    /// Waits until one of some parts is isolated.
-    pub(super) async fn becomes_isolated(&self, parts: &[prompt::Part]) {
+    /// Waits until a part of a request's prompt is isolated, or the request itself.
+    pub(super) async fn becomes_isolated(&self, request: &CallerRequest) {
         let mut changes = self.changes.subscribe();
-        while self.isolated_of(parts).is_none() {
-            if parts.is_empty() || changes.changed().await.is_err() {
+        while self.isolated_of(request).is_none() {
+            if changes.changed().await.is_err() {
                 return std::future::pending().await;
             }
         }
     }
 
-    /// Records the end of an engine with the parts of each request that may have ended it.
+    /// Waits until a request itself is isolated. Parts of a prompt end engines as they begin to write,
+    /// a request may do so at any time.
+    pub(super) async fn request_becomes_isolated(&self, fingerprint: &prompt::Part) {
+        let mut changes = self.changes.subscribe();
+        while self.view().isolated_of(std::slice::from_ref(fingerprint)).is_none() {
+            if changes.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+
+    /// Records the end of an upstream so long ago, with the parts of each request that may have
+    /// ended it and the fingerprints of all requests there.
     pub(super) fn record_end(
         &self,
         boot: evidence::Boot,
+        age_ms: u64,
         requests: &[Vec<prompt::Part>],
+        fingerprints: Vec<prompt::Part>,
         now_ms: u64,
     ) {
-        let report = self.view().record_end(boot, requests, now_ms);
+        let report = self.view().record_end(boot, age_ms, requests, fingerprints, now_ms);
         self.tell(notice::Notice::EngineEnded(report));
     }
 
+    /// Records that an upstream has answered a request whole.
+    pub(super) fn record_answered(&self, request: &CallerRequest, now_ms: u64) {
+        let fingerprint = request.fingerprint.id;
+        if self.view().record_answered(fingerprint, now_ms) {
+            self.tell(notice::Notice::PartsProved(vec![fingerprint]));
+        }
+    }
+
     /// Records that an engine has borne the parts of a request.
     pub(super) fn record_proof(&self, parts: &[prompt::Part], now_ms: u64) {
         let proved = self.view().record_proof(parts, now_ms);
@@ -138,11 +185,17 @@
     loop {
         tokio::select! {
             notice = to_tell.recv() => match notice {
+                // One voter alone grants trials.
+                Some(notice @ notice::Notice::Copies(notice::CopiesNotice::TrialWanted(_))) => {
+                    voters.send_to_first(&notice);
+                }
                 Some(notice) => voters.broadcast(&notice),
                 None => return,
             },
             _ = judge.tick() => {
-                if !voters.any_up() {
+                let alone = !voters.any_up();
+                entry.isolation.alone.store(alone, atomic::Ordering::Relaxed);
+                if alone {
                     let news = entry.isolation.view().judge_alone(entry.clock.now_ms());
                     entry.isolation.apply("its own evidence", &news);
                 }
@@ -152,22 +205,28 @@
 }
 
 impl Entry {
-    /// The refusal of a request with a part that ends engines, if it has one.
+    /// The refusal of a request that ends upstreams, or with a part of its prompt that does.
     pub(super) fn refuse_isolated(
         &self,
         request: &CallerRequest,
         may_have_run: bool,
     ) -> Option<Refusal> {
-        let part = self.isolation.isolated_of(&request.parts)?;
+        let part = self.isolation.isolated_of(request)?;
+        let reason = reason(part);
         log::info!(
             request = request.id(), part = &*part.name;
-            "entry: a part of its prompt is isolated"
+            "entry: held back, {reason}"
         );
         self.telemetry.count("entry.held_back", 1);
-        Some(match may_have_run {
-            true => Refusal::new(502, REASON),
-            false => Refusal::retry_after(503, REASON, RETRY_AFTER),
-        })
+        Some(held_back(reason, may_have_run))
+    }
+}
+
+/// The refusal of a request that is held back until an operator releases it.
+fn held_back(reason: &'static str, may_have_run: bool) -> Refusal {
+    match may_have_run {
+        true => Refusal::new(502, reason),
+        false => Refusal::retry_after(503, reason, RETRY_AFTER),
     }
 }
 
--- a/ragwortdeal_node/src/fleet/entry/outcome.rs
+++ b/ragwortdeal_node/src/fleet/entry/outcome.rs
@@ -114,11 +114,12 @@
         self.upstreams().record_answer(instance, &report, self.clock.now_ms());
     }
 
-    /// Records that a request was withdrawn for a part of its prompt. The upstream is not to blame.
+    /// Records that a request was withdrawn, as it or a part of its prompt ends upstreams. This one
+    /// is not to blame.
     pub(super) fn record_withdrawn(&self, request: &CallerRequest, selected: &selection::Selected) {
         log::info!(
             request = request.id(), upstream = &*selected.peer.instance,
-            reason = isolation::REASON;
+            reason = isolation::WITHDRAWN;
             "entry: withdrawn from its upstream"
         );
         self.telemetry.count("entry.withdrawn", 1);
--- a/ragwortdeal_node/src/fleet/entry/relay.rs
+++ b/ragwortdeal_node/src/fleet/entry/relay.rs
@@ -29,7 +29,7 @@
     Lost(exchange::Loss),
     /// The upstream fell silent. The data that it owes may still come.
     Silent,
-    /// A part of the prompt was isolated before the first event.
+    /// The request was isolated, or a part of its prompt before the first event.
     Withdrawn,
     /// The deadline of the request has passed.
     DeadlineExceeded,
@@ -140,7 +140,7 @@
         let (entry, request) = (self.entry.clone(), self.request.clone());
         tokio::select! {
             read = self.read() => read,
-            () = entry.isolation.becomes_isolated(&request.parts) => Read::Withdrawn,
+            () = entry.isolation.becomes_isolated(&request) => Read::Withdrawn,
         }
     }
 
@@ -169,9 +169,13 @@
     /// Relays events until the end, the deadline, or until the caller disconnects. Returning drops
     /// the connection to the upstream, which then stops work that nobody waits for.
     async fn run(mut self, sender: mpsc::Sender<Piece>) {
+        let (entry, request) = (self.entry.clone(), self.request.clone());
+        let isolated = entry.isolation.request_becomes_isolated(&request.fingerprint);
+        tokio::pin!(isolated);
         loop {
             let read = tokio::select! {
                 read = self.read() => read,
+                () = &mut isolated => Read::Withdrawn,
                 () = sender.closed() => return self.log_caller_left(),
             };
             let failure = match read {
@@ -185,11 +189,15 @@
                     self.leave_silent(&sender).await;
                     continue;
                 }
-                Read::Withdrawn => isolation::REASON.to_owned(),
+                Read::Withdrawn => {
+                    self.entry.record_withdrawn(&self.request, &self.source.selected);
+                    isolation::WITHDRAWN.to_owned()
+                }
                 Read::DeadlineExceeded => "no time is left".to_owned(),
                 Read::Lost(loss) => {
                     let loss = loss.on(&self.source.answer.connection);
                     self.entry.record_broken_answer(&self.request, &self.source.selected, &loss);
+                    self.source.selected.end_copy();
                     match self.resume(&sender).await {
                         Ok(()) => continue,
                         Err(reason) => reason,
@@ -229,6 +237,9 @@
 
     /// Ends a stream that is whole.
     fn finish(self) {
+        if self.source.answer.framed {
+            self.entry.isolation.record_answered(&self.request, self.entry.clock.now_ms());
+        }
         if !self.source.selected.proved && self.source.answer.framed {
             let now_ms = self.entry.clock.now_ms();
             self.entry.isolation.record_proof(&self.request.parts, now_ms);
@@ -253,7 +264,7 @@
         }
         self.events.discard_partial();
         loop {
-            let next = self.entry.next_upstream(&self.request, &mut self.progress);
+            let next = self.entry.next_upstream(&self.request, &mut self.progress).await;
             let selected = next.map_err(|refusal| refusal.reason.to_owned())?;
             match self.resume_at(selected, sender).await {
                 Some(Ok(source)) => {
@@ -272,7 +283,8 @@
         if self.request.route.retry_policy != document::RetryPolicy::Resume {
             return;
         }
-        let Ok(selected) = self.entry.next_upstream(&self.request, &mut self.progress) else {
+        let next = self.entry.next_upstream(&self.request, &mut self.progress);
+        let Ok(selected) = next.await else {
             return;
         };
         if let Some(Ok(source)) = self.resume_at(selected, sender).await {
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -130,7 +130,7 @@
 ) -> http::Response {
     let mut progress = Progress::default();
     loop {
-        let selected = match entry.next_upstream(request, &mut progress) {
+        let selected = match entry.next_upstream(request, &mut progress).await {
             Ok(selected) => selected,
             Err(refusal) => {
                 return refused(entry, Some(&request.id), &refusal.of_level(request.level));
@@ -179,15 +179,24 @@
         Refusal::retry_after(503, reason, time::Duration::from_millis(after_ms))
     }
 
-    /// Chooses the upstream for the next attempt, or refuses the request.
-    pub(super) fn next_upstream(
+    /// Chooses the upstream for the next attempt, or refuses the request. Waits while it is not known
+    /// whether an upstream ended under the last one.
+    pub(super) async fn next_upstream(
+        self: &sync::Arc<Self>,
+        request: &CallerRequest,
+        progress: &mut Progress,
+    ) -> Result<selection::Selected, Refusal> {
+        let copy = self.admit_copy(request, progress.may_have_run).await?;
+        let mut selected = self.select_upstream(request, progress)?;
+        selected.hold_copy(copy);
+        Ok(selected)
+    }
+
+    fn select_upstream(
         self: &sync::Arc<Self>,
         request: &CallerRequest,
         progress: &mut Progress,
     ) -> Result<selection::Selected, Refusal> {
-        if let Some(refusal) = self.refuse_isolated(request, progress.may_have_run) {
-            return Err(refusal);
-        }
         let now_ms = self.clock.now_ms();
         let failed = |reason| match progress.may_have_run {
             true => Refusal::new(if request.remaining().is_zero() { 504 } else { 502 }, reason),
@@ -300,6 +309,7 @@
             return None;
         }
     };
+    entry.isolation.record_answered(request, entry.clock.now_ms());
     return_connection(entry, &selected.peer, connection, keep_alive);
     if retryable {
         log::info!(
@@ -322,7 +332,7 @@
     request: &sync::Arc<CallerRequest>,
     progress: &mut Progress,
 ) -> Option<http::Response> {
-    let selected = entry.next_upstream(request, progress).ok()?;
+    let selected = entry.next_upstream(request, progress).await.ok()?;
     let outcome = entry.exchange(request, &selected, request.last_event).await;
     let answer = entry.record_outcome(request, &selected, outcome, progress)?;
     if !answer.head.status.is_success() {
@@ -335,6 +345,7 @@
     let limited = http_body_util::Limited::new(body, ANSWER_MAX_BYTES);
     let read = tokio::time::timeout(request.remaining(), limited.collect()).await;
     let bytes = read.ok()?.ok()?.to_bytes();
+    entry.isolation.record_answered(request, entry.clock.now_ms());
     return_connection(entry, &selected.peer, connection, keep_alive);
     Some(caller_response(&head, http::full(bytes)))
 }
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -289,6 +289,13 @@
         evidence::Boot { instance: instance.clone(), born_ms }
     }
 
+    /// Whether an upstream has said that it leaves, so that its end is expected.
+    pub(super) fn is_departing(&self, instance: &directory::Text) -> bool {
+        let upstream = self.directory.get(instance);
+        let is_ready = |it: &directory::Announcement| it.status == directory::Status::Ready;
+        self.is_leaving(instance) || !upstream.is_some_and(|it| is_ready(&it.announcement))
+    }
+
     /// Records that another upstream answers at the address.
     pub(super) fn record_displaced(&mut self, instance: &str, now_ms: u64) {
         self.directory.apply_departure(instance, None, now_ms);
--- a/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{
-    super::{Entry, health, pool},
+    super::{Entry, health, isolation, pool},
     Upstreams,
 };
 
@@ -36,6 +36,8 @@
     pieces: u32,
     /// Whether the answer has shown that the upstream bears the parts of the prompt.
     pub(in super::super) proved: bool,
+    /// The request counts as under way until this is dropped.
+    copy: Option<isolation::Copy>,
     /// Shows that the request may be sent to the upstream's region.
     _permit: residency::Permit,
     activity: sync::Arc<health::Activity>,
@@ -54,6 +56,16 @@
 }
 
 impl Selected {
+    /// Counts the request as under way, with its other copies.
+    pub(in super::super) fn hold_copy(&mut self, copy: isolation::Copy) {
+        self.copy = Some(copy);
+    }
+
+    /// Counts the request as under way here no longer.
+    pub(in super::super) fn end_copy(&mut self) {
+        self.copy = None;
+    }
+
     /// Remaining time for the request to start there, if it is bounded.
     pub(in super::super) fn time_to_start(&self) -> Option<time::Duration> {
         let by_ms = self.start_by_ms?;
@@ -286,6 +298,7 @@
             first_event_at_ms: None,
             pieces: 0,
             proved: false,
+            copy: None,
             _permit: permit,
             activity,
             leaves_silent: criteria.repeatable
--- a/ragwortdeal_node/src/fleet/entry/voter_updates.rs
+++ b/ragwortdeal_node/src/fleet/entry/voter_updates.rs
@@ -28,7 +28,10 @@
                 ended.iter().for_each(|notice| voters.send_to(voter, notice));
                 continue;
             }
-            voter_links::Event::Down(_) => continue,
+            voter_links::Event::Down(voter) => {
+                entry.isolation.record_voter_lost(voter, voters.any_up(), now_ms);
+                continue;
+            }
         };
         match notice {
             notice::Notice::Documents(documents) => {
@@ -69,6 +72,7 @@
             notice::Notice::Verdicts(told) => {
                 entry.isolation.merge(&voter.to_string(), told, now_ms);
             }
+            notice::Notice::Copies(told) => entry.isolation.record_copies(voter, told, now_ms),
             notice::Notice::Evacuations(told) => {
                 entry.upstreams().record_evacuations(voter, &told, now_ms);
             }
--- a/ragwortdeal_node/src/fleet/notice.rs
+++ b/ragwortdeal_node/src/fleet/notice.rs
@@ -6,7 +6,7 @@
     directory,
     dispatch::{
         entry_roster,
-        isolation::{evidence, verdicts},
+        isolation::{evidence, request_ends, verdicts},
         prompt,
     },
     document::{evacuation, naming, store},
@@ -91,11 +91,31 @@
     /// Parts of prompts that were isolated or released. Whoever holds a verdict tells it to a
     /// process that comes into reach.
     Verdicts(Vec<verdicts::Verdict>),
+    /// On requests under which upstreams ended.
+    Copies(CopiesNotice),
     /// Availability zones that were evacuated, or are no longer. A voter sends all of them to an
     /// entry that subscribes, and later those that change.
     Evacuations(Vec<evacuation::Evacuation>),
 }
 
+/// What bounds how often a request is sent under which upstreams ended.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum CopiesNotice {
+    /// A voter tells entries how many ends count against requests with two and more, or no longer.
+    Charges {
+        /// Whether these are all such requests.
+        all: bool,
+        /// The requests.
+        charges: Vec<request_ends::RequestCharge>,
+    },
+    /// An entry asks one voter whether it may send the request.
+    TrialWanted(prompt::PartId),
+    /// It may.
+    TrialGranted(prompt::PartId),
+    /// The entry has its outcome, or sends it no longer.
+    TrialOver(prompt::PartId),
+}
+
 /// A rate that an upstream named in an answer.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct NamedRate {
--- a/ragwortdeal_node/src/fleet/voter_links.rs
+++ b/ragwortdeal_node/src/fleet/voter_links.rs
@@ -131,6 +131,14 @@
         }
     }
 
+    /// Sends a notice to one of the connected voters, the same one for all processes that reach it.
+    pub fn send_to_first(&self, notice: &notice::Notice) {
+        let first = self.voters().iter().find(|(_, it)| it.link.is_up()).map(|(voter, _)| *voter);
+        if let Some(voter) = first {
+            self.send_to(voter, notice);
+        }
+    }
+
     /// Whether any voter is connected.
     pub fn any_up(&self) -> bool {
         self.voters().values().any(|it| it.link.is_up())
--- a/ragwortdeal_node/src/voter/fleet/hub.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -224,6 +224,7 @@
             self.agents_changed.notify_one();
         }
         if let Some(closed) = closed.filter(|it| it.session.hello.role == "entry") {
+            state.isolation.end_trials_of(&closed.session.hello.name);
             state.tell_entry_count();
             self.entry_changed(&mut state, &closed.session.hello);
         }
@@ -274,9 +275,10 @@
                 state.await_announcements(instances);
             }
             Some(notice::Notice::PartsProved(parts)) => {
-                let now_ms = self.clock.now_ms();
-                let collector = &mut state.isolation.collector;
-                parts.into_iter().for_each(|part| collector.record_proof(part, 0, now_ms));
+                state.record_proofs(parts, self.clock.now_ms());
+            }
+            Some(notice::Notice::Copies(told)) => {
+                state.record_copies(session, told, self.clock.now_ms());
             }
             Some(notice::Notice::EngineStatus(serves)) => {
                 if let Some(seat) = state.agents.get_mut(&session.id)
@@ -445,6 +447,9 @@
             let verdicts = self.isolation.collector.verdicts().all().cloned().collect();
             follower.session.push(notice::encode(&notice::Notice::Verdicts(verdicts)));
         }
+        if follower.session.hello.role == "entry" {
+            follower.session.push(notice::encode(&self.isolation.all_charges()));
+        }
         if follower.session.hello.role == "entry" {
             follower.session.push(notice::encode(&notice::Notice::NamedRates(rates)));
         }
--- a/ragwortdeal_node/src/voter/fleet/hub/isolation.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub/isolation.rs
@@ -3,24 +3,62 @@
 use std::{collections, net, sync, time};
 
 use ragwortdeal_core::dispatch::{
-    isolation::{collector, evidence, verdicts},
+    isolation::{collector, evidence, request_ends, trials, verdicts},
     prompt,
 };
 
 use super::{Hub, State};
 use crate::{
-    fleet::{notice, voter_links},
+    fleet::{
+        notice::{self, CopiesNotice},
+        voter_links,
+    },
+    link,
     voter::operate::parts,
 };
 
 /// How often evidence is judged, and entries are asked to tell of the parts that it charges.
 const JUDGE_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
+/// Ends under a request from which on entries are told of them: the next one may isolate it.
+const TOLD_ENDS_MIN: u32 = request_ends::ENDS_MAX as u32 - 1;
+
 /// Evidence, verdicts, and what entries are not told of yet.
 #[derive(Default)]
 pub(super) struct Isolation {
     pub(super) collector: collector::Collector,
     newly_charged: collections::BTreeSet<prompt::PartId>,
+    trials: trials::Trials,
+    /// Requests of which entries were told that ends count against them.
+    told_charged: collections::BTreeSet<prompt::PartId>,
+}
+
+impl Isolation {
+    /// The requests against which ends count, for an entry that has just subscribed.
+    pub(super) fn all_charges(&self) -> notice::Notice {
+        let charges = self.collector.requests().charged(TOLD_ENDS_MIN);
+        notice::Notice::Copies(CopiesNotice::Charges { all: true, charges })
+    }
+
+    /// Charges that changed and that entries have to know.
+    fn changed_charges(&mut self) -> Vec<request_ends::RequestCharge> {
+        let mut changed = self.collector.requests_mut().take_changed();
+        changed.retain(|charge| match charge.ends >= TOLD_ENDS_MIN {
+            true => {
+                self.told_charged.insert(charge.request);
+                true
+            }
+            false => self.told_charged.remove(&charge.request),
+        });
+        changed
+    }
+
+    /// Ends the trials of an entry whose link is closed.
+    pub(super) fn end_trials_of(&mut self, entry: &str) {
+        if let Ok(entry) = entry.parse() {
+            self.trials.end_all_of(entry);
+        }
+    }
 }
 
 /// Judges the evidence for as long as the process runs.
@@ -79,6 +117,46 @@
         );
         let charged = self.isolation.collector.record_end(teller, report, now_ms);
         self.isolation.newly_charged.extend(charged);
+        self.tell_charges();
+    }
+
+    /// Takes that engines have borne parts, or upstreams requests.
+    pub(super) fn record_proofs(&mut self, parts: Vec<prompt::PartId>, now_ms: u64) {
+        let collector = &mut self.isolation.collector;
+        parts.into_iter().for_each(|part| collector.record_proof(part, 0, now_ms));
+        self.tell_charges();
+    }
+
+    /// Takes what an entry asks or tells of a trial.
+    pub(super) fn record_copies(
+        &mut self,
+        session: &link::Session,
+        told: CopiesNotice,
+        now_ms: u64,
+    ) {
+        let Ok(entry) = session.hello.name.parse::<net::Ipv4Addr>() else { return };
+        let Isolation { collector, trials, .. } = &mut self.isolation;
+        match told {
+            CopiesNotice::TrialWanted(request) => {
+                let is_fatal = collector.verdicts().is_isolated(request)
+                    || collector.requests().charge(request) as usize >= request_ends::ENDS_MAX;
+                if !is_fatal && trials.grant(request, entry, now_ms) {
+                    let granted = notice::Notice::Copies(CopiesNotice::TrialGranted(request));
+                    session.push(notice::encode(&granted));
+                }
+            }
+            CopiesNotice::TrialOver(request) => trials.end(request, entry),
+            CopiesNotice::Charges { .. } | CopiesNotice::TrialGranted(_) => (),
+        }
+    }
+
+    /// Tells entries of requests under which upstreams ended, and of those that were cleared.
+    fn tell_charges(&mut self) {
+        let charges = self.isolation.changed_charges();
+        if !charges.is_empty() {
+            let told = notice::Notice::Copies(CopiesNotice::Charges { all: false, charges });
+            self.tell_role("entry", &notice::encode(&told));
+        }
     }
 
     fn judge_isolation(&mut self, now_ms: u64) {
@@ -89,6 +167,7 @@
         }
         let news = self.isolation.collector.judge(now_ms);
         self.tell_verdicts("the evidence", news);
+        self.tell_charges();
     }
 
     /// Takes the verdicts of the log or of another process.
