Count each end of an engine that starts again unannounced, list requests apart from parts

What callers saw: an entry without voters sent 16 to 22 requests with a part that ends engines, where 3 may come. Cause: an end was named by the engine's identifier and start alone. No voter takes announcements then, so the second end of each engine was taken for the first one told again, and the evidence stopped growing at one end for each engine. Change: reports that are apart by half a second tell of two ends. Operators see requests that are isolated in a list of their own, so that the list of parts stays one of parts.

--- a/ragwortctl/src/commands/parts.rs
+++ b/ragwortctl/src/commands/parts.rs
@@ -1,4 +1,4 @@
-//! Lists, isolates and releases parts of prompts that end engines.
+//! Lists, isolates and releases parts of prompts that end engines, and requests that end upstreams.
 
 use std::{net, process};
 
@@ -63,7 +63,7 @@
 
 fn table(listed: &parts::ListedParts) -> output::Table {
     let mut table = output::Table::new(&["PART", "STATE", "ENDS", "WEIGHT"]);
-    for verdict in &listed.verdicts {
+    for verdict in listed.verdicts.iter().chain(&listed.requests) {
         let state = if verdict.isolated { "isolated" } else { "released" };
         let (name, ends) = (verdict.part.name.to_string(), verdict.ends.to_string());
         table.row(vec![name, state.to_owned(), ends, "-".to_owned()]);
--- a/ragwortdeal_core/src/dispatch/isolation/evidence.rs
+++ b/ragwortdeal_core/src/dispatch/isolation/evidence.rs
@@ -33,6 +33,9 @@
 /// Ends after which a part is isolated without that lead.
 const ENDS_WITHOUT_LEAD: usize = 6;
 
+/// Reports on one start of an engine that are apart by more tell of two ends.
+pub(super) const SAME_END_MS: u64 = 500;
+
 /// Ends kept, the newest ones.
 const ENDS_KEPT_MAX: usize = 256;
 
@@ -93,6 +96,12 @@
 }
 
 impl End {
+    /// Whether a report is on this end. An upstream that starts again may end again before it has
+    /// announced itself.
+    fn is(&self, boot: &Boot, at_ms: u64) -> bool {
+        self.boot == *boot && self.at_ms.abs_diff(at_ms) <= SAME_END_MS
+    }
+
     fn requests(&self) -> u32 {
         self.told.values().map(|told| told.requests).sum()
     }
@@ -178,13 +187,13 @@
             requests: report.requests,
             suspects: suspects.iter().map(|it| (it.part.id, it.share)).collect(),
         };
-        match self.ends.iter_mut().find(|end| end.boot == report.boot) {
+        let at_ms = now_ms.saturating_sub(report.age_ms);
+        match self.ends.iter_mut().find(|end| end.is(&report.boot, at_ms)) {
             Some(end) => {
                 end.told.insert(teller, told);
                 end.explained |= explained;
             }
             None => {
-                let at_ms = now_ms.saturating_sub(report.age_ms);
                 let told = collections::BTreeMap::from([(teller, told)]);
                 self.ends.push(End { boot: report.boot.clone(), at_ms, told, explained });
                 self.ends.sort_by_key(|end| end.at_ms);
--- a/ragwortdeal_core/src/dispatch/isolation/verdicts.rs
+++ b/ragwortdeal_core/src/dispatch/isolation/verdicts.rs
@@ -27,7 +27,8 @@
 }
 
 impl Verdict {
-    fn is_of_request(&self) -> bool {
+    /// Whether it is on a request, by its fingerprint, and not on a part of prompts.
+    pub fn is_of_request(&self) -> bool {
         fingerprint::is_fingerprint(&self.part.name)
     }
 
--- a/ragwortdeal_node/src/voter/fleet/hub/isolation.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub/isolation.rs
@@ -79,12 +79,18 @@
 }
 
 impl Hub {
-    /// What this voter knows of parts, for an operator.
+    /// What this voter knows of parts and requests, for an operator.
     pub(in super::super) fn listed_parts(&self) -> parts::ListedParts {
         let state = self.state();
         let collector = &state.isolation.collector;
-        let verdicts = collector.verdicts().all().cloned().collect();
-        parts::ListedParts { verdicts, charges: collector.charges(self.clock.now_ms()) }
+        let verdicts = collector.verdicts().all().cloned();
+        let (requests, verdicts) = verdicts.partition(verdicts::Verdict::is_of_request);
+        parts::ListedParts {
+            verdicts,
+            charges: collector.charges(self.clock.now_ms()),
+            requests,
+            request_charges: collector.requests().charged(TOLD_ENDS_MIN),
+        }
     }
 
     /// Isolates or releases a part for an operator. Returns the verdict, the one that is held where
--- a/ragwortdeal_node/src/voter/operate/parts.rs
+++ b/ragwortdeal_node/src/voter/operate/parts.rs
@@ -1,6 +1,7 @@
-//! What an operator's tool asks a voter of a fleet about parts of prompts that end engines.
+//! What an operator's tool asks a voter of a fleet about parts of prompts that end engines, and about
+//! requests that end upstreams.
 
-use ragwortdeal_core::dispatch::isolation::{evidence, verdicts};
+use ragwortdeal_core::dispatch::isolation::{evidence, request_ends, verdicts};
 
 use super::{OperateError, open, seal};
 use crate::link;
@@ -8,24 +9,30 @@
 /// An operator's request, inside a link's replication message.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum PartsRequest {
-    /// Asks which parts are isolated, and what speaks against others.
+    /// Asks which parts and requests are isolated, and what speaks against others.
     ListParts,
-    /// Isolates or releases a part. It may be given again.
+    /// Isolates or releases a part, or a request by its fingerprint. It may be given again.
     SetPart {
-        /// Name of the part.
+        /// Name of the part, or of the fingerprint.
         name: String,
         /// Whether requests with it are refused.
         isolated: bool,
     },
 }
 
-/// What a voter knows of parts.
+/// What a voter knows of parts and requests.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct ListedParts {
     /// Parts that are isolated or were released.
     pub verdicts: Vec<verdicts::Verdict>,
     /// What speaks against parts that are not isolated, the heaviest first.
     pub charges: Vec<evidence::Charge>,
+    /// Requests that are isolated or were released. Voters of earlier versions tell none.
+    #[serde(default)]
+    pub requests: Vec<verdicts::Verdict>,
+    /// Ends that count against requests which are not isolated.
+    #[serde(default)]
+    pub request_charges: Vec<request_ends::RequestCharge>,
 }
 
 /// A voter's answer.
