Bound what is read, held and waited for of an answer that never ends

What callers saw: 504 at their deadline, after 94 to 150 MB of one answer, while a sound upstream was not asked; streams of nothing but comments; ten answers that held 168 MB. Cause: bounds were on what parsers deliver. Interim answers, sizes of chunks and comments are read and deliver nothing, so only the deadline ended them; any byte counted as progress; each answer had 16 MiB of its own, whatever the others held; each piece of an event was scanned from its beginning again. Evidence: the red cases of fleet_endless, and read_bytes in the lines of losses. Ruled out: the parser's own bounds, which hold for status lines and headers. Change: connections to upstreams count what is read; an answer may take 256 KiB beside its body and four times the body in framing. Bodies that are read as a whole share a quarter of the process's memory, each as much as is left free, and hold it until their callers have taken them. Streams bring a new event within 256 KiB, are scanned once, and only events show progress; they begin at their caller with the first event, no longer with a comment. A body that drips is given up where another upstream may answer. Failures of an upstream are forgotten when an answer is whole or a stream has begun, not at its head. Agents bound what they read of one answer. Tests: memory is measured up to the first failure, as answers that fail one after the other may take more in all than is ever held; comments that were passed on are allowed in a resumed stream; slow cases run beside other traffic, without which an entry takes itself for cut off.

--- a/ragwortdeal_node/src/fleet/agent.rs
+++ b/ragwortdeal_node/src/fleet/agent.rs
@@ -31,6 +31,10 @@
 /// Connect timeout; engine, peers and origin are a few milliseconds away.
 const CONNECT_TIMEOUT_MS: u64 = 500;
 
+/// Bytes that are read for one answer of the engine, a peer or the origin at most. What is delivered
+/// of them has narrower bounds.
+const ANSWER_READ_MAX_BYTES: u64 = 64 << 20;
+
 /// Share of the instance's link that chunks to peers may use. The rest is for the events of
 /// streams, which are late if they queue behind chunks. A copy takes 2.5 s instead of 2.0 s for it.
 const UPLOAD_LINK_SHARE: f64 = 0.8;
@@ -110,7 +114,7 @@
         credential: link::Credential::new(&settings.credentials.cluster),
         engine,
         service,
-        http: http::Client::new(CONNECT_TIMEOUT_MS),
+        http: http::Client::bounded(CONNECT_TIMEOUT_MS, ANSWER_READ_MAX_BYTES),
         clock: clock::Clock::start(),
         held_version: sync::Arc::default(),
         voter_state: watch::Sender::new(VoterState::default()),
--- a/ragwortdeal_node/src/fleet/entry.rs
+++ b/ragwortdeal_node/src/fleet/entry.rs
@@ -1,5 +1,6 @@
 //! The entry of a fleet: takes callers' requests and sends them straight to upstreams.
 
+mod answer_memory;
 mod endings;
 mod events;
 mod exchange;
@@ -14,6 +15,7 @@
 mod signals;
 mod upstreams;
 mod voter_updates;
+mod whole_answer;
 
 use std::{
     sync::{self, atomic},
@@ -109,6 +111,7 @@
     held_version: sync::Arc<atomic::AtomicU64>,
     upstreams: sync::Mutex<upstreams::Upstreams>,
     pool: pool::Pool,
+    answer_memory: answer_memory::AnswerMemory,
     endings: endings::Endings,
     isolation: isolation::Isolation,
     fingerprints: fingerprint::Key,
@@ -148,6 +151,7 @@
             held_version: sync::Arc::default(),
             upstreams: sync::Mutex::new(upstreams),
             pool: pool::Pool::default(),
+            answer_memory: answer_memory::AnswerMemory::new(bounds),
             endings: endings::Endings::default(),
             isolation,
             fingerprints: fingerprint::Key::new(&settings.credentials.cluster),
@@ -258,6 +262,7 @@
         entry.telemetry.gauge("entry.upstreams_leaving", counts.leaving);
         entry.telemetry.gauge("entry.upstreams_cold", counts.cold);
         entry.telemetry.gauge("entry.zones_evacuated", evacuated);
+        entry.telemetry.gauge("entry.answer_bytes_held", entry.answer_memory.held_bytes());
         entry.telemetry.gauge("entry.parts_isolated", entry.isolation.isolated_count());
         if !awaited.is_empty() {
             voters.broadcast(&notice::Notice::AwaitedUpstreams(awaited));
--- a/ragwortdeal_node/src/fleet/entry/exchange.rs
+++ b/ragwortdeal_node/src/fleet/entry/exchange.rs
@@ -17,6 +17,18 @@
 /// Longest idle time of a connection that is used for other requests.
 const IDLE_MAX_REPEATABLE: time::Duration = time::Duration::from_secs(30);
 
+/// Bytes that may be read for an answer beside its body: its head, what is read ahead of the body,
+/// and the framing of small pieces.
+pub(super) const UNDELIVERED_MAX_BYTES: u64 = 4 * pool::BUFFER_MAX_BYTES as u64;
+
+/// Bytes that the framing of a body takes at most, as a multiple of the body.
+const FRAMING_MAX: u64 = 4;
+
+/// Bytes that may be read for so many bytes of a body.
+pub(super) fn framed_bytes(body_bytes: usize) -> u64 {
+    FRAMING_MAX * body_bytes as u64
+}
+
 /// Outcome of an attempt.
 pub(super) enum Outcome {
     /// Nothing was sent, or nothing arrived.
@@ -105,7 +117,7 @@
             },
         };
         let outgoing = self.outgoing(request, selected, last_event);
-        connection.meter.restart(u64::MAX);
+        connection.meter.restart(UNDELIVERED_MAX_BYTES);
         let begun = time::Instant::now();
         let sent = connection.sender.try_send_request(outgoing);
         let bound = selected
--- a/ragwortdeal_node/src/fleet/entry/health.rs
+++ b/ragwortdeal_node/src/fleet/entry/health.rs
@@ -302,7 +302,7 @@
         })
     }
 
-    /// Records an answer.
+    /// Records the head of an answer.
     pub(super) fn record_answer(
         &mut self,
         answer: &AnswerReport,
@@ -322,8 +322,6 @@
             }
             None => self.answer_time.record(answer.took_ms),
         }
-        self.failures = 0;
-        self.failure_rate *= FAILURE_RATE_DECAY;
         if let Some(load) = answer.load {
             self.record_load(load.running, load.waiting, now_ms);
         }
@@ -332,6 +330,12 @@
         }
     }
 
+    /// Records an answer that is whole, or a stream that has brought its first event.
+    pub(super) fn record_success(&mut self) {
+        self.failures = 0;
+        self.failure_rate *= FAILURE_RATE_DECAY;
+    }
+
     /// Records a failure. The upstream is skipped for a while, longer with each failure in a row.
     pub(super) fn record_failure(&mut self, now_ms: u64) {
         // All requests that were open there fail together, which counts as one failure.
--- a/ragwortdeal_node/src/fleet/entry/pool.rs
+++ b/ragwortdeal_node/src/fleet/entry/pool.rs
@@ -33,6 +33,9 @@
 /// busy machine. A request that crosses the close would be lost.
 const IDLE_MARGIN: time::Duration = time::Duration::from_millis(700);
 
+/// Largest head of an answer, and what is read ahead of its body.
+pub(super) const BUFFER_MAX_BYTES: usize = 64 << 10;
+
 /// Idle connections kept for each upstream.
 const IDLE_CONNECTIONS_MAX: usize = 32;
 
@@ -143,7 +146,9 @@
         configure_socket(&stream);
         let meter = metered::Meter::new(u64::MAX);
         let stream = metered::Metered::new(stream, meter.clone());
-        let handshake = http1::Builder::new().handshake(rt::TokioIo::new(stream)).await;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(BUFFER_MAX_BYTES);
+        let handshake = builder.handshake(rt::TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|error| failed(error.to_string()))?;
         Ok((sender, connection, meter))
     };
--- a/ragwortdeal_node/src/fleet/entry/relay.rs
+++ b/ragwortdeal_node/src/fleet/entry/relay.rs
@@ -2,7 +2,7 @@
 
 use std::{io, sync};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
 use http_body_util::BodyExt as _;
 use hyper::body::Frame;
@@ -10,19 +10,26 @@
 use tokio::sync::mpsc;
 
 use super::{
-    Entry, events, exchange, isolation, request::CallerRequest, serve, upstreams::selection,
+    Entry, answer_memory, events, exchange, isolation, request::CallerRequest, serve,
+    upstreams::selection,
 };
 use crate::http;
 
 /// Pieces that may be queued for a slow caller. A full queue stops reading from the upstream.
 const QUEUED_PIECES_MAX: usize = 16;
 
+/// An event that is not complete counts as held memory from this size on.
+const SMALL_EVENT_BYTES: usize = 16 << 10;
+
+/// A piece of this size shows that the upstream works on a large event.
+const ACTIVE_PIECE_BYTES: usize = 1 << 10;
+
 type Piece = Result<Frame<Bytes>, io::Error>;
 
 /// Result of one read.
 enum Read {
-    /// Complete events.
-    Events(Bytes),
+    /// Complete events, or comments alone.
+    Events(events::Completed),
     /// The end of the stream.
     End,
     /// The upstream broke off.
@@ -46,6 +53,10 @@
     entry: sync::Arc<Entry>,
     request: sync::Arc<CallerRequest>,
     events: events::EventBuffer,
+    /// Comments that came before the first event.
+    comments: BytesMut,
+    /// Memory of a large event that is not complete.
+    reservation: answer_memory::Reservation,
     source: Source,
     progress: serve::Progress,
 }
@@ -63,11 +74,23 @@
     let source = Source { selected, answer };
     let progress_so_far = std::mem::take(progress);
     let (entry, request) = (entry.clone(), request.clone());
-    let mut relay = StreamRelay { entry, request, events, source, progress: progress_so_far };
+    let mut relay = StreamRelay {
+        reservation: entry.answer_memory.reservation(),
+        entry,
+        request,
+        events,
+        comments: BytesMut::new(),
+        source,
+        progress: progress_so_far,
+    };
     let loss = loop {
         match relay.read_until_isolated().await {
-            Read::Events(bytes) if bytes.is_empty() => (),
-            Read::Events(bytes) => return Some(relay.start(bytes)),
+            Read::Events(completed) => {
+                relay.comments.extend_from_slice(&completed.bytes);
+                if completed.has_events {
+                    return Some(relay.start());
+                }
+            }
             Read::End if relay.source.answer.framed => return Some(relay.whole_without_events()),
             Read::End => {
                 break Some(exchange::Loss::connection_end("no event before the connection ended"));
@@ -104,12 +127,9 @@
         let to_start = self.source.selected.time_to_start();
         let bound = to_start.map_or(remaining, |to_start| to_start.min(remaining));
         let next = tokio::select! {
-            next = tokio::time::timeout(bound, self.source.answer.body.frame()) => next,
+            next = tokio::time::timeout(bound, self.source.answer.next_frame()) => next,
             () = self.source.selected.stalled() => return Read::Silent,
         };
-        if let Ok(Some(Ok(_))) = &next {
-            self.source.selected.record_activity();
-        }
         match next {
             Err(_) if to_start.is_some_and(|to_start| to_start < remaining) => {
                 let reason = "its weights are superseded and its first event has not come";
@@ -124,17 +144,30 @@
                 Read::Lost(exchange::Loss::of_error("the stream was cut", &error))
             }
             Ok(Some(Ok(frame))) => match frame.into_data() {
-                Err(_) => Read::Events(Bytes::new()),
-                Ok(piece) => match self.events.push(&piece) {
-                    Ok(events) => Read::Events(events),
-                    Err(error) => {
-                        Read::Lost(exchange::Loss::new(format!("invalid stream: {error:?}")))
-                    }
-                },
+                Err(_) => Read::Events(events::Completed::default()),
+                Ok(piece) => self.read_piece(&piece),
             },
         }
     }
 
+    fn read_piece(&mut self, piece: &[u8]) -> Read {
+        let completed = match self.events.push(piece) {
+            Ok(completed) => completed,
+            Err(error) => {
+                return Read::Lost(exchange::Loss::new(format!("invalid stream: {error:?}")));
+            }
+        };
+        // Other bytes do not show that the upstream works on the request.
+        if completed.has_events || piece.len() >= ACTIVE_PIECE_BYTES {
+            self.source.selected.record_activity();
+        }
+        let pending_bytes = self.events.pending_bytes();
+        if pending_bytes > SMALL_EVENT_BYTES && self.reservation.grow_to(pending_bytes).is_err() {
+            return Read::Lost(exchange::Loss::new("answers take too much memory"));
+        }
+        Read::Events(completed)
+    }
+
     /// Reads before the first event, when the engine has not begun to write.
     async fn read_until_isolated(&mut self) -> Read {
         let (entry, request) = (self.entry.clone(), self.request.clone());
@@ -146,12 +179,15 @@
 
     /// Answers with the whole answer of an upstream that holds no event.
     fn whole_without_events(self) -> http::Response {
-        let response = serve::caller_response(&self.source.answer.head, http::full(""));
+        let comments = self.comments.freeze();
+        let response = serve::caller_response(&self.source.answer.head, http::full(comments));
+        serve::record_whole(&self.entry, &self.request, &self.source.selected);
         self.source.return_connection(&self.entry);
         response
     }
 
-    fn start(mut self, first: Bytes) -> http::Response {
+    fn start(mut self) -> http::Response {
+        let first = std::mem::take(&mut self.comments).freeze();
         self.source.selected.record_events();
         let (sender, receiver) = mpsc::channel(QUEUED_PIECES_MAX);
         // The queue is empty and holds more than one piece.
@@ -179,8 +215,8 @@
                 () = sender.closed() => return self.log_caller_left(),
             };
             let failure = match read {
-                Read::Events(bytes) if bytes.is_empty() => continue,
-                Read::Events(bytes) => match self.forward(&sender, bytes).await {
+                Read::Events(completed) if completed.bytes.is_empty() => continue,
+                Read::Events(completed) => match self.forward(&sender, completed).await {
                     true => continue,
                     false => return self.log_caller_left(),
                 },
@@ -219,10 +255,16 @@
     }
 
     /// Forwards events. Returns whether the caller is still connected.
-    async fn forward(&mut self, sender: &mpsc::Sender<Piece>, events: Bytes) -> bool {
-        self.source.selected.record_events();
-        self.record_proof_once();
-        sender.send(Ok(Frame::data(events))).await.is_ok()
+    async fn forward(
+        &mut self,
+        sender: &mpsc::Sender<Piece>,
+        completed: events::Completed,
+    ) -> bool {
+        if completed.has_events {
+            self.source.selected.record_events();
+            self.record_proof_once();
+        }
+        sender.send(Ok(Frame::data(completed.bytes))).await.is_ok()
     }
 
     /// Records that the engine bears the parts of the prompt, once it has written for long enough.
@@ -238,7 +280,7 @@
     /// Ends a stream that is whole.
     fn finish(self) {
         if self.source.answer.framed {
-            self.entry.isolation.record_answered(&self.request, self.entry.clock.now_ms());
+            serve::record_whole(&self.entry, &self.request, &self.source.selected);
         }
         if !self.source.selected.proved && self.source.answer.framed {
             let now_ms = self.entry.clock.now_ms();
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -5,23 +5,20 @@
     time,
 };
 
-use http_body_util::BodyExt as _;
 use hyper::{header, http::response};
 use ragwortdeal_core::{directory, document};
 
 use super::{
-    Entry, endings, exchange, pool, relay, request,
+    Entry, exchange, pool, relay, request,
     request::{CallerRequest, Refusal},
     upstreams::selection,
+    whole_answer,
 };
 use crate::http;
 
 /// Upstreams that are tried for one request, including those that could not be reached.
 const UPSTREAMS_TRIED_MAX: usize = 4;
 
-/// Largest answer that is buffered as a whole before it is forwarded.
-const ANSWER_MAX_BYTES: usize = 16 << 20;
-
 /// Shortest time after which a caller retries where no upstream accepts work. It retries once and
 /// is late in any case, and outages last for a second or two.
 const OUTAGE_RETRY_MIN_MS: u64 = 1_200;
@@ -285,31 +282,29 @@
     entry: &sync::Arc<Entry>,
     request: &sync::Arc<CallerRequest>,
     selected: &selection::Selected,
-    answer: exchange::Answer,
+    mut answer: exchange::Answer,
     progress: &mut Progress,
 ) -> Option<http::Response> {
-    let exchange::Answer { head, body, connection, keep_alive, .. } = answer;
-    let record_loss =
-        |loss: exchange::Loss| entry.record_broken_answer(request, selected, &loss.on(&connection));
     let retryable = request.route.retry_policy != document::RetryPolicy::Never
         && progress.sent < request.route.attempts_max
-        && head.status.is_server_error();
-    let limited = http_body_util::Limited::new(body, ANSWER_MAX_BYTES);
-    let read = tokio::time::timeout(request.remaining(), limited.collect()).await;
-    let bytes = match read {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(error)) => {
-            let connection_ended = endings::is_connection_end(&*error);
-            let reason = format!("the answer was cut: {error}");
-            record_loss(exchange::Loss { connection_ended, ..exchange::Loss::new(reason) });
+        && answer.head.status.is_server_error();
+    let bytes = match entry.read_whole(request, selected, &mut answer).await {
+        Ok(bytes) => bytes,
+        Err(whole_answer::Failure::Lost(loss)) => {
+            entry.record_broken_answer(request, selected, &loss);
             return None;
         }
-        Err(_) => {
-            record_loss(exchange::Loss::new("the answer did not end in time"));
+        Err(whole_answer::Failure::Withdrawn) => {
+            entry.record_withdrawn(request, selected);
             return None;
         }
+        Err(whole_answer::Failure::NoMemory) => {
+            let refusal = Refusal::new(502, "answers take too much memory");
+            return Some(refused(entry, Some(&request.id), &refusal.of_level(request.level)));
+        }
     };
-    entry.isolation.record_answered(request, entry.clock.now_ms());
+    record_whole(entry, request, selected);
+    let exchange::Answer { head, connection, keep_alive, .. } = answer;
     return_connection(entry, &selected.peer, connection, keep_alive);
     if retryable {
         log::info!(
@@ -325,6 +320,12 @@
     Some(caller_response(&head, http::full(bytes)))
 }
 
+/// Records an answer that is whole.
+pub(super) fn record_whole(entry: &Entry, request: &CallerRequest, selected: &selection::Selected) {
+    selected.record_success();
+    entry.isolation.record_answered(request, entry.clock.now_ms());
+}
+
 /// Tries one other upstream after the first one answered with a failure. None if that gives nothing
 /// better, so that the first answer stands.
 async fn try_other_upstream(
@@ -341,11 +342,18 @@
     if request.route.streams {
         return relay::begin(entry, request, selected, *answer, progress).await;
     }
-    let exchange::Answer { head, body, connection, keep_alive, .. } = *answer;
-    let limited = http_body_util::Limited::new(body, ANSWER_MAX_BYTES);
-    let read = tokio::time::timeout(request.remaining(), limited.collect()).await;
-    let bytes = read.ok()?.ok()?.to_bytes();
-    entry.isolation.record_answered(request, entry.clock.now_ms());
+    let mut answer = *answer;
+    let bytes = match entry.read_whole(request, &selected, &mut answer).await {
+        Ok(bytes) => bytes,
+        Err(failure) => {
+            if let whole_answer::Failure::Lost(loss) = failure {
+                entry.record_broken_answer(request, &selected, &loss);
+            }
+            return None;
+        }
+    };
+    record_whole(entry, request, &selected);
+    let exchange::Answer { head, connection, keep_alive, .. } = answer;
     return_connection(entry, &selected.peer, connection, keep_alive);
     Some(caller_response(&head, http::full(bytes)))
 }
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -274,6 +274,13 @@
         self.health.entry(instance.clone()).or_default().record_failure(now_ms);
     }
 
+    /// Records an answer that is whole, or a stream that has brought its first event.
+    pub(super) fn record_success(&mut self, instance: &str) {
+        if let Some(health) = self.health.get_mut(instance) {
+            health.record_success();
+        }
+    }
+
     /// Records that an upstream shed a request because it is full.
     pub(super) fn record_shed(&mut self, instance: &str, now_ms: u64) {
         let slots = self.directory.get(instance).map_or(0, |upstream| upstream.announcement.slots);
--- a/ragwortdeal_node/src/fleet/entry/upstreams/probing.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/probing.rs
@@ -20,16 +20,9 @@
         let announcements = self.directory.all().map(|upstream| &upstream.announcement);
         let plain: Vec<_> =
             announcements.filter(|it| !self.layers.contains_key(&it.service)).collect();
-        let takes_work = |other: &directory::Announcement| {
-            let silent = self.health.get(&other.instance).is_some_and(health::Health::is_silent);
-            other.status == directory::Status::Ready && !silent && !self.is_evacuated(other)
-        };
         let busy = plain.iter().filter(|it| is_busy(&it.instance));
         busy.map(|it| {
-            let others = plain
-                .iter()
-                .filter(|other| other.service == it.service && other.instance != it.instance);
-            let has_alternative = others.into_iter().any(|other| takes_work(other));
+            let has_alternative = self.has_alternative(&it.service, &it.instance);
             let answers = health::WholeAnswers { check_interval_ms, has_alternative };
             (it.instance.clone(), answers)
         })
--- a/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
@@ -84,6 +84,19 @@
         self.activity.record_activity();
     }
 
+    /// Whether the request is taken back from an upstream that answers too slowly, as another one
+    /// may answer it.
+    pub(in super::super) fn leaves_slow(&self, service: &str) -> bool {
+        let has_alternative =
+            || self.entry.upstreams().has_alternative(service, &self.peer.instance);
+        self.leaves_silent && has_alternative()
+    }
+
+    /// Records that the upstream has answered: the head of an answer alone does not show it.
+    pub(in super::super) fn record_success(&self) {
+        self.entry.upstreams().record_success(&self.peer.instance);
+    }
+
     /// Waits until the upstream is found to be silent. Never ends for a request that must run only
     /// once, or that is on its last attempt at a plain service: no other upstream could answer it.
     pub(in super::super) async fn stalled(&self) {
@@ -104,6 +117,7 @@
         self.pieces += 1;
         if self.first_event_at_ms.is_none() {
             self.first_event_at_ms = Some(self.entry.clock.now_ms());
+            self.record_success();
         }
         self.start_by_ms = None;
         if let Some(reading_ms) = self.reading_ms.take() {
@@ -175,6 +189,16 @@
 }
 
 impl Upstreams {
+    /// Whether another upstream of the service takes work.
+    pub(in super::super) fn has_alternative(&self, service: &str, instance: &str) -> bool {
+        let others = self.directory.all().map(|upstream| &upstream.announcement);
+        let mut others = others.filter(|it| *it.service == *service && *it.instance != *instance);
+        others.any(|other| {
+            let silent = self.health.get(&other.instance).is_some_and(health::Health::is_silent);
+            other.status == directory::Status::Ready && !silent && !self.is_evacuated(other)
+        })
+    }
+
     /// Upstreams that may take a request now. Fails if all of them asked for less work.
     fn eligible(&self, criteria: &Criteria<'_>, now_ms: u64) -> Result<Vec<Eligible>, Unavailable> {
         let takes_work = |announcement: &directory::Announcement| {
--- a/ragwortdeal_node/src/http/client.rs
+++ b/ragwortdeal_node/src/http/client.rs
@@ -6,7 +6,7 @@
 use hyper_util::{client::legacy, rt};
 use snafu::Snafu;
 
-use super::Body;
+use super::{Body, metered};
 
 /// Body of an answer from an upstream, read piece by piece.
 pub type RequestBody = hyper::body::Incoming;
@@ -73,13 +73,19 @@
 /// An HTTP client with a pool of connections.
 #[derive(Clone, Debug)]
 pub struct Client {
-    inner: legacy::Client<legacy::connect::HttpConnector, Body>,
+    inner: legacy::Client<metered::Connector, Body>,
 }
 
 impl Client {
     /// Makes a client whose connects may take that long.
     pub fn new(connect_ms: u64) -> Self {
-        Self::with_idle(connect_ms, IDLE_PER_HOST)
+        Self::with_idle(connect_ms, IDLE_PER_HOST, u64::MAX)
+    }
+
+    /// Makes one that reads no more than so many bytes for an answer, with its head and framing. A
+    /// peer that sends more than that sends no answer.
+    pub fn bounded(connect_ms: u64, answer_read_max_bytes: u64) -> Self {
+        Self::with_idle(connect_ms, IDLE_PER_HOST, answer_read_max_bytes)
     }
 
     /// Makes one that opens a connection for each request.
@@ -88,10 +94,10 @@
     /// to it, and nobody can tell then whether the request ran. `docs/design/at-most-once.md` tells
     /// where that matters.
     pub fn without_reuse(connect_ms: u64) -> Self {
-        Self::with_idle(connect_ms, 0)
+        Self::with_idle(connect_ms, 0, u64::MAX)
     }
 
-    fn with_idle(connect_ms: u64, idle_per_host: usize) -> Self {
+    fn with_idle(connect_ms: u64, idle_per_host: usize, answer_read_max_bytes: u64) -> Self {
         let mut connector = legacy::connect::HttpConnector::new();
         connector.set_connect_timeout(Some(time::Duration::from_millis(connect_ms)));
         connector.set_nodelay(true);
@@ -109,7 +115,7 @@
             // The pool would resend a request whose connection closed under it. Whether a request
             // may be sent twice is decided by the entry alone.
             .retry_canceled_requests(false)
-            .build(connector);
+            .build(metered::Connector::new(connector, answer_read_max_bytes));
         Self { inner }
     }
 
--- a/ragwortdeal_node/src/http/metered.rs
+++ b/ragwortdeal_node/src/http/metered.rs
@@ -9,8 +9,10 @@
     task,
 };
 
-use hyper_util::client::legacy::connect;
+use hyper::Uri;
+use hyper_util::{client::legacy::connect, rt};
 use tokio::{io as tokio_io, net};
+use tower_service::Service;
 
 /// Bytes that may be read for one answer, and those that were.
 #[derive(Debug)]
@@ -137,3 +139,38 @@
         self.stream.connected()
     }
 }
+
+/// Opens connections on which an answer takes a bounded number of bytes.
+#[derive(Clone, Debug)]
+pub struct Connector {
+    inner: connect::HttpConnector,
+    each_answer_bytes: u64,
+}
+
+impl Connector {
+    /// A connector whose connections read so many bytes at most after each request.
+    pub fn new(inner: connect::HttpConnector, each_answer_bytes: u64) -> Self {
+        Self { inner, each_answer_bytes }
+    }
+}
+
+impl Service<Uri> for Connector {
+    type Response = rt::TokioIo<Metered>;
+    type Error = <connect::HttpConnector as Service<Uri>>::Error;
+    type Future = pin::Pin<Box<dyn Future<Output = Result<Self::Response, Self::Error>> + Send>>;
+
+    fn poll_ready(
+        &mut self,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<Result<(), Self::Error>> {
+        self.inner.poll_ready(context)
+    }
+
+    fn call(&mut self, uri: Uri) -> Self::Future {
+        let (connecting, bytes) = (self.inner.call(uri), self.each_answer_bytes);
+        Box::pin(async move {
+            let stream = connecting.await?.into_inner();
+            Ok(rt::TokioIo::new(Metered::with_bound(stream, bytes)))
+        })
+    }
+}
--- a/ragwortdeal_node/src/settings/fleet.rs
+++ b/ragwortdeal_node/src/settings/fleet.rs
@@ -116,6 +116,10 @@
     pub cold_slack: f64,
     /// Milliseconds within which an evacuation is in force everywhere.
     pub evacuation_ms: u64,
+    /// Memory that the process may take in MiB, 0 where it is not told.
+    pub memory_mb: usize,
+    /// Largest answer in bytes that is read as a whole before it is forwarded.
+    pub answer_max_bytes: usize,
 }
 
 impl Default for Bounds {
@@ -132,6 +136,8 @@
             cold_overrun: 1.5,
             cold_slack: 5.0,
             evacuation_ms: 5_000,
+            memory_mb: 0,
+            answer_max_bytes: 16 << 20,
         }
     }
 }
--- a/ragwortdeal_standins/src/fleet/caller.rs
+++ b/ragwortdeal_standins/src/fleet/caller.rs
@@ -55,13 +55,24 @@
     pub body: &'static str,
     /// Parts of its prompt as they are written, if any.
     pub prompt: Option<String>,
+    /// Tokens of its prompt and of its answer, if it tells them.
+    pub tokens: Option<(u32, u32)>,
 }
 
 impl Ask {
     /// A request with usual fields.
     pub fn new(method: &'static str, path: &str, id: &str) -> Self {
         let (path, id) = (path.to_owned(), id.to_owned());
-        Self { method, path, id, key: Some("key-a"), deadline_ms: 5_000, body: "", prompt: None }
+        Self {
+            method,
+            path,
+            id,
+            key: Some("key-a"),
+            deadline_ms: 5_000,
+            body: "",
+            prompt: None,
+            tokens: None,
+        }
     }
 
     /// The same request with a prompt of parts with these names, the last its own.
@@ -74,15 +85,18 @@
     pub fn text(&self) -> String {
         let key = self.key.map(|key| format!("Authorization: Bearer {key}\r\n"));
         let prompt = self.prompt.as_ref().map(|parts| format!("X-Prompt-Prefix: {parts}\r\n"));
+        let tokens =
+            self.tokens.map(|(prompt, answer)| format!("X-Token-Usage: {prompt},{answer}\r\n"));
         format!(
             "{} {} HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: {}\r\nX-Request-Deadline: {}\r\n\
-             {}{}Content-Length: {}\r\n\r\n{}",
+             {}{}{}Content-Length: {}\r\n\r\n{}",
             self.method,
             self.path,
             self.id,
             self.deadline_ms,
             key.unwrap_or_default(),
             prompt.unwrap_or_default(),
+            tokens.unwrap_or_default(),
             self.body.len(),
             self.body
         )
--- a/ragwortdeal_standins/src/fleet/raw.rs
+++ b/ragwortdeal_standins/src/fleet/raw.rs
@@ -42,7 +42,8 @@
     pub instance: String,
     /// Its address.
     pub address: net::SocketAddrV4,
-    requests: atomic::AtomicUsize,
+    /// Identifiers of the requests that came.
+    requests: sync::Mutex<Vec<String>>,
     taken_bytes: atomic::AtomicUsize,
 }
 
@@ -58,7 +59,7 @@
         let upstream = sync::Arc::new(Self {
             instance: instance.to_owned(),
             address,
-            requests: atomic::AtomicUsize::new(0),
+            requests: sync::Mutex::default(),
             taken_bytes: atomic::AtomicUsize::new(0),
         });
         let (accepting, answer) = (upstream.clone(), answer.to_owned());
@@ -72,7 +73,16 @@
 
     /// Requests that came.
     pub fn requests(&self) -> usize {
-        self.requests.load(atomic::Ordering::Relaxed)
+        self.ids().len()
+    }
+
+    /// Whether a request with this identifier came.
+    pub fn has_received(&self, id: &str) -> bool {
+        self.ids().iter().any(|received| received == id)
+    }
+
+    fn ids(&self) -> sync::MutexGuard<'_, Vec<String>> {
+        self.requests.lock().expect("no panic under lock")
     }
 
     /// Bytes of endless answers that peers have taken.
@@ -91,7 +101,7 @@
         let Some(id) = read_request(&mut stream).await else {
             return;
         };
-        self.requests.fetch_add(1, atomic::Ordering::Relaxed);
+        self.ids().push(id.clone());
         // A caller that left is no matter of this upstream.
         let _ = stream.write_all(answer.replace("{id}", &id).as_bytes()).await;
         match ends {
