Count ends together once against a request that upstreams answer

Cause: a request of many callers is under way at all upstreams, so a loss of power of three of them at once would have isolated it. Change: entries tell of each request at an upstream that ended whether it has been answered whole of late; then ends together count as one. The fingerprint is taken when the body has been read, in a function of its own.

--- a/ragwortdeal_core/src/dispatch/isolation.rs
+++ b/ragwortdeal_core/src/dispatch/isolation.rs
@@ -10,6 +10,7 @@
 //! counted by [`request_ends`], and [`copies`] bounds how often it is sent meanwhile.
 //! `docs/design/isolation.md` has the reasons.
 
+pub mod answered;
 pub mod collector;
 pub mod copies;
 pub mod entry_view;
--- a/ragwortdeal_core/src/dispatch/isolation/collector.rs
+++ b/ragwortdeal_core/src/dispatch/isolation/collector.rs
@@ -30,11 +30,11 @@
     ) -> Vec<prompt::PartId> {
         let Self { evidence, requests, verdicts, .. } = self;
         let parts = report.suspects.iter().map(|suspect| &suspect.part);
-        let is_explained =
-            parts.chain(&report.fingerprints).any(|part| verdicts.is_isolated(part.id));
+        let present = report.present.iter().map(|present| &present.request);
+        let is_explained = parts.chain(present).any(|part| verdicts.is_isolated(part.id));
         if !is_explained {
             let at_ms = now_ms.saturating_sub(report.age_ms);
-            requests.record_end(&report.boot, &report.fingerprints, at_ms);
+            requests.record_end(&report.boot, &report.present, at_ms);
         }
         // An end without suspected parts tells nothing of parts.
         if !report.suspects.is_empty() {
--- a/ragwortdeal_core/src/dispatch/isolation/entry_view.rs
+++ b/ragwortdeal_core/src/dispatch/isolation/entry_view.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, net};
 
-use super::{collector, copies, evidence, popularity, request_ends, verdicts};
+use super::{answered, collector, copies, evidence, popularity, request_ends, verdicts};
 use crate::dispatch::prompt;
 
 /// Parts at most for which this entry tells when an engine has borne them.
@@ -20,6 +20,7 @@
     /// By the reports of this entry alone.
     collector: collector::Collector,
     copies: copies::AllCopies,
+    answered: answered::Answered,
     watched: collections::HashSet<prompt::PartId>,
     /// Own reports with the times of the ends.
     reports: collections::VecDeque<(u64, evidence::EndReport)>,
@@ -33,6 +34,7 @@
             popularity: popularity::Popularity::default(),
             collector: collector::Collector::default(),
             copies: copies::AllCopies::default(),
+            answered: answered::Answered::default(),
             watched: collections::HashSet::new(),
             reports: collections::VecDeque::new(),
         }
@@ -70,7 +72,12 @@
         suspects.sort_by_key(|suspect| suspect.share.requests);
         suspects.truncate(evidence::SUSPECTS_MAX);
         let requests = requests.len() as u32;
-        let report = evidence::EndReport { boot, age_ms, requests, suspects, fingerprints };
+        let present = fingerprints.into_iter().map(|request| request_ends::Present {
+            borne: self.answered.contains(request.id),
+            request,
+        });
+        let present = present.collect();
+        let report = evidence::EndReport { boot, age_ms, requests, suspects, present };
         let charged = self.collector.record_end(self.address, &report, now_ms);
         self.watch(charged);
         self.reports.push_back((now_ms - age_ms.min(now_ms), report.clone()));
@@ -101,6 +108,7 @@
 
     /// Records that an upstream has answered a request whole. Returns whether voters are to be told.
     pub fn record_answered(&mut self, fingerprint: prompt::PartId, now_ms: u64) -> bool {
+        self.answered.record(fingerprint, now_ms);
         let cleared = self.collector.requests_mut().record_proof(fingerprint, now_ms);
         self.copies.record_answered(fingerprint) || cleared
     }
--- a/ragwortdeal_core/src/dispatch/isolation/evidence.rs
+++ b/ragwortdeal_core/src/dispatch/isolation/evidence.rs
@@ -10,7 +10,7 @@
 
 use std::{collections, net};
 
-use super::popularity;
+use super::{popularity, request_ends};
 use crate::{directory, dispatch::prompt};
 
 /// Ends of engines that are apart by less may have one cause, such as a loss of power.
@@ -73,9 +73,9 @@
     pub requests: u32,
     /// Their parts.
     pub suspects: Vec<Suspect>,
-    /// Fingerprints of all requests of this entry there. Absent in reports of earlier versions.
+    /// All requests of this entry there. Absent in reports of earlier versions.
     #[serde(default)]
-    pub fingerprints: Vec<prompt::Part>,
+    pub present: Vec<request_ends::Present>,
 }
 
 /// Requests of one entry at an engine that ended.
--- a/ragwortdeal_core/src/dispatch/isolation/request_ends.rs
+++ b/ragwortdeal_core/src/dispatch/isolation/request_ends.rs
@@ -2,9 +2,9 @@
 //!
 //! A request is told from others by its fingerprint, so nothing has to be weighed as for the parts
 //! that many requests share: three ends under one request isolate it. Two things keep sound requests
-//! out. A whole answer shows that an upstream bears the request, and ends before it count no longer.
-//! And upstreams that end together have one cause, such as a loss of power: their ends count only
-//! against a request that was at most of them.
+//! out. A whole answer shows that an upstream bears the request: ends before it count no longer, and
+//! ends together later on count as one. And upstreams that end together have one cause, such as a
+//! loss of power: their ends count only against a request that was at most of them.
 
 use std::collections;
 
@@ -29,6 +29,15 @@
 /// Requests kept of one entry's report on one end.
 pub const REPORTED_MAX: usize = 128;
 
+/// A request that was at an upstream as it ended.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Present {
+    /// Its fingerprint.
+    pub request: prompt::Part,
+    /// Whether an upstream has answered it whole of late, as it does what many callers ask for.
+    pub borne: bool,
+}
+
 /// An upstream that ended, by the reports of all entries.
 #[derive(Clone, Debug)]
 struct End {
@@ -61,9 +70,24 @@
 #[derive(Clone, Debug)]
 struct Record {
     request: prompt::Part,
+    borne: bool,
+    /// Ordered by time.
     marks: Vec<Mark>,
 }
 
+impl Record {
+    /// Ends that count among those that `is_counted` chooses.
+    fn count(&self, is_counted: impl Fn(&Mark) -> bool) -> usize {
+        let times_ms: Vec<u64> =
+            self.marks.iter().filter(|mark| is_counted(mark)).map(|mark| mark.at_ms).collect();
+        if !self.borne {
+            return times_ms.len();
+        }
+        let gaps = times_ms.windows(2).filter(|pair| pair[1] - pair[0] > TOGETHER_MS).count();
+        gaps + usize::from(!times_ms.is_empty())
+    }
+}
+
 /// Ends that count against a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct RequestCharge {
@@ -85,9 +109,9 @@
 
 impl RequestEnds {
     /// Records that an upstream ended under requests. Telling it again changes nothing.
-    pub fn record_end(&mut self, boot: &evidence::Boot, requests: &[prompt::Part], at_ms: u64) {
-        let requests = &requests[..requests.len().min(REPORTED_MAX)];
-        let ids = requests.iter().map(|request| request.id);
+    pub fn record_end(&mut self, boot: &evidence::Boot, present: &[Present], at_ms: u64) {
+        let present = &present[..present.len().min(REPORTED_MAX)];
+        let ids = present.iter().map(|present| present.request.id);
         match self.recent.iter_mut().find(|end| end.is(boot, at_ms)) {
             Some(end) => end.requests.extend(ids),
             None => {
@@ -98,17 +122,20 @@
                 }
             }
         }
-        for request in requests {
-            self.mark(request, boot, at_ms);
+        for present in present {
+            self.mark(present, boot, at_ms);
         }
         self.forget_oldest();
     }
 
-    fn mark(&mut self, request: &prompt::Part, boot: &evidence::Boot, at_ms: u64) {
-        let new = || Record { request: request.clone(), marks: Vec::new() };
+    fn mark(&mut self, present: &Present, boot: &evidence::Boot, at_ms: u64) {
+        let request = &present.request;
+        let new = || Record { request: request.clone(), borne: false, marks: Vec::new() };
         let record = self.records.entry(request.id).or_insert_with(new);
+        record.borne |= present.borne;
         if !record.marks.iter().any(|mark| mark.is(boot, at_ms)) {
             record.marks.push(Mark { boot: boot.clone(), at_ms, settled: false });
+            record.marks.sort_by_key(|mark| mark.at_ms);
             self.unsettled.insert(request.id);
             self.changed.insert(request.id);
         }
@@ -192,7 +219,7 @@
 
     /// Ends that count against a request, with those that are not compared with others yet.
     pub fn charge(&self, request: prompt::PartId) -> u32 {
-        self.records.get(&request).map_or(0, |record| record.marks.len() as u32)
+        self.records.get(&request).map_or(0, |record| record.count(|_| true) as u32)
     }
 
     /// Requests whose charge may have changed since the last call.
@@ -211,10 +238,7 @@
 
     /// A request to isolate, and the number of ends under it.
     pub fn verdict(&self) -> Option<(prompt::Part, u32)> {
-        let is_fatal = |record: &&Record| {
-            let settled = record.marks.iter().filter(|mark| mark.settled).count();
-            settled >= ENDS_MAX
-        };
+        let is_fatal = |record: &&Record| record.count(|mark| mark.settled) >= ENDS_MAX;
         let record = self.records.values().find(is_fatal)?;
         Some((record.request.clone(), record.marks.len() as u32))
     }
--- a/ragwortdeal_node/src/fleet/entry/request.rs
+++ b/ragwortdeal_node/src/fleet/entry/request.rs
@@ -186,13 +186,15 @@
     }
 
     /// The fingerprint of a request whose body has been read.
-    fn fingerprint(&self, request: &CallerRequest, host: &str, prompt: &[u8]) -> prompt::Part {
+    fn fingerprint(&self, request: &CallerRequest) -> prompt::Part {
+        let host = request.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+        let prompt = request.headers.get(&self.dialect.headers().prompt_parts);
         self.fingerprints.fingerprint(&fingerprint::Identity {
             method: request.method.as_str(),
-            host,
+            host: host.or_else(|| request.uri.host()).unwrap_or_default(),
             path: request.uri.path_and_query().map_or("", |path| path.as_str()),
             account: request.account.as_deref().unwrap_or_default(),
-            prompt,
+            prompt: prompt.map_or(&[], header::HeaderValue::as_bytes),
             body: &request.body,
         })
     }
@@ -226,7 +228,6 @@
         let route = route.ok_or(Refusal::new(404, "no route"))?;
         let caller = table.caller(route, self.dialect.api_key(&request.headers));
         let mut headers = self.upstream_headers(&request.headers);
-        let host = host.to_owned();
         let account = match caller {
             table::Caller::Unknown => return Err(Refusal::new(401, "no account holds this key")),
             table::Caller::Anonymous => None,
@@ -255,7 +256,6 @@
         let deadline = started + time::Duration::from_millis(waits_ms);
         let last_event = number(&names.last_event);
         let parts = engine.map_or(Vec::new(), |_| self.shared_parts(&request.headers, &id));
-        let prompt = request.headers.get(&names.prompt_parts).cloned();
         let body_max_bytes = table.document().limits.body_max_bytes;
         let caller_request = CallerRequest {
             id,
@@ -279,11 +279,19 @@
             fingerprint: prompt::Part::default(),
         };
         let body = http::read(request.body, body_max_bytes, waits_ms.min(BODY_MS)).await;
+        self.with_body(caller_request, body)
+    }
+
+    /// The whole request, once its body has been read.
+    fn with_body(
+        &self,
+        caller_request: CallerRequest,
+        body: std::io::Result<bytes::Bytes>,
+    ) -> Result<CallerRequest, Refusal> {
         match body {
             Ok(body) => {
                 let caller_request = CallerRequest { body, ..caller_request };
-                let prompt = prompt.as_ref().map_or(&[][..], header::HeaderValue::as_bytes);
-                let fingerprint = self.fingerprint(&caller_request, &host, prompt);
+                let fingerprint = self.fingerprint(&caller_request);
                 Ok(CallerRequest { fingerprint, ..caller_request })
             }
             Err(error) if error.kind() == std::io::ErrorKind::TimedOut => {
