--- a/ragwortdeal_core/src/dispatch/isolation/request_ends.rs
+++ b/ragwortdeal_core/src/dispatch/isolation/request_ends.rs
@@ -238,7 +238,9 @@
 
     /// A request to isolate, and the number of ends under it.
     pub fn verdict(&self) -> Option<(prompt::Part, u32)> {
-        let is_fatal = |record: &&Record| record.count(|mark| mark.settled) >= ENDS_MAX;
+        let is_fatal = |record: &&Record| {
+            record.marks.len() >= ENDS_MAX && record.count(|mark| mark.settled) >= ENDS_MAX
+        };
         let record = self.records.values().find(is_fatal)?;
         Some((record.request.clone(), record.marks.len() as u32))
     }
--- a/ragwortdeal_node/src/fleet/entry/isolation.rs
+++ b/ragwortdeal_node/src/fleet/entry/isolation.rs
@@ -213,9 +213,13 @@
     ) -> Option<Refusal> {
         let part = self.isolation.isolated_of(request)?;
         let reason = reason(part);
+        let what = match reason {
+            PART_REASON => "a part of its prompt",
+            _ => "the request",
+        };
         log::info!(
             request = request.id(), part = &*part.name;
-            "entry: held back, {reason}"
+            "entry: {what} is isolated"
         );
         self.telemetry.count("entry.held_back", 1);
         Some(held_back(reason, may_have_run))
--- a/ragwortdeal_node/src/fleet/notice.rs
+++ b/ragwortdeal_node/src/fleet/notice.rs
@@ -201,11 +201,12 @@
     );
 }
 
-/// Logs what a process learns of a part of prompts.
+/// Logs what a process learns of a part of prompts, or of a request.
 pub fn log_verdict(process: &str, teller: &str, verdict: &verdicts::Verdict) {
     let what = if verdict.isolated { "isolated" } else { "released" };
+    let of = if verdict.is_of_request() { "a request" } else { "a part of prompts" };
     log::warn!(
         part = &*verdict.part.name, revision = verdict.revision, ends = verdict.ends, teller;
-        "{process}: a part of prompts is {what}"
+        "{process}: {of} is {what}"
     );
 }
--- a/ragwortdeal_soak/src/callers.rs
+++ b/ragwortdeal_soak/src/callers.rs
@@ -63,6 +63,16 @@
         }
     }
 
+    /// Sends one request on a connection of its own.
+    pub async fn send_once(&self, id: &str, kind: Kind, path: String) {
+        for (entry, address) in &self.entries {
+            if let Some(mut sender) = open(*address).await {
+                self.call(id, kind, path, *entry, &mut sender).await;
+                return;
+            }
+        }
+    }
+
     /// Sends one request; whether the connection may be used again.
     async fn call(
         &self,
--- a/ragwortdeal_soak/src/checks.rs
+++ b/ragwortdeal_soak/src/checks.rs
@@ -2,6 +2,7 @@
 
 mod asks;
 pub mod budget;
+pub mod fatal;
 
 use std::collections;
 
@@ -23,6 +24,8 @@
 const DENIALS_BORNE: usize = 10;
 /// Statuses that promise that a request has not run and never will.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+/// Memory that an entry may take in KiB.
+const ENTRY_MEMORY_MAX_KIB: u64 = 390 << 10;
 /// One in this many requests has to be served after the last disturbance.
 const SERVED_PART: usize = 4;
 
@@ -39,7 +42,7 @@
 pub type Check = (&'static str, fn(&History) -> Vec<String>);
 
 /// All checks.
-pub const CHECKS: [Check; 15] = [
+pub const CHECKS: [Check; 17] = [
     ("a request that must not repeat never runs twice", twice),
     ("what was refused as not run has not run", refused_ran),
     ("an answer belongs to its request and is whole", mixed),
@@ -55,6 +58,8 @@
     ("an engine that asked for a pause gets next to nothing", asks::paused),
     ("an engine that says that it leaves gets nothing after the bound", asks::left),
     ("requests are sent again no more often than the budget allows", budget::repeated),
+    ("a request under which three engines ended is sent to no other one", fatal::sent_on),
+    ("an entry stays within its memory", memory),
 ];
 
 /// Runs all checks.
@@ -269,3 +274,8 @@
     }
     found
 }
+
+fn memory(history: &History) -> Vec<String> {
+    let over = history.memory.iter().filter(|(_, kib)| *kib > ENTRY_MEMORY_MAX_KIB);
+    over.map(|(entry, kib)| format!("entry {entry} takes {kib} KiB")).collect()
+}
--- a/ragwortdeal_soak/src/engines.rs
+++ b/ragwortdeal_soak/src/engines.rs
@@ -17,6 +17,10 @@
 const WORK: time::Duration = time::Duration::from_millis(15);
 /// Pause before each event of a stream.
 const EVENT_GAP: time::Duration = time::Duration::from_millis(15);
+/// Time after which an engine ends under a request on which it ends.
+const FATAL_AFTER: time::Duration = time::Duration::from_millis(20);
+/// How long it is down then.
+const FATAL_DOWN: time::Duration = time::Duration::from_millis(400);
 
 /// What an engine says of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,8 +41,9 @@
     pub engine: sync::Arc<engine::Engine>,
     announced: net::SocketAddrV4,
     standing: watch::Sender<Standing>,
-    /// Arrivals that were taken into the history.
+    /// Arrivals that were taken into the history, and ends.
     taken: sync::atomic::AtomicUsize,
+    ends_taken: sync::atomic::AtomicUsize,
     born_ms: u64,
 }
 
@@ -58,6 +63,11 @@
         let engine = engine::Engine::start(&name, address, version).await;
         engine.stream(checks::EVENTS, EVENT_GAP);
         engine.work(WORK);
+        engine.end_on(Some(engine::Fatal {
+            trigger: engine::Trigger::Path(checks::fatal::PATH.to_owned()),
+            moment: engine::Moment::BeforeAnswer(FATAL_AFTER),
+            down: FATAL_DOWN,
+        }));
         let engine = sync::Arc::new(Self {
             number,
             service,
@@ -65,6 +75,7 @@
             announced: fleet.announced(number),
             standing: watch::Sender::new(Standing::Ready),
             taken: sync::atomic::AtomicUsize::new(0),
+            ends_taken: sync::atomic::AtomicUsize::new(0),
             born_ms: 1_000 + u64::from(life) * 1_000,
         });
         task::spawn(engine.clone().announce(tells.0, tells.1));
@@ -122,8 +133,22 @@
         said.to_string()
     }
 
+    /// Takes the ends of the engine into the history, as disturbances.
+    fn take_ends(&self, record: &record::Record) {
+        let ended_at = self.engine.ended_at();
+        let taken = self.ends_taken.swap(ended_at.len(), sync::atomic::Ordering::Relaxed);
+        let ends = ended_at[taken..].iter().map(|at| {
+            let from_ms = record.ms(*at);
+            let to_ms = Some(from_ms + FATAL_DOWN.as_millis() as u64);
+            let who = history::Who::Engine(self.number);
+            history::Disturbance { who, planned: false, from_ms, to_ms }
+        });
+        record.change(|history| history.disturbances.extend(ends));
+    }
+
     /// Takes what arrived into the history. What arrived just now waits for the next time.
     pub fn take(&self, record: &record::Record, all: bool) {
+        self.take_ends(record);
         let from = self.taken.load(sync::atomic::Ordering::Relaxed);
         let mut fresh = self.engine.arrivals_after(from);
         if !all {
--- a/ragwortdeal_soak/src/fleet.rs
+++ b/ragwortdeal_soak/src/fleet.rs
@@ -242,6 +242,15 @@
         Ok(())
     }
 
+    /// Memory of each entry that runs, in KiB.
+    pub fn entry_memory(&self) -> Vec<(u8, u64)> {
+        let entries = self.programs.iter().filter_map(|program| match program.who {
+            Who::Entry(number) => Some((number, program.memory_kib()?)),
+            _ => None,
+        });
+        entries.collect()
+    }
+
     /// Whether a process that is to run has ended.
     pub fn ended(&self) -> Vec<Who> {
         let stopping = |it: &Program| it.stopping.load(sync::atomic::Ordering::Relaxed);
@@ -256,6 +265,14 @@
         child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
+    /// Resident memory, if it runs.
+    fn memory_kib(&self) -> Option<u64> {
+        let id = self.child.lock().expect("no panic under lock").as_ref()?.id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        line.split_whitespace().next()?.parse().ok()
+    }
+
     fn signal(&self, signal: signals::Signal) {
         let mut child = self.child.lock().expect("no panic under lock");
         // One that was waited for has given its number back.
--- a/ragwortdeal_soak/src/history.rs
+++ b/ragwortdeal_soak/src/history.rs
@@ -163,6 +163,8 @@
     pub disturbances: Vec<Disturbance>,
     /// Planned work.
     pub planned: Vec<Planned>,
+    /// Memory of entries at some moments, in KiB.
+    pub memory: Vec<(u8, u64)>,
     /// Until when what reached engines is known here.
     pub taken_ms: u64,
     /// From when on requests have to be served again, once that time is over.
@@ -199,6 +201,15 @@
         self.undisturbed_since(entry, at_ms, |it| !(it.planned && it.who == Who::Entry(entry)))
     }
 
+    /// Whether voters and entries, the ways of callers and the machine were undisturbed in a time.
+    pub fn processes_undisturbed(&self, from_ms: u64, to_ms: u64) -> bool {
+        let concerns = |who: Who| !matches!(who, Who::Engine(_) | Who::Agent(_) | Who::Origin);
+        let within = |it: &Disturbance| {
+            it.from_ms <= to_ms && it.to_ms.is_none_or(|ended_ms| ended_ms + WINDOW_MS >= from_ms)
+        };
+        !self.disturbances.iter().any(|it| concerns(it.who) && within(it))
+    }
+
     fn undisturbed_since(
         &self,
         entry: u8,
--- a/ragwortdeal_soak/src/proxy.rs
+++ b/ragwortdeal_soak/src/proxy.rs
@@ -12,6 +12,9 @@
 /// Bytes that are moved at once.
 const BUFFER_BYTES: usize = 16 << 10;
 
+/// How often a listener is looked for that has ended.
+const LOOK: time::Duration = time::Duration::from_millis(10);
+
 /// What the stretch does to connections. Bytes that are held back arrive once they no longer are,
 /// as they do after a partition.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -32,6 +35,8 @@
     to: sync::Arc<watch::Sender<net::SocketAddrV4>>,
     condition: sync::Arc<watch::Sender<Condition>>,
     resets: sync::Arc<watch::Sender<u64>>,
+    /// Number of times at which nothing listened at the other end any more.
+    ends: sync::Arc<watch::Sender<u64>>,
 }
 
 impl Proxy {
@@ -42,6 +47,7 @@
             to: sync::Arc::new(watch::Sender::new(to)),
             condition: sync::Arc::new(watch::Sender::new(Condition::default())),
             resets: sync::Arc::new(watch::Sender::new(0)),
+            ends: sync::Arc::new(watch::Sender::new(0)),
         };
         task::spawn(proxy.clone().accept(listener));
         Ok(proxy)
@@ -64,13 +70,43 @@
     }
 
     async fn accept(self, listener: async_net::TcpListener) {
-        while let Ok((near, _)) = listener.accept().await {
+        let mut listener = Some(listener);
+        while let Some(listening) = listener.take() {
+            listener = self.accept_until_end(listening).await;
+        }
+    }
+
+    /// Accepts until nothing listens at the other end, and waits until something does again.
+    async fn accept_until_end(
+        &self,
+        listener: async_net::TcpListener,
+    ) -> Option<async_net::TcpListener> {
+        let address = listener.local_addr().ok()?;
+        let mut ends = self.ends.subscribe();
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = ends.changed() => break,
+            };
+            let (near, _) = accepted.ok()?;
             if self.condition.borrow().refuses {
                 let _ = near.set_zero_linger();
                 continue;
             }
             task::spawn(self.clone().carry(near));
         }
+        drop(listener);
+        while self.is_ended().await {
+            tokio::time::sleep(LOOK).await;
+        }
+        async_net::TcpListener::bind(address).await.ok()
+    }
+
+    /// Whether nothing listens at the other end.
+    async fn is_ended(&self) -> bool {
+        let to = *self.to.borrow();
+        let connected = async_net::TcpStream::connect(to).await;
+        connected.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
     }
 
     async fn carry(self, mut near: async_net::TcpStream) {
@@ -89,6 +125,9 @@
             ended = async { tokio::try_join!(there, back) } => ended.is_ok(),
             _ = resets.changed() => false,
         };
+        if self.is_ended().await {
+            self.ends.send_modify(|ends| *ends += 1);
+        }
         if !ended {
             let _ = (near.set_zero_linger(), far.set_zero_linger());
         }
--- a/ragwortdeal_soak/src/run.rs
+++ b/ragwortdeal_soak/src/run.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     callers, checks, engines, fleet,
-    history::{Planned, Who},
+    history::{Kind, Planned, Who},
     operator, proxy, record, schedule,
 };
 
@@ -232,7 +232,11 @@
             if looked.elapsed() > LOOK {
                 looked = ticked;
                 self.take(false);
-                let found = self.record.change(|history| checks::check(history));
+                let memory = self.fleet.entry_memory();
+                let found = self.record.change(|history| {
+                    history.memory.extend(memory);
+                    checks::check(history)
+                });
                 self.say(&found);
                 ticked = time::Instant::now();
             }
@@ -283,6 +287,10 @@
                 self.each_engine(number, |it| it.engine.ask(asks));
                 Ok(())
             }
+            schedule::Step::Fatal(request, kind, attempt, entry) => {
+                self.send_fatal(request, kind, attempt, entry).await;
+                Ok(())
+            }
             schedule::Step::Drain(number) => self.drain(number),
             schedule::Step::Replace(number) => self.replace(number).await,
             schedule::Step::Heal => self.heal().await,
@@ -392,6 +400,13 @@
         Ok(())
     }
 
+    async fn send_fatal(&self, request: u8, kind: Kind, attempt: u8, entry: u8) {
+        let entries = vec![(entry, self.fleet.callers(entry))];
+        let caller = callers::Caller { number: CALLERS, entries, record: self.record.clone() };
+        let path = checks::fatal::path(kind, request);
+        caller.send_once(&format!("fatal{request}-{attempt}"), kind, path).await;
+    }
+
     fn drain(&self, number: u8) -> io::Result<()> {
         self.each_engine(number, engines::Engine::drain);
         Ok(())
--- a/ragwortdeal_soak/src/schedule.rs
+++ b/ragwortdeal_soak/src/schedule.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     fleet::Size,
-    history::{WINDOW_MS, Who},
+    history::{Kind, WINDOW_MS, Who},
     proxy,
 };
 
@@ -31,6 +31,19 @@
 const REPEATS_DOWN_MS: u64 = 400;
 /// Sets the draws of these kills apart from those of faults.
 const REPEATS_SEED: u64 = 0x5eed_b0d9;
+/// Requests on which engines end, the first of them before any fault.
+const FATAL_REQUESTS: u8 = 3;
+/// Attempts of the caller of each, and the longest pause between two.
+const FATAL_ATTEMPTS: u8 = 10;
+const FATAL_PAUSE_MS: u64 = 300;
+/// Sets the draws of these requests apart from those of faults.
+const FATAL_SEED: u64 = 0x5eed_fa7a;
+/// Times at which the answers of an engine do not end.
+const ENDLESS_TIMES: usize = 4;
+/// Longest such time.
+const ENDLESS_MAX_MS: u64 = 2_000;
+/// Sets the draws of these times apart from those of faults.
+const ENDLESS_SEED: u64 = 0x5eed_e4d1;
 /// Milliseconds around the loss of a folder in which no other voter is disturbed. One that was
 /// disturbed before counts as lost until it has caught up.
 const LOSS_APART_MS: u64 = 6_000;
@@ -90,6 +103,9 @@
     Drain(u8),
     /// An engine ends, and one of another service starts at its address.
     Replace(u8),
+    /// A caller sends a request again on which engines end: number of the request, its kind, number
+    /// of the attempt, and the entry.
+    Fatal(u8, Kind, u8, u8),
     /// All faults end.
     Heal,
 }
@@ -123,6 +139,10 @@
     maker.asks();
     maker.rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed ^ REPEATS_SEED);
     maker.repeats();
+    maker.rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed ^ FATAL_SEED);
+    maker.fatal_requests();
+    maker.rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed ^ ENDLESS_SEED);
+    maker.endless_answers();
     maker.events.sort_by_key(|event| event.at_ms);
     maker.events
 }
@@ -326,6 +346,37 @@
         }
     }
 
+    /// Callers send requests on which engines end, again and again at any entry.
+    fn fatal_requests(&mut self) {
+        for request in 0..FATAL_REQUESTS {
+            let kinds = [Kind::Read, Kind::Transfer, Kind::Stream];
+            let kind = kinds[self.rng.random_range(0..kinds.len())];
+            let mut at_ms = match request {
+                0 => FATAL_PAUSE_MS,
+                _ => self.rng.random_range(QUIET_MS..self.end_ms.max(QUIET_MS + 1)),
+            };
+            for attempt in 0..FATAL_ATTEMPTS {
+                let entry = self.some(10, self.size.entries);
+                self.push(at_ms, Step::Fatal(request, kind, attempt, entry));
+                at_ms += self.rng.random_range(1..FATAL_PAUSE_MS);
+            }
+        }
+    }
+
+    /// Engines send answers without end.
+    fn endless_answers(&mut self) {
+        for _ in 0..ENDLESS_TIMES {
+            let at_ms = self.rng.random_range(QUIET_MS..self.end_ms.max(QUIET_MS + 1));
+            let until_ms = (at_ms + self.rng.random_range(100..ENDLESS_MAX_MS)).min(self.end_ms);
+            let engine = match self.rng.random_bool(0.5) {
+                true => self.some(20, self.size.agents),
+                false => self.some(30, 3),
+            };
+            self.push(at_ms, Step::Behave(engine, engine::Behaviour::Endless));
+            self.push(until_ms, Step::Behave(engine, engine::Behaviour::Good));
+        }
+    }
+
     fn asked(&mut self) -> engine::Asks {
         let none = engine::Asks::default();
         match self.rng.random_bool(0.5) {
--- a/ragwortdeal_soak/tests/checks.rs
+++ b/ragwortdeal_soak/tests/checks.rs
@@ -347,6 +347,34 @@
     expect_that!(found(silent), contains(eq(&checks::CHECKS[10].0)));
 }
 
+#[googletest::test]
+fn requests_that_are_sent_on_after_three_ends_are_found() {
+    let send = |times: u64| {
+        move |history: &mut History| {
+            for number in 0..times {
+                let (id, at_ms) = (format!("fatal-{number}"), 4_000 + number * 600);
+                request(history, &id, Kind::Read, at_ms);
+                let path = checks::fatal::path(Kind::Read, 0);
+                let last = history.arrived.last_mut().unwrap();
+                last.path = path.clone();
+                history.sent.get_mut(&id).unwrap().path = path;
+            }
+        }
+    };
+    expect_that!(found(send(3)), not(contains(eq(&checks::CHECKS[15].0))));
+    expect_that!(found(send(4)), contains(eq(&checks::CHECKS[15].0)));
+    let cut_off = |history: &mut History| {
+        send(4)(history);
+        history.disturb(Who::Voter(1), 4_000);
+    };
+    expect_that!(found(cut_off), not(contains(eq(&checks::CHECKS[15].0))));
+}
+
+#[googletest::test]
+fn entries_that_take_too_much_memory_are_found() {
+    expect_that!(found(|history| history.memory.push((ENTRY, 500 << 10))), eq(&promise(16)));
+}
+
 #[googletest::test]
 fn the_list_of_regressions_can_be_read() {
     let few = regressions::all().iter().all(|(_, faults_s)| (1..600).contains(faults_s));
--- a/ragwortdeal_standins/src/fleet/engine.rs
+++ b/ragwortdeal_standins/src/fleet/engine.rs
@@ -1,5 +1,6 @@
 //! A stand-in for an upstream: answers requests, announces itself, takes weights and orders.
 
+mod endless;
 mod fatal;
 
 use std::{collections, io, net, sync, time};
@@ -40,6 +41,8 @@
     OtherAnswer,
     /// Answers with this status.
     Fail(u16),
+    /// Answers without end: with a body, or with comments in a stream.
+    Endless,
     /// Answers every second request with this status, so that it is never avoided for long.
     FailEverySecond(u16),
 }
@@ -456,6 +459,11 @@
             }
             _ => (),
         }
+        if behaviour == Behaviour::Endless {
+            let piece = if head.uri.path().starts_with("/stream/") { ": a\n\n" } else { "abcdefg" };
+            let body = endless::body(piece, running);
+            return Ok(self.signed(Response::new(body), id, &version));
+        }
         if head.uri.path().starts_with("/stream/") && !matches!(behaviour, Behaviour::Fail(_)) {
             let after = expected("last-event-id").and_then(|last| last.parse().ok()).unwrap_or(0);
             let body = self.events(after, running, &behaviour, fatal);
