Forget copies of requests that are no longer under suspicion

Cause: a request under which an upstream ended stayed in an entry's table for as long as no further copy of it came. The guard of a copy is named RequestCopy, as Copy is a trait of the language. The stand-in's endless body holds no comments, which callers may be passed.

--- a/ragwortdeal_core/src/dispatch/isolation/copies.rs
+++ b/ragwortdeal_core/src/dispatch/isolation/copies.rs
@@ -183,6 +183,11 @@
         }
     }
 
+    /// Forgets requests of which nothing is under way or under suspicion any more.
+    pub fn forget_needless(&mut self, now_ms: u64) {
+        self.by_request.retain(|_, copies| !copies.is_needless(now_ms));
+    }
+
     /// Forgets what a voter told that is out of reach.
     pub fn forget_voter(&mut self, voter: net::Ipv4Addr, now_ms: u64) {
         self.by_request.retain(|_, copies| {
--- a/ragwortdeal_core/tests/dispatch_fatal_requests.rs
+++ b/ragwortdeal_core/tests/dispatch_fatal_requests.rs
@@ -157,5 +157,6 @@
     copies.begin(request);
     expect_that!(copies.admission(request, 2, true, 60), eq(Admission::Wait));
     copies.end(request, 70);
+    copies.forget_needless(5_000);
     expect_that!(copies.admission(request, 3, true, 5_000), eq(Admission::Refuse));
 }
--- a/ragwortdeal_node/src/fleet/entry.rs
+++ b/ragwortdeal_node/src/fleet/entry.rs
@@ -257,6 +257,7 @@
         let evacuated = upstreams.evacuated_count();
         entry.pool.sweep(|peer| upstreams.is_routable(peer));
         drop(upstreams);
+        entry.isolation.forget_needless_copies(now_ms);
         entry.telemetry.gauge("entry.upstreams_limited", counts.limited);
         entry.telemetry.gauge("entry.upstreams_paused", counts.paused);
         entry.telemetry.gauge("entry.upstreams_leaving", counts.leaving);
--- a/ragwortdeal_node/src/fleet/entry/isolation.rs
+++ b/ragwortdeal_node/src/fleet/entry/isolation.rs
@@ -7,7 +7,7 @@
     time,
 };
 
-pub(super) use copy::Copy;
+pub(super) use copy::RequestCopy;
 use ragwortdeal_core::dispatch::{
     isolation::{self, entry_view, evidence, fingerprint, verdicts},
     prompt,
--- a/ragwortdeal_node/src/fleet/entry/isolation/copy.rs
+++ b/ragwortdeal_node/src/fleet/entry/isolation/copy.rs
@@ -27,12 +27,12 @@
 const WAITED_REASON: &str = "upstreams ended under it, and another copy of it is being tried";
 
 /// A copy of a request that is sent to an upstream. It is over when this is dropped.
-pub(in super::super) struct Copy {
+pub(in super::super) struct RequestCopy {
     entry: sync::Arc<Entry>,
     fingerprint: prompt::PartId,
 }
 
-impl Drop for Copy {
+impl Drop for RequestCopy {
     fn drop(&mut self) {
         let now_ms = self.entry.clock.now_ms();
         let isolation = &self.entry.isolation;
@@ -64,7 +64,7 @@
         self: &sync::Arc<Self>,
         request: &CallerRequest,
         may_have_run: bool,
-    ) -> Result<Copy, Refusal> {
+    ) -> Result<RequestCopy, Refusal> {
         let fingerprint = request.fingerprint.id;
         let mut waiting = WaitingCopy { entry: self, fingerprint, waits: false };
         let begun = time::Instant::now();
@@ -75,7 +75,7 @@
             match self.isolation.admit(fingerprint, self.clock.now_ms()) {
                 Admission::Send => {
                     waiting.waits = false;
-                    return Ok(Copy { entry: self.clone(), fingerprint });
+                    return Ok(RequestCopy { entry: self.clone(), fingerprint });
                 }
                 Admission::Refuse => {
                     self.log_refused_copy(request, REQUEST_REASON);
@@ -159,6 +159,11 @@
         }
     }
 
+    /// Forgets requests of which nothing is under way or under suspicion any more.
+    pub(in super::super) fn forget_needless_copies(&self, now_ms: u64) {
+        self.view().copies_mut().forget_needless(now_ms);
+    }
+
     /// Forgets what a voter told that is out of reach, where others are in reach that know the
     /// same.
     pub(in super::super) fn record_voter_lost(
--- a/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
@@ -37,7 +37,7 @@
     /// Whether the answer has shown that the upstream bears the parts of the prompt.
     pub(in super::super) proved: bool,
     /// The request counts as under way until this is dropped.
-    copy: Option<isolation::Copy>,
+    copy: Option<isolation::RequestCopy>,
     /// Shows that the request may be sent to the upstream's region.
     _permit: residency::Permit,
     activity: sync::Arc<health::Activity>,
@@ -57,7 +57,7 @@
 
 impl Selected {
     /// Counts the request as under way, with its other copies.
-    pub(in super::super) fn hold_copy(&mut self, copy: isolation::Copy) {
+    pub(in super::super) fn hold_copy(&mut self, copy: isolation::RequestCopy) {
         self.copy = Some(copy);
     }
 
--- a/ragwortdeal_standins/src/fleet/engine/endless.rs
+++ b/ragwortdeal_standins/src/fleet/engine/endless.rs
@@ -10,9 +10,9 @@
 /// Bytes of one frame.
 const FRAME_BYTES: usize = 8 << 10;
 
-/// A body of one piece, repeated for as long as somebody takes it.
-pub(super) fn body(piece: &str, running: Running) -> Body {
-    let frame = Bytes::from(piece.repeat(FRAME_BYTES.div_ceil(piece.len())));
+/// A body that goes on for as long as somebody takes it.
+pub(super) fn body(running: Running) -> Body {
+    let frame = Bytes::from(vec![b'a'; FRAME_BYTES]);
     let frames = futures_util::stream::unfold(running, move |running| {
         let frame = frame.clone();
         async move { Some((Ok(body::Frame::data(frame)), running)) }
