--- a/review/lib/common.rs
+++ b/review/lib/common.rs
@@ -312,7 +312,10 @@
     }
 
     /// The first line and the headers of the next message. None at the end of the channel.
-    pub fn head(&mut self, until: Instant) -> io::Result<Option<(String, BTreeMap<String, String>)>> {
+    pub fn head(
+        &mut self,
+        until: Instant,
+    ) -> io::Result<Option<(String, BTreeMap<String, String>)>> {
         loop {
             if let Some(end) = self.buffer.windows(4).position(|window| window == b"\r\n\r\n") {
                 let head = String::from_utf8_lossy(&self.buffer[..end]).into_owned();
@@ -416,9 +419,7 @@
     match call(world.control(voter), "PUT", path, &headers, body.as_bytes(), patience) {
         Ok(answer) => {
             let (status, text) = (answer.status, answer.text());
-            record.say(&format!(
-                "operator: version {version} at voter {voter}: {status} {text:?}"
-            ));
+            record.say(&format!("operator: version {version} at voter {voter}: {status} {text:?}"));
             Some(status)
         }
         Err(error) => {
@@ -443,4 +444,3 @@
     }
     cannot_run(record, "a desired state is not acknowledged")
 }
-
--- a/review/lib/model.rs
+++ b/review/lib/model.rs
@@ -81,7 +81,16 @@
             let sum = v[0].rotate_right(2) ^ v[0].rotate_right(13) ^ v[0].rotate_right(22);
             let majority = (v[0] & v[1]) ^ (v[0] & v[2]) ^ (v[1] & v[2]);
             let second = sum.wrapping_add(majority);
-            v = vec![first.wrapping_add(second), v[0], v[1], v[2], v[3].wrapping_add(first), v[4], v[5], v[6]];
+            v = vec![
+                first.wrapping_add(second),
+                v[0],
+                v[1],
+                v[2],
+                v[3].wrapping_add(first),
+                v[4],
+                v[5],
+                v[6],
+            ];
         }
         for (held, new) in state.iter_mut().zip(v) {
             *held = held.wrapping_add(new);
@@ -97,10 +106,8 @@
 }
 
 fn respond(stream: &mut TcpStream, status: u16, headers: &str, body: &[u8]) -> bool {
-    let head = format!(
-        "HTTP/1.1 {status} Status\r\n{headers}Content-Length: {}\r\n\r\n",
-        body.len()
-    );
+    let head =
+        format!("HTTP/1.1 {status} Status\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
     stream.write_all(head.as_bytes()).is_ok() && stream.write_all(body).is_ok()
 }
 
@@ -245,9 +252,9 @@
                     let number = field(words_path(&first), "number").unwrap_or(0) as u32;
                     let mut state = self.state.lock().unwrap();
                     let bytes = state.staged.get(&number).cloned();
-                    let is_next = bytes.as_ref().is_some_and(|bytes| {
-                        sha256(bytes) == self.digests[number as usize]
-                    });
+                    let is_next = bytes
+                        .as_ref()
+                        .is_some_and(|bytes| sha256(bytes) == self.digests[number as usize]);
                     if is_next && number == state.read_back {
                         state.read_back += 1;
                         state.reports_since = 0;
--- a/review/lib/upstream.rs
+++ b/review/lib/upstream.rs
@@ -4,7 +4,10 @@
     collections::BTreeMap,
     io::Write as _,
     net::{SocketAddrV4, TcpListener, TcpStream},
-    sync::{Arc, Mutex, atomic::{AtomicBool, AtomicU64, Ordering}},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -32,7 +35,13 @@
 }
 
 impl Upstream {
-    pub fn new(instance: &str, service: &str, address: SocketAddrV4, zone: &str, born_ms: u64) -> Arc<Self> {
+    pub fn new(
+        instance: &str,
+        service: &str,
+        address: SocketAddrV4,
+        zone: &str,
+        born_ms: u64,
+    ) -> Arc<Self> {
         Arc::new(Self {
             instance: instance.to_owned(),
             service: service.to_owned(),
@@ -88,7 +97,10 @@
                 continue;
             }
             let at_ms = record.now_ms();
-            self.arrivals.lock().unwrap().insert(id.clone(), Arrival { at_ms, answered_at_ms: None });
+            self.arrivals
+                .lock()
+                .unwrap()
+                .insert(id.clone(), Arrival { at_ms, answered_at_ms: None });
             if body.len() < 1_024 && std::env::var("VERBOSE").is_ok() {
                 record.say(&format!("{}: runs {id}: {first}", self.instance));
             }
