Match answers of voters to the process and the replica that was asked

What callers saw: an operator's configuration was acknowledged with 200, and no voter had it then or later. No disk was lost.

Cause: a follower numbers the proposals that it passes on, each process from 1, and matches the answer by the number alone. The leader keeps the asker until the entry's fate is known, and a letter goes to an instance, not to a process: the answer to a killed process's proposal 1 ended proposal 1 of the next one.

Evidence: with the new debug lines on the code before, number=1 was passed on to voter 2, the one answer with number=1 came from voter 1, and version 3 was acknowledged at that moment. An acknowledgement before a quorum and an overwritten entry are ruled out: the proposal of version 3 was in no log.

Change: numbers begin at a random one of 64 bits in each process and driver, and an answer counts from the replica that was asked only. The same for reads that are passed on. Numbers are repeated by every build, so nothing on the wire changes and a roll of builds shows callers nothing; an echo of the asker's process would have made a follower refuse each answer of an old leader.

--- a/ragwortdeal_node/src/voter.rs
+++ b/ragwortdeal_node/src/voter.rs
@@ -7,12 +7,13 @@
 mod driver;
 pub mod fleet;
 mod letter;
+mod numbers;
 pub mod operate;
 mod peers;
 mod proposals;
 mod reads;
 
-use std::{path, sync, time};
+use std::{fmt, path, sync, time};
 
 use ragwortdeal_core::{
     command, name,
@@ -79,6 +80,15 @@
     Refused { reason: String, leader: Option<String> },
 }
 
+impl fmt::Display for Answer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Decided(_) => f.write_str("decided"),
+            Self::Refused { reason, .. } => write!(f, "refused: {reason}"),
+        }
+    }
+}
+
 /// What the driver is told.
 enum Event {
     Opened(link::Session),
--- a/ragwortdeal_node/src/voter/driver.rs
+++ b/ragwortdeal_node/src/voter/driver.rs
@@ -295,6 +295,7 @@
         match asker {
             proposals::Asker::Here(sender) => drop(sender.send(answer)),
             proposals::Asker::Peer { name, number } => {
+                log::debug!("voter: answers {name}, number={number}, {answer}");
                 let from = self.replica.id().clone();
                 self.peers.send(&name, &Letter::Forwarded { from, number, answer });
             }
@@ -325,17 +326,20 @@
                 let asker = proposals::Asker::Peer { name: from.instance, number };
                 self.propose_for(payload, asker);
             }
-            Letter::Forwarded { number, answer, .. } => {
-                if let Some(asker) = self.proposals.returned(number) {
-                    self.tell(asker, answer);
+            Letter::Forwarded { from, number, answer } => {
+                match self.proposals.returned(number, &from) {
+                    Some(asker) => self.tell(asker, answer),
+                    None => log::info!(
+                        "voter: nobody waits for the answer of {from}, number={number}, {answer}"
+                    ),
                 }
             }
             Letter::Read { from, number } => {
                 self.read(reads::Reader::Peer { name: from.instance, number });
             }
-            Letter::ReadAt { number, index, .. } => {
+            Letter::ReadAt { from, number, index } => {
                 let now_ms = self.clock.now_ms();
-                self.reads.located(number, index, now_ms);
+                self.reads.located(number, &from, index, now_ms);
                 self.answer_reads();
             }
         }
--- a/ragwortdeal_node/src/voter/driver/reading.rs
+++ b/ragwortdeal_node/src/voter/driver/reading.rs
@@ -17,7 +17,7 @@
         let leader = leader.filter(|leader| self.peers.reaches(&leader.instance));
         match (reader, leader) {
             (reads::Reader::Here(answer), Some(leader)) => {
-                let number = self.reads.pass_on(answer, now_ms);
+                let number = self.reads.pass_on(answer, &leader, now_ms);
                 let from = self.replica.id().clone();
                 self.peers.send(&leader.instance, &Letter::Read { from, number });
             }
--- a/ragwortdeal_node/src/voter/proposals.rs
+++ b/ragwortdeal_node/src/voter/proposals.rs
@@ -8,7 +8,7 @@
 };
 use tokio::sync::oneshot;
 
-use super::{Answer, letter::Letter, peers};
+use super::{Answer, letter::Letter, numbers, peers};
 
 /// How long a proposal waits for an election to end before it is refused as not run. Shorter than
 /// the time for which an entry waits, so that the entry can still ask the new leader.
@@ -57,6 +57,7 @@
 
 struct Passed {
     asker: Asker,
+    leader: entry::ReplicaId,
     given_up_at_ms: u64,
 }
 
@@ -66,7 +67,7 @@
     waiting: collections::VecDeque<Proposal>,
     logged: collections::BTreeMap<u64, Logged>,
     passed: collections::BTreeMap<u64, Passed>,
-    last_number: u64,
+    numbers: numbers::LetterNumbers,
 }
 
 impl Proposals {
@@ -111,7 +112,7 @@
 
     /// Forgets everything, as nothing will be known here any more.
     pub(super) fn clear(&mut self) {
-        *self = Self { last_number: self.last_number, ..Self::default() };
+        *self = Self::default();
     }
 
     /// Passes a proposal on to the leader, or gives it back where too many are under way.
@@ -126,18 +127,22 @@
         if self.passed.len() >= WAITING_MAX {
             return Err(proposal);
         }
-        self.last_number += 1;
-        let number = self.last_number;
+        let number = self.numbers.take();
         let Proposal { payload, asker, .. } = proposal;
-        let passed = Passed { asker, given_up_at_ms: now_ms + FORWARD_MS };
+        let given_up_at_ms = now_ms + FORWARD_MS;
+        let passed = Passed { asker, leader: leader.clone(), given_up_at_ms };
         self.passed.insert(number, passed);
+        log::debug!("voter: passes a proposal on to {leader}, number={number}");
         let letter = Letter::Forward { from: own.clone(), number, payload };
         peers.send(&leader.instance, &letter);
         Ok(())
     }
 
-    /// Takes the asker of a forwarded proposal.
-    pub(super) fn returned(&mut self, number: u64) -> Option<Asker> {
+    /// Takes the asker of a forwarded proposal, if this is the voter that it was passed on to.
+    pub(super) fn returned(&mut self, number: u64, from: &entry::ReplicaId) -> Option<Asker> {
+        if self.passed.get(&number)?.leader != *from {
+            return None;
+        }
         self.passed.remove(&number).map(|passed| passed.asker)
     }
 }
--- a/ragwortdeal_node/src/voter/reads.rs
+++ b/ragwortdeal_node/src/voter/reads.rs
@@ -2,9 +2,11 @@
 
 use std::collections;
 
-use ragwortdeal_core::{document::store, name};
+use ragwortdeal_core::{document::store, name, replication::entry};
 use tokio::sync::oneshot;
 
+use super::numbers;
+
 /// How long a read is kept. Its asker has given up by then.
 const KEEP_MS: u64 = 3_000;
 
@@ -24,27 +26,29 @@
     },
 }
 
+/// A read that was passed on.
+struct Passed {
+    answer: ReadAnswer,
+    leader: entry::ReplicaId,
+    given_up_at_ms: u64,
+}
+
 /// All reads under way.
 #[derive(Default)]
 pub(super) struct Reads {
-    last_number: u64,
+    numbers: numbers::LetterNumbers,
     /// At this leader, by the token given to the replica.
     confirming: collections::BTreeMap<u64, (Reader, u64)>,
     /// Passed on to the leader.
-    passed: collections::BTreeMap<u64, (ReadAnswer, u64)>,
+    passed: collections::BTreeMap<u64, Passed>,
     /// Located, until the log is applied that far.
     located: Vec<(u64, ReadAnswer, u64)>,
 }
 
 impl Reads {
-    fn number(&mut self) -> u64 {
-        self.last_number += 1;
-        self.last_number
-    }
-
     /// Notes a read that this leader confirms, and returns its token, which is never 0.
     pub(super) fn begin(&mut self, reader: Reader, now_ms: u64) -> u64 {
-        let token = self.number();
+        let token = self.numbers.take();
         self.confirming.insert(token, (reader, now_ms + KEEP_MS));
         token
     }
@@ -55,17 +59,32 @@
     }
 
     /// Notes a read that is passed on to the leader, and returns its number.
-    pub(super) fn pass_on(&mut self, answer: ReadAnswer, now_ms: u64) -> u64 {
-        let number = self.number();
-        self.passed.insert(number, (answer, now_ms + KEEP_MS));
+    pub(super) fn pass_on(
+        &mut self,
+        answer: ReadAnswer,
+        leader: &entry::ReplicaId,
+        now_ms: u64,
+    ) -> u64 {
+        let number = self.numbers.take();
+        let given_up_at_ms = now_ms + KEEP_MS;
+        self.passed.insert(number, Passed { answer, leader: leader.clone(), given_up_at_ms });
         number
     }
 
-    /// The leader told how far the log has to be applied. Dropping the answer tells that it did
-    /// not.
-    pub(super) fn located(&mut self, number: u64, index: Option<u64>, now_ms: u64) {
-        if let (Some((answer, _)), Some(index)) = (self.passed.remove(&number), index) {
-            self.located.push((index, answer, now_ms + KEEP_MS));
+    /// The voter that was asked told how far the log has to be applied. Dropping the answer tells
+    /// that it did not.
+    pub(super) fn located(
+        &mut self,
+        number: u64,
+        from: &entry::ReplicaId,
+        index: Option<u64>,
+        now_ms: u64,
+    ) {
+        if self.passed.get(&number).is_none_or(|passed| passed.leader != *from) {
+            return;
+        }
+        if let (Some(passed), Some(index)) = (self.passed.remove(&number), index) {
+            self.located.push((index, passed.answer, now_ms + KEEP_MS));
         }
     }
 
@@ -81,7 +100,7 @@
     /// Drops reads whose askers have given up.
     pub(super) fn forget_late(&mut self, now_ms: u64) {
         self.confirming.retain(|_, (_, until_ms)| now_ms < *until_ms);
-        self.passed.retain(|_, (_, until_ms)| now_ms < *until_ms);
+        self.passed.retain(|_, passed| now_ms < passed.given_up_at_ms);
         self.located.retain(|(_, _, until_ms)| now_ms < *until_ms);
     }
 }
--- a/ragwortdeal_standins/src/fleet.rs
+++ b/ragwortdeal_standins/src/fleet.rs
@@ -5,5 +5,6 @@
 pub mod engine;
 pub mod operator;
 pub mod origin;
+pub mod process;
 pub mod raw;
 pub mod world;
--- a/ragwortdeal_standins/src/fleet/world.rs
+++ b/ragwortdeal_standins/src/fleet/world.rs
@@ -10,13 +10,15 @@
     stop, voter,
 };
 use tokio::{
-    net as tokio_net, runtime,
+    net as tokio_net,
     sync::{mpsc, watch},
     task,
 };
 
 use super::{caller, engine, operator, origin, raw};
 
+pub use super::process::Process;
+
 /// Port of links, the same at all addresses of a fleet.
 const LINK_PORT: u16 = 7_700;
 /// Port of voters' listeners for operators.
@@ -36,37 +38,6 @@
 /// Fleets that this process has started, for addresses of their own.
 static FLEETS: atomic::AtomicU32 = atomic::AtomicU32::new(0);
 
-/// A running process of a fleet.
-#[derive(Debug)]
-pub struct Process {
-    /// Its address.
-    pub address: net::Ipv4Addr,
-    stopper: Option<stop::Stopper>,
-    task: task::JoinHandle<()>,
-    /// A runtime of its own, so that none of its tasks and sockets outlive a kill.
-    runtime: Option<runtime::Runtime>,
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        self.runtime.take().into_iter().for_each(runtime::Runtime::shutdown_background);
-    }
-}
-
-impl Process {
-    /// Asks it to stop and waits until it has.
-    pub async fn stop(mut self) {
-        self.stopper.take();
-        let _ = (&mut self.task).await;
-    }
-
-    /// Ends it at once. Files stay as they are.
-    pub async fn kill(mut self) {
-        self.runtime.take().into_iter().for_each(runtime::Runtime::shutdown_background);
-        let _ = (&mut self.task).await;
-    }
-}
-
 /// Addresses, folders and the dialect of one fleet.
 #[derive(Debug)]
 pub struct World {
@@ -284,12 +255,7 @@
         F: FnOnce(stop::Stop) -> R,
         R: Future<Output = ()> + Send + 'static,
     {
-        let (stopper, stop) = stop::pair();
-        let runtime = runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build();
-        let runtime = runtime.expect("a runtime for the process");
-        let task = runtime.spawn(run(stop));
-        let address = self.address(number);
-        Process { address, stopper: Some(stopper), task, runtime: Some(runtime) }
+        Process::start(self.address(number), run)
     }
 
     /// Whether an agent lists a version. From then on it holds the chunks that its engine had
