Prove after the order that an engine took sound chunks

What callers saw: 200 with tokens made with a layer of which one chunk had been corrupt for 3.8 s when the engine took it.

Cause: an engine loads what is staged at the moment it accepts an order. The agent read the chunks back, waited up to 0.9 s for answers, then ordered. Nothing tied the order to the read-back: after a standstill of the agent it went out on a read-back of any age, and nothing afterwards asked what had been taken.

Change: a staged chunk that became corrupt stays so until it is written, so what is read back sound after the order was accepted, with no write in between, was sound when it was taken. The agent reports that the engine takes requests only then; where a chunk is corrupt, the engine drops all layers, and loads anew. This needs no clock. A read-back older than 2 s is repeated before the order, so that reloads stay rare.

The tests failed before: 3 of 3 in fleet_sound_loads, "fleet.ran_on_sound_chunks() is false" among others.

--- a/ragwortdeal_core/src/orders.rs
+++ b/ragwortdeal_core/src/orders.rs
@@ -4,6 +4,7 @@
 //! switch to a version fits into its distribution.
 
 pub mod issuer;
+pub mod load_proof;
 pub mod order;
 pub mod serving_set;
 pub mod switch_schedule;
--- a/ragwortdeal_node/src/fleet/agent.rs
+++ b/ragwortdeal_node/src/fleet/agent.rs
@@ -1,11 +1,13 @@
 //! The agent of a fleet: distributes weights to the engine on its instance.
 //!
 //! It fetches the chunks of the named version by the spread policy, stages them at the engine,
-//! reads them back, and orders the engine to load them. `docs/design/platform.md` has the times.
+//! reads them back, orders the engine to load them, and proves that the engine took them sound.
+//! `docs/design/platform.md` has the times.
 
 mod early_holdings;
 mod engine;
 mod fetch;
+mod loading;
 mod manifests;
 mod peers;
 mod probe_responder;
@@ -21,6 +23,7 @@
 use ragwortdeal_core::{
     document::{self, naming, store},
     name,
+    orders::load_proof,
 };
 use snafu::Snafu;
 use tokio::{net, sync::mpsc, sync::watch};
@@ -90,6 +93,7 @@
     telemetry: telemetry::Telemetry,
     voters: sync::OnceLock<voter_links::Voters>,
     engine_status: sync::Mutex<notice::EngineStatus>,
+    load_proofs: sync::Mutex<load_proof::LoadProofs>,
     /// Start time of the engine by its newest announcement.
     engine_born_ms: atomic::AtomicU64,
 }
@@ -123,6 +127,7 @@
         origin_failed: atomic::AtomicBool::new(false),
         upload_pace: pace::Pace::new(upload_bytes_per_s(settings.fleet.link_mbps)),
         telemetry,
+        load_proofs: sync::Mutex::default(),
         voters: sync::OnceLock::new(),
         engine_status: sync::Mutex::new(notice::EngineStatus {
             address: engine,
@@ -206,6 +211,11 @@
 }
 
 impl Agent {
+    /// What is known of the weights that the engine loaded.
+    fn load_proofs(&self) -> sync::MutexGuard<'_, load_proof::LoadProofs> {
+        self.load_proofs.lock().expect("no panic under lock")
+    }
+
     /// Applies what a voter tells of other agents.
     fn change_agents(
         &self,
@@ -321,7 +331,11 @@
     /// the earlier process for ever.
     fn supersede_status(&self, held: &notice::EngineStatus) {
         let mut status = self.engine_status.lock().expect("no panic under lock");
-        if held.address != status.address || held.sequence < status.sequence || *held == *status {
+        if held.address != status.address || *held == *status {
+            return;
+        }
+        self.inherit_status(held, status.sequence);
+        if held.sequence < status.sequence {
             return;
         }
         log::warn!(
@@ -335,6 +349,20 @@
         }
     }
 
+    /// Takes over the doubt of an earlier process on this instance, which may have ended between an
+    /// order and the proof.
+    fn inherit_status(&self, held: &notice::EngineStatus, own_sequence: u64) {
+        let is_own = (self.identity.incarnation..own_sequence).contains(&held.sequence);
+        let born_ms = self.engine_born_ms.load(atomic::Ordering::Relaxed);
+        if is_own || held.born_ms != born_ms {
+            return;
+        }
+        let notice::EngineStatus { sequence, accepts, .. } = *held;
+        log::info!("agent: an earlier process reported accepts={accepts}, number={sequence}");
+        let inherited = load_proof::InheritedStatus { sequence, accepts };
+        self.load_proofs().inherited(inherited);
+    }
+
     fn broadcast_status(&self, status: &notice::EngineStatus) {
         if let Some(voters) = self.voters.get() {
             voters.broadcast(&notice::Notice::EngineStatus(status.clone()));
--- a/ragwortdeal_node/src/fleet/agent/engine.rs
+++ b/ragwortdeal_node/src/fleet/agent/engine.rs
@@ -83,6 +83,7 @@
 
     /// Stages a chunk. Returns whether the engine accepted it.
     pub(super) async fn stage_chunk(&self, model: &str, chunk: u32, bytes: Bytes) -> bool {
+        self.load_proofs().written();
         let call = self.dialect.stage_call(model, chunk, bytes);
         let answer = self.call_engine("stage chunk", call, REPORT_MAX_BYTES).await;
         answer.is_some_and(|(status, _)| (200..300).contains(&status))
--- /dev/null
+++ b/ragwortdeal_node/src/fleet/agent/loading.rs
@@ -0,0 +1,292 @@
+//! Loads a version into the engine, and proves that the engine took sound chunks.
+//!
+//! `docs/design/weights.md` tells why a read-back before the order is not enough.
+
+use std::time;
+
+use bytes::Bytes;
+use ragwortdeal_core::{directory, spread::manifest};
+
+use super::{Agent, engine, manifests, spread};
+use crate::fleet::dialect;
+
+/// Interval between two reports while the engine loads.
+const LOADING_POLL_INTERVAL: time::Duration = time::Duration::from_millis(40);
+
+/// Longest time to drain running requests before the engine loads. Most end within it; the others
+/// are aborted and resumed at other engines, which costs them one more reading of the prompt.
+/// Waiting for the longest one kept each engine away for 2.5 s instead of 1.3 s.
+const DRAIN_MAX: time::Duration = time::Duration::from_millis(900);
+
+/// Interval between two reports while requests are drained.
+const DRAIN_POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
+
+/// Longest time to wait for one order. An engine finishes its answers first.
+const LOAD_TIMEOUT: time::Duration = time::Duration::from_secs(12);
+
+/// How long an order whose answer was lost is looked for in the engine's count of orders.
+const ACCEPTANCE_TIMEOUT: time::Duration = time::Duration::from_millis(150);
+
+/// How often a staged chunk is staged again before the order is postponed.
+const STAGE_RETRIES_MAX: u32 = 3;
+
+/// Age of a read-back from which on the chunks are read back again before the order, so that the
+/// proof after it seldom fails. Reading and draining take less unless the process stood still.
+const READ_BACK_MAX_AGE: time::Duration = time::Duration::from_secs(2);
+
+/// How often the chunks are read back before the order is postponed.
+const READ_BACKS_MAX: u32 = 3;
+
+/// Two ranges of layers without a common one. An engine that was ordered to hold the first and then
+/// the second holds nothing that it took before. It serves no request meanwhile, as that needs all
+/// layers.
+const DISCARD_FIRST: directory::Layers = directory::Layers { from: 0, to: 1 };
+const DISCARD_SECOND: directory::Layers = directory::Layers { from: 1, to: 2 };
+
+impl Agent {
+    /// Chunks that are staged at the engine and match the manifest.
+    pub(super) async fn staged_chunks(
+        &self,
+        weights: &manifests::Weights,
+        manifest: &manifest::Manifest,
+    ) -> Vec<(manifest::VerifiedChunk, Bytes)> {
+        let mut staged = Vec::new();
+        let max_bytes = manifest.chunk_bytes() as usize + 1;
+        for chunk in 0..manifest.chunks().len() as u32 {
+            let Some(bytes) = self.read_staged_chunk(&weights.model, chunk, max_bytes).await else {
+                break;
+            };
+            if let Ok(proof) = manifest.verify_chunk(chunk, &bytes) {
+                staged.push((proof, bytes));
+            }
+        }
+        staged
+    }
+
+    /// The version that the engine serves, or 0 while its chunks are not proven to be sound. Tries
+    /// the proof.
+    pub(super) async fn proven_version(&self, model: &str, serving: u64) -> u64 {
+        let provable = {
+            let proofs = self.load_proofs();
+            if serving == 0 || proofs.may_serve(serving) {
+                return serving;
+            }
+            proofs.is_provable(serving)
+        };
+        let weights = manifests::Weights { model: model.to_owned(), version: serving };
+        match self.spread.complete(&weights) {
+            Some(complete) if provable && self.prove_load(&complete).await => serving,
+            _ => 0,
+        }
+    }
+
+    /// Switches the engine to the version. What it loaded counts only once it is proven, because
+    /// staged chunks can become corrupt before the engine takes them.
+    pub(super) async fn switch(
+        &self,
+        complete: &spread::CompleteVersion,
+        report: &dialect::EngineReport,
+    ) {
+        let weights = &complete.weights;
+        // Layers of the same version would stay as they were taken, and an order for a version
+        // that the engine holds changes nothing.
+        let reloads = holds(report, weights);
+        if reloads && !self.discard(weights, DISCARD_FIRST).await {
+            return;
+        }
+        let Some(mut read_at) = self.verify_staged(complete).await else {
+            log::warn!("agent: {weights:?} is not whole where it is staged, tried again");
+            return;
+        };
+        let serving = self.serving_version(report, &weights.model);
+        self.report_status(serving, false);
+        if serving > 0 && !reloads {
+            let model = weights.model.clone();
+            self.drain_requests(&manifests::Weights { model, version: serving }).await;
+        }
+        let mut read_backs = 1;
+        while read_at.elapsed() > READ_BACK_MAX_AGE {
+            let age_ms = read_at.elapsed().as_millis() as u64;
+            log::warn!(age_ms; "agent: {weights:?} was read back too long ago, read back again");
+            if read_backs == READ_BACKS_MAX {
+                return;
+            }
+            read_backs += 1;
+            let Some(again_at) = self.verify_staged(complete).await else {
+                return;
+            };
+            read_at = again_at;
+        }
+        if reloads && !self.discard(weights, DISCARD_SECOND).await {
+            return;
+        }
+        let begun = time::Instant::now();
+        if self.load(weights, reloads, read_at).await && self.prove_load(complete).await {
+            self.await_load(weights).await;
+            self.telemetry.took("agent.load_ms", begun.elapsed().as_millis() as u64);
+        }
+    }
+
+    /// Orders the engine to load all layers. Returns whether it accepted the order after the last
+    /// write to what is staged.
+    async fn load(
+        &self,
+        weights: &manifests::Weights,
+        reloads: bool,
+        read_at: time::Instant,
+    ) -> bool {
+        // An order of an earlier round, whose answer was lost, shows here if the engine accepted it
+        // before the chunks were verified.
+        let Some(report) = self.report().await else {
+            return false;
+        };
+        if report.busy || (!reloads && holds(&report, weights)) {
+            return false;
+        }
+        self.load_proofs().ordered(weights.version);
+        let order = engine::LoadOrder {
+            weights,
+            layers: None,
+            cutover: dialect::Cutover::Abort,
+            orders_accepted: report.orders_accepted,
+        };
+        let accepted = self.order_accepted(&order).await;
+        let read_back_age_ms = read_at.elapsed().as_millis() as u64;
+        log::info!(accepted, read_back_age_ms; "agent: ordered {weights:?}");
+        accepted
+    }
+
+    /// Orders the engine to hold a part of the layers only, and waits until it does.
+    async fn discard(&self, weights: &manifests::Weights, layers: directory::Layers) -> bool {
+        if self.layers() < DISCARD_SECOND.to {
+            log::error!("agent: {weights:?} has too few layers to load them anew");
+            return false;
+        }
+        let Some(report) = self.report().await.filter(|report| !report.busy) else {
+            return false;
+        };
+        log::warn!("agent: the engine is ordered to hold layers {layers:?} of {weights:?} only");
+        let order = engine::LoadOrder {
+            weights,
+            layers: Some(layers),
+            cutover: dialect::Cutover::Abort,
+            orders_accepted: report.orders_accepted,
+        };
+        self.order_accepted(&order).await && self.await_idle().await.is_some()
+    }
+
+    /// Sends an order. Returns whether the engine accepted it.
+    async fn order_accepted(&self, order: &engine::LoadOrder<'_>) -> bool {
+        match self.order_load(order).await {
+            Some(status) => (200..300).contains(&status),
+            None => self.counts_order(order.orders_accepted).await,
+        }
+    }
+
+    /// Whether the engine has accepted an order beyond the first `orders_accepted`.
+    async fn counts_order(&self, orders_accepted: u64) -> bool {
+        let begun = time::Instant::now();
+        loop {
+            let report = self.report().await;
+            if report.is_some_and(|it| it.busy || it.orders_accepted != orders_accepted) {
+                return true;
+            }
+            if begun.elapsed() > ACCEPTANCE_TIMEOUT {
+                return false;
+            }
+            tokio::time::sleep(LOADING_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Waits for running requests to end, up to a limit. If the time of the weights is nearly up it
+    /// does not wait, because a late request could start meanwhile.
+    async fn drain_requests(&self, weights: &manifests::Weights) {
+        let begun = time::Instant::now();
+        while begun.elapsed() < DRAIN_MAX && !self.must_withdraw(weights, weights.version) {
+            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+            let report = self.report().await;
+            if report.is_some_and(|report| report.running + report.waiting == 0) {
+                return;
+            }
+        }
+    }
+
+    /// Reads all staged chunks back, and stages those again that are missing or corrupt. Returns
+    /// the time of the first read.
+    async fn verify_staged(&self, complete: &spread::CompleteVersion) -> Option<time::Instant> {
+        let spread::CompleteVersion { weights, bytes, .. } = complete;
+        let begun = time::Instant::now();
+        for (&chunk, bytes) in bytes {
+            let mut tries = 0;
+            while !self.is_staged_sound(complete, chunk).await {
+                tries += 1;
+                if tries > STAGE_RETRIES_MAX {
+                    log::warn!("agent: chunk {chunk} of {weights:?} cannot be staged");
+                    return None;
+                }
+                self.stage_chunk(&weights.model, chunk, bytes.clone()).await;
+            }
+        }
+        Some(begun)
+    }
+
+    async fn is_staged_sound(&self, complete: &spread::CompleteVersion, chunk: u32) -> bool {
+        let spread::CompleteVersion { weights, manifest, .. } = complete;
+        let max_bytes = manifest.chunk_bytes() as usize + 1;
+        let staged = self.read_staged_chunk(&weights.model, chunk, max_bytes).await;
+        staged.is_some_and(|bytes| manifest.verify_chunk(chunk, &bytes).is_ok())
+    }
+
+    /// Reads all staged chunks back after the engine accepted the order to load them, which proves
+    /// that it took them sound. Returns whether they are.
+    async fn prove_load(&self, complete: &spread::CompleteVersion) -> bool {
+        let weights = &complete.weights;
+        for &chunk in complete.bytes.keys() {
+            let mut tries = 0;
+            while !self.is_staged_sound(complete, chunk).await {
+                tries += 1;
+                if tries > STAGE_RETRIES_MAX {
+                    log::warn!(
+                        "agent: chunk {chunk} of {weights:?} is not sound after the order, the \
+                         engine is ordered to load it again"
+                    );
+                    self.telemetry.count("agent.loads_refuted", 1);
+                    self.load_proofs().refuted(weights.version);
+                    return false;
+                }
+            }
+        }
+        self.load_proofs().proven(weights.version);
+        log::info!("agent: {weights:?} was loaded from sound chunks");
+        true
+    }
+
+    /// Waits until the engine serves the version, or has finished without it.
+    async fn await_load(&self, weights: &manifests::Weights) {
+        if let Some(report) = self.await_idle().await {
+            let serving = self.serving_version(&report, &weights.model);
+            if serving == weights.version {
+                self.report_status(serving, true);
+            }
+        }
+    }
+
+    /// Waits until the engine carries out no order.
+    async fn await_idle(&self) -> Option<dialect::EngineReport> {
+        let begun = time::Instant::now();
+        while begun.elapsed() < LOAD_TIMEOUT {
+            if let Some(report) = self.report().await.filter(|report| !report.busy) {
+                return Some(report);
+            }
+            tokio::time::sleep(LOADING_POLL_INTERVAL).await;
+        }
+        log::warn!("agent: the engine did not carry out an order in time");
+        None
+    }
+}
+
+/// Whether an engine holds any layers of a version.
+fn holds(report: &dialect::EngineReport, weights: &manifests::Weights) -> bool {
+    let manifests::Weights { model, version } = weights;
+    report.held.iter().any(|held| *held.model == **model && held.version == *version)
+}
--- a/ragwortdeal_node/src/fleet/agent/reconciler.rs
+++ b/ragwortdeal_node/src/fleet/agent/reconciler.rs
@@ -1,12 +1,11 @@
 //! Reconciles the engine with the intended version.
 //!
 //! One loop compares the intended version with the engine's report and takes the next step: fetch,
-//! verify what is staged, order, wait. Whatever fails is retried in the next round.
+//! load, withdraw. Whatever fails is retried in the next round.
 
 use std::{sync, time};
 
-use bytes::Bytes;
-use ragwortdeal_core::{directory, orders::switch_schedule, spread::manifest};
+use ragwortdeal_core::{directory, orders::switch_schedule};
 
 use super::{Agent, engine, manifests, spread};
 use crate::fleet::dialect;
@@ -14,23 +13,6 @@
 /// Interval between two rounds while there is nothing to do.
 const IDLE_INTERVAL: time::Duration = time::Duration::from_millis(150);
 
-/// Interval between two reports while the engine loads.
-const LOADING_POLL_INTERVAL: time::Duration = time::Duration::from_millis(40);
-
-/// Longest time to drain running requests before the engine loads. Most end within it; the others
-/// are aborted and resumed at other engines, which costs them one more reading of the prompt.
-/// Waiting for the longest one kept each engine away for 2.5 s instead of 1.3 s.
-const DRAIN_MAX: time::Duration = time::Duration::from_millis(900);
-
-/// Interval between two reports while requests are drained.
-const DRAIN_POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
-
-/// Longest time to wait for one order. An engine finishes its answers first.
-const LOAD_TIMEOUT: time::Duration = time::Duration::from_secs(12);
-
-/// How often a staged chunk is staged again before the order is postponed.
-const STAGE_RETRIES_MAX: u32 = 3;
-
 /// Layers of an engine that must not serve. A request needs all of them.
 const WITHDRAWN_LAYERS: directory::Layers = directory::Layers { from: 0, to: 1 };
 
@@ -75,24 +57,22 @@
         if report.busy {
             return;
         }
-        self.report_status(serving, serving > 0);
+        let proven = self.proven_version(&weights.model, serving).await;
+        self.report_status(serving, proven > 0);
         if self.spread.manifest_file(&weights).is_none() || self.spread.suspects_manifest() {
             tokio::spawn(self.clone().start_fetch(weights.clone(), serving));
         }
         self.log_overdue(&weights, serving, logged_overdue);
-        if let Some(complete) = self.version_to_load(&weights, serving) {
+        if let Some(complete) = self.version_to_load(&weights, proven) {
             self.switch(&complete, &report).await;
-        } else if self.must_withdraw(&weights, serving) {
+        } else if self.must_withdraw(&weights, serving) || self.load_proofs().is_refuted(serving) {
             self.withdraw(&weights, serving, &report).await;
         }
     }
 
     /// Version that the engine serves, 0 if it holds only some of the layers.
-    fn serving_version(&self, report: &dialect::EngineReport, model: &str) -> u64 {
-        let voter_state = self.voter_state.borrow();
-        let document = voter_state.document.as_ref();
-        let engine = document.and_then(|it| it.service(&self.service)?.engine.as_ref());
-        let layers = engine.map_or(0, |engine| engine.layers);
+    pub(super) fn serving_version(&self, report: &dialect::EngineReport, model: &str) -> u64 {
+        let layers = self.layers();
         if report.layers.is_some_and(|held| !held.covers_all(layers)) {
             return 0;
         }
@@ -100,8 +80,16 @@
         versions.map(|held| held.version).max().unwrap_or(0)
     }
 
+    /// Number of layers of the model, 0 if no document tells it.
+    pub(super) fn layers(&self) -> u32 {
+        let voter_state = self.voter_state.borrow();
+        let document = voter_state.document.as_ref();
+        let engine = document.and_then(|it| it.service(&self.service)?.engine.as_ref());
+        engine.map_or(0, |engine| engine.layers)
+    }
+
     /// Whether the engine serves weights whose time is nearly up, and cannot switch in time.
-    fn must_withdraw(&self, weights: &manifests::Weights, serving: u64) -> bool {
+    pub(super) fn must_withdraw(&self, weights: &manifests::Weights, serving: u64) -> bool {
         let superseded_ms =
             self.voter_state.borrow().namings.superseded_at_ms(&weights.model, serving);
         let since = switch_schedule::VersionTimes { superseded_ms, ..Default::default() };
@@ -126,10 +114,14 @@
             cutover: dialect::Cutover::Drain,
             orders_accepted: report.orders_accepted,
         };
+        let why = match self.load_proofs().is_refuted(serving) {
+            true => "weights that may be corrupt",
+            false => "superseded weights",
+        };
         let status = self.order_load(&order).await;
         log::warn!(
             model = &*weights.model, version = serving, newest = newest.version, status:?;
-            "agent: the engine is ordered to stop serving superseded weights"
+            "agent: the engine is ordered to stop serving {why}"
         );
         self.telemetry.count("agent.withdrawals", 1);
     }
@@ -218,105 +210,4 @@
         };
         switch_schedule::position(own, others, version)
     }
-
-    /// Chunks that are staged at the engine and match the manifest.
-    async fn staged_chunks(
-        &self,
-        weights: &manifests::Weights,
-        manifest: &manifest::Manifest,
-    ) -> Vec<(manifest::VerifiedChunk, Bytes)> {
-        let mut staged = Vec::new();
-        let max_bytes = manifest.chunk_bytes() as usize + 1;
-        for chunk in 0..manifest.chunks().len() as u32 {
-            let Some(bytes) = self.read_staged_chunk(&weights.model, chunk, max_bytes).await else {
-                break;
-            };
-            if let Ok(proof) = manifest.verify_chunk(chunk, &bytes) {
-                staged.push((proof, bytes));
-            }
-        }
-        staged
-    }
-
-    /// Switches the engine to the version. The order is sent only after all staged chunks were read
-    /// back: staged bytes can become corrupt, and an engine loads them without verification.
-    async fn switch(&self, complete: &spread::CompleteVersion, report: &dialect::EngineReport) {
-        let weights = &complete.weights;
-        if !self.verify_staged(complete).await {
-            log::warn!("agent: {weights:?} is not whole where it is staged, tried again");
-            return;
-        }
-        let serving = self.serving_version(report, &weights.model);
-        self.report_status(serving, false);
-        if serving > 0 {
-            let model = weights.model.clone();
-            self.drain_requests(&manifests::Weights { model, version: serving }).await;
-        }
-        let order = engine::LoadOrder {
-            weights,
-            layers: None,
-            cutover: dialect::Cutover::Abort,
-            orders_accepted: report.orders_accepted,
-        };
-        let status = self.order_load(&order).await;
-        log::info!("agent: ordered {weights:?}, status={status:?}");
-        let begun = time::Instant::now();
-        self.await_load(weights, report.orders_accepted).await;
-        self.telemetry.took("agent.load_ms", begun.elapsed().as_millis() as u64);
-    }
-
-    /// Waits for running requests to end, up to a limit. If the time of the weights is nearly up it
-    /// does not wait, because a late request could start meanwhile.
-    async fn drain_requests(&self, weights: &manifests::Weights) {
-        let begun = time::Instant::now();
-        while begun.elapsed() < DRAIN_MAX && !self.must_withdraw(weights, weights.version) {
-            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-            let report = self.report().await;
-            if report.is_some_and(|report| report.running + report.waiting == 0) {
-                return;
-            }
-        }
-    }
-
-    /// Reads all staged chunks back, and stages those again that are missing or corrupt.
-    async fn verify_staged(&self, complete: &spread::CompleteVersion) -> bool {
-        let spread::CompleteVersion { weights, manifest, bytes, .. } = complete;
-        let max_bytes = manifest.chunk_bytes() as usize + 1;
-        for (&chunk, bytes) in bytes {
-            let mut tries = 0;
-            loop {
-                let staged = self.read_staged_chunk(&weights.model, chunk, max_bytes).await;
-                if staged.is_some_and(|bytes| manifest.verify_chunk(chunk, &bytes).is_ok()) {
-                    break;
-                }
-                tries += 1;
-                if tries > STAGE_RETRIES_MAX {
-                    log::warn!("agent: chunk {chunk} of {weights:?} cannot be staged");
-                    return false;
-                }
-                self.stage_chunk(&weights.model, chunk, bytes.clone()).await;
-            }
-        }
-        true
-    }
-
-    /// Waits until the engine serves the version or has otherwise finished with the order. An order
-    /// whose answer was lost shows in the engine's count of orders.
-    async fn await_load(&self, weights: &manifests::Weights, orders_accepted: u64) {
-        let begun = time::Instant::now();
-        while begun.elapsed() < LOAD_TIMEOUT {
-            if let Some(report) = self.report().await {
-                let serving = self.serving_version(&report, &weights.model);
-                if !report.busy && serving >= weights.version {
-                    return self.report_status(serving, true);
-                }
-                let refused = !report.busy && report.orders_accepted == orders_accepted;
-                if refused && begun.elapsed() > IDLE_INTERVAL {
-                    return;
-                }
-            }
-            tokio::time::sleep(LOADING_POLL_INTERVAL).await;
-        }
-        log::warn!("agent: the engine did not load {weights:?} in time");
-    }
 }
--- a/ragwortdeal_node/src/voter/fleet/hub.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -456,27 +456,27 @@
         if let Some(evacuations) = evacuations {
             follower.session.push(evacuations);
         }
+        let upstreams = || self.directory.all().map(|upstream| &upstream.announcement);
+        let is_agent = follower.session.hello.role == "agent";
+        if is_agent && let Ok(address) = follower.session.hello.name.parse::<net::Ipv4Addr>() {
+            // Before the document: an agent reports on its engine as soon as it has that, and has
+            // to know what an earlier process reported.
+            let own = upstreams().filter(|it| *it.address.ip() == address).cloned();
+            follower.session.push(notice::encode(&notice::Notice::Upstreams(own.collect())));
+            for status in self.serves.values().filter(|it| *it.address.ip() == address) {
+                let notice = notice::Notice::EngineStatus(status.clone());
+                follower.session.push(notice::encode(&notice));
+            }
+        }
         follower.send_documents(&self.documents);
         let push = |notice: &notice::Notice| _ = follower.session.push(notice::encode(notice));
         push(&notice::Notice::Namings(self.named.export(now_ms)));
         push(&notice::Notice::Voters(self.voters.clone()));
-        let is_agent = follower.session.hello.role == "agent";
-        let address = follower.session.hello.name.parse::<net::Ipv4Addr>();
-        let concerns = |said: &&directory::Announcement| {
-            !is_agent || address.as_ref().is_ok_and(|address| address == said.address.ip())
-        };
-        let said = self.directory.all().map(|upstream| &upstream.announcement);
-        push(&notice::Notice::Upstreams(said.filter(concerns).cloned().collect()));
+        if !is_agent {
+            push(&notice::Notice::Upstreams(upstreams().cloned().collect()));
+        }
         match follower.session.hello.role.as_str() {
-            "agent" => {
-                push(&notice::Notice::Agents(self.agents.values().cloned().collect()));
-                let seat = self.agents.get(&session);
-                let own = |it: &&notice::EngineStatus| {
-                    seat.is_some_and(|seat| seat.address == *it.address.ip())
-                };
-                let said = self.serves.values().filter(own);
-                said.for_each(|it| push(&notice::Notice::EngineStatus(it.clone())));
-            }
+            "agent" => push(&notice::Notice::Agents(self.agents.values().cloned().collect())),
             "entry" => {
                 push(&notice::Notice::Entries(entries));
                 push(&notice::Notice::EngineStatuses(self.serves.values().cloned().collect()));
--- a/ragwortdeal_standins/src/fleet/engine.rs
+++ b/ragwortdeal_standins/src/fleet/engine.rs
@@ -2,6 +2,7 @@
 
 mod endless;
 mod fatal;
+mod loads;
 
 use std::{collections, io, net, sync, time};
 
@@ -10,7 +11,6 @@
 use hyper::{Request, Response, body, header, server::conn::http1, service};
 use hyper_util::rt;
 use ragwortdeal_node::http;
-use sha2::Digest as _;
 use tokio::{
     net as tokio_net,
     sync::{mpsc, watch},
@@ -88,6 +88,8 @@
     pub ran_on: Option<u64>,
     /// What the engine asks in its answer.
     pub asked: Asks,
+    /// Hashes of the chunks of the weights on which it began to run, as the engine took them.
+    pub ran_on_chunks: Vec<[u8; 32]>,
 }
 
 /// State of an engine, shared with the test.
@@ -112,7 +114,7 @@
     /// Layers that it holds: the first, and the one behind the last.
     layers: (u64, u64),
     orders: u64,
-    loaded: Vec<Vec<[u8; 32]>>,
+    loads: loads::Loads,
     events: u64,
     event_gap: time::Duration,
     work: time::Duration,
@@ -175,7 +177,7 @@
             version,
             layers: (0, LAYERS),
             orders: 0,
-            loaded: Vec::new(),
+            loads: loads::Loads::default(),
             events: 5,
             event_gap: time::Duration::from_millis(5),
             work: time::Duration::ZERO,
@@ -313,13 +315,7 @@
 
     /// Spoils a staged chunk.
     pub fn rot(&self, chunk: u32) {
-        let spoilt = Bytes::from_static(b"spoilt");
-        self.state().staged.insert(chunk, spoilt);
-    }
-
-    /// Hashes of the chunks at each load.
-    pub fn loaded(&self) -> Vec<Vec<[u8; 32]>> {
-        self.state().loaded.clone()
+        self.state().staged.insert(chunk, loads::SPOILT);
     }
 
     /// What the engine announces.
@@ -386,6 +382,9 @@
     if path == "/order" {
         return Ok(engine.order(&body));
     }
+    if path.starts_with("/stage-get/") {
+        engine.reads_released().await;
+    }
     if path.starts_with("/stage-put/") || path.starts_with("/stage-get/") {
         return Ok(engine.stage(&path, &query, body));
     }
@@ -400,6 +399,7 @@
         at: time::Instant::now(),
         ran_on: None,
         asked: engine.state().asks,
+        ran_on_chunks: Vec::new(),
     };
     let index = engine.note(arrival);
     engine.awake().await;
@@ -421,6 +421,7 @@
         let mut state = self.state();
         state.running += 1;
         state.arrivals[index].ran_on = Some(state.version);
+        state.arrivals[index].ran_on_chunks = state.loads.held_chunks();
         Running { engine: self.clone(), ended: false }
     }
 
@@ -595,13 +596,13 @@
         if order["expect"].as_u64().is_some_and(|expected| expected != state.orders) {
             return plain(409, "");
         }
-        state.orders += 1;
         let layer = |name: &str, usual: u64| order[name].as_u64().unwrap_or(usual);
-        state.layers = (layer("from", 0), layer("to", LAYERS));
-        let hash = |bytes: &Bytes| <[u8; 32]>::from(sha2::Sha256::digest(bytes));
-        let hashes = state.staged.values().map(hash).collect();
-        state.loaded.push(hashes);
-        state.version = version;
+        let layers = (layer("from", 0), layer("to", LAYERS));
+        if state.version == version && state.layers == layers {
+            return plain(200, "");
+        }
+        state.orders += 1;
+        state.load(version, layers);
         plain(202, "")
     }
 
