Split the stand-in engine by job

Functions are moved as they were; the accept loop is called listener::accept.

Checked: the comparison of code beside comments and names shows moved blocks alone, and nothing that a test reads changed its name.

--- a/ragwortdeal_standins/src/fleet/engine.rs
+++ b/ragwortdeal_standins/src/fleet/engine.rs
@@ -1,15 +1,17 @@
 //! A stand-in for an upstream: answers requests, announces itself, takes weights and orders.
 
+mod behaviour;
 mod endless;
 mod fatal;
+mod listener;
 mod loads;
+mod weights;
 
 use std::{collections, io, net, sync, time};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, StreamBody, combinators::UnsyncBoxBody};
-use hyper::{Request, Response, body, header, server::conn::http1, service};
-use hyper_util::rt;
+use hyper::{Response, body, header};
 use ragwortdeal_node::http;
 use tokio::{
     net as tokio_net,
@@ -17,6 +19,7 @@
     task,
 };
 
+pub use behaviour::{Asks, Behaviour};
 pub use fatal::{Fatal, Moment, Trigger};
 
 /// Layers of the model.
@@ -24,51 +27,6 @@
 
 type Body = UnsyncBoxBody<Bytes, io::Error>;
 
-/// What the engine does with requests.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Behaviour {
-    /// Answers.
-    Good,
-    /// Takes a request and never answers.
-    Hang,
-    /// Says that it did not run the request.
-    Shed,
-    /// Runs a request and closes the connection without an answer.
-    LoseAnswer,
-    /// Breaks a stream off in the middle of the event with this number.
-    CutWithin(u64),
-    /// Answers with the identifier of another request.
-    OtherAnswer,
-    /// Answers with this status.
-    Fail(u16),
-    /// Answers with a body without end, which holds no whole event.
-    Endless,
-    /// Answers every second request with this status, so that it is never avoided for long.
-    FailEverySecond(u16),
-}
-
-impl Behaviour {
-    /// What it means for a request with this number.
-    fn at(&self, index: usize) -> Self {
-        match self {
-            Self::FailEverySecond(_) if index.is_multiple_of(2) => Self::Good,
-            Self::FailEverySecond(status) => Self::Fail(*status),
-            behaviour => behaviour.clone(),
-        }
-    }
-}
-
-/// What an engine asks in its answers.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Asks {
-    /// Requests a second that it takes from all entries together.
-    pub limit_per_s: Option<f64>,
-    /// Seconds of pause that it asks for; it then turns each request away.
-    pub pause_s: Option<f64>,
-    /// Whether it says that it leaves.
-    pub leaving: bool,
-}
-
 /// A request as it arrived.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -192,7 +150,7 @@
         };
         let state = sync::Mutex::new(state);
         let engine = sync::Arc::new(Self { instance: instance.to_owned(), address, state });
-        task::spawn(accept(engine.clone(), listener));
+        task::spawn(listener::accept(engine.clone(), listener));
         engine
     }
 
@@ -336,76 +294,6 @@
     }
 }
 
-/// Accepts connections until the engine ends, and again when it is back.
-async fn accept(engine: sync::Arc<Engine>, listener: tokio_net::TcpListener) {
-    let mut ends = engine.state().ends.subscribe();
-    let mut listener = Some(listener);
-    while let Some(listening) = listener.take() {
-        // Dropping the set ends the connections with the engine.
-        let mut connections = task::JoinSet::new();
-        loop {
-            let accepted = tokio::select! {
-                accepted = listening.accept() => accepted,
-                _ = ends.changed() => break,
-            };
-            let Ok((stream, _)) = accepted else {
-                return;
-            };
-            connections.spawn(serve_connection(engine.clone(), stream));
-        }
-        drop((listening, connections));
-        let down = engine.state().down;
-        tokio::time::sleep(down).await;
-        ends.mark_unchanged();
-        engine.state().starts += 1;
-        listener = tokio_net::TcpListener::bind(engine.address).await.ok();
-    }
-}
-
-async fn serve_connection(engine: sync::Arc<Engine>, stream: tokio_net::TcpStream) {
-    let service = service::service_fn(move |request| answer(engine.clone(), request));
-    // A connection that breaks is what some tests are about.
-    let _ = http1::Builder::new().serve_connection(rt::TokioIo::new(stream), service).await;
-}
-
-async fn answer(
-    engine: sync::Arc<Engine>,
-    request: Request<body::Incoming>,
-) -> Result<Response<Body>, io::Error> {
-    let (head, body) = request.into_parts();
-    let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
-    let path = head.uri.path().to_owned();
-    let query = head.uri.query().unwrap_or_default().to_owned();
-    if path == "/report" {
-        return Ok(engine.report());
-    }
-    if path == "/order" {
-        return Ok(engine.order(&body));
-    }
-    if path.starts_with("/stage-get/") {
-        engine.reads_released().await;
-    }
-    if path.starts_with("/stage-put/") || path.starts_with("/stage-get/") {
-        return Ok(engine.stage(&path, &query, body));
-    }
-    let id = head.headers.get("x-request-id").and_then(|id| id.to_str().ok());
-    let id = id.unwrap_or_default().to_owned();
-    let arrival = Arrival {
-        id: id.clone(),
-        method: head.method.to_string(),
-        path: head.uri.to_string(),
-        headers: head.headers.clone(),
-        body,
-        at: time::Instant::now(),
-        ran_on: None,
-        asked: engine.state().asks,
-        ran_on_chunks: Vec::new(),
-    };
-    let index = engine.note(arrival);
-    engine.awake().await;
-    engine.serve(&id, index, &head).await
-}
-
 fn plain(status: u16, body: impl Into<Bytes>) -> Response<Body> {
     http::respond(status, "application/json", http::full(body.into()))
 }
@@ -570,57 +458,6 @@
         });
         StreamBody::new(Box::pin(frames)).boxed_unsync()
     }
-
-    fn report(&self) -> Response<Body> {
-        let state = self.state();
-        let models = match state.version {
-            0 => serde_json::json!([]),
-            version => serde_json::json!([{"name": "model-a", "version": version, "adapters": []}]),
-        };
-        let report = serde_json::json!({
-            "stage": "combined", "models": models, "busy": false, "sequence": state.orders,
-            "waiting-requests": 0, "running-requests": state.running,
-            "layers": state.held_layers(),
-        });
-        plain(200, report.to_string())
-    }
-
-    fn order(&self, body: &[u8]) -> Response<Body> {
-        let order: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
-        let mut state = self.state();
-        let (Some("start"), Some(version)) =
-            (order["operation"].as_str(), order["version"].as_u64())
-        else {
-            return plain(400, "");
-        };
-        if order["expect"].as_u64().is_some_and(|expected| expected != state.orders) {
-            return plain(409, "");
-        }
-        let layer = |name: &str, usual: u64| order[name].as_u64().unwrap_or(usual);
-        let layers = (layer("from", 0), layer("to", LAYERS));
-        if state.version == version && state.layers == layers {
-            return plain(200, "");
-        }
-        state.orders += 1;
-        state.load(version, layers);
-        plain(202, "")
-    }
-
-    fn stage(&self, path: &str, query: &str, body: Bytes) -> Response<Body> {
-        let number = query.split('&').find_map(|pair| pair.strip_prefix("number="));
-        let Some(number) = number.and_then(|number| number.parse::<u32>().ok()) else {
-            return plain(400, "");
-        };
-        let mut state = self.state();
-        if path.starts_with("/stage-put/") {
-            state.staged.insert(number, body);
-            return plain(200, "");
-        }
-        match state.staged.get(&number) {
-            Some(bytes) => plain(200, bytes.clone()),
-            None => plain(404, ""),
-        }
-    }
 }
 
 /// Body of an answer to a request that asks for so many bytes, different for each request.
