--- a/ragwortdeal_soak/src/operator.rs
+++ b/ragwortdeal_soak/src/operator.rs
@@ -194,3 +194,23 @@
         true
     }
 }
+
+/// A document with this version that leads reads to a service, beside the services of the run.
+pub fn document(
+    mut plain: serde_json::Value,
+    version: u64,
+    reads: &str,
+    origin: net::SocketAddrV4,
+) -> serde_json::Value {
+    plain["version"] = version.into();
+    plain["routes"][1]["service"] = reads.into();
+    plain["services"][2]["origin"] = origin.to_string().into();
+    for name in ["ledger-b", "archive"] {
+        let mut service = plain["services"][1].clone();
+        service["name"] = name.into();
+        if let Some(services) = plain["services"].as_array_mut() {
+            services.push(service);
+        }
+    }
+    plain
+}
--- a/ragwortdeal_soak/src/run.rs
+++ b/ragwortdeal_soak/src/run.rs
@@ -140,7 +140,7 @@
         let straight = (1..=size.voters).map(|number| fleet.world.control(number)).collect();
         let plain = fleet.world.document(0, None);
         let make = move |version: u64, reads: &'static str| {
-            document(plain.clone(), version, reads, before_origin)
+            operator::document(plain.clone(), version, reads, before_origin)
         };
         let through = operator::Operator::new(through);
         Ok(Self {
@@ -489,22 +489,3 @@
         }))
     }
 }
-
-fn document(
-    mut plain: serde_json::Value,
-    version: u64,
-    reads: &str,
-    origin: net::SocketAddrV4,
-) -> serde_json::Value {
-    plain["version"] = version.into();
-    plain["routes"][1]["service"] = reads.into();
-    plain["services"][2]["origin"] = origin.to_string().into();
-    for name in ["ledger-b", "archive"] {
-        let mut service = plain["services"][1].clone();
-        service["name"] = name.into();
-        if let Some(services) = plain["services"].as_array_mut() {
-            services.push(service);
-        }
-    }
-    plain
-}
