Let the hub's isolation say what a new follower has to know

A voter's hub asked its isolation for verdicts and for charges in two conditions on the follower's role. Both are in one function beside the state that they read; order and content of the notices are the same. Comments name requests beside parts of prompts, as both have been isolated since fingerprints came.

--- a/ragwortdeal_core/src/dispatch/isolation/verdicts.rs
+++ b/ragwortdeal_core/src/dispatch/isolation/verdicts.rs
@@ -1,4 +1,5 @@
-//! Which parts of prompts are isolated, as processes tell each other.
+//! Which parts of prompts and which requests are isolated, as processes tell each other. A request goes
+//! by its fingerprint, which is named like a part.
 //!
 //! Each process merges what it is told into what it holds, in any order and any number of times. A
 //! part that was isolated and released has a revision that rises with each change, and the higher
--- a/ragwortdeal_node/src/fleet/entry/isolation.rs
+++ b/ragwortdeal_node/src/fleet/entry/isolation.rs
@@ -1,4 +1,5 @@
-//! Holds back requests with parts of prompts that end engines, and tells voters of ended engines.
+//! Holds back requests that end upstreams, or with parts of prompts that end engines, and tells voters
+//! of upstreams that ended.
 
 mod copy;
 
--- a/ragwortdeal_node/src/fleet/notice.rs
+++ b/ragwortdeal_node/src/fleet/notice.rs
@@ -82,13 +82,14 @@
     /// Upstreams that an entry assumes to be cold. A voter passes on the next announcement of each,
     /// also if it shows nothing new.
     AwaitedUpstreams(Vec<directory::Text>),
-    /// An entry tells of the end of an engine, with what ran there.
+    /// An entry tells of the end of an upstream, with what ran there.
     EngineEnded(evidence::EndReport),
     /// Parts of prompts that ended engines are charged with. Entries tell when an engine bears one.
     ChargedParts(Vec<prompt::PartId>),
-    /// An entry tells that engines have just borne these parts.
+    /// An entry tells that engines have just borne these parts, or that upstreams have just answered
+    /// requests with these fingerprints whole.
     PartsProved(Vec<prompt::PartId>),
-    /// Parts of prompts that were isolated or released. Whoever holds a verdict tells it to a
+    /// Parts of prompts and requests that were isolated or released. Whoever holds a verdict tells it to a
     /// process that comes into reach.
     Verdicts(Vec<verdicts::Verdict>),
     /// On requests under which upstreams ended.
--- a/ragwortdeal_node/src/voter/fleet/hub.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -442,13 +442,9 @@
             return;
         };
         follower.version = Some(version);
-        if follower.session.hello.role != "agent" {
-            // Before the document: an entry takes requests as soon as it has that.
-            let verdicts = self.isolation.collector.verdicts().all().cloned().collect();
-            follower.session.push(notice::encode(&notice::Notice::Verdicts(verdicts)));
-        }
-        if follower.session.hello.role == "entry" {
-            follower.session.push(notice::encode(&self.isolation.all_charges()));
+        // Before the document: an entry takes requests as soon as it has that.
+        for notice in self.isolation.state_for(&follower.session.hello.role) {
+            follower.session.push(notice::encode(&notice));
         }
         if follower.session.hello.role == "entry" {
             follower.session.push(notice::encode(&notice::Notice::NamedRates(rates)));
--- a/ragwortdeal_node/src/voter/fleet/hub/isolation.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub/isolation.rs
@@ -1,4 +1,5 @@
-//! Collects what entries tell of ended engines, and tells them which parts of prompts are isolated.
+//! Collects what entries tell of upstreams that ended, tells them which parts of prompts and which
+//! requests are isolated, and grants trials of requests.
 
 use std::{collections, net, sync, time};
 
@@ -34,10 +35,18 @@
 }
 
 impl Isolation {
-    /// The requests against which ends count, for an entry that has just subscribed.
-    pub(super) fn all_charges(&self) -> notice::Notice {
-        let charges = self.collector.requests().charged(TOLD_ENDS_MIN);
-        notice::Notice::Copies(CopiesNotice::Charges { all: true, charges })
+    /// What a follower with this role that has just subscribed has to know.
+    pub(super) fn state_for(&self, role: &str) -> Vec<notice::Notice> {
+        if role == "agent" {
+            return Vec::new();
+        }
+        let verdicts = self.collector.verdicts().all().cloned().collect();
+        let mut notices = vec![notice::Notice::Verdicts(verdicts)];
+        if role == "entry" {
+            let charges = self.collector.requests().charged(TOLD_ENDS_MIN);
+            notices.push(notice::Notice::Copies(CopiesNotice::Charges { all: true, charges }));
+        }
+        notices
     }
 
     /// Charges that changed and that entries have to know.
