Log orders and writes to the stage that get no answer

An order without an answer looked like one that was refused, a write without an answer left no line, and an attempt did not tell whether its version was the one that an agent had reported or only announced. That is what tells apart the hypotheses on weights that were loaded unproven.

Lines and counters for an order and a write without an answer, and for the change of the engine's count of orders after one; the count and what the engine holds in the line of each order; reported_version beside version in the line of an answer. No decision changes.

--- a/ragwortdeal_node/src/fleet/agent.rs
+++ b/ragwortdeal_node/src/fleet/agent.rs
@@ -94,6 +94,8 @@
     voters: sync::OnceLock<voter_links::Voters>,
     engine_status: sync::Mutex<notice::EngineStatus>,
     load_proofs: sync::Mutex<load_proof::LoadProofs>,
+    /// The last order that got no answer, until it is known how it ended.
+    unanswered_order: sync::Mutex<Option<engine::UnansweredOrder>>,
     /// Start time of the engine by its newest announcement.
     engine_born_ms: atomic::AtomicU64,
 }
@@ -128,6 +130,7 @@
         upload_pace: pace::Pace::new(upload_bytes_per_s(settings.fleet.link_mbps)),
         telemetry,
         load_proofs: sync::Mutex::default(),
+        unanswered_order: sync::Mutex::default(),
         voters: sync::OnceLock::new(),
         engine_status: sync::Mutex::new(notice::EngineStatus {
             address: engine,
--- a/ragwortdeal_node/src/fleet/agent/engine.rs
+++ b/ragwortdeal_node/src/fleet/agent/engine.rs
@@ -1,5 +1,7 @@
 //! Calls to the engine on this instance.
 
+use std::time;
+
 use bytes::Bytes;
 use ragwortdeal_core::directory;
 
@@ -22,6 +24,15 @@
     pub(super) orders_accepted: u64,
 }
 
+/// An order that got no answer.
+#[derive(Debug)]
+pub(super) struct UnansweredOrder {
+    version: u64,
+    /// Orders that the engine had accepted before.
+    orders_accepted: u64,
+    sent_at: time::Instant,
+}
+
 impl Agent {
     /// Calls an HTTP server.
     pub(super) async fn call(
@@ -73,7 +84,10 @@
             return None;
         }
         match self.dialect.report(&bytes) {
-            Ok(report) => Some(report),
+            Ok(report) => {
+                self.log_late_order(&report);
+                Some(report)
+            }
             Err(error) => {
                 log::warn!("agent: {error}");
                 None
@@ -81,11 +95,31 @@
         }
     }
 
+    /// Logs that an order without an answer was accepted, or lost with the engine.
+    fn log_late_order(&self, report: &dialect::EngineReport) {
+        let mut unanswered = self.unanswered_order.lock().expect("no panic under lock");
+        let ended = |it: &mut UnansweredOrder| it.orders_accepted != report.orders_accepted;
+        let Some(order) = unanswered.take_if(ended) else {
+            return;
+        };
+        let after_ms = order.sent_at.elapsed().as_millis() as u64;
+        log::warn!(
+            version = order.version, expected_orders = order.orders_accepted,
+            orders = report.orders_accepted, held = held_version(report), after_ms;
+            "agent: the engine's count of orders changed after an order without an answer"
+        );
+        self.telemetry.count("agent.orders_accepted_late", 1);
+    }
+
     /// Stages a chunk. Returns whether the engine accepted it.
     pub(super) async fn stage_chunk(&self, model: &str, chunk: u32, bytes: Bytes) -> bool {
         self.load_proofs().written();
         let call = self.dialect.stage_call(model, chunk, bytes);
         let answer = self.call_engine("stage chunk", call, REPORT_MAX_BYTES).await;
+        if answer.is_none() {
+            log::warn!(chunk; "agent: no answer to a write to the stage");
+            self.telemetry.count("agent.stage_writes_unanswered", 1);
+        }
         answer.is_some_and(|(status, _)| (200..300).contains(&status))
     }
 
@@ -107,7 +141,22 @@
         let LoadOrder { weights, layers, cutover, orders_accepted } = *order;
         let manifests::Weights { model, version } = weights;
         let call = self.dialect.load_call(model, *version, layers, cutover, Some(orders_accepted));
-        let (status, _) = self.call_engine("order load", call, REPORT_MAX_BYTES).await?;
-        Some(status)
+        let sent_at = time::Instant::now();
+        let answer = self.call_engine("order load", call, REPORT_MAX_BYTES).await;
+        if answer.is_none() {
+            log::warn!(
+                version = *version, expected_orders = orders_accepted;
+                "agent: no answer to an order"
+            );
+            self.telemetry.count("agent.orders_unanswered", 1);
+            let order = UnansweredOrder { version: *version, orders_accepted, sent_at };
+            *self.unanswered_order.lock().expect("no panic under lock") = Some(order);
+        }
+        answer.map(|(status, _)| status)
     }
 }
+
+/// Highest version of which an engine holds any layers, 0 for none.
+pub(super) fn held_version(report: &dialect::EngineReport) -> u64 {
+    report.held.iter().map(|held| held.version).max().unwrap_or(0)
+}
--- a/ragwortdeal_node/src/fleet/agent/loading.rs
+++ b/ragwortdeal_node/src/fleet/agent/loading.rs
@@ -152,7 +152,11 @@
         };
         let accepted = self.order_accepted(&order).await;
         let read_back_age_ms = read_at.elapsed().as_millis() as u64;
-        log::info!(accepted, read_back_age_ms; "agent: ordered {weights:?}");
+        log::info!(
+            accepted, read_back_age_ms, expected_orders = report.orders_accepted,
+            held = engine::held_version(&report);
+            "agent: ordered {weights:?}"
+        );
         accepted
     }
 
--- a/ragwortdeal_node/src/fleet/entry/outcome.rs
+++ b/ragwortdeal_node/src/fleet/entry/outcome.rs
@@ -99,6 +99,7 @@
             forecast_ms = selected.forecast_ms.map_or(0, |ms| ms as u64), took_ms,
             open = selected.candidate.open, elsewhere = selected.candidate.peer_open as u64,
             attempt, version = selected.version.unwrap_or(0),
+            reported_version = selected.reported_version,
             superseded_ms = selected.superseded_ms(), held_ms, limit_per_s,
             pace, status = answer.head.status.as_u16();
             "entry: answered by its upstream"
--- a/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
@@ -18,6 +18,8 @@
     pub(in super::super) peer: pool::Peer,
     /// Version of weights that it serves.
     pub(in super::super) version: Option<u64>,
+    /// Version that the agent beside it reported last, 0 if none.
+    pub(in super::super) reported_version: u64,
     /// Milliseconds that the prompt takes to read, while it counts as unread there.
     reading_ms: Option<f64>,
     /// Forecast of the milliseconds to the first event, if it is an engine.
@@ -182,6 +184,8 @@
 struct Eligible {
     peer: pool::Peer,
     version: Option<u64>,
+    /// Version that the agent beside it reported last, 0 if none.
+    reported_version: u64,
     /// When its weights were superseded.
     superseded_at_ms: Option<i64>,
     candidate: choice::Candidate,
@@ -260,7 +264,8 @@
             .is_some_and(|work| self.is_ramping_up(announcement, &work.latency_model, now_ms));
         let peer =
             pool::Peer { instance: announcement.instance.clone(), address: announcement.address };
-        Some(Eligible { peer, version, superseded_at_ms, candidate, permit })
+        let reported_version = self.reported_version(announcement);
+        Some(Eligible { peer, version, reported_version, superseded_at_ms, candidate, permit })
     }
 
     /// Index of the best upstream, and the forecast of its first event if it is an engine.
@@ -305,7 +310,7 @@
         let mut upstreams = self.upstreams();
         let mut eligible = upstreams.eligible(criteria, now_ms)?;
         let (index, forecast_ms) = upstreams.best_of(&eligible, criteria, now_ms, draw)?;
-        let Eligible { peer, version, superseded_at_ms, candidate, permit } =
+        let Eligible { peer, version, reported_version, superseded_at_ms, candidate, permit } =
             eligible.swap_remove(index);
         let reading_ms = criteria.work.map_or(0.0, |work| work.prefill_ms);
         let activity = upstreams.open_request(&peer.instance, reading_ms);
@@ -313,6 +318,7 @@
         Ok(Selected {
             peer,
             version,
+            reported_version,
             reading_ms: Some(reading_ms),
             forecast_ms,
             candidate,
--- a/ragwortdeal_node/src/fleet/entry/upstreams/weights.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/weights.rs
@@ -24,6 +24,13 @@
         .filter(|version| *version > 0)
     }
 
+    /// Version that the agent beside an engine reported last, 0 if it reported none of this process
+    /// of the engine. An engine's own announcement of another one is not proven.
+    pub(super) fn reported_version(&self, announcement: &directory::Announcement) -> u64 {
+        let agent = self.engine_statuses.get(&announcement.address);
+        agent.filter(|it| it.born_ms == announcement.order.born_ms).map_or(0, |it| it.version)
+    }
+
     /// Highest version of which the agent beside an engine holds all chunks.
     fn complete_version_at(&self, announcement: &directory::Announcement) -> u64 {
         let agent = self.engine_statuses.get(&announcement.address);
