--- a/ragwortdeal_standins/src/fleet/engine.rs
+++ b/ragwortdeal_standins/src/fleet/engine.rs
@@ -5,6 +5,7 @@
 mod fatal;
 mod listener;
 mod loads;
+mod silence;
 mod weights;
 
 use std::{collections, io, net, sync, time};
@@ -21,6 +22,7 @@
 
 pub use behaviour::{Asks, Behaviour};
 pub use fatal::{Fatal, Moment, Trigger};
+pub use silence::{AgentCall, Spells};
 
 /// Layers of the model.
 pub const LAYERS: u64 = 3;
@@ -73,6 +75,7 @@
     layers: (u64, u64),
     orders: u64,
     loads: loads::Loads,
+    silence: silence::Silence,
     events: u64,
     event_gap: time::Duration,
     work: time::Duration,
@@ -136,6 +139,7 @@
             layers: (0, LAYERS),
             orders: 0,
             loads: loads::Loads::default(),
+            silence: silence::Silence::default(),
             events: 5,
             event_gap: time::Duration::from_millis(5),
             work: time::Duration::ZERO,
--- a/ragwortdeal_standins/src/fleet/engine/listener.rs
+++ b/ragwortdeal_standins/src/fleet/engine/listener.rs
@@ -7,7 +7,7 @@
 use hyper_util::rt;
 use tokio::{net as tokio_net, task};
 
-use super::{Arrival, Body, Engine};
+use super::{Arrival, Body, Engine, silence};
 
 /// Accepts connections until the engine ends, and again when it is back.
 pub(super) async fn accept(engine: sync::Arc<Engine>, listener: tokio_net::TcpListener) {
@@ -49,17 +49,13 @@
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
     let path = head.uri.path().to_owned();
     let query = head.uri.query().unwrap_or_default().to_owned();
-    if path == "/report" {
-        return Ok(engine.report());
-    }
-    if path == "/order" {
-        return Ok(engine.order(&body));
-    }
-    if path.starts_with("/stage-get/") {
-        engine.reads_released().await;
-    }
-    if path.starts_with("/stage-put/") || path.starts_with("/stage-get/") {
-        return Ok(engine.stage(&path, &query, body));
+    if let Some(call) = silence::call_of(&head.method, &path) {
+        if call == silence::AgentCall::Read {
+            engine.reads_released().await;
+        }
+        let run = move |engine: &Engine| silence::run(engine, call, (&path, &query), body);
+        let lost = || io::Error::other("the call is lost");
+        return engine.carry_out(call, run).await.ok_or_else(lost);
     }
     let id = head.headers.get("x-request-id").and_then(|id| id.to_str().ok());
     let id = id.unwrap_or_default().to_owned();
--- a/ragwortdeal_standins/src/fleet/engine/weights.rs
+++ b/ragwortdeal_standins/src/fleet/engine/weights.rs
@@ -20,6 +20,13 @@
         plain(200, report.to_string())
     }
 
+    /// Loads all layers of a version from what is staged, as an order would have it.
+    pub fn obey(&self, version: u64) {
+        let mut state = self.state();
+        state.orders += 1;
+        state.load(version, (0, LAYERS));
+    }
+
     pub(super) fn order(&self, body: &[u8]) -> Response<Body> {
         let order: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
         let mut state = self.state();
