Send requests only to versions that an agent has proven

What callers saw: answers of an engine whose weights no agent had proven, for as long as its agent took to find out that it had accepted an order.

Cause: an entry took the higher one of the version that the agent reported and the one that the engine announced, and only the announced one where the agent's report was about another process of the engine. An engine announces whatever it has loaded; the agent reports a version once it has proven it.

Change: where an agent has ever reported on an engine, its word about this very process counts alone. An engine that announces a higher version than the reported one gets nothing, as it would reject requests for the reported one. Why it works: no request names a version that was not proven, and engines reject requests for any other than the one that they hold.

--- a/ragwortdeal_node/src/fleet/entry/upstreams/weights.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/weights.rs
@@ -9,19 +9,26 @@
 const START_MARGIN_MS: u64 = 500;
 
 impl Upstreams {
-    /// Version that an engine serves, or none if it is loading or holds none. The status reported
-    /// by the agent beside it counts if it is about the same process of the engine.
+    /// Version that an engine serves, or none if it is loading, holds none, or holds what no agent
+    /// has proven (docs/design/weights.md).
+    ///
+    /// An agent reports a version once it has proven it, so its word counts alone: an engine that
+    /// accepted an order late, or started again, announces weights before its agent knows of them.
+    /// What an engine announces counts where no agent has ever reported on it.
     pub(super) fn version_of(&self, announcement: &directory::Announcement) -> Option<u64> {
         let layers = self.layers.get(&announcement.service).copied().unwrap_or(0);
         let whole = announcement.layers.is_none_or(|held| held.covers_all(layers));
         let announced = announcement.models.iter().filter(|_| whole).map(|held| held.version).max();
-        let agent = self.engine_statuses.get(&announcement.address);
-        match agent.filter(|it| it.born_ms == announcement.order.born_ms) {
-            Some(agent) if !agent.accepts => None,
-            Some(agent) => Some(agent.version.max(announced.unwrap_or(0))),
+        let version = match self.engine_statuses.get(&announcement.address) {
+            Some(agent) => {
+                let is_of_process = agent.born_ms == announcement.order.born_ms;
+                // An engine on a higher version than the reported one rejects requests for that.
+                let is_current = announced.is_none_or(|announced| announced <= agent.version);
+                (is_of_process && agent.accepts && is_current).then_some(agent.version)
+            }
             None => announced,
-        }
-        .filter(|version| *version > 0)
+        };
+        version.filter(|version| *version > 0)
     }
 
     /// Version that the agent beside an engine reported last, 0 if it reported none of this process
