Take a read-back without an answer for no evidence of corruption

What callers saw: an engine was out of use while it loaded the same weights again and again; each load is one more order that can be lost.

Cause: a staged chunk whose read got no answer counted as not sound. Four reads without an answer refuted a load, and a chunk was staged again, one more write that could arrive late.

Evidence: the test held back reads for six seconds from the order on; the engine loaded four times before this change, once with it.

Change: what was read of a chunk is its bytes, unusable or unknown. Unknown neither refutes a load nor stages a chunk again: the load stays unproven, the engine out of use, and the next round asks again. Why it works: only bytes that the engine sent decide.

--- a/ragwortdeal_node/src/fleet/agent/engine.rs
+++ b/ragwortdeal_node/src/fleet/agent/engine.rs
@@ -24,6 +24,17 @@
     pub(super) orders_accepted: u64,
 }
 
+/// What is staged of a chunk.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum StagedChunk {
+    /// These bytes.
+    Bytes(Bytes),
+    /// No chunk, or more bytes than one has.
+    Unusable,
+    /// The engine did not answer, which tells nothing of what is staged.
+    Unknown,
+}
+
 /// An order that got no answer.
 #[derive(Debug)]
 pub(super) struct UnansweredOrder {
@@ -129,10 +140,22 @@
         model: &str,
         chunk: u32,
         max_bytes: usize,
-    ) -> Option<Bytes> {
+    ) -> StagedChunk {
         let call = self.dialect.read_staged_call(model, chunk);
-        let (status, bytes) = self.call_engine("read staged chunk", call, max_bytes).await?;
-        (status == 200).then_some(bytes)
+        let engine = self.engine.to_string();
+        let step = "read staged chunk";
+        match self.call(step, &engine, call, max_bytes, CALL_TIMEOUT_MS).await {
+            Ok((200, bytes)) => StagedChunk::Bytes(bytes),
+            Ok((500.., _)) => StagedChunk::Unknown,
+            Ok(_) => StagedChunk::Unusable,
+            Err(error @ http::HttpError::BadAnswer { .. }) if !error.is_late() => {
+                StagedChunk::Unusable
+            }
+            Err(error) => {
+                log::debug!("agent: {error}");
+                StagedChunk::Unknown
+            }
+        }
     }
 
     /// Orders the engine to load what is staged. Returns the status, or none if no answer came: the
--- a/ragwortdeal_node/src/fleet/agent/loading.rs
+++ b/ragwortdeal_node/src/fleet/agent/loading.rs
@@ -43,6 +43,26 @@
 const DISCARD_FIRST: directory::Layers = directory::Layers { from: 0, to: 1 };
 const DISCARD_SECOND: directory::Layers = directory::Layers { from: 1, to: 2 };
 
+/// Whether what an engine loaded is proven to be sound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Proof {
+    /// All chunks were read back sound, or there is no reason to doubt them.
+    Sound,
+    /// It is not proven, and what is staged does not prove it.
+    Unproven,
+    /// The engine did not answer what it has staged. That is no evidence of corruption.
+    Unanswered,
+}
+
+/// What was found out of a staged chunk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReadBack {
+    Sound,
+    Corrupt,
+    /// The engine did not answer.
+    Unanswered,
+}
+
 impl Agent {
     /// Chunks that are staged at the engine and match the manifest.
     pub(super) async fn staged_chunks(
@@ -53,7 +73,8 @@
         let mut staged = Vec::new();
         let max_bytes = manifest.chunk_bytes() as usize + 1;
         for chunk in 0..manifest.chunks().len() as u32 {
-            let Some(bytes) = self.read_staged_chunk(&weights.model, chunk, max_bytes).await else {
+            let read = self.read_staged_chunk(&weights.model, chunk, max_bytes).await;
+            let engine::StagedChunk::Bytes(bytes) = read else {
                 break;
             };
             if let Ok(proof) = manifest.verify_chunk(chunk, &bytes) {
@@ -63,20 +84,21 @@
         staged
     }
 
-    /// The version that the engine serves, or 0 while its chunks are not proven to be sound. Tries
-    /// the proof.
-    pub(super) async fn proven_version(&self, model: &str, serving: u64) -> u64 {
-        let provable = {
+    /// Whether what the engine serves is proven. Tries the proof.
+    pub(super) async fn prove_held(&self, model: &str, serving: u64) -> Proof {
+        {
             let proofs = self.load_proofs();
-            if serving == 0 || proofs.may_serve(serving) {
-                return serving;
+            if serving > 0 && proofs.may_serve(serving) {
+                return Proof::Sound;
             }
-            proofs.is_provable(serving)
-        };
+            if serving == 0 || !proofs.is_provable(serving) {
+                return Proof::Unproven;
+            }
+        }
         let weights = manifests::Weights { model: model.to_owned(), version: serving };
         match self.spread.complete(&weights) {
-            Some(complete) if provable && self.prove_load(&complete).await => serving,
-            _ => 0,
+            Some(complete) => self.prove_load(&complete).await,
+            None => Proof::Unproven,
         }
     }
 
@@ -121,7 +143,9 @@
             return;
         }
         let begun = time::Instant::now();
-        if self.load(weights, reloads, read_at).await && self.prove_load(complete).await {
+        if self.load(weights, reloads, read_at).await
+            && self.prove_load(complete).await == Proof::Sound
+        {
             self.await_load(weights).await;
             self.telemetry.took("agent.load_ms", begun.elapsed().as_millis() as u64);
         }
@@ -222,7 +246,12 @@
         let begun = time::Instant::now();
         for (&chunk, bytes) in bytes {
             let mut tries = 0;
-            while !self.is_staged_sound(complete, chunk).await {
+            loop {
+                match self.read_back(complete, chunk).await {
+                    ReadBack::Sound => break,
+                    ReadBack::Corrupt => (),
+                    ReadBack::Unanswered => return None,
+                }
                 tries += 1;
                 if tries > STAGE_RETRIES_MAX {
                     log::warn!("agent: chunk {chunk} of {weights:?} cannot be staged");
@@ -234,21 +263,30 @@
         Some(begun)
     }
 
-    async fn is_staged_sound(&self, complete: &spread::CompleteVersion, chunk: u32) -> bool {
+    async fn read_back(&self, complete: &spread::CompleteVersion, chunk: u32) -> ReadBack {
         let spread::CompleteVersion { weights, manifest, .. } = complete;
         let max_bytes = manifest.chunk_bytes() as usize + 1;
-        let staged = self.read_staged_chunk(&weights.model, chunk, max_bytes).await;
-        staged.is_some_and(|bytes| manifest.verify_chunk(chunk, &bytes).is_ok())
+        match self.read_staged_chunk(&weights.model, chunk, max_bytes).await {
+            engine::StagedChunk::Bytes(bytes) if manifest.verify_chunk(chunk, &bytes).is_ok() => {
+                ReadBack::Sound
+            }
+            engine::StagedChunk::Bytes(_) | engine::StagedChunk::Unusable => ReadBack::Corrupt,
+            engine::StagedChunk::Unknown => ReadBack::Unanswered,
+        }
     }
 
     /// Reads all staged chunks back after the engine accepted the order to load them, which proves
-    /// that it took them sound. Returns whether they are.
-    async fn prove_load(&self, complete: &spread::CompleteVersion) -> bool {
+    /// that it took them sound.
+    async fn prove_load(&self, complete: &spread::CompleteVersion) -> Proof {
         let weights = &complete.weights;
         for &chunk in complete.bytes.keys() {
             let mut tries = 0;
-            while !self.is_staged_sound(complete, chunk).await {
-                tries += 1;
+            loop {
+                match self.read_back(complete, chunk).await {
+                    ReadBack::Sound => break,
+                    ReadBack::Corrupt => tries += 1,
+                    ReadBack::Unanswered => return Proof::Unanswered,
+                }
                 if tries > STAGE_RETRIES_MAX {
                     log::warn!(
                         "agent: chunk {chunk} of {weights:?} is not sound after the order, the \
@@ -256,13 +294,13 @@
                     );
                     self.telemetry.count("agent.loads_refuted", 1);
                     self.load_proofs().refuted(weights.version);
-                    return false;
+                    return Proof::Unproven;
                 }
             }
         }
         self.load_proofs().proven(weights.version);
         log::info!("agent: {weights:?} was loaded from sound chunks");
-        true
+        Proof::Sound
     }
 
     /// Waits until the engine serves the version, or has finished without it.
--- a/ragwortdeal_node/src/fleet/agent/reconciler.rs
+++ b/ragwortdeal_node/src/fleet/agent/reconciler.rs
@@ -7,7 +7,7 @@
 
 use ragwortdeal_core::{directory, orders::switch_schedule};
 
-use super::{Agent, engine, manifests, spread};
+use super::{Agent, engine, loading, manifests, spread};
 use crate::fleet::dialect;
 
 /// Interval between two rounds while there is nothing to do.
@@ -57,12 +57,17 @@
         if report.busy {
             return;
         }
-        let proven = self.proven_version(&weights.model, serving).await;
+        let proof = self.prove_held(&weights.model, serving).await;
+        let proven = if proof == loading::Proof::Sound { serving } else { 0 };
         self.report_status(serving, proven > 0);
         if self.spread.manifest_file(&weights).is_none() || self.spread.suspects_manifest() {
             tokio::spawn(self.clone().start_fetch(weights.clone(), serving));
         }
         self.log_overdue(&weights, serving, logged_overdue);
+        if proof == loading::Proof::Unanswered {
+            // Loading anew would be one more order to an engine that does not answer.
+            return;
+        }
         if let Some(complete) = self.version_to_load(&weights, proven) {
             self.switch(&complete, &report).await;
         } else if self.must_withdraw(&weights, serving) || self.load_proofs().is_refuted(serving) {
