Settle an order without an answer by the engine's count alone

Cause: an order that got no answer within a second was taken as one that would not happen. An engine that had stood still accepted it later. By then chunks of the next version were staged; and since any change of the count was taken for the acceptance of the newest order, the proof of that one dropped the doubt of the load that had really happened.

Change: an order without an answer is outstanding until the engine's count of accepted orders settles it; time and the end of a connection settle nothing. Until then nothing is staged, no other order is given, and the engine takes no requests; both need a permission that only a report on which nothing is outstanding gives. The same order is sent once more while the count stays: an engine accepts one of two orders that expect the same count. What is proven is one load by its count, not a version, so a late order is a load of its own, also one of an earlier process. A write to the stage, which no count settles, is waited for longer than an engine stands still.

Why it works: whatever is accepted takes what was staged when the order was given, and no requests reach a load whose chunks were not read back after it.

--- a/ragwortdeal_core/src/orders.rs
+++ b/ragwortdeal_core/src/orders.rs
@@ -6,6 +6,7 @@
 pub mod issuer;
 pub mod load_proof;
 pub mod order;
+pub mod outstanding;
 pub mod serving_set;
 pub mod switch_schedule;
 pub mod weights;
--- a/ragwortdeal_core/src/orders/load_proof.rs
+++ b/ragwortdeal_core/src/orders/load_proof.rs
@@ -7,28 +7,47 @@
 //!
 //! The proof needs no clock. A staged chunk that has become corrupt stays so until it is written
 //! again. So a chunk that is read back sound *after* the order was accepted, and was not written in
-//! between, was sound when the engine took it. `docs/design/weights.md` tells how an agent uses it.
+//! between, was sound when the engine took it.
+//!
+//! What is proven is one load, which the engine's count of accepted orders identifies: an order that
+//! is accepted later, whoever gave it and whichever version it names, is another load and proven
+//! anew. `docs/design/weights.md` tells how an agent uses it.
 
-use std::collections;
+use crate::orders::outstanding;
 
 /// What an agent knows of the weights that its engine loaded.
-///
-/// Versions are those of one model. A version counts as sound unless there is a reason to doubt it.
 #[derive(Debug, Default)]
 pub struct LoadProofs {
-    /// Writes to the staged chunks by this process.
-    writes: u64,
-    /// Versions that the engine was ordered to load and whose chunks are not proven to be sound.
-    doubted: collections::BTreeMap<u64, Doubt>,
+    /// Writes to the staged chunks that this process has begun.
+    writes: Writes,
+    /// The last load that the engine reported.
+    seen: Option<SeenLoad>,
     /// The last status of the engine that an earlier process of the agent reported.
     inherited: Option<InheritedStatus>,
 }
 
-/// Why a version is doubted.
+/// Number of writes that had begun at some moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Writes(u64);
+
+/// A load as the engine reports it.
+#[derive(Clone, Copy, Debug)]
+struct SeenLoad {
+    count: outstanding::OrderCount,
+    /// Writes that had begun when the engine last reported this count.
+    writes: Writes,
+    standing: Standing,
+}
+
+/// Whether what an engine loaded is proven.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Doubt {
-    /// It was ordered after so many writes, and may have been accepted at any time since.
-    Ordered { writes: u64 },
+enum Standing {
+    /// It was there when this process asked for the first time.
+    Found,
+    /// It was accepted after so many writes. None where a write may have come after it.
+    Unproven { writes: Option<Writes> },
+    /// All chunks of this version were read back sound after it was accepted.
+    Proven { version: u64 },
     /// A chunk was not sound when it was read back after the order.
     Refuted,
 }
@@ -38,6 +57,8 @@
 pub struct InheritedStatus {
     /// Number of the report. A report with a higher number is the later one.
     pub sequence: u64,
+    /// Version that the engine served.
+    pub version: u64,
     /// Whether the engine was to be sent requests. Agents report so only once a load is proven.
     pub accepts: bool,
 }
@@ -46,13 +67,29 @@
     /// Notes that a chunk is about to be staged. What an engine loaded before can no longer be
     /// proven by what is staged.
     pub fn written(&mut self) {
-        self.writes += 1;
+        self.writes.0 += 1;
+    }
+
+    /// Writes that have begun, to be noted before the engine is asked for a report.
+    pub fn writes(&self) -> Writes {
+        self.writes
     }
 
-    /// Notes that the engine is about to be ordered to load a version. The engine must not hold
-    /// layers of it that were loaded before the last write.
-    pub fn ordered(&mut self, version: u64) {
-        self.doubted.insert(version, Doubt::Ordered { writes: self.writes });
+    /// Takes the count of a report that was asked for after so many writes.
+    pub fn reported(&mut self, asked_after: Writes, count: outstanding::OrderCount) {
+        let standing = match &mut self.seen {
+            Some(seen) if seen.count == count => {
+                seen.writes = seen.writes.max(asked_after);
+                return;
+            }
+            // The order was accepted after the last report. If nothing was written since that was
+            // asked for, what is staged now is what the engine took.
+            Some(seen) => {
+                Standing::Unproven { writes: (seen.writes == self.writes).then_some(self.writes) }
+            }
+            None => Standing::Found,
+        };
+        self.seen = Some(SeenLoad { count, writes: asked_after, standing });
     }
 
     /// Notes what an earlier process of the agent reported of the engine. It may have ended between
@@ -63,35 +100,49 @@
         }
     }
 
-    /// Whether requests may be sent to the engine while it serves a version.
+    /// Whether requests may be sent to the engine while it serves a version by the count reported
+    /// last.
     pub fn may_serve(&self, version: u64) -> bool {
-        !self.doubted.contains_key(&version) && self.inherited.is_none_or(|held| held.accepts)
+        match self.seen.map(|seen| (seen.standing, seen.count.accepted)) {
+            Some((Standing::Proven { version: proven }, _)) => proven == version,
+            // Without any order it holds what it started with.
+            Some((Standing::Found, 0)) => true,
+            Some((Standing::Found, _)) => {
+                self.inherited.is_none_or(|held| held.accepts && held.version == version)
+            }
+            _ => false,
+        }
     }
 
-    /// Whether a version that the engine holds is proven by staged chunks that are all sound now.
-    pub fn is_provable(&self, version: u64) -> bool {
-        match self.doubted.get(&version) {
-            Some(Doubt::Ordered { writes }) => *writes == self.writes,
-            Some(Doubt::Refuted) => false,
-            None => self.writes == 0,
+    /// Whether what the engine loaded is proven by staged chunks that are all sound now.
+    pub fn is_provable(&self) -> bool {
+        match self.seen.map(|seen| seen.standing) {
+            Some(Standing::Found) => self.writes == Writes::default(),
+            Some(Standing::Unproven { writes }) => writes == Some(self.writes),
+            _ => false,
         }
     }
 
-    /// Whether a staged chunk of a version was not sound after the engine was ordered to load it.
-    pub fn is_refuted(&self, version: u64) -> bool {
-        self.doubted.get(&version) == Some(&Doubt::Refuted)
+    /// Whether a staged chunk was not sound after the engine was ordered to load it.
+    pub fn is_refuted(&self) -> bool {
+        self.seen.is_some_and(|seen| seen.standing == Standing::Refuted)
     }
 
-    /// Notes that all staged chunks of a version that the engine holds, and that is provable, were
-    /// read back sound.
+    /// Notes that all staged chunks of a version were read back sound, while what the engine loaded
+    /// was provable.
     pub fn proven(&mut self, version: u64) {
-        self.doubted.retain(|doubted, _| *doubted > version);
-        self.inherited = None;
+        self.change(Standing::Proven { version });
     }
 
-    /// Notes that a staged chunk of a version that the engine holds is not sound. It may have become
-    /// so before or after the engine took it.
-    pub fn refuted(&mut self, version: u64) {
-        self.doubted.insert(version, Doubt::Refuted);
+    /// Notes that a staged chunk of what the engine loaded is not sound. It may have become so before
+    /// or after the engine took it.
+    pub fn refuted(&mut self) {
+        self.change(Standing::Refuted);
+    }
+
+    fn change(&mut self, standing: Standing) {
+        if let Some(seen) = &mut self.seen {
+            seen.standing = standing;
+        }
     }
 }
--- a/ragwortdeal_node/src/fleet/agent.rs
+++ b/ragwortdeal_node/src/fleet/agent.rs
@@ -9,6 +9,7 @@
 mod fetch;
 mod loading;
 mod manifests;
+mod orders;
 mod peers;
 mod probe_responder;
 mod reconciler;
@@ -94,8 +95,6 @@
     voters: sync::OnceLock<voter_links::Voters>,
     engine_status: sync::Mutex<notice::EngineStatus>,
     load_proofs: sync::Mutex<load_proof::LoadProofs>,
-    /// The last order that got no answer, until it is known how it ended.
-    unanswered_order: sync::Mutex<Option<engine::UnansweredOrder>>,
     /// Start time of the engine by its newest announcement.
     engine_born_ms: atomic::AtomicU64,
 }
@@ -130,7 +129,6 @@
         upload_pace: pace::Pace::new(upload_bytes_per_s(settings.fleet.link_mbps)),
         telemetry,
         load_proofs: sync::Mutex::default(),
-        unanswered_order: sync::Mutex::default(),
         voters: sync::OnceLock::new(),
         engine_status: sync::Mutex::new(notice::EngineStatus {
             address: engine,
@@ -272,7 +270,7 @@
         self.dialect.document(&bytes).map_err(|error| error.to_string())
     }
 
-    /// Records the start time of the engine, which its reports do not contain.
+    /// Records the start time of the engine, as it announces or reports it.
     fn record_engine_start(&self, born_ms: u64) {
         let held_ms = self.engine_born_ms.fetch_max(born_ms, atomic::Ordering::Relaxed);
         if held_ms < born_ms {
@@ -360,9 +358,12 @@
         if is_own || held.born_ms != born_ms {
             return;
         }
-        let notice::EngineStatus { sequence, accepts, .. } = *held;
-        log::info!("agent: an earlier process reported accepts={accepts}, number={sequence}");
-        let inherited = load_proof::InheritedStatus { sequence, accepts };
+        let notice::EngineStatus { sequence, version, accepts, .. } = *held;
+        log::info!(
+            "agent: an earlier process reported version={version} accepts={accepts}, \
+             number={sequence}"
+        );
+        let inherited = load_proof::InheritedStatus { sequence, version, accepts };
         self.load_proofs().inherited(inherited);
     }
 
--- a/ragwortdeal_node/src/fleet/agent/engine.rs
+++ b/ragwortdeal_node/src/fleet/agent/engine.rs
@@ -1,9 +1,7 @@
 //! Calls to the engine on this instance.
 
-use std::time;
-
 use bytes::Bytes;
-use ragwortdeal_core::directory;
+use ragwortdeal_core::{directory, orders::outstanding};
 
 use super::{Agent, manifests, peers};
 use crate::{fleet::dialect, http};
@@ -14,14 +12,17 @@
 /// Largest report.
 const REPORT_MAX_BYTES: usize = 256 << 10;
 
+/// Timeout of a write to the stage. Nothing but its answer tells that it will not be carried out
+/// later, so it is waited for as long as an engine may stand still.
+const STAGE_WRITE_TIMEOUT_MS: u64 = 10_000;
+
 /// An order to load weights.
-pub(super) struct LoadOrder<'o> {
-    pub(super) weights: &'o manifests::Weights,
+#[derive(Clone, Debug)]
+pub(super) struct LoadOrder {
+    pub(super) weights: manifests::Weights,
     /// The layers to hold, or all if none are given.
     pub(super) layers: Option<directory::Layers>,
     pub(super) cutover: dialect::Cutover,
-    /// Number of orders that the engine has accepted before.
-    pub(super) orders_accepted: u64,
 }
 
 /// What is staged of a chunk.
@@ -35,15 +36,6 @@
     Unknown,
 }
 
-/// An order that got no answer.
-#[derive(Debug)]
-pub(super) struct UnansweredOrder {
-    version: u64,
-    /// Orders that the engine had accepted before.
-    orders_accepted: u64,
-    sent_at: time::Instant,
-}
-
 impl Agent {
     /// Calls an HTTP server.
     pub(super) async fn call(
@@ -77,28 +69,22 @@
         step: &'static str,
         call: dialect::Call,
         max_bytes: usize,
-    ) -> Option<(u16, Bytes)> {
-        match self.call(step, &self.engine.to_string(), call, max_bytes, CALL_TIMEOUT_MS).await {
-            Ok(answer) => Some(answer),
-            Err(error) => {
-                log::debug!("agent: {error}");
-                None
-            }
-        }
+        timeout_ms: u64,
+    ) -> Result<(u16, Bytes), http::HttpError> {
+        let answer = self.call(step, &self.engine.to_string(), call, max_bytes, timeout_ms).await;
+        answer.inspect_err(|error| log::debug!("agent: {error}"))
     }
 
     /// Asks the engine for its report.
     pub(super) async fn report(&self) -> Option<dialect::EngineReport> {
         let call = self.dialect.report_call();
-        let (status, bytes) = self.call_engine("ask engine", call, REPORT_MAX_BYTES).await?;
+        let answer = self.call_engine("ask engine", call, REPORT_MAX_BYTES, CALL_TIMEOUT_MS).await;
+        let (status, bytes) = answer.ok()?;
         if status != 200 {
             return None;
         }
         match self.dialect.report(&bytes) {
-            Ok(report) => {
-                self.log_late_order(&report);
-                Some(report)
-            }
+            Ok(report) => Some(report),
             Err(error) => {
                 log::warn!("agent: {error}");
                 None
@@ -106,32 +92,36 @@
         }
     }
 
-    /// Logs that an order without an answer was accepted, or lost with the engine.
-    fn log_late_order(&self, report: &dialect::EngineReport) {
-        let mut unanswered = self.unanswered_order.lock().expect("no panic under lock");
-        let ended = |it: &mut UnansweredOrder| it.orders_accepted != report.orders_accepted;
-        let Some(order) = unanswered.take_if(ended) else {
-            return;
-        };
-        let after_ms = order.sent_at.elapsed().as_millis() as u64;
-        log::warn!(
-            version = order.version, expected_orders = order.orders_accepted,
-            orders = report.orders_accepted, held = held_version(report), after_ms;
-            "agent: the engine's count of orders changed after an order without an answer"
-        );
-        self.telemetry.count("agent.orders_accepted_late", 1);
+    /// Asks the engine for its report, and notes which load it tells of.
+    pub(super) async fn observe(&self) -> Option<dialect::EngineReport> {
+        let asked_after = self.load_proofs().writes();
+        let report = self.report().await?;
+        if let Some(born_ms) = report.born_ms {
+            self.record_engine_start(born_ms);
+        }
+        self.load_proofs().reported(asked_after, count_of(&report));
+        Some(report)
     }
 
-    /// Stages a chunk. Returns whether the engine accepted it.
-    pub(super) async fn stage_chunk(&self, model: &str, chunk: u32, bytes: Bytes) -> bool {
+    /// Stages a chunk, while no order can be accepted. Returns whether the engine accepted it.
+    pub(super) async fn stage_chunk(
+        &self,
+        _settled: &outstanding::Settled,
+        model: &str,
+        chunk: u32,
+        bytes: Bytes,
+    ) -> bool {
         self.load_proofs().written();
         let call = self.dialect.stage_call(model, chunk, bytes);
-        let answer = self.call_engine("stage chunk", call, REPORT_MAX_BYTES).await;
-        if answer.is_none() {
-            log::warn!(chunk; "agent: no answer to a write to the stage");
-            self.telemetry.count("agent.stage_writes_unanswered", 1);
+        let timeout_ms = STAGE_WRITE_TIMEOUT_MS;
+        match self.call_engine("stage chunk", call, REPORT_MAX_BYTES, timeout_ms).await {
+            Ok((status, _)) => (200..300).contains(&status),
+            Err(error) => {
+                log::warn!(chunk, reason:% = error; "agent: no answer to a write to the stage");
+                self.telemetry.count("agent.stage_writes_unanswered", 1);
+                false
+            }
         }
-        answer.is_some_and(|(status, _)| (200..300).contains(&status))
     }
 
     /// Reads a staged chunk back.
@@ -142,40 +132,39 @@
         max_bytes: usize,
     ) -> StagedChunk {
         let call = self.dialect.read_staged_call(model, chunk);
-        let engine = self.engine.to_string();
-        let step = "read staged chunk";
-        match self.call(step, &engine, call, max_bytes, CALL_TIMEOUT_MS).await {
+        let answer = self.call_engine("read staged chunk", call, max_bytes, CALL_TIMEOUT_MS).await;
+        match answer {
             Ok((200, bytes)) => StagedChunk::Bytes(bytes),
             Ok((500.., _)) => StagedChunk::Unknown,
             Ok(_) => StagedChunk::Unusable,
             Err(error @ http::HttpError::BadAnswer { .. }) if !error.is_late() => {
                 StagedChunk::Unusable
             }
-            Err(error) => {
-                log::debug!("agent: {error}");
-                StagedChunk::Unknown
-            }
+            Err(_) => StagedChunk::Unknown,
         }
     }
 
-    /// Orders the engine to load what is staged. Returns the status, or none if no answer came: the
-    /// order may have been accepted all the same.
-    pub(super) async fn order_load(&self, order: &LoadOrder<'_>) -> Option<u16> {
-        let LoadOrder { weights, layers, cutover, orders_accepted } = *order;
+    /// Sends an order to load what is staged, which the engine accepts only at this count of orders.
+    /// Returns the status, or none if no answer came: the order may still be accepted.
+    pub(super) async fn send_order(
+        &self,
+        order: &LoadOrder,
+        expected: outstanding::OrderCount,
+    ) -> Option<u16> {
+        let LoadOrder { weights, layers, cutover } = order;
         let manifests::Weights { model, version } = weights;
-        let call = self.dialect.load_call(model, *version, layers, cutover, Some(orders_accepted));
-        let sent_at = time::Instant::now();
-        let answer = self.call_engine("order load", call, REPORT_MAX_BYTES).await;
-        if answer.is_none() {
-            log::warn!(
-                version = *version, expected_orders = orders_accepted;
-                "agent: no answer to an order"
-            );
-            self.telemetry.count("agent.orders_unanswered", 1);
-            let order = UnansweredOrder { version: *version, orders_accepted, sent_at };
-            *self.unanswered_order.lock().expect("no panic under lock") = Some(order);
-        }
-        answer.map(|(status, _)| status)
+        let expected = Some(expected.accepted);
+        let call = self.dialect.load_call(model, *version, *layers, *cutover, expected);
+        let answer = self.call_engine("order load", call, REPORT_MAX_BYTES, CALL_TIMEOUT_MS).await;
+        answer.ok().map(|(status, _)| status)
+    }
+}
+
+/// The count of orders in a report.
+pub(super) fn count_of(report: &dialect::EngineReport) -> outstanding::OrderCount {
+    outstanding::OrderCount {
+        born_ms: report.born_ms.unwrap_or(0),
+        accepted: report.orders_accepted,
     }
 }
 
--- a/ragwortdeal_node/src/fleet/agent/loading.rs
+++ b/ragwortdeal_node/src/fleet/agent/loading.rs
@@ -5,9 +5,9 @@
 use std::time;
 
 use bytes::Bytes;
-use ragwortdeal_core::{directory, spread::manifest};
+use ragwortdeal_core::{directory, orders::outstanding, spread::manifest};
 
-use super::{Agent, engine, manifests, spread};
+use super::{Agent, engine, manifests, orders, spread};
 use crate::fleet::dialect;
 
 /// Interval between two reports while the engine loads.
@@ -24,9 +24,6 @@
 /// Longest time to wait for one order. An engine finishes its answers first.
 const LOAD_TIMEOUT: time::Duration = time::Duration::from_secs(12);
 
-/// How long an order whose answer was lost is looked for in the engine's count of orders.
-const ACCEPTANCE_TIMEOUT: time::Duration = time::Duration::from_millis(150);
-
 /// How often a staged chunk is staged again before the order is postponed.
 const STAGE_RETRIES_MAX: u32 = 3;
 
@@ -91,7 +88,7 @@
             if serving > 0 && proofs.may_serve(serving) {
                 return Proof::Sound;
             }
-            if serving == 0 || !proofs.is_provable(serving) {
+            if serving == 0 || !proofs.is_provable() {
                 return Proof::Unproven;
             }
         }
@@ -106,6 +103,8 @@
     /// staged chunks can become corrupt before the engine takes them.
     pub(super) async fn switch(
         &self,
+        orders: &mut orders::OrderBook,
+        settled: outstanding::Settled,
         complete: &spread::CompleteVersion,
         report: &dialect::EngineReport,
     ) {
@@ -113,10 +112,14 @@
         // Layers of the same version would stay as they were taken, and an order for a version
         // that the engine holds changes nothing.
         let reloads = holds(report, weights);
-        if reloads && !self.discard(weights, DISCARD_FIRST).await {
+        let settled = match reloads {
+            true => self.discard(orders, settled, weights, DISCARD_FIRST).await,
+            false => Some(settled),
+        };
+        let Some(settled) = settled else {
             return;
-        }
-        let Some(mut read_at) = self.verify_staged(complete).await else {
+        };
+        let Some(mut read_at) = self.verify_staged(&settled, complete).await else {
             log::warn!("agent: {weights:?} is not whole where it is staged, tried again");
             return;
         };
@@ -134,16 +137,21 @@
                 return;
             }
             read_backs += 1;
-            let Some(again_at) = self.verify_staged(complete).await else {
+            let Some(again_at) = self.verify_staged(&settled, complete).await else {
                 return;
             };
             read_at = again_at;
         }
-        if reloads && !self.discard(weights, DISCARD_SECOND).await {
+        let settled = match reloads {
+            true => self.discard(orders, settled, weights, DISCARD_SECOND).await,
+            false => Some(settled),
+        };
+        let Some(settled) = settled else {
             return;
-        }
+        };
         let begun = time::Instant::now();
-        if self.load(weights, reloads, read_at).await
+        if self.load(orders, settled, weights, read_at).await
+            && self.observe().await.is_some()
             && self.prove_load(complete).await == Proof::Sound
         {
             self.await_load(weights).await;
@@ -151,30 +159,32 @@
         }
     }
 
-    /// Orders the engine to load all layers. Returns whether it accepted the order after the last
-    /// write to what is staged.
+    /// Orders the engine to load all layers. Returns whether it accepted the order.
     async fn load(
         &self,
+        orders: &mut orders::OrderBook,
+        settled: outstanding::Settled,
         weights: &manifests::Weights,
-        reloads: bool,
         read_at: time::Instant,
     ) -> bool {
-        // An order of an earlier round, whose answer was lost, shows here if the engine accepted it
-        // before the chunks were verified.
-        let Some(report) = self.report().await else {
+        // After the last write to the stage: what is accepted from here on takes what was read back.
+        let Some(report) = self.observe().await else {
             return false;
         };
-        if report.busy || (!reloads && holds(&report, weights)) {
+        if report.busy || engine::count_of(&report) != settled.count() {
+            let (expected_orders, found) = (settled.count().accepted, report.orders_accepted);
+            log::warn!(
+                expected_orders, orders = found, busy = report.busy;
+                "agent: the engine accepted an order of an earlier process of this agent"
+            );
             return false;
         }
-        self.load_proofs().ordered(weights.version);
         let order = engine::LoadOrder {
-            weights,
+            weights: weights.clone(),
             layers: None,
             cutover: dialect::Cutover::Abort,
-            orders_accepted: report.orders_accepted,
         };
-        let accepted = self.order_accepted(&order).await;
+        let accepted = self.give(orders, settled, order).await;
         let read_back_age_ms = read_at.elapsed().as_millis() as u64;
         log::info!(
             accepted, read_back_age_ms, expected_orders = report.orders_accepted,
@@ -184,46 +194,30 @@
         accepted
     }
 
-    /// Orders the engine to hold a part of the layers only, and waits until it does.
-    async fn discard(&self, weights: &manifests::Weights, layers: directory::Layers) -> bool {
+    /// Orders the engine to hold a part of the layers only, and waits until it does. Returns
+    /// permission for the next step.
+    async fn discard(
+        &self,
+        orders: &mut orders::OrderBook,
+        settled: outstanding::Settled,
+        weights: &manifests::Weights,
+        layers: directory::Layers,
+    ) -> Option<outstanding::Settled> {
         if self.layers() < DISCARD_SECOND.to {
             log::error!("agent: {weights:?} has too few layers to load them anew");
-            return false;
+            return None;
         }
-        let Some(report) = self.report().await.filter(|report| !report.busy) else {
-            return false;
-        };
         log::warn!("agent: the engine is ordered to hold layers {layers:?} of {weights:?} only");
         let order = engine::LoadOrder {
-            weights,
+            weights: weights.clone(),
             layers: Some(layers),
             cutover: dialect::Cutover::Abort,
-            orders_accepted: report.orders_accepted,
         };
-        self.order_accepted(&order).await && self.await_idle().await.is_some()
-    }
-
-    /// Sends an order. Returns whether the engine accepted it.
-    async fn order_accepted(&self, order: &engine::LoadOrder<'_>) -> bool {
-        match self.order_load(order).await {
-            Some(status) => (200..300).contains(&status),
-            None => self.counts_order(order.orders_accepted).await,
-        }
-    }
-
-    /// Whether the engine has accepted an order beyond the first `orders_accepted`.
-    async fn counts_order(&self, orders_accepted: u64) -> bool {
-        let begun = time::Instant::now();
-        loop {
-            let report = self.report().await;
-            if report.is_some_and(|it| it.busy || it.orders_accepted != orders_accepted) {
-                return true;
-            }
-            if begun.elapsed() > ACCEPTANCE_TIMEOUT {
-                return false;
-            }
-            tokio::time::sleep(LOADING_POLL_INTERVAL).await;
+        if !self.give(orders, settled, order).await {
+            return None;
         }
+        let report = self.await_idle().await?;
+        self.settle(orders, &report)
     }
 
     /// Waits for running requests to end, up to a limit. If the time of the weights is nearly up it
@@ -232,7 +226,7 @@
         let begun = time::Instant::now();
         while begun.elapsed() < DRAIN_MAX && !self.must_withdraw(weights, weights.version) {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-            let report = self.report().await;
+            let report = self.observe().await;
             if report.is_some_and(|report| report.running + report.waiting == 0) {
                 return;
             }
@@ -241,7 +235,11 @@
 
     /// Reads all staged chunks back, and stages those again that are missing or corrupt. Returns
     /// the time of the first read.
-    async fn verify_staged(&self, complete: &spread::CompleteVersion) -> Option<time::Instant> {
+    async fn verify_staged(
+        &self,
+        settled: &outstanding::Settled,
+        complete: &spread::CompleteVersion,
+    ) -> Option<time::Instant> {
         let spread::CompleteVersion { weights, bytes, .. } = complete;
         let begun = time::Instant::now();
         for (&chunk, bytes) in bytes {
@@ -257,7 +255,7 @@
                     log::warn!("agent: chunk {chunk} of {weights:?} cannot be staged");
                     return None;
                 }
-                self.stage_chunk(&weights.model, chunk, bytes.clone()).await;
+                self.stage_chunk(settled, &weights.model, chunk, bytes.clone()).await;
             }
         }
         Some(begun)
@@ -279,6 +277,9 @@
     /// that it took them sound.
     async fn prove_load(&self, complete: &spread::CompleteVersion) -> Proof {
         let weights = &complete.weights;
+        if !self.load_proofs().is_provable() {
+            return Proof::Unproven;
+        }
         for &chunk in complete.bytes.keys() {
             let mut tries = 0;
             loop {
@@ -293,7 +294,7 @@
                          engine is ordered to load it again"
                     );
                     self.telemetry.count("agent.loads_refuted", 1);
-                    self.load_proofs().refuted(weights.version);
+                    self.load_proofs().refuted();
                     return Proof::Unproven;
                 }
             }
@@ -307,7 +308,7 @@
     async fn await_load(&self, weights: &manifests::Weights) {
         if let Some(report) = self.await_idle().await {
             let serving = self.serving_version(&report, &weights.model);
-            if serving == weights.version {
+            if serving == weights.version && self.load_proofs().may_serve(serving) {
                 self.report_status(serving, true);
             }
         }
@@ -317,7 +318,7 @@
     async fn await_idle(&self) -> Option<dialect::EngineReport> {
         let begun = time::Instant::now();
         while begun.elapsed() < LOAD_TIMEOUT {
-            if let Some(report) = self.report().await.filter(|report| !report.busy) {
+            if let Some(report) = self.observe().await.filter(|report| !report.busy) {
                 return Some(report);
             }
             tokio::time::sleep(LOADING_POLL_INTERVAL).await;
--- a/ragwortdeal_node/src/fleet/agent/reconciler.rs
+++ b/ragwortdeal_node/src/fleet/agent/reconciler.rs
@@ -5,9 +5,12 @@
 
 use std::{sync, time};
 
-use ragwortdeal_core::{directory, orders::switch_schedule};
+use ragwortdeal_core::{
+    directory,
+    orders::{outstanding, switch_schedule},
+};
 
-use super::{Agent, engine, loading, manifests, spread};
+use super::{Agent, engine, loading, manifests, orders, spread};
 use crate::fleet::dialect;
 
 /// Interval between two rounds while there is nothing to do.
@@ -19,12 +22,20 @@
 /// Version that engines hold before any is named.
 const FIRST_VERSION: u64 = 1;
 
+/// What the loop remembers between two rounds.
+#[derive(Debug, Default)]
+struct Memory {
+    orders: orders::OrderBook,
+    /// Versions for which it was last logged that the engine does not serve the newer one in time.
+    logged_overdue: Option<(u64, u64)>,
+}
+
 /// Reconciles the engine for as long as the process runs.
 pub(super) async fn run(agent: sync::Arc<Agent>) {
     let mut changes = agent.voter_state.subscribe();
-    let mut logged_overdue = None;
+    let mut memory = Memory::default();
     loop {
-        agent.reconcile(&mut logged_overdue).await;
+        agent.reconcile(&mut memory).await;
         tokio::select! {
             () = tokio::time::sleep(IDLE_INTERVAL) => (),
             () = agent.spread.wait_complete() => (),
@@ -44,16 +55,23 @@
         Some(manifests::Weights { model, version })
     }
 
-    /// Takes the next step. `logged_overdue` holds the versions for which it was last logged that
-    /// the engine does not serve the newer one in time.
-    async fn reconcile(self: &sync::Arc<Self>, logged_overdue: &mut Option<(u64, u64)>) {
+    /// Takes the next step.
+    async fn reconcile(self: &sync::Arc<Self>, memory: &mut Memory) {
         let Some(weights) = self.intended() else {
             return;
         };
-        let Some(report) = self.report().await else {
+        let Some(report) = self.observe().await else {
             return;
         };
         let serving = self.serving_version(&report, &weights.model);
+        let Some(settled) = self.settle(&mut memory.orders, &report) else {
+            // The order may be accepted between this report and the next one.
+            self.report_status(serving, false);
+            if !report.busy {
+                self.repeat(&mut memory.orders).await;
+            }
+            return;
+        };
         if report.busy {
             return;
         }
@@ -63,15 +81,15 @@
         if self.spread.manifest_file(&weights).is_none() || self.spread.suspects_manifest() {
             tokio::spawn(self.clone().start_fetch(weights.clone(), serving));
         }
-        self.log_overdue(&weights, serving, logged_overdue);
+        self.log_overdue(&weights, serving, &mut memory.logged_overdue);
         if proof == loading::Proof::Unanswered {
             // Loading anew would be one more order to an engine that does not answer.
             return;
         }
         if let Some(complete) = self.version_to_load(&weights, proven) {
-            self.switch(&complete, &report).await;
-        } else if self.must_withdraw(&weights, serving) || self.load_proofs().is_refuted(serving) {
-            self.withdraw(&weights, serving, &report).await;
+            self.switch(&mut memory.orders, settled, &complete, &report).await;
+        } else if self.must_withdraw(&weights, serving) || self.load_proofs().is_refuted() {
+            self.withdraw(&mut memory.orders, settled, &weights, serving).await;
         }
     }
 
@@ -107,25 +125,25 @@
     /// rejects new requests, until it is ordered to load weights that may be served.
     async fn withdraw(
         &self,
+        orders: &mut orders::OrderBook,
+        settled: outstanding::Settled,
         newest: &manifests::Weights,
         serving: u64,
-        report: &dialect::EngineReport,
     ) {
         self.report_status(serving, false);
         let weights = manifests::Weights { model: newest.model.clone(), version: serving };
         let order = engine::LoadOrder {
-            weights: &weights,
+            weights: weights.clone(),
             layers: Some(WITHDRAWN_LAYERS),
             cutover: dialect::Cutover::Drain,
-            orders_accepted: report.orders_accepted,
         };
-        let why = match self.load_proofs().is_refuted(serving) {
+        let why = match self.load_proofs().is_refuted() {
             true => "weights that may be corrupt",
             false => "superseded weights",
         };
-        let status = self.order_load(&order).await;
+        let accepted = self.give(orders, settled, order).await;
         log::warn!(
-            model = &*weights.model, version = serving, newest = newest.version, status:?;
+            model = &*weights.model, version = serving, newest = newest.version, accepted;
             "agent: the engine is ordered to stop serving {why}"
         );
         self.telemetry.count("agent.withdrawals", 1);
--- a/ragwortdeal_node/src/fleet/dialect.rs
+++ b/ragwortdeal_node/src/fleet/dialect.rs
@@ -133,6 +133,8 @@
 /// Report of an engine about itself.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct EngineReport {
+    /// Start of the engine in Unix milliseconds, if it tells.
+    pub born_ms: Option<u64>,
     /// Models that it serves.
     pub held: Vec<directory::ServedModel>,
     /// Layers that it holds of them, or none if it does not report them.
