Play fleets of silent engines that start empty or whose agents are killed

Engines that are added start empty and are ordered at once: now every second one does, nine in ten orders begin a silence, and two cases more let chunks become corrupt as orders are accepted, and kill agents.

--- a/ragwortdeal_node/tests/fleet_silent_engines.rs
+++ b/ragwortdeal_node/tests/fleet_silent_engines.rs
@@ -38,12 +38,21 @@
 
 impl Fleet {
     async fn start() -> Self {
+        let fleet = Self::start_on(1).await;
+        fleet.until_served_with(1).await;
+        fleet
+    }
+
+    /// Starts a fleet whose engine holds this version, 0 for none.
+    async fn start_on(version: u64) -> Self {
         let world = sync::Arc::new(World::new(&DIALECT, 1));
         let voter = world.voter(1, true).await;
         let origin = Origin::start(world.upstream(9)).await;
         world.install(&world.document(1, Some(&origin))).await;
-        let engine = world.engine(ENGINE, "models", 1).await;
-        engine.stage_all(&origin::chunks(1));
+        let engine = world.engine(ENGINE, "models", version).await;
+        if version > 0 {
+            engine.stage_all(&origin::chunks(version));
+        }
         let agent = Some(world.agent(ENGINE).await);
         let entry = world.entry(ENTRY).await;
         world.ready(ENTRY).await;
@@ -51,9 +60,7 @@
         tasks.spawn(announce(world.clone(), engine.clone()));
         tasks.spawn(ask(world.clone()));
         let processes = vec![voter, entry];
-        let fleet = Self { world, engine, agent, tasks, _origin: origin, _processes: processes };
-        fleet.until_served_with(1).await;
-        fleet
+        Self { world, engine, agent, tasks, _origin: origin, _processes: processes }
     }
 
     async fn name(&self, version: u64) {
@@ -267,17 +274,29 @@
     world::until("the entry serves", async || reported.ask(12).await == 200).await;
 }
 
+/// Versions that are named, one after the other.
+const VERSIONS: u64 = 13;
+
 /// Pause between two namings.
 const NAMINGS: std::ops::Range<u64> = 300..1_200;
 
+/// What happens beside the silence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Beside {
+    Nothing,
+    /// A staged chunk becomes corrupt as the engine accepts an order.
+    CorruptChunks,
+    /// The agent is killed and starts again.
+    KilledAgents,
+}
+
 macro_rules! spells {
-    ($($case:ident: seeds = $seeds:expr;)*) => {$(
-        /// Guards against weights that are served unproven, among engines that fall silent as they
-        /// get an order or a write to their stage.
+    ($(#[doc = $guards:literal] $case:ident: $beside:ident, seeds = $seeds:expr;)*) => {$(
+        #[doc = $guards]
         #[googletest::test]
         #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
         async fn $case() {
-            let plays = future::join_all($seeds.map(play)).await;
+            let plays = future::join_all($seeds.map(|seed| play(seed, Beside::$beside))).await;
             let mixed: Vec<_> = plays.into_iter().flatten().collect();
             expect_that!(mixed, is_empty());
         }
@@ -285,28 +304,43 @@
 }
 
 spells! {
-    engines_that_fall_silent_serve_no_mixed_weights: seeds = (1..=6);
+    /// Guards against orders and writes to the stage that are carried out late, in any order.
+    engines_that_fall_silent_serve_no_mixed_weights: Nothing, seeds = (1..=6);
+    /// Guards against corrupt chunks that an order takes which is accepted late.
+    engines_that_fall_silent_serve_no_corrupt_weights: CorruptChunks, seeds = (11..=16);
+    /// Guards against late orders of agents that are gone.
+    engines_whose_agents_are_killed_serve_no_mixed_weights: KilledAgents, seeds = (21..=26);
 }
 
 /// Names a dozen versions while an engine falls silent again and again. Returns what ran on mixed
 /// weights.
-async fn play(seed: u64) -> Vec<String> {
-    let fleet = Fleet::start().await;
+async fn play(seed: u64, beside: Beside) -> Vec<String> {
+    // Engines that are added start empty.
+    let mut fleet = Fleet::start_on(seed % 2).await;
     let spells = engine::Spells {
         seed,
-        on_orders: 0.5,
+        on_orders: 0.9,
         on_writes: 0.05,
         lasts: time::Duration::from_millis(1_000)..time::Duration::from_millis(1_300),
     };
     fleet.engine.fall_silent(Some(spells));
-    for version in 2..14 {
+    for version in 2..=VERSIONS {
         fleet.name(version).await;
+        match beside {
+            Beside::CorruptChunks => {
+                fleet.engine.rot_at_next_order(version as u32 % origin::CHUNKS)
+            }
+            Beside::KilledAgents if version % 2 == 0 => {
+                fleet.agent.take().expect("a running agent").kill().await;
+                fleet.agent = Some(fleet.world.agent(ENGINE).await);
+            }
+            Beside::Nothing | Beside::KilledAgents => (),
+        }
         let pause_ms = NAMINGS.start + seed * 97 * version % (NAMINGS.end - NAMINGS.start);
         tokio::time::sleep(time::Duration::from_millis(pause_ms)).await;
     }
-    tokio::time::sleep(time::Duration::from_secs(3)).await;
     fleet.engine.fall_silent(None);
-    fleet.until_served_with(13).await;
+    fleet.until_served_with(VERSIONS).await;
     let mixed = fleet.ran_on_mixed_weights();
     fleet.end().await;
     mixed
