Forget the refusal of a repeat by a busy engine, give no second order

A repeat of an order that a busy engine refused counted as the refusal of the order itself once the engine was idle, though it had been refused for being busy alone; the order could still be accepted. Two permissions, of two reports, gave two orders, of which the later displaced the one that was outstanding. Neither was seen outside of tests: a load that is accepted later is proven anew by its count.

Both cases failed before ("Refused" in place of none; the second order is given). A busy report ends the refusal, and an order is given only while none is outstanding.

--- a/ragwortdeal_core/src/orders/outstanding.rs
+++ b/ragwortdeal_core/src/orders/outstanding.rs
@@ -26,8 +26,9 @@
     }
 }
 
-/// Permission to change what is staged, and to give one order: no order that was given before can be
-/// accepted any more.
+/// Permission to change what is staged, and to give one order: no order that this process gave before
+/// can be accepted any more. An order of an earlier process may be; it is another load then, and has
+/// to be proven anew ([`super::load_proof`]).
 ///
 /// ```compile_fail
 /// use ragwortdeal_core::orders::outstanding;
@@ -141,14 +142,20 @@
             // An engine that carries out an order refuses others for as long.
             End::Refused
         } else {
-            self.outstanding = Some(outstanding);
+            // An engine that was busy may have refused the repeat for that alone.
+            let repeat_refused = false;
+            self.outstanding = Some(Outstanding { repeat_refused, ..outstanding });
             return (None, None);
         };
         settled(Some(outstanding.end(end)))
     }
 
-    /// Notes that an order is about to be sent, and returns the count that it has to expect.
-    pub fn give(&mut self, settled: Settled, order: O, now_ms: u64) -> OrderCount {
+    /// Notes that an order is about to be sent, and returns the count that it has to expect. Returns
+    /// none while another order is outstanding, which was given after this permission.
+    pub fn give(&mut self, settled: Settled, order: O, now_ms: u64) -> Option<OrderCount> {
+        if self.outstanding.is_some() {
+            return None;
+        }
         let expected = settled.count;
         self.outstanding = Some(Outstanding {
             order,
@@ -157,7 +164,7 @@
             repeats: 0,
             repeat_refused: false,
         });
-        expected
+        Some(expected)
     }
 
     /// The outstanding order and the count that it expects, to be sent once more as it is: whichever
--- a/ragwortdeal_core/tests/orders_outstanding.rs
+++ b/ragwortdeal_core/tests/orders_outstanding.rs
@@ -26,7 +26,7 @@
     let mut orders = OrderBook::default();
     let (settled, _) = orders.report(count(BORN_MS, 3), false);
     let settled = settled.expect("nothing is outstanding at first");
-    assert_eq!(orders.give(settled, "order", 0), count(BORN_MS, 3));
+    assert_eq!(orders.give(settled, "order", 0), Some(count(BORN_MS, 3)));
     let mut end = None;
     for step in steps {
         let ended = match *step {
@@ -79,6 +79,10 @@
     // Guards against a refusal that only tells that the engine carries out an earlier order.
     a_refusal_by_a_busy_engine_settles_nothing:
         [Answered(None), Repeat, Answered(Some(409)), Report(BORN_MS, 3, true)], None;
+    // Guards against a refusal for being busy that is taken for one of the order once it is idle.
+    a_refusal_by_a_busy_engine_settles_nothing_once_it_is_idle:
+        [Answered(None), Repeat, Answered(Some(409)), Report(BORN_MS, 3, true), Report(BORN_MS, 3, false)],
+        None;
     a_later_repeat_forgets_the_refusal_of_an_earlier_one:
         [Answered(None), Repeat, Answered(Some(409)), Repeat, Answered(None), Report(BORN_MS, 3, false)],
         None;
@@ -88,3 +92,16 @@
         [Answered(None), Report(BORN_MS + 1, 3, false)], Some(End::EngineRestarted);
     an_unknown_start_shows_nothing: [Answered(None), Report(0, 3, false)], None;
 }
+
+/// Guards against a permission that outlives the next order.
+#[googletest::test]
+fn a_second_permission_gives_no_second_order() {
+    let mut orders = OrderBook::default();
+    let (first, _) = orders.report(count(BORN_MS, 3), false);
+    let (second, _) = orders.report(count(BORN_MS, 3), false);
+    let mut give =
+        |settled: Option<_>, order| orders.give(settled.expect("nothing is outstanding"), order, 0);
+    expect_that!(give(first, "one"), some(eq(count(BORN_MS, 3))));
+    expect_that!(give(second, "another"), none());
+    expect_that!(orders.repeat().map(|(order, _)| order), some(eq("one")));
+}
--- a/ragwortdeal_node/src/fleet/agent/orders.rs
+++ b/ragwortdeal_node/src/fleet/agent/orders.rs
@@ -30,7 +30,9 @@
         settled: outstanding::Settled,
         order: engine::LoadOrder,
     ) -> bool {
-        let expected = orders.give(settled, order.clone(), self.clock.now_ms());
+        let Some(expected) = orders.give(settled, order.clone(), self.clock.now_ms()) else {
+            return false;
+        };
         let status = self.send_order(&order, expected).await;
         self.take_answer(orders, status, &order, expected)
     }
