Take announced weights for proven only in their first version

What callers saw: requests on weights that no agent had proven, where an entry had started and knew no report of the agent: one to three in the moment until it came after voter and entry had restarted, all of them where the agent was gone.

Cause: an entry that knows no report goes by what the engine announces, and a voter sent the upstreams to an entry that subscribes before the reports.

Change: without a report an announced version counts only if it is the first one, with which engines may start; a higher one was ordered by an agent. A voter sends reports first.

an_entry_without_reports_sends_nothing_to_ordered_weights and an_entry_that_starts_with_its_voter_sends_nothing_to_unproven_weights failed before. The first version loaded by order at an engine that started empty remains, as announcements do not tell the count of orders.

--- a/ragwortdeal_node/src/fleet/entry/upstreams/weights.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/weights.rs
@@ -1,6 +1,6 @@
 //! Which weights upstreams serve, and which of them may still be used.
 
-use ragwortdeal_core::{directory, dispatch::cutoff};
+use ragwortdeal_core::{directory, dispatch::cutoff, document::naming};
 
 use super::Upstreams;
 
@@ -14,7 +14,8 @@
     ///
     /// An agent reports a version once it has proven it, so its word counts alone: an engine that
     /// accepted an order late, or started again, announces weights before its agent knows of them.
-    /// What an engine announces counts where no agent has ever reported on it.
+    /// What an engine announces counts where this entry knows no report on it, and for the first
+    /// version alone: no engine starts with a higher one, so an agent has ordered it to load that.
     pub(super) fn version_of(&self, announcement: &directory::Announcement) -> Option<u64> {
         let layers = self.layers.get(&announcement.service).copied().unwrap_or(0);
         let whole = announcement.layers.is_none_or(|held| held.covers_all(layers));
@@ -26,7 +27,7 @@
                 let is_current = announced.is_none_or(|announced| announced <= agent.version);
                 (is_of_process && agent.accepts && is_current).then_some(agent.version)
             }
-            None => announced,
+            None => announced.filter(|announced| *announced <= naming::FIRST_VERSION),
         };
         version.filter(|version| *version > 0)
     }
--- a/ragwortdeal_node/src/voter/fleet/hub.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -468,17 +468,18 @@
         let push = |notice: &notice::Notice| _ = follower.session.push(notice::encode(notice));
         push(&notice::Notice::Namings(self.named.export(now_ms)));
         push(&notice::Notice::Voters(self.voters.clone()));
-        if !is_agent {
-            push(&notice::Notice::Upstreams(upstreams().cloned().collect()));
-        }
         match follower.session.hello.role.as_str() {
             "agent" => push(&notice::Notice::Agents(self.agents.values().cloned().collect())),
             "entry" => {
                 push(&notice::Notice::Entries(entries));
+                // Before the upstreams: an entry goes by what engines announce until it has these.
                 push(&notice::Notice::EngineStatuses(self.serves.values().cloned().collect()));
             }
             _ => (),
         }
+        if !is_agent {
+            push(&notice::Notice::Upstreams(upstreams().cloned().collect()));
+        }
     }
 }
 
--- a/ragwortdeal_node/tests/fleet_sound_loads.rs
+++ b/ragwortdeal_node/tests/fleet_sound_loads.rs
@@ -23,7 +23,7 @@
     engine: sync::Arc<engine::Engine>,
     agent: Option<Process>,
     voter: Option<Process>,
-    _entry: Process,
+    entry: Option<Process>,
     _origin: sync::Arc<Origin>,
 }
 
@@ -38,8 +38,8 @@
         let agent = Some(world.agent(ENGINE).await);
         let entry = world.entry(ENTRY).await;
         world.ready(ENTRY).await;
-        let voter = Some(voter);
-        Self { world, engine, agent, voter, _entry: entry, _origin: origin }
+        let (voter, entry) = (Some(voter), Some(entry));
+        Self { world, engine, agent, voter, entry, _origin: origin }
     }
 
     /// Starts a fleet whose engine has just loaded a corrupt chunk of version 2, which the agent
@@ -64,6 +64,20 @@
         self.voter = Some(self.world.voter(1, false).await);
     }
 
+    async fn restart_entry(&mut self) {
+        self.entry.take().expect("a running entry").kill().await;
+        self.entry = Some(self.world.entry(ENTRY).await);
+    }
+
+    /// Sends so many requests, some of which may get no answer in time.
+    async fn ask_often(&self, requests: u32) {
+        for number in 0..requests {
+            let id = format!("often-{number}");
+            let _ = tokio::time::timeout(time::Duration::from_millis(500), self.ask(&id)).await;
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+    }
+
     async fn ask(&self, id: &str) -> u16 {
         let ask = Ask::new("POST", "/stream/one", id);
         ask.answer(self.world.callers(ENTRY)).await.status
@@ -171,3 +185,33 @@
     expect_that!(fleet.ran_on_sound_chunks(), eq(true));
     expect_that!(fleet.engine.loaded().last(), some(eq(&origin::hashes(2))));
 }
+
+/// Guards against requests by an entry that knows no agent's report, to weights that an engine
+/// announces.
+#[googletest::test]
+#[tokio::test]
+async fn an_entry_without_reports_sends_nothing_to_ordered_weights() {
+    let mut fleet = Fleet::loaded_corrupt().await;
+    fleet.kill_agent().await;
+    fleet.restart_voter().await;
+    fleet.restart_entry().await;
+    fleet.world.announce(&fleet.engine, "models", "ready", 2).await;
+    fleet.world.ready(ENTRY).await;
+    fleet.ask_often(40).await;
+    expect_that!(fleet.ran_on_sound_chunks(), eq(true));
+}
+
+/// Guards against requests in the time in which an entry knows what an engine announces, and not yet
+/// what its agent reports.
+#[googletest::test]
+#[tokio::test]
+async fn an_entry_that_starts_with_its_voter_sends_nothing_to_unproven_weights() {
+    let mut fleet = Fleet::loaded_corrupt().await;
+    for round in 0..4 {
+        fleet.restart_voter().await;
+        fleet.restart_entry().await;
+        fleet.world.announce(&fleet.engine, "models", "ready", 2 + round).await;
+        fleet.ask_often(40).await;
+    }
+    expect_that!(fleet.ran_on_sound_chunks(), eq(true));
+}
