Show a change that an entry may have taken as unknown

What operators saw: a change whose answer was lost at one entry ended with exit code 1 and the error of the next entry, such as a refused connect or "did-not-run", or with a malformed answer. Scripts took it for a change that was not made. The identifier that ragwortctl had drawn, without which nobody can send the same change again, was not printed.

Cause: the attempts at the entries shared one result, and the last one counted. An error that says that an attempt did not run says nothing of the attempt before it.

Change: an attempt tells that the change is settled, that the attempt was not taken, or that it may have been. Once one may have been taken, only an answer that accepts or refuses this change settles it; the other entries are asked, all of them up to three times as before, and the outcome is unknown otherwise (exit code 4). The answer names the options that send the same change again, also as JSON. Where nothing is in doubt, an entry's error still ends the attempts at once. With an entry that stays silent the outcome is told after three times its 10 s, no longer after one.

Why it works: the voters decide an identifier once, so their decision on any of the attempts is the one on all of them, and nothing else ends the doubt.

--- a/ragwortctl/src/client.rs
+++ b/ragwortctl/src/client.rs
@@ -51,6 +51,16 @@
     bytes: bytes::Bytes,
 }
 
+/// What an attempt at a change tells of it.
+enum Told {
+    /// What became of the change.
+    Settled(wire::ChangeAnswer),
+    /// The entry did not take this attempt, for this reason.
+    NotTaken(ClientError),
+    /// The entry may have taken the change, and this kept it from telling.
+    MayBeTaken(String),
+}
+
 impl Client {
     /// Makes a client of these entries.
     pub fn new(entries: Vec<net::SocketAddr>, token: String) -> Self {
@@ -71,49 +81,108 @@
         read(self.send("POST", path, body).await?)
     }
 
-    /// Sends a change until it is decided, always with the same identifier.
+    /// Sends a change until it is decided, always with the same identifier. Once an entry may have
+    /// taken it, another one that did not take it says nothing of the outcome.
     pub async fn change(&self, change: &wire::Change) -> Result<wire::ChangeAnswer, ClientError> {
         let body = serde_json::to_vec(change).context(MalformedSnafu)?;
-        let mut last = None;
+        let (mut doubt, mut failure) = (None, None);
         for _ in 0..ROUNDS {
-            let answered = self.send("POST", "/api/changes", body.clone()).await?;
-            match serde_json::from_slice::<wire::ChangeAnswer>(&answered.bytes) {
-                Ok(answer) if answer.outcome == wire::ChangeAnswerOutcome::Unknown => {
-                    last = Some(answer);
+            for entry in &self.entries {
+                match told(self.ask(entry, "POST", "/api/changes", body.clone()).await) {
+                    Told::Settled(answer) => return Ok(answer),
+                    Told::MayBeTaken(reason) => doubt = Some(reason),
+                    Told::NotTaken(error @ ClientError::Problem { .. }) if doubt.is_none() => {
+                        return Err(error);
+                    }
+                    Told::NotTaken(error) => failure = Some(error),
                 }
-                Ok(answer) => return Ok(answer),
-                Err(_) => return read(answered),
             }
+            if doubt.is_none() {
+                break;
+            }
+        }
+        match doubt {
+            Some(reason) => Ok(unknown(change, &reason)),
+            None => Err(failure.unwrap_or_else(|| no_answer(not_asked()))),
         }
-        Ok(last.expect("at least one round was made"))
     }
 
     async fn send(&self, method: &str, path: &str, body: Vec<u8>) -> Result<Answered, ClientError> {
         let mut last = None;
         for entry in &self.entries {
-            let request = hyper::Request::builder()
-                .method(method)
-                .uri(format!("http://{entry}{path}"))
-                .header("authorization", format!("Bearer {}", self.token))
-                .header("content-type", "application/json")
-                .body(http::full(body.clone()));
-            let Ok(request) = request else {
-                continue;
-            };
-            let peer = entry.to_string();
-            let fetched =
-                self.http.fetch("ask entry", &peer, request, ANSWER_MAX_BYTES, ANSWER_MS).await;
-            match fetched {
-                Ok((head, bytes)) => return Ok(Answered { status: head.status.as_u16(), bytes }),
+            match self.ask(entry, method, path, body.clone()).await {
+                Ok(answered) => return Ok(answered),
                 Err(error) => last = Some(error),
             }
         }
-        let error = last.unwrap_or(http::HttpError::NotSent {
-            step: "ask entry",
-            peer: "no entry is set, or the secret is no header value".into(),
-            late: false,
-        });
-        Err(ClientError::NoAnswer { source: error })
+        Err(no_answer(last.unwrap_or_else(not_asked)))
+    }
+
+    async fn ask(
+        &self,
+        entry: &net::SocketAddr,
+        method: &str,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<Answered, http::HttpError> {
+        let request = hyper::Request::builder()
+            .method(method)
+            .uri(format!("http://{entry}{path}"))
+            .header("authorization", format!("Bearer {}", self.token))
+            .header("content-type", "application/json")
+            .body(http::full(body));
+        let request = request.map_err(|_| not_asked())?;
+        let peer = entry.to_string();
+        let fetched = self.http.fetch("ask entry", &peer, request, ANSWER_MAX_BYTES, ANSWER_MS);
+        let (head, bytes) = fetched.await?;
+        Ok(Answered { status: head.status.as_u16(), bytes })
+    }
+}
+
+fn not_asked() -> http::HttpError {
+    http::HttpError::NotSent {
+        step: "ask entry",
+        peer: "no entry is set, or the secret is no header value".into(),
+        late: false,
+    }
+}
+
+fn no_answer(source: http::HttpError) -> ClientError {
+    ClientError::NoAnswer { source }
+}
+
+/// Takes what became of an attempt at a change. Only an error that says so, and a connection that
+/// never came about, show that the attempt was not taken.
+fn told(asked: Result<Answered, http::HttpError>) -> Told {
+    let answer = match asked {
+        Ok(answered) => read::<wire::ChangeAnswer>(answered),
+        Err(source @ http::HttpError::NotSent { .. }) => return Told::NotTaken(no_answer(source)),
+        Err(source) => Err(no_answer(source)),
+    };
+    match answer {
+        Ok(answer) if answer.outcome == wire::ChangeAnswerOutcome::Unknown => {
+            Told::MayBeTaken(answer.reason.unwrap_or_else(|| "the answer was lost".to_owned()))
+        }
+        Ok(answer) => Told::Settled(answer),
+        Err(ClientError::Problem { problem }) if problem.ran == wire::Ran::DidNotRun => {
+            Told::NotTaken(ClientError::Problem { problem })
+        }
+        Err(error) => Told::MayBeTaken(error.to_string()),
+    }
+}
+
+/// The answer on a change of which no entry tells the outcome, with what sends the same change again.
+fn unknown(change: &wire::Change, reason: &str) -> wire::ChangeAnswer {
+    let expected = change.expected_revision;
+    let expected = expected.map(|revision| format!(" --expected-revision {revision}"));
+    let again = format!("--change-id {}{}", change.id, expected.unwrap_or_default());
+    wire::ChangeAnswer {
+        outcome: wire::ChangeAnswerOutcome::Unknown,
+        revision: None,
+        reason: Some(format!("{reason}; it may be made, send it again with {again}")),
+        present_revision: None,
+        present: None,
+        matches: None,
     }
 }
 
