Acknowledge an evacuation order once no earlier step can undo it

What operators saw: a zone went back into use although its evacuation was acknowledged last. An end that got no answer was followed by a start, which was acknowledged with the old revision; then the end was applied. The same happened with a start without an answer before an end.

Cause: an order was acknowledged as soon as a quorum confirmed that the state was as asked. The step of the order before it was taken as one that would not be applied. It was of the next revision, so it counted whenever the log got it.

Evidence: a test that holds the step of the first order back, takes the opposite order up to its acknowledgement and records the step then.

Change: a call keeps the revision that it found first and is acknowledged only if the state is as asked at a higher one. So it proposes a step even where the state is as asked. While its step is on its way it also looks whether another call's step has taken the revision: where the log is slower than operators wait, each call would otherwise wait for a step of its own and give up. This wait is covered by no test with a slow log.

Why it works: a step is of the revision after one that a quorum confirmed, so all steps proposed before a call are of the revision after the one that it found, at most. The first step of a revision counts. Once that revision is taken, none of them changes anything.

Cost: a repeated order takes one log entry and raises the revision. It gets the same answer, and entries do nothing about a revision that changes no state.

Two cases said that a repeated order is acknowledged without a step. That was the fault, so they now demand the step, and others demand that the call is acknowledged after it. A call of long ago is acknowledged as before if its own step was applied, and no longer by what others ordered before it came.

--- a/ragwortdeal_core/src/document/evacuation.rs
+++ b/ragwortdeal_core/src/document/evacuation.rs
@@ -1,7 +1,9 @@
 //! Which availability zones are evacuated, and which step a call for a change proposes.
 //!
 //! Revisions of a zone only rise, so a step that was delayed in transit never reverts what operators
-//! decided after it.
+//! decided after it. A step of a call that got no answer may still be on its way when the opposite is
+//! ordered. It is of the revision after the one in force at most, so an order is acknowledged only
+//! once that revision is taken, even where the state was as asked before.
 
 use std::collections;
 
@@ -34,7 +36,7 @@
 /// What a call does next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Decision {
-    /// The state is as asked, so the call is acknowledged.
+    /// The state is as asked and no earlier step can change it, so the call is acknowledged.
     AsAsked,
     /// A step is proposed.
     Propose(Evacuation),
@@ -58,9 +60,11 @@
         newer
     }
 
-    /// Decides what a call does that arrived so long ago, given the state held.
-    pub fn decide(&self, request: &Request, age_ms: u64) -> Decision {
-        if self.is_evacuated(&request.zone) == request.evacuated {
+    /// Decides what a call does that arrived so long ago, given the state held and the revision that
+    /// the call found first. A step proposed before the call cannot change what is above that.
+    pub fn decide(&self, request: &Request, found: u64, age_ms: u64) -> Decision {
+        let as_asked = self.is_evacuated(&request.zone) == request.evacuated;
+        if as_asked && self.revision(&request.zone) > found {
             return Decision::AsAsked;
         }
         if age_ms > PROPOSE_WITHIN_MS {
--- a/ragwortdeal_core/tests/evacuation.rs
+++ b/ragwortdeal_core/tests/evacuation.rs
@@ -56,33 +56,98 @@
 
 macro_rules! decisions {
     ($($(#[$guards:meta])* $case:ident:
-        $held:expr, $evacuated:expr, $age_ms:expr => $decision:expr;)*) => {$(
+        $held:expr, $evacuated:expr, $found:expr, $age_ms:expr => $decision:expr;)*) => {$(
         $(#[$guards])*
         #[googletest::test]
         fn $case() {
             let held = holding(&$held).evacuations;
-            expect_that!(held.decide(&request($evacuated), $age_ms), eq(&$decision));
+            expect_that!(held.decide(&request($evacuated), $found, $age_ms), eq(&$decision));
         }
     )*};
 }
 
 decisions! {
     /// Guards against a first call that changes nothing.
-    the_first_start_proposes_revision_one: [], true, 0 => Decision::Propose(evacuation(1, true));
-    /// Guards against a repeated call that grows the log or gets another answer.
-    a_repeated_start_is_acknowledged: [evacuation(1, true)], true, 0 => Decision::AsAsked;
-    /// Guards against an end that is refused where its first answer was lost.
-    a_repeated_end_is_acknowledged:
-        [evacuation(1, true), evacuation(2, false)], false, 0 => Decision::AsAsked;
+    the_first_start_proposes_revision_one:
+        [], true, 0, 0 => Decision::Propose(evacuation(1, true));
+    /// Guards against a call that proposes again what has been applied, without end.
+    a_start_is_acknowledged_after_its_step: [evacuation(1, true)], true, 0, 0 => Decision::AsAsked;
+    /// Guards against an end that proposes again what has been applied, without end.
+    an_end_is_acknowledged_after_its_step:
+        [evacuation(1, true), evacuation(2, false)], false, 1, 0 => Decision::AsAsked;
+    /// Guards against a repeated start that is acknowledged while an unanswered end can be applied.
+    a_repeated_start_takes_the_next_revision:
+        [evacuation(1, true)], true, 1, 0 => Decision::Propose(evacuation(2, true));
+    /// Guards against a repeated end that is acknowledged while an unanswered start can be applied.
+    a_repeated_end_takes_the_next_revision:
+        [evacuation(1, true), evacuation(2, false)], false, 2, 0
+        => Decision::Propose(evacuation(3, false));
+    /// Guards against two equal calls at once, each of which waits for a step of its own.
+    a_call_is_acknowledged_after_the_step_of_an_equal_one:
+        [evacuation(1, true), evacuation(2, true)], true, 1, 0 => Decision::AsAsked;
     /// Guards against an end of a revision that the log ignores.
     an_end_proposes_the_next_revision:
-        [evacuation(4, true)], false, 0 => Decision::Propose(evacuation(5, false));
+        [evacuation(4, true)], false, 4, 0 => Decision::Propose(evacuation(5, false));
     /// Guards against a call that is stuck in a voter and undoes what operators ordered later.
     a_call_of_long_ago_proposes_nothing:
-        [evacuation(2, false)], true, LONG_AGO_MS => Decision::TooLate;
+        [evacuation(2, false)], true, 2, LONG_AGO_MS => Decision::TooLate;
+    /// Guards against a call that is stuck in a voter and is acknowledged by what others ordered.
+    a_call_of_long_ago_that_proposed_nothing_is_not_acknowledged:
+        [evacuation(1, true)], true, 1, LONG_AGO_MS => Decision::TooLate;
     /// Guards against an error for a call whose step was applied late.
     a_call_of_long_ago_is_acknowledged_where_it_is_as_asked:
-        [evacuation(1, true)], true, LONG_AGO_MS => Decision::AsAsked;
+        [evacuation(1, true)], true, 0, LONG_AGO_MS => Decision::AsAsked;
+}
+
+/// Takes an order up to its acknowledgement. Before each of its steps those are applied that are
+/// held back in the network.
+fn order(group: &mut Store, evacuated: bool, held_back: &[Evacuation]) {
+    let found = group.evacuations.revision(ZONE);
+    for _ in 0..10 {
+        match group.evacuations.decide(&request(evacuated), found, 0) {
+            Decision::Propose(step) => {
+                held_back.iter().for_each(|late| group.apply(&Step::Evacuate(late.clone())));
+                group.apply(&Step::Evacuate(step));
+            }
+            Decision::AsAsked => return,
+            Decision::TooLate => break,
+        }
+    }
+    panic!("the order is not acknowledged");
+}
+
+macro_rules! opposite_orders {
+    ($($(#[$guards:meta])* $case:ident: $held:expr, $last:expr;)*) => {$(
+        $(#[$guards])*
+        #[googletest::test]
+        fn $case() {
+            let mut group = holding(&$held);
+            let found = group.evacuations.revision(ZONE);
+            let decided = group.evacuations.decide(&request(!$last), found, 0);
+            let Decision::Propose(unanswered) = decided else { panic!("{decided:?}") };
+            for held_back in [&[][..], std::slice::from_ref(&unanswered)] {
+                let mut group = group.clone();
+                order(&mut group, $last, held_back);
+                expect_that!(group.evacuations.is_evacuated(ZONE), eq($last));
+                group.apply(&Step::Evacuate(unanswered.clone()));
+                expect_that!(group.evacuations.is_evacuated(ZONE), eq($last));
+            }
+            order(&mut group, $last, &[]);
+            order(&mut group, $last, &[]);
+            group.apply(&Step::Evacuate(unanswered));
+            expect_that!(group.evacuations.is_evacuated(ZONE), eq($last));
+        }
+    )*};
+}
+
+opposite_orders! {
+    /// Guards against an unanswered end that is applied after a later start was acknowledged.
+    an_unanswered_end_does_not_undo_a_later_start: [evacuation(1, true)], true;
+    /// Guards against an unanswered start that is applied after a later end was acknowledged.
+    an_unanswered_start_does_not_undo_a_later_end:
+        [evacuation(1, true), evacuation(2, false)], false;
+    /// Guards against a first start that is applied after a later end was acknowledged.
+    an_unanswered_first_start_does_not_undo_a_later_end: [], false;
 }
 
 /// Guards against an answer that tells an operator of a state which was never reached: two operators
@@ -94,12 +159,14 @@
         let mut draws = rngs::SmallRng::seed_from_u64(seed);
         let (mut group, mut old_steps) = (Store::default(), Vec::new());
         let mut waiting = vec![(true, Evacuations::default()), (false, Evacuations::default())];
+        // Both begin while nothing is held.
+        let found = 0;
         let mut rounds = 0;
         while !waiting.is_empty() && rounds < 100 {
             rounds += 1;
             let caller = draws.random_range(0..waiting.len());
             let (asked, known) = &mut waiting[caller];
-            if let Decision::Propose(step) = known.decide(&request(*asked), 0) {
+            if let Decision::Propose(step) = known.decide(&request(*asked), found, 0) {
                 group.apply(&Step::Evacuate(step.clone()));
                 old_steps.push(step);
             }
@@ -107,7 +174,7 @@
             resent.iter().for_each(|step| group.apply(&Step::Evacuate((*step).clone())));
             // What a quorum confirms, on which the acknowledgement rests.
             *known = group.evacuations.clone();
-            if known.decide(&request(*asked), 0) == Decision::AsAsked {
+            if known.decide(&request(*asked), found, 0) == Decision::AsAsked {
                 expect_that!(group.evacuations.is_evacuated(ZONE), eq(*asked));
                 waiting.remove(caller);
             }
--- a/ragwortdeal_node/src/voter/fleet/evacuations.rs
+++ b/ragwortdeal_node/src/voter/fleet/evacuations.rs
@@ -60,28 +60,40 @@
         decided.map_err(Refusal::NotConfirmed)
     }
 
-    /// Proposes steps until a quorum confirms that the state is as asked. The state is confirmed
-    /// first, so that a voter without a quorum says so before operators give up.
+    /// Proposes steps until a quorum confirms that the state is as asked and stays so. The state is
+    /// confirmed first, so that a voter without a quorum says so before operators give up.
     async fn decide(
         &self,
         request: &evacuation::Request,
         begun: time::Instant,
     ) -> Result<u64, String> {
+        let mut found = None;
         loop {
             let held = steps::read(&self.events).await?.evacuations;
+            let revision = held.revision(&request.zone);
+            let found = *found.get_or_insert(revision);
             let age_ms = begun.elapsed().as_millis() as u64;
-            match held.decide(request, age_ms) {
-                evacuation::Decision::AsAsked => return Ok(held.revision(&request.zone)),
+            match held.decide(request, found, age_ms) {
+                evacuation::Decision::AsAsked => return Ok(revision),
                 evacuation::Decision::TooLate => {
                     return Err("too late, or other orders on the zone came in between".to_owned());
                 }
-                evacuation::Decision::Propose(step) => {
-                    steps::decide(&self.events, store::Step::Evacuate(step)).await?;
-                }
+                evacuation::Decision::Propose(step) => self.propose(step).await?,
             }
         }
     }
 
+    /// Proposes a step and waits until its revision is taken, be it by another call's step: where
+    /// the log is slow, that one may be applied before the operator gives up, and this one after.
+    async fn propose(&self, step: evacuation::Evacuation) -> Result<(), String> {
+        let (zone, revision) = (step.zone.clone(), step.revision);
+        let mut documents = self.documents.clone();
+        tokio::select! {
+            decided = steps::decide(&self.events, store::Step::Evacuate(step)) => decided,
+            Ok(_) = documents.wait_for(|it| it.evacuations.revision(&zone) >= revision) => Ok(()),
+        }
+    }
+
     /// The state of all zones of the settings, and of others that were ever evacuated.
     pub(super) async fn list(&self) -> evacuations::ListedZones {
         let read = steps::read(&self.events).await;
