Let engines of the soak fall silent, and check their weights

The soak's engines answered orders and writes to their stage at once, and no check looked at the chunks on which requests run. So it could not show an order that is accepted late, by which mixed weights were served.

A step for up to twelve seconds: engines with weights fall silent for 1.0 to 1.3 s on nine in ten orders and one in ten writes to the stage, beside namings 0.3 to 1.2 s and documents 0.5 to 2 s apart. A silence is no disturbance for bounds of time, as requests of callers go on. A check, always judged: a request runs on all chunks of the version by which it runs. Weights with which an engine starts are not recorded; empty chunks of any later version are found.

The short run of the tests asks for one silence at least.

--- a/ragwortdeal_soak/src/checks.rs
+++ b/ragwortdeal_soak/src/checks.rs
@@ -3,6 +3,7 @@
 mod asks;
 pub mod budget;
 pub mod fatal;
+pub mod weights;
 
 use std::collections;
 
@@ -42,7 +43,7 @@
 pub type Check = (&'static str, fn(&History) -> Vec<String>);
 
 /// All checks.
-pub const CHECKS: [Check; 17] = [
+pub const CHECKS: [Check; 18] = [
     ("a request that must not repeat never runs twice", twice),
     ("what was refused as not run has not run", refused_ran),
     ("an answer belongs to its request and is whole", mixed),
@@ -60,6 +61,7 @@
     ("requests are sent again no more often than the budget allows", budget::repeated),
     ("a request under which three engines ended is sent to no other one", fatal::sent_on),
     ("an entry stays within its memory", memory),
+    ("a request runs on all chunks of the version of weights by which it runs", weights::mixed),
 ];
 
 /// Runs all checks.
--- a/ragwortdeal_soak/src/engines.rs
+++ b/ragwortdeal_soak/src/engines.rs
@@ -1,6 +1,6 @@
 //! Engines behind proxies, which announce themselves for as long as they live.
 
-use std::{net, sync, time};
+use std::{net, ops, sync, time};
 
 use ragwortdeal_standins::fleet::engine;
 use tokio::{sync::watch, task};
@@ -22,6 +22,14 @@
 /// How long it is down then.
 const FATAL_DOWN: time::Duration = time::Duration::from_millis(400);
 
+/// Share of orders on which an engine falls silent while it does so at all.
+const SILENT_ON_ORDERS: f64 = 0.9;
+/// Share of writes to its stage on which it does.
+const SILENT_ON_WRITES: f64 = 0.1;
+/// How long it stays silent: longer than an agent waits for an answer.
+const SILENT: ops::Range<time::Duration> =
+    time::Duration::from_millis(1_000)..time::Duration::from_millis(1_300);
+
 /// What an engine says of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Standing {
@@ -57,7 +65,7 @@
         service: &'static str,
         tells: (operator::Operator, sync::Arc<record::Record>),
     ) -> sync::Arc<Self> {
-        let version = if service == "models" { 1 } else { 0 };
+        let version = if service == "models" { checks::weights::FIRST } else { 0 };
         let address = net::SocketAddrV4::new(fleet.world.address(number), 8_100 + life);
         let name = format!("{service}-{number}-{life}");
         let engine = engine::Engine::start(&name, address, version).await;
@@ -87,6 +95,13 @@
         self.standing.send_replace(Standing::Draining);
     }
 
+    /// Falls silent of itself from now on, as a seed decides, or no longer.
+    pub fn fall_silent(&self, seed: Option<u64>) {
+        let (on_orders, on_writes) = (SILENT_ON_ORDERS, SILENT_ON_WRITES);
+        let spells = |seed| engine::Spells { seed, on_orders, on_writes, lasts: SILENT };
+        self.engine.fall_silent(seed.map(spells));
+    }
+
     /// Says nothing more: it has crashed.
     pub fn crash(&self) {
         self.standing.send_replace(Standing::Gone);
@@ -166,6 +181,7 @@
                     engine: self.engine.instance.clone(),
                     service: self.service.to_owned(),
                     ran_on: it.ran_on,
+                    ran_on_chunks: it.ran_on_chunks,
                     place: self.number,
                     asked: it.asked,
                 }
--- a/ragwortdeal_soak/src/history.rs
+++ b/ragwortdeal_soak/src/history.rs
@@ -69,6 +69,8 @@
     pub at_ms: u64,
     /// Weights on which it began to run, none where the engine refused it.
     pub ran_on: Option<u64>,
+    /// Hashes of the chunks of these weights, as the engine loaded them.
+    pub ran_on_chunks: Vec<[u8; 32]>,
     /// Number of the engine's address.
     pub place: u8,
     /// What the engine asks in its answer.
--- a/ragwortdeal_soak/src/lib.rs
+++ b/ragwortdeal_soak/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod regressions;
 pub mod run;
 pub mod schedule;
+pub mod verdict;
--- a/ragwortdeal_soak/src/main.rs
+++ b/ragwortdeal_soak/src/main.rs
@@ -6,7 +6,7 @@
 
 use clap::Parser as _;
 use ragwortdeal_node::stop;
-use ragwortdeal_soak::run;
+use ragwortdeal_soak::{run, verdict};
 
 /// Violations of each promise that are printed of a run.
 const PRINTED_OF_EACH: usize = 5;
@@ -60,7 +60,7 @@
     }
 }
 
-fn print(plan: &run::Plan, verdict: &run::Verdict) {
+fn print(plan: &run::Plan, verdict: &verdict::Verdict) {
     let broken = verdict.violations.len();
     let mut printed = collections::BTreeMap::<&str, usize>::new();
     for violation in &verdict.violations {
@@ -77,14 +77,16 @@
         println!("schedule of seed {}:\n{}", plan.seed, verdict.schedule);
     }
     println!(
-        "soak: {} seed={} seconds={} violations={broken} sent={} ends={:?} judged={} acked={} \
-         read_back={} named={} late={} logs={}",
+        "soak: {} seed={} seconds={} violations={broken} sent={} ends={:?} judged={} \
+         on_loaded={} silences={} acked={} read_back={} named={} late={} logs={}",
         if broken == 0 { "ok" } else { "broken" },
         plan.seed,
         plan.faults_s,
         verdict.sent,
         verdict.ends,
         verdict.judged,
+        verdict.on_loaded,
+        verdict.silences,
         verdict.documents.0,
         verdict.documents.1,
         verdict.named,
--- a/ragwortdeal_soak/src/run.rs
+++ b/ragwortdeal_soak/src/run.rs
@@ -12,7 +12,7 @@
 use crate::{
     callers, checks, engines, fleet,
     history::{Kind, Planned, Who},
-    operator, proxy, record, schedule,
+    operator, proxy, record, schedule, verdict,
 };
 
 /// Callers.
@@ -45,29 +45,6 @@
     pub programs: path::PathBuf,
 }
 
-/// What a run showed.
-#[derive(Clone, Debug)]
-pub struct Verdict {
-    /// Broken promises.
-    pub violations: collections::BTreeSet<checks::Violation>,
-    /// The schedule, one step a line.
-    pub schedule: String,
-    /// Requests that were sent.
-    pub sent: usize,
-    /// Requests that were served.
-    pub served: usize,
-    /// How requests ended, by status; 0 where no answer came, 1 where it broke off.
-    pub ends: collections::BTreeMap<u16, usize>,
-    /// Requests on which the checks of time could speak.
-    pub judged: usize,
-    /// Documents that were acknowledged, and read back.
-    pub documents: (usize, usize),
-    /// Weights that were named.
-    pub named: usize,
-    /// Times at which the machine was late.
-    pub late: usize,
-}
-
 struct Run {
     size: fleet::Size,
     fleet: fleet::Fleet,
@@ -82,7 +59,7 @@
 }
 
 /// Runs a plan.
-pub async fn run(plan: &Plan) -> io::Result<Verdict> {
+pub async fn run(plan: &Plan) -> io::Result<verdict::Verdict> {
     let size = fleet::Size { voters: 3 + (plan.seed % 2) as u8, entries: 3, agents: 4 };
     let end_ms = schedule::QUIET_MS + plan.faults_s * 1_000;
     let events = schedule::make(plan.seed, size, end_ms);
@@ -164,7 +141,7 @@
         }
         let first = tokio::time::timeout(FIRST_START, self.desk.send(1, true)).await;
         first.map_err(|_| io::Error::other("no voter acknowledges the first document"))?;
-        self.record.change(|history| _ = history.named.insert(1, 0));
+        self.record.change(|history| _ = history.named.insert(checks::weights::FIRST, 0));
         for (number, service) in engines::places(self.size) {
             self.engine(number, 0, service).await;
         }
@@ -190,7 +167,7 @@
         let tells = (self.heartbeats.clone(), self.record.clone());
         let engine = engines::Engine::start(&self.fleet, number, life, service, tells).await;
         if service == "models" {
-            engine.engine.stage_all(&origin::chunks(1));
+            engine.engine.stage_all(&origin::chunks(checks::weights::FIRST));
         }
         self.engines().push(engine);
     }
@@ -287,6 +264,10 @@
                 self.each_engine(number, |it| it.engine.ask(asks));
                 Ok(())
             }
+            schedule::Step::FallSilent(number, seed) => {
+                self.each_engine(number, |it| it.fall_silent(seed));
+                Ok(())
+            }
             schedule::Step::Fatal(request, kind, attempt, entry) => {
                 self.send_fatal(request, kind, attempt, entry).await;
                 Ok(())
@@ -441,6 +422,7 @@
         self.ways.values().for_each(|way| way.set(proxy::Condition::default()));
         for engine in self.engines().iter() {
             engine.engine.behave(engine::Behaviour::Good);
+            engine.fall_silent(None);
         }
         self.ways.keys().for_each(|who| self.record.calm(*who));
         for who in self.size.processes() {
@@ -449,7 +431,7 @@
         Ok(())
     }
 
-    async fn verdict(&self, schedule: String) -> io::Result<Verdict> {
+    async fn verdict(&self, schedule: String) -> io::Result<verdict::Verdict> {
         let read = self.desk.read_last().await;
         tokio::time::sleep(LATE).await;
         self.take(true);
@@ -464,28 +446,8 @@
             let seen = format!("{who:?} ended by itself");
             violations.insert(checks::Violation { promise: "processes run on", seen });
         }
-        Ok(self.record.change(|history| {
-            let served = |it: &&crate::history::Sent| {
-                it.end.as_ref().is_some_and(|end| end.status == 200 && end.whole)
-            };
-            let mut ends = collections::BTreeMap::new();
-            for end in history.sent.values().filter_map(|it| it.end.as_ref()) {
-                let way = if end.status == 0 || end.whole { end.status } else { 1 };
-                *ends.entry(way).or_insert(0) += 1;
-            }
-            let acked = history.documents.values().filter(|it| it.acked_ms.is_some());
-            let late = history.disturbances.iter().filter(|it| it.who == Who::Machine);
-            Verdict {
-                violations,
-                schedule,
-                sent: history.sent.len(),
-                ends,
-                served: history.sent.values().filter(served).count(),
-                judged: checks::judged(history),
-                documents: (acked.count(), history.read_back.len()),
-                named: history.named.len(),
-                late: late.count(),
-            }
-        }))
+        let silences = self.engines().iter().map(|it| it.engine.silences()).sum();
+        let verdict = |history: &mut _| verdict::Verdict::new(violations, schedule, history);
+        Ok(verdict::Verdict { silences, ..self.record.change(verdict) })
     }
 }
--- a/ragwortdeal_soak/src/schedule.rs
+++ b/ragwortdeal_soak/src/schedule.rs
@@ -1,5 +1,7 @@
 //! Which faults come when. The same seed gives the same schedule.
 
+use std::ops;
+
 use ragwortdeal_standins::fleet::engine;
 use rand::{RngExt as _, SeedableRng as _};
 
@@ -44,6 +46,14 @@
 const ENDLESS_MAX_MS: u64 = 2_000;
 /// Sets the draws of these times apart from those of faults.
 const ENDLESS_SEED: u64 = 0x5eed_e4d1;
+/// Longest time in which engines fall silent of themselves, amid new weights and documents.
+const SILENCES_MS: u64 = 12_000;
+/// Milliseconds from one of these weights to the next.
+const SILENCES_NAME_GAP_MS: ops::Range<u64> = 300..1_200;
+/// Milliseconds from one of these documents to the next.
+const SILENCES_DOCUMENT_GAP_MS: ops::Range<u64> = 500..2_000;
+/// Sets the draws of this time apart from those of faults.
+const SILENCES_SEED: u64 = 0x5eed_511e;
 /// Milliseconds around the loss of a folder in which no other voter is disturbed. One that was
 /// disturbed before counts as lost until it has caught up.
 const LOSS_APART_MS: u64 = 6_000;
@@ -93,6 +103,8 @@
     Behave(u8, engine::Behaviour),
     /// An engine asks something else in its answers.
     Ask(u8, engine::Asks),
+    /// An engine falls silent of itself from now on, as this seed decides, or no longer.
+    FallSilent(u8, Option<u64>),
     /// A document is sent.
     Document,
     /// An invalid document is sent.
@@ -143,6 +155,8 @@
     maker.fatal_requests();
     maker.rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed ^ ENDLESS_SEED);
     maker.endless_answers();
+    maker.rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed ^ SILENCES_SEED);
+    maker.silences();
     maker.events.sort_by_key(|event| event.at_ms);
     maker.events
 }
@@ -377,6 +391,28 @@
         }
     }
 
+    /// Engines with weights fall silent as they get orders and chunks, while weights are named one
+    /// soon after the other and documents change.
+    fn silences(&mut self) {
+        let latest_ms = self.end_ms.saturating_sub(SILENCES_MS).max(QUIET_MS + 1);
+        let from_ms = self.rng.random_range(QUIET_MS..latest_ms);
+        let until_ms = (from_ms + SILENCES_MS).min(self.end_ms);
+        for engine in 20..20 + self.size.agents {
+            let seed = self.rng.random();
+            self.push(from_ms, Step::FallSilent(engine, Some(seed)));
+            self.push(until_ms, Step::FallSilent(engine, None));
+        }
+        let series =
+            [(Step::Name, SILENCES_NAME_GAP_MS), (Step::Document, SILENCES_DOCUMENT_GAP_MS)];
+        for (step, gap_ms) in series {
+            let mut at_ms = from_ms;
+            while at_ms < until_ms {
+                self.push(at_ms, step.clone());
+                at_ms += self.rng.random_range(gap_ms.clone());
+            }
+        }
+    }
+
     fn asked(&mut self) -> engine::Asks {
         let none = engine::Asks::default();
         match self.rng.random_bool(0.5) {
--- a/ragwortdeal_soak/tests/checks.rs
+++ b/ragwortdeal_soak/tests/checks.rs
@@ -7,7 +7,7 @@
     history::{Arrived, Document, End, History, Kind, Planned, ReadBack, Sent, Who},
     regressions,
 };
-use ragwortdeal_standins::fleet::engine;
+use ragwortdeal_standins::fleet::{engine, origin};
 
 const ENTRY: u8 = 10;
 const PLACE: u8 = 20;
@@ -44,6 +44,8 @@
         service: service.to_owned(),
         at_ms,
         ran_on: Some(1),
+        // As on engines whose weights were loaded in the run.
+        ran_on_chunks: if service == "models" { origin::hashes(1) } else { Vec::new() },
         place: PLACE,
         asked: engine::Asks::default(),
     });
@@ -375,6 +377,56 @@
     expect_that!(found(|history| history.memory.push((ENTRY, 500 << 10))), eq(&promise(16)));
 }
 
+type Spoil = fn(&mut Vec<[u8; 32]>, [u8; 32]);
+
+/// The stream that arrived first, on other weights.
+fn first_stream_on(history: &mut History, version: u64, chunks: &[[u8; 32]]) {
+    let mut arrived = history.arrived.iter_mut();
+    let stream = arrived.find(|it| it.service == "models").expect("a stream");
+    (stream.ran_on, stream.ran_on_chunks) = (Some(version), chunks.to_vec());
+}
+
+/// Guards against a check that passes over a single chunk, or over requests that it cannot judge by
+/// time.
+#[googletest::test]
+fn weights_of_which_a_chunk_is_another_one_are_found() {
+    let (own, other) = (origin::hashes(2), origin::hashes(3));
+    let spoils: [Spoil; 5] = [
+        |chunks, other| chunks[0] = other,
+        |chunks, other| chunks[5] = other,
+        |chunks, _| chunks[3] = [0; 32],
+        |chunks, _| _ = chunks.pop(),
+        |chunks, _| chunks.swap(1, 2),
+    ];
+    let mut spoilt: Vec<_> = (0..spoils.len()).map(|_| own.clone()).collect();
+    for (number, spoil) in spoils.iter().enumerate() {
+        spoil(&mut spoilt[number], other[number]);
+    }
+    spoilt.extend([other, Vec::new()]);
+    for chunks in spoilt {
+        expect_that!(found(|history| first_stream_on(history, 2, &chunks)), eq(&promise(17)));
+        let out_of_touch = |history: &mut History| {
+            first_stream_on(history, 2, &chunks);
+            [Who::Entry(ENTRY), Who::Engine(PLACE), Who::Machine, Who::Voter(1)]
+                .iter()
+                .for_each(|who| history.disturb(*who, 0));
+        };
+        expect_that!(found(out_of_touch), eq(&promise(17)));
+    }
+    expect_that!(found(|history| first_stream_on(history, 2, &own)), is_empty());
+}
+
+/// Guards against a check that finds fault with the weights with which engines start.
+#[googletest::test]
+fn weights_with_which_engines_start_are_not_judged() {
+    let started = |history: &mut History| first_stream_on(history, checks::weights::FIRST, &[]);
+    expect_that!(found(started), is_empty());
+    let partly = |history: &mut History| {
+        first_stream_on(history, checks::weights::FIRST, &origin::hashes(1)[..5]);
+    };
+    expect_that!(found(partly), eq(&promise(17)));
+}
+
 #[googletest::test]
 fn the_list_of_regressions_can_be_read() {
     let few = regressions::all().iter().all(|(_, faults_s)| (1..600).contains(faults_s));
--- a/ragwortdeal_soak/tests/soak.rs
+++ b/ragwortdeal_soak/tests/soak.rs
@@ -43,4 +43,6 @@
     expect_that!(verdict.documents.0, ge(3));
     expect_that!(verdict.documents.1, gt(10));
     expect_that!(verdict.named, ge(2));
+    expect_that!(verdict.silences, ge(1));
+    expect_that!(verdict.on_loaded, gt(50));
 }
--- a/ragwortdeal_standins/src/fleet/engine/silence.rs
+++ b/ragwortdeal_standins/src/fleet/engine/silence.rs
@@ -46,6 +46,8 @@
 #[derive(Debug)]
 pub(super) struct Silence {
     spells: Option<(Spells, rand_chacha::ChaCha8Rng)>,
+    /// Number of spells that began.
+    begun: u64,
     silent: watch::Sender<bool>,
     /// Calls of this kind are taken in and wait to be let through.
     held: Option<AgentCall>,
@@ -55,7 +57,13 @@
 
 impl Default for Silence {
     fn default() -> Self {
-        Self { spells: None, silent: watch::Sender::new(false), held: None, waiting: Vec::new() }
+        Self {
+            spells: None,
+            begun: 0,
+            silent: watch::Sender::new(false),
+            held: None,
+            waiting: Vec::new(),
+        }
     }
 }
 
@@ -69,6 +77,7 @@
             AgentCall::Report | AgentCall::Read => 0.0,
         };
         let begins = random.random_bool(chance) && !*self.silent.borrow();
+        self.begun += u64::from(begins);
         begins.then(|| random.random_range(spells.lasts.clone()))
     }
 
@@ -92,6 +101,11 @@
         self.state().silence.spells = spells.map(|spells| (spells.clone(), random(&spells)));
     }
 
+    /// Number of times at which it fell silent of itself.
+    pub fn silences(&self) -> u64 {
+        self.state().silence.begun
+    }
+
     /// Takes calls of a kind in without carrying them out, from now on.
     pub fn hold(&self, call: AgentCall) {
         self.state().silence.held = Some(call);
