--- a/ragwortdeal_node/tests/fleet_silent_engines.rs
+++ b/ragwortdeal_node/tests/fleet_silent_engines.rs
@@ -328,7 +328,7 @@
         fleet.name(version).await;
         match beside {
             Beside::CorruptChunks => {
-                fleet.engine.rot_at_next_order(version as u32 % origin::CHUNKS)
+                fleet.engine.rot_at_next_order(version as u32 % origin::CHUNKS);
             }
             Beside::KilledAgents if version % 2 == 0 => {
                 fleet.agent.take().expect("a running agent").kill().await;
