--- a/ragwortdeal_soak/tests/soak.rs
+++ b/ragwortdeal_soak/tests/soak.rs
@@ -1,26 +1,10 @@
 //! A short run of the programs as processes, with a fixed seed.
 
-use std::{env, path, process};
+mod support;
 
 use googletest::prelude::*;
 use ragwortdeal_soak::run;
 
-/// Packages whose programs are run.
-const PROGRAMS: [&str; 3] = ["ragwortdeal-entry", "ragwortdeal-agent", "ragwortdeal-voter"];
-
-/// Builds the programs as the tests are built, and says where they lie.
-fn programs() -> path::PathBuf {
-    let packages = PROGRAMS.iter().flat_map(|package| ["--package", package]);
-    let built = process::Command::new(env!("CARGO"))
-        .args(["build", "--locked", "--quiet", "--profile", "test"])
-        .args(packages)
-        .current_dir(env!("CARGO_MANIFEST_DIR"))
-        .status();
-    assert!(built.is_ok_and(|status| status.success()), "the programs cannot be built");
-    let own = path::PathBuf::from(env!("CARGO_BIN_EXE_ragwortdeal-soak"));
-    own.parent().expect("a folder").to_owned()
-}
-
 /// Processes are killed, frozen, stopped and restarted, and ways are cut, while callers go on. What
 /// a user would notice of a fault: a transfer that ran twice, an answer of another request, a
 /// refusal that was not true.
@@ -28,8 +12,12 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn promises_are_kept_under_faults() {
     let folder = tempfile::tempdir().unwrap();
-    let plan =
-        run::Plan { seed: 1, faults_s: 8, folder: folder.path().to_owned(), programs: programs() };
+    let plan = run::Plan {
+        seed: 1,
+        faults_s: 8,
+        folder: folder.path().to_owned(),
+        programs: support::programs(),
+    };
     let verdict = run::run(&plan).await.expect("the fleet starts");
     let broken: Vec<_> = verdict.violations.iter().collect();
     if !broken.is_empty() {
