Take the memory of a request's body before it is read, within a common bound

Clients with bodies over the limit were refused only after the limit had been read, and were asked for them by 100 Continue.

Cause: http::read collected what the parser delivered. Nothing bounded all bodies together, an announced length was not looked at, and each chunk kept its bookkeeping and the buffer that it was cut from: 40 times a body in chunks of one byte.

Change: a body takes its announced length from the memory for bodies before its first byte is read; one without a length takes steps. A client holds at most what is left free, small bodies have a part of their own, and bodies that stand still give way to others that need the room. A refusal is made before the request goes anywhere, so 503 and 408 are true. Bodies are copied into one buffer whose memory is given back when nobody needs its bytes. The decision is ragwortdeal_core::inbound::body_memory and runs without a network. Counters tell each kind of refusal; the first of an episode and its end are logged.

Why it works: what bodies hold together is bounded before it is read, so no number and no form of them takes more. Ruled out: waiting for memory (what waits holds unread bytes, which count), and taking memory as bytes arrive (many begin, none can end).

--- a/ragwortdeal_core/src/lib.rs
+++ b/ragwortdeal_core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod directory;
 pub mod dispatch;
 pub mod document;
+pub mod inbound;
 pub mod labels;
 pub mod membership;
 pub mod name;
--- a/ragwortdeal_node/src/agent.rs
+++ b/ragwortdeal_node/src/agent.rs
@@ -200,8 +200,12 @@
     let grace_ms = settings.listen.grace_ms;
     let agent = sync::Arc::new(Agent::new(settings)?);
     let (stopper, lingered) = stop::pair();
-    let serving = tokio::spawn(http::serve(listener, calls::router(&agent), lingered, grace_ms));
     let mut tasks = tokio::task::JoinSet::new();
+    let inbound = &agent.settings.inbound;
+    let inbound = http::Inbound::new(inbound, inbound.memory_mb, agent.telemetry.clone());
+    tasks.spawn(inbound.clone().report());
+    let serving = http::serve(listener, calls::router(&agent), inbound, lingered, grace_ms);
+    let serving = tokio::spawn(serving);
     for address in agent.settings.entries.addresses.clone() {
         tasks.spawn(announce::to_entry(agent.clone(), address.to_string()));
     }
--- a/ragwortdeal_node/src/agent/guard.rs
+++ b/ragwortdeal_node/src/agent/guard.rs
@@ -147,17 +147,18 @@
     let Some(addressed) = attempt::Addressed::read(&request.headers) else {
         return cbor(&attempt::Report::Refused(registry::StartRefusal::Unacceptable));
     };
-    let http::Request { method, uri, headers, body, client } = request;
+    let bounds = request.body_bounds(REQUEST_MAX_BYTES, REQUEST_MS);
+    let http::Request { method, uri, headers, body, client, inbound } = request;
     // The whole request is read before the attempt starts, so that a link that breaks in the
     // middle leaves an attempt that did not run rather than half a request at the upstream.
-    let Ok(body) = http::read(body, REQUEST_MAX_BYTES, REQUEST_MS).await else {
+    let Ok(body) = http::read_request_body(body, &bounds, &inbound).await else {
         return cbor(&attempt::Report::Refused(registry::StartRefusal::Unacceptable));
     };
     if let Err(refusal) = agent.attempts.start(&addressed) {
         log::info!("guard: attempt {} refused: {refusal:?}", addressed.attempt);
         return cbor(&attempt::Report::Refused(refusal));
     }
-    let request = http::Request { method, uri, headers, body: http::full(body), client };
+    let request = http::Request { method, uri, headers, body: http::full(body), client, inbound };
     let (sender, receiver) = oneshot::channel();
     // The upstream's answer is awaited whether or not the entry still does.
     tokio::spawn(async move {
--- a/ragwortdeal_node/src/agent/transfer/serve.rs
+++ b/ragwortdeal_node/src/agent/transfer/serve.rs
@@ -83,7 +83,8 @@
     if !authorized(&agent, &request) {
         return refuse(http::Kind::Unauthorized, "wrong credential");
     }
-    let body = http::read(request.body, HOLDINGS_MAX_BYTES, HOLDINGS_MS).await;
+    let bounds = request.body_bounds(HOLDINGS_MAX_BYTES, HOLDINGS_MS);
+    let body = http::read_request_body(request.body, &bounds, &request.inbound).await;
     let holdings = body.ok().and_then(|body| ciborium::from_reader(&body[..]).ok());
     let Some(roster::Holdings { instance, version, chunks }) = holdings else {
         return refuse(http::Kind::BadRequest, "no holdings");
--- a/ragwortdeal_node/src/entry.rs
+++ b/ragwortdeal_node/src/entry.rs
@@ -160,12 +160,17 @@
     let (sender, events) = tokio::sync::mpsc::channel(control::EVENTS);
     let entry = sync::Arc::new(Entry::new(settings, sender)?);
     let (stopper, unready) = stop::pair();
+    let mut tasks = tokio::task::JoinSet::new();
+    let inbound = &entry.settings.inbound;
+    let inbound = http::Inbound::new(inbound, inbound.memory_mb, entry.telemetry.clone());
+    tasks.spawn(inbound.clone().report());
+    let routes = callers::router(&entry);
     let callers =
-        http::serve(listeners.callers, callers::router(&entry), unready.clone(), grace_ms);
+        http::serve(listeners.callers, routes, inbound.clone(), unready.clone(), grace_ms);
     let callers = tokio::spawn(callers);
     let operators = operator::router(&entry);
-    let operators = tokio::spawn(http::serve(listeners.operators, operators, unready, grace_ms));
-    let mut tasks = tokio::task::JoinSet::new();
+    let operators = http::serve(listeners.operators, operators, inbound, unready, grace_ms);
+    let operators = tokio::spawn(operators);
     tasks.spawn(control::follow(entry.clone(), events));
     tasks.spawn(members::expire(entry.clone()));
     tasks.spawn(calls::demand::keep_time(entry.clone()));
--- a/ragwortdeal_node/src/entry/callers.rs
+++ b/ragwortdeal_node/src/entry/callers.rs
@@ -6,6 +6,7 @@
     router,
     router::builder::{DefineSingleRoute as _, DrawRoutes as _},
 };
+use hyper::header;
 use ragwortdeal_core::name;
 use ragwortdeal_wire::operator as wire;
 use subtle::ConstantTimeEq as _;
@@ -65,3 +66,17 @@
     }
     http::answer(&problem)
 }
+
+/// Refuses a request whose body was not read, so that nothing ran.
+pub(super) fn body_refused(error: &http::BodyError, request_id: &str) -> http::Response {
+    let kind = match error {
+        http::BodyError::NoRoom => http::Kind::Unavailable,
+        _ => http::Kind::BadRequest,
+    };
+    let mut response = not_run(kind, &error.to_string(), request_id);
+    if error.leaves_bytes() {
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
--- a/ragwortdeal_node/src/entry/calls.rs
+++ b/ragwortdeal_node/src/entry/calls.rs
@@ -86,8 +86,13 @@
     let request_id_given = request.headers.contains_key(http::REQUEST_ID);
     let urgency = permit::Urgency::of(&request);
     let deadline_ms = urgency.deadline_ms(entry.clock.now_ms());
-    let Ok(body) = http::read(request.body, limits.request_max_bytes, limits.gap_ms).await else {
-        return refuse(http::Kind::BadRequest, "the body is too large or too slow");
+    let bounds = http::BodyBounds {
+        client: account.as_str().into(),
+        ..request.body_bounds(limits.request_max_bytes, limits.gap_ms)
+    };
+    let body = match http::read_request_body(request.body, &bounds, &request.inbound).await {
+        Ok(body) => body,
+        Err(error) => return Err(callers::body_refused(&error, &id)),
     };
     let Ok(fields) = serde_json::from_slice::<serde_json::Value>(&body) else {
         return refuse(http::Kind::BadRequest, "the body is no JSON");
--- a/ragwortdeal_node/src/entry/operations.rs
+++ b/ragwortdeal_node/src/entry/operations.rs
@@ -56,8 +56,13 @@
     };
     let limits = &entry.settings.limits;
     let urgency = calls::permit::Urgency::of(&request);
-    let Ok(body) = http::read(request.body, limits.request_max_bytes, limits.gap_ms).await else {
-        return refuse(http::Kind::BadRequest, "the body is too large or too slow");
+    let bounds = http::BodyBounds {
+        client: call.account.as_str().into(),
+        ..request.body_bounds(limits.request_max_bytes, limits.gap_ms)
+    };
+    let body = match http::read_request_body(request.body, &bounds, &request.inbound).await {
+        Ok(body) => body,
+        Err(error) => return callers::body_refused(&error, &id),
     };
     if matches!(call.method, hyper::Method::GET | hyper::Method::HEAD) {
         return serve_read(&entry, &call, urgency, body).await;
--- a/ragwortdeal_node/src/entry/operator.rs
+++ b/ragwortdeal_node/src/entry/operator.rs
@@ -80,8 +80,9 @@
     id: &str,
 ) -> Result<T, http::Response> {
     let bad = |detail: &str| callers::not_run(http::Kind::BadRequest, detail, id);
-    let body = http::read(request.body, CHANGE_MAX_BYTES, CHANGE_READ_MS).await;
-    let body = body.map_err(|_| bad("the body is too large or too slow"))?;
+    let bounds = request.body_bounds(CHANGE_MAX_BYTES, CHANGE_READ_MS);
+    let body = http::read_request_body(request.body, &bounds, &request.inbound).await;
+    let body = body.map_err(|error| callers::body_refused(&error, id))?;
     serde_json::from_slice(&body).map_err(|error| bad(&error.to_string()))
 }
 
--- a/ragwortdeal_node/src/fleet/agent.rs
+++ b/ragwortdeal_node/src/fleet/agent.rs
@@ -115,7 +115,7 @@
     let service = service.ok_or(AgentError::Missing { what: "fleet.service" })?;
     let mut identity = settings.process.identity()?;
     identity.name = name::InstanceName::new(&settings.fleet.address.to_string())?;
-    let (telemetry, _) = metrics::start(settings.listen.metrics, stop.clone()).await;
+    let (telemetry, inbound) = metrics::start(&settings, stop.clone()).await;
     let agent = sync::Arc::new(Agent {
         dialect,
         credential: link::Credential::new(&settings.credentials.cluster),
@@ -155,7 +155,7 @@
     tokio::spawn(probe_responder::run(agent.clone()));
     let handler = http::route(agent.clone(), peers::answer);
     let (stopper, serve_stop) = stop::pair();
-    tokio::spawn(http::serve_with(listener, handler, http::Bounds::default(), serve_stop, 0));
+    tokio::spawn(http::serve_with(listener, handler, http::Bounds::new(inbound), serve_stop, 0));
     log::info!("agent: started, engine={engine}");
     stop.wait().await;
     stopper.stop();
--- a/ragwortdeal_node/src/fleet/agent/peers.rs
+++ b/ragwortdeal_node/src/fleet/agent/peers.rs
@@ -65,7 +65,8 @@
             }
         }
         ["internal", "holdings"] => {
-            let body = http::read(request.body, HOLDINGS_MAX_BYTES, HOLDINGS_TIMEOUT_MS).await;
+            let bounds = request.body_bounds(HOLDINGS_MAX_BYTES, HOLDINGS_TIMEOUT_MS);
+            let body = http::read_request_body(request.body, &bounds, &request.inbound).await;
             let holdings = body.ok().and_then(|body| ciborium::from_reader(&body[..]).ok());
             match holdings {
                 Some(holdings) => {
--- a/ragwortdeal_node/src/fleet/entry.rs
+++ b/ragwortdeal_node/src/fleet/entry.rs
@@ -193,7 +193,7 @@
     let settings = sync::Arc::new(settings);
     let mut identity = settings.process.identity()?;
     identity.name = ragwortdeal_core::name::InstanceName::new(&settings.fleet.address.to_string())?;
-    let (telemetry, _) = metrics::start(settings.listen.metrics, stop.clone()).await;
+    let (telemetry, inbound) = metrics::start(&settings, stop.clone()).await;
     let (isolation, to_tell) = isolation::Isolation::new(settings.fleet.address);
     let (rates_to_report, rates) = mpsc::channel(QUEUED_RATES_MAX);
     let entry = Entry::new(&settings, dialect, telemetry, isolation, rates_to_report);
@@ -208,9 +208,11 @@
     tokio::spawn(probes::run(entry.clone(), settings.clone()));
     let (stopper, callers_stop) = stop::pair();
     let (readiness_stopper, readiness_stop) = stop::pair();
-    let bounds = http::Bounds { head_ms: CALLER_IDLE_MS, ..http::Bounds::default() };
+    let bounds = http::Bounds { head_ms: CALLER_IDLE_MS, ..http::Bounds::new(inbound) };
     let readiness = http::route(entry.clone(), readiness);
-    tokio::spawn(http::serve_with(listeners.readiness, readiness, bounds, readiness_stop, 0));
+    let serving =
+        http::serve_with(listeners.readiness, readiness, bounds.clone(), readiness_stop, 0);
+    tokio::spawn(serving);
     let grace_ms = (settings.bounds.grace_s * 1_000.0) as u64;
     let grace_ms = grace_ms.saturating_sub(READINESS_DRAIN_MS + SHUTDOWN_MARGIN_MS);
     let handler = http::route(entry.clone(), serve::answer);
--- a/ragwortdeal_node/src/fleet/entry/request.rs
+++ b/ragwortdeal_node/src/fleet/entry/request.rs
@@ -18,6 +18,13 @@
 /// Longest time to wait for a request body.
 const BODY_MS: u64 = 10_000;
 
+/// Shortest time after which a caller returns whose body found no memory. A body that stands still
+/// gives way after a second, and others are held for as long as their requests run.
+const NO_ROOM_RETRY_MIN_MS: u64 = 1_000;
+
+/// Jitter of that time.
+const NO_ROOM_RETRY_JITTER_MS: u64 = 1_000;
+
 /// A caller gives up on a stream without an event after this time at the earliest.
 const ABANDON_MIN: time::Duration = time::Duration::from_secs(2);
 
@@ -133,18 +140,25 @@
     pub(super) status: u16,
     pub(super) reason: &'static str,
     pub(super) retry_after: Option<time::Duration>,
+    /// Whether the connection still carries a part of the request, so that it is closed.
+    pub(super) closes: bool,
     /// Level of the refused request, if those to its service are ordered.
     pub(super) level: Option<priority::Level>,
 }
 
 impl Refusal {
     pub(super) fn new(status: u16, reason: &'static str) -> Self {
-        Self { status, reason, retry_after: None, level: None }
+        Self { status, reason, retry_after: None, closes: false, level: None }
     }
 
     /// A refusal with a time after which to retry.
     pub(super) fn retry_after(status: u16, reason: &'static str, after: time::Duration) -> Self {
-        Self { status, reason, retry_after: Some(after), level: None }
+        Self { retry_after: Some(after), ..Self::new(status, reason) }
+    }
+
+    /// The refusal of a request of which a part was not read.
+    fn closing(self) -> Self {
+        Self { closes: true, ..self }
     }
 
     /// The refusal of a request of this level.
@@ -257,6 +271,7 @@
         let last_event = number(&names.last_event);
         let parts = engine.map_or(Vec::new(), |_| self.shared_parts(&request.headers, &id));
         let body_max_bytes = table.document().limits.body_max_bytes;
+        let address_bounds = request.body_bounds(body_max_bytes, waits_ms.min(BODY_MS));
         let caller_request = CallerRequest {
             id,
             method: request.method,
@@ -278,7 +293,11 @@
             parts,
             fingerprint: prompt::Part::default(),
         };
-        let body = http::read(request.body, body_max_bytes, waits_ms.min(BODY_MS)).await;
+        let bounds = match &caller_request.account {
+            Some(account) => http::BodyBounds { client: account.clone(), ..address_bounds },
+            None => address_bounds,
+        };
+        let body = http::read_request_body(request.body, &bounds, &request.inbound).await;
         self.with_body(caller_request, body)
     }
 
@@ -286,25 +305,35 @@
     fn with_body(
         &self,
         caller_request: CallerRequest,
-        body: std::io::Result<bytes::Bytes>,
+        body: Result<bytes::Bytes, http::BodyError>,
     ) -> Result<CallerRequest, Refusal> {
-        match body {
+        let error = match body {
             Ok(body) => {
                 let caller_request = CallerRequest { body, ..caller_request };
                 let fingerprint = self.fingerprint(&caller_request);
-                Ok(CallerRequest { fingerprint, ..caller_request })
+                return Ok(CallerRequest { fingerprint, ..caller_request });
             }
-            Err(error) if error.kind() == std::io::ErrorKind::TimedOut => {
-                Err(Refusal::new(408, "the body did not come in time"))
+            Err(error) => error,
+        };
+        log::info!(
+            request = caller_request.id(), reason:% = error, account = caller_request.account.as_deref();
+            "entry: the request body was not read"
+        );
+        let level = caller_request.level;
+        let refusal = match error {
+            http::BodyError::TooLarge { .. } => Refusal::new(413, "the body is too large"),
+            http::BodyError::NoRoom => {
+                let jitter_ms = self.random_u64() % NO_ROOM_RETRY_JITTER_MS;
+                let after = time::Duration::from_millis(NO_ROOM_RETRY_MIN_MS + jitter_ms);
+                Refusal::retry_after(503, "other bodies hold the memory", after)
             }
-            Err(error) => {
-                log::info!(
-                    request = caller_request.id(), reason:% = error;
-                    "entry: the request body did not arrive"
-                );
-                Err(Refusal::new(413, "the body is too large or was cut"))
+            http::BodyError::Stalled => {
+                Refusal::new(408, "the body stood still while others needed its memory")
             }
-        }
+            http::BodyError::Late => Refusal::new(408, "the body did not come in time"),
+            http::BodyError::Cut { .. } => Refusal::new(400, "the body is malformed or was cut"),
+        };
+        Err(refusal.closing().of_level(level))
     }
 }
 
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -67,6 +67,10 @@
     if let Some(id) = id {
         response.headers_mut().insert(entry.dialect.headers().request_id.clone(), id.clone());
     }
+    if refusal.closes {
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
     if let Some(after) = refusal.retry_after {
         let seconds = format!("{:.3}", after.as_secs_f64());
         if let Ok(value) = header::HeaderValue::from_str(&seconds) {
--- a/ragwortdeal_node/src/http.rs
+++ b/ragwortdeal_node/src/http.rs
@@ -1,16 +1,18 @@
 //! HTTP by `gotham` towards callers and operators, and by `hyper-util` towards upstreams.
 
+mod body;
 mod client;
+mod inbound;
 pub mod metered;
 mod problem;
 mod server;
 
+pub use body::{BodyBounds, BodyError, read, read_request_body};
 pub use client::{Client, HttpError, RequestBody};
+pub use inbound::Inbound;
 pub use problem::{Kind, answer, problem};
 pub use server::{Bounds, Request, route, serve, serve_with};
 
-use std::{io, time};
-
 use gotham::hyper;
 use http_body_util::BodyExt as _;
 
@@ -59,19 +61,6 @@
     http_body_util::Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
-/// Reads a body to its end within bounds of size and time.
-pub async fn read<B>(body: B, max_bytes: usize, deadline_ms: u64) -> io::Result<bytes::Bytes>
-where
-    B: http_body::Body<Data = bytes::Bytes>,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
-{
-    let limited = http_body_util::Limited::new(body, max_bytes);
-    let deadline = time::Duration::from_millis(deadline_ms);
-    let collected = tokio::time::timeout(deadline, limited.collect()).await;
-    let collected = collected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?;
-    Ok(collected.map_err(io::Error::other)?.to_bytes())
-}
-
 /// An answer with a JSON body.
 pub fn json<T: serde::Serialize>(status: u16, value: &T) -> Response {
     let bytes = serde_json::to_vec(value).expect("own types encode as JSON");
--- a/ragwortdeal_node/src/http/server.rs
+++ b/ragwortdeal_node/src/http/server.rs
@@ -9,7 +9,7 @@
 use hyper_util::{rt, server as hyper_server};
 use tokio::{net, sync::Semaphore};
 
-use super::{Body, Response};
+use super::{Body, Inbound, Response, body, inbound};
 use crate::stop;
 
 /// Connections that one listener holds at once; more wait in the kernel's queue.
@@ -33,19 +33,33 @@
     pub body: Body,
     /// Address of the caller.
     pub client: Option<std_net::SocketAddr>,
+    /// Limits of the process, for the body.
+    pub inbound: Inbound,
 }
 
+/// The limits of the process, for handlers.
+struct Limits(Inbound);
+
+impl state::StateData for Limits {}
+
 impl Request {
     fn take_from(state: &mut state::State) -> Self {
+        let Limits(inbound) = Limits::take_from(state);
         Self {
             method: hyper::Method::take_from(state),
             uri: hyper::Uri::take_from(state),
             headers: hyper::HeaderMap::take_from(state),
             body: Body::take_from(state),
             client: state::client_addr(state),
+            inbound,
         }
     }
 
+    /// Bounds of a body that counts to the caller's address.
+    pub fn body_bounds(&self, max_bytes: usize, deadline_ms: u64) -> body::BodyBounds {
+        body::BodyBounds { max_bytes, deadline_ms, client: inbound::client_of(self.client) }
+    }
+
     /// A header's value as text.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.get(name)?.to_str().ok()
@@ -92,26 +106,31 @@
 pub async fn serve(
     listener: net::TcpListener,
     router: router::Router,
+    inbound: Inbound,
     stop: stop::Stop,
     grace_ms: u64,
 ) -> bool {
-    serve_with(listener, router, Bounds::default(), stop, grace_ms).await
+    serve_with(listener, router, Bounds::new(inbound), stop, grace_ms).await
 }
 
 /// Bounds on what a listener's callers may send.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Bounds {
     /// Longest time in milliseconds to send a request's headers. It also ends a kept connection
     /// on which no request comes.
     pub head_ms: u64,
     /// Largest head in bytes.
     pub head_max_bytes: usize,
+    /// Limits of the process.
+    pub inbound: Inbound,
 }
 
-impl Default for Bounds {
-    fn default() -> Self {
+impl Bounds {
+    /// Usual bounds of a listener within the limits of its process.
+    pub fn new(inbound: Inbound) -> Self {
         // As large as hyper's own bound, which holds for callers that are known.
-        Self { head_ms: HEADER_READ.as_millis() as u64, head_max_bytes: 408 << 10 }
+        let head_max_bytes = 408 << 10;
+        Self { head_ms: HEADER_READ.as_millis() as u64, head_max_bytes, inbound }
     }
 }
 
@@ -141,7 +160,7 @@
             continue;
         };
         let _ = stream.set_nodelay(true);
-        let connection = connection(stream, client, router.clone(), bounds);
+        let connection = connection(stream, client, router.clone(), bounds.clone());
         let watched = graceful.watch(connection);
         tokio::spawn(async move {
             if let Err(error) = watched.await {
@@ -160,13 +179,15 @@
     router: sync::Arc<H>,
     bounds: Bounds,
 ) -> impl hyper_server::graceful::GracefulConnection<Error = hyper::Error> {
+    let Bounds { head_ms, head_max_bytes, inbound } = bounds;
     let service = hyper::service::service_fn(move |request| {
-        let state = state::State::from_request(request, client);
+        let mut state = state::State::from_request(request, client);
+        state.put(Limits(inbound.clone()));
         gotham::service::call_handler(router.clone(), panic::AssertUnwindSafe(state))
     });
     hyper::server::conn::http1::Builder::new()
         .timer(rt::TokioTimer::new())
-        .header_read_timeout(time::Duration::from_millis(bounds.head_ms))
-        .max_buf_size(bounds.head_max_bytes.max(HEAD_MIN_BYTES))
+        .header_read_timeout(time::Duration::from_millis(head_ms))
+        .max_buf_size(head_max_bytes.max(HEAD_MIN_BYTES))
         .serve_connection(rt::TokioIo::new(stream), service)
 }
--- a/ragwortdeal_node/src/settings/agent.rs
+++ b/ragwortdeal_node/src/settings/agent.rs
@@ -22,6 +22,8 @@
     pub weights: Weights,
     /// Secrets.
     pub credentials: common::Credentials,
+    /// What peers may make the process hold.
+    pub inbound: common::Inbound,
     /// Logs.
     pub log: common::Log,
     /// Metrics and traces.
@@ -129,6 +131,7 @@
     fn check(&self) -> Vec<(String, String)> {
         let mut complaints = self.process.check();
         complaints.extend(self.credentials.check());
+        complaints.extend(self.inbound.check());
         let mut complain =
             |key: &str, message: &str| complaints.push((key.to_owned(), message.to_owned()));
         if self.entries.addresses.is_empty() {
--- a/ragwortdeal_node/src/settings/common.rs
+++ b/ragwortdeal_node/src/settings/common.rs
@@ -2,7 +2,7 @@
 
 use std::net;
 
-use ragwortdeal_core::name;
+use ragwortdeal_core::{inbound::capacity, name};
 use ragwortdeal_wire::link as wire;
 use serde::Deserialize;
 
@@ -129,3 +129,59 @@
     /// Link addresses.
     pub addresses: Vec<net::SocketAddr>,
 }
+
+/// Memory of a process that is told no limit.
+const MEMORY_DEFAULT_MB: usize = 256;
+
+/// Percent of the memory that answers and what a process holds for itself need beside the parts of
+/// [`Inbound`].
+const OTHER_MEMORY_PERCENT: usize = 30;
+
+/// What peers may make the process hold. `docs/design/inbound.md` tells how the parts add up.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default)]
+pub struct Inbound {
+    /// Memory of the process in MiB, 0 where it is not told. In a fleet `bounds.memory_mb` says it.
+    pub memory_mb: usize,
+    /// Percent of the memory that bodies of requests may hold together.
+    pub body_memory_percent: usize,
+    /// Milliseconds without progress after which a body gives way to others that need its memory.
+    pub stalled_body_ms: u64,
+}
+
+impl Default for Inbound {
+    fn default() -> Self {
+        Self { memory_mb: 0, body_memory_percent: 25, stalled_body_ms: 1_000 }
+    }
+}
+
+impl Inbound {
+    /// What the process has, with so much memory in MiB, 0 where that is not known.
+    pub fn capacity(&self, memory_mb: usize) -> capacity::Capacity {
+        let memory_mb = if memory_mb == 0 { MEMORY_DEFAULT_MB } else { memory_mb };
+        capacity::Capacity {
+            process_bytes: memory_mb << 20,
+            body_percent: self.body_memory_percent,
+        }
+    }
+
+    /// Complaints about limits with which the process could not serve.
+    pub fn check(&self) -> Vec<(String, String)> {
+        let mut complaints = Vec::new();
+        let mut complain = |wrong: bool, key: &str, message: String| {
+            if wrong {
+                complaints.push((format!("inbound.{key}"), message));
+            }
+        };
+        let key = "body_memory_percent";
+        complain(self.body_memory_percent == 0, key, "leaves no memory".to_owned());
+        let left_percent = 100 - OTHER_MEMORY_PERCENT;
+        complain(
+            self.body_memory_percent > left_percent,
+            key,
+            format!("is over {left_percent} percent"),
+        );
+        complain(self.stalled_body_ms == 0, "stalled_body_ms", "gives up every body".to_owned());
+        complaints
+    }
+}
--- a/ragwortdeal_node/src/settings/entry.rs
+++ b/ragwortdeal_node/src/settings/entry.rs
@@ -28,6 +28,8 @@
     pub voter: voter::Voter,
     /// Secrets.
     pub credentials: common::Credentials,
+    /// What peers may make the process hold.
+    pub inbound: common::Inbound,
     /// Logs.
     pub log: common::Log,
     /// Metrics and traces.
@@ -129,6 +131,7 @@
     fn check(&self) -> Vec<(String, String)> {
         let mut complaints = self.process.check();
         complaints.extend(self.credentials.check());
+        complaints.extend(self.inbound.check());
         complaints.extend(self.voter.check());
         for account in &self.accounts {
             complaints.extend(common::check_name("accounts.name", &account.name));
--- a/ragwortdeal_node/src/settings/fleet.rs
+++ b/ragwortdeal_node/src/settings/fleet.rs
@@ -21,6 +21,8 @@
     pub disk: Disk,
     /// What the operator promises to callers and upstreams.
     pub bounds: Bounds,
+    /// What peers may make the process hold.
+    pub inbound: common::Inbound,
     /// Secrets.
     pub credentials: common::Credentials,
     /// Logs.
@@ -157,6 +159,7 @@
     fn check(&self) -> Vec<(String, String)> {
         let mut complaints = self.process.check();
         complaints.extend(self.credentials.check());
+        complaints.extend(self.inbound.check());
         if self.fleet.seeds.is_empty() {
             complaints.push(("fleet.seeds".to_owned(), "names no voter".to_owned()));
         }
--- a/ragwortdeal_node/src/voter/fleet.rs
+++ b/ragwortdeal_node/src/voter/fleet.rs
@@ -172,7 +172,7 @@
     let mut identity = settings.process.identity()?;
     identity.name = name::InstanceName::new(&settings.fleet.address.to_string())?;
     tokio::spawn(fellows::follow(settings.clone(), identity, fellow_seeds, hub.clone()));
-    let (telemetry, _) = metrics::start(settings.listen.metrics, stop.clone()).await;
+    let (telemetry, inbound) = metrics::start(&settings, stop.clone()).await;
     let published = control::Published {
         documents: publisher.documents.subscribe(),
         redirect: publisher.redirect.subscribe(),
@@ -181,7 +181,7 @@
     let api = control::Control::new(spoken, hub, events.clone(), published, evacuations, telemetry);
     let api = sync::Arc::new(api);
     let handler = http::route(api, control::answer);
-    let bounds = http::Bounds::default();
+    let bounds = http::Bounds::new(inbound);
     let serving =
         http::serve_with(listeners.control, handler, bounds, serve_stop, CONTROL_GRACE_MS);
     tokio::spawn(serving);
--- a/ragwortdeal_node/src/voter/fleet/control.rs
+++ b/ragwortdeal_node/src/voter/fleet/control.rs
@@ -85,8 +85,13 @@
         dialect::ControlCall::Install => DOCUMENT_MAX_BYTES,
         _ => ANNOUNCEMENT_MAX_BYTES,
     };
-    let Ok(body) = http::read(request.body, max_bytes, BODY_MS).await else {
-        return text(400, "the body is too large, cut or too slow\n");
+    let bounds = request.body_bounds(max_bytes, BODY_MS);
+    let body = match http::read_request_body(request.body, &bounds, &request.inbound).await {
+        Ok(body) => body,
+        Err(error) => {
+            control.telemetry.count("voter.refusals", 1);
+            return body_refused(&error);
+        }
     };
     if let Some(location) = redirect {
         control.telemetry.count("voter.redirects", 1);
@@ -249,6 +254,22 @@
     }
 }
 
+/// Refuses a call whose body was not read. Callers ask another voter where there is no memory here.
+fn body_refused(error: &http::BodyError) -> http::Response {
+    let status = match error {
+        http::BodyError::TooLarge { .. } => 413,
+        http::BodyError::NoRoom => 503,
+        http::BodyError::Stalled | http::BodyError::Late => 408,
+        http::BodyError::Cut { .. } => 400,
+    };
+    let mut response = text(status, &format!("{error}\n"));
+    if error.leaves_bytes() {
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
 fn redirect_to(location: &str) -> http::Response {
     let mut response = text(307, "this voter stands by\n");
     if let Ok(value) = header::HeaderValue::from_str(location) {
--- a/ragwortdeal_standins/src/fleet/world.rs
+++ b/ragwortdeal_standins/src/fleet/world.rs
@@ -139,6 +139,7 @@
             },
             disk: settings::fleet::Disk { data_dir: Some(self.data_dir(number)) },
             bounds: settings::fleet::Bounds::default(),
+            inbound: common::Inbound::default(),
             credentials: common::Credentials { cluster: "a-secret-for-the-fleet".to_owned() },
             log: common::Log::default(),
         }
