Bound the connections of a listener by memory and descriptors

What callers saw: beside 1,500 connections that send nothing, an entry with few descriptors accepted nobody and reached no upstream; a voter answered nobody.

Cause: a listener took 16,384 connections, more than a process has descriptors for, with heads of up to 408 KiB each, and the kernel held up to some MiB of unread bytes for each, which count as memory. The settings told the process no number of descriptors, and voters and agents no memory.

Change: a listener takes what fits into its part of the memory, each connection with two heads and a receive buffer, and at most half of the descriptors. When there is no place, a connection that waits is closed: those that sent nothing first, those at work never. The choice is ragwortdeal_core::inbound::connections and runs without a network. Health checks, metrics and operators have places of their own. Receive buffers and heads are bounded by settings; a document that allows larger heads goes first.

Why it works: what a connection can hold is bounded, and so is their number; what clients keep open without sending is the first to go.

--- a/ragwortdeal_core/src/inbound.rs
+++ b/ragwortdeal_core/src/inbound.rs
@@ -4,3 +4,4 @@
 
 pub mod body_memory;
 pub mod capacity;
+pub mod connections;
--- a/ragwortdeal_core/src/inbound/body_memory.rs
+++ b/ragwortdeal_core/src/inbound/body_memory.rs
@@ -147,6 +147,11 @@
         self.bodies.remove(&id);
     }
 
+    /// Largest body that finds room where nothing else is held.
+    pub fn each_max_bytes(&self) -> usize {
+        self.common_bytes
+    }
+
     /// Bytes that all bodies hold.
     pub fn held_bytes(&self) -> usize {
         self.held_bytes.values().sum()
--- a/ragwortdeal_node/src/entry.rs
+++ b/ragwortdeal_node/src/entry.rs
@@ -21,6 +21,9 @@
 
 use crate::{clock, http, link, settings, stop, telemetry, voter};
 
+/// Connections of operators and their tools.
+const OPERATOR_CONNECTIONS_MAX: usize = 256;
+
 /// Why an entry cannot run.
 #[derive(Debug, Snafu)]
 pub enum EntryError {
@@ -168,8 +171,12 @@
     let callers =
         http::serve(listeners.callers, routes, inbound.clone(), unready.clone(), grace_ms);
     let callers = tokio::spawn(callers);
+    let bounds = http::Bounds {
+        connections_max: Some(OPERATOR_CONNECTIONS_MAX),
+        ..http::Bounds::new(inbound)
+    };
     let operators = operator::router(&entry);
-    let operators = http::serve(listeners.operators, operators, inbound, unready, grace_ms);
+    let operators = http::serve_with(listeners.operators, operators, bounds, unready, grace_ms);
     let operators = tokio::spawn(operators);
     tasks.spawn(control::follow(entry.clone(), events));
     tasks.spawn(members::expire(entry.clone()));
--- a/ragwortdeal_node/src/fleet/entry.rs
+++ b/ragwortdeal_node/src/fleet/entry.rs
@@ -45,6 +45,9 @@
 /// which is not known when the listener opens.
 const CALLER_IDLE_MS: u64 = 30_000;
 
+/// Connections on which the balancer's health checks come.
+const READINESS_CONNECTIONS_MAX: usize = 32;
+
 /// How often idle connections and upstreams that left are cleaned up.
 const SWEEP_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
@@ -112,6 +115,7 @@
     upstreams: sync::Mutex<upstreams::Upstreams>,
     pool: pool::Pool,
     answer_memory: answer_memory::AnswerMemory,
+    inbound: http::Inbound,
     endings: endings::Endings,
     isolation: isolation::Isolation,
     fingerprints: fingerprint::Key,
@@ -128,6 +132,7 @@
         telemetry: telemetry::Telemetry,
         isolation: isolation::Isolation,
         rates_to_report: mpsc::Sender<notice::NamedRate>,
+        inbound: http::Inbound,
     ) -> Self {
         let bounds = &settings.bounds;
         let budget = retry_budget::Budget {
@@ -152,6 +157,7 @@
             upstreams: sync::Mutex::new(upstreams),
             pool: pool::Pool::default(),
             answer_memory: answer_memory::AnswerMemory::new(bounds),
+            inbound,
             endings: endings::Endings::default(),
             isolation,
             fingerprints: fingerprint::Key::new(&settings.credentials.cluster),
@@ -196,7 +202,8 @@
     let (telemetry, inbound) = metrics::start(&settings, stop.clone()).await;
     let (isolation, to_tell) = isolation::Isolation::new(settings.fleet.address);
     let (rates_to_report, rates) = mpsc::channel(QUEUED_RATES_MAX);
-    let entry = Entry::new(&settings, dialect, telemetry, isolation, rates_to_report);
+    let entry =
+        Entry::new(&settings, dialect, telemetry, isolation, rates_to_report, inbound.clone());
     let entry = sync::Arc::new(entry);
     let (voters, events) =
         voter_links::start(settings.clone(), identity, "entry", entry.held_version.clone(), seeds);
@@ -210,8 +217,10 @@
     let (readiness_stopper, readiness_stop) = stop::pair();
     let bounds = http::Bounds { head_ms: CALLER_IDLE_MS, ..http::Bounds::new(inbound) };
     let readiness = http::route(entry.clone(), readiness);
+    let readiness_bounds =
+        http::Bounds { connections_max: Some(READINESS_CONNECTIONS_MAX), ..bounds.clone() };
     let serving =
-        http::serve_with(listeners.readiness, readiness, bounds.clone(), readiness_stop, 0);
+        http::serve_with(listeners.readiness, readiness, readiness_bounds, readiness_stop, 0);
     tokio::spawn(serving);
     let grace_ms = (settings.bounds.grace_s * 1_000.0) as u64;
     let grace_ms = grace_ms.saturating_sub(READINESS_DRAIN_MS + SHUTDOWN_MARGIN_MS);
--- a/ragwortdeal_node/src/fleet/entry/voter_updates.rs
+++ b/ragwortdeal_node/src/fleet/entry/voter_updates.rs
@@ -109,6 +109,8 @@
                 );
                 self.held_version.store(document.version, atomic::Ordering::Relaxed);
                 self.upstreams().retain(&document, self.clock.now_ms());
+                self.inbound.allow_heads(document.limits.head_max_bytes);
+                self.inbound.check_bodies(document.limits.body_max_bytes);
                 let table = table::Table::new(sync::Arc::new(document));
                 self.table.store(Some(sync::Arc::new(table)));
             }
--- a/ragwortdeal_node/src/fleet/metrics.rs
+++ b/ragwortdeal_node/src/fleet/metrics.rs
@@ -4,6 +4,9 @@
 
 use crate::{http, settings, stop, telemetry, telemetry::aggregate};
 
+/// Connections that ask for metrics at once.
+const CONNECTIONS_MAX: usize = 32;
+
 /// Opens the listener in the settings, if there is one, and returns the telemetry to record to and
 /// the limits of what peers may send.
 ///
@@ -21,7 +24,10 @@
         match tokio::net::TcpListener::bind(address).await {
             Ok(listener) => {
                 let handler = http::route(sync::Arc::new(aggregate.clone()), answer);
-                let bounds = http::Bounds::new(inbound.clone());
+                let bounds = http::Bounds {
+                    connections_max: Some(CONNECTIONS_MAX),
+                    ..http::Bounds::new(inbound.clone())
+                };
                 tokio::spawn(http::serve_with(listener, handler, bounds, stop, 0));
             }
             Err(error) => log::error!("metrics: cannot listen on {address}: {error}"),
--- a/ragwortdeal_node/src/http.rs
+++ b/ragwortdeal_node/src/http.rs
@@ -6,6 +6,7 @@
 pub mod metered;
 mod problem;
 mod server;
+mod tracked;
 
 pub use body::{BodyBounds, BodyError, read, read_request_body};
 pub use client::{Client, HttpError, RequestBody};
--- a/ragwortdeal_node/src/http/body.rs
+++ b/ragwortdeal_node/src/http/body.rs
@@ -3,7 +3,7 @@
 //! Bodies are copied into one buffer each. A parser's chunks cost many times their bytes where they
 //! are small, and each keeps the buffer alive that it was cut from.
 
-use std::{io, pin, time};
+use std::{io, pin, sync, task, time};
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
@@ -180,3 +180,41 @@
     let collected = collected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?;
     Ok(collected.map_err(io::Error::other)?.into())
 }
+
+/// The body of an answer, whose connection is told when it is handed over.
+pub(super) struct TrackedAnswer {
+    body: Body,
+    connection: sync::Arc<inbound::ConnectionState>,
+}
+
+impl TrackedAnswer {
+    pub(super) fn new(body: Body, connection: sync::Arc<inbound::ConnectionState>) -> Self {
+        Self { body, connection }
+    }
+}
+
+impl Drop for TrackedAnswer {
+    fn drop(&mut self) {
+        self.connection.end_answer();
+    }
+}
+
+impl http_body::Body for TrackedAnswer {
+    type Data = Bytes;
+    type Error = <Body as http_body::Body>::Error;
+
+    fn poll_frame(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<http_body::Frame<Self::Data>, Self::Error>>> {
+        pin::Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/ragwortdeal_node/src/http/server.rs
+++ b/ragwortdeal_node/src/http/server.rs
@@ -5,16 +5,14 @@
 
 use std::{net as std_net, panic, pin, sync, time};
 
+use futures_util::TryFutureExt as _;
 use gotham::{handler, hyper, router, state, state::FromState as _};
 use hyper_util::{rt, server as hyper_server};
-use tokio::{net, sync::Semaphore};
+use tokio::net;
 
-use super::{Body, Inbound, Response, body, inbound};
+use super::{Body, Inbound, Response, body, inbound, tracked};
 use crate::stop;
 
-/// Connections that one listener holds at once; more wait in the kernel's queue.
-const CONNECTIONS_MAX: usize = 16_384;
-
 /// Longest time to send a request's headers, against callers that hold connections for nothing.
 const HEADER_READ: time::Duration = time::Duration::from_secs(10);
 
@@ -119,8 +117,8 @@
     /// Longest time in milliseconds to send a request's headers. It also ends a kept connection
     /// on which no request comes.
     pub head_ms: u64,
-    /// Largest head in bytes.
-    pub head_max_bytes: usize,
+    /// Connections that the listener holds at once, beside the limit of the process.
+    pub connections_max: Option<usize>,
     /// Limits of the process.
     pub inbound: Inbound,
 }
@@ -128,9 +126,7 @@
 impl Bounds {
     /// Usual bounds of a listener within the limits of its process.
     pub fn new(inbound: Inbound) -> Self {
-        // As large as hyper's own bound, which holds for callers that are known.
-        let head_max_bytes = 408 << 10;
-        Self { head_ms: HEADER_READ.as_millis() as u64, head_max_bytes, inbound }
+        Self { head_ms: HEADER_READ.as_millis() as u64, connections_max: None, inbound }
     }
 }
 
@@ -147,9 +143,9 @@
 {
     let router = sync::Arc::new(router);
     let graceful = hyper_server::graceful::GracefulShutdown::new();
-    let places = sync::Arc::new(Semaphore::new(CONNECTIONS_MAX));
+    bound_receive_buffers(&listener, &bounds.inbound);
+    let connections = bounds.inbound.listener(bounds.connections_max);
     loop {
-        let place = places.clone().acquire_owned().await.expect("the semaphore is never closed");
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = stop.wait() => break,
@@ -159,35 +155,63 @@
             tokio::time::sleep(time::Duration::from_millis(50)).await;
             continue;
         };
+        let place = match connections.find_place() {
+            inbound::Found::Free(place) => place,
+            inbound::Found::Replaced(place) => {
+                // The replaced connection is closed before the next one is accepted.
+                tokio::task::yield_now().await;
+                place
+            }
+            inbound::Found::None => continue,
+        };
         let _ = stream.set_nodelay(true);
-        let connection = connection(stream, client, router.clone(), bounds.clone());
+        let state = place.state.clone();
+        let connection = connection(stream, client, router.clone(), bounds.clone(), state);
         let watched = graceful.watch(connection);
         tokio::spawn(async move {
-            if let Err(error) = watched.await {
-                log::debug!("http: connection from {client} ended: {error}");
+            tokio::select! {
+                ended = watched => if let Err(error) = ended {
+                    log::debug!("http: connection from {client} ended: {error}");
+                },
+                () = place.state.must_close() => {
+                    log::debug!("http: connection from {client} gave way to a new one");
+                }
             }
-            drop(place);
         });
     }
     drop(listener);
     tokio::time::timeout(time::Duration::from_millis(grace_ms), graceful.shutdown()).await.is_ok()
 }
 
+/// Bounds what the kernel holds of each connection. Accepted connections inherit it.
+fn bound_receive_buffers(listener: &net::TcpListener, inbound: &Inbound) {
+    let bytes = inbound.receive_buffer_bytes();
+    if let Err(error) = socket2::SockRef::from(listener).set_recv_buffer_size(bytes) {
+        log::warn!("http: receive buffers stay as large as the kernel makes them: {error}");
+    }
+}
+
 fn connection<H: handler::NewHandler + 'static>(
     stream: net::TcpStream,
     client: std_net::SocketAddr,
     router: sync::Arc<H>,
     bounds: Bounds,
+    connection: sync::Arc<inbound::ConnectionState>,
 ) -> impl hyper_server::graceful::GracefulConnection<Error = hyper::Error> {
-    let Bounds { head_ms, head_max_bytes, inbound } = bounds;
+    let Bounds { head_ms, inbound, .. } = bounds;
+    let stream = tracked::Tracked::new(stream, connection.clone());
+    let head_max_bytes = inbound.head_max_bytes().max(HEAD_MIN_BYTES);
     let service = hyper::service::service_fn(move |request| {
+        connection.begin_request();
         let mut state = state::State::from_request(request, client);
         state.put(Limits(inbound.clone()));
-        gotham::service::call_handler(router.clone(), panic::AssertUnwindSafe(state))
+        let answer = gotham::service::call_handler(router.clone(), panic::AssertUnwindSafe(state));
+        let connection = connection.clone();
+        answer.map_ok(|answer| answer.map(|body| body::TrackedAnswer::new(body, connection)))
     });
     hyper::server::conn::http1::Builder::new()
         .timer(rt::TokioTimer::new())
         .header_read_timeout(time::Duration::from_millis(head_ms))
-        .max_buf_size(head_max_bytes.max(HEAD_MIN_BYTES))
+        .max_buf_size(head_max_bytes)
         .serve_connection(rt::TokioIo::new(stream), service)
 }
--- a/ragwortdeal_node/src/settings/common.rs
+++ b/ragwortdeal_node/src/settings/common.rs
@@ -1,6 +1,6 @@
 //! Sections that several programs share.
 
-use std::net;
+use std::{fs, net};
 
 use ragwortdeal_core::{inbound::capacity, name};
 use ragwortdeal_wire::link as wire;
@@ -133,25 +133,50 @@
 /// Memory of a process that is told no limit.
 const MEMORY_DEFAULT_MB: usize = 256;
 
+/// Descriptors of a process that cannot find out how many it may hold.
+const DESCRIPTORS_DEFAULT: usize = 1_024;
+
 /// Percent of the memory that answers and what a process holds for itself need beside the parts of
 /// [`Inbound`].
 const OTHER_MEMORY_PERCENT: usize = 30;
 
+/// Smallest receive buffer with which a connection makes progress.
+const RECEIVE_BUFFER_MIN_BYTES: usize = 4 << 10;
+
+/// Smallest bound of a head that the parser takes.
+const HEAD_MIN_BYTES: usize = 8 << 10;
+
 /// What peers may make the process hold. `docs/design/inbound.md` tells how the parts add up.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default)]
 pub struct Inbound {
     /// Memory of the process in MiB, 0 where it is not told. In a fleet `bounds.memory_mb` says it.
     pub memory_mb: usize,
+    /// Descriptors that the process may hold, 0 for the limit that it was started with.
+    pub file_descriptors: usize,
     /// Percent of the memory that bodies of requests may hold together.
     pub body_memory_percent: usize,
+    /// Percent of the memory that connections may hold together.
+    pub connection_memory_percent: usize,
+    /// Largest head in bytes, where the document allows no larger one.
+    pub head_max_bytes: usize,
+    /// Bytes that the kernel holds for a connection before they are read.
+    pub receive_buffer_bytes: usize,
     /// Milliseconds without progress after which a body gives way to others that need its memory.
     pub stalled_body_ms: u64,
 }
 
 impl Default for Inbound {
     fn default() -> Self {
-        Self { memory_mb: 0, body_memory_percent: 25, stalled_body_ms: 1_000 }
+        Self {
+            memory_mb: 0,
+            file_descriptors: 0,
+            body_memory_percent: 25,
+            connection_memory_percent: 35,
+            head_max_bytes: 20 << 10,
+            receive_buffer_bytes: 32 << 10,
+            stalled_body_ms: 1_000,
+        }
     }
 }
 
@@ -159,9 +184,16 @@
     /// What the process has, with so much memory in MiB, 0 where that is not known.
     pub fn capacity(&self, memory_mb: usize) -> capacity::Capacity {
         let memory_mb = if memory_mb == 0 { MEMORY_DEFAULT_MB } else { memory_mb };
+        let descriptors = match self.file_descriptors {
+            0 => descriptors_allowed().unwrap_or(DESCRIPTORS_DEFAULT),
+            told => told,
+        };
         capacity::Capacity {
             process_bytes: memory_mb << 20,
             body_percent: self.body_memory_percent,
+            connection_percent: self.connection_memory_percent,
+            descriptors,
+            receive_buffer_bytes: self.receive_buffer_bytes,
         }
     }
 
@@ -173,15 +205,34 @@
                 complaints.push((format!("inbound.{key}"), message));
             }
         };
-        let key = "body_memory_percent";
-        complain(self.body_memory_percent == 0, key, "leaves no memory".to_owned());
+        let parts = [
+            ("body_memory_percent", self.body_memory_percent),
+            ("connection_memory_percent", self.connection_memory_percent),
+        ];
+        for (key, percent) in parts {
+            complain(percent == 0, key, "leaves no memory".to_owned());
+        }
         let left_percent = 100 - OTHER_MEMORY_PERCENT;
         complain(
-            self.body_memory_percent > left_percent,
-            key,
-            format!("is over {left_percent} percent"),
+            self.body_memory_percent.saturating_add(self.connection_memory_percent) > left_percent,
+            "body_memory_percent",
+            format!("is with connection_memory_percent over {left_percent} percent"),
         );
+        let least = [
+            ("head_max_bytes", self.head_max_bytes, HEAD_MIN_BYTES),
+            ("receive_buffer_bytes", self.receive_buffer_bytes, RECEIVE_BUFFER_MIN_BYTES),
+        ];
+        for (key, bytes, least_bytes) in least {
+            complain(bytes < least_bytes, key, format!("is under {least_bytes} bytes"));
+        }
         complain(self.stalled_body_ms == 0, "stalled_body_ms", "gives up every body".to_owned());
         complaints
     }
 }
+
+/// Descriptors that this process may hold by the limit that it was started with.
+fn descriptors_allowed() -> Option<usize> {
+    let limits = fs::read_to_string("/proc/self/limits").ok()?;
+    let line = limits.lines().find_map(|line| line.strip_prefix("Max open files"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
