Let refusals reach clients that are still sending

What callers saw: a client that was refused while it sent its body got a reset in place of the answer, so it did not learn that the request has not run, nor when to return.

Cause: a connection that is closed with unread bytes is reset, and the reset overtakes the answer.

Evidence: entry_refusal_reaches_a_client_that_sends_on got no answer on the code before, where 413 is due.

Change: a connection on which a part of a body is unread closes its sending side first and discards what comes, for up to inbound.drain_ms and inbound.drain_max_bytes.

Why it works: the client reads the answer and the end of the connection before anything resets it.

--- a/ragwortdeal_node/src/http/body.rs
+++ b/ragwortdeal_node/src/http/body.rs
@@ -181,6 +181,43 @@
     Ok(collected.map_err(io::Error::other)?.into())
 }
 
+/// The body of a request, whose connection is told whether a part of it is not read.
+pub(super) struct TrackedRequest<B> {
+    body: B,
+    connection: sync::Arc<inbound::ConnectionState>,
+}
+
+impl<B: http_body::Body> TrackedRequest<B> {
+    pub(super) fn new(body: B, connection: sync::Arc<inbound::ConnectionState>) -> Self {
+        connection.set_body_unread(!body.is_end_stream());
+        Self { body, connection }
+    }
+}
+
+impl<B: http_body::Body + Unpin> http_body::Body for TrackedRequest<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<http_body::Frame<Self::Data>, Self::Error>>> {
+        let polled = pin::Pin::new(&mut self.body).poll_frame(context);
+        if matches!(polled, task::Poll::Ready(None)) || self.body.is_end_stream() {
+            self.connection.set_body_unread(false);
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// The body of an answer, whose connection is told when it is handed over.
 pub(super) struct TrackedAnswer {
     body: Body,
--- a/ragwortdeal_node/src/http/inbound.rs
+++ b/ragwortdeal_node/src/http/inbound.rs
@@ -164,6 +164,12 @@
         self.0.settings.receive_buffer_bytes
     }
 
+    /// Longest time and most bytes for which what a refused client still sends is discarded.
+    pub(super) fn drain(&self) -> (time::Duration, usize) {
+        let settings = &self.0.settings;
+        (time::Duration::from_millis(settings.drain_ms), settings.drain_max_bytes)
+    }
+
     /// Takes memory for a body of a client before it is read.
     pub(super) fn begin_body(&self, client: Client, bytes: usize) -> Result<Reservation, NoRoom> {
         let mut bodies = self.bodies();
@@ -308,6 +314,8 @@
     since_ms: atomic::AtomicU64,
     /// Whether a request is without its whole answer.
     answering: atomic::AtomicBool,
+    /// Whether a part of the last request's body was not read.
+    body_unread: atomic::AtomicBool,
     close: Notify,
 }
 
@@ -319,6 +327,7 @@
             phase: atomic::AtomicU8::new(Phase::Silent as u8),
             since_ms,
             answering: atomic::AtomicBool::new(false),
+            body_unread: atomic::AtomicBool::new(false),
             close: Notify::new(),
         }
     }
@@ -356,6 +365,14 @@
         }
     }
 
+    pub(super) fn set_body_unread(&self, unread: bool) {
+        self.body_unread.store(unread, atomic::Ordering::Relaxed);
+    }
+
+    pub(super) fn is_body_unread(&self) -> bool {
+        self.body_unread.load(atomic::Ordering::Relaxed)
+    }
+
     /// Waits until the connection has to give way. One that has got to work meanwhile stays.
     pub(super) async fn must_close(&self) {
         loop {
--- a/ragwortdeal_node/src/http/server.rs
+++ b/ragwortdeal_node/src/http/server.rs
@@ -199,10 +199,11 @@
     connection: sync::Arc<inbound::ConnectionState>,
 ) -> impl hyper_server::graceful::GracefulConnection<Error = hyper::Error> {
     let Bounds { head_ms, inbound, .. } = bounds;
-    let stream = tracked::Tracked::new(stream, connection.clone());
+    let stream = tracked::Tracked::new(stream, connection.clone(), inbound.drain());
     let head_max_bytes = inbound.head_max_bytes().max(HEAD_MIN_BYTES);
-    let service = hyper::service::service_fn(move |request| {
+    let service = hyper::service::service_fn(move |request: hyper::Request<_>| {
         connection.begin_request();
+        let request = request.map(|it| body::TrackedRequest::new(it, connection.clone()));
         let mut state = state::State::from_request(request, client);
         state.put(Limits(inbound.clone()));
         let answer = gotham::service::call_handler(router.clone(), panic::AssertUnwindSafe(state));
--- a/ragwortdeal_node/src/settings/common.rs
+++ b/ragwortdeal_node/src/settings/common.rs
@@ -164,6 +164,10 @@
     pub receive_buffer_bytes: usize,
     /// Milliseconds without progress after which a body gives way to others that need its memory.
     pub stalled_body_ms: u64,
+    /// Longest time in milliseconds for which the rest of a refused body is discarded.
+    pub drain_ms: u64,
+    /// Most bytes of a refused body that are discarded.
+    pub drain_max_bytes: usize,
 }
 
 impl Default for Inbound {
@@ -176,6 +180,8 @@
             head_max_bytes: 20 << 10,
             receive_buffer_bytes: 32 << 10,
             stalled_body_ms: 1_000,
+            drain_ms: 2_000,
+            drain_max_bytes: 8 << 20,
         }
     }
 }
