Bound connections for links that show no credential

What callers saw: connections to a voter's port for links that send nothing took all descriptors until their handshakes timed out; the voter accepted nobody meanwhile.

Cause: 8,192 links were taken before anything was known of their peers.

Evidence: voter_silent_links held all 400 descriptors on the code before.

Change: 64 connections at once may be without a credential; more are closed.

Why it works: a link takes a lasting place only once its peer has shown the credential, which callers don't have.

--- a/ragwortdeal_node/src/link/server.rs
+++ b/ragwortdeal_node/src/link/server.rs
@@ -5,7 +5,7 @@
 use ragwortdeal_wire::link as wire;
 use tokio::{
     net,
-    sync::{Notify, Semaphore, mpsc},
+    sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc},
     time,
 };
 use tokio_tungstenite::tungstenite;
@@ -16,6 +16,9 @@
 /// Most links that one process accepts at once.
 const LINKS_MAX: usize = 8_192;
 
+/// Most connections that have not shown a credential yet. Anyone can open these.
+const HANDSHAKES_MAX: usize = 64;
+
 /// Number of an accepted link within its process.
 pub type SessionId = u64;
 
@@ -71,6 +74,7 @@
 ) {
     let numbers = sync::Arc::new(atomic::AtomicU64::new(1));
     let places = sync::Arc::new(Semaphore::new(LINKS_MAX));
+    let handshakes = sync::Arc::new(Semaphore::new(HANDSHAKES_MAX));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -85,10 +89,14 @@
             log::warn!("link: refused {peer}, all places are taken");
             continue;
         };
+        let Ok(handshake) = handshakes.clone().try_acquire_owned() else {
+            log::warn!("link: refused {peer}, too many connections show no credential");
+            continue;
+        };
         let id = numbers.fetch_add(1, atomic::Ordering::Relaxed);
         let (credential, service, stop) = (credential.clone(), service.clone(), stop.clone());
         tokio::spawn(async move {
-            let handled = handle(stream, id, credential, limits, service);
+            let handled = handle(stream, id, credential, limits, service, handshake);
             tokio::select! {
                 () = handled => (),
                 () = stop.wait() => (),
@@ -116,12 +124,14 @@
     credential: Credential,
     limits: LinkLimits,
     service: sync::Arc<S>,
+    place: OwnedSemaphorePermit,
 ) {
     let _ = stream.set_nodelay(true);
     let handshake = time::timeout(millis(limits.connect_ms), accept(stream, credential, &limits));
     let Ok(Ok(socket)) = handshake.await else {
         return;
     };
+    drop(place);
     let (sender, mut outgoing) = mpsc::channel(limits.queue_frames);
     let overflown = sync::Arc::new(Notify::new());
     let requests = sync::Arc::new(Semaphore::new(limits.requests_max));
