Let a refused client send for as long as a body may take

What callers saw: clients that need more than two seconds for a body were reset before they could read their refusal.

Cause: what a refused client sends was discarded for two seconds only, while a body may take ten.

Change: inbound.drain_ms is 10,000 by default.

Measured: the test passes, with both other tests of refusals.

--- a/ragwortdeal_node/src/settings/common.rs
+++ b/ragwortdeal_node/src/settings/common.rs
@@ -180,7 +180,7 @@
             head_max_bytes: 20 << 10,
             receive_buffer_bytes: 32 << 10,
             stalled_body_ms: 1_000,
-            drain_ms: 2_000,
+            drain_ms: 10_000,
             drain_max_bytes: 8 << 20,
         }
     }
--- a/ragwortdeal_soak/tests/hostile_clients/main.rs
+++ b/ragwortdeal_soak/tests/hostile_clients/main.rs
@@ -17,7 +17,10 @@
     engine,
     world::{self, World},
 };
-use tokio::{io::AsyncReadExt as _, net as tokio_net};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net as tokio_net,
+};
 
 /// Descriptors of a process whose connections are not what is tried.
 const DESCRIPTORS: u64 = 16_384;
@@ -189,7 +192,7 @@
     const ANSWER: std::time::Duration = std::time::Duration::from_secs(20);
     let read = async {
         let mut connection = tokio_net::TcpStream::connect(to).await.ok()?;
-        tokio::io::AsyncWriteExt::write_all(&mut connection, text.as_bytes()).await.ok()?;
+        connection.write_all(text.as_bytes()).await.ok()?;
         let mut bytes = Vec::new();
         connection.read_to_end(&mut bytes).await.ok()?;
         String::from_utf8_lossy(&bytes).split(' ').nth(1)?.parse().ok()
@@ -408,6 +411,29 @@
     expect_that!(trial.answers().await, eq(true), "an ordinary request is answered");
 }
 
+/// Guards against the same reset where a client needs some seconds for its body.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_refusal_reaches_a_client_that_sends_slowly() {
+    const PIECES: usize = 40;
+    const PAUSE: std::time::Duration = std::time::Duration::from_millis(100);
+    let _alone = ALONE.lock().await;
+    let trial = Trial::start(Role::Entry, ENTRY, BODY_MAX_BYTES).await;
+    let length = format!("Content-Length: {}\r\n\r\n", PIECES * 64 * KIB);
+    let head = crowd::head(POST, &length).replace("{id}", "slow");
+    let mut connection = tokio_net::TcpStream::connect(trial.listener).await.unwrap();
+    connection.write_all(head.as_bytes()).await.unwrap();
+    for _ in 0..PIECES {
+        let written = connection.write_all(&[b'x'; 64 * KIB]).await;
+        expect_that!(written.is_ok(), eq(true), "the entry still takes bytes");
+        tokio::time::sleep(PAUSE).await;
+    }
+    let mut status = [0; "HTTP/1.1 413".len()];
+    let read = connection.read_exact(&mut status).await;
+    expect_that!(read.is_ok(), eq(true), "the answer comes");
+    expect_that!(&status, eq(b"HTTP/1.1 413"));
+}
+
 /// Guards against a client that is asked for a body which is refused anyway.
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -425,7 +451,7 @@
 /// Status of the first answer, also of an interim one.
 async fn first_status_of(to: net::SocketAddrV4, text: &str) -> Option<u16> {
     let mut connection = tokio_net::TcpStream::connect(to).await.ok()?;
-    tokio::io::AsyncWriteExt::write_all(&mut connection, text.as_bytes()).await.ok()?;
+    connection.write_all(text.as_bytes()).await.ok()?;
     let mut bytes = vec![0; "HTTP/1.1 100".len()];
     connection.read_exact(&mut bytes).await.ok()?;
     String::from_utf8_lossy(&bytes).split(' ').nth(1)?.parse().ok()
