Let refused callers return when the work ahead has gone

Callers with 6,000 of 6,000 ms left were sent away for 1.2 to 2.0 s, whether there was room in 0.3 s or in 5 s: the delay made sure that their remaining time had fallen below 0.8 of the longest one by then, so that the entry knew them for returning. They lost a fifth of their time for its bookkeeping, and a caller with 600 ms left was told up to 999 ms.

The gate now tells when there is room: as soon as one engine has done the work ahead of the request, by the forecast with and without that work.

The 14 tests of the overload model pass, dispatch_gate too.

--- a/ragwortdeal_core/src/dispatch.rs
+++ b/ragwortdeal_core/src/dispatch.rs
@@ -24,6 +24,7 @@
 pub mod ramp_up;
 pub mod reserve;
 pub mod residency;
+pub mod retry_after;
 pub mod retry_budget;
 pub mod retry_detection;
 pub mod silence;
--- a/ragwortdeal_core/src/dispatch/forecast.rs
+++ b/ragwortdeal_core/src/dispatch/forecast.rs
@@ -7,7 +7,10 @@
 
 use crate::document;
 
-use super::{choice::Candidate, pace};
+use super::{
+    choice::{self, Candidate},
+    pace,
+};
 
 /// Mean wait of a request until the engine starts its next pass, in passes.
 const PASSES_WAITED: f64 = 0.5;
@@ -95,6 +98,28 @@
         self.service_ms - self.mean_prefill_ms + prefill_ms
     }
 
+    /// Time in which every slot of a busy engine becomes free once, in milliseconds: that of a mean
+    /// answer there.
+    pub fn turnover_ms(&self) -> f64 {
+        self.slots * self.service_ms * self.mean_pace
+    }
+
+    /// Time until an engine has done the work ahead of a request with this prefill time, in
+    /// milliseconds.
+    pub fn work_ahead_ms(&self, engine: &Candidate, prefill_ms: f64) -> f64 {
+        let running = choice::load(engine).min(self.slots - 1.0);
+        let without = Candidate {
+            open: 0,
+            peer_open: running,
+            prefill_ms: 0.0,
+            peer_prefill_ms: 0.0,
+            excess_delay_ms: 0.0,
+            ..*engine
+        };
+        let first_ms = self.first_event_ms(engine, prefill_ms);
+        (first_ms - self.first_event_ms(&without, prefill_ms)).max(0.0)
+    }
+
     /// Urgency of a request that is sent for the first time.
     pub fn urgency(&self, objective_ms: u64, prefill_ms: f64) -> Urgency {
         let is_in_time = self.idle_ms(prefill_ms) <= objective_ms as f64 * IDLE_FRACTION;
--- a/ragwortdeal_core/src/dispatch/gate.rs
+++ b/ragwortdeal_core/src/dispatch/gate.rs
@@ -5,7 +5,7 @@
 use super::{
     choice::{self, Candidate},
     forecast::{self, Urgency},
-    level_order, pressure, priority, reserve,
+    level_order, pressure, priority, reserve, retry_after,
 };
 
 /// Largest fraction of the pause objective that the prefill of other prompts may take.
@@ -109,6 +109,19 @@
         Ok(Choice { engine, forecast_ms })
     }
 
+    /// When there will be room for a rejected request: as soon as one of the engines has done the
+    /// work ahead of it, and then for as many as there are slots.
+    pub fn room(&self, engines: &[Candidate], work: &Work<'_>) -> retry_after::Room {
+        let mean_pace = engines.first().map_or(1.0, |engine| engine.pace.mean());
+        let latency_model = work.latency_model.with_mean_pace(mean_pace);
+        let ahead_ms = |engine| latency_model.work_ahead_ms(engine, work.prefill_ms);
+        let soonest_ms = engines.iter().map(ahead_ms).min_by(f64::total_cmp);
+        retry_after::Room {
+            in_ms: soonest_ms.unwrap_or(0.0),
+            spread_ms: latency_model.turnover_ms(),
+        }
+    }
+
     /// Records the forecast and the measured time to a first event.
     pub fn record_first_event(&mut self, forecast_ms: f64, took_ms: f64, now_ms: u64) {
         self.excess.record_pooled(forecast_ms, took_ms, now_ms);
--- a/ragwortdeal_core/src/dispatch/retry_detection.rs
+++ b/ragwortdeal_core/src/dispatch/retry_detection.rs
@@ -11,13 +11,6 @@
 /// Smallest remaining time of a first attempt, as a fraction of the longest one.
 const FIRST_ATTEMPT_FRACTION: f64 = 0.8;
 
-/// Spread of retries after a refusal: about the duration of one answer, within which slots become
-/// free.
-const RETRY_JITTER_MS: u64 = 800;
-
-/// Shortest delay before a retry.
-const RETRY_AFTER_MIN_MS: u64 = 200;
-
 /// Remaining times of the callers of one route.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RetryDetector {
@@ -57,11 +50,4 @@
     pub fn is_retry(self) -> bool {
         self.remaining_ms < self.first_attempt_min_ms
     }
-
-    /// Milliseconds after which a refused caller is to retry: long enough for the retry to be
-    /// recognised, with jitter.
-    pub fn retry_after_ms(self, draw: u64) -> u64 {
-        let recognised_after_ms = self.remaining_ms.saturating_sub(self.first_attempt_min_ms);
-        recognised_after_ms.max(RETRY_AFTER_MIN_MS) + draw % RETRY_JITTER_MS
-    }
 }
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -6,7 +6,7 @@
 };
 
 use hyper::{header, http::response};
-use ragwortdeal_core::{directory, document};
+use ragwortdeal_core::{directory, dispatch::retry_after, document};
 
 use super::{
     Entry, exchange, pool, relay, request,
@@ -174,9 +174,18 @@
         Refusal::retry_after(503, reason, time::Duration::from_millis(after_ms))
     }
 
-    /// Refuses a request that may be retried once.
-    fn refuse_retryable(&self, request: &CallerRequest, reason: &'static str) -> Refusal {
-        let after_ms = request.remaining_time.retry_after_ms(self.random_u64());
+    /// Refuses a request until there is room for it.
+    fn refuse_until_room(
+        &self,
+        request: &CallerRequest,
+        room: Option<retry_after::Room>,
+        reason: &'static str,
+    ) -> Refusal {
+        let Some(room) = room else {
+            return self.refuse_outage(reason);
+        };
+        let remaining_ms = request.remaining().as_millis() as u64;
+        let after_ms = room.retry_after_ms(remaining_ms, self.random_u64());
         Refusal::retry_after(503, reason, time::Duration::from_millis(after_ms))
     }
 
@@ -236,20 +245,21 @@
                 self.telemetry.count("entry.refused_outside_regions", 1);
                 self.refuse_outage("no upstream in the regions where it may be served")
             }
-            selection::Unavailable::AllFull => {
-                self.refuse_retryable(request, "all upstreams are full")
+            selection::Unavailable::AllFull { room } => {
+                self.refuse_until_room(request, room, "all upstreams are full")
             }
             selection::Unavailable::HeldBack { retry_after_ms } => {
                 self.refuse_held_back(retry_after_ms)
             }
-            selection::Unavailable::LateWorkShed => {
-                self.refuse_retryable(request, "it would be late and others would wait for it")
+            selection::Unavailable::LateWorkShed { room } => {
+                let reason = "it would be late and others would wait for it";
+                self.refuse_until_room(request, room, reason)
             }
-            selection::Unavailable::MoreUrgentFirst => {
-                self.refuse_retryable(request, "more urgent requests go first")
+            selection::Unavailable::MoreUrgentFirst { room } => {
+                self.refuse_until_room(request, room, "more urgent requests go first")
             }
-            selection::Unavailable::AboveFairShare => {
-                self.refuse_retryable(request, "its account is above its share")
+            selection::Unavailable::AboveFairShare { room } => {
+                self.refuse_until_room(request, room, "its account is above its share")
             }
         })?;
         if progress.sent == 0 {
--- a/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
@@ -4,7 +4,7 @@
 
 use ragwortdeal_core::{
     directory,
-    dispatch::{choice, gate, residency},
+    dispatch::{choice, gate, residency, retry_after},
 };
 
 use super::{
@@ -139,7 +139,7 @@
 }
 
 /// Why no upstream was selected.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(in super::super) enum Unavailable {
     /// No upstream accepts work.
     NoneEligible {
@@ -149,18 +149,18 @@
     /// No upstream that accepts work is in a region where the request may be served.
     OutsideAllowedRegions,
     /// All upstreams that accept work are full.
-    AllFull,
+    AllFull { room: Option<retry_after::Room> },
     /// All upstreams that accept work have asked for less of it than there is.
     HeldBack {
         /// Milliseconds until one of them takes a request.
         retry_after_ms: u64,
     },
     /// The request would be late and would take capacity from others.
-    LateWorkShed,
+    LateWorkShed { room: Option<retry_after::Room> },
     /// The room is kept for more urgent requests.
-    MoreUrgentFirst,
+    MoreUrgentFirst { room: Option<retry_after::Room> },
     /// Its account requests more than its share.
-    AboveFairShare,
+    AboveFairShare { room: Option<retry_after::Room> },
 }
 
 /// Criteria for the selection.
@@ -287,16 +287,30 @@
                 .ok_or(gate::Rejection::Full)
                 .map(|it| (it, None)),
         };
-        best.map_err(|turned| match turned {
-            _ if eligible.is_empty() => {
-                Unavailable::NoneEligible { evacuated: self.has_evacuated(criteria.service) }
+        best.map_err(|rejection| {
+            if eligible.is_empty() {
+                let evacuated = self.has_evacuated(criteria.service);
+                return Unavailable::NoneEligible { evacuated };
+            }
+            let room = self.room(&candidates, criteria);
+            match rejection {
+                gate::Rejection::Full => Unavailable::AllFull { room },
+                gate::Rejection::LateWorkShed => Unavailable::LateWorkShed { room },
+                gate::Rejection::MoreUrgentFirst => Unavailable::MoreUrgentFirst { room },
+                gate::Rejection::AboveFairShare => Unavailable::AboveFairShare { room },
             }
-            gate::Rejection::Full => Unavailable::AllFull,
-            gate::Rejection::LateWorkShed => Unavailable::LateWorkShed,
-            gate::Rejection::MoreUrgentFirst => Unavailable::MoreUrgentFirst,
-            gate::Rejection::AboveFairShare => Unavailable::AboveFairShare,
         })
     }
+
+    /// When there will be room for a request, if it can be told.
+    fn room(
+        &self,
+        candidates: &[choice::Candidate],
+        criteria: &Criteria<'_>,
+    ) -> Option<retry_after::Room> {
+        let gate = self.gates.get(criteria.service)?;
+        Some(gate.room(candidates, criteria.work.as_ref()?))
+    }
 }
 
 impl Entry {
