Decide by the time of callers, for first attempts and retries alike

What callers saw: one with 4,700 ms left, where others on the route have 6,000, counted as returning: it got free slots only, and nothing for a second after anybody was refused. On the other side, resumed requests waited for three objectives beyond an idle engine's time, whether or not their callers were there that long, and nothing counted how long the answer takes after its first event: 0.02 of the sent requests were worked on for callers who had left.

Cause: the bounds were shares and multiples of the objective, and whoever had less than 0.8 of the longest time heard of late was taken for a repeat.

Change: a request is sent where the forecast of its first event, with twice the mean error of forecasts, lies before its caller leaves, and the rest of its answer before the deadline. Callers of streams leave after a gap, which counts from the last event that they got; so a resumed stream has a time of its own and no rule of its own. Late work, its shedding and the detection of retries are gone. Excess delays count up to what leaves an idle engine in time.

A queue at the limit of everyone's patience serves nobody more. So a queue that has outlasted the time of one answer is bounded by the square root of the slots, the same for all sizes; a burst waits for as long as its callers do.

In ordered services the room kept for more urgent requests is measured by the time of their callers, a request counts only those in the queue that go before it, and what a level gets as its minimum share is started first: engines that start more urgent requests first would never start it. Debts are paid only where no slot is free.

--- a/ragwortdeal_core/src/dispatch/choice.rs
+++ b/ragwortdeal_core/src/dispatch/choice.rs
@@ -1,6 +1,6 @@
 //! Selection of the upstream that serves a request.
 
-use super::{forecast, pace};
+use super::{caller_time, forecast, pace};
 
 /// An upstream that may serve a request, as one entry sees it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -66,8 +66,15 @@
     f64::from(candidate.open) + candidate.peer_open
 }
 
+/// The upstream as a request finds it that goes before a part of those that wait there. `share` is
+/// the fraction of the others that go before it.
+pub fn ahead_of(candidate: &Candidate, share: f64) -> Candidate {
+    let waiting = (load(candidate) - f64::from(candidate.slots)).max(0.0);
+    Candidate { peer_open: candidate.peer_open - waiting * (1.0 - share), ..*candidate }
+}
+
 /// Whether one more request would get a slot at once.
-fn has_slot(candidate: &Candidate) -> bool {
+pub fn has_slot(candidate: &Candidate) -> bool {
     load(candidate) + 1.0 <= f64::from(candidate.slots)
 }
 
@@ -114,17 +121,17 @@
 pub struct Prompt {
     /// Prefill time of the prompt, in milliseconds.
     pub prefill_ms: f64,
-    /// Longest useful time to the first event, in milliseconds. An engine's time is better spent on
-    /// other requests than on a later answer.
-    pub first_event_max_ms: f64,
+    /// Largest number of tokens of the answer, as far as it is still to be written.
+    pub answer_tokens: f64,
+    /// Time of the caller.
+    pub time: caller_time::CallerTime,
+    /// Mean error of forecasts, in milliseconds.
+    pub error_ms: f64,
     /// Longest pause that the prefill may cause in the streams of other requests at the engine, in
     /// milliseconds.
     pub pause_max_ms: f64,
-    /// By how much a forecast must stay below the time within which an engine may start, in
-    /// milliseconds.
-    pub start_margin_ms: f64,
-    /// Whether a free slot is required. Late requests must not delay others.
-    pub needs_slot: bool,
+    /// Most requests that may wait at an engine.
+    pub waiting_max: f64,
 }
 
 /// The engine with the earliest first event, with a preference for the same zone, or `None` if none
@@ -141,7 +148,8 @@
     let is_open = |candidate: &Candidate| {
         let keeps_waiting =
             latency_model.pause_ms(candidate, prompt.prefill_ms) > prompt.pause_max_ms;
-        (!prompt.needs_slot || has_slot(candidate)) && (load(candidate) < 1.0 || !keeps_waiting)
+        let has_room = load(candidate) + 1.0 - f64::from(candidate.slots) <= prompt.waiting_max;
+        load(candidate) < 1.0 || (!keeps_waiting && has_room)
     };
     let offered = order.filter(|&index| is_open(&candidates[index]));
     let forecasts = offered.map(|index| {
@@ -149,8 +157,8 @@
         (index, candidate, latency_model.first_event_ms(candidate, prompt.prefill_ms))
     });
     let in_time = forecasts.filter(|(_, candidate, first_ms)| {
-        let latest_ms = first_ms + prompt.start_margin_ms;
-        *first_ms <= prompt.first_event_max_ms
+        let latest_ms = first_ms + prompt.error_ms;
+        latency_model.is_in_time(candidate, prompt, *first_ms)
             && candidate.start_within_ms.is_none_or(|within_ms| latest_ms <= within_ms)
     });
     let cost = |candidate: &Candidate, first_ms: f64| {
--- a/ragwortdeal_core/src/dispatch/forecast.rs
+++ b/ragwortdeal_core/src/dispatch/forecast.rs
@@ -1,51 +1,23 @@
 //! Forecast of the time to the first event of a request at an engine.
 //!
 //! An engine interleaves prefill with the decoding of other requests and limits how many it
-//! processes at once. A late answer has lost most of its value to its caller, and it costs other
-//! requests the engine's time. So the wait is estimated before a request is sent, from the engine's
-//! last load report and the requests sent since. `docs/design/routing.md` has the measurements.
+//! processes at once. An answer that comes after its caller left takes the engine's time from
+//! others. So the wait is estimated before a request is sent, from the engine's last load report
+//! and the requests sent since. `docs/design/routing.md` has the measurements.
 
 use crate::document;
 
 use super::{
     choice::{self, Candidate},
-    pace,
+    pace, standing_queue,
 };
 
 /// Mean wait of a request until the engine starts its next pass, in passes.
 const PASSES_WAITED: f64 = 0.5;
 
-/// Fraction of the objective beyond which a request counts as late even at an idle engine, because
-/// any other request there delays it further.
-const IDLE_FRACTION: f64 = 0.75;
-
-/// Fraction of the objective for which a request may always wait, however inaccurate the forecasts
-/// are. Otherwise large prompts, whose prefill takes much of the objective, would be served only by
-/// engines without a queue.
-const WAIT_FRACTION_MIN: f64 = 0.4;
-
-/// Largest fraction of the objective that a forecast may reach.
-const OBJECTIVE_FRACTION_MAX: f64 = 0.95;
-
-/// Safety margin between forecast and objective, in mean forecast errors.
+/// Margin between a forecast and the time of a caller, in mean forecast errors.
 const MARGIN_ERRORS: f64 = 2.0;
 
-/// Longest wait of a late request beyond its time at an idle engine, in objectives. A late answer
-/// is worth little, but it is complete, and its caller waits only for a limited time.
-const LATE_WAIT_OBJECTIVES: f64 = 3.0;
-
-/// How urgent a request is to its caller.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Urgency {
-    /// It can be answered within the objective.
-    InTime,
-    /// Its answer will be late: it was refused before, or even an idle engine needs too long for
-    /// its prompt.
-    Late,
-    /// It resumes an answer that was partly delivered, or repeats one that an engine lost.
-    Resumed,
-}
-
 /// Latency model of a service's engines.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LatencyModel {
@@ -60,6 +32,8 @@
     service_ms: f64,
     /// Prefill time of a mean prompt, in milliseconds.
     mean_prefill_ms: f64,
+    /// Tokens of a mean answer.
+    mean_answer_tokens: f64,
     /// Mean pace of the engines.
     mean_pace: f64,
 }
@@ -79,6 +53,7 @@
             chunk_ms: prefill_ms(engine, f64::from(engine.prefill_chunk_tokens)),
             service_ms: mean_prefill_ms + mean.answer_tokens * step_ms / slots,
             mean_prefill_ms,
+            mean_answer_tokens: mean.answer_tokens,
             mean_pace: 1.0,
         }
     }
@@ -93,6 +68,16 @@
         self.mean_prefill_ms
     }
 
+    /// Tokens of a mean answer.
+    pub fn mean_answer_tokens(&self) -> f64 {
+        self.mean_answer_tokens
+    }
+
+    /// Most requests that may wait at an engine where the queue stands.
+    pub fn waiting_max(&self, queue: &standing_queue::StandingQueue, now_ms: u64) -> f64 {
+        queue.waiting_max(self.slots, self.turnover_ms(), now_ms)
+    }
+
     /// Engine time of a mean answer after a prompt with this prefill time, in milliseconds.
     pub fn engine_ms(&self, prefill_ms: f64) -> f64 {
         self.service_ms - self.mean_prefill_ms + prefill_ms
@@ -120,40 +105,36 @@
         (first_ms - self.first_event_ms(&without, prefill_ms)).max(0.0)
     }
 
-    /// Urgency of a request that is sent for the first time.
-    pub fn urgency(&self, objective_ms: u64, prefill_ms: f64) -> Urgency {
-        let is_in_time = self.idle_ms(prefill_ms) <= objective_ms as f64 * IDLE_FRACTION;
-        if objective_ms == 0 || is_in_time { Urgency::InTime } else { Urgency::Late }
+    /// Time from the first event of an answer to its last one, in milliseconds.
+    ///
+    /// The fuller the engine, the more prompts of other requests it reads in between.
+    pub fn rest_ms(&self, engine: &Candidate, answer_tokens: f64) -> f64 {
+        let step_ms = self.steps_ms / f64::from(self.steps_per_pass);
+        let decode_ms = (self.service_ms - self.mean_prefill_ms).max(f64::MIN_POSITIVE);
+        let fullness = (choice::load(engine) / self.slots).min(1.0);
+        let interleaved = self.mean_prefill_ms / decode_ms * fullness;
+        engine.pace.duration_ms(answer_tokens * step_ms * (1.0 + interleaved))
     }
 
-    /// Longest forecast to the first event, in milliseconds, with which a request is sent.
+    /// Whether an answer whose first event is forecast in `first_ms` is of use to its caller.
     ///
-    /// A request that cannot be in time takes engine time from others that can. So the bound is the
-    /// objective less a margin for `error_ms`, the mean forecast error. Requests that are late in
-    /// any case get a wider bound. Without an objective there is none.
-    pub fn first_event_max_ms(
-        &self,
-        objective_ms: u64,
-        prefill_ms: f64,
-        urgency: Urgency,
-        error_ms: f64,
-    ) -> f64 {
-        if objective_ms == 0 {
-            return f64::INFINITY;
-        }
-        let idle_ms = self.idle_ms(prefill_ms);
-        match urgency {
-            Urgency::InTime => {
-                let objective_ms = objective_ms as f64;
-                let least_ms = idle_ms + objective_ms * WAIT_FRACTION_MIN;
-                least_ms
-                    .min(objective_ms * OBJECTIVE_FRACTION_MAX)
-                    .max(objective_ms - error_ms * MARGIN_ERRORS)
-            }
-            Urgency::Late | Urgency::Resumed => {
-                idle_ms + objective_ms as f64 * LATE_WAIT_OBJECTIVES
-            }
-        }
+    /// The margin for forecasts that are wrong does not exclude idle engines: nothing would be
+    /// served sooner, and no answer would show that the forecasts are better again.
+    pub fn is_in_time(&self, engine: &Candidate, prompt: &choice::Prompt, first_ms: f64) -> bool {
+        let rest_ms = self.rest_ms(engine, prompt.answer_tokens);
+        let within_ms = prompt.time.for_first_event_ms(rest_ms);
+        let margin_ms = match choice::load(engine) < 1.0 {
+            true => 0.0,
+            false => prompt.error_ms * MARGIN_ERRORS,
+        };
+        first_ms + margin_ms <= within_ms
+    }
+
+    /// Largest delay beyond the forecast with which an idle engine is still of use to the caller.
+    pub fn excess_delay_max_ms(&self, prompt: &choice::Prompt) -> f64 {
+        let rest_ms = self.rest_ms(&Candidate::default(), prompt.answer_tokens);
+        let within_ms = prompt.time.for_first_event_ms(rest_ms);
+        (within_ms - self.idle_ms(prompt.prefill_ms)).max(0.0)
     }
 
     /// Time to the first event at an idle engine of the usual pace, in milliseconds. It includes
--- a/ragwortdeal_core/src/dispatch/gate.rs
+++ b/ragwortdeal_core/src/dispatch/gate.rs
@@ -3,33 +3,30 @@
 //! `docs/design/overload.md` compares the rules.
 
 use super::{
+    caller_time,
     choice::{self, Candidate},
-    forecast::{self, Urgency},
-    level_order, pressure, priority, reserve, retry_after,
+    forecast, level_order, priority, reserve, retry_after, standing_queue,
 };
 
-/// Largest fraction of the pause objective that the prefill of other prompts may take.
+/// Largest fraction of the promised pause that the prefill of other prompts may take.
 const PAUSE_FRACTION: f64 = 0.9;
 
-/// Largest excess delay that counts, as a fraction of the objective. It is less than a request may
-/// wait anywhere, so that idle engines stay available. Delays caused by an outage say little about
-/// engines that are back, and while an excess excludes all requests no answer corrects it.
-const EXCESS_FRACTION_MAX: f64 = 0.35;
-
 /// A request that asks for admission.
 #[derive(Clone, Copy, Debug)]
 pub struct Work<'w> {
     /// Latency model of the engines.
     pub latency_model: forecast::LatencyModel,
-    /// Objective for the first event in milliseconds, 0 if there is none.
-    pub objective_ms: u64,
-    /// Objective for the pause between two events in milliseconds, 0 if there is none.
-    pub gap_objective_ms: u64,
+    /// Time of the caller.
+    pub time: caller_time::CallerTime,
+    /// Longest pause between two events that is promised for streams, in milliseconds, 0 if none
+    /// is.
+    pub pause_max_ms: u64,
     /// Prefill time of the prompt in milliseconds.
     pub prefill_ms: f64,
-    /// Urgency of the request.
-    pub urgency: Urgency,
-    /// What it is ordered by, or `None` if requests to the service are not ordered.
+    /// Largest number of tokens of the answer, as far as it is still to be written.
+    pub answer_tokens: f64,
+    /// What it is ordered by. `None` if requests to the service are not ordered, or if it was
+    /// admitted before: it has taken its share, and its caller may hold a part of the answer.
     pub class: Option<priority::Class<'w>>,
 }
 
@@ -40,15 +37,24 @@
     pub engine: usize,
     /// Forecast time to the first event in milliseconds.
     pub forecast_ms: f64,
+    /// Whether the engine is to start it before more urgent ones, as its level gets too little
+    /// otherwise.
+    pub starts_first: bool,
+}
+
+/// The engine for a request whose level counts.
+#[derive(Clone, Copy, Debug)]
+struct Admitted {
+    engine: usize,
+    starts_first: bool,
 }
 
 /// Why a request is rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Rejection {
-    /// No engine would send the first event in time, or has a free slot for a late request.
+    /// No engine would answer within the caller's time, or without a pause of other streams that
+    /// is longer than promised, or the queues have stood for too long.
     Full,
-    /// The request is late, and requests that could be in time are being rejected.
-    LateWorkShed,
     /// The room is kept for more urgent requests.
     MoreUrgentFirst,
     /// The account requests more than its share, and others of the same level are being rejected.
@@ -67,11 +73,11 @@
 /// Admission control of one service at one entry.
 #[derive(Clone, Debug, Default)]
 pub struct Gate {
-    pressure: pressure::Pressure,
     /// Excess delay over all engines. With many entries each gets few answers from any one engine,
     /// and all of them fill what they take for its free capacity.
     excess: forecast::ExcessDelay,
     error: forecast::ForecastError,
+    standing_queue: standing_queue::StandingQueue,
     level_order: level_order::LevelOrder,
 }
 
@@ -87,26 +93,18 @@
         let mean_pace = engines.first().map_or(1.0, |engine| engine.pace.mean());
         let latency_model = work.latency_model.with_mean_pace(mean_pace);
         let work = &Work { latency_model, ..*work };
-        if work.urgency == Urgency::Late && self.sheds_late(work, now_ms) {
-            return Err(Rejection::LateWorkShed);
-        }
+        self.standing_queue.observe(engines, now_ms);
         let question = Question { engines, work, now_ms, draw };
-        let engines = self.with_excess_delay(engines, work, now_ms);
-        let prompt = self.prompt(work);
+        let share = work.class.map_or(1.0, |it| self.level_order.share_up_to(it.level, now_ms));
+        let prompt = self.prompt(work, now_ms);
+        let engines = self.as_found(engines, work, &prompt, share, now_ms);
         let chosen = choice::fastest_engine(&engines, &work.latency_model, &prompt, draw);
-        let engine = match work.class {
-            Some(class) if work.urgency != Urgency::Resumed => {
-                self.choose_in_order(&question, &class, chosen)?
-            }
-            _ => {
-                if chosen.is_none() && work.urgency == Urgency::InTime {
-                    self.pressure.record_refusal(now_ms);
-                }
-                chosen.ok_or(Rejection::Full)?
-            }
+        let Admitted { engine, starts_first } = match work.class {
+            Some(class) => self.choose_in_order(&question, &class, chosen)?,
+            None => Admitted { engine: chosen.ok_or(Rejection::Full)?, starts_first: false },
         };
         let forecast_ms = work.latency_model.first_event_ms(&engines[engine], work.prefill_ms);
-        Ok(Choice { engine, forecast_ms })
+        Ok(Choice { engine, forecast_ms, starts_first })
     }
 
     /// When there will be room for a rejected request: as soon as one of the engines has done the
@@ -128,52 +126,43 @@
         self.error.record(forecast_ms, took_ms);
     }
 
-    fn sheds_late(&self, work: &Work<'_>, now_ms: u64) -> bool {
-        match work.class {
-            Some(class) => self.level_order.sheds_late(class.level, now_ms),
-            None => self.pressure.is_high(now_ms),
-        }
-    }
-
-    /// The engines, delayed by the load of other entries that is not seen. An idle engine has none.
-    fn with_excess_delay(
+    /// The engines as a request finds them that goes after this share of the others: engines start
+    /// the more urgent ones first. They are delayed by the load of other entries that is not seen,
+    /// of which an idle engine has none.
+    fn as_found(
         &self,
         engines: &[Candidate],
         work: &Work<'_>,
+        prompt: &choice::Prompt,
+        share: f64,
         now_ms: u64,
     ) -> Vec<Candidate> {
-        let excess_max_ms = work.objective_ms as f64 * EXCESS_FRACTION_MAX;
+        // A delay caused by an outage says little about engines that are back, and while it excludes
+        // all requests no answer corrects it.
+        let excess_max_ms = work.latency_model.excess_delay_max_ms(prompt);
         let excess_delay_ms = self.excess.current_ms(now_ms).min(excess_max_ms);
         let delayed = |engine: &Candidate| {
             let fullness = choice::load(engine) / f64::from(engine.slots.max(1));
             let unseen_ms = excess_delay_ms * fullness.min(1.0);
             Candidate {
                 excess_delay_ms: engine.excess_delay_ms.min(excess_max_ms) + unseen_ms,
-                ..*engine
+                ..choice::ahead_of(engine, share)
             }
         };
         engines.iter().map(delayed).collect()
     }
 
-    fn prompt(&self, work: &Work<'_>) -> choice::Prompt {
-        let Work { objective_ms, gap_objective_ms, prefill_ms, urgency, .. } = *work;
-        let error_ms = self.error.mean_ms();
+    fn prompt(&self, work: &Work<'_>, now_ms: u64) -> choice::Prompt {
         choice::Prompt {
-            prefill_ms,
-            first_event_max_ms: work.latency_model.first_event_max_ms(
-                objective_ms,
-                prefill_ms,
-                urgency,
-                error_ms,
-            ),
-            pause_max_ms: match urgency {
-                Urgency::InTime | Urgency::Late if gap_objective_ms > 0 => {
-                    gap_objective_ms as f64 * PAUSE_FRACTION
-                }
-                _ => f64::INFINITY,
+            prefill_ms: work.prefill_ms,
+            answer_tokens: work.answer_tokens,
+            time: work.time,
+            error_ms: self.error.mean_ms(),
+            pause_max_ms: match work.pause_max_ms {
+                0 => f64::INFINITY,
+                promised_ms => promised_ms as f64 * PAUSE_FRACTION,
             },
-            start_margin_ms: error_ms,
-            needs_slot: urgency == Urgency::Late,
+            waiting_max: work.latency_model.waiting_max(&self.standing_queue, now_ms),
         }
     }
 
@@ -184,22 +173,16 @@
         question: &Question<'_>,
         class: &priority::Class<'_>,
         chosen: Option<usize>,
-    ) -> Result<usize, Rejection> {
+    ) -> Result<Admitted, Rejection> {
         let &priority::Class { level, account } = class;
         let &Question { work, now_ms, .. } = question;
-        if work.urgency == Urgency::Late {
-            let chosen = chosen.and_then(|_| self.choose_unreserved(question, level));
-            if chosen.is_none() {
-                self.level_order.record_late_refusal(level, now_ms);
-            }
-            return chosen.ok_or(Rejection::Full);
-        }
         let engine_ms = work.latency_model.engine_ms(work.prefill_ms);
         let demand = level_order::Demand {
             prefill_ms: work.prefill_ms,
             engine_ms,
-            objective_ms: work.objective_ms,
-            gap_objective_ms: work.gap_objective_ms,
+            answer_tokens: work.answer_tokens,
+            time: work.time,
+            pause_max_ms: work.pause_max_ms,
         };
         self.level_order.record_request(level, &demand, now_ms);
         self.level_order.fair_share(level).record_request(account, engine_ms, now_ms);
@@ -222,56 +205,69 @@
         question: &Question<'_>,
         class: &priority::Class<'_>,
         chosen: Option<usize>,
-    ) -> Result<usize, Rejection> {
+    ) -> Result<Admitted, Rejection> {
         let &priority::Class { level, account } = class;
         let &Question { work, now_ms, .. } = question;
-        let unordered = chosen.ok_or(Rejection::Full)?;
+        let as_most_urgent = match self.level_order.more_urgent(level, now_ms).is_empty() {
+            true => chosen,
+            false => self.choose_as_most_urgent(question),
+        };
+        let as_most_urgent = as_most_urgent.ok_or(Rejection::Full)?;
         let engine_ms = work.latency_model.engine_ms(work.prefill_ms);
         if self.level_order.fair_share(level).take_payment(account, engine_ms, now_ms) {
             return Err(Rejection::AboveFairShare);
         }
         let has_min_share = self.level_order.earn_min_share(level);
-        let unreserved = match self.level_order.take_payment(level, engine_ms, now_ms) {
-            true => None,
-            false => self.choose_unreserved(question, level),
-        };
+        let unreserved = chosen.and_then(|chosen| {
+            // While slots are free, those that were refused find one when they return.
+            let is_needed = !choice::has_slot(&question.engines[chosen]);
+            match is_needed && self.level_order.take_payment(level, engine_ms, now_ms) {
+                true => None,
+                false => self.choose_unreserved(question, level),
+            }
+        });
         match unreserved {
-            Some(engine) => Ok(engine),
-            None if has_min_share => Ok(unordered),
+            Some(engine) => Ok(Admitted { engine, starts_first: false }),
+            None if has_min_share => Ok(Admitted { engine: as_most_urgent, starts_first: true }),
+            None if chosen.is_none() => Err(Rejection::Full),
             None => Err(Rejection::MoreUrgentFirst),
         }
     }
 
+    /// Selects an engine for a request that it starts before all but the most urgent ones.
+    fn choose_as_most_urgent(&self, question: &Question<'_>) -> Option<usize> {
+        let &Question { engines, work, now_ms, draw } = question;
+        let share = self.level_order.share_up_to(priority::Level::default(), now_ms);
+        let prompt = self.prompt(work, now_ms);
+        let engines = self.as_found(engines, work, &prompt, share, now_ms);
+        choice::fastest_engine(&engines, &work.latency_model, &prompt, draw)
+    }
+
     /// Selects an engine that leaves room for more urgent requests.
     fn choose_unreserved(&self, question: &Question<'_>, level: priority::Level) -> Option<usize> {
         let &Question { engines, work, now_ms, draw } = question;
         let more_urgent = self.level_order.more_urgent(level, now_ms);
         let mut open: Vec<_> = (0..engines.len()).collect();
         for expected in more_urgent {
-            let (objective_ms, prefill_ms) = (expected.objective_ms, expected.prefill_ms);
-            if work.latency_model.urgency(objective_ms, prefill_ms) != Urgency::InTime {
-                continue;
-            }
             let expected_work = Work {
-                objective_ms,
-                prefill_ms,
-                gap_objective_ms: expected.gap_objective_ms,
-                urgency: Urgency::InTime,
+                time: expected.time,
+                prefill_ms: expected.prefill_ms,
+                answer_tokens: expected.answer_tokens,
+                pause_max_ms: expected.pause_max_ms,
                 class: None,
                 ..*work
             };
-            let reserve = reserve::Reserve {
-                latency_model: work.latency_model,
-                prompt: self.prompt(&expected_work),
-                share: expected.share,
-            };
-            let engines = self.with_excess_delay(engines, &expected_work, now_ms);
+            let prompt = self.prompt(&expected_work, now_ms);
+            let share = expected.share;
+            let engines = self.as_found(engines, &expected_work, &prompt, share, now_ms);
+            let reserve = reserve::Reserve { latency_model: work.latency_model, prompt, share };
             let kept = reserve.kept(&engines, work.prefill_ms);
             open.retain(|engine| !kept[*engine]);
         }
-        let engines = self.with_excess_delay(engines, work, now_ms);
+        let prompt = self.prompt(work, now_ms);
+        let share = self.level_order.share_up_to(level, now_ms);
+        let engines = self.as_found(engines, work, &prompt, share, now_ms);
         let candidates: Vec<_> = open.iter().map(|engine| engines[*engine]).collect();
-        let prompt = self.prompt(work);
         let chosen = choice::fastest_engine(&candidates, &work.latency_model, &prompt, draw)?;
         Some(open[chosen])
     }
--- a/ragwortdeal_core/src/dispatch/level_order.rs
+++ b/ragwortdeal_core/src/dispatch/level_order.rs
@@ -1,10 +1,11 @@
 //! Order of the levels of requests at the gate of one service.
 //!
-//! A refused request in time is a debt in engine time, which less urgent levels pay with refusals,
+//! A refused request is a debt in engine time, which less urgent levels pay with refusals,
 //! the least urgent first. Before it comes to that, room is reserved for the more urgent levels in
 //! proportion to their recent demand. Every level keeps a minimum share.
 
 use super::{
+    caller_time,
     decaying::DecayingSum,
     fair_share::FairShare,
     priority::{LEVELS_MAX, Level},
@@ -35,10 +36,6 @@
 /// them, a level that is served well enough takes no room from more urgent ones when it varies.
 const MIN_SHARE_AHEAD_MAX: f64 = 4.0;
 
-/// Time after a refusal for which late requests of other callers are refused. It is shorter than the
-/// usual `Retry-After`, so that callers refused in an overload come back after it.
-const LATE_SHED_MS: u64 = 1_000;
-
 /// A request as its level counts it.
 #[derive(Clone, Copy, Debug)]
 pub struct Demand {
@@ -46,10 +43,12 @@
     pub prefill_ms: f64,
     /// Engine time that the whole request takes, in milliseconds.
     pub engine_ms: f64,
-    /// Objective for the first event in milliseconds, 0 if there is none.
-    pub objective_ms: u64,
-    /// Objective for the pause between two events in milliseconds, 0 if there is none.
-    pub gap_objective_ms: u64,
+    /// Largest number of tokens of the answer.
+    pub answer_tokens: f64,
+    /// Time of the caller.
+    pub time: caller_time::CallerTime,
+    /// Longest pause between two events that is promised, in milliseconds, 0 if none is.
+    pub pause_max_ms: u64,
 }
 
 /// What is to be expected of a more urgent level.
@@ -57,11 +56,12 @@
 pub struct Expected {
     /// Mean prefill time of its prompts in milliseconds.
     pub prefill_ms: f64,
-    /// Its narrowest objective for the first event in milliseconds, 0 if there is none.
-    pub objective_ms: u64,
-    /// Its narrowest objective for the pause between two events in milliseconds, 0 if there is
-    /// none.
-    pub gap_objective_ms: u64,
+    /// Mean number of tokens of its answers, at most.
+    pub answer_tokens: f64,
+    /// Mean time of its callers.
+    pub time: caller_time::CallerTime,
+    /// Shortest of the longest pauses that are promised, in milliseconds, 0 if none is.
+    pub pause_max_ms: u64,
     /// Fraction of the recently requested engine time that it and more urgent levels asked for.
     pub share: f64,
 }
@@ -72,12 +72,12 @@
     requests: DecayingSum,
     prefill: DecayingSum,
     engine: DecayingSum,
-    objective_ms: u64,
-    gap_objective_ms: u64,
+    answer_tokens: DecayingSum,
+    first_event_time: DecayingSum,
+    answer_time: DecayingSum,
+    pause_max_ms: u64,
     last_at_ms: Option<u64>,
     debt: DecayingSum,
-    in_time_refused_at_ms: Option<u64>,
-    late_refused_at_ms: Option<u64>,
     min_share: f64,
     fair_share: FairShare,
 }
@@ -89,43 +89,29 @@
 }
 
 impl LevelOrder {
-    /// Records a request in time.
+    /// Records a request.
     pub fn record_request(&mut self, level: Level, demand: &Demand, now_ms: u64) {
         let state = &mut self.levels[level.number()];
-        let (objective_ms, gap_ms) = match state.is_recent(now_ms) {
-            true => (state.objective_ms, state.gap_objective_ms),
-            false => (0, 0),
-        };
-        state.objective_ms = narrower(objective_ms, demand.objective_ms);
-        state.gap_objective_ms = narrower(gap_ms, demand.gap_objective_ms);
-        state.requests.add(1.0, DEMAND_HALF_LIFE_MS, now_ms);
-        state.prefill.add(demand.prefill_ms, DEMAND_HALF_LIFE_MS, now_ms);
-        state.engine.add(demand.engine_ms, DEMAND_HALF_LIFE_MS, now_ms);
+        let pause_max_ms = if state.is_recent(now_ms) { state.pause_max_ms } else { 0 };
+        state.pause_max_ms = narrower(pause_max_ms, demand.pause_max_ms);
+        let amounts = [
+            (&mut state.requests, 1.0),
+            (&mut state.prefill, demand.prefill_ms),
+            (&mut state.engine, demand.engine_ms),
+            (&mut state.answer_tokens, demand.answer_tokens),
+            (&mut state.first_event_time, demand.time.first_event_ms),
+            (&mut state.answer_time, demand.time.answer_ms),
+        ];
+        for (sum, amount) in amounts {
+            sum.add(amount, DEMAND_HALF_LIFE_MS, now_ms);
+        }
         state.last_at_ms = Some(now_ms);
     }
 
-    /// Records the refusal of a request in time.
+    /// Records the refusal of a request.
     pub fn record_refusal(&mut self, level: Level, engine_ms: f64, now_ms: u64) {
         let state = &mut self.levels[level.number()];
         state.debt.add(engine_ms * DEBT_FACTOR, DEBT_HALF_LIFE_MS, now_ms);
-        state.in_time_refused_at_ms = Some(now_ms);
-    }
-
-    /// Records the refusal of a late request for lack of a free slot.
-    pub fn record_late_refusal(&mut self, level: Level, now_ms: u64) {
-        self.levels[level.number()].late_refused_at_ms = Some(now_ms);
-    }
-
-    /// Whether late requests of a level are refused: while requests in time that are as urgent or
-    /// more, or late ones that are more urgent, are being refused.
-    pub fn sheds_late(&self, level: Level, now_ms: u64) -> bool {
-        let is_recent = |at_ms: Option<u64>| {
-            at_ms.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) <= LATE_SHED_MS)
-        };
-        let mut as_urgent = self.levels.iter().take(level.number() + 1);
-        let mut more_urgent = self.levels.iter().take(level.number());
-        as_urgent.any(|state| is_recent(state.in_time_refused_at_ms))
-            || more_urgent.any(|state| is_recent(state.late_refused_at_ms))
     }
 
     /// Whether a request is to be refused for the more urgent ones that were refused, which reduces
@@ -148,6 +134,14 @@
         true
     }
 
+    /// Fraction of the recently requested engine time that a level and more urgent ones asked for.
+    pub fn share_up_to(&self, level: Level, now_ms: u64) -> f64 {
+        let engine_ms = |state: &LevelState| state.engine.current(DEMAND_HALF_LIFE_MS, now_ms);
+        let all_ms: f64 = self.levels.iter().map(engine_ms).sum();
+        let requested_ms: f64 = self.levels.iter().take(level.number() + 1).map(engine_ms).sum();
+        if all_ms > 0.0 { requested_ms / all_ms } else { 1.0 }
+    }
+
     /// More urgent levels that were requested lately.
     pub fn more_urgent(&self, level: Level, now_ms: u64) -> Vec<Expected> {
         let engine_ms = |state: &LevelState| state.engine.current(DEMAND_HALF_LIFE_MS, now_ms);
@@ -160,11 +154,17 @@
                 continue;
             }
             let requests = state.requests.current(DEMAND_HALF_LIFE_MS, now_ms);
-            let prefill_ms = state.prefill.current(DEMAND_HALF_LIFE_MS, now_ms);
+            let mean = |sum: &DecayingSum| {
+                sum.current(DEMAND_HALF_LIFE_MS, now_ms) / requests.max(f64::MIN_POSITIVE)
+            };
             expected.push(Expected {
-                prefill_ms: prefill_ms / requests.max(f64::MIN_POSITIVE),
-                objective_ms: state.objective_ms,
-                gap_objective_ms: state.gap_objective_ms,
+                prefill_ms: mean(&state.prefill),
+                answer_tokens: mean(&state.answer_tokens),
+                time: caller_time::CallerTime {
+                    first_event_ms: mean(&state.first_event_time),
+                    answer_ms: mean(&state.answer_time),
+                },
+                pause_max_ms: state.pause_max_ms,
                 share: requested_ms / all_ms.max(f64::MIN_POSITIVE),
             });
         }
@@ -197,7 +197,7 @@
     }
 }
 
-/// The narrower one of two objectives, of which 0 is none.
+/// The narrower one of two promises, of which 0 is none.
 fn narrower(a_ms: u64, b_ms: u64) -> u64 {
     match (a_ms, b_ms) {
         (0, only_ms) | (only_ms, 0) => only_ms,
--- a/ragwortdeal_node/src/fleet/entry/exchange.rs
+++ b/ragwortdeal_node/src/fleet/entry/exchange.rs
@@ -189,7 +189,8 @@
             headers.insert(names.expected_version.clone(), header::HeaderValue::from(version));
         }
         if let Some(level) = request.level {
-            headers.insert(names.priority.clone(), header::HeaderValue::from(level.number()));
+            let number = if selected.starts_first { 0 } else { level.number() };
+            headers.insert(names.priority.clone(), header::HeaderValue::from(number));
         }
         if let Some(last) = last_event {
             headers.insert(names.last_event.clone(), header::HeaderValue::from(last));
--- a/ragwortdeal_node/src/fleet/entry/relay.rs
+++ b/ragwortdeal_node/src/fleet/entry/relay.rs
@@ -1,6 +1,6 @@
 //! Relays a stream event by event, and resumes it at another upstream where one breaks off.
 
-use std::{io, sync};
+use std::{io, sync, time};
 
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
@@ -189,6 +189,7 @@
     fn start(mut self) -> http::Response {
         let first = std::mem::take(&mut self.comments).freeze();
         self.source.selected.record_events();
+        self.progress.last_event_at = Some(time::Instant::now());
         let (sender, receiver) = mpsc::channel(QUEUED_PIECES_MAX);
         // The queue is empty and holds more than one piece.
         let _ = sender.try_send(Ok(Frame::data(first)));
@@ -262,6 +263,7 @@
     ) -> bool {
         if completed.has_events {
             self.source.selected.record_events();
+            self.progress.last_event_at = Some(time::Instant::now());
             self.record_proof_once();
         }
         sender.send(Ok(Frame::data(completed.bytes))).await.is_ok()
--- a/ragwortdeal_node/src/fleet/entry/request.rs
+++ b/ragwortdeal_node/src/fleet/entry/request.rs
@@ -5,9 +5,7 @@
 use hyper::header;
 use ragwortdeal_core::{
     directory,
-    dispatch::{
-        forecast, gate, isolation::fingerprint, priority, prompt, residency, retry_detection,
-    },
+    dispatch::{caller_time, forecast, gate, isolation::fingerprint, priority, prompt, residency},
     document,
     document::table,
 };
@@ -68,10 +66,10 @@
     pub(super) level: Option<priority::Level>,
     /// Name of the account that calls.
     pub(super) account: Option<directory::Text>,
-    /// Remaining time of the caller.
-    pub(super) remaining_time: retry_detection::RemainingTime,
     /// Milliseconds that an engine takes to read the prompt, 0 if there is none.
     pub(super) reading_ms: f64,
+    /// Largest number of tokens of the answer.
+    pub(super) answer_tokens: f64,
     pub(super) started: time::Instant,
     /// When the caller or the route's timeout ends the request.
     pub(super) deadline: time::Instant,
@@ -91,41 +89,49 @@
         self.deadline.saturating_duration_since(time::Instant::now())
     }
 
-    /// The work that it is for an engine, if its service is one of engines. A request that was sent
-    /// before is resumed elsewhere.
-    pub(super) fn work(&self, sent_before: bool) -> Option<gate::Work<'_>> {
-        let latency_model = self.latency_model?;
-        let (aim_ms, reading_ms) = (self.route.objective_ms, self.reading_ms);
-        let urgency = if sent_before || self.last_event.is_some() {
-            forecast::Urgency::Resumed
-        } else if self.remaining_time.is_retry() {
-            forecast::Urgency::Late
-        } else {
-            latency_model.urgency(aim_ms, reading_ms)
+    /// Time of the caller, who got the last event at `last_event_at`, if any.
+    pub(super) fn time(&self, last_event_at: Option<time::Instant>) -> caller_time::CallerTime {
+        let remaining_ms = self.remaining().as_secs_f64() * 1_000.0;
+        let waiting_since = last_event_at.unwrap_or(self.started);
+        let first_event_ms = match self.abandoned_after() {
+            Some(after) => {
+                let left = after.saturating_sub(waiting_since.elapsed() + ABANDON_MARGIN);
+                remaining_ms.min(left.as_secs_f64() * 1_000.0)
+            }
+            None => remaining_ms,
         };
-        let gap_ms = self.route.gap_objective_ms.unwrap_or(0);
-        let class = |level| priority::Class { level, account: self.account.as_ref() };
-        Some(gate::Work {
-            latency_model,
-            objective_ms: aim_ms,
-            gap_objective_ms: gap_ms,
-            prefill_ms: reading_ms,
-            urgency,
-            class: self.level.map(class),
-        })
+        caller_time::CallerTime { first_event_ms, answer_ms: remaining_ms }
     }
 
-    /// Whether the caller of a stream without an event gives up before one comes in so many
-    /// milliseconds. If it were sent all the same, it would run for nobody.
-    pub(super) fn is_abandoned_before(&self, first_event_ms: f64) -> bool {
+    /// How long the caller of a stream waits for an event.
+    fn abandoned_after(&self) -> Option<time::Duration> {
         if !self.route.streams {
-            return false;
+            return None;
         }
         let objectives = self.route.objective_ms * ABANDON_OBJECTIVES;
         let gaps = self.route.gap_objective_ms.unwrap_or(0) * ABANDON_GAP_OBJECTIVES;
-        let abandoned_after = time::Duration::from_millis(objectives.max(gaps)).max(ABANDON_MIN);
-        let first_event = time::Duration::from_secs_f64(first_event_ms / 1_000.0);
-        self.started.elapsed() + first_event + ABANDON_MARGIN >= abandoned_after
+        Some(time::Duration::from_millis(objectives.max(gaps)).max(ABANDON_MIN))
+    }
+
+    /// The work that it is for an engine, if its service is one of engines. A request that was sent
+    /// before has been counted among those of its level, and goes on elsewhere.
+    pub(super) fn work(
+        &self,
+        sent_before: bool,
+        last_event_at: Option<time::Instant>,
+    ) -> Option<gate::Work<'_>> {
+        let latency_model = self.latency_model?;
+        let class = |level| priority::Class { level, account: self.account.as_ref() };
+        // How much of an answer is left of which the caller holds a part is not told.
+        let holds_part = self.last_event.is_some() || last_event_at.is_some();
+        Some(gate::Work {
+            latency_model,
+            time: self.time(last_event_at),
+            pause_max_ms: self.route.gap_objective_ms.unwrap_or(0),
+            prefill_ms: self.reading_ms,
+            answer_tokens: if holds_part { 0.0 } else { self.answer_tokens },
+            class: self.level.filter(|_| !sent_before).map(class),
+        })
     }
 
     /// The identifier as text, for logs.
@@ -168,15 +174,6 @@
 }
 
 impl Entry {
-    /// Remaining time of a caller that waits for so long.
-    fn remaining_time(
-        &self,
-        route: &directory::Text,
-        left_ms: u64,
-    ) -> retry_detection::RemainingTime {
-        self.upstreams().remaining_time(route, left_ms, self.clock.now_ms())
-    }
-
     /// The parts of a request's prompt that others may hold too. None are taken from a list that
     /// cannot be read: the request is served all the same.
     fn shared_parts(
@@ -263,6 +260,10 @@
             (Some(engine), Some(tokens)) => forecast::prefill_ms(engine, f64::from(tokens.prompt)),
             _ => 0.0,
         };
+        let answer_tokens = match tokens {
+            Some(tokens) => f64::from(tokens.answer_max),
+            None => latency_model.map_or(0.0, |model| model.mean_answer_tokens()),
+        };
         let number = |name: &header::HeaderName| {
             request.headers.get(name)?.to_str().ok()?.trim().parse::<u64>().ok()
         };
@@ -284,8 +285,8 @@
             latency_model,
             level,
             account: account.map(|account| account.name.clone()),
-            remaining_time: self.remaining_time(&route.name, waits_ms),
             reading_ms,
+            answer_tokens,
             started,
             deadline,
             last_event,
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -89,6 +89,8 @@
     pub(super) sent: u32,
     /// Whether it may have been executed.
     pub(super) may_have_run: bool,
+    /// When the caller was last sent an event.
+    pub(super) last_event_at: Option<time::Instant>,
 }
 
 /// A request that waits for the head or the first event of an answer. It is dropped when its caller
@@ -137,12 +139,6 @@
                 return refused(entry, Some(&request.id), &refusal.of_level(request.level));
             }
         };
-        if progress.may_have_run && request.is_abandoned_before(selected.forecast_ms.unwrap_or(0.0))
-        {
-            let reason = "its caller would leave before it begins";
-            let refusal = Refusal::new(502, reason).of_level(request.level);
-            return refused(entry, Some(&request.id), &refusal);
-        }
         pending.upstream = Some(selected.peer.instance.clone());
         let outcome = entry.exchange(request, &selected, request.last_event).await;
         let Some(answer) = entry.record_outcome(request, &selected, outcome, &mut progress) else {
@@ -224,11 +220,14 @@
         if request.remaining().is_zero() {
             return Err(failed("no time is left"));
         }
+        if request.time(progress.last_event_at).first_event_ms <= 0.0 {
+            return Err(failed("its caller would leave before it begins"));
+        }
         let criteria = selection::Criteria {
             service: &request.service,
             models: request.models.as_deref(),
             residency: &request.residency,
-            work: request.work(progress.sent > 0),
+            work: request.work(progress.sent > 0, progress.last_event_at),
             tried: &progress.tried,
             repeatable,
             last_attempt: progress.sent + 1 >= request.route.attempts_max,
@@ -251,10 +250,6 @@
             selection::Unavailable::HeldBack { retry_after_ms } => {
                 self.refuse_held_back(retry_after_ms)
             }
-            selection::Unavailable::LateWorkShed { room } => {
-                let reason = "it would be late and others would wait for it";
-                self.refuse_until_room(request, room, reason)
-            }
             selection::Unavailable::MoreUrgentFirst { room } => {
                 self.refuse_until_room(request, room, "more urgent requests go first")
             }
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -13,7 +13,7 @@
     directory,
     dispatch::{
         backlog, choice, entry_roster, flow_control, forecast, gate, isolation::evidence, pace,
-        ramp_up, retry_budget, retry_detection,
+        ramp_up, retry_budget,
     },
     document::{self, evacuation, naming},
     spread::owners,
@@ -55,8 +55,6 @@
     gates: collections::HashMap<directory::Text, gate::Gate>,
     /// Mean paces of the services whose upstreams answered.
     paces: collections::HashMap<directory::Text, pace::ServiceMean>,
-    /// Detects retries of callers, by route.
-    retry_detectors: collections::HashMap<directory::Text, retry_detection::RetryDetector>,
     /// Number of layers of the models of each service of engines.
     layers: collections::HashMap<directory::Text, u32>,
     /// Availability zones to which nothing more is sent.
@@ -92,7 +90,6 @@
             retry_usage: collections::HashMap::new(),
             gates: collections::HashMap::new(),
             paces: collections::HashMap::new(),
-            retry_detectors: collections::HashMap::new(),
             layers: collections::HashMap::new(),
             evacuations: evacuation::Evacuations::default(),
         }
@@ -358,8 +355,6 @@
     /// Takes the services' properties from a document, and forgets routes and services that it no
     /// longer names.
     pub(super) fn retain(&mut self, document: &document::Document, now_ms: u64) {
-        let has_route = |name: &directory::Text| document.routes.iter().any(|it| it.name == *name);
-        self.retry_detectors.retain(|name, _| has_route(name));
         self.gates.retain(|name, _| document.service(name).is_some());
         self.paces.retain(|name, _| document.service(name).is_some());
         let layers = |it: &document::Service| Some((it.name.clone(), it.engine.as_ref()?.layers));
@@ -367,16 +362,6 @@
         self.set_cold_starts(document, now_ms);
     }
 
-    /// Remaining time of a caller of a route that waits for so long.
-    pub(super) fn remaining_time(
-        &mut self,
-        route: &directory::Text,
-        left_ms: u64,
-        now_ms: u64,
-    ) -> retry_detection::RemainingTime {
-        self.retry_detectors.entry(route.clone()).or_default().observe(left_ms, now_ms)
-    }
-
     /// Counts a first attempt at a service against the retry budget.
     pub(super) fn record_first_attempt(
         &mut self,
--- a/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
@@ -24,6 +24,8 @@
     reading_ms: Option<f64>,
     /// Forecast of the milliseconds to the first event, if it is an engine.
     pub(in super::super) forecast_ms: Option<f64>,
+    /// Whether the engine is to start it before more urgent requests.
+    pub(in super::super) starts_first: bool,
     /// State of the upstream when it was selected.
     pub(in super::super) candidate: choice::Candidate,
     /// When it was selected, by the entry's clock.
@@ -155,8 +157,6 @@
         /// Milliseconds until one of them takes a request.
         retry_after_ms: u64,
     },
-    /// The request would be late and would take capacity from others.
-    LateWorkShed { room: Option<retry_after::Room> },
     /// The room is kept for more urgent requests.
     MoreUrgentFirst { room: Option<retry_after::Room> },
     /// Its account requests more than its share.
@@ -192,6 +192,15 @@
     permit: residency::Permit,
 }
 
+/// The best of the upstreams that may be selected.
+struct Best {
+    index: usize,
+    /// Forecast of the milliseconds to the first event, if it is an engine.
+    forecast_ms: Option<f64>,
+    /// Whether the engine is to start the request before more urgent ones.
+    starts_first: bool,
+}
+
 impl Upstreams {
     /// Whether another upstream of the service takes work.
     pub(in super::super) fn has_alternative(&self, service: &str, instance: &str) -> bool {
@@ -268,24 +277,28 @@
         Some(Eligible { peer, version, reported_version, superseded_at_ms, candidate, permit })
     }
 
-    /// Index of the best upstream, and the forecast of its first event if it is an engine.
+    /// The best of the upstreams.
     fn best_of(
         &mut self,
         eligible: &[Eligible],
         criteria: &Criteria<'_>,
         now_ms: u64,
         draw: u64,
-    ) -> Result<(usize, Option<f64>), Unavailable> {
+    ) -> Result<Best, Unavailable> {
         let candidates: Vec<_> = eligible.iter().map(|upstream| upstream.candidate).collect();
         let best = match &criteria.work {
             Some(work) => {
                 let gate = self.gates.entry(criteria.service.clone()).or_default();
                 let selected = gate.choose(&candidates, work, now_ms, draw);
-                selected.map(|selected| (selected.engine, Some(selected.forecast_ms)))
+                selected.map(|selected| Best {
+                    index: selected.engine,
+                    forecast_ms: Some(selected.forecast_ms),
+                    starts_first: selected.starts_first,
+                })
             }
             None => choice::least_loaded(&candidates, draw)
                 .ok_or(gate::Rejection::Full)
-                .map(|it| (it, None)),
+                .map(|index| Best { index, forecast_ms: None, starts_first: false }),
         };
         best.map_err(|rejection| {
             if eligible.is_empty() {
@@ -295,7 +308,6 @@
             let room = self.room(&candidates, criteria);
             match rejection {
                 gate::Rejection::Full => Unavailable::AllFull { room },
-                gate::Rejection::LateWorkShed => Unavailable::LateWorkShed { room },
                 gate::Rejection::MoreUrgentFirst => Unavailable::MoreUrgentFirst { room },
                 gate::Rejection::AboveFairShare => Unavailable::AboveFairShare { room },
             }
@@ -323,7 +335,8 @@
         let draw = self.random_u64();
         let mut upstreams = self.upstreams();
         let mut eligible = upstreams.eligible(criteria, now_ms)?;
-        let (index, forecast_ms) = upstreams.best_of(&eligible, criteria, now_ms, draw)?;
+        let Best { index, forecast_ms, starts_first } =
+            upstreams.best_of(&eligible, criteria, now_ms, draw)?;
         let Eligible { peer, version, reported_version, superseded_at_ms, candidate, permit } =
             eligible.swap_remove(index);
         let reading_ms = criteria.work.map_or(0.0, |work| work.prefill_ms);
@@ -335,6 +348,7 @@
             reported_version,
             reading_ms: Some(reading_ms),
             forecast_ms,
+            starts_first,
             candidate,
             sent_at_ms: now_ms,
             superseded_at_ms,
