--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -6,7 +6,7 @@
 };
 
 use hyper::{header, http::response};
-use ragwortdeal_core::{directory, document};
+use ragwortdeal_core::{directory, dispatch::retry_after, document};
 
 use super::{
     Entry, exchange, pool, relay, request,
@@ -89,6 +89,8 @@
     pub(super) sent: u32,
     /// Whether it may have been executed.
     pub(super) may_have_run: bool,
+    /// When the caller was last sent an event.
+    pub(super) last_event_at: Option<time::Instant>,
 }
 
 /// A request that waits for the head or the first event of an answer. It is dropped when its caller
@@ -137,12 +139,6 @@
                 return refused(entry, Some(&request.id), &refusal.of_level(request.level));
             }
         };
-        if progress.may_have_run && request.is_abandoned_before(selected.forecast_ms.unwrap_or(0.0))
-        {
-            let reason = "its caller would leave before it begins";
-            let refusal = Refusal::new(502, reason).of_level(request.level);
-            return refused(entry, Some(&request.id), &refusal);
-        }
         pending.upstream = Some(selected.peer.instance.clone());
         let outcome = entry.exchange(request, &selected, request.last_event).await;
         let Some(answer) = entry.record_outcome(request, &selected, outcome, &mut progress) else {
@@ -174,9 +170,18 @@
         Refusal::retry_after(503, reason, time::Duration::from_millis(after_ms))
     }
 
-    /// Refuses a request that may be retried once.
-    fn refuse_retryable(&self, request: &CallerRequest, reason: &'static str) -> Refusal {
-        let after_ms = request.remaining_time.retry_after_ms(self.random_u64());
+    /// Refuses a request until there is room for it.
+    fn refuse_until_room(
+        &self,
+        request: &CallerRequest,
+        room: Option<retry_after::Room>,
+        reason: &'static str,
+    ) -> Refusal {
+        let Some(room) = room else {
+            return self.refuse_outage(reason);
+        };
+        let remaining_ms = request.remaining().as_millis() as u64;
+        let after_ms = room.retry_after_ms(remaining_ms, self.random_u64());
         Refusal::retry_after(503, reason, time::Duration::from_millis(after_ms))
     }
 
@@ -215,11 +220,14 @@
         if request.remaining().is_zero() {
             return Err(failed("no time is left"));
         }
+        if request.time(progress.last_event_at).first_event_ms <= 0.0 {
+            return Err(failed("its caller would leave before it begins"));
+        }
         let criteria = selection::Criteria {
             service: &request.service,
             models: request.models.as_deref(),
             residency: &request.residency,
-            work: request.work(progress.sent > 0),
+            work: request.work(progress.sent > 0, progress.last_event_at),
             tried: &progress.tried,
             repeatable,
             last_attempt: progress.sent + 1 >= request.route.attempts_max,
@@ -236,20 +244,17 @@
                 self.telemetry.count("entry.refused_outside_regions", 1);
                 self.refuse_outage("no upstream in the regions where it may be served")
             }
-            selection::Unavailable::AllFull => {
-                self.refuse_retryable(request, "all upstreams are full")
+            selection::Unavailable::AllFull { room } => {
+                self.refuse_until_room(request, room, "all upstreams are full")
             }
             selection::Unavailable::HeldBack { retry_after_ms } => {
                 self.refuse_held_back(retry_after_ms)
             }
-            selection::Unavailable::LateWorkShed => {
-                self.refuse_retryable(request, "it would be late and others would wait for it")
-            }
-            selection::Unavailable::MoreUrgentFirst => {
-                self.refuse_retryable(request, "more urgent requests go first")
+            selection::Unavailable::MoreUrgentFirst { room } => {
+                self.refuse_until_room(request, room, "more urgent requests go first")
             }
-            selection::Unavailable::AboveFairShare => {
-                self.refuse_retryable(request, "its account is above its share")
+            selection::Unavailable::AboveFairShare { room } => {
+                self.refuse_until_room(request, room, "its account is above its share")
             }
         })?;
         if progress.sent == 0 {
