Let streams pause for as long as is promised

A prompt was refused where the streams beside it would pause for 0.9 of the promised pause: a share of an aim, and a request with 6 s left was turned away although nobody's promise was at stake. The promise is to those whose streams run, and it is whole: 300 ms where the route tells 300 ms.

The forecast of a pause is the engine's own pass with the prompts that it reads in between. Its error is not measured, so no margin is taken.

--- a/ragwortdeal_core/src/dispatch/gate.rs
+++ b/ragwortdeal_core/src/dispatch/gate.rs
@@ -8,9 +8,6 @@
     forecast, level_order, priority, reserve, retry_after, standing_queue,
 };
 
-/// Largest fraction of the promised pause that the prefill of other prompts may take.
-const PAUSE_FRACTION: f64 = 0.9;
-
 /// A request that asks for admission.
 #[derive(Clone, Copy, Debug)]
 pub struct Work<'w> {
@@ -160,7 +157,7 @@
             error_ms: self.error.mean_ms(),
             pause_max_ms: match work.pause_max_ms {
                 0 => f64::INFINITY,
-                promised_ms => promised_ms as f64 * PAUSE_FRACTION,
+                promised_ms => promised_ms as f64,
             },
             waiting_max: work.latency_model.waiting_max(&self.standing_queue, now_ms),
         }
