Tell callers in an outage to return within their time

Where no upstream took work every caller was sent away for 1.2 to 2.0 s: one with 600 ms left, as callers of plain services have, was told to return after it would have left, and the reason given was that it is late in any case. A caller whose request waited for other copies of it waited for a second, or for all of its time if that was shorter, and was told 2 s; one whose body found no memory 1 to 2 s.

How long an outage lasts is not known. The later the retry the likelier it finds an upstream, and callers honour a third of their time, so retries come in the second half of that third, spread. Upstreams that ask for less work tell when they take some, and retries are spread over as long again. A caller waits for the outcome of other copies for a third of its time at most.

Refusals of isolated requests keep their 60 s: an operator releases them, and no caller waits for that. Not run yet: the tests of ragwortdeal_node.

--- a/ragwortdeal_core/src/dispatch/retry_after.rs
+++ b/ragwortdeal_core/src/dispatch/retry_after.rs
@@ -29,3 +29,12 @@
         first_ms + draw % (last_ms - first_ms + 1)
     }
 }
+
+/// Delay in milliseconds for a caller with this remaining time, where it is not known when there is
+/// room. The later the retry, the likelier it finds some, so it comes in the second half of the time
+/// for which callers stay away. They are spread, and keep most of their time for the answer.
+pub fn unknown_ms(remaining_ms: u64, draw: u64) -> u64 {
+    let max_ms = remaining_ms / REMAINING_DIVISOR;
+    let first_ms = max_ms / 2;
+    first_ms + draw % (max_ms - first_ms + 1)
+}
--- a/ragwortdeal_node/src/fleet/entry/isolation/copy.rs
+++ b/ragwortdeal_node/src/fleet/entry/isolation/copy.rs
@@ -13,16 +13,15 @@
 };
 use crate::fleet::notice::{CopiesNotice, Notice};
 
-/// Longest wait for the outcome of other copies. Most take less, and a caller learns no later that
-/// its request is not sent.
+/// Longest wait for the outcome of other copies. Most take less.
 const WAIT_MAX: time::Duration = time::Duration::from_secs(1);
 
+/// A caller waits for it for this part of its time at most, so that the rest is left for the answer.
+const REMAINING_DIVISOR: u32 = 3;
+
 /// How often a waiting copy looks again. Few wait, and none for long.
 const LOOK_INTERVAL: time::Duration = time::Duration::from_millis(5);
 
-/// When the caller of a request may retry that waited in vain for other copies of it.
-const WAITED_RETRY_AFTER: time::Duration = time::Duration::from_secs(2);
-
 /// Why such a request is refused.
 const WAITED_REASON: &str = "upstreams ended under it, and another copy of it is being tried";
 
@@ -68,6 +67,7 @@
         let fingerprint = request.fingerprint.id;
         let mut waiting = WaitingCopy { entry: self, fingerprint, waits: false };
         let begun = time::Instant::now();
+        let wait_max = WAIT_MAX.min(request.remaining() / REMAINING_DIVISOR);
         loop {
             if let Some(refusal) = self.refuse_isolated(request, may_have_run) {
                 return Err(refusal);
@@ -87,11 +87,11 @@
                 Admission::Wait => (),
             }
             waiting.waits = true;
-            if begun.elapsed() >= WAIT_MAX.min(request.remaining()) {
+            if begun.elapsed() >= wait_max {
                 self.log_refused_copy(request, WAITED_REASON);
                 return Err(match may_have_run {
                     true => Refusal::new(502, WAITED_REASON),
-                    false => Refusal::retry_after(503, WAITED_REASON, WAITED_RETRY_AFTER),
+                    false => self.refuse_outage(request, WAITED_REASON),
                 });
             }
             tokio::time::sleep(LOOK_INTERVAL).await;
--- a/ragwortdeal_node/src/fleet/entry/request.rs
+++ b/ragwortdeal_node/src/fleet/entry/request.rs
@@ -5,7 +5,10 @@
 use hyper::header;
 use ragwortdeal_core::{
     directory,
-    dispatch::{caller_time, forecast, gate, isolation::fingerprint, priority, prompt, residency},
+    dispatch::{
+        caller_time, forecast, gate, isolation::fingerprint, priority, prompt, residency,
+        retry_after,
+    },
     document,
     document::table,
 };
@@ -16,12 +19,9 @@
 /// Longest time to wait for a request body.
 const BODY_MS: u64 = 10_000;
 
-/// Shortest time after which a caller returns whose body found no memory. A body that stands still
-/// gives way after a second, and others are held for as long as their requests run.
-const NO_ROOM_RETRY_MIN_MS: u64 = 1_000;
-
-/// Jitter of that time.
-const NO_ROOM_RETRY_JITTER_MS: u64 = 1_000;
+/// When a body that found no memory may find some. One that stands still gives way after a second,
+/// and others are held for as long as their requests run.
+const BODY_ROOM: retry_after::Room = retry_after::Room { in_ms: 1_000.0, spread_ms: 1_000.0 };
 
 /// A caller gives up on a stream without an event after this time at the earliest.
 const ABANDON_MIN: time::Duration = time::Duration::from_secs(2);
@@ -324,9 +324,8 @@
         let refusal = match error {
             http::BodyError::TooLarge { .. } => Refusal::new(413, "the body is too large"),
             http::BodyError::NoRoom => {
-                let jitter_ms = self.random_u64() % NO_ROOM_RETRY_JITTER_MS;
-                let after = time::Duration::from_millis(NO_ROOM_RETRY_MIN_MS + jitter_ms);
-                Refusal::retry_after(503, "other bodies hold the memory", after)
+                let reason = "other bodies hold the memory";
+                self.refuse_until_room(&caller_request, Some(BODY_ROOM), reason)
             }
             http::BodyError::Stalled => {
                 Refusal::new(408, "the body stood still while others needed its memory")
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -19,13 +19,6 @@
 /// Upstreams that are tried for one request, including those that could not be reached.
 const UPSTREAMS_TRIED_MAX: usize = 4;
 
-/// Shortest time after which a caller retries where no upstream accepts work. It retries once and
-/// is late in any case, and outages last for a second or two.
-const OUTAGE_RETRY_MIN_MS: u64 = 1_200;
-
-/// Jitter of that time.
-const OUTAGE_RETRY_JITTER_MS: u64 = 800;
-
 /// Answers a caller.
 pub(super) async fn answer(entry: sync::Arc<Entry>, request: http::Request) -> http::Response {
     let names = entry.dialect.headers();
@@ -157,31 +150,31 @@
 
 impl Entry {
     /// Refuses a request that no upstream can take now.
-    fn refuse_outage(&self, reason: &'static str) -> Refusal {
-        let after_ms = OUTAGE_RETRY_MIN_MS + self.random_u64() % OUTAGE_RETRY_JITTER_MS;
-        Refusal::retry_after(503, reason, time::Duration::from_millis(after_ms))
+    pub(super) fn refuse_outage(&self, request: &CallerRequest, reason: &'static str) -> Refusal {
+        self.refuse_until_room(request, None, reason)
     }
 
     /// Refuses a request until an upstream that asked for less work takes some. Callers are spread,
     /// because it takes them one after the other.
-    fn refuse_held_back(&self, retry_after_ms: u64) -> Refusal {
-        let after_ms = retry_after_ms + self.random_u64() % OUTAGE_RETRY_JITTER_MS;
-        let reason = "all upstreams asked for less work";
-        Refusal::retry_after(503, reason, time::Duration::from_millis(after_ms))
+    fn refuse_held_back(&self, request: &CallerRequest, retry_after_ms: u64) -> Refusal {
+        let in_ms = retry_after_ms as f64;
+        let room = retry_after::Room { in_ms, spread_ms: in_ms };
+        self.refuse_until_room(request, Some(room), "all upstreams asked for less work")
     }
 
-    /// Refuses a request until there is room for it.
-    fn refuse_until_room(
+    /// Refuses a request until there is room for it, as far as it is known when.
+    pub(super) fn refuse_until_room(
         &self,
         request: &CallerRequest,
         room: Option<retry_after::Room>,
         reason: &'static str,
     ) -> Refusal {
-        let Some(room) = room else {
-            return self.refuse_outage(reason);
-        };
         let remaining_ms = request.remaining().as_millis() as u64;
-        let after_ms = room.retry_after_ms(remaining_ms, self.random_u64());
+        let draw = self.random_u64();
+        let after_ms = match room {
+            Some(room) => room.retry_after_ms(remaining_ms, draw),
+            None => retry_after::unknown_ms(remaining_ms, draw),
+        };
         Refusal::retry_after(503, reason, time::Duration::from_millis(after_ms))
     }
 
@@ -206,7 +199,7 @@
         let now_ms = self.clock.now_ms();
         let failed = |reason| match progress.may_have_run {
             true => Refusal::new(if request.remaining().is_zero() { 504 } else { 502 }, reason),
-            false => self.refuse_outage(reason),
+            false => self.refuse_outage(request, reason),
         };
         let repeatable = request.route.retry_policy != document::RetryPolicy::Never;
         if progress.may_have_run && !repeatable {
@@ -235,20 +228,20 @@
         let selected = self.choose(&criteria).map_err(|unavailable| match unavailable {
             _ if progress.may_have_run => failed("no other upstream takes it"),
             selection::Unavailable::NoneEligible { evacuated: false } => {
-                self.refuse_outage("no upstream takes work")
+                self.refuse_outage(request, "no upstream takes work")
             }
             selection::Unavailable::NoneEligible { evacuated: true } => {
-                self.refuse_outage("no upstream outside evacuated zones takes work")
+                self.refuse_outage(request, "no upstream outside evacuated zones takes work")
             }
             selection::Unavailable::OutsideAllowedRegions => {
                 self.telemetry.count("entry.refused_outside_regions", 1);
-                self.refuse_outage("no upstream in the regions where it may be served")
+                self.refuse_outage(request, "no upstream in the regions where it may be served")
             }
             selection::Unavailable::AllFull { room } => {
                 self.refuse_until_room(request, room, "all upstreams are full")
             }
             selection::Unavailable::HeldBack { retry_after_ms } => {
-                self.refuse_held_back(retry_after_ms)
+                self.refuse_held_back(request, retry_after_ms)
             }
             selection::Unavailable::MoreUrgentFirst { room } => {
                 self.refuse_until_room(request, room, "more urgent requests go first")
