Weigh zones, loads and failures by what they cost the caller

Callers waited up to 100 ms longer for the sake of a price.

Forecasts that differ by less than their measured error do not differ, and then the engine in the same zone is better for the caller, as no link can be cut or congested meanwhile; beyond it the earlier first event decides. A failed attempt costs the time of the answer again, in proportion to how often attempts fail.

an_engine_nearby_is_preferred_by_no_more_than_forecasts_are_off failed before (the near engine is taken whatever the error).

--- a/ragwortdeal_core/src/dispatch/choice.rs
+++ b/ragwortdeal_core/src/dispatch/choice.rs
@@ -46,20 +46,13 @@
 /// answered too late for their callers.
 const WAITING_FRACTION: f64 = 0.15;
 
-/// Delay of the first event up to which an engine in the same zone is preferred to one in another
-/// zone, because links between zones are slow and expensive.
-const OTHER_ZONE_MS: f64 = 100.0;
-
-/// Delay that one open request counts for. It spreads requests over engines that would all start at
-/// once, so that their slots fill evenly.
-const MS_PER_OPEN_REQUEST: f64 = 6.0;
-
 /// Delay penalty of an engine that others are to use first. It is taken only if no other engine would
 /// answer in time.
 const RAMP_UP_MS: f64 = 10_000.0;
 
-/// Delay penalty of an engine that always fails.
-const FAILING_MS: f64 = 800.0;
+/// Least fraction of the attempts at an engine that is taken to succeed, so that one that fails
+/// always can still be compared.
+const SUCCEEDING_MIN: f64 = 0.01;
 
 /// Load of an upstream in requests, as far as known.
 pub fn load(candidate: &Candidate) -> f64 {
@@ -134,8 +127,10 @@
     pub waiting_max: f64,
 }
 
-/// The engine with the earliest first event, with a preference for the same zone, or `None` if none
-/// meets the requirements.
+/// The engine with the earliest first event, or `None` if none meets the requirements.
+///
+/// Forecasts that differ by less than their error do not differ, and then an engine in the same zone
+/// is better for the caller: no link to another zone can be cut or congested meanwhile.
 pub fn fastest_engine(
     candidates: &[Candidate],
     latency_model: &forecast::LatencyModel,
@@ -162,13 +157,14 @@
             && candidate.start_within_ms.is_none_or(|within_ms| latest_ms <= within_ms)
     });
     let cost = |candidate: &Candidate, first_ms: f64| {
-        let zone_ms = if candidate.same_zone { 0.0 } else { OTHER_ZONE_MS };
+        let zone_ms = if candidate.same_zone { 0.0 } else { prompt.error_ms };
         let ramp_up_ms = if candidate.ramping_up { RAMP_UP_MS } else { 0.0 };
-        first_ms
-            + zone_ms
-            + ramp_up_ms
-            + load(candidate) * MS_PER_OPEN_REQUEST
-            + candidate.failure_rate * FAILING_MS
+        let shared_ms = latency_model.shared_steps_ms(load(candidate), prompt.answer_tokens);
+        // A failed attempt is repeated, which takes the time of an answer again.
+        let answer_ms = first_ms + latency_model.rest_ms(candidate, prompt.answer_tokens);
+        let succeeding = (1.0 - candidate.failure_rate).max(SUCCEEDING_MIN);
+        let repeated_ms = answer_ms * (1.0 / succeeding - 1.0);
+        first_ms + zone_ms + ramp_up_ms + shared_ms + repeated_ms
     };
     let costs = in_time.map(|(index, candidate, first_ms)| (index, cost(candidate, first_ms)));
     cheapest(costs, candidates, draw)
--- a/ragwortdeal_core/src/dispatch/forecast.rs
+++ b/ragwortdeal_core/src/dispatch/forecast.rs
@@ -34,6 +34,8 @@
     mean_prefill_ms: f64,
     /// Tokens of a mean answer.
     mean_answer_tokens: f64,
+    /// By how much each running request lengthens a step, in milliseconds.
+    step_per_request_ms: f64,
     /// Mean pace of the engines.
     mean_pace: f64,
 }
@@ -54,6 +56,7 @@
             service_ms: mean_prefill_ms + mean.answer_tokens * step_ms / slots,
             mean_prefill_ms,
             mean_answer_tokens: mean.answer_tokens,
+            step_per_request_ms: engine.step_per_request_ms + context,
             mean_pace: 1.0,
         }
     }
@@ -116,6 +119,11 @@
         engine.pace.duration_ms(answer_tokens * step_ms * (1.0 + interleaved))
     }
 
+    /// By how much the steps of an answer are longer beside this load, in milliseconds.
+    pub fn shared_steps_ms(&self, load: f64, answer_tokens: f64) -> f64 {
+        load * self.step_per_request_ms * answer_tokens
+    }
+
     /// Whether an answer whose first event is forecast in `first_ms` is of use to its caller.
     ///
     /// The margin for forecasts that are wrong does not exclude idle engines: nothing would be
