Do not take a forecast wait for a fault of the engine

An engine counted as slow for 4 s where a head took 0.8 s, and as silent where an entry's requests there had no first event for 0.8 s, as "a working engine takes less than half of that". Both figures rested on refusals by the objective: nothing was sent that was to wait for longer. Requests wait within their callers' time now. A caller whose request waits in an engine's queue, as was forecast, would be moved to another engine, at the expense of the repeats that others need, and the engine avoided, and superseded weights given up early.

Slow is a head that comes 0.8 s later than forecast, and a first event is due when it was forecast; the checks count from then. Plain services have no forecast, and nothing changes for them.

--- a/ragwortdeal_core/src/dispatch.rs
+++ b/ragwortdeal_core/src/dispatch.rs
@@ -14,6 +14,7 @@
 pub mod flow_control;
 pub mod forecast;
 pub mod gate;
+pub mod head_time;
 pub mod isolation;
 pub mod level_order;
 pub mod pace;
--- a/ragwortdeal_core/src/dispatch/backlog.rs
+++ b/ragwortdeal_core/src/dispatch/backlog.rs
@@ -21,6 +21,8 @@
     unstarted: u32,
     /// Prefill time of the prompts of those requests, in milliseconds.
     prefill_ms: f64,
+    /// When the earliest first event of those requests is forecast.
+    first_event_due_ms: u64,
     /// Requests of other entries.
     peers: peer_load::PeerLoad,
     excess: forecast::ExcessDelay,
@@ -60,9 +62,18 @@
         self.open > self.unstarted
     }
 
-    /// Whether a prompt of this entry is still waiting for its prefill.
-    pub fn has_pending_prefill(&self) -> bool {
-        self.unstarted > 0 && self.prefill_ms > 0.0
+    /// Whether a prompt of this entry is still waiting for its prefill, and its first event was
+    /// forecast to have come. An engine may read prompts of other entries before.
+    pub fn is_first_event_due(&self, now_ms: u64) -> bool {
+        self.unstarted > 0 && self.prefill_ms > 0.0 && now_ms >= self.first_event_due_ms
+    }
+
+    /// Records when the first event of the request is forecast that was opened last.
+    pub fn expect_first_event(&mut self, at_ms: u64) {
+        self.first_event_due_ms = match self.unstarted {
+            0 | 1 => at_ms,
+            _ => at_ms.min(self.first_event_due_ms),
+        };
     }
 
     /// Records a request as sent. `prefill_ms` is the prefill time of its prompt.
--- a/ragwortdeal_core/src/dispatch/silence.rs
+++ b/ragwortdeal_core/src/dispatch/silence.rs
@@ -9,8 +9,7 @@
 /// Consecutive silent checks after which an upstream counts as silent in the middle of answers.
 pub const SILENT_CHECKS_MAX: u32 = 4;
 
-/// The same before any first event. A working engine sends its first event in less than half of
-/// that time.
+/// The same before any first event, counted from when one was forecast.
 pub const SILENT_CHECKS_BEFORE_FIRST_EVENT_MAX: u32 = 8;
 
 /// What an upstream is to send next.
--- a/ragwortdeal_core/tests/dispatch_silence.rs
+++ b/ragwortdeal_core/tests/dispatch_silence.rs
@@ -1,9 +1,12 @@
 //! Detection of silent upstreams.
 
 use googletest::prelude::*;
-use ragwortdeal_core::dispatch::silence::{
-    Change, Due, Observation, SILENT_CHECKS_BEFORE_FIRST_EVENT_MAX, SILENT_CHECKS_MAX,
-    SilenceDetector,
+use ragwortdeal_core::dispatch::{
+    backlog::Backlog,
+    silence::{
+        Change, Due, Observation, SILENT_CHECKS_BEFORE_FIRST_EVENT_MAX, SILENT_CHECKS_MAX,
+        SilenceDetector,
+    },
 };
 
 const SILENT: Observation =
@@ -86,3 +89,22 @@
     expect_that!(observe(&mut silence, waiting, 5), is_empty());
     expect_that!(silence.observe(waiting), some(eq(Change::Silent)));
 }
+
+/// Guards against engines that are taken for silent because an entry's only request there waits
+/// behind those of other entries, as was forecast when it was sent.
+#[googletest::test]
+fn a_first_event_is_due_when_it_was_forecast() {
+    let mut backlog = Backlog::default();
+    backlog.open_request(40.0);
+    backlog.expect_first_event(2_000);
+    expect_that!(backlog.is_first_event_due(1_999), eq(false));
+    expect_that!(backlog.is_first_event_due(2_000), eq(true));
+    backlog.open_request(40.0);
+    backlog.expect_first_event(2_500);
+    expect_that!(backlog.is_first_event_due(2_000), eq(true));
+    backlog.prefill_done(40.0);
+    backlog.prefill_done(40.0);
+    backlog.open_request(40.0);
+    backlog.expect_first_event(3_000);
+    expect_that!(backlog.is_first_event_due(2_600), eq(false));
+}
--- a/ragwortdeal_node/src/fleet/entry/health.rs
+++ b/ragwortdeal_node/src/fleet/entry/health.rs
@@ -2,7 +2,9 @@
 
 use std::sync::{self, atomic};
 
-use ragwortdeal_core::dispatch::{answer_time, backlog, choice, pace, peer_load, probe, silence};
+use ragwortdeal_core::dispatch::{
+    answer_time, backlog, choice, head_time, pace, peer_load, probe, silence,
+};
 use tokio::sync as tokio_sync;
 
 use crate::fleet::{dialect, load_probe};
@@ -17,14 +19,7 @@
 /// Factor by which the failure rate decays with each successful answer.
 const FAILURE_RATE_DECAY: f64 = 0.8;
 
-/// A head that takes longer indicates a slow path to the upstream. Under load an engine takes a
-/// third of that.
-const SLOW_HEAD_MS: u64 = 800;
-
-/// A head that takes no longer indicates a responsive path to the upstream.
-const RESPONSIVE_HEAD_MS: u64 = 500;
-
-/// How long it indicates that.
+/// How long a head indicates a responsive path to the upstream.
 const RESPONSIVE_MS: u64 = 1_200;
 
 /// How long ago a request may have been sent whose answer shows that requests still arrive.
@@ -156,7 +151,7 @@
             others_sent_data: others_spoke,
             due: match answers {
                 Some(answers) => self.due_answer(answers),
-                None => self.due_event(),
+                None => self.due_event(now_ms),
             },
         })?;
         match change {
@@ -170,11 +165,11 @@
         Some(change)
     }
 
-    fn due_event(&self) -> Option<silence::Due> {
+    fn due_event(&self, now_ms: u64) -> Option<silence::Due> {
         let awaited = self.silence.is_silent() && self.open() > 0;
         match self.backlog.has_started() {
             true => Some(silence::Due::NextEvent),
-            false if self.backlog.has_pending_prefill() || awaited => {
+            false if self.backlog.is_first_event_due(now_ms) || awaited => {
                 Some(silence::Due::FirstEvent)
             }
             false => None,
@@ -311,10 +306,10 @@
     ) {
         let sent_at_ms = now_ms.saturating_sub(answer.took_ms);
         self.reached_sent_at_ms = self.reached_sent_at_ms.max(Some(sent_at_ms));
-        if answer.took_ms >= SLOW_HEAD_MS {
-            self.slow_until_ms = now_ms + SLOW_MS;
-        } else if answer.took_ms <= RESPONSIVE_HEAD_MS {
-            self.responsive_at_ms = Some(now_ms);
+        match head_time::judge(answer.took_ms, answer.forecast_ms) {
+            head_time::Path::Slow => self.slow_until_ms = now_ms + SLOW_MS,
+            head_time::Path::Responsive => self.responsive_at_ms = Some(now_ms),
+            head_time::Path::Unclear => (),
         }
         match answer.forecast_ms {
             Some(forecast_ms) => {
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -226,9 +226,11 @@
         &mut self,
         instance: &directory::Text,
         reading_ms: f64,
+        first_event_at_ms: u64,
     ) -> sync::Arc<health::Activity> {
         let health = self.health.entry(instance.clone()).or_default();
         health.backlog_mut().open_request(reading_ms);
+        health.backlog_mut().expect_first_event(first_event_at_ms);
         health.activity()
     }
 
--- a/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
@@ -340,7 +340,8 @@
         let Eligible { peer, version, reported_version, superseded_at_ms, candidate, permit } =
             eligible.swap_remove(index);
         let reading_ms = criteria.work.map_or(0.0, |work| work.prefill_ms);
-        let activity = upstreams.open_request(&peer.instance, reading_ms);
+        let first_event_at_ms = now_ms + forecast_ms.unwrap_or(0.0) as u64;
+        let activity = upstreams.open_request(&peer.instance, reading_ms, first_event_at_ms);
         upstreams.record_sent(&peer.instance, now_ms);
         Ok(Selected {
             peer,
