Let admitted work go on elsewhere while queues stand

With the bound on standing queues, a stream whose engine ended in an overload found no other: its caller, who held a part of the answer and would have waited for the rest, got a cut stream. The bound is on new work, which waits or returns. What was admitted is no new work, as its class does not count a second time either; only the time of its caller decides.

--- a/ragwortdeal_core/src/dispatch/gate.rs
+++ b/ragwortdeal_core/src/dispatch/gate.rs
@@ -22,8 +22,10 @@
     pub prefill_ms: f64,
     /// Largest number of tokens of the answer, as far as it is still to be written.
     pub answer_tokens: f64,
-    /// What it is ordered by. `None` if requests to the service are not ordered, or if it was
-    /// admitted before: it has taken its share, and its caller may hold a part of the answer.
+    /// Whether it was admitted before and goes on elsewhere. It is no new work, so neither the bound
+    /// on standing queues nor its class keep its caller from the rest of the answer.
+    pub admitted: bool,
+    /// What it is ordered by, or `None` if requests to the service are not ordered.
     pub class: Option<priority::Class<'w>>,
 }
 
@@ -97,8 +99,8 @@
         let engines = self.as_found(engines, work, &prompt, share, now_ms);
         let chosen = choice::fastest_engine(&engines, &work.latency_model, &prompt, draw);
         let Admitted { engine, starts_first } = match work.class {
-            Some(class) => self.choose_in_order(&question, &class, chosen)?,
-            None => Admitted { engine: chosen.ok_or(Rejection::Full)?, starts_first: false },
+            Some(class) if !work.admitted => self.choose_in_order(&question, &class, chosen)?,
+            _ => Admitted { engine: chosen.ok_or(Rejection::Full)?, starts_first: false },
         };
         let forecast_ms = work.latency_model.first_event_ms(&engines[engine], work.prefill_ms);
         Ok(Choice { engine, forecast_ms, starts_first })
@@ -159,7 +161,10 @@
                 0 => f64::INFINITY,
                 promised_ms => promised_ms as f64,
             },
-            waiting_max: work.latency_model.waiting_max(&self.standing_queue, now_ms),
+            waiting_max: match work.admitted {
+                true => f64::INFINITY,
+                false => work.latency_model.waiting_max(&self.standing_queue, now_ms),
+            },
         }
     }
 
@@ -251,6 +256,7 @@
                 prefill_ms: expected.prefill_ms,
                 answer_tokens: expected.answer_tokens,
                 pause_max_ms: expected.pause_max_ms,
+                admitted: false,
                 class: None,
                 ..*work
             };
--- a/ragwortdeal_core/tests/dispatch_caller_time.rs
+++ b/ragwortdeal_core/tests/dispatch_caller_time.rs
@@ -63,6 +63,7 @@
             pause_max_ms: PAUSE_MAX_MS,
             prefill_ms,
             answer_tokens: caller.answer_tokens,
+            admitted: false,
             class: None,
         };
         match self.gate.choose(engines, &work, now_ms, draw) {
--- a/ragwortdeal_core/tests/dispatch_forecast.rs
+++ b/ragwortdeal_core/tests/dispatch_forecast.rs
@@ -241,6 +241,7 @@
             pause_max_ms: 300,
             prefill_ms: 800.0,
             answer_tokens: latency_model().mean_answer_tokens(),
+            admitted: false,
             class: None,
         };
         Gate::default().choose(&[idle()], &work, 0, 0).map(|chosen| chosen.engine)
--- a/ragwortdeal_core/tests/dispatch_gate.rs
+++ b/ragwortdeal_core/tests/dispatch_gate.rs
@@ -18,6 +18,7 @@
         pause_max_ms: 300,
         prefill_ms: 32.0,
         answer_tokens: 119.0,
+        admitted: false,
         class: None,
     }
 }
@@ -124,3 +125,16 @@
     expect_that!(admit(&mut gate, 3, 2_000.0, 12_020), eq(Ok(0)));
     expect_that!(admit(&mut gate, 24, 2_000.0, 12_030), eq(Ok(0)));
 }
+
+/// Guards against streams that are cut because their engine died while all queues stand, although
+/// their callers wait for the rest.
+#[googletest::test]
+fn admitted_work_goes_on_elsewhere_while_queues_stand() {
+    let mut gate = Gate::default();
+    expect_that!(admit(&mut gate, 24, 2_000.0, 12_000), eq(Err(Rejection::Full)));
+    let resumed = Work { admitted: true, ..work(2_000.0) };
+    let chosen = |engine| gate.clone().choose(&[engine], &resumed, 12_010, 0).map(|it| it.engine);
+    expect_that!(chosen(engine(24)), eq(Ok(0)));
+    // Its caller leaves before.
+    expect_that!(chosen(engine(44)), eq(Err(Rejection::Full)));
+}
--- a/ragwortdeal_core/tests/dispatch_pace.rs
+++ b/ragwortdeal_core/tests/dispatch_pace.rs
@@ -130,6 +130,7 @@
         pause_max_ms: 0,
         prefill_ms: latency_model.mean_prefill_ms(),
         answer_tokens: latency_model.mean_answer_tokens(),
+        admitted: false,
         class: None,
     };
     let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(3);
--- a/ragwortdeal_core/tests/dispatch_priority.rs
+++ b/ragwortdeal_core/tests/dispatch_priority.rs
@@ -168,6 +168,7 @@
             pause_max_ms: 0,
             answer_tokens: self.latency_model.mean_answer_tokens(),
             prefill_ms: stream.prompt * self.latency_model.mean_prefill_ms(),
+            admitted: false,
             class: stream.level.map(class),
         };
         let Choice { engine, .. } = self.gate.choose(&candidates, &work, now_ms, draw)?;
@@ -325,6 +326,7 @@
             pause_max_ms: 0,
             prefill_ms: latency_model.mean_prefill_ms(),
             answer_tokens: latency_model.mean_answer_tokens(),
+            admitted: false,
             class: Some(Class { level: Level::new(level), account: Some(&account) }),
         };
         gate.choose(&[full], &work, now_ms, 0)
--- a/ragwortdeal_core/tests/overload/main.rs
+++ b/ragwortdeal_core/tests/overload/main.rs
@@ -37,7 +37,15 @@
         } = *question;
         let class = question.level.map(|number| Class { level: Level::new(number), account: None });
         let pause_max_ms = fleet::PAUSE_MAX_MS;
-        let work = Work { latency_model, time, pause_max_ms, prefill_ms, answer_tokens, class };
+        let work = Work {
+            latency_model,
+            time,
+            pause_max_ms,
+            prefill_ms,
+            answer_tokens,
+            admitted: false,
+            class,
+        };
         let chosen = self.gate.choose(question.engines, &work, now_ms, draw);
         chosen.map_err(|_| {
             let room = self.gate.room(question.engines, &work);
--- a/ragwortdeal_node/src/fleet/entry/request.rs
+++ b/ragwortdeal_node/src/fleet/entry/request.rs
@@ -113,8 +113,7 @@
         Some(time::Duration::from_millis(objectives.max(gaps)).max(ABANDON_MIN))
     }
 
-    /// The work that it is for an engine, if its service is one of engines. A request that was sent
-    /// before has been counted among those of its level, and goes on elsewhere.
+    /// The work that it is for an engine, if its service is one of engines.
     pub(super) fn work(
         &self,
         sent_before: bool,
@@ -130,7 +129,8 @@
             pause_max_ms: self.route.gap_objective_ms.unwrap_or(0),
             prefill_ms: self.reading_ms,
             answer_tokens: if holds_part { 0.0 } else { self.answer_tokens },
-            class: self.level.filter(|_| !sent_before).map(class),
+            admitted: sent_before,
+            class: self.level.map(class),
         })
     }
 
