Try engines again that failed for a while

Since failures count by the time of a repeat, an engine that always failed cost a hundred answers: it was never asked while any other took work, and no answer could show that it had recovered.

--- a/ragwortdeal_core/src/dispatch/choice.rs
+++ b/ragwortdeal_core/src/dispatch/choice.rs
@@ -50,10 +50,6 @@
 /// answer in time.
 const RAMP_UP_MS: f64 = 10_000.0;
 
-/// Least fraction of the attempts at an engine that is taken to succeed, so that one that fails
-/// always can still be compared.
-const SUCCEEDING_MIN: f64 = 0.01;
-
 /// Load of an upstream in requests, as far as known.
 pub fn load(candidate: &Candidate) -> f64 {
     f64::from(candidate.open) + candidate.peer_open
@@ -160,10 +156,9 @@
         let zone_ms = if candidate.same_zone { 0.0 } else { prompt.error_ms };
         let ramp_up_ms = if candidate.ramping_up { RAMP_UP_MS } else { 0.0 };
         let shared_ms = latency_model.shared_steps_ms(load(candidate), prompt.answer_tokens);
-        // A failed attempt is repeated, which takes the time of an answer again.
+        // A failed attempt is repeated once, which takes the time of an answer again.
         let answer_ms = first_ms + latency_model.rest_ms(candidate, prompt.answer_tokens);
-        let succeeding = (1.0 - candidate.failure_rate).max(SUCCEEDING_MIN);
-        let repeated_ms = answer_ms * (1.0 / succeeding - 1.0);
+        let repeated_ms = answer_ms * candidate.failure_rate;
         first_ms + zone_ms + ramp_up_ms + shared_ms + repeated_ms
     };
     let costs = in_time.map(|(index, candidate, first_ms)| (index, cost(candidate, first_ms)));
--- a/ragwortdeal_core/tests/dispatch_forecast.rs
+++ b/ragwortdeal_core/tests/dispatch_forecast.rs
@@ -107,6 +107,21 @@
     expect_that!(chosen(250.0), some(eq(0)));
 }
 
+/// Guards against an engine that failed for a while and is never tried again, as no answer shows that
+/// it has recovered.
+#[googletest::test]
+fn an_engine_that_always_failed_is_tried_while_the_others_queue() {
+    let prompt = Prompt {
+        answer_tokens: latency_model().mean_answer_tokens(),
+        time: CallerTime { first_event_ms: 2_300.0, answer_ms: 6_000.0 },
+        ..prompt()
+    };
+    let failed = Candidate { failure_rate: 0.999, ..idle() };
+    let queue = Candidate { open: 30, ..idle() };
+    let chosen = choice::fastest_engine(&[queue, failed], &latency_model(), &prompt, 0);
+    expect_that!(chosen, some(eq(1)));
+}
+
 /// An engine or the path to it is slow, and only its late answers show it. Requests go to the
 /// others, and return once the engine may have recovered.
 #[googletest::test]
