Let no promised pause keep admitted work from its answer

A request whose engine fell silent or ended goes on at another one. Since first attempts and repeats share one rule, the promised pause of the streams there refused it: its caller, who had waited or held a part, got 502 or a cut stream, where the others would have had a pause.

A longer pause makes an answer late, a refusal takes it away, so the pause binds new work only, as the bound on standing queues does. admitted_work_goes_on_elsewhere_while_queues_stand has the case: refused before with 400 ms of unread prompts ahead.

--- a/ragwortdeal_core/src/dispatch/gate.rs
+++ b/ragwortdeal_core/src/dispatch/gate.rs
@@ -23,7 +23,8 @@
     /// Largest number of tokens of the answer, as far as it is still to be written.
     pub answer_tokens: f64,
     /// Whether it was admitted before and goes on elsewhere. It is no new work, so neither the bound
-    /// on standing queues nor its class keep its caller from the rest of the answer.
+    /// on standing queues, its class, nor a longer pause of other streams keep its caller from the
+    /// answer.
     pub admitted: bool,
     /// What it is ordered by, or `None` if requests to the service are not ordered.
     pub class: Option<priority::Class<'w>>,
@@ -158,8 +159,8 @@
             time: work.time,
             error_ms: self.error.mean_ms(),
             pause_max_ms: match work.pause_max_ms {
-                0 => f64::INFINITY,
-                promised_ms => promised_ms as f64,
+                promised_ms if promised_ms > 0 && !work.admitted => promised_ms as f64,
+                _ => f64::INFINITY,
             },
             waiting_max: match work.admitted {
                 true => f64::INFINITY,
--- a/ragwortdeal_core/tests/dispatch_gate.rs
+++ b/ragwortdeal_core/tests/dispatch_gate.rs
@@ -50,8 +50,8 @@
     a_request_of_a_patient_caller_waits: 22, 2_000.0 => Ok(0);
 }
 
-/// Guards against prompts whose prefill pauses the streams at their engine for longer than the
-/// operator's objective, so that all of them are late.
+/// Guards against prompts whose prefill pauses the streams at their engine for longer than is
+/// promised.
 #[googletest::test]
 fn a_prompt_that_would_pause_other_streams_goes_to_another_engine() {
     let prefilling = Candidate { prefill_ms: 240.0, ..engine(5) };
@@ -135,6 +135,8 @@
     let resumed = Work { admitted: true, ..work(2_000.0) };
     let chosen = |engine| gate.clone().choose(&[engine], &resumed, 12_010, 0).map(|it| it.engine);
     expect_that!(chosen(engine(24)), eq(Ok(0)));
+    // Its caller would lose the answer, those of the other streams only have it later.
+    expect_that!(chosen(Candidate { prefill_ms: 400.0, ..engine(5) }), eq(Ok(0)));
     // Its caller leaves before.
     expect_that!(chosen(engine(44)), eq(Err(Rejection::Full)));
 }
