--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -111,16 +111,20 @@
     let bound_s = drained_s + DRAIN_MS as f64 / 1_000.0;
     let runs = leaving.runs.lock().unwrap().clone();
     let late: Vec<_> = runs.iter().filter(|run| run.at_s > bound_s).collect();
-    for run in late.iter().take(5) {
-        record.line(format!("server {} got request {} at {:.3}, {:.3} s after the acknowledgement", leaving.id, run.id, run.at_s, run.at_s - drained_s));
-    }
     let outcomes = outcomes.lock().unwrap().clone();
     let served = outcomes.iter().filter(|it| it.status == Some(200)).count();
     let lost: Vec<_> = runs.iter().filter(|run| !run.answered).collect();
-    let lost_clients: Vec<_> = outcomes.iter().filter(|it| lost.iter().any(|run| run.id == it.id)).collect();
-    for outcome in lost_clients.iter().take(8) {
-        record.line(format!("client: transfer {} was at the server as it exited at {exit_s:.3}: {:?} {}", outcome.id, outcome.status, outcome.body));
+    for outcome in &outcomes {
+        record.line(format!("client: POST /transfer/1 {} sent at {:.3}: {:?} {}", outcome.id, outcome.at_s, outcome.status, outcome.body));
+    }
+    for server in &own {
+        for run in server.runs.lock().unwrap().iter() {
+            let late = server.id == leaving.id && run.at_s > bound_s;
+            let late = if late { format!(", {:.3} s after the acknowledgement", run.at_s - drained_s) } else { String::new() };
+            record.line(format!("server {} got and ran {} at {:.3}, answered: {}{late}", server.id, run.id, run.at_s, run.answered));
+        }
     }
+    record.line(format!("server {} exited at {exit_s:.3}", leaving.id));
     record.line(format!("{served} of {} transfers served; servers ran {} and {}", outcomes.len(), runs.len(), own[1].runs.lock().unwrap().len()));
     if served < 100 || runs.iter().filter(|run| run.at_s < drained_s).count() < 20 {
         return Ok((NOT_RUN, "too few requests were served before".to_owned()));
