--- a/review/lib-2/engines.rs
+++ b/review/lib-2/engines.rs
@@ -55,6 +55,19 @@
         address: SocketAddrV4,
         zone: &'static str,
         work_ms: u64,
+    ) -> io::Result<Arc<Self>> {
+        Self::start_at(record, id, service, address, zone, work_ms, unix_ms())
+    }
+
+    /// The same on a machine with a clock of its own, which says `born` at the start.
+    pub fn start_at(
+        record: &Record,
+        id: &str,
+        service: &str,
+        address: SocketAddrV4,
+        zone: &'static str,
+        work_ms: u64,
+        born: u64,
     ) -> io::Result<Arc<Self>> {
         let listener = TcpListener::bind(address)?;
         let server = Arc::new(Self {
@@ -62,7 +75,7 @@
             service: service.to_owned(),
             address,
             zone,
-            born: unix_ms(),
+            born,
             work: Duration::from_millis(work_ms),
             record: record.clone(),
             runs: Mutex::default(),
