Keep the data folder of a voter whose disk refuses writes

Cause: a refused write, or any error at the opening of the folder, made the voter delete its data folder and join as a new replica. The full disk became a second lost one, and a membership of three without two of its replicas cannot change.

Change: a folder is given up only where something synced is gone. After a refused write the voter is silent, opens the folder until that works, and goes on under its identifier. Whatever the files hold beyond the mark of the synced length, or beside the record of a failed write, is written to a new segment and synced before it counts. Why it works: no acknowledgement, vote or term that depends on a failed write has left the process, so this equals a crash. The clock that dates what peers announced now outlives a replica.

--- a/ragwortdeal_core/src/replication.rs
+++ b/ragwortdeal_core/src/replication.rs
@@ -72,7 +72,8 @@
         /// [`entry::Write::id`] of the newest synced write.
         write_id: u64,
     },
-    /// A write or its sync failed. The replica stops permanently.
+    /// A write or its sync failed. The replica stops permanently; another one may continue with
+    /// the state that was synced before, as after a crash.
     WriteFailed,
     /// Requests that an opaque entry is appended.
     Propose {
@@ -164,7 +165,7 @@
         /// The leader of this term, if known.
         leader: Option<entry::ReplicaId>,
     },
-    /// The replica stopped permanently and has to be replaced.
+    /// The replica stopped permanently; the reason tells what may take its place.
     Stopped {
         /// The reason.
         reason: StopReason,
@@ -210,7 +211,7 @@
 /// Why a replica stopped permanently.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StopReason {
-    /// A write or a sync failed, so the content of the disk is unknown.
+    /// A write or a sync failed. What was synced before it is kept.
     WriteFailed,
     /// This replica's disk lacks entries that it has acknowledged to the leader.
     MemoryLost,
--- a/ragwortdeal_core/src/replication/replica.rs
+++ b/ragwortdeal_core/src/replication/replica.rs
@@ -284,9 +284,10 @@
         }
     }
 
-    /// Stops permanently and discards all pending writes and messages. After a failed sync the
-    /// content of the disk is unknown, and a retried sync may report success for pages that the
-    /// operating system has already dropped.
+    /// Stops permanently and discards all pending writes and messages. After a failed sync it is
+    /// unknown which of the pending writes reached the disk, and a retried sync may report success
+    /// for pages that the operating system has already dropped. No message that depends on them
+    /// has left, so a replica that starts from the synced state contradicts nothing.
     fn stop(&mut self, reason: StopReason) {
         self.role = Role::Stopped;
         self.leader = None;
--- a/ragwortdeal_core/tests/replication/failures.rs
+++ b/ragwortdeal_core/tests/replication/failures.rs
@@ -14,6 +14,7 @@
 /// Replicas with instant disks and links, some of which may be partitioned.
 struct Group {
     replicas: collections::BTreeMap<entry::ReplicaId, replica::Replica>,
+    synced: collections::BTreeMap<entry::ReplicaId, entry::PersistentState>,
     partitioned: collections::BTreeSet<entry::ReplicaId>,
     messages: collections::VecDeque<(entry::ReplicaId, entry::ReplicaId, message::Message)>,
     outputs: Vec<(entry::ReplicaId, Output)>,
@@ -30,6 +31,7 @@
         };
         Self {
             replicas: ids.iter().enumerate().map(open).collect(),
+            synced: ids.iter().map(|id| (id.clone(), bootstrap.clone())).collect(),
             partitioned: collections::BTreeSet::new(),
             messages: collections::VecDeque::new(),
             outputs: Vec::new(),
@@ -43,6 +45,7 @@
         let stored = entry::PersistentState::default();
         let replica = replica::Replica::new(id.clone(), options, stored, self.now_ms);
         self.replicas.insert(id.clone(), replica);
+        self.synced.insert(id.clone(), entry::PersistentState::default());
         id
     }
 
@@ -54,6 +57,7 @@
             let replica = self.replicas.get_mut(id).expect("a replica");
             for output in replica.step(input, self.now_ms) {
                 if let Output::Persist(write) = &output {
+                    self.synced.get_mut(id).expect("a disk").apply(write);
                     inputs.push_back(Input::WriteSynced { write_id: write.id });
                 }
                 if let Output::Send { to, message } = &output {
@@ -80,6 +84,14 @@
         }
     }
 
+    /// Starts a replica anew from what it had synced.
+    fn restart(&mut self, id: &entry::ReplicaId) {
+        let synced = self.synced[id].clone();
+        let options = node::options(self.now_ms);
+        let replica = replica::Replica::new(id.clone(), options, synced, self.now_ms);
+        self.replicas.insert(id.clone(), replica);
+    }
+
     fn deliver(&mut self) {
         while let Some((from, to, message)) = self.messages.pop_front() {
             let cut = self.partitioned.contains(&from) || self.partitioned.contains(&to);
@@ -177,6 +189,34 @@
     expect_that!(group.term(&isolated), eq(term));
 }
 
+// Two disks of three are full, and a change is proposed meanwhile. Both voters are silent until there
+// is room and then go on with what they had synced; a group whose disks are all there must not stop.
+#[googletest::test]
+fn group_goes_on_after_two_disks_refused_writes() {
+    let mut group = Group::new(3);
+    group.run(1_000);
+    let leader = group.leader();
+    group.propose(&leader, "before");
+    group.run(200);
+    let full: Vec<_> = group.replicas.keys().filter(|id| **id != leader).cloned().collect();
+    for id in &full {
+        group.input(id, Input::WriteFailed);
+    }
+    group.propose(&leader, "meanwhile");
+    group.run(3_000);
+    for id in &full {
+        group.restart(id);
+    }
+    group.run(2_000);
+    let leader = group.leader();
+    group.propose(&leader, "after");
+    group.run(200);
+    let status = group.replicas[&leader].status();
+    expect_that!(status.membership.voters, len(eq(3)));
+    expect_that!(status.commit, eq(status.last.index));
+    expect_that!(status.followers, each(field!(&replica::FollowerStatus.memory_lost, eq(false))));
+}
+
 // The disk reports a failed sync. A retry could report success for pages that the operating system
 // has already dropped, so a change would be acknowledged that is not on disk.
 #[googletest::test]
--- a/ragwortdeal_node/src/storage.rs
+++ b/ragwortdeal_node/src/storage.rs
@@ -18,8 +18,8 @@
 /// Why a data folder cannot be used.
 #[derive(Debug, Snafu)]
 pub enum StorageError {
-    /// A call to the file system failed. After a failed write or sync the contents of the disk
-    /// are unknown, so the voter is lost and has to be replaced.
+    /// A call to the file system failed, for example because the disk is full. What was synced
+    /// before is kept; the folder can be opened again once the disk works.
     #[snafu(display("{step}: {}: {source}", path.display()))]
     Io {
         /// The step that failed.
@@ -60,21 +60,22 @@
         /// The lock file.
         path: path::PathBuf,
     },
-    /// A write to this folder failed in an earlier run of the voter.
-    #[snafu(display(
-        "{}: an earlier write to this folder failed, so data read from it may not be on the disk. \
-         Move the folder aside and start the voter with an empty one; see docs/operators/repair.md",
-        path.display()
-    ))]
-    PreviouslyFailed {
-        /// The marker file that records the failure.
-        path: path::PathBuf,
-    },
-    /// An earlier write of this process failed, so further writes are refused.
-    #[snafu(display("the data folder accepts no writes after a failed write"))]
+    /// An earlier write since the folder was opened failed, so further writes are refused.
+    #[snafu(display("the data folder accepts no writes after a failed write; open it again"))]
     Poisoned,
 }
 
+impl StorageError {
+    /// Whether something that was synced is lost, so that the voter must not go on under this
+    /// folder's identifier. A disk that only refuses writes loses nothing.
+    pub fn is_data_lost(&self) -> bool {
+        match self {
+            Self::Damaged { .. } | Self::Copied { .. } => true,
+            Self::Io { .. } | Self::InUse { .. } | Self::Poisoned => false,
+        }
+    }
+}
+
 /// Removes all files of a folder, so that the next opening creates a new replica in it.
 ///
 /// The identity is removed first: a crash in between leaves a log without an identity, which is
@@ -147,7 +148,7 @@
     ) -> Result<Self, StorageError> {
         files::create_folder(folder)?;
         let lock = files::lock(folder)?;
-        files::check_not_failed(folder)?;
+        let write_failed = files::has_failed_write(folder)?;
         let storage_id = identity::open(folder, copy_check)?;
         files::remove_temporary(folder)?;
         let recovered = match files::newest_number(folder, files::SEGMENT_PREFIX)? {
@@ -159,7 +160,7 @@
             files::SEGMENT_PREFIX,
             recovered.segment_number,
         ))?;
-        let storage = Self {
+        let mut storage = Self {
             folder: folder.to_owned(),
             storage_id,
             segment: open_segment(segment),
@@ -172,10 +173,25 @@
             poisoned: false,
             _lock: lock,
         };
-        storage.write_mark()?;
+        if write_failed || recovered.sync_unknown {
+            storage.rewrite()?;
+        } else {
+            storage.write_mark()?;
+        }
         Ok(storage)
     }
 
+    /// Writes the recovered state to a new segment and syncs it before anything counts on it.
+    ///
+    /// Bytes of which no sync is recorded may be in the page cache only: after a failed sync the
+    /// kernel may report success for a later one without writing them.
+    fn rewrite(&mut self) -> Result<(), StorageError> {
+        self.checkpoint()?;
+        let (segment, entries) = (self.segment_number, self.state.entries.len());
+        log::warn!("storage: state rewritten, segment={segment}, entries={entries}");
+        files::clear_failed_write(&self.folder)
+    }
+
     /// Identifier of this folder; a folder that was emptied gets a new one.
     pub fn storage_id(&self) -> entry::StorageId {
         self.storage_id
@@ -193,8 +209,8 @@
 
     /// Appends writes in order and returns once all are synced.
     ///
-    /// After an error all further writes are refused: the kernel may drop dirty pages whose write
-    /// failed and then report success for a later sync.
+    /// After an error all further writes are refused until the folder is opened again: the kernel
+    /// may drop dirty pages whose write failed and then report success for a later sync.
     pub fn write(&mut self, writes: &[entry::Write]) -> Result<(), StorageError> {
         if self.poisoned {
             return Err(StorageError::Poisoned);
@@ -202,7 +218,7 @@
         let result = self.append_all(writes);
         if result.is_err() {
             self.poisoned = true;
-            files::mark_failed(&self.folder);
+            files::record_failed_write(&self.folder);
         }
         result
     }
@@ -271,6 +287,8 @@
     state: entry::PersistentState,
     snapshot: Option<SnapshotFile>,
     segment_bytes: u64,
+    /// Whether the files hold more than what is recorded as synced.
+    sync_unknown: bool,
 }
 
 impl Recovered {
@@ -285,7 +303,8 @@
         let bytes = frame::encode(&record);
         let path = files::numbered_path(folder, files::SEGMENT_PREFIX, 1);
         files::write_atomically(folder, &path, &bytes)?;
-        Ok(Self { segment_number: 1, state, snapshot: None, segment_bytes: bytes.len() as u64 })
+        let segment_bytes = bytes.len() as u64;
+        Ok(Self { segment_number: 1, state, snapshot: None, segment_bytes, sync_unknown: false })
     }
 
     fn read(folder: &path::Path, number: u64) -> Result<Self, StorageError> {
@@ -299,7 +318,7 @@
         if let Some(offset) = scan.damaged_at {
             return Err(damaged(offset, "a synced frame fails its checksum"));
         }
-        check_mark(folder, number, scan.valid_bytes as u64)?;
+        let mark = check_mark(folder, number, scan.valid_bytes as u64)?;
         let mut recovered = None;
         for payload in &scan.payloads {
             let offset = payload.offset;
@@ -309,12 +328,9 @@
         }
         let mut recovered: Self =
             recovered.ok_or_else(|| damaged(0, "the segment has no checkpoint"))?;
-        if scan.valid_bytes < bytes.len() {
-            let torn_bytes = bytes.len() - scan.valid_bytes;
-            log::warn!("storage: truncated a torn frame that was never synced, {torn_bytes} bytes");
-            files::truncate(&path, scan.valid_bytes as u64)?;
-        }
         recovered.segment_bytes = scan.valid_bytes as u64;
+        let synced = files::SyncMark { segment: number, length_bytes: bytes.len() as u64 };
+        recovered.sync_unknown = mark != Some(synced);
         Ok(recovered)
     }
 
@@ -328,7 +344,8 @@
             (None, Record::Checkpoint { snapshot, hard_state, entries }) => {
                 let loaded = snapshot.map(|file| read_snapshot(folder, file)).transpose()?;
                 let state = entry::PersistentState { hard_state, snapshot: loaded, entries };
-                Ok(Self { segment_number: number, state, snapshot, segment_bytes: 0 })
+                let (segment_bytes, sync_unknown) = (0, true);
+                Ok(Self { segment_number: number, state, snapshot, segment_bytes, sync_unknown })
             }
             (Some(mut recovered), Record::Batch(writes)) => {
                 writes.iter().for_each(|write| recovered.state.apply(write));
@@ -356,10 +373,14 @@
 }
 
 /// Distinguishes a torn last frame from a corrupted one: the mark is written after each sync, so
-/// everything that it covers was synced and must be readable.
-fn check_mark(folder: &path::Path, number: u64, valid_bytes: u64) -> Result<(), StorageError> {
+/// everything that it covers was synced and must be readable. Returns the mark, if there is one.
+fn check_mark(
+    folder: &path::Path,
+    number: u64,
+    valid_bytes: u64,
+) -> Result<Option<files::SyncMark>, StorageError> {
     let Some(mark) = files::SyncMark::read(folder) else {
-        return Ok(());
+        return Ok(None);
     };
     let missing =
         mark.segment > number || (mark.segment == number && mark.length_bytes > valid_bytes);
@@ -368,5 +389,5 @@
         let problem = "synced frames are missing";
         return DamagedSnafu { path, offset_bytes: valid_bytes, problem }.fail();
     }
-    Ok(())
+    Ok(Some(mark))
 }
--- a/ragwortdeal_node/src/voter.rs
+++ b/ragwortdeal_node/src/voter.rs
@@ -71,6 +71,19 @@
     },
 }
 
+impl VoterError {
+    /// Whether this voter can no longer vouch for what it acknowledged, so that only a new replica
+    /// may take its place.
+    fn is_data_lost(&self) -> bool {
+        match self {
+            Self::Storage { source } => source.is_data_lost(),
+            Self::Stopped { reason } => *reason == replication::StopReason::MemoryLost,
+            Self::Snapshot { .. } => true,
+            Self::Name { .. } => false,
+        }
+    }
+}
+
 /// What became of a proposal.
 #[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
 enum Answer {
--- a/ragwortdeal_node/src/voter/disk.rs
+++ b/ragwortdeal_node/src/voter/disk.rs
@@ -30,15 +30,17 @@
         let mut batch = vec![first];
         batch.extend(writes.try_iter().take(BATCH_WRITES - 1));
         let write_id = batch[batch.len() - 1].id;
-        let event = match storage.write(&batch) {
-            Ok(()) => {
-                let segment_bytes = storage.segment_bytes();
-                Event::Synced { storage: storage.storage_id(), write_id, segment_bytes }
-            }
-            Err(error) => Event::DiskFailed { storage: storage.storage_id(), error },
-        };
-        let failed = matches!(event, Event::DiskFailed { .. });
-        if events.blocking_send(event).is_err() || failed {
+        let storage_id = storage.storage_id();
+        if let Err(error) = storage.write(&batch) {
+            // Frees the lock first, as the folder is opened again at once.
+            drop(storage);
+            // Where nobody listens any more the voter has ended.
+            let _ = events.blocking_send(Event::DiskFailed { storage: storage_id, error });
+            return;
+        }
+        let segment_bytes = storage.segment_bytes();
+        let synced = Event::Synced { storage: storage_id, write_id, segment_bytes };
+        if events.blocking_send(synced).is_err() {
             return;
         }
     }
--- a/ragwortdeal_node/src/voter/driver.rs
+++ b/ragwortdeal_node/src/voter/driver.rs
@@ -346,7 +346,7 @@
     }
 
     fn disk_failed(&mut self, error: storage::StorageError) {
-        log::error!("voter: the disk failed and this voter is lost: {error}");
+        log::error!("voter: the disk refused a write: {error}");
         self.step(Input::WriteFailed);
         self.failure = Some(VoterError::Storage { source: error });
     }
--- a/ragwortdeal_node/src/voter/fleet.rs
+++ b/ragwortdeal_node/src/voter/fleet.rs
@@ -1,8 +1,9 @@
 //! A voter that finds its group by itself, keeps documents, and takes announcements.
 //!
 //! Beside the replicated log it serves operators and upstreams over HTTP and tells its followers,
-//! entries and agents, what changed. A data folder that can no longer be trusted is given up and
-//! the voter joins again as a new replica; the process stays up meanwhile.
+//! entries and agents, what changed. While the disk refuses writes the voter is silent, and it goes
+//! on as the same replica afterwards. Only a data folder that lost something is given up; the voter
+//! then joins again as a new replica. The process stays up in both cases.
 
 mod control;
 mod due;
@@ -36,10 +37,12 @@
     http, link, settings, stop, storage,
 };
 
-/// Pause before a data folder that failed is tried again. A full disk can stay so for long; trying
-/// more often would only fill the log.
+/// Pause before a data folder that failed is tried again.
 const FOLDER_RETRY_MS: u64 = 250;
 
+/// Attempts to open a data folder for each line in the log. A disk can stay full for long.
+const ATTEMPTS_PER_LOG_LINE: u64 = 20;
+
 /// Time that requests by operators in progress get at a stop.
 const CONTROL_GRACE_MS: u64 = 1_000;
 
@@ -201,7 +204,8 @@
     }
 }
 
-/// Votes until the stop, with another replica each time the data folder had to be given up.
+/// Votes until the stop. After a failed write the folder is opened anew and its replica goes on;
+/// a folder that lost something is given up for that of another replica.
 async fn keep_voting(
     settings: &sync::Arc<settings::fleet::Settings>,
     events: &mpsc::Sender<Event>,
@@ -211,12 +215,14 @@
 ) -> Result<(), VoterError> {
     let folder = settings.disk.data_dir.clone().unwrap_or_default().join("log");
     let mut known: Option<peers::Peers> = None;
+    // What peers announced is dated by it, so it has to outlive a replica.
+    let clock = clock::Clock::start();
     loop {
         let storage = tokio::select! {
             storage = open(&folder) => storage,
+            () = refuse_without_log(received, &mut known, clock) => return Ok(()),
             () = stop.wait() => return Ok(()),
         };
-        let clock = clock::Clock::start();
         let address = settings.fleet.address.to_string();
         let instance = name::InstanceName::new(&address)?;
         let id = entry::ReplicaId { instance, storage: storage.storage_id() };
@@ -238,30 +244,57 @@
         let Err(error) = ended else {
             return Ok(());
         };
-        log::error!("voter: the data folder is given up: {error}");
         known = Some(driver.into_peers());
-        give_up(&folder, stop).await;
+        if error.is_data_lost() {
+            log::error!("voter: the data folder is given up: {error}");
+            give_up(&folder, stop).await;
+        } else {
+            log::error!("voter: silent until the data folder takes writes again: {error}");
+        }
     }
 }
 
-/// Opens the data folder, and gives up what cannot be trusted. The replica that a new folder makes
-/// is another one, so nothing that the old one promised is claimed by it.
+/// Opens the data folder, as soon as its disk takes writes. Only a folder that lost something is
+/// given up: the replica that a new folder makes is another one, so nothing that the old one
+/// promised is claimed by it.
 async fn open(folder: &path::Path) -> storage::Storage {
+    let mut attempts: u64 = 0;
     loop {
         match storage::Storage::open_without_inode_check(folder) {
             Ok(storage) => return storage,
-            Err(storage::StorageError::InUse { .. }) => (),
-            Err(error) => {
+            Err(error) if error.is_data_lost() => {
                 log::error!("voter: {error}");
                 if let Err(error) = storage::reset(folder) {
                     log::error!("voter: cannot start over: {error}");
                 }
             }
+            Err(error) if attempts.is_multiple_of(ATTEMPTS_PER_LOG_LINE) => {
+                log::warn!(attempts; "voter: cannot open the data folder yet: {error}");
+            }
+            Err(_) => (),
         }
+        attempts += 1;
         tokio::time::sleep(time::Duration::from_millis(FOLDER_RETRY_MS)).await;
     }
 }
 
+/// Keeps track of the other voters while there is no replica. Proposals and reads are dropped, which
+/// tells their askers at once that they have not run, in place of running them much later. Returns
+/// when the process ends.
+async fn refuse_without_log(
+    received: &mut mpsc::Receiver<Event>,
+    known: &mut Option<peers::Peers>,
+    clock: clock::Clock,
+) {
+    // Before the first opening nothing could be kept.
+    let Some(peers) = known else {
+        return std::future::pending().await;
+    };
+    while let Some(event) = received.recv().await {
+        peers.observe(event, clock.now_ms());
+    }
+}
+
 async fn give_up(folder: &path::Path, stop: &stop::Stop) {
     while !stop.requested() {
         match storage::reset(folder) {
--- a/ragwortdeal_node/src/voter/peers.rs
+++ b/ragwortdeal_node/src/voter/peers.rs
@@ -8,7 +8,7 @@
 };
 use ragwortdeal_wire::link as wire;
 
-use super::{letter::Letter, operate};
+use super::{Event, letter::Letter, operate};
 use crate::{link, settings};
 
 /// For how long an announcement counts. Voters announce themselves several times within it.
@@ -204,6 +204,26 @@
         self.get_to_know(known);
     }
 
+    /// Notes what an event tells about other voters, and drops the rest of it.
+    pub(super) fn observe(&mut self, event: Event, now_ms: u64) {
+        match event {
+            Event::Opened(session) => self.opened(session),
+            Event::Closed(session) => self.closed(session),
+            Event::Named(names) => self.get_to_know(&names),
+            Event::Letter(Letter::Announce { id, empty, zone, leads, known }) => {
+                self.introduced(&id, zone, &known);
+                self.heard(id, Role { empty, leads }, now_ms);
+            }
+            Event::Letter(_)
+            | Event::Subscribe { .. }
+            | Event::Propose { .. }
+            | Event::Read { .. }
+            | Event::Operate { .. }
+            | Event::Synced { .. }
+            | Event::DiskFailed { .. } => {}
+        }
+    }
+
     pub(super) fn heard(&mut self, id: entry::ReplicaId, role: Role, now_ms: u64) {
         let Role { empty, leads } = role;
         let announced = Announced { id: id.clone(), empty, leads, at_ms: now_ms };
--- a/ragwortdeal_node/tests/fleet_voters.rs
+++ b/ragwortdeal_node/tests/fleet_voters.rs
@@ -177,6 +177,28 @@
     until_read(&world, 2, 3).await;
 }
 
+/// A voter starts while its disk takes no writes. Were its folder given up, the copy that it holds of
+/// each acknowledged change would be lost although the disk lost nothing.
+#[googletest::test]
+#[tokio::test]
+async fn a_voter_that_starts_on_a_full_disk_keeps_its_folder() {
+    let (world, mut voters) = started().await;
+    world.whole_group(3, &[1, 2, 3]).await;
+    let before = world.group(1).await.expect("a voter answers").membership;
+    voters.remove(&2).expect("a running voter").kill().await;
+    // No file can be removed or written in its place, as on a full disk.
+    let obstacle = world.data_dir(2).join("log/obstacle.tmp");
+    fs::create_dir(&obstacle).unwrap();
+    voters.insert(2, world.voter(2, false).await);
+    tokio::time::sleep(std::time::Duration::from_millis(1_000)).await;
+    voters.remove(&3).expect("a running voter").kill().await;
+    fs::remove_dir_all(world.data_dir(3)).unwrap();
+    fs::remove_dir(&obstacle).unwrap();
+    until_read(&world, 2, 3).await;
+    let after = world.group(2).await.expect("a voter answers").membership;
+    expect_that!(after, eq(&before));
+}
+
 /// A deployment has more engines than a link's queue holds messages. An entry that starts is sent
 /// the status of all engines at once; those that did not fit were never sent, and its callers'
 /// requests went to engines that were loading.
--- a/ragwortdeal_soak/src/fleet.rs
+++ b/ragwortdeal_soak/src/fleet.rs
@@ -1,7 +1,7 @@
 //! The processes of a run: settings, starts, signals, logs. Only processes that were started here
 //! are ever signalled, by the handle of each.
 
-use std::{fs, io, net, path, process, sync, time};
+use std::{fs, io, net, path, process, sync, thread, time};
 
 use ragwortdeal_platform::DIALECT;
 use ragwortdeal_standins::fleet::world;
@@ -177,15 +177,22 @@
         }
         let (role, _) = role(who);
         let log = fs::File::options().create(true).append(true).open(self.file(who, "log"))?;
-        let child = process::Command::new(self.programs_folder.join(format!("ragwortdeal-{role}")))
+        // A write beyond the limit on the size of files fails only where the signal is ignored.
+        let mut child = process::Command::new("/bin/sh")
+            .arg("-c")
+            .arg("trap '' XFSZ && exec \"$0\" \"$@\" 2>&1")
+            .arg(self.programs_folder.join(format!("ragwortdeal-{role}")))
             .arg("--fleet")
             .arg("--config")
             .arg(self.file(who, "toml"))
             .env_clear()
             .stdin(process::Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
+            .stdout(process::Stdio::piped())
+            .stderr(process::Stdio::null())
             .spawn()?;
+        if let Some(output) = child.stdout.take() {
+            thread::spawn(move || keep_log(output, log));
+        }
         program.stopping.store(false, sync::atomic::Ordering::Relaxed);
         *program.child.lock().expect("no panic under lock") = Some(child);
         Ok(())
@@ -201,6 +208,20 @@
         Ok(!program.stopping.load(sync::atomic::Ordering::Relaxed))
     }
 
+    /// Makes a voter's disk refuse all writes, or take them again. Sockets and pipes are not
+    /// concerned.
+    pub fn fill_disk(&self, voter: u8, full: bool) -> io::Result<()> {
+        let program = self.program(Who::Voter(voter))?;
+        let child = program.child.lock().expect("no panic under lock");
+        let Some(child) = child.as_ref() else {
+            return Ok(());
+        };
+        let id = signals::Pid::from_child(child);
+        let limit = signals::Rlimit { current: full.then_some(0), maximum: None };
+        signals::prlimit(Some(id), signals::Resource::Fsize, limit)?;
+        Ok(())
+    }
+
     /// Empties the folder of a voter that is dead.
     pub fn erase(&self, voter: u8) -> io::Result<()> {
         self.dead(voter)?;
@@ -297,6 +318,13 @@
     }
 }
 
+/// Copies what a process writes into its log, which is not to share the limits of the process.
+fn keep_log(mut output: process::ChildStdout, mut log: fs::File) {
+    if let Err(error) = io::copy(&mut output, &mut log) {
+        log::warn!("soak: a log ends early: {error}");
+    }
+}
+
 fn role(who: Who) -> (&'static str, u8) {
     match who {
         Who::Voter(number) | Who::Control(number) => ("voter", number),
