Replace voters that stop before they end

Cause: a voter that stopped handed over its leadership but not its vote, and a standby got a vote only after 2 s of silence. The second stop took the quorum, and a group without one cannot change its members.

Change: a voter that is asked to stop announces it and goes on voting. The leader adds and promotes a standby that stays, then removes it. It ends once it is out of the committed membership, no standby is there, or the grace is nearly over; a leader hands over first, to one that stays. The leader tells a replica that is no member, as removed ones are sent no entries. Why it works: the membership never has fewer voters that stay than before, whatever the time between two stops.

Failed before the fix: two_voters_stop_at_the_same_moment, two_voters_stop_shortly_one_after_the_other, all_first_voters_stop_at_the_same_moment ("in vain: the voter reads the newest document").

--- a/ragwortdeal_core/src/replication.rs
+++ b/ragwortdeal_core/src/replication.rs
@@ -3,6 +3,7 @@
 //! A [`replica::Replica`] is a state machine that takes an [`Input`] and a monotonic time and
 //! returns [`Output`]s; it performs no I/O. `docs/design/control-state.md` compares the protocols.
 
+pub mod departure;
 pub mod entry;
 pub mod log;
 pub mod membership;
@@ -13,6 +14,8 @@
 pub mod replacement;
 pub mod replica;
 
+use std::collections;
+
 /// Limits and timeouts of a replica, the same on all replicas of a group but for the seed.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -98,6 +101,8 @@
     TransferLeadership {
         /// Identifies the request if it is rejected.
         token: u64,
+        /// Voters that are about to stop as well.
+        except: collections::BTreeSet<entry::ReplicaId>,
     },
     /// Bootstraps a group with these voters. Ignored unless this replica is empty.
     ///
--- a/ragwortdeal_core/src/replication/reconfiguration.rs
+++ b/ragwortdeal_core/src/replication/reconfiguration.rs
@@ -24,6 +24,11 @@
     pub live_replicas: Vec<LiveReplica>,
     /// Voters to replace, because they have been silent for too long or have lost their data.
     pub failed: collections::BTreeSet<entry::ReplicaId>,
+    /// Replicas that were asked to stop and still run. They are replaced like failed ones, and none
+    /// of them is chosen as a replacement.
+    pub leaving: collections::BTreeSet<entry::ReplicaId>,
+    /// The leader, which cannot remove itself.
+    pub leader: Option<entry::ReplicaId>,
     /// Availability zones of all members ever heard from, by instance.
     pub zones: collections::BTreeMap<String, String>,
     /// Number of voters that the group should have.
@@ -55,31 +60,36 @@
     })
 }
 
-/// Promotes a learner that is live, or removes it if it is silent. The leader rejects the promotion
-/// until the learner has caught up.
+/// Promotes a learner that is live, or removes it if it is silent or leaves. The leader rejects the
+/// promotion until the learner has caught up.
 fn promote_or_remove_learner(view: &GroupView) -> Option<membership::Change> {
     let learner = view.membership.learners.iter().next()?;
     let live = view.live_replicas.iter().any(|replica| replica.id == *learner);
-    Some(match live {
+    Some(match live && !view.leaving.contains(learner) {
         true => membership::Change::Promote(learner.clone()),
         false => membership::Change::Remove(learner.clone()),
     })
 }
 
-/// Removes a failed voter once there are enough voters without it.
+/// Removes a failed or leaving voter once there are enough voters without it. A failed one goes
+/// first: the group is closer to losing its quorum by it.
 fn remove_surplus_voter(view: &GroupView) -> Option<membership::Change> {
     let voters = &view.membership.voters;
     if voters.len() <= view.target_voters {
         return None;
     }
-    let failed = voters.iter().find(|voter| view.failed.contains(voter))?;
-    Some(membership::Change::Remove(failed.clone()))
+    let removable = |voter: &&entry::ReplicaId| view.leader.as_ref() != Some(*voter);
+    let mut candidates = voters.iter().filter(removable);
+    let failed = candidates.clone().find(|voter| view.failed.contains(voter));
+    let surplus = failed.or_else(|| candidates.find(|voter| view.leaving.contains(voter)))?;
+    Some(membership::Change::Remove(surplus.clone()))
 }
 
 /// Adds a standby if there are too few healthy voters, from the zone with the fewest of them.
 fn add_learner(view: &GroupView) -> Option<membership::Change> {
     let voters = &view.membership.voters;
-    let healthy = voters.iter().filter(|voter| !view.failed.contains(voter));
+    let stays = |id: &entry::ReplicaId| !view.failed.contains(id) && !view.leaving.contains(id);
+    let healthy = voters.iter().filter(|voter| stays(voter));
     if healthy.clone().count() >= view.target_voters {
         return None;
     }
@@ -90,7 +100,10 @@
     }
     let hosts_voter =
         |id: &entry::ReplicaId| voters.iter().any(|voter| voter.instance == id.instance);
-    let standbys = view.live_replicas.iter().filter(|replica| !hosts_voter(&replica.id));
+    let standbys = view
+        .live_replicas
+        .iter()
+        .filter(|replica| !hosts_voter(&replica.id) && !view.leaving.contains(&replica.id));
     let zone_load = |replica: &&LiveReplica| {
         (voters_in_zone.get(replica.zone.as_str()).copied().unwrap_or(0), replica.id.clone())
     };
--- a/ragwortdeal_core/src/replication/replica.rs
+++ b/ragwortdeal_core/src/replication/replica.rs
@@ -169,7 +169,9 @@
             Input::Propose { token, data } => self.propose(token, data),
             Input::Read { token } => self.read(token),
             Input::ChangeMembership { token, change } => self.change_membership(token, &change),
-            Input::TransferLeadership { token } => self.transfer_leadership(token),
+            Input::TransferLeadership { token, except } => {
+                self.transfer_leadership(token, &except);
+            }
             Input::Bootstrap { membership } => self.bootstrap(membership),
             Input::Compact { index, state } => self.compact(index, state),
         }
@@ -207,11 +209,21 @@
         &self.id
     }
 
+    /// The leader that this replica knows of.
+    pub fn leader(&self) -> Option<&entry::ReplicaId> {
+        self.leader.as_ref()
+    }
+
     /// Whether this replica considers itself the leader.
     pub fn is_leader(&self) -> bool {
         matches!(self.role, Role::Leader(_))
     }
 
+    /// Whether the effective membership is committed.
+    pub fn is_membership_committed(&self) -> bool {
+        self.log.membership_index() <= self.hard_state.commit
+    }
+
     /// Whether this replica has never been part of a group.
     pub fn is_empty(&self) -> bool {
         self.hard_state.term == 0 && self.log.last().index == 0
--- a/ragwortdeal_core/src/replication/replica/leader.rs
+++ b/ragwortdeal_core/src/replication/replica/leader.rs
@@ -371,7 +371,11 @@
         synced && self.is_reachable(leader_state, id)
     }
 
-    pub(super) fn transfer_leadership(&mut self, token: u64) {
+    pub(super) fn transfer_leadership(
+        &mut self,
+        token: u64,
+        except: &collections::BTreeSet<entry::ReplicaId>,
+    ) {
         let Role::Leader(leader_state) = &self.role else {
             return self.reject(token, Rejection::NotLeader);
         };
@@ -379,7 +383,8 @@
         let candidates = leader_state
             .followers
             .iter()
-            .filter(|(id, _)| voters.contains(id) && self.is_reachable(leader_state, id));
+            .filter(|(id, _)| voters.contains(id) && !except.contains(id))
+            .filter(|(id, _)| self.is_reachable(leader_state, id));
         let best = candidates.max_by_key(|(_, progress)| progress.match_index);
         let Some(to) = best.map(|(id, _)| id.clone()) else {
             return self.reject(token, Rejection::NotCaughtUp);
--- a/ragwortdeal_core/tests/reconfiguration.rs
+++ b/ragwortdeal_core/tests/reconfiguration.rs
@@ -26,6 +26,8 @@
         },
         live_replicas: voters.iter().map(|voter| live_replica(voter, 1, voter)).collect(),
         failed: collections::BTreeSet::new(),
+        leaving: collections::BTreeSet::new(),
+        leader: Some(id("c", 1)),
         zones: voters.iter().map(|voter| ((*voter).to_owned(), (*voter).to_owned())).collect(),
         target_voters: voters_tolerating(1),
     }
@@ -113,3 +115,56 @@
     view.membership.learners.insert(id("d", 1));
     expect_that!(next_change(&view), some(eq(&Change::Remove(id("d", 1)))));
 }
+
+/// Two voters are asked to stop while standbys run. Each keeps its vote until a standby has it; two
+/// that left with their votes would take the quorum with them.
+#[googletest::test]
+fn leaving_voters_are_replaced_before_they_are_removed() {
+    let mut view = view();
+    view.leaving = [id("a", 1), id("b", 1)].into();
+    view.live_replicas.extend([live_replica("d", 1, "a"), live_replica("e", 1, "b")]);
+    let mut fewest = usize::MAX;
+    while let Some(change) = next_change(&view) {
+        view.membership = view.membership.with_change(&change).unwrap();
+        fewest = fewest.min(view.membership.voters.len());
+    }
+    let voters: Vec<_> = view.membership.voters.iter().map(|it| it.instance.to_string()).collect();
+    expect_that!(voters, elements_are![eq("c"), eq("d"), eq("e")]);
+    expect_that!(fewest, eq(3));
+}
+
+/// A standby is asked to stop too. A vote that it got would leave with it.
+#[googletest::test]
+fn a_leaving_standby_is_not_chosen() {
+    let mut view = view();
+    view.leaving = [id("a", 1), id("d", 1)].into();
+    view.live_replicas.push(live_replica("d", 1, "a"));
+    expect_that!(next_change(&view), none());
+    view.membership.learners.insert(id("d", 1));
+    expect_that!(next_change(&view), some(eq(&Change::Remove(id("d", 1)))));
+}
+
+/// The leader leaves. It cannot remove itself, so it is only replaced; its successor removes it.
+#[googletest::test]
+fn a_leaving_leader_is_replaced_and_not_removed() {
+    let mut view = view();
+    view.leaving = [id("c", 1)].into();
+    view.live_replicas.push(live_replica("d", 1, "c"));
+    let changes = apply_changes(&mut view);
+    expect_that!(
+        changes,
+        elements_are![eq(&Change::AddLearner(id("d", 1))), eq(&Change::Promote(id("d", 1))),]
+    );
+}
+
+/// A failed voter and a leaving one are surplus at the same time. The failed one already lacks in the
+/// quorum.
+#[googletest::test]
+fn a_failed_voter_is_removed_before_a_leaving_one() {
+    let mut view = view();
+    view.membership.voters.extend([id("d", 1), id("e", 1)]);
+    view.live_replicas.extend([live_replica("d", 1, "a"), live_replica("e", 1, "b")]);
+    view.leaving = [id("a", 1)].into();
+    view.failed = [id("b", 1)].into();
+    expect_that!(next_change(&view), some(eq(&Change::Remove(id("b", 1)))));
+}
--- a/ragwortdeal_core/tests/replication/failures.rs
+++ b/ragwortdeal_core/tests/replication/failures.rs
@@ -264,7 +264,7 @@
     let mut group = Group::new(3);
     group.run(1_000);
     let old = group.leader();
-    group.input(&old, Input::TransferLeadership { token: 1 });
+    group.input(&old, Input::TransferLeadership { token: 1, except: collections::BTreeSet::new() });
     group.deliver();
     expect_that!(group.leader(), not(eq(&old)));
     expect_that!(group.replicas[&old].role(), eq(RoleKind::Follower));
--- a/ragwortdeal_core/tests/replication/simulation.rs
+++ b/ragwortdeal_core/tests/replication/simulation.rs
@@ -418,8 +418,8 @@
                 return self.input(node, Input::WriteFailed);
             }
             11 => {
-                let token = 0;
-                return self.input(node, Input::TransferLeadership { token });
+                let (token, except) = (0, collections::BTreeSet::new());
+                return self.input(node, Input::TransferLeadership { token, except });
             }
             12 | 13 => return self.repair(),
             14 => return self.remove_some(),
--- a/ragwortdeal_node/src/voter.rs
+++ b/ragwortdeal_node/src/voter.rs
@@ -33,8 +33,8 @@
 const EVENTS: usize = 4_096;
 /// How often the replica is told the time; several times within a heartbeat.
 const TICK_MS: u64 = 20;
-/// How long a planned stop waits for another voter to take over.
-const HANDOVER_MS: u64 = 2_000;
+/// Time within which a planned stop has to end where nobody says how long it may take.
+const STOP_MS: u64 = 2_000;
 /// How long a request without an answer is held. Every requester has given up by then, and a
 /// refusal earlier would claim that the proposal did not run, which nobody knows.
 const UNANSWERED_MS: u64 = 60_000;
@@ -240,7 +240,7 @@
     let serving = tokio::spawn(link::serve(listener, credential, limits, service, serve_stop));
     let mut received = received;
     let driver = driver::Driver::new(replica, clock, peers, disk);
-    let (_, ended) = drive(driver, &mut received, stop).await;
+    let (_, ended) = drive(driver, &mut received, stop, STOP_MS).await;
     serve_stopper.stop();
     let _ = serving.await;
     ended
@@ -286,10 +286,11 @@
     mut driver: driver::Driver,
     events: &mut mpsc::Receiver<Event>,
     stop: stop::Stop,
+    stop_limit_ms: u64,
 ) -> (driver::Driver, Result<(), VoterError>) {
     let mut ticks = tokio::time::interval(time::Duration::from_millis(TICK_MS));
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut gives_up: Option<time::Instant> = None;
+    let mut stopping = false;
     loop {
         tokio::select! {
             event = events.recv() => match event {
@@ -297,15 +298,15 @@
                 None => return (driver, Ok(())),
             },
             _ = ticks.tick() => driver.tick(),
-            () = stop.wait(), if gives_up.is_none() => {
-                gives_up = Some(time::Instant::now() + time::Duration::from_millis(HANDOVER_MS));
-                driver.hand_over();
+            () = stop.wait(), if !stopping => {
+                stopping = true;
+                driver.begin_stop(stop_limit_ms);
             }
         }
         if let Some(failure) = driver.take_failure() {
             return (driver, Err(failure));
         }
-        if gives_up.is_some_and(|at| time::Instant::now() >= at || !driver.leads()) {
+        if driver.may_end() {
             return (driver, Ok(()));
         }
     }
--- a/ragwortdeal_node/src/voter/driver.rs
+++ b/ragwortdeal_node/src/voter/driver.rs
@@ -6,7 +6,7 @@
 
 use ragwortdeal_core::{
     claims, command, document, name,
-    replication::{Input, Output, Rejection, RoleKind, entry, payload, replica},
+    replication::{Input, Output, Rejection, RoleKind, departure, entry, payload, replica},
 };
 use ragwortdeal_wire::link as wire;
 
@@ -22,6 +22,16 @@
 /// How often a voter announces itself and a leader looks for something to repair.
 const HOUSEKEEPING_MS: u64 = 200;
 
+/// For how long the word of a leader counts that this replica is no member. Announcements, which the
+/// leader answers so, come several times within it.
+const RELEASED_MS: u64 = 1_000;
+
+/// A planned stop in progress.
+struct Stopping {
+    since_ms: u64,
+    limit_ms: u64,
+}
+
 /// An entry or another receiver of configuration updates.
 struct Subscriber {
     session: link::Session,
@@ -44,6 +54,9 @@
     snapshot_index: u64,
     housekeeping_due_ms: u64,
     failure: Option<VoterError>,
+    stopping: Option<Stopping>,
+    /// When a leader said last that this replica is no member.
+    removed_ms: Option<u64>,
     reads: reads::Reads,
     publisher: Option<Publisher>,
 }
@@ -80,6 +93,8 @@
             snapshot_index: 0,
             housekeeping_due_ms: 0,
             failure: None,
+            stopping: None,
+            removed_ms: None,
             reads: reads::Reads::default(),
             publisher: None,
         }
@@ -111,8 +126,9 @@
         let Some(publisher) = &self.publisher else {
             return;
         };
-        let stands_by =
-            !self.replica.status().membership.members().any(|id| id == self.replica.id());
+        let is_member =
+            self.replica.status().membership.members().any(|id| id == self.replica.id());
+        let stands_by = !is_member || self.is_released(now_ms);
         let to = if stands_by { self.peers.leader(now_ms).cloned() } else { None };
         publisher.redirect.send_if_modified(|held| {
             let differs = *held != to;
@@ -133,13 +149,55 @@
         }
     }
 
-    /// Whether the voter leads others, so that a planned stop has something to hand over.
-    pub(super) fn leads(&self) -> bool {
-        self.replica.is_leader() && self.replica.status().membership.voters.len() > 1
+    /// Begins a planned stop that has to end within a time. The voter hands leadership over and asks
+    /// to be replaced.
+    pub(super) fn begin_stop(&mut self, limit_ms: u64) {
+        let now_ms = self.clock.now_ms();
+        self.stopping = Some(Stopping { since_ms: now_ms, limit_ms });
+        self.peers.leave();
+        self.housekeep(now_ms);
+    }
+
+    /// Whether the planned stop is complete.
+    pub(super) fn may_end(&self) -> bool {
+        let Some(stopping) = &self.stopping else {
+            return false;
+        };
+        let now_ms = self.clock.now_ms();
+        let status = self.replica.status();
+        departure::may_end(&departure::DepartureView {
+            own: self.replica.id(),
+            is_membership_committed: self.replica.is_membership_committed(),
+            is_released: self.is_released(now_ms),
+            is_leader: status.is_leader,
+            has_standby: self.peers.replaces()
+                && self.peers.has_standby(&status.membership, now_ms),
+            membership: &status.membership,
+            target_voters: self.peers.target_voters(),
+            elapsed_ms: now_ms.saturating_sub(stopping.since_ms),
+            limit_ms: stopping.limit_ms,
+        })
+    }
+
+    /// Whether a leader said lately that this replica is no member, and has sent it nothing of the
+    /// log since.
+    fn is_released(&self, now_ms: u64) -> bool {
+        self.removed_ms.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) <= RELEASED_MS)
+    }
+
+    fn hand_over(&mut self, now_ms: u64) {
+        let except = self.peers.leaving(now_ms);
+        self.step(Input::TransferLeadership { token: 0, except });
     }
 
-    pub(super) fn hand_over(&mut self) {
-        self.step(Input::TransferLeadership { token: 0 });
+    /// Tells a replica that announced itself and is no member that it is none.
+    fn tell_if_removed(&mut self, id: &entry::ReplicaId) {
+        let status = self.replica.status();
+        let is_member = status.membership.members().any(|member| member == id);
+        if status.is_leader && !is_member && self.replica.is_membership_committed() {
+            let (from, to) = (self.replica.id().clone(), id.clone());
+            self.peers.send(&id.instance, &Letter::Removed { from, to });
+        }
     }
 
     /// Why the voter cannot go on, once it cannot.
@@ -163,7 +221,8 @@
 
     fn housekeep(&mut self, now_ms: u64) {
         let (empty, leads) = (self.replica.is_empty(), self.replica.is_leader());
-        self.peers.announce(peers::Role { empty, leads }, now_ms);
+        let leaves = self.stopping.is_some();
+        self.peers.announce(peers::Role { empty, leads, leaves }, now_ms);
         self.publish_voters(now_ms);
         self.publish_redirect(now_ms);
         if self.replica.is_empty() {
@@ -172,6 +231,9 @@
                 self.step(Input::Bootstrap { membership });
             }
         } else if self.replica.is_leader() {
+            if leaves {
+                self.hand_over(now_ms);
+            }
             let status = self.replica.status();
             if let Some(change) = self.peers.repair(&status, now_ms) {
                 log::debug!("voter: repair step {change:?}");
@@ -310,15 +372,27 @@
 
     fn receive(&mut self, letter: Letter) {
         match letter {
-            Letter::Announce { id, empty, zone, leads, known } => {
+            Letter::Announce { id, empty, zone, leads, leaves, known } => {
                 let now_ms = self.clock.now_ms();
                 self.peers.introduced(&id, zone, &known);
-                self.peers.heard(id, peers::Role { empty, leads }, now_ms);
+                if !empty {
+                    self.tell_if_removed(&id);
+                }
+                self.peers.heard(id, peers::Role { empty, leads, leaves }, now_ms);
+            }
+            Letter::Removed { from, to } => {
+                if to == *self.replica.id() {
+                    log::debug!("voter: {from} leads without this replica");
+                    self.removed_ms = Some(self.clock.now_ms());
+                }
             }
             Letter::Replication { from, to, message } => {
                 // A letter to the replica that this instance was before its disk was emptied asks
                 // for a memory that is gone.
                 if to == *self.replica.id() {
+                    if self.replica.leader() == Some(&from) {
+                        self.removed_ms = None;
+                    }
                     self.step(Input::Receive { from, message });
                 }
             }
--- a/ragwortdeal_node/src/voter/fleet.rs
+++ b/ragwortdeal_node/src/voter/fleet.rs
@@ -46,6 +46,9 @@
 /// Time that requests by operators in progress get at a stop.
 const CONTROL_GRACE_MS: u64 = 1_000;
 
+/// Part of the grace of a stop that is kept for the end of the process.
+const STOP_RESERVE_MS: u64 = 1_500;
+
 /// The sockets of a voter.
 #[derive(Debug)]
 pub struct Listeners {
@@ -240,7 +243,8 @@
         let disk = super::disk::start(storage, events.clone());
         let mut driver = driver::Driver::new(replica, clock, peers, disk);
         driver.publish_to(publisher.clone());
-        let (driver, ended) = super::drive(driver, received, stop.clone()).await;
+        let limit_ms = stop_limit_ms(settings.bounds.grace_s);
+        let (driver, ended) = super::drive(driver, received, stop.clone(), limit_ms).await;
         let Err(error) = ended else {
             return Ok(());
         };
@@ -254,6 +258,11 @@
     }
 }
 
+/// Time that a planned stop may take for the replacement of this voter.
+fn stop_limit_ms(grace_s: f64) -> u64 {
+    ((grace_s * 1_000.0) as u64).saturating_sub(STOP_RESERVE_MS)
+}
+
 /// Opens the data folder, as soon as its disk takes writes. Only a folder that lost something is
 /// given up: the replica that a new folder makes is another one, so nothing that the old one
 /// promised is claimed by it.
--- a/ragwortdeal_node/src/voter/letter.rs
+++ b/ragwortdeal_node/src/voter/letter.rs
@@ -22,10 +22,22 @@
         /// Whether it leads the group.
         #[serde(default)]
         leads: bool,
+        /// Whether it was asked to stop, so that it has to be replaced. Absent in announcements of
+        /// earlier versions of this program.
+        #[serde(default)]
+        leaves: bool,
         /// Other voters that it knows, so that two which do not know each other get to.
         #[serde(default)]
         known: Vec<name::InstanceName>,
     },
+    /// The leader tells a replica that the group goes on without it. One that was removed is sent
+    /// no entries any more, so it may not know.
+    Removed {
+        /// The leader.
+        from: entry::ReplicaId,
+        /// The replica that is no member.
+        to: entry::ReplicaId,
+    },
     /// A message of the replicated log.
     Replication {
         /// The sender.
@@ -77,7 +89,8 @@
     pub(super) fn sender(&self) -> &entry::ReplicaId {
         match self {
             Self::Announce { id, .. } => id,
-            Self::Replication { from, .. }
+            Self::Removed { from, .. }
+            | Self::Replication { from, .. }
             | Self::Forward { from, .. }
             | Self::Forwarded { from, .. }
             | Self::Read { from, .. }
--- a/ragwortdeal_node/src/voter/peers.rs
+++ b/ragwortdeal_node/src/voter/peers.rs
@@ -41,6 +41,8 @@
 /// The other voters as one voter sees them.
 pub(super) struct Peers {
     own: entry::ReplicaId,
+    /// Whether this process was asked to stop.
+    own_leaves: bool,
     /// Voters of the settings, this one included.
     initial: collections::BTreeMap<name::InstanceName, String>,
     links: collections::BTreeMap<name::InstanceName, link::Link>,
@@ -56,8 +58,7 @@
 
 struct Announced {
     id: entry::ReplicaId,
-    empty: bool,
-    leads: bool,
+    role: Role,
     at_ms: u64,
 }
 
@@ -68,6 +69,8 @@
     pub(super) empty: bool,
     /// Whether it leads the group.
     pub(super) leads: bool,
+    /// Whether it was asked to stop.
+    pub(super) leaves: bool,
 }
 
 impl Peers {
@@ -77,6 +80,7 @@
         };
         Self {
             own,
+            own_leaves: false,
             initial: initial.iter().filter_map(named).collect(),
             links: collections::BTreeMap::new(),
             sessions: collections::BTreeMap::new(),
@@ -99,6 +103,34 @@
         peers
     }
 
+    /// Asks to be replaced from now on, as this process stops.
+    pub(super) fn leave(&mut self) {
+        self.own_leaves = true;
+    }
+
+    /// Whether voters find each other, so that one that stops can be replaced.
+    pub(super) fn replaces(&self) -> bool {
+        self.discovery.is_some()
+    }
+
+    /// Replicas that were asked to stop, this one included.
+    pub(super) fn leaving(&self, now_ms: u64) -> collections::BTreeSet<entry::ReplicaId> {
+        let others = self.fresh(now_ms).filter(|it| it.role.leaves).map(|it| it.id.clone());
+        others.chain(self.own_leaves.then(|| self.own.clone())).collect()
+    }
+
+    /// Whether a replica that is no member and stays could take the place of one that stops.
+    pub(super) fn has_standby(&self, present: &membership::Membership, now_ms: u64) -> bool {
+        let is_member =
+            |id: &entry::ReplicaId| present.members().any(|it| it.instance == id.instance);
+        self.fresh(now_ms).any(|it| !it.role.leaves && !is_member(&it.id))
+    }
+
+    /// Voters that the group should have.
+    pub(super) fn target_voters(&self) -> usize {
+        self.discovery.as_ref().map_or(self.initial.len(), |it| it.wanted)
+    }
+
     /// Goes on as another replica, after the data folder was given up.
     pub(super) fn rebind(&mut self, own: entry::ReplicaId) {
         self.own = own;
@@ -175,13 +207,13 @@
 
     /// Tells all reachable voters which replica this is.
     pub(super) fn announce(&self, role: Role, now_ms: u64) {
-        let Role { empty, leads } = role;
+        let Role { empty, leads, leaves } = role;
         let zone = self.discovery.as_ref().map_or_else(String::new, |it| it.zone.clone());
         let known = match self.discovery {
             Some(_) => self.heard_lately(now_ms),
             None => Vec::new(),
         };
-        let letter = Letter::Announce { id: self.own.clone(), empty, zone, leads, known };
+        let letter = Letter::Announce { id: self.own.clone(), empty, zone, leads, leaves, known };
         let sessions = self.sessions.values().map(|session| session.hello.name.as_str());
         let accepted = sessions.filter_map(|name| name::InstanceName::new(name).ok());
         let names: collections::BTreeSet<_> = self.links.keys().cloned().chain(accepted).collect();
@@ -210,9 +242,9 @@
             Event::Opened(session) => self.opened(session),
             Event::Closed(session) => self.closed(session),
             Event::Named(names) => self.get_to_know(&names),
-            Event::Letter(Letter::Announce { id, empty, zone, leads, known }) => {
+            Event::Letter(Letter::Announce { id, empty, zone, leads, leaves, known }) => {
                 self.introduced(&id, zone, &known);
-                self.heard(id, Role { empty, leads }, now_ms);
+                self.heard(id, Role { empty, leads, leaves }, now_ms);
             }
             Event::Letter(_)
             | Event::Subscribe { .. }
@@ -225,14 +257,13 @@
     }
 
     pub(super) fn heard(&mut self, id: entry::ReplicaId, role: Role, now_ms: u64) {
-        let Role { empty, leads } = role;
-        let announced = Announced { id: id.clone(), empty, leads, at_ms: now_ms };
+        let announced = Announced { id: id.clone(), role, at_ms: now_ms };
         self.announced.insert(id.instance, announced);
     }
 
     /// The voter that said last that it leads the group.
     pub(super) fn leader(&self, now_ms: u64) -> Option<&name::InstanceName> {
-        let leaders = self.fresh(now_ms).filter(|it| it.leads);
+        let leaders = self.fresh(now_ms).filter(|it| it.role.leads);
         leaders.max_by_key(|it| it.at_ms).map(|it| &it.id.instance)
     }
 
@@ -257,7 +288,7 @@
         if others.iter().any(|(name, _)| *name < self.own.instance) {
             return None;
         }
-        let empty = self.fresh(now_ms).filter(|it| it.empty);
+        let empty = self.fresh(now_ms).filter(|it| it.role.empty);
         let empty: collections::BTreeMap<_, _> =
             empty.map(|it| (&it.id.instance, it.id.clone())).collect();
         let ids: Option<collections::BTreeSet<_>> =
@@ -316,6 +347,7 @@
         let own =
             reconfiguration::LiveReplica { zone: discovery.zone.clone(), id: self.own.clone() };
         candidates.push(own);
+        let leaving: collections::BTreeSet<_> = self.leaving(now_ms);
         let silent = status.followers.iter().filter(|it| it.silent_ms > LOST_MS || it.memory_lost);
         let mut zones = discovery.zones.clone();
         zones.insert(self.own.instance.to_string(), discovery.zone.clone());
@@ -323,6 +355,8 @@
             membership: status.membership.clone(),
             live_replicas: candidates,
             failed: silent.map(|it| it.id.clone()).collect(),
+            leaving,
+            leader: Some(self.own.clone()),
             zones,
             target_voters: discovery.wanted,
         }
--- a/ragwortdeal_node/tests/fleet_voters.rs
+++ b/ragwortdeal_node/tests/fleet_voters.rs
@@ -177,6 +177,65 @@
     until_read(&world, 2, 3).await;
 }
 
+macro_rules! planned_replacements {
+    ($($case:ident: stops $stopped:expr, $gap_ms:expr, successors $successors:expr,)*) => {$(
+        /// Voters are replaced as planned: their successors run, then they are stopped shortly one
+        /// after the other. Votes that left with them would leave the group without a quorum.
+        #[googletest::test]
+        #[tokio::test]
+        async fn $case() {
+            let (world, mut voters) = started().await;
+            world.whole_group(3, &[1, 2, 3]).await;
+            for successor in $successors {
+                voters.insert(successor, world.voter(successor, false).await);
+                until_read(&world, successor, 3).await;
+            }
+            let mut stopping = Vec::new();
+            for number in $stopped {
+                let voter = voters.remove(&number).expect("a running voter");
+                stopping.push(tokio::spawn(voter.stop()));
+                tokio::time::sleep(std::time::Duration::from_millis($gap_ms)).await;
+            }
+            for stop in stopping {
+                stop.await.expect("the voter ends");
+            }
+            for number in voters.keys() {
+                until_read(&world, *number, 3).await;
+            }
+            world.install_at(voters.keys().copied(), &world.document(4, None)).await;
+        }
+    )*};
+}
+
+planned_replacements! {
+    two_voters_stop_at_the_same_moment: stops [1, 2], 0, successors [4, 5],
+    two_voters_stop_shortly_one_after_the_other: stops [1, 2], 1_300, successors [4, 5],
+    all_first_voters_stop_at_the_same_moment: stops [1, 2, 3], 0, successors [4, 5, 6],
+}
+
+/// All instances of a larger core are restarted one after the other, each as soon as the one before
+/// runs again, twice. Each was replaced while it was down and has to be a standby like another
+/// afterwards.
+#[googletest::test]
+#[tokio::test]
+async fn voters_and_standbys_are_restarted_in_series() {
+    let (world, mut voters) = started().await;
+    for standby in [4, 5] {
+        voters.insert(standby, world.voter(standby, false).await);
+        until_read(&world, standby, 3).await;
+    }
+    for round in 0..2 {
+        for number in 1..=5 {
+            voters.remove(&number).expect("a running voter").stop().await;
+            voters.insert(number, world.voter(number, false).await);
+        }
+        world.install(&world.document(4 + round, None)).await;
+    }
+    for number in 1..=5 {
+        until_read(&world, number, 5).await;
+    }
+}
+
 /// A voter starts while its disk takes no writes. Were its folder given up, the copy that it holds of
 /// each acknowledged change would be lost although the disk lost nothing.
 #[googletest::test]
--- a/ragwortdeal_standins/src/fleet/world.rs
+++ b/ragwortdeal_standins/src/fleet/world.rs
@@ -390,6 +390,13 @@
         assert_eq!(answer.0, 200, "{}", answer.1);
     }
 
+    /// Puts a document in force by one of these voters.
+    pub async fn install_at(&self, voters: impl Iterator<Item = u8>, document: &serde_json::Value) {
+        let operator = operator::Operator::new(voters.map(|voter| self.control(voter)).collect());
+        let answer = operator.order("PUT", "/configuration", &document.to_string()).await;
+        assert_eq!(answer.0, 200, "{}", answer.1);
+    }
+
     /// Waits until an entry says that it is ready.
     pub async fn ready(&self, number: u8) {
         let entry = self.readiness(number);
