Count the word of an upstream that it leaves in any dispute over its address

Cause: of two upstreams at one address the one with the later start owns it, whatever its service, and all that the other one says was stale before its standing was looked at. Another writer's report of a service that no document names was enough. The voter acknowledged the drain and told no entry. Evidence: the entry's log has no line of the drain; without the report, or with an earlier start in it, the drain counts.

Change: a dispute over an address concerns reports that an upstream is ready alone. That it drains or is gone counts in any case. An upstream of a service that the document in force does not name owns no address, in voters and entries. An agent goes by the start that a report of its own service tells. A voter logs when it ignores the word of an upstream that leaves. Why it works: taking an upstream out can only take requests away, so no claim of another one has to be weighed against it.

--- a/ragwortdeal_core/src/directory.rs
+++ b/ragwortdeal_core/src/directory.rs
@@ -3,7 +3,9 @@
 //! There is no other list of upstreams. Announcements arrive late, twice and out of order, and an
 //! address may be reused by another upstream. Announcements of an upstream are therefore ordered by
 //! its start time and a sequence number, and of two upstreams at one address the one that started
-//! later owns it.
+//! later owns it. An upstream of a service that no document names owns nothing: its announcement may
+//! come from another writer. A dispute over an address only concerns who gets requests; the word of
+//! an upstream that it leaves counts in any case.
 
 use std::{collections, sync};
 
@@ -156,9 +158,16 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     upstreams: collections::BTreeMap<Text, Upstream>,
+    /// Services that the document in force names, or `None` before there is a document.
+    named_services: Option<collections::BTreeSet<Text>>,
 }
 
 impl Directory {
+    /// Sets the services that the document in force names.
+    pub fn set_named_services(&mut self, services: impl IntoIterator<Item = Text>) {
+        self.named_services = Some(services.into_iter().collect());
+    }
+
     /// Applies an announcement.
     pub fn apply_announcement(&mut self, announcement: Announcement, now_ms: u64) -> Effect {
         if !self.upstreams.contains_key(&announcement.instance)
@@ -166,7 +175,7 @@
         {
             return Effect::Stale;
         }
-        if self.address_taken(&announcement) {
+        if announcement.status == Status::Ready && self.address_taken(&announcement) {
             return Effect::Stale;
         }
         let known = self.upstreams.get_mut(&announcement.instance);
@@ -236,8 +245,12 @@
     /// announcement that was delayed by a partition would route requests for a dead upstream to a
     /// live one of another service at the same address.
     fn address_taken(&self, announcement: &Announcement) -> bool {
+        let is_named = |service: &Text| {
+            self.named_services.as_ref().is_none_or(|services| services.contains(service))
+        };
         self.upstreams.values().any(|other| {
             other.announcement.address == announcement.address
+                && is_named(&other.announcement.service)
                 && other.announcement.instance != announcement.instance
                 && other.announcement.order.born_ms > announcement.order.born_ms
                 && other.announcement.status != Status::Gone
--- a/ragwortdeal_core/tests/directory.rs
+++ b/ragwortdeal_core/tests/directory.rs
@@ -101,3 +101,56 @@
         eq(Effect::Stale)
     );
 }
+
+/// An announcement of another upstream's, at the same address and with a later start.
+fn rival(service: &str, status: Status) -> Announcement {
+    Announcement { service: service.into(), ..announcement("rival", 5, 1, status) }
+}
+
+macro_rules! disputes {
+    ($($(#[$doc:meta])* $case:ident: $known:expr, $rival:expr, $said:expr => $expected:expr;)*) => {$(
+        $(#[$doc])*
+        #[googletest::test]
+        fn $case() {
+            let mut directory = Directory::default();
+            directory.set_named_services(["models".into()]);
+            let known: Option<Announcement> = $known;
+            known.into_iter().for_each(|it| _ = directory.apply_announcement(it, 0));
+            directory.apply_announcement($rival, 1);
+            expect_that!(directory.apply_announcement($said, 2), eq($expected));
+        }
+    )*};
+}
+
+disputes! {
+    /// Requests would go on to an upstream whose drain was acknowledged.
+    a_dispute_over_an_address_hides_no_drain:
+        Some(announcement("a", 1, 1, Status::Ready)), rival("models", Status::Ready),
+        announcement("a", 1, 2, Status::Draining) => Effect::Changed;
+    a_dispute_over_an_address_hides_no_end:
+        Some(announcement("a", 1, 1, Status::Draining)), rival("models", Status::Ready),
+        announcement("a", 1, 2, Status::Gone) => Effect::Changed;
+    /// Entries may know an upstream that this process has not heard of.
+    a_dispute_over_an_address_hides_no_drain_of_an_unknown_upstream:
+        None, rival("models", Status::Ready),
+        announcement("a", 1, 2, Status::Draining) => Effect::Changed;
+    /// Another writer's report names no upstream to use. Sound ones at its address must go on.
+    an_upstream_of_an_unnamed_service_owns_no_address:
+        None, rival("elsewhere", Status::Ready),
+        announcement("a", 1, 1, Status::Ready) => Effect::Changed;
+    an_upstream_of_a_named_service_owns_its_address:
+        None, rival("models", Status::Ready),
+        announcement("a", 1, 1, Status::Ready) => Effect::Stale;
+}
+
+/// A service is named after the first announcement of its upstream, which then owns its address.
+#[googletest::test]
+fn a_service_that_is_named_later_counts_from_then_on() {
+    let mut directory = Directory::default();
+    directory.set_named_services(["models".into()]);
+    directory.apply_announcement(rival("later", Status::Ready), 0);
+    directory.apply_announcement(announcement("a", 1, 1, Status::Ready), 1);
+    directory.set_named_services(["models".into(), "later".into()]);
+    let effect = directory.apply_announcement(announcement("b", 1, 1, Status::Ready), 2);
+    expect_that!(effect, eq(Effect::Stale));
+}
--- a/ragwortdeal_node/src/fleet/agent.rs
+++ b/ragwortdeal_node/src/fleet/agent.rs
@@ -22,6 +22,7 @@
 };
 
 use ragwortdeal_core::{
+    directory,
     document::{self, naming, store},
     name,
     orders::load_proof,
@@ -199,7 +200,10 @@
                 agent.change_agents(voter, changed, &left);
             }
             voter_links::Event::Notice(_, notice::Notice::Upstreams(announcements)) => {
-                let own = announcements.iter().filter(|it| it.address == agent.engine);
+                let is_own = |it: &&directory::Announcement| {
+                    it.address == agent.engine && *it.service == *agent.service
+                };
+                let own = announcements.iter().filter(is_own);
                 own.for_each(|it| agent.record_announced_start(it.order.born_ms));
             }
             voter_links::Event::Notice(_, notice::Notice::EngineStatus(held)) => {
--- a/ragwortdeal_node/src/fleet/dialect.rs
+++ b/ragwortdeal_node/src/fleet/dialect.rs
@@ -184,6 +184,9 @@
     /// Parses a document.
     fn document(&self, body: &[u8]) -> Result<document::Document, ParseError>;
 
+    /// Parses the names of a document's services, without the rest of it.
+    fn service_names(&self, body: &[u8]) -> Result<Vec<document::Text>, ParseError>;
+
     /// Parses which weights are named.
     fn weights(&self, body: &[u8]) -> Result<store::ModelVersion, ParseError>;
 
--- a/ragwortdeal_node/src/fleet/entry/upstreams.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams.rs
@@ -357,6 +357,8 @@
     /// Takes the services' properties from a document, and forgets routes and services that it no
     /// longer names.
     pub(super) fn retain(&mut self, document: &document::Document, now_ms: u64) {
+        let names = document.services.iter().map(|service| service.name.clone());
+        self.directory.set_named_services(names);
         self.gates.retain(|name, _| document.service(name).is_some());
         self.paces.retain(|name, _| document.service(name).is_some());
         let layers = |it: &document::Service| Some((it.name.clone(), it.engine.as_ref()?.layers));
--- a/ragwortdeal_node/src/voter/fleet.rs
+++ b/ragwortdeal_node/src/voter/fleet.rs
@@ -147,7 +147,7 @@
         voters: watch::Sender::new(Vec::new()),
         redirect: watch::Sender::new(None),
     };
-    let hub = sync::Arc::new(hub::Hub::new(settings.bounds.weights_ms));
+    let hub = sync::Arc::new(hub::Hub::new(spoken, settings.bounds.weights_ms));
     let credential = link::Credential::new(&settings.credentials.cluster);
     let limits = link::LinkLimits::default();
     let (serve_stopper, serve_stop) = stop::pair();
--- a/ragwortdeal_node/src/voter/fleet/hub.rs
+++ b/ragwortdeal_node/src/voter/fleet/hub.rs
@@ -14,7 +14,12 @@
 };
 use ragwortdeal_wire::link as wire;
 
-use crate::{clock, fleet::notice, link, voter::driver};
+use crate::{
+    clock,
+    fleet::{compression, dialect, notice},
+    link,
+    voter::driver,
+};
 
 /// Time within which changes of agents are collected for one notice. When all machines come back
 /// at once, each agent would otherwise be told of each other one by one.
@@ -58,6 +63,7 @@
 /// What this voter knows first hand, and who wants to know it.
 pub(super) struct Hub {
     clock: clock::Clock,
+    dialect: dialect::DialectRef,
     /// Time after a naming in which older weights may be served.
     weights_ms: u64,
     state: sync::Mutex<State>,
@@ -112,9 +118,10 @@
 }
 
 impl Hub {
-    pub(super) fn new(weights_ms: u64) -> Self {
+    pub(super) fn new(dialect: dialect::DialectRef, weights_ms: u64) -> Self {
         Self {
             clock: clock::Clock::start(),
+            dialect,
             weights_ms,
             state: sync::Mutex::default(),
             agents_changed: tokio::sync::Notify::new(),
@@ -131,6 +138,9 @@
         let mut state = self.state();
         state.directory.forget_silent(SILENT_MS, self.clock.now_ms());
         let previous = std::mem::replace(&mut state.documents, documents);
+        if previous.version() != state.documents.version() {
+            self.name_services(&mut state);
+        }
         // Before the document: an entry takes requests as soon as it has that.
         state.tell_evacuations_since(&previous.evacuations, self.clock.now_ms());
         let recorded: Vec<_> = state.documents.verdicts.all().cloned().collect();
@@ -146,6 +156,22 @@
         followers.values_mut().for_each(|follower| follower.send_documents(documents));
     }
 
+    /// Takes over the services that the document in force names.
+    fn name_services(&self, state: &mut State) {
+        let Some(sealed) = &state.documents.document else {
+            return;
+        };
+        let version = sealed.version;
+        let bytes = compression::decompress(&sealed.body).map_err(|error| error.to_string());
+        let names = bytes.and_then(|bytes| {
+            self.dialect.service_names(&bytes).map_err(|error| error.to_string())
+        });
+        match names {
+            Ok(names) => state.directory.set_named_services(names),
+            Err(error) => log::error!("voter: services of document version={version}: {error}"),
+        }
+    }
+
     /// Takes an announcement. Followers are told of what is new before the upstream gets its
     /// answer, because from the answer on the time counts in which it gets no more work.
     pub(super) fn announced(&self, said: directory::Announcement) -> directory::Effect {
@@ -165,6 +191,19 @@
             state.tell_of(said);
         } else if effect == directory::Effect::Refreshed {
             state.tell_awaited(said);
+        } else if let Some(known) = state.directory.get(&said.instance)
+            && known.announcement.status < said.status
+        {
+            let directory::AnnouncementOrder { born_ms, sequence } = known.announcement.order;
+            log::warn!(
+                born_ms, sequence;
+                "voter: upstream {} is {:?}, ignored as older than what is known, born={} \
+                 sequence={}",
+                said.instance,
+                said.status,
+                said.order.born_ms,
+                said.order.sequence
+            );
         }
         effect
     }
