Pass on no answer with a status that ends no exchange

Cause: any status that the client library parses counted as an answer. After 101, which nobody asked for, the connection has no framing; above 599 no class tells what the status promises.

Change: an answer whose status is not 200 to 599 counts as lost. Its connection is closed, and the caller gets another upstream's answer where the request may be repeated, else 502. The client of agents, entries outside fleets and the command line returns an error. Why it works: it is decided before anything else of the head, in the two places where answers of upstreams come in.

--- a/ragwortdeal_node/src/fleet/entry/exchange.rs
+++ b/ragwortdeal_node/src/fleet/entry/exchange.rs
@@ -9,6 +9,7 @@
 };
 
 use super::{Entry, endings, pool, request::CallerRequest, upstreams::selection};
+use crate::http;
 
 /// Longest idle time of a connection that is used for a request which must not be repeated. If the
 /// connection died meanwhile, it would be unknown whether the request ran.
@@ -159,6 +160,10 @@
         let names = self.dialect.headers();
         let headers = &answer.head.headers;
         let echoed = headers.get(&names.request_id);
+        if !http::is_final_status(answer.head.status) {
+            let status = answer.head.status.as_u16();
+            return Outcome::Lost(Loss::new(format!("status {status} ends no exchange")));
+        }
         let not_executed = headers.contains_key(&names.not_executed) || answer.head.status == 421;
         match echoed {
             Some(id) if *id != request.id => {
--- a/ragwortdeal_node/src/http.rs
+++ b/ragwortdeal_node/src/http.rs
@@ -6,6 +6,7 @@
 pub mod metered;
 mod problem;
 mod server;
+mod status;
 mod tracked;
 
 pub use body::{BodyBounds, BodyError, read, read_request_body};
@@ -13,6 +14,7 @@
 pub use inbound::Inbound;
 pub use problem::{Kind, answer, problem};
 pub use server::{Bounds, Request, route, serve, serve_with};
+pub use status::is_final_status;
 
 use gotham::hyper;
 use http_body_util::BodyExt as _;
--- a/ragwortdeal_node/src/http/client.rs
+++ b/ragwortdeal_node/src/http/client.rs
@@ -6,7 +6,7 @@
 use hyper_util::{client::legacy, rt};
 use snafu::Snafu;
 
-use super::{Body, metered};
+use super::{Body, metered, status::is_final_status};
 
 /// Body of an answer from an upstream, read piece by piece.
 pub type RequestBody = hyper::body::Incoming;
@@ -130,7 +130,11 @@
         let peer = || sync::Arc::<str>::from(peer);
         let deadline = time::Duration::from_millis(deadline_ms);
         match tokio::time::timeout(deadline, self.inner.request(request)).await {
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) if is_final_status(response.status()) => Ok(response),
+            Ok(Ok(response)) => {
+                let reason = format!("{} ends no exchange", response.status().as_u16());
+                Err(HttpError::Unanswered { step, peer: peer(), reason, late: false })
+            }
             Ok(Err(error)) if error.is_connect() => {
                 let late = timed_out(&error);
                 Err(HttpError::NotSent { step, peer: peer(), late })
