Answer every request before a planned stop of an entry ends

Cause: the deadline of a request did not know when the process ends, and what was in progress then was dropped. Evidence: a transfer complete 3.7 s after SIGTERM reached the upstream, and its connection closed at 7.6 s.

Change: a request that becomes complete during the stop is passed on only if its answer comes before the end, else refused with 503 and a time to come back. 0.3 s before the end, what has no answer gets a whole one: 504 if it was passed on, 503 if not. A voter answers what waits for a decision before it ends. Why it works: every request has either a refusal that is true or a final answer while its connection is open. Streams that have begun are still broken off at the end, as before.

--- a/ragwortdeal_core/src/dispatch.rs
+++ b/ragwortdeal_core/src/dispatch.rs
@@ -19,6 +19,7 @@
 pub mod level_order;
 pub mod pace;
 pub mod peer_load;
+pub mod planned_stop;
 pub mod priority;
 pub mod probe;
 pub mod prompt;
--- a/ragwortdeal_node/src/fleet/entry.rs
+++ b/ragwortdeal_node/src/fleet/entry.rs
@@ -7,6 +7,7 @@
 mod health;
 mod isolation;
 mod outcome;
+mod planned_stop;
 mod pool;
 mod probes;
 mod relay;
@@ -41,6 +42,10 @@
 /// Subtracted from the grace period, so that the process ends by itself before it is killed.
 const SHUTDOWN_MARGIN_MS: u64 = 400;
 
+/// Time before the end of the process in which the answers to requests that are not complete are
+/// written.
+const LAST_ANSWERS_MS: u64 = 300;
+
 /// Idle timeout of callers' connections. Callers reuse theirs for less than the document's bound,
 /// which is not known when the listener opens.
 const CALLER_IDLE_MS: u64 = 30_000;
@@ -122,7 +127,7 @@
     /// Changes of rates that upstreams name, for the voters.
     rates_to_report: mpsc::Sender<notice::NamedRate>,
     telemetry: telemetry::Telemetry,
-    stopping: atomic::AtomicBool,
+    planned_stop: planned_stop::PlannedStop,
 }
 
 impl Entry {
@@ -163,7 +168,7 @@
             fingerprints: fingerprint::Key::new(&settings.credentials.cluster),
             rates_to_report,
             telemetry,
-            stopping: atomic::AtomicBool::new(false),
+            planned_stop: planned_stop::PlannedStop::new(),
         }
     }
 
@@ -172,7 +177,7 @@
     }
 
     fn is_stopping(&self) -> bool {
-        self.stopping.load(atomic::Ordering::Relaxed)
+        self.planned_stop.is_begun()
     }
 
     /// A random number to spread requests by. It needs not be unpredictable.
@@ -230,7 +235,8 @@
     log::info!("entry: started, seeds={:?}", settings.fleet.seeds);
     stop.wait().await;
     log::info!("entry: shutting down, readiness withdrawn");
-    entry.stopping.store(true, atomic::Ordering::Relaxed);
+    let last_answers_ms = (READINESS_DRAIN_MS + grace_ms).saturating_sub(LAST_ANSWERS_MS);
+    entry.planned_stop.begin(time::Duration::from_millis(last_answers_ms));
     tokio::time::sleep(time::Duration::from_millis(READINESS_DRAIN_MS)).await;
     stopper.stop();
     let finished = callers.await.unwrap_or(false);
--- a/ragwortdeal_node/src/fleet/entry/request.rs
+++ b/ragwortdeal_node/src/fleet/entry/request.rs
@@ -104,7 +104,7 @@
     }
 
     /// How long the caller of a stream waits for an event.
-    fn abandoned_after(&self) -> Option<time::Duration> {
+    pub(super) fn abandoned_after(&self) -> Option<time::Duration> {
         if !self.route.streams {
             return None;
         }
@@ -163,7 +163,7 @@
     }
 
     /// The refusal of a request of which a part was not read.
-    fn closing(self) -> Self {
+    pub(super) fn closing(self) -> Self {
         Self { closes: true, ..self }
     }
 
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -9,7 +9,7 @@
 use ragwortdeal_core::{directory, dispatch::retry_after, document};
 
 use super::{
-    Entry, exchange, pool, relay, request,
+    Entry, exchange, planned_stop, pool, relay, request,
     request::{CallerRequest, Refusal},
     upstreams::selection,
     whole_answer,
@@ -26,7 +26,12 @@
         return refused(&entry, None, &Refusal::new(400, "the request has no identifier"));
     };
     entry.telemetry.count("entry.requests", 1);
-    let mut response = match entry.read_request(request, id.clone()).await {
+    let read = tokio::select! {
+        read = entry.read_request(request, id.clone()) => read,
+        () = entry.planned_stop.ended() => Err(planned_stop::PlannedStop::refusal().closing()),
+    };
+    let admitted = read.and_then(|request| entry.planned_stop.check(&request).map(|()| request));
+    let mut response = match admitted {
         Ok(request) => serve(&entry, request).await,
         Err(refusal) => refused(&entry, Some(&id), &refusal),
     };
@@ -114,9 +119,18 @@
     let request = sync::Arc::new(request);
     let mut pending =
         PendingRequest { entry, request: request.clone(), upstream: None, finished: false };
-    let response = run_attempts(entry, &request, &mut pending).await;
+    let ended = tokio::select! {
+        response = run_attempts(entry, &request, &mut pending) => Some(response),
+        () = entry.planned_stop.ended() => None,
+    };
     pending.finished = true;
-    response
+    ended.unwrap_or_else(|| {
+        let refusal = match pending.upstream {
+            Some(_) => Refusal::new(504, "no answer came before the process stops"),
+            None => planned_stop::PlannedStop::refusal(),
+        };
+        refused(entry, Some(&request.id), &refusal.of_level(request.level))
+    })
 }
 
 async fn run_attempts(
--- a/ragwortdeal_node/src/voter/fleet.rs
+++ b/ragwortdeal_node/src/voter/fleet.rs
@@ -190,9 +190,14 @@
     let bounds = http::Bounds::new(inbound);
     let serving =
         http::serve_with(listeners.control, handler, bounds, serve_stop, CONTROL_GRACE_MS);
-    tokio::spawn(serving);
+    let control = tokio::spawn(serving);
     let ended = keep_voting(&settings, &events, &mut received, &publisher, &stop).await;
+    // Nobody decides here any more: requests that wait for it are answered at once.
+    drop(received);
     serve_stopper.stop();
+    if !control.await.unwrap_or(false) {
+        log::warn!("voter: requests by operators were cut at the stop");
+    }
     ended
 }
 
