--- a/ragwortdeal_node/src/fleet/dialect.rs
+++ b/ragwortdeal_node/src/fleet/dialect.rs
@@ -175,8 +175,8 @@
         body: &[u8],
     ) -> Result<directory::Announcement, ParseError>;
 
-    /// Parses the age of a departure. It may be absent.
-    fn departure(&self, body: &[u8]) -> Option<directory::AnnouncementOrder>;
+    /// Parses the age of a departure. It may be absent; a body that cannot be read is an error.
+    fn departure(&self, body: &[u8]) -> Result<Option<directory::AnnouncementOrder>, ParseError>;
 
     /// Body of the answer to an announcement.
     fn announcement_response(&self) -> bytes::Bytes;
--- a/ragwortdeal_node/src/voter/fleet/control.rs
+++ b/ragwortdeal_node/src/voter/fleet/control.rs
@@ -143,9 +143,16 @@
     }
 
     fn leave(&self, instance: &str, body: &[u8]) -> http::Response {
-        let age = self.spoken.departure(body);
-        self.hub.left(instance, age);
-        http::respond(200, "application/json", http::full("{}"))
+        match self.spoken.departure(body) {
+            Ok(age) => {
+                self.hub.left(instance, age);
+                http::respond(200, "application/json", http::full("{}"))
+            }
+            Err(error) => {
+                log::warn!("voter: departure of {instance}: {error}");
+                text(400, &format!("{error}\n"))
+            }
+        }
     }
 
     /// Takes a document. It is judged before the group hears of it, so that an invalid one never
--- a/ragwortdeal_node/tests/fleet_other_writers.rs
+++ b/ragwortdeal_node/tests/fleet_other_writers.rs
@@ -74,6 +74,43 @@
     a_report_of_another_named_service_hides_no_drain: "models", 2;
 }
 
+/// Another writer's report of an upstream lacks what each upstream writes. It names no upstream to
+/// use; taken, callers' requests would run at a server that is none of the service.
+#[googletest::test]
+#[tokio::test]
+async fn a_report_that_is_not_whole_names_no_upstream() {
+    let (world, _processes) = started().await;
+    let other = world.engine(OTHER_LEDGER, "elsewhere", 0).await;
+    let whole = other.announcement("ledger", "zone-1", "ready", 9);
+    for field in ["version", "cold-remaining-ms", "born"] {
+        let mut partial: serde_json::Value = serde_json::from_str(&whole).unwrap();
+        partial.as_object_mut().unwrap().remove(field);
+        let status = report(&world, 1, "rival", &partial.to_string()).await;
+        expect_that!(status, eq(400), "without {field}");
+    }
+    for number in 0..20 {
+        expect_that!(ask(&world, number).await, eq(503));
+    }
+    expect_that!(other.arrivals(), is_empty());
+}
+
+/// The last word of an upstream comes with a body that cannot be read. Taken, it would end a sound
+/// upstream in whatever start.
+#[googletest::test]
+#[tokio::test]
+async fn a_departure_that_cannot_be_read_ends_no_upstream() {
+    let (world, _processes) = started().await;
+    let ledger = world.engine(LEDGER, "ledger", 0).await;
+    world::until("the entry serves", async || ask(&world, 0).await == 200).await;
+    let operator = operator::Operator::new(vec![world.control(1)]);
+    let path = format!("/instances/{}", ledger.instance);
+    expect_that!(operator.order("DELETE", &path, "[[[[{\"born\":").await.0, eq(400));
+    tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+    for number in 1..20 {
+        expect_that!(ask(&world, number).await, eq(200));
+    }
+}
+
 /// Another writer's report of an unnamed service comes before the first one of a sound upstream at
 /// that address, which has to be used all the same.
 #[googletest::test]
