Count the drain of an upstream whose clock went back

Callers saw: a server crashed, its clock went back by 2.4 s, and it started again under its identifier.

Cause: reports of one identifier are ordered by the start that the upstream's own clock tells, so all reports of the second start were stale, also that it drains. Evidence: the same crash without the step of the clock drains.

Change: a report that a ready upstream leaves counts in whatever start. If it was a late one of an earlier start, the present start is used again from its next report on, a heartbeat later. It never brings back an upstream that leaves. Why it works: leaving only takes requests away, and only a later word that is told by the known start restores it. That an upstream is ready in a start that looks earlier is still passed over.

Failed before the fix: a_drain_counts_after_the_clock_of_an_upstream_went_back, a_late_drain_of_an_earlier_start_counts_until_the_next_announcement.

--- a/ragwortdeal_core/src/directory.rs
+++ b/ragwortdeal_core/src/directory.rs
@@ -195,6 +195,16 @@
             known.last_heard_ms = now_ms;
             return Effect::Changed;
         }
+        // The clock that dates starts can go back, so what looks like an earlier start may be the
+        // present one. Its leaving counts until a start that looks later is heard of again; if it
+        // really was late, that takes until the upstream's next announcement.
+        let leaves = announcement.status > known.announcement.status
+            && known.announcement.status == Status::Ready;
+        if leaves && announcement.order.born_ms < known.announcement.order.born_ms {
+            known.announcement = announcement;
+            known.last_heard_ms = now_ms;
+            return Effect::Changed;
+        }
         let returns = same_incarnation && announcement.status < known.announcement.status;
         if announcement.order <= known.announcement.order || returns {
             return Effect::Stale;
--- a/ragwortdeal_core/tests/directory.rs
+++ b/ragwortdeal_core/tests/directory.rs
@@ -154,3 +154,41 @@
     let effect = directory.apply_announcement(announcement("b", 1, 1, Status::Ready), 2);
     expect_that!(effect, eq(Effect::Stale));
 }
+
+/// The clock of an upstream's machine went back before it started again, so its present start looks
+/// earlier than the one before. Its drain was acknowledged and must count.
+#[googletest::test]
+fn a_drain_counts_after_the_clock_of_an_upstream_went_back() {
+    let mut directory = Directory::default();
+    directory.apply_announcement(announcement("a", 5, 9, Status::Ready), 0);
+    directory.apply_announcement(announcement("a", 2, 1, Status::Ready), 1);
+    let effect = directory.apply_announcement(announcement("a", 2, 2, Status::Draining), 2);
+    expect_that!(effect, eq(Effect::Changed));
+    expect_that!(status(&directory, "a"), some(eq(Status::Draining)));
+    let again = directory.apply_announcement(announcement("a", 2, 3, Status::Ready), 3);
+    expect_that!(again, eq(Effect::Stale));
+}
+
+/// A drain of an earlier start arrives late. The present start is used again from its next
+/// announcement on.
+#[googletest::test]
+fn a_late_drain_of_an_earlier_start_counts_until_the_next_announcement() {
+    let mut directory = Directory::default();
+    directory.apply_announcement(announcement("a", 5, 9, Status::Ready), 0);
+    directory.apply_announcement(announcement("a", 2, 40, Status::Draining), 1);
+    let effect = directory.apply_announcement(announcement("a", 5, 10, Status::Ready), 2);
+    expect_that!(effect, eq(Effect::Changed));
+    expect_that!(status(&directory, "a"), some(eq(Status::Ready)));
+}
+
+/// An upstream leaves, and then words of an earlier start arrive late. It must not come back by them.
+#[googletest::test]
+fn late_words_of_an_earlier_start_bring_no_leaving_upstream_back() {
+    let mut directory = Directory::default();
+    directory.apply_announcement(announcement("a", 5, 9, Status::Draining), 0);
+    let late = directory.apply_announcement(announcement("a", 2, 40, Status::Gone), 1);
+    expect_that!(late, eq(Effect::Stale));
+    let ready = directory.apply_announcement(announcement("a", 5, 8, Status::Ready), 2);
+    expect_that!(ready, eq(Effect::Stale));
+    expect_that!(status(&directory, "a"), some(eq(Status::Draining)));
+}
