--- a/ragwortdeal_node/tests/answer_statuses.rs
+++ b/ragwortdeal_node/tests/answer_statuses.rs
@@ -84,21 +84,20 @@
 }
 
 macro_rules! odd_statuses_at_clients {
-    ($($case:ident: $status:expr => $expected:pat,)*) => {$(
+    ($($case:ident: $status:expr => $expected:expr,)*) => {$(
         /// The same at the client of agents, entries outside fleets and the command line.
         #[googletest::test]
         #[tokio::test]
         async fn $case() {
-            let fetched = fetched($status).await;
-            expect_that!(matches!(fetched, $expected), eq(true), "{fetched:?}");
+            expect_that!(fetched($status).await.ok(), eq($expected));
         }
     )*};
 }
 
 odd_statuses_at_clients! {
-    a_client_takes_599: "599" => Ok(599),
-    a_client_takes_no_000: "000" => Err(_),
-    a_client_takes_no_101: "101" => Err(_),
-    a_client_takes_no_600: "600" => Err(_),
-    a_client_takes_no_999: "999" => Err(_),
+    a_client_takes_599: "599" => Some(599),
+    a_client_takes_no_000: "000" => None,
+    a_client_takes_no_101: "101" => None,
+    a_client_takes_no_600: "600" => None,
+    a_client_takes_no_999: "999" => None,
 }
