Move the planned stop of a voter into a module of its own

The concept had two names, released and removed; it is removed everywhere now. No behaviour changes; tests of departure, fleet_voters, fleet_standby and voters pass.

--- a/ragwortdeal_core/src/replication/departure.rs
+++ b/ragwortdeal_core/src/replication/departure.rs
@@ -24,7 +24,7 @@
     /// Whether that membership is committed.
     pub is_membership_committed: bool,
     /// Whether the leader told it that the group goes on without it.
-    pub is_released: bool,
+    pub is_told_removed: bool,
     /// Whether it is the leader.
     pub is_leader: bool,
     /// Whether another replica could take its place.
@@ -47,7 +47,7 @@
     }
     let is_member = view.membership.members().any(|member| member == view.own);
     let has_left = !is_member && view.is_membership_committed;
-    if (has_left || view.is_released) && !view.is_leader {
+    if (has_left || view.is_told_removed) && !view.is_leader {
         return true;
     }
     if is_member && is_replacement_possible(view) {
--- a/ragwortdeal_core/tests/departure.rs
+++ b/ragwortdeal_core/tests/departure.rs
@@ -29,7 +29,7 @@
                 own: &own,
                 membership: &membership,
                 is_membership_committed: true,
-                is_released: false,
+                is_told_removed: false,
                 is_leader: false,
                 has_standby: false,
                 target_voters: 3,
@@ -60,8 +60,8 @@
         (view.is_membership_committed, view.has_standby, view.is_leader) = (false, true, true);
     } => false;
     /// It was removed without being sent the entry.
-    a_voter_that_was_released_ends: ["a", "b", "c"], [], |view| {
-        (view.is_released, view.has_standby) = (true, true);
+    a_voter_that_was_told_of_its_removal_ends: ["a", "b", "c"], [], |view| {
+        (view.is_told_removed, view.has_standby) = (true, true);
     } => true;
     /// The group cannot replace it in time, and SIGKILL would follow.
     a_voter_ends_within_its_grace: ["a", "b", "c"], [], |view| {
@@ -84,7 +84,7 @@
         own: &own,
         membership: &members(&["a", "b", "c"], &[]),
         is_membership_committed: true,
-        is_released: false,
+        is_told_removed: false,
         is_leader: false,
         has_standby: true,
         target_voters: 3,
--- a/ragwortdeal_node/src/voter/driver.rs
+++ b/ragwortdeal_node/src/voter/driver.rs
@@ -1,12 +1,13 @@
 //! The loop of a voter: gives the replica its inputs and carries out what it asks for.
 
+mod planned_stop;
 mod reading;
 
 use std::{collections, sync::mpsc as blocking};
 
 use ragwortdeal_core::{
     claims, command, document, name,
-    replication::{Input, Output, Rejection, RoleKind, departure, entry, payload, replica},
+    replication::{Input, Output, Rejection, RoleKind, entry, payload, replica},
 };
 use ragwortdeal_wire::link as wire;
 
@@ -22,16 +23,6 @@
 /// How often a voter announces itself and a leader looks for something to repair.
 const HOUSEKEEPING_MS: u64 = 200;
 
-/// For how long the word of a leader counts that this replica is no member. Announcements, which the
-/// leader answers so, come several times within it.
-const RELEASED_MS: u64 = 1_000;
-
-/// A planned stop in progress.
-struct Stopping {
-    since_ms: u64,
-    limit_ms: u64,
-}
-
 /// An entry or another receiver of configuration updates.
 struct Subscriber {
     session: link::Session,
@@ -54,7 +45,7 @@
     snapshot_index: u64,
     housekeeping_due_ms: u64,
     failure: Option<VoterError>,
-    stopping: Option<Stopping>,
+    stopping: Option<planned_stop::Stopping>,
     /// When a leader said last that this replica is no member.
     removed_ms: Option<u64>,
     reads: reads::Reads,
@@ -128,7 +119,7 @@
         };
         let is_member =
             self.replica.status().membership.members().any(|id| id == self.replica.id());
-        let stands_by = !is_member || self.is_released(now_ms);
+        let stands_by = !is_member || self.is_removed(now_ms);
         let to = if stands_by { self.peers.leader(now_ms).cloned() } else { None };
         publisher.redirect.send_if_modified(|held| {
             let differs = *held != to;
@@ -149,57 +140,6 @@
         }
     }
 
-    /// Begins a planned stop that has to end within a time. The voter hands leadership over and asks
-    /// to be replaced.
-    pub(super) fn begin_stop(&mut self, limit_ms: u64) {
-        let now_ms = self.clock.now_ms();
-        self.stopping = Some(Stopping { since_ms: now_ms, limit_ms });
-        self.peers.leave();
-        self.housekeep(now_ms);
-    }
-
-    /// Whether the planned stop is complete.
-    pub(super) fn may_end(&self) -> bool {
-        let Some(stopping) = &self.stopping else {
-            return false;
-        };
-        let now_ms = self.clock.now_ms();
-        let status = self.replica.status();
-        departure::may_end(&departure::DepartureView {
-            own: self.replica.id(),
-            is_membership_committed: self.replica.is_membership_committed(),
-            is_released: self.is_released(now_ms),
-            is_leader: status.is_leader,
-            has_standby: self.peers.replaces()
-                && self.peers.has_standby(&status.membership, now_ms),
-            membership: &status.membership,
-            target_voters: self.peers.target_voters(),
-            elapsed_ms: now_ms.saturating_sub(stopping.since_ms),
-            limit_ms: stopping.limit_ms,
-        })
-    }
-
-    /// Whether a leader said lately that this replica is no member, and has sent it nothing of the
-    /// log since.
-    fn is_released(&self, now_ms: u64) -> bool {
-        self.removed_ms.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) <= RELEASED_MS)
-    }
-
-    fn hand_over(&mut self, now_ms: u64) {
-        let except = self.peers.leaving(now_ms);
-        self.step(Input::TransferLeadership { token: 0, except });
-    }
-
-    /// Tells a replica that announced itself and is no member that it is none.
-    fn tell_if_removed(&mut self, id: &entry::ReplicaId) {
-        let status = self.replica.status();
-        let is_member = status.membership.members().any(|member| member == id);
-        if status.is_leader && !is_member && self.replica.is_membership_committed() {
-            let (from, to) = (self.replica.id().clone(), id.clone());
-            self.peers.send(&id.instance, &Letter::Removed { from, to });
-        }
-    }
-
     /// Why the voter cannot go on, once it cannot.
     pub(super) fn take_failure(&mut self) -> Option<VoterError> {
         self.failure.take()
