Tell which bounds refuse a request, and count who is refused by size

A refusal by the gate said 'all upstreams are full' and nothing else, so a log could not tell engines that are full from an estimate that refuses, nor who is refused. The line 'exceeds a bound at all engines' now tells the request, how many engines had a free slot, and at how many each bound was exceeded; counters tell the same, and requests, refusals, cut streams and callers that left are counted by the size of the prompt.

No decision changes: the bounds are compared one by one in dispatch::bounds where they were compared in two places.

--- a/ragwortdeal_core/src/dispatch.rs
+++ b/ragwortdeal_core/src/dispatch.rs
@@ -5,6 +5,7 @@
 pub mod answer_memory;
 pub mod answer_time;
 pub mod backlog;
+pub mod bounds;
 pub mod caller_time;
 pub mod choice;
 pub mod cutoff;
@@ -29,4 +30,5 @@
 pub mod retry_after;
 pub mod retry_budget;
 pub mod silence;
+pub mod size;
 pub mod standing_queue;
--- a/ragwortdeal_core/src/dispatch/choice.rs
+++ b/ragwortdeal_core/src/dispatch/choice.rs
@@ -1,6 +1,6 @@
 //! Selection of the upstream that serves a request.
 
-use super::{caller_time, forecast, pace};
+use super::{bounds, caller_time, forecast, pace};
 
 /// An upstream that may serve a request, as one entry sees it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -136,23 +136,11 @@
     let count = candidates.len();
     let start = usize::try_from(draw).unwrap_or(0).checked_rem(count)?;
     let order = (0..count).map(|step| (start + step) % count);
-    let is_open = |candidate: &Candidate| {
-        let keeps_waiting =
-            latency_model.pause_ms(candidate, prompt.prefill_ms) > prompt.pause_max_ms;
-        let has_room = load(candidate) + 1.0 - f64::from(candidate.slots) <= prompt.waiting_max;
-        load(candidate) < 1.0 || (!keeps_waiting && has_room)
-    };
-    let offered = order.filter(|&index| is_open(&candidates[index]));
-    let forecasts = offered.map(|index| {
-        let candidate = &candidates[index];
-        (index, candidate, latency_model.first_event_ms(candidate, prompt.prefill_ms))
-    });
-    let in_time = forecasts.filter(|(_, candidate, first_ms)| {
-        let latest_ms = first_ms + prompt.error_ms;
-        latency_model.is_in_time(candidate, prompt, *first_ms)
-            && candidate.start_within_ms.is_none_or(|within_ms| latest_ms <= within_ms)
-    });
-    let cost = |candidate: &Candidate, first_ms: f64| {
+    let is_within =
+        |candidate: &Candidate| !bounds::Exceeded::at(candidate, latency_model, prompt).any();
+    let within = order.filter(|&index| is_within(&candidates[index]));
+    let cost = |candidate: &Candidate| {
+        let first_ms = latency_model.first_event_ms(candidate, prompt.prefill_ms);
         let zone_ms = if candidate.same_zone { 0.0 } else { prompt.error_ms };
         let ramp_up_ms = if candidate.ramping_up { RAMP_UP_MS } else { 0.0 };
         let shared_ms = latency_model.shared_steps_ms(load(candidate), prompt.answer_tokens);
@@ -161,7 +149,7 @@
         let repeated_ms = answer_ms * candidate.failure_rate;
         first_ms + zone_ms + ramp_up_ms + shared_ms + repeated_ms
     };
-    let costs = in_time.map(|(index, candidate, first_ms)| (index, cost(candidate, first_ms)));
+    let costs = within.map(|index| (index, cost(&candidates[index])));
     cheapest(costs, candidates, draw)
 }
 
--- a/ragwortdeal_core/src/dispatch/forecast.rs
+++ b/ragwortdeal_core/src/dispatch/forecast.rs
@@ -9,7 +9,7 @@
 
 use super::{
     choice::{self, Candidate},
-    pace, standing_queue,
+    pace, size, standing_queue,
 };
 
 /// Mean wait of a request until the engine starts its next pass, in passes.
@@ -124,18 +124,20 @@
         load * self.step_per_request_ms * answer_tokens
     }
 
-    /// Whether an answer whose first event is forecast in `first_ms` is of use to its caller.
+    /// Time that is left beside a forecast, as it may be wrong, in milliseconds.
     ///
-    /// The margin for forecasts that are wrong does not exclude idle engines: nothing would be
-    /// served sooner, and no answer would show that the forecasts are better again.
-    pub fn is_in_time(&self, engine: &Candidate, prompt: &choice::Prompt, first_ms: f64) -> bool {
-        let rest_ms = self.rest_ms(engine, prompt.answer_tokens);
-        let within_ms = prompt.time.for_first_event_ms(rest_ms);
-        let margin_ms = match choice::load(engine) < 1.0 {
+    /// It does not exclude idle engines: nothing would be served sooner, and no answer would show
+    /// that the forecasts are better again.
+    pub fn margin_ms(engine: &Candidate, prompt: &choice::Prompt) -> f64 {
+        match choice::load(engine) < 1.0 {
             true => 0.0,
             false => prompt.error_ms * MARGIN_ERRORS,
-        };
-        first_ms + margin_ms <= within_ms
+        }
+    }
+
+    /// Size of a request with this prefill time.
+    pub fn size(&self, prefill_ms: f64) -> size::Size {
+        size::Size::new(prefill_ms, self.mean_prefill_ms)
     }
 
     /// Largest delay beyond the forecast with which an idle engine is still of use to the caller.
--- a/ragwortdeal_core/src/dispatch/gate.rs
+++ b/ragwortdeal_core/src/dispatch/gate.rs
@@ -3,7 +3,7 @@
 //! `docs/design/overload.md` compares the rules.
 
 use super::{
-    caller_time,
+    bounds, caller_time,
     choice::{self, Candidate},
     forecast, level_order, priority, reserve, retry_after, standing_queue,
 };
@@ -107,6 +107,21 @@
         Ok(Choice { engine, forecast_ms, starts_first })
     }
 
+    /// Which bounds kept a rejected request from the engines.
+    pub fn explain(&self, engines: &[Candidate], work: &Work<'_>, now_ms: u64) -> bounds::Refused {
+        let mean_pace = engines.first().map_or(1.0, |engine| engine.pace.mean());
+        let latency_model = work.latency_model.with_mean_pace(mean_pace);
+        let work = &Work { latency_model, ..*work };
+        let share = work.class.map_or(1.0, |it| self.level_order.share_up_to(it.level, now_ms));
+        let prompt = self.prompt(work, now_ms);
+        let error_ms = prompt.error_ms;
+        let mut refused = bounds::Refused { mean_pace, error_ms, ..bounds::Refused::default() };
+        for engine in self.as_found(engines, work, &prompt, share, now_ms) {
+            refused.count(&engine, bounds::Exceeded::at(&engine, &latency_model, &prompt));
+        }
+        refused
+    }
+
     /// When there will be room for a rejected request: as soon as one of the engines has done the
     /// work ahead of it, and then for as many as there are slots.
     pub fn room(&self, engines: &[Candidate], work: &Work<'_>) -> retry_after::Room {
--- a/ragwortdeal_core/tests/dispatch_forecast.rs
+++ b/ragwortdeal_core/tests/dispatch_forecast.rs
@@ -4,6 +4,7 @@
 
 use googletest::prelude::*;
 use ragwortdeal_core::dispatch::{
+    bounds::Exceeded,
     caller_time::CallerTime,
     choice::{self, Candidate, Prompt},
     forecast::{self, ExcessDelay, ForecastError, LatencyModel},
@@ -269,9 +270,11 @@
 fn longest_forecast_ms(error: &ForecastError) -> f64 {
     let busy = Candidate { open: 8, ..idle() };
     let prompt = Prompt { error_ms: error.mean_ms(), ..prompt() };
-    let is_in_time =
-        |first_ms: &u32| latency_model().is_in_time(&busy, &prompt, f64::from(*first_ms));
-    (0..1_000).filter(is_in_time).max().map_or(0.0, f64::from)
+    let delayed =
+        (0..1_000).map(|delay_ms| Candidate { excess_delay_ms: f64::from(delay_ms), ..busy });
+    let sent = delayed.filter(|it| !Exceeded::at(it, &latency_model(), &prompt).any());
+    let forecasts = sent.map(|it| latency_model().first_event_ms(&it, prompt.prefill_ms));
+    forecasts.fold(0.0, f64::max)
 }
 
 /// Guards against forecasts that use up the whole time, so that every second caller leaves.
--- a/ragwortdeal_node/src/fleet/entry/outcome.rs
+++ b/ragwortdeal_node/src/fleet/entry/outcome.rs
@@ -98,6 +98,7 @@
             request = request.id(), upstream = &**instance, route = &*request.route.name,
             forecast_ms = selected.forecast_ms.map_or(0, |ms| ms as u64), took_ms,
             open = selected.candidate.open, elsewhere = selected.candidate.peer_open as u64,
+            prefill_ms = request.reading_ms as u64, answer_tokens_max = request.answer_tokens as u64,
             attempt, version = selected.version.unwrap_or(0),
             reported_version = selected.reported_version,
             superseded_ms = selected.superseded_ms(), held_ms, limit_per_s,
--- a/ragwortdeal_node/src/fleet/entry/relay.rs
+++ b/ragwortdeal_node/src/fleet/entry/relay.rs
@@ -248,6 +248,7 @@
                 "entry: stream cut"
             );
             self.entry.telemetry.count("entry.streams_cut", 1);
+            self.entry.count_by_size("entry.streams_cut", &self.request);
             // The connection is closed without the end of the body, so that the caller cannot take
             // the part for the whole.
             let _ = sender.send(Err(io::Error::other(failure))).await;
@@ -299,6 +300,7 @@
             "entry: left by its caller"
         );
         self.entry.telemetry.count("entry.callers_left", 1);
+        self.entry.count_by_size("entry.callers_left", &self.request);
     }
 
     /// Resumes at another upstream after the last event that was forwarded.
--- a/ragwortdeal_node/src/fleet/entry/request.rs
+++ b/ragwortdeal_node/src/fleet/entry/request.rs
@@ -7,7 +7,7 @@
     directory,
     dispatch::{
         caller_time, forecast, gate, isolation::fingerprint, priority, prompt, residency,
-        retry_after,
+        retry_after, size,
     },
     document,
     document::table,
@@ -134,6 +134,11 @@
         })
     }
 
+    /// Its size, if its service is one of engines.
+    pub(super) fn size(&self) -> Option<size::Size> {
+        Some(self.latency_model?.size(self.reading_ms))
+    }
+
     /// The identifier as text, for logs.
     pub(super) fn id(&self) -> &str {
         self.id.to_str().unwrap_or("?")
@@ -150,11 +155,13 @@
     pub(super) closes: bool,
     /// Level of the refused request, if those to its service are ordered.
     pub(super) level: Option<priority::Level>,
+    /// Size of the refused request, if its service is one of engines.
+    pub(super) size: Option<size::Size>,
 }
 
 impl Refusal {
     pub(super) fn new(status: u16, reason: &'static str) -> Self {
-        Self { status, reason, retry_after: None, closes: false, level: None }
+        Self { status, reason, retry_after: None, closes: false, level: None, size: None }
     }
 
     /// A refusal with a time after which to retry.
@@ -167,9 +174,9 @@
         Self { closes: true, ..self }
     }
 
-    /// The refusal of a request of this level.
-    pub(super) fn of_level(self, level: Option<priority::Level>) -> Self {
-        Self { level, ..self }
+    /// The refusal of this request.
+    pub(super) fn of_request(self, request: &CallerRequest) -> Self {
+        Self { level: request.level, size: request.size(), ..self }
     }
 }
 
@@ -320,7 +327,6 @@
             request = caller_request.id(), reason:% = error, account = caller_request.account.as_deref();
             "entry: the request body was not read"
         );
-        let level = caller_request.level;
         let refusal = match error {
             http::BodyError::TooLarge { .. } => Refusal::new(413, "the body is too large"),
             http::BodyError::NoRoom => {
@@ -333,7 +339,7 @@
             http::BodyError::Late => Refusal::new(408, "the body did not come in time"),
             http::BodyError::Cut { .. } => Refusal::new(400, "the body is malformed or was cut"),
         };
-        Err(refusal.closing().of_level(level))
+        Err(refusal.closing().of_request(&caller_request))
     }
 }
 
--- a/ragwortdeal_node/src/fleet/entry/serve.rs
+++ b/ragwortdeal_node/src/fleet/entry/serve.rs
@@ -6,7 +6,11 @@
 };
 
 use hyper::{header, http::response};
-use ragwortdeal_core::{directory, dispatch::retry_after, document};
+use ragwortdeal_core::{
+    directory,
+    dispatch::{bounds, gate, retry_after, size},
+    document,
+};
 
 use super::{
     Entry, exchange, planned_stop, pool, relay, request,
@@ -46,20 +50,26 @@
 fn refused(entry: &Entry, id: Option<&header::HeaderValue>, refusal: &Refusal) -> http::Response {
     let text = id.and_then(|id| id.to_str().ok()).unwrap_or("?");
     let document = entry.held_version.load(atomic::Ordering::Relaxed);
-    let Refusal { status, reason, level, .. } = *refusal;
+    let Refusal { status, reason, level, size, .. } = *refusal;
+    let size_name = size.map_or("unknown", size::Size::name);
     match level {
         Some(level) => log::info!(
-            request = text, status, reason, document, priority_level = level.number() as u64;
+            request = text, status, reason, document, size = size_name,
+            priority_level = level.number() as u64;
             "entry: refused: {reason}"
         ),
         None => log::info!(
-            request = text, status, reason, document; "entry: refused: {reason}"
+            request = text, status, reason, document, size = size_name;
+            "entry: refused: {reason}"
         ),
     }
     entry.telemetry.count("entry.refused", 1);
     if let Some(level) = level {
         entry.telemetry.count(&format!("entry.refused_level_{}", level.number()), 1);
     }
+    if let Some(size) = size {
+        entry.telemetry.count(&format!("entry.refused_{}", size.name()), 1);
+    }
     let body = http::full(format!("{}\n", refusal.reason));
     let mut response = http::respond(refusal.status, "text/plain", body);
     if let Some(id) = id {
@@ -112,10 +122,12 @@
             "entry: left by its caller before an answer"
         );
         self.entry.telemetry.count("entry.callers_left", 1);
+        self.entry.count_by_size("entry.callers_left", &self.request);
     }
 }
 
 async fn serve(entry: &sync::Arc<Entry>, request: CallerRequest) -> http::Response {
+    entry.count_by_size("entry.requests", &request);
     let request = sync::Arc::new(request);
     let mut pending =
         PendingRequest { entry, request: request.clone(), upstream: None, finished: false };
@@ -129,7 +141,7 @@
             Some(_) => Refusal::new(504, "no answer came before the process stops"),
             None => planned_stop::PlannedStop::refusal(),
         };
-        refused(entry, Some(&request.id), &refusal.of_level(request.level))
+        refused(entry, Some(&request.id), &refusal.of_request(&request))
     })
 }
 
@@ -143,7 +155,7 @@
         let selected = match entry.next_upstream(request, &mut progress).await {
             Ok(selected) => selected,
             Err(refusal) => {
-                return refused(entry, Some(&request.id), &refusal.of_level(request.level));
+                return refused(entry, Some(&request.id), &refusal.of_request(request));
             }
         };
         pending.upstream = Some(selected.peer.instance.clone());
@@ -251,7 +263,10 @@
                 self.telemetry.count("entry.refused_outside_regions", 1);
                 self.refuse_outage(request, "no upstream in the regions where it may be served")
             }
-            selection::Unavailable::AllFull { room } => {
+            selection::Unavailable::AllFull { room, bounds } => {
+                if let (Some(work), Some(bounds)) = (&criteria.work, bounds) {
+                    self.record_exceeded_bounds(request, work, &bounds);
+                }
                 self.refuse_until_room(request, room, "all upstreams are full")
             }
             selection::Unavailable::HeldBack { retry_after_ms } => {
@@ -274,6 +289,48 @@
         Ok(selected)
     }
 
+    /// Logs which bounds kept a request from all engines, and counts them.
+    fn record_exceeded_bounds(
+        &self,
+        request: &CallerRequest,
+        work: &gate::Work<'_>,
+        refused: &bounds::Refused,
+    ) {
+        let bounds::Refused { engines, with_slot, .. } = *refused;
+        log::info!(
+            request = request.id(), engines, with_slot, by_queue = refused.by_queue,
+            by_pause = refused.by_pause, by_first_event = refused.by_first_event,
+            by_answer = refused.by_answer, by_superseded = refused.by_superseded,
+            prefill_ms = work.prefill_ms as u64, answer_tokens_max = work.answer_tokens as u64,
+            first_event_within_ms = work.time.first_event_ms as u64,
+            answer_within_ms = work.time.answer_ms as u64,
+            pace_percent = (refused.mean_pace * 100.0) as u64, error_ms = refused.error_ms as u64;
+            "entry: exceeds a bound at all engines"
+        );
+        let counted = [
+            ("queue", refused.by_queue),
+            ("pause", refused.by_pause),
+            ("first_event", refused.by_first_event),
+            ("answer", refused.by_answer),
+            ("superseded", refused.by_superseded),
+        ];
+        for (bound, at_engines) in counted {
+            if at_engines > 0 {
+                self.telemetry.count(&format!("entry.refused_by_{bound}"), 1);
+            }
+        }
+        if with_slot > 0 {
+            self.telemetry.count("entry.refused_with_free_slots", 1);
+        }
+    }
+
+    /// Counts a request to engines by its size.
+    pub(super) fn count_by_size(&self, counter: &str, request: &CallerRequest) {
+        if let Some(size) = request.size() {
+            self.telemetry.count(&format!("{counter}_{}", size.name()), 1);
+        }
+    }
+
     /// Asks the retry budget for one more attempt.
     fn try_retry(&self, request: &CallerRequest, now_ms: u64) -> bool {
         let service = &request.service;
@@ -316,7 +373,7 @@
         }
         Err(whole_answer::Failure::NoMemory) => {
             let refusal = Refusal::new(502, "answers take too much memory");
-            return Some(refused(entry, Some(&request.id), &refusal.of_level(request.level)));
+            return Some(refused(entry, Some(&request.id), &refusal.of_request(request)));
         }
     };
     record_whole(entry, request, selected);
--- a/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/selection.rs
@@ -4,7 +4,7 @@
 
 use ragwortdeal_core::{
     directory,
-    dispatch::{choice, gate, residency, retry_after},
+    dispatch::{bounds, choice, gate, residency, retry_after},
 };
 
 use super::{
@@ -151,7 +151,11 @@
     /// No upstream that accepts work is in a region where the request may be served.
     OutsideAllowedRegions,
     /// All upstreams that accept work are full.
-    AllFull { room: Option<retry_after::Room> },
+    AllFull {
+        room: Option<retry_after::Room>,
+        /// The bounds that the request would exceed, if they are engines.
+        bounds: Option<bounds::Refused>,
+    },
     /// All upstreams that accept work have asked for less of it than there is.
     HeldBack {
         /// Milliseconds until one of them takes a request.
@@ -307,13 +311,27 @@
             }
             let room = self.room(&candidates, criteria);
             match rejection {
-                gate::Rejection::Full => Unavailable::AllFull { room },
+                gate::Rejection::Full => {
+                    let bounds = self.exceeded_bounds(&candidates, criteria, now_ms);
+                    Unavailable::AllFull { room, bounds }
+                }
                 gate::Rejection::MoreUrgentFirst => Unavailable::MoreUrgentFirst { room },
                 gate::Rejection::AboveFairShare => Unavailable::AboveFairShare { room },
             }
         })
     }
 
+    /// The bounds that kept a request from all engines.
+    fn exceeded_bounds(
+        &self,
+        candidates: &[choice::Candidate],
+        criteria: &Criteria<'_>,
+        now_ms: u64,
+    ) -> Option<bounds::Refused> {
+        let gate = self.gates.get(criteria.service)?;
+        Some(gate.explain(candidates, criteria.work.as_ref()?, now_ms))
+    }
+
     /// When there will be room for a request, if it can be told.
     fn room(
         &self,
