Show in the model that slow engines get no requests at all

Three of seven new cases are red and listed: engines that all take twice or three times as long as documented, with callers that tell the same upper bound of their answers, as callers of a fleet do. Every request is refused (1.000 of them, answered 0.000) at 0.75 of what the engines can do, with all slots free. The four cases with engines as documented, or slow ones that do not tell it, pass.

The model's callers told the exact length of their answers before, so none of its tests could see this. They still may (Told::Exactly); what it counts of large prompts and of refusals is new.

--- a/ragwortdeal_core/tests/overload/fleet.rs
+++ b/ragwortdeal_core/tests/overload/fleet.rs
@@ -28,7 +28,10 @@
 /// Time that one count of the waits covers, in milliseconds.
 const WAIT_STEP_MS: u64 = 20;
 
-/// Relative size from which a request counts as large: about the largest tenth.
+/// Largest prompt and longest answer, in means of their kind.
+pub const LONGEST_MEANS: f64 = 3.0 / 0.95;
+
+/// Relative size from which a request or a prompt counts as large: about the largest tenth.
 const LARGE_SIZE: f64 = 1.9;
 
 /// A kind of request.
@@ -54,6 +57,17 @@
     pub report_ms: Option<u64>,
     /// How the pace of engines varies, if it does.
     pub paces: Option<Paces>,
+    /// What callers tell of their answers.
+    pub told: Told,
+}
+
+/// What callers tell of the number of tokens of their answers.
+#[derive(Clone, Copy, Debug)]
+pub enum Told {
+    /// Their number.
+    Exactly,
+    /// The same upper bound for all of them.
+    AtMost(f64),
 }
 
 /// Engines that are slow for some time, each on its own.
@@ -134,6 +148,9 @@
 pub struct Outcome {
     pub all: Answered,
     pub large: Answered,
+    pub large_prompts: Answered,
+    /// Callers that were refused in the end.
+    refused: u64,
     pub by_kind: [Answered; KINDS_MAX],
     /// Engine time of all requests, and of the answered ones, in milliseconds.
     requested_ms: f64,
@@ -167,6 +184,16 @@
         self.large.fraction() / self.all.fraction()
     }
 
+    /// Fraction of requests with large prompts that are answered, relative to that of all requests.
+    pub fn large_prompt_share(&self) -> f64 {
+        self.large_prompts.fraction() / self.all.fraction()
+    }
+
+    /// Fraction of the requests that were refused in the end.
+    pub fn refused_fraction(&self) -> f64 {
+        self.refused as f64 / self.all.requests.max(1) as f64
+    }
+
     /// Time in milliseconds within which this fraction of the answered callers got the first event.
     pub fn wait_ms(&self, fraction: f64) -> u64 {
         let started: u64 = self.waits.iter().sum();
@@ -197,13 +224,15 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             formatter,
-            "answered {:.3}, useful work {:.3}, abandoned {:.3}, paused {:.3}, large share {:.2}, \
-             first event in {}, {}, {} ms for 50, 90, 99 in 100; by kind",
+            "answered {:.3}, refused {:.3}, useful work {:.3}, abandoned {:.3}, paused {:.3}, \
+             large share {:.2}, of prompts {:.2}, first event in {}, {}, {} ms for 50, 90, 99 in 100; by kind",
             self.all.fraction(),
+            self.refused_fraction(),
             self.useful_work(),
             self.abandoned_fraction(),
             self.paused_fraction(),
             self.large_share(),
+            self.large_prompt_share(),
             self.wait_ms(0.5),
             self.wait_ms(0.9),
             self.wait_ms(0.99),
@@ -222,6 +251,7 @@
     answer_tokens: f64,
     prefill_ms: f64,
     is_large: bool,
+    has_large_prompt: bool,
     counts: bool,
     sent: Option<Sent>,
     started: bool,
@@ -371,6 +401,7 @@
             self.outcome.all.requests += 1;
             self.outcome.by_kind[caller.kind].requests += 1;
             self.outcome.large.requests += u64::from(caller.is_large);
+            self.outcome.large_prompts.requests += u64::from(caller.has_large_prompt);
         }
         self.callers.push(caller);
         let caller = self.callers.len() - 1;
@@ -385,8 +416,8 @@
         });
         let kind = kind.unwrap_or(0);
         let Kind { prompt_tokens, answer_tokens, .. } = self.setup.kinds[kind];
-        // Truncated at three times the mean, which lowers the mean by a twentieth.
-        let mut size = || (-(1.0 - self.random.random::<f64>()).ln()).min(3.0) / 0.95;
+        // The truncation lowers the mean by a twentieth.
+        let mut size = || (-(1.0 - self.random.random::<f64>()).ln() / 0.95).min(LONGEST_MEANS);
         let (prompt, answer) = (prompt_tokens * size(), (answer_tokens * size()).max(1.0));
         let size = (prompt + 10.0 * answer) / (prompt_tokens + 10.0 * answer_tokens);
         Caller {
@@ -398,6 +429,7 @@
             answer_tokens: answer,
             prefill_ms: forecast::prefill_ms(&self.setup.engine, prompt),
             is_large: size > LARGE_SIZE,
+            has_large_prompt: prompt > prompt_tokens * LARGE_SIZE,
             counts: now_ms >= self.counted_from_ms,
             sent: None,
             started: false,
@@ -414,7 +446,10 @@
             engines: &engines,
             latency_model: self.latency_model,
             prefill_ms: caller.prefill_ms,
-            answer_tokens: caller.answer_tokens,
+            answer_tokens: match self.setup.told {
+                Told::Exactly => caller.answer_tokens,
+                Told::AtMost(tokens) => tokens,
+            },
             level: self.setup.kinds[caller.kind].level,
             time: caller_time::CallerTime {
                 first_event_ms: remaining_ms.min(FIRST_EVENT_TIMEOUT_MS) as f64,
@@ -436,7 +471,7 @@
                 );
                 self.after_ms(remaining_ms, Event::CallerTimeout { caller: index, over: true });
             }
-            Err(_) if is_retry => (),
+            Err(_) if is_retry => self.outcome.refused += u64::from(caller.counts),
             Err(after_ms) => {
                 // A retry uses another connection, so often another entry.
                 self.callers[index].entry = self.random.random_range(0..self.setup.entries);
@@ -536,6 +571,7 @@
         outcome.all.answered += 1;
         outcome.by_kind[caller.kind].answered += 1;
         outcome.large.answered += u64::from(caller.is_large);
+        outcome.large_prompts.answered += u64::from(caller.has_large_prompt);
         outcome.paused += u64::from(caller.paused);
     }
 
--- a/ragwortdeal_core/tests/overload/main.rs
+++ b/ragwortdeal_core/tests/overload/main.rs
@@ -3,6 +3,7 @@
 mod engine;
 mod fleet;
 mod paces;
+mod slow_engines;
 
 use googletest::prelude::*;
 use ragwortdeal_core::{
@@ -111,6 +112,7 @@
         kinds,
         report_ms: Some(100),
         paces: None,
+        told: fleet::Told::Exactly,
     }
 }
 
@@ -141,6 +143,7 @@
         kinds,
         report_ms: Some(100),
         paces: None,
+        told: fleet::Told::Exactly,
     }
 }
 
