Expect answers of their usual length where a slot is free

Callers saw refusals, 'all upstreams are full', while every engine had free slots: with engines that take twice as long as documented a third to half of all requests, with three times nine in ten, large prompts first.

Cause: callers tell an upper bound of the tokens of their answers, 360 for all of them where the mean is 119, and the gate took it for the length. Times the pace of a slow engine no caller had time for it, whatever stood at the engine, idle ones included.

The mean of the bounds against the documented mean of the answers tells how far beyond them they are, and where a slot is free a request needs time for an answer of the usual length alone: a refusal would serve nobody sooner. One that waits for a slot still has to leave time for the longest, or long answers would be cut. At an idle engine a reported pace keeps nobody away.

--- a/ragwortdeal_core/src/dispatch.rs
+++ b/ragwortdeal_core/src/dispatch.rs
@@ -2,6 +2,7 @@
 //!
 //! Modules here need no network. `docs/design/platform.md` compares the policies.
 
+pub mod answer_length;
 pub mod answer_memory;
 pub mod answer_time;
 pub mod backlog;
--- a/ragwortdeal_core/src/dispatch/bounds.rs
+++ b/ragwortdeal_core/src/dispatch/bounds.rs
@@ -31,7 +31,7 @@
         prompt: &choice::Prompt,
     ) -> Self {
         let first_ms = latency_model.first_event_ms(engine, prompt.prefill_ms);
-        let rest_ms = latency_model.rest_ms(engine, prompt.answer_tokens);
+        let rest_ms = latency_model.least_rest_ms(engine, &prompt.answer);
         let margin_ms = forecast::LatencyModel::margin_ms(engine, prompt);
         let is_idle = choice::load(engine) < 1.0;
         let waiting = choice::load(engine) + 1.0 - f64::from(engine.slots);
--- a/ragwortdeal_core/src/dispatch/choice.rs
+++ b/ragwortdeal_core/src/dispatch/choice.rs
@@ -1,6 +1,6 @@
 //! Selection of the upstream that serves a request.
 
-use super::{bounds, caller_time, forecast, pace};
+use super::{answer_length, bounds, caller_time, forecast, pace};
 
 /// An upstream that may serve a request, as one entry sees it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -110,8 +110,8 @@
 pub struct Prompt {
     /// Prefill time of the prompt, in milliseconds.
     pub prefill_ms: f64,
-    /// Largest number of tokens of the answer, as far as it is still to be written.
-    pub answer_tokens: f64,
+    /// Length of the answer, as far as it is still to be written.
+    pub answer: answer_length::Tokens,
     /// Time of the caller.
     pub time: caller_time::CallerTime,
     /// Mean error of forecasts, in milliseconds.
@@ -143,9 +143,9 @@
         let first_ms = latency_model.first_event_ms(candidate, prompt.prefill_ms);
         let zone_ms = if candidate.same_zone { 0.0 } else { prompt.error_ms };
         let ramp_up_ms = if candidate.ramping_up { RAMP_UP_MS } else { 0.0 };
-        let shared_ms = latency_model.shared_steps_ms(load(candidate), prompt.answer_tokens);
+        let shared_ms = latency_model.shared_steps_ms(load(candidate), prompt.answer.expected);
         // A failed attempt is repeated once, which takes the time of an answer again.
-        let answer_ms = first_ms + latency_model.rest_ms(candidate, prompt.answer_tokens);
+        let answer_ms = first_ms + latency_model.rest_ms(candidate, prompt.answer.expected);
         let repeated_ms = answer_ms * candidate.failure_rate;
         first_ms + zone_ms + ramp_up_ms + shared_ms + repeated_ms
     };
--- a/ragwortdeal_core/src/dispatch/forecast.rs
+++ b/ragwortdeal_core/src/dispatch/forecast.rs
@@ -8,6 +8,7 @@
 use crate::document;
 
 use super::{
+    answer_length,
     choice::{self, Candidate},
     pace, size, standing_queue,
 };
@@ -119,6 +120,22 @@
         engine.pace.duration_ms(answer_tokens * step_ms * (1.0 + interleaved))
     }
 
+    /// Time that must be left for the rest of an answer when its first event comes, in
+    /// milliseconds.
+    ///
+    /// A request that waits for a slot must leave time for the longest answer that its caller allows,
+    /// or long answers would be the ones that are cut. Where a slot is free, a refusal serves nobody
+    /// sooner, and most answers are much shorter. At an idle engine the reported pace does not count
+    /// either: while it keeps all requests away, no answer shows that it is wrong.
+    pub fn least_rest_ms(&self, engine: &Candidate, answer: &answer_length::Tokens) -> f64 {
+        if choice::load(engine) < 1.0 {
+            let usual = Candidate { pace: pace::Expected::default(), ..*engine };
+            return self.rest_ms(&usual, answer.expected);
+        }
+        let tokens = if choice::has_slot(engine) { answer.expected } else { answer.longest };
+        self.rest_ms(engine, tokens)
+    }
+
     /// By how much the steps of an answer are longer beside this load, in milliseconds.
     pub fn shared_steps_ms(&self, load: f64, answer_tokens: f64) -> f64 {
         load * self.step_per_request_ms * answer_tokens
@@ -142,7 +159,7 @@
 
     /// Largest delay beyond the forecast with which an idle engine is still of use to the caller.
     pub fn excess_delay_max_ms(&self, prompt: &choice::Prompt) -> f64 {
-        let rest_ms = self.rest_ms(&Candidate::default(), prompt.answer_tokens);
+        let rest_ms = self.rest_ms(&Candidate::default(), prompt.answer.expected);
         let within_ms = prompt.time.for_first_event_ms(rest_ms);
         (within_ms - self.idle_ms(prompt.prefill_ms)).max(0.0)
     }
--- a/ragwortdeal_core/src/dispatch/gate.rs
+++ b/ragwortdeal_core/src/dispatch/gate.rs
@@ -3,7 +3,7 @@
 //! `docs/design/overload.md` compares the rules.
 
 use super::{
-    bounds, caller_time,
+    answer_length, bounds, caller_time,
     choice::{self, Candidate},
     forecast, level_order, priority, reserve, retry_after, standing_queue,
 };
@@ -20,7 +20,8 @@
     pub pause_max_ms: u64,
     /// Prefill time of the prompt in milliseconds.
     pub prefill_ms: f64,
-    /// Largest number of tokens of the answer, as far as it is still to be written.
+    /// Largest number of tokens of the answer that the caller allows, as far as it is still to be
+    /// written.
     pub answer_tokens: f64,
     /// Whether it was admitted before and goes on elsewhere. It is no new work, so neither the bound
     /// on standing queues, its class, nor a longer pause of other streams keep its caller from the
@@ -77,6 +78,7 @@
     /// and all of them fill what they take for its free capacity.
     excess: forecast::ExcessDelay,
     error: forecast::ForecastError,
+    answer_length: answer_length::AnswerLength,
     standing_queue: standing_queue::StandingQueue,
     level_order: level_order::LevelOrder,
 }
@@ -90,9 +92,11 @@
         now_ms: u64,
         draw: u64,
     ) -> Result<Choice, Rejection> {
-        let mean_pace = engines.first().map_or(1.0, |engine| engine.pace.mean());
-        let latency_model = work.latency_model.with_mean_pace(mean_pace);
-        let work = &Work { latency_model, ..*work };
+        if !work.admitted {
+            let mean_tokens = work.latency_model.mean_answer_tokens();
+            self.answer_length.record(work.answer_tokens, mean_tokens);
+        }
+        let work = &at_mean_pace(engines, work);
         self.standing_queue.observe(engines, now_ms);
         let question = Question { engines, work, now_ms, draw };
         let share = work.class.map_or(1.0, |it| self.level_order.share_up_to(it.level, now_ms));
@@ -110,14 +114,13 @@
     /// Which bounds kept a rejected request from the engines.
     pub fn explain(&self, engines: &[Candidate], work: &Work<'_>, now_ms: u64) -> bounds::Refused {
         let mean_pace = engines.first().map_or(1.0, |engine| engine.pace.mean());
-        let latency_model = work.latency_model.with_mean_pace(mean_pace);
-        let work = &Work { latency_model, ..*work };
+        let work = &at_mean_pace(engines, work);
         let share = work.class.map_or(1.0, |it| self.level_order.share_up_to(it.level, now_ms));
         let prompt = self.prompt(work, now_ms);
         let error_ms = prompt.error_ms;
         let mut refused = bounds::Refused { mean_pace, error_ms, ..bounds::Refused::default() };
         for engine in self.as_found(engines, work, &prompt, share, now_ms) {
-            refused.count(&engine, bounds::Exceeded::at(&engine, &latency_model, &prompt));
+            refused.count(&engine, bounds::Exceeded::at(&engine, &work.latency_model, &prompt));
         }
         refused
     }
@@ -125,8 +128,7 @@
     /// When there will be room for a rejected request: as soon as one of the engines has done the
     /// work ahead of it, and then for as many as there are slots.
     pub fn room(&self, engines: &[Candidate], work: &Work<'_>) -> retry_after::Room {
-        let mean_pace = engines.first().map_or(1.0, |engine| engine.pace.mean());
-        let latency_model = work.latency_model.with_mean_pace(mean_pace);
+        let latency_model = at_mean_pace(engines, work).latency_model;
         let ahead_ms = |engine| latency_model.work_ahead_ms(engine, work.prefill_ms);
         let soonest_ms = engines.iter().map(ahead_ms).min_by(f64::total_cmp);
         retry_after::Room {
@@ -170,7 +172,7 @@
     fn prompt(&self, work: &Work<'_>, now_ms: u64) -> choice::Prompt {
         choice::Prompt {
             prefill_ms: work.prefill_ms,
-            answer_tokens: work.answer_tokens,
+            answer: self.answer_length.tokens(work.answer_tokens),
             time: work.time,
             error_ms: self.error.mean_ms(),
             pause_max_ms: match work.pause_max_ms {
@@ -291,3 +293,9 @@
         Some(open[chosen])
     }
 }
+
+/// The work for engines of the mean pace that these have.
+fn at_mean_pace<'w>(engines: &[Candidate], work: &Work<'w>) -> Work<'w> {
+    let mean_pace = engines.first().map_or(1.0, |engine| engine.pace.mean());
+    Work { latency_model: work.latency_model.with_mean_pace(mean_pace), ..*work }
+}
--- a/ragwortdeal_core/tests/dispatch_cutoff.rs
+++ b/ragwortdeal_core/tests/dispatch_cutoff.rs
@@ -3,6 +3,7 @@
 use googletest::prelude::*;
 use ragwortdeal_core::{
     dispatch::{
+        answer_length::Tokens,
         caller_time::CallerTime,
         choice::{self, Candidate, Prompt},
         cutoff::{self, PathKnowledge},
@@ -110,7 +111,7 @@
     let model = forecast::LatencyModel::new(&engine);
     let prompt = Prompt {
         prefill_ms: 45.0,
-        answer_tokens: 0.0,
+        answer: Tokens::default(),
         time: CallerTime { first_event_ms: 500.0, answer_ms: 500.0 },
         error_ms: 80.0,
         pause_max_ms: f64::INFINITY,
--- a/ragwortdeal_core/tests/dispatch_forecast.rs
+++ b/ragwortdeal_core/tests/dispatch_forecast.rs
@@ -4,6 +4,7 @@
 
 use googletest::prelude::*;
 use ragwortdeal_core::dispatch::{
+    answer_length::Tokens,
     bounds::Exceeded,
     caller_time::CallerTime,
     choice::{self, Candidate, Prompt},
@@ -20,6 +21,12 @@
     LatencyModel::new(&figures::engine())
 }
 
+/// An answer of the mean length, of which the caller tells the length.
+fn mean_answer() -> Tokens {
+    let tokens = latency_model().mean_answer_tokens();
+    Tokens { expected: tokens, longest: tokens }
+}
+
 fn idle() -> Candidate {
     Candidate { slots: 16, same_zone: true, ..Candidate::default() }
 }
@@ -27,7 +34,7 @@
 fn prompt() -> Prompt {
     Prompt {
         prefill_ms: latency_model().mean_prefill_ms(),
-        answer_tokens: 0.0,
+        answer: Tokens::default(),
         time: CallerTime { first_event_ms: TIME_MS, answer_ms: 6_000.0 },
         error_ms: 0.0,
         pause_max_ms: f64::INFINITY,
@@ -89,7 +96,7 @@
 /// slowly.
 #[googletest::test]
 fn the_emptier_of_two_engines_that_start_at_once_is_selected() {
-    let prompt = Prompt { answer_tokens: latency_model().mean_answer_tokens(), ..prompt() };
+    let prompt = Prompt { answer: mean_answer(), ..prompt() };
     let loads = [9, 3, 6].map(|open| Candidate { open, ..idle() });
     let chosen = |draw| choice::fastest_engine(&loads, &latency_model(), &prompt, draw);
     expect_that!([chosen(0), chosen(1), chosen(2)], each(some(eq(1))));
@@ -98,7 +105,7 @@
 /// Guards against engines that fail part of their requests and look as good as others.
 #[googletest::test]
 fn a_failing_engine_costs_the_time_of_a_repeat() {
-    let prompt = Prompt { answer_tokens: latency_model().mean_answer_tokens(), ..prompt() };
+    let prompt = Prompt { answer: mean_answer(), ..prompt() };
     let failing = Candidate { failure_rate: 0.2, ..idle() };
     let chosen = |delay_ms| {
         let slower = Candidate { open: 4, excess_delay_ms: delay_ms, ..idle() };
@@ -113,7 +120,7 @@
 #[googletest::test]
 fn an_engine_that_always_failed_is_tried_while_the_others_queue() {
     let prompt = Prompt {
-        answer_tokens: latency_model().mean_answer_tokens(),
+        answer: mean_answer(),
         time: CallerTime { first_event_ms: 2_300.0, answer_ms: 6_000.0 },
         ..prompt()
     };
--- a/ragwortdeal_core/tests/dispatch_pace.rs
+++ b/ragwortdeal_core/tests/dispatch_pace.rs
@@ -3,7 +3,9 @@
 mod figures;
 
 use googletest::prelude::*;
-use ragwortdeal_core::dispatch::{backlog, caller_time, choice, forecast, gate, pace, peer_load};
+use ragwortdeal_core::dispatch::{
+    answer_length::Tokens, backlog, caller_time, choice, forecast, gate, pace, peer_load,
+};
 use rand::{RngExt as _, SeedableRng as _};
 
 const REPORTS_MS: u64 = 100;
@@ -102,7 +104,10 @@
     let full = choice::Candidate { open: 20, ..idle[1] };
     let prompt = choice::Prompt {
         prefill_ms: model.mean_prefill_ms(),
-        answer_tokens: model.mean_answer_tokens(),
+        answer: Tokens {
+            expected: model.mean_answer_tokens(),
+            longest: model.mean_answer_tokens(),
+        },
         time: caller_time::CallerTime { first_event_ms: 400.0, answer_ms: 6_000.0 },
         error_ms: 0.0,
         pause_max_ms: f64::INFINITY,
--- a/ragwortdeal_core/tests/dispatch_ramp_up.rs
+++ b/ragwortdeal_core/tests/dispatch_ramp_up.rs
@@ -3,6 +3,7 @@
 use googletest::prelude::*;
 use ragwortdeal_core::{
     dispatch::{
+        answer_length::Tokens,
         backlog::{Backlog, PeerEntries, UpstreamInfo},
         caller_time::CallerTime,
         choice::{self, Prompt},
@@ -64,7 +65,10 @@
         engines[0].ramping_up = ramps_up && (now_ms as f64) < delay_ms;
         let prompt = Prompt {
             prefill_ms: mean_ms,
-            answer_tokens: model.mean_answer_tokens(),
+            answer: Tokens {
+                expected: model.mean_answer_tokens(),
+                longest: model.mean_answer_tokens(),
+            },
             time: CallerTime { first_event_ms: 400.0, answer_ms: 6_000.0 },
             error_ms: 0.0,
             pause_max_ms: f64::INFINITY,
