Hold slow engines to the pauses that the document allows

Large prompts were refused at every engine where any stream ran: where work takes twice or three times as long, the pause that their prompt causes by itself exceeds the promise.

Cause: the promise on pauses was compared with the present pace. Streams at a slow engine miss it whoever is refused there. The prompts that fit by the document may be read now, engines where the promise holds at their present pace go first, and a prompt that is beyond it alone goes where no other is to be read.

--- a/ragwortdeal_core/src/dispatch/bounds.rs
+++ b/ragwortdeal_core/src/dispatch/bounds.rs
@@ -13,7 +13,8 @@
 pub struct Exceeded {
     /// More requests would wait than may where the queue stands.
     pub queue: bool,
-    /// Other streams would pause for longer than is promised.
+    /// Other streams would pause for longer than is promised, at an engine that works as documented,
+    /// and not by this prompt alone.
     pub pause: bool,
     /// The first event would come too late.
     pub first_event: bool,
@@ -35,11 +36,11 @@
         let margin_ms = forecast::LatencyModel::margin_ms(engine, prompt);
         let is_idle = choice::load(engine) < 1.0;
         let waiting = choice::load(engine) + 1.0 - f64::from(engine.slots);
-        let pause_ms = latency_model.pause_ms(engine, prompt.prefill_ms);
+        let pause_ms = latency_model.least_pause_ms(engine, prompt.prefill_ms);
         let latest_ms = first_ms + prompt.error_ms;
         Self {
             queue: !is_idle && waiting > prompt.waiting_max,
-            pause: !is_idle && pause_ms > prompt.pause_max_ms,
+            pause: !is_idle && engine.has_unread() && pause_ms > prompt.pause_max_ms,
             first_event: first_ms + margin_ms > prompt.time.first_event_ms,
             answer: first_ms + margin_ms + rest_ms > prompt.time.answer_ms,
             superseded: engine.start_within_ms.is_some_and(|within_ms| latest_ms > within_ms),
--- a/ragwortdeal_core/src/dispatch/choice.rs
+++ b/ragwortdeal_core/src/dispatch/choice.rs
@@ -31,6 +31,13 @@
     pub ramping_up: bool,
 }
 
+impl Candidate {
+    /// Whether prompts of other requests are still to be read.
+    pub fn has_unread(&self) -> bool {
+        self.prefill_ms + self.peer_prefill_ms > 0.0
+    }
+}
+
 /// Load difference, in requests, up to which an upstream in the same zone is preferred to one in
 /// another zone. The cost of traffic between zones is worth a wait of about that many requests.
 const SAME_ZONE_REQUESTS: f64 = 4.0;
@@ -126,7 +133,8 @@
 /// The engine with the earliest first event, or `None` if none meets the requirements.
 ///
 /// Forecasts that differ by less than their error do not differ, and then an engine in the same zone
-/// is better for the caller: no link to another zone can be cut or congested meanwhile.
+/// is better for the caller: no link to another zone can be cut or congested meanwhile. Engines at
+/// which other streams pause no longer than is promised go before slow ones, where they cannot.
 pub fn fastest_engine(
     candidates: &[Candidate],
     latency_model: &forecast::LatencyModel,
@@ -138,7 +146,14 @@
     let order = (0..count).map(|step| (start + step) % count);
     let is_within =
         |candidate: &Candidate| !bounds::Exceeded::at(candidate, latency_model, prompt).any();
-    let within = order.filter(|&index| is_within(&candidates[index]));
+    let within: Vec<_> = order.filter(|&index| is_within(&candidates[index])).collect();
+    let keeps_pause = |candidate: &Candidate| {
+        let pause_ms = latency_model.pause_ms(candidate, prompt.prefill_ms);
+        load(candidate) < 1.0 || pause_ms <= prompt.pause_max_ms
+    };
+    let pauses_kept = within.iter().any(|&index| keeps_pause(&candidates[index]));
+    let preferred =
+        within.into_iter().filter(|&index| !pauses_kept || keeps_pause(&candidates[index]));
     let cost = |candidate: &Candidate| {
         let first_ms = latency_model.first_event_ms(candidate, prompt.prefill_ms);
         let zone_ms = if candidate.same_zone { 0.0 } else { prompt.error_ms };
@@ -149,7 +164,7 @@
         let repeated_ms = answer_ms * candidate.failure_rate;
         first_ms + zone_ms + ramp_up_ms + shared_ms + repeated_ms
     };
-    let costs = within.map(|index| (index, cost(&candidates[index])));
+    let costs = preferred.map(|index| (index, cost(&candidates[index])));
     cheapest(costs, candidates, draw)
 }
 
--- a/ragwortdeal_core/src/dispatch/forecast.rs
+++ b/ragwortdeal_core/src/dispatch/forecast.rs
@@ -180,6 +180,15 @@
         engine.pace.duration_ms(self.steps_ms + unread_ms.min(chunks_ms))
     }
 
+    /// The same at the usual pace, if that is shorter.
+    ///
+    /// Streams at a slow engine pause for longer whoever is refused there: the prompts that fit into
+    /// the promise by the document may still be read.
+    pub fn least_pause_ms(&self, engine: &Candidate, prefill_ms: f64) -> f64 {
+        let usual = Candidate { pace: pace::Expected::default(), ..*engine };
+        self.pause_ms(engine, prefill_ms).min(self.pause_ms(&usual, prefill_ms))
+    }
+
     /// Time to the first event of a request with this prefill time, in milliseconds.
     ///
     /// All the engine's work until then scales with its pace. The excess delay does not: it is
--- a/ragwortdeal_core/tests/dispatch_slow_engines.rs
+++ b/ragwortdeal_core/tests/dispatch_slow_engines.rs
@@ -58,8 +58,21 @@
     /// Guards against refusals for the time of the longest answer, which hardly any request gets.
     a_mean_prompt_goes_to_engines_of_twice_the_time_with_free_slots: 32.0, 2.0, 8 => true;
     a_mean_prompt_goes_to_engines_of_three_times_the_time_with_free_slots: 32.0, 3.0, 2 => true;
+    /// Guards against large prompts that are refused for pauses of streams which are slow anyway.
+    a_large_prompt_goes_to_engines_of_twice_the_time: 130.0, 2.0, 2 => true;
+    a_large_prompt_goes_to_engines_of_three_times_the_time: 130.0, 3.0, 2 => true;
+    /// Guards against prompts that alone exceed the promise and are refused wherever a stream runs.
+    a_prompt_beyond_the_promise_goes_to_an_engine_that_reads_no_other: 290.0, 1.0, 2 => true;
     /// Guards against engines that are never tried, so that no answer shows that they are quicker.
     a_mean_prompt_goes_to_idle_engines_that_report_an_implausible_time: 32.0, 9.0, 0 => true;
     /// Guards against long answers that are cut because requests waited for a slot.
     no_request_waits_where_the_longest_answer_would_be_late: 32.0, 2.0, 20 => false;
 }
+
+/// Guards against slow engines that get prompts while others keep the promise on pauses.
+#[googletest::test]
+fn engines_that_keep_the_promise_on_pauses_go_first() {
+    let engines = [engines(3.0, 2)[0], Candidate { open: 12, ..engines(1.0, 2)[0] }];
+    let chosen = Gate::default().choose(&engines, &work(130.0), 0, 0);
+    expect_that!(chosen.map(|it| it.engine), eq(Ok(1)));
+}
