Show that answers which end midway reach nobody as whole

Operators reported an engine that stopped in the middle of its answer's head and closed, after which clients got a 200 with an empty or short body, framed as whole (MIXED, ORDER). It does not happen here, and nothing is changed: the client library takes the end of a connection within a head for an error.

Shown by real processes on connections that brought a whole answer before, closed and reset by turns, at each line end and within each line of the head, and within bodies that tell their end: reads, transfers and streams, with a length, in chunks, without framing. Each caller got a 5xx where the head was cut; a stream that had begun was cut for its caller. Beside another engine such a stream is begun there. Not played: links between own processes.

--- a/ragwortdeal_standins/src/fleet/raw.rs
+++ b/ragwortdeal_standins/src/fleet/raw.rs
@@ -35,7 +35,30 @@
     },
 }
 
-/// An upstream that answers each request with the same bytes.
+/// What an upstream answers.
+#[derive(Clone, Debug)]
+pub enum Answers {
+    /// The same bytes to each request, after which the connection ends.
+    Same {
+        /// The bytes.
+        bytes: String,
+        /// How the connection ends.
+        ends: Ends,
+    },
+    /// The first request on each connection gets a whole answer, the second one the beginning of
+    /// another answer.
+    Cut {
+        /// The whole answer.
+        whole: String,
+        /// The answer of which the beginning comes.
+        cut: String,
+        /// How many bytes come of those that are cut, in this order, and how their connections end.
+        /// Answers after these are whole.
+        cuts: Vec<(usize, Ends)>,
+    },
+}
+
+/// An upstream that answers with given bytes.
 #[derive(Debug)]
 pub struct RawUpstream {
     /// Its identifier.
@@ -44,6 +67,8 @@
     pub address: net::SocketAddrV4,
     /// Identifiers of the requests that came.
     requests: sync::Mutex<Vec<String>>,
+    /// Those of them that got the beginning of an answer.
+    cut: sync::Mutex<Vec<String>>,
     taken_bytes: atomic::AtomicUsize,
 }
 
@@ -52,20 +77,20 @@
     pub async fn start(
         instance: &str,
         address: net::SocketAddrV4,
-        answer: &str,
-        ends: Ends,
+        answers: Answers,
     ) -> sync::Arc<Self> {
         let listener = tokio_net::TcpListener::bind(address).await.expect("a free address");
         let upstream = sync::Arc::new(Self {
             instance: instance.to_owned(),
             address,
             requests: sync::Mutex::default(),
+            cut: sync::Mutex::default(),
             taken_bytes: atomic::AtomicUsize::new(0),
         });
-        let (accepting, answer) = (upstream.clone(), answer.to_owned());
+        let accepting = upstream.clone();
         task::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                task::spawn(accepting.clone().serve(stream, answer.clone(), ends.clone()));
+                task::spawn(accepting.clone().serve(stream, answers.clone()));
             }
         });
         upstream
@@ -81,6 +106,11 @@
         self.ids().iter().any(|received| received == id)
     }
 
+    /// Identifiers of the requests that got the beginning of an answer.
+    pub fn cut(&self) -> Vec<String> {
+        self.cut.lock().expect("no panic under lock").clone()
+    }
+
     fn ids(&self) -> sync::MutexGuard<'_, Vec<String>> {
         self.requests.lock().expect("no panic under lock")
     }
@@ -90,20 +120,37 @@
         self.taken_bytes.load(atomic::Ordering::Relaxed)
     }
 
-    async fn serve(
-        self: sync::Arc<Self>,
-        mut stream: tokio_net::TcpStream,
-        answer: String,
-        ends: Ends,
-    ) {
+    async fn serve(self: sync::Arc<Self>, mut stream: tokio_net::TcpStream, answers: Answers) {
         let socket = socket2::SockRef::from(&stream);
         socket.set_send_buffer_size(SEND_BUFFER_BYTES).expect("a socket option");
-        let Some(id) = read_request(&mut stream).await else {
-            return;
-        };
-        self.ids().push(id.clone());
-        // A caller that left is no matter of this upstream.
-        let _ = stream.write_all(answer.replace("{id}", &id).as_bytes()).await;
+        let mut served = 0;
+        while let Some(id) = read_request(&mut stream).await {
+            self.ids().push(id.clone());
+            let (bytes, ends) = match &answers {
+                Answers::Same { bytes, ends } => (bytes.replace("{id}", &id), Some(ends.clone())),
+                Answers::Cut { whole, cut, cuts } => match self.next_cut(cuts, served, &id) {
+                    Some((at, ends)) => (cut.replace("{id}", &id)[..at].to_owned(), Some(ends)),
+                    None => (whole.replace("{id}", &id), None),
+                },
+            };
+            // A caller that left is no matter of this upstream.
+            let _ = stream.write_all(bytes.as_bytes()).await;
+            if let Some(ends) = ends {
+                return self.end(stream, ends).await;
+            }
+            served += 1;
+        }
+    }
+
+    /// The cut of the answer to a request on a connection that served so many before, if any is left.
+    fn next_cut(&self, cuts: &[(usize, Ends)], served: usize, id: &str) -> Option<(usize, Ends)> {
+        let mut cut = self.cut.lock().expect("no panic under lock");
+        let next = cuts.get(cut.len()).filter(|_| served > 0).cloned()?;
+        cut.push(id.to_owned());
+        Some(next)
+    }
+
+    async fn end(&self, stream: tokio_net::TcpStream, ends: Ends) {
         match ends {
             Ends::Closed => (),
             Ends::Reset => {
--- a/ragwortdeal_standins/src/fleet/world.rs
+++ b/ragwortdeal_standins/src/fleet/world.rs
@@ -295,10 +295,20 @@
         target: caller::Target,
         answer: &str,
         ends: raw::Ends,
+    ) -> sync::Arc<raw::RawUpstream> {
+        let answers = raw::Answers::Same { bytes: answer.to_owned(), ends };
+        self.raw_upstream_with(number, target, answers).await
+    }
+
+    /// Starts an upstream that answers so, and announces it.
+    pub async fn raw_upstream_with(
+        &self,
+        number: u8,
+        target: caller::Target,
+        answers: raw::Answers,
     ) -> sync::Arc<raw::RawUpstream> {
         let instance = format!("engine-{number}");
-        let upstream =
-            raw::RawUpstream::start(&instance, self.upstream(number), answer, ends).await;
+        let upstream = raw::RawUpstream::start(&instance, self.upstream(number), answers).await;
         let models = match target.weights() {
             0 => serde_json::json!([]),
             version => serde_json::json!([{"name": "model-a", "version": version, "adapters": []}]),
