Take slow engines for silent later

Cause: an engine counts as silent after four checks of 100 ms without an event, eight before the first one, whatever pace it reports. Streams of an engine that takes twice as long pause for longer while prompts are read.

--- a/ragwortdeal_core/src/dispatch/silence.rs
+++ b/ragwortdeal_core/src/dispatch/silence.rs
@@ -12,6 +12,10 @@
 /// The same before any first event, counted from when one was forecast.
 pub const SILENT_CHECKS_BEFORE_FIRST_EVENT_MAX: u32 = 8;
 
+/// Most checks for a slow upstream, whatever it reports: callers who get no event leave after 20, and
+/// another upstream has to send one before.
+pub const SILENT_CHECKS_SLOW_MAX: u32 = 10;
+
 /// What an upstream is to send next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Due {
@@ -27,12 +31,15 @@
 }
 
 impl Due {
-    fn silent_checks_max(self) -> u32 {
-        match self {
+    /// Silent checks after which an upstream counts as silent whose work takes `pace` times as long as
+    /// usual. Whole answers are measured, so they include the pace.
+    fn silent_checks_max(self, pace: f64) -> u32 {
+        let usual = match self {
             Due::NextEvent => SILENT_CHECKS_MAX,
             Due::FirstEvent => SILENT_CHECKS_BEFORE_FIRST_EVENT_MAX,
-            Due::Answer { silent_checks_max } => silent_checks_max,
-        }
+            Due::Answer { silent_checks_max } => return silent_checks_max,
+        };
+        ((f64::from(usual) * pace).ceil() as u32).clamp(usual, SILENT_CHECKS_SLOW_MAX)
     }
 }
 
@@ -45,6 +52,8 @@
     pub others_sent_data: bool,
     /// Data that is due: part of an answer, or any sign of life after the upstream became silent.
     pub due: Option<Due>,
+    /// How much longer than usual its work takes.
+    pub pace: f64,
 }
 
 /// Change of state found by a check.
@@ -75,7 +84,7 @@
             return None;
         };
         self.silent_checks += u32::from(observation.others_sent_data);
-        if self.silent_checks < due.silent_checks_max() {
+        if self.silent_checks < due.silent_checks_max(observation.pace) {
             return None;
         }
         self.silent_checks = 0;
--- a/ragwortdeal_node/src/fleet/entry/health.rs
+++ b/ragwortdeal_node/src/fleet/entry/health.rs
@@ -143,6 +143,7 @@
         &mut self,
         others_spoke: bool,
         answers: Option<WholeAnswers>,
+        service_pace: &pace::ServiceMean,
         now_ms: u64,
     ) -> Option<silence::Change> {
         let spoke = self.activity.was_active.swap(false, atomic::Ordering::Relaxed);
@@ -153,6 +154,7 @@
                 Some(answers) => self.due_answer(answers),
                 None => self.due_event(now_ms),
             },
+            pace: self.pace.expected(service_pace, now_ms).now(),
         })?;
         match change {
             silence::Change::Recovered => self.reset_failures(),
--- a/ragwortdeal_node/src/fleet/entry/upstreams/probing.rs
+++ b/ragwortdeal_node/src/fleet/entry/upstreams/probing.rs
@@ -43,8 +43,11 @@
                 );
             }
             let others_spoke = active > usize::from(health.was_active());
-            let Some(change) =
-                health.check_progress(others_spoke, answers.get(instance).copied(), now_ms)
+            let service = self.directory.get(instance).map(|it| &it.announcement.service);
+            let service_pace = service.and_then(|service| self.paces.get(service));
+            let service_pace = service_pace.copied().unwrap_or_default();
+            let due = answers.get(instance).copied();
+            let Some(change) = health.check_progress(others_spoke, due, &service_pace, now_ms)
             else {
                 continue;
             };
