Lose disks and all power together at the end of simulated runs

The simulation of replicas lost disks and crashed processes one at a time. Standbys lose nothing that counts: an acknowledgement needs synced disks of voters alone.

Also a lint and the width of lines in tests.

--- a/ragwortdeal_core/tests/dispatch_silence.rs
+++ b/ragwortdeal_core/tests/dispatch_silence.rs
@@ -126,7 +126,9 @@
 
 checks_of_a_slow_engine! {
     an_engine_of_twice_the_time_has_twice_the_checks: Due::NextEvent, 2.0 => 2 * SILENT_CHECKS_MAX;
-    callers_do_not_wait_for_an_engine_of_nine_times_the_time: Due::NextEvent, 9.0 => SILENT_CHECKS_SLOW_MAX;
-    a_first_event_of_twice_the_time_is_due_before_its_caller_leaves: Due::FirstEvent, 2.0 => SILENT_CHECKS_SLOW_MAX;
+    callers_do_not_wait_for_an_engine_of_nine_times_the_time:
+        Due::NextEvent, 9.0 => SILENT_CHECKS_SLOW_MAX;
+    a_first_event_of_twice_the_time_is_due_before_its_caller_leaves:
+        Due::FirstEvent, 2.0 => SILENT_CHECKS_SLOW_MAX;
     a_quick_engine_has_the_usual_checks: Due::NextEvent, 0.5 => SILENT_CHECKS_MAX;
 }
--- a/ragwortdeal_core/tests/dispatch_slow_engines.rs
+++ b/ragwortdeal_core/tests/dispatch_slow_engines.rs
@@ -43,7 +43,8 @@
 }
 
 macro_rules! sent {
-    ($($(#[$guards:meta])* $name:ident: $prefill_ms:expr, $pace:expr, $open:expr => $sent:expr;)*) => {
+    ($($(#[$guards:meta])* $name:ident:
+        $prefill_ms:expr, $pace:expr, $open:expr => $sent:expr;)*) => {
         $(
             $(#[$guards])*
             #[googletest::test]
--- a/ragwortdeal_core/tests/overload/fleet.rs
+++ b/ragwortdeal_core/tests/overload/fleet.rs
@@ -225,7 +225,8 @@
         write!(
             formatter,
             "answered {:.3}, refused {:.3}, useful work {:.3}, abandoned {:.3}, paused {:.3}, \
-             large share {:.2}, of prompts {:.2}, first event in {}, {}, {} ms for 50, 90, 99 in 100; by kind",
+             large share {:.2}, of prompts {:.2}, first event in {}, {}, {} ms for 50, 90, 99 in \
+             100; by kind",
             self.all.fraction(),
             self.refused_fraction(),
             self.useful_work(),
--- a/ragwortdeal_core/tests/overload/slow_engines.rs
+++ b/ragwortdeal_core/tests/overload/slow_engines.rs
@@ -52,5 +52,6 @@
     engines_twice_as_slow_serve_what_they_can_behind_many_entries: many_entries(), 2.0, true;
     engines_three_times_as_slow_serve_what_they_can: many_entries(), 3.0, true;
     engines_twice_as_slow_that_do_not_tell_serve_what_they_can: prefill_heavy(), 2.0, false;
-    engines_twice_as_slow_that_do_not_tell_serve_what_they_can_behind_many_entries: many_entries(), 2.0, false;
+    engines_twice_as_slow_that_do_not_tell_serve_what_they_can_behind_many_entries:
+        many_entries(), 2.0, false;
 }
--- a/ragwortdeal_core/tests/replication/exploration.rs
+++ b/ragwortdeal_core/tests/replication/exploration.rs
@@ -18,6 +18,7 @@
         injected: None,
         changing: true,
         refusing: false,
+        final_loss: false,
     }
 }
 
@@ -39,34 +40,44 @@
 fn explore_share(
     first: u64,
     runs: u64,
-    refusing: bool,
+    ending: Ending,
 ) -> std::result::Result<checks::Tally, String> {
     let seeds = (first..runs).step_by(THREADS as usize);
-    seeds.map(|seed| explore(seed, simulation::Plan { refusing, ..plan(seed) })).sum()
+    let Ending { refusing, final_loss } = ending;
+    seeds.map(|seed| explore(seed, simulation::Plan { refusing, final_loss, ..plan(seed) })).sum()
 }
 
 macro_rules! no_seed_breaks_an_invariant {
-    ($($case:ident: refusing $refusing:expr,)*) => {$(
+    ($($case:ident: refusing $refusing:expr, final_loss $final_loss:expr;)*) => {$(
         // Messages are delayed, lost, duplicated and reordered, processes crash, pause and lose
         // their disks, clocks run at different rates and the membership changes. A broken
         // invariant means that a committed change is lost, or that two operators were both told
         // that their conflicting change won.
         #[googletest::test]
         fn $case() -> googletest::Result<()> {
-            explore_all($refusing)
+            explore_all(Ending { refusing: $refusing, final_loss: $final_loss })
         }
     )*};
 }
 
 no_seed_breaks_an_invariant! {
-    no_seed_breaks_an_invariant: refusing false,
-    no_seed_breaks_an_invariant_where_disks_refuse_writes: refusing true,
+    no_seed_breaks_an_invariant: refusing false, final_loss false;
+    no_seed_breaks_an_invariant_where_disks_refuse_writes: refusing true, final_loss false;
+    no_seed_breaks_an_invariant_where_disks_and_power_are_lost_at_the_end:
+        refusing false, final_loss true;
+}
+
+/// How runs differ between the cases.
+#[derive(Clone, Copy, Debug)]
+struct Ending {
+    refusing: bool,
+    final_loss: bool,
 }
 
-fn explore_all(refusing: bool) -> googletest::Result<()> {
+fn explore_all(ending: Ending) -> googletest::Result<()> {
     let runs = runs();
     let outcomes = thread::scope(|scope| {
-        let share = |first| scope.spawn(move || explore_share(first, runs, refusing));
+        let share = |first| scope.spawn(move || explore_share(first, runs, ending));
         let handles: Vec<_> = (0..THREADS).map(share).collect();
         handles.into_iter().map(|handle| handle.join().expect("joined")).collect::<Vec<_>>()
     });
--- a/ragwortdeal_core/tests/replication/simulation.rs
+++ b/ragwortdeal_core/tests/replication/simulation.rs
@@ -37,6 +37,9 @@
     /// Whether a disk that fails a write only refuses it and keeps what was synced; otherwise it is
     /// lost.
     pub refusing: bool,
+    /// Whether the faults end with the loss of as many disks as the group bears, while all other
+    /// processes lose power.
+    pub final_loss: bool,
 }
 
 const TICK_MS: u64 = 20;
@@ -101,6 +104,9 @@
         while self.now_ms < self.plan.duration_ms {
             self.step()?;
         }
+        if self.plan.final_loss {
+            self.lose_disks_and_power();
+        }
         self.end_faults();
         let faults_ended_ms = self.now_ms;
         while !self.unrecoverable() && !self.recovered() {
@@ -337,6 +343,19 @@
         target.applied = 0;
     }
 
+    /// As many disks are lost as the group bears, and all other processes lose power at the same
+    /// moment.
+    fn lose_disks_and_power(&mut self) {
+        let count = self.nodes.len();
+        let first = self.random.random_range(0..count);
+        for node in (first..count).chain(0..first) {
+            match self.may_lose(node) {
+                true => self.empty_disk(node),
+                false => self.crash(node),
+            }
+        }
+    }
+
     fn on_restart(&mut self, node: usize, incarnation: u64) -> checks::CheckResult {
         if self.nodes[node].incarnation != incarnation || self.nodes[node].replica.is_some() {
             return Ok(());
--- a/ragwortdeal_node/tests/cut_answers.rs
+++ b/ragwortdeal_node/tests/cut_answers.rs
@@ -77,7 +77,7 @@
     let head_bytes = answer.find("\r\n\r\n").expect("a head");
     // Identifiers are as long as their placeholder, so that places are the same in each answer.
     let places = places(&answer, framing);
-    let ends = |index: usize| if index % 2 == 0 { Ends::Closed } else { Ends::Reset };
+    let ends = |index: usize| if index.is_multiple_of(2) { Ends::Closed } else { Ends::Reset };
     let cuts: Vec<_> = places.iter().enumerate().map(|(index, at)| (*at, ends(index))).collect();
     let count = cuts.len();
     let (whole, _) = whole(target, Framing::Length);
