--- a/ragwortdeal_core/src/dispatch/bounds.rs
+++ b/ragwortdeal_core/src/dispatch/bounds.rs
@@ -13,8 +13,8 @@
 pub struct Exceeded {
     /// More requests would wait than may where the queue stands.
     pub queue: bool,
-    /// Other streams would pause for longer than is promised, at an engine that works as documented,
-    /// and not by this prompt alone.
+    /// Other streams would pause for longer than is promised, at an engine that works as
+    /// documented, and not by this prompt alone.
     pub pause: bool,
     /// The first event would come too late.
     pub first_event: bool,
--- a/ragwortdeal_core/src/dispatch/forecast.rs
+++ b/ragwortdeal_core/src/dispatch/forecast.rs
@@ -123,10 +123,10 @@
     /// Time that must be left for the rest of an answer when its first event comes, in
     /// milliseconds.
     ///
-    /// A request that waits for a slot must leave time for the longest answer that its caller allows,
-    /// or long answers would be the ones that are cut. Where a slot is free, a refusal serves nobody
-    /// sooner, and most answers are much shorter. At an idle engine the reported pace does not count
-    /// either: while it keeps all requests away, no answer shows that it is wrong.
+    /// A request that waits for a slot must leave time for the longest answer that its caller
+    /// allows, or long answers would be the ones that are cut. Where a slot is free, a refusal
+    /// serves nobody sooner, and most answers are much shorter. At an idle engine the reported pace
+    /// does not count either: while it keeps all requests away, no answer shows that it is wrong.
     pub fn least_rest_ms(&self, engine: &Candidate, answer: &answer_length::Tokens) -> f64 {
         if choice::load(engine) < 1.0 {
             let usual = Candidate { pace: pace::Expected::default(), ..*engine };
@@ -182,8 +182,8 @@
 
     /// The same at the usual pace, if that is shorter.
     ///
-    /// Streams at a slow engine pause for longer whoever is refused there: the prompts that fit into
-    /// the promise by the document may still be read.
+    /// Streams at a slow engine pause for longer whoever is refused there: the prompts that fit
+    /// into the promise by the document may still be read.
     pub fn least_pause_ms(&self, engine: &Candidate, prefill_ms: f64) -> f64 {
         let usual = Candidate { pace: pace::Expected::default(), ..*engine };
         self.pause_ms(engine, prefill_ms).min(self.pause_ms(&usual, prefill_ms))
--- a/ragwortdeal_core/src/dispatch/silence.rs
+++ b/ragwortdeal_core/src/dispatch/silence.rs
@@ -12,8 +12,8 @@
 /// The same before any first event, counted from when one was forecast.
 pub const SILENT_CHECKS_BEFORE_FIRST_EVENT_MAX: u32 = 8;
 
-/// Most checks for a slow upstream, whatever it reports: callers who get no event leave after 20, and
-/// another upstream has to send one before.
+/// Most checks for a slow upstream, whatever it reports: callers who get no event leave after 20,
+/// and another upstream has to send one before.
 pub const SILENT_CHECKS_SLOW_MAX: u32 = 10;
 
 /// What an upstream is to send next.
@@ -31,8 +31,8 @@
 }
 
 impl Due {
-    /// Silent checks after which an upstream counts as silent whose work takes `pace` times as long as
-    /// usual. Whole answers are measured, so they include the pace.
+    /// Silent checks after which an upstream counts as silent whose work takes `pace` times as long
+    /// as usual. Whole answers are measured, so they include the pace.
     fn silent_checks_max(self, pace: f64) -> u32 {
         let usual = match self {
             Due::NextEvent => SILENT_CHECKS_MAX,
--- a/ragwortdeal_standins/src/fleet/raw.rs
+++ b/ragwortdeal_standins/src/fleet/raw.rs
@@ -142,7 +142,8 @@
         }
     }
 
-    /// The cut of the answer to a request on a connection that served so many before, if any is left.
+    /// The cut of the answer to a request on a connection that served so many before, if any is
+    /// left.
     fn next_cut(&self, cuts: &[(usize, Ends)], served: usize, id: &str) -> Option<(usize, Ends)> {
         let mut cut = self.cut.lock().expect("no panic under lock");
         let next = cuts.get(cut.len()).filter(|_| served > 0).cloned()?;
