Bound the keep-alive time that upstreams announce

One answer with Keep-Alive: timeout= left an entry that answered no request any more: the sum of now and that time overflows, the panic poisons the pool's lock, and each later request panics on it.

--- a/ragwortdeal_node/src/fleet/entry/pool.rs
+++ b/ragwortdeal_node/src/fleet/entry/pool.rs
@@ -29,6 +29,10 @@
 /// Idle timeout for upstreams that announce none.
 pub(super) const IDLE_DEFAULT: time::Duration = time::Duration::from_secs(3);
 
+/// Longest idle time of a connection, whatever its upstream announces. It bounds a figure of the
+/// upstream, with which the time until then could not be told.
+const IDLE_LONGEST: time::Duration = time::Duration::from_secs(60);
+
 /// Subtracted from the idle timeout that an upstream announces, for the network delay and for a
 /// busy machine. A request that crosses the close would be lost.
 const IDLE_MARGIN: time::Duration = time::Duration::from_millis(700);
@@ -191,6 +195,7 @@
     let timeout = text(header::HeaderName::from_static("keep-alive"))
         .and_then(|value| value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")))
         .and_then(|seconds| seconds.trim().parse().ok())
-        .map_or(IDLE_DEFAULT, time::Duration::from_secs);
+        .map_or(IDLE_DEFAULT, time::Duration::from_secs)
+        .min(IDLE_LONGEST);
     timeout.checked_sub(IDLE_MARGIN).filter(|keep| !keep.is_zero())
 }
