Bear a rate limit of any size

An upstream that names a rate of 1e308 requests a second overflowed the number of entries that share it: a panic with checks, and a single holder in place of all entries without them. The sum saturates. a_rate_without_bounds panicked before and passes now.

--- a/ragwortdeal_core/src/dispatch/flow_control/share.rs
+++ b/ragwortdeal_core/src/dispatch/flow_control/share.rs
@@ -34,7 +34,7 @@
 impl Rate {
     /// A rate with the usual number of holders.
     pub fn new(per_s: f64) -> Self {
-        let holders = HOLDERS_MIN + (per_s / LIMIT_PER_HOLDER_PER_S) as u32;
+        let holders = HOLDERS_MIN.saturating_add((per_s / LIMIT_PER_HOLDER_PER_S) as u32);
         Self { per_s, holders }
     }
 }
--- a/ragwortdeal_node/tests/odd_figures.rs
+++ b/ragwortdeal_node/tests/odd_figures.rs
@@ -75,6 +75,7 @@
     a_keep_alive_that_is_no_number: READS, "Keep-Alive: timeout=99999999999999999999999";
     a_negative_keep_alive: READS, "Keep-Alive: timeout=-1";
     a_load_without_bounds: STREAMS, "X-Server-Load: 4294967295,4294967295,4294967295";
+    a_rate_without_bounds: READS, "Server-Limit: 1e308";
     a_pause_without_bounds: READS, "Retry-After: 1e308";
     a_cold_time_without_bounds: STREAMS, "X-Cold-Remaining: 18446744073709551615";
 }
